Build: Lay the ground and the libraries' public headers

Cause: parts that grow side by side need one build, one table of result codes and agreed interfaces first.

LibBase is whole (result codes, last reason, clock, random, hashes, addresses, log, metrics). The other libraries have their public headers and a README of what they decide.

--- /dev/null
+++ b/Libraries/LibAdmin/Api.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibAdmin/NodeControl.h>
+#include <LibAdmin/NodeSettings.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+namespace radishcross::admin {
+
+/// The administration API of one node: resources under /v1, and /metrics,
+/// /healthz and /readyz, which need no token.
+class Api {
+public:
+  Api(NodeControl &node, std::vector<Token> tokens);
+  ~Api();
+
+  /// Handles one request; used as the handler of an http::Server.
+  boost::asio::awaitable<http::Response> handle(http::IncomingRequest request);
+
+private:
+  struct Implementation;
+  std::unique_ptr<Implementation> Held;
+};
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/EnumNames.h>
+#include <LibBase/LastReason.h>
+#include <LibBase/Logger.h>
+#include <LibConfig/Labels.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::admin {
+
+/// What a token's holder may do; each role includes those before it.
+enum class Role : uint8_t { Reader, Publisher, Administrator };
+
+constexpr base::EnumName<Role> RoleNames[] = {
+    {Role::Reader, "reader"},
+    {Role::Publisher, "publisher"},
+    {Role::Administrator, "administrator"},
+};
+
+/// One administration token; the token itself is never kept.
+struct Token {
+  std::string Name;
+  std::string Sha256; ///< 64 hexadecimal digits.
+  std::string Team;
+  Role Holds = Role::Reader;
+};
+
+/// Settings of one node, read from JSON:
+/// {"node", "data_centre", "region", "labels",
+///  "listen": {"calls", "mesh", "gossip", "peer", "targets", "administration"},
+///  "platform": {"addresses": []}, "seeds": [], "mesh_keys": [], "tokens": [],
+///  "log": {"level", "format"}, "tailers_per_data_centre", "drain_seconds"}
+struct NodeSettings {
+  std::string Node;
+  std::string DataCentre;
+  std::string Region;
+  config::Labels Labels;
+  base::Address Calls;          ///< Callers, HTTP.
+  base::Address Mesh;           ///< Calls of other nodes, HTTP.
+  base::Address Gossip;         ///< UDP.
+  base::Address Peer;           ///< Cap'n Proto RPC.
+  base::Address Targets;        ///< Announcements of this VM's targets, HTTP.
+  base::Address Administration; ///< Operators, HTTP.
+  std::vector<base::Address> Platform;
+  std::vector<base::Address> Seeds; ///< Gossip addresses of other nodes.
+  std::vector<std::string> MeshKeys;
+  std::vector<Token> Tokens;
+  base::LogSettings Log;
+  uint32_t TailersPerDataCentre = 2;
+  uint32_t DrainSeconds = 30;
+};
+
+/// Returns the JSON Schema of the settings (NodeSettings.schema.json).
+std::string_view nodeSettingsSchemaText();
+
+/// Reads and checks a settings file. Fails with a 1xxx code; the reason names
+/// the key's path, what was found and what is expected.
+std::optional<NodeSettings> loadNodeSettings(const std::string &path,
+                                             base::LastReason &reason);
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/CallBroker.h>
+#include <LibCalls/CallTypes.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// One call as it arrives at its target's node.
+struct Arrival {
+  std::string CallId;
+  std::string ServiceName;
+  std::string TargetId;
+  config::Rank CallRank = config::Rank::Background;
+  base::Duration Remaining{};
+  uint64_t Fingerprint = 0;
+};
+
+/// Identifies an admitted or queued call at one node.
+using Ticket = uint64_t;
+
+/// What the gate decided for one call.
+struct GateAnswer {
+  enum class Kind : uint8_t { Run, Queued, Refuse };
+  Kind What = Kind::Refuse;
+  Ticket Call = 0;
+  base::ResultCode Code = base::ResultCode::Ok;
+  base::Duration RetryAfter{};
+};
+
+/// The decisions of the target's node: which call takes a slot, which waits,
+/// which is refused at once. Without I/O.
+class AdmissionGate {
+public:
+  virtual ~AdmissionGate() = default;
+
+  virtual GateAnswer arrive(const Arrival &arrival, base::TimePoint now) = 0;
+
+  /// Reports that a running call ended. Returns answers for queued calls that
+  /// may run now or are refused.
+  virtual std::vector<GateAnswer>
+  ended(Ticket call, const AttemptResult &result, base::TimePoint now) = 0;
+
+  /// Drops a queued call whose caller went away.
+  virtual void abandoned(Ticket call, base::TimePoint now) = 0;
+
+  /// Refuses queued calls whose deadline cannot be met any more.
+  virtual std::vector<GateAnswer> tick(base::TimePoint now) = 0;
+
+  /// Returns how full a target is, 0 to 1000, for the pressure header.
+  virtual uint32_t pressurePermille(const std::string &targetId) const = 0;
+
+  /// Returns the number of calls that run or wait, for graceful shutdown.
+  virtual size_t inFlight() const = 0;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/Broker.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibCalls/CallBroker.h>
+#include <LibCalls/Quarantine.h>
+#include <LibFleet/Member.h>
+#include <LibTrace/Recorder.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// What the broker knows of its node.
+struct BrokerSettings {
+  fleet::NodeId Node;
+  std::string DataCentre;
+  std::string Region;
+  uint64_t RandomSeed = 0;
+};
+
+/// The broker of one node; see CallBroker.
+class Broker final : public CallBroker {
+public:
+  Broker(BrokerSettings settings, Quarantine &quarantine,
+         trace::Recorder &recorder);
+  ~Broker() override;
+
+  CallHandle begin(const CallRequest &request, config::SnapshotPointer snapshot,
+                   base::TimePoint now) override;
+  CallStep step(CallHandle call) const override;
+  CallStep attemptEnded(CallHandle call, const AttemptResult &result,
+                        base::TimePoint now) override;
+  void end(CallHandle call, base::TimePoint now) override;
+
+  /// Takes the fleet's members: targets appear, change, drain and go.
+  void membersChanged(const std::vector<fleet::Member> &members,
+                      base::TimePoint now);
+
+  /// Takes the names of drained services and VMs ("service:..", "vm:..").
+  void drainedChanged(const std::vector<std::string> &drained,
+                      base::TimePoint now);
+
+  /// Runs the periodic work: ageing of reports, readmission of targets.
+  void tick(base::TimePoint now);
+
+private:
+  struct State;
+  std::unique_ptr<State> Held;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/CallBroker.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/CallTypes.h>
+#include <LibCalls/TargetCandidate.h>
+#include <LibConfig/Snapshot.h>
+
+#include <cstdint>
+#include <string>
+
+namespace radishcross::calls {
+
+/// One request as the caller's node sees it, before it is routed.
+struct CallRequest {
+  std::string CallId;
+  std::string Method;
+  std::string Host;
+  std::string Path;
+  std::string IdempotencyKey; ///< Empty when the caller gave none.
+  uint64_t Fingerprint = 0;   ///< Hash of method, path and body.
+  bool FromMesh = false;      ///< Forwarded here by another node.
+  config::Rank ParentRank = config::Rank::Critical;
+  uint32_t Hops = 0;          ///< Calls above this one in the chain.
+  base::Duration Remaining{}; ///< Deadline left; 0: the route's alone.
+};
+
+/// How one attempt to run a call at a target ended.
+enum class AttemptEnd : uint8_t {
+  Answered,      ///< The whole answer arrived.
+  NotSent,       ///< No byte of the request went out.
+  RefusedNotRun, ///< The target's node or the target said it was not run.
+  Broken,        ///< The connection failed after bytes had been sent.
+  TimedOut,      ///< No answer in time after bytes had been sent.
+  CallerGone,    ///< The caller went away; the attempt was abandoned.
+};
+
+struct AttemptResult {
+  AttemptEnd End = AttemptEnd::NotSent;
+  base::ResultCode Code = base::ResultCode::Ok;
+  uint32_t PressurePermille = 0; ///< Of the target, as its node reported it.
+  base::Duration Latency{};
+};
+
+/// What to do next for a call.
+struct CallStep {
+  enum class Kind : uint8_t {
+    Send,    ///< Send the request to To.
+    Forward, ///< Let the idempotency key's owner at To run the call.
+    Wait,    ///< An equal call runs; its end resolves this one.
+    Finish,  ///< Tell the caller Code and Outcome; come back after RetryAfter.
+    Replay,  ///< Answer with the kept answer of the idempotency key.
+  };
+  Kind What = Kind::Finish;
+  TargetCandidate To;
+  std::string ServiceName;
+  config::Rank CallRank = config::Rank::Background;
+  base::Duration AttemptTimeout{}; ///< For connecting and the whole answer.
+  base::Duration Remaining{};      ///< Deadline left, for the next hop.
+  bool FreshConnection = false;    ///< Do not reuse a pooled connection.
+  CallOutcome Outcome = CallOutcome::NotRun;
+  base::ResultCode Code = base::ResultCode::Ok;
+  base::Duration RetryAfter{}; ///< When a refused caller may come back.
+};
+
+/// Identifies a call inside one broker.
+using CallHandle = uint64_t;
+
+/// The decisions of the caller's node: route, rank, deadline, choice of target,
+/// retries, idempotency keys. Without I/O; the HTTP shell carries out steps.
+class CallBroker {
+public:
+  virtual ~CallBroker() = default;
+
+  /// Starts a call under \p snapshot, which it keeps until the end.
+  virtual CallHandle begin(const CallRequest &request,
+                           config::SnapshotPointer snapshot,
+                           base::TimePoint now) = 0;
+
+  /// Returns the step that the call now needs.
+  virtual CallStep step(CallHandle call) const = 0;
+
+  /// Reports the end of the attempt that the last Send or Forward asked for.
+  /// Returns the next step. Answered ends in a Finish with Outcome Answered.
+  virtual CallStep attemptEnded(CallHandle call, const AttemptResult &result,
+                                base::TimePoint now) = 0;
+
+  /// Drops the call after its Finish, or after the caller went away.
+  virtual void end(CallHandle call, base::TimePoint now) = 0;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/Gate.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/Quarantine.h>
+#include <LibConfig/Snapshot.h>
+#include <LibFleet/Member.h>
+#include <LibTrace/Recorder.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// The gate of one node's targets; see AdmissionGate.
+class Gate final : public AdmissionGate {
+public:
+  Gate(Quarantine &quarantine, trace::Recorder &recorder);
+  ~Gate() override;
+
+  GateAnswer arrive(const Arrival &arrival, base::TimePoint now) override;
+  std::vector<GateAnswer> ended(Ticket call, const AttemptResult &result,
+                                base::TimePoint now) override;
+  void abandoned(Ticket call, base::TimePoint now) override;
+  std::vector<GateAnswer> tick(base::TimePoint now) override;
+  uint32_t pressurePermille(const std::string &targetId) const override;
+  size_t inFlight() const override;
+
+  /// Takes the targets behind this node.
+  void targetsChanged(const std::vector<fleet::TargetRecord> &targets,
+                      base::TimePoint now);
+
+  /// Takes the limits of the services in force.
+  void limitsChanged(config::SnapshotPointer snapshot);
+
+private:
+  struct State;
+  std::unique_ptr<State> Held;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
+#include <LibFleet/Member.h>
+#include <LibTrace/Recorder.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// What a target sends to its node at its start and as a heartbeat.
+struct Announcement {
+  fleet::TargetRecord Target; ///< Epoch: the last one granted, 0 at first.
+};
+
+/// What the node answers to an announcement.
+struct LeaseAnswer {
+  uint64_t Epoch = 0;
+  base::Duration Lifetime{};
+};
+
+/// Leases of the announcements of the targets behind one node. A target whose
+/// lease has lapsed is no longer offered work; when it wakes, its old epoch is
+/// refused with LeaseLapsed and it must announce anew before it takes work.
+class TargetLeases {
+public:
+  explicit TargetLeases(trace::Recorder &recorder);
+
+  /// Grants or renews a lease; fails with LeaseLapsed.
+  std::optional<LeaseAnswer> announce(const Announcement &announcement,
+                                      base::TimePoint now,
+                                      base::LastReason &reason);
+
+  /// Drops lapsed leases; returns true when the list of targets changed.
+  bool tick(base::TimePoint now);
+
+  /// Marks one target, or all, as draining; used by an operator's drain.
+  void drain(std::string_view targetId);
+  void drainAll();
+
+  /// Returns the targets whose lease holds, with their current state.
+  std::vector<fleet::TargetRecord> current() const;
+
+private:
+  struct Lease {
+    fleet::TargetRecord Target;
+    base::TimePoint ExpiresAt{};
+    bool Lapsed = false;
+    bool DrainedByOperator = false;
+  };
+  std::map<std::string, Lease, std::less<>> Leases;
+  trace::Recorder *Record;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibChart/Chart.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::chart {
+
+/// A state chart read from a JSON file:
+/// `{"initial": "idle", "states": {"idle": {"on": {"start": {"to": "busy",
+/// "do": ["open"]}}}}}`. Shared by all machines that run it.
+class Chart {
+public:
+  struct Transition {
+    size_t To = 0;
+    std::vector<size_t> Actions; ///< Indexes into actionNames().
+  };
+
+  /// Reads and checks a chart: every state named must exist and be reachable,
+  /// and every action must be in \p boundActions. Fails with an 8xxx code.
+  static std::optional<Chart>
+  create(std::string_view text, const std::vector<std::string> &boundActions,
+         base::LastReason &reason);
+
+  size_t initial() const { return Initial; }
+  std::optional<size_t> stateNamed(std::string_view name) const;
+  const std::string &nameOfState(size_t state) const { return States[state]; }
+
+  /// Returns the transition of \p state on \p event, or null when the state
+  /// ignores the event.
+  const Transition *find(size_t state, std::string_view event) const;
+
+private:
+  std::vector<std::string> States;
+  std::vector<std::map<std::string, Transition, std::less<>>> Transitions;
+  size_t Initial = 0;
+};
+
+/// One running instance of a chart over an object with member functions as
+/// actions. \p Owner binds action names to member pointers in a table.
+template <typename Owner> class Machine {
+public:
+  using Action = void (Owner::*)();
+
+  Machine(const Chart &chart, std::vector<Action> actions)
+      : Shared(&chart), Actions(std::move(actions)), State(chart.initial()) {}
+
+  /// Takes one event; returns false when the state ignores it.
+  bool take(Owner &owner, std::string_view event) {
+    const auto *transition = Shared->find(State, event);
+    if (!transition)
+      return false;
+    State = transition->To;
+    for (size_t it : transition->Actions)
+      (owner.*Actions[it])();
+    return true;
+  }
+
+  const std::string &stateName() const { return Shared->nameOfState(State); }
+
+private:
+  const Chart *Shared;
+  std::vector<Action> Actions;
+  size_t State;
+};
+
+} // namespace radishcross::chart
--- /dev/null
+++ b/Libraries/LibConfig/Snapshot.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+#include <LibConfig/Resources.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::config {
+
+/// One configuration's version as a proxy holds it.
+struct HeldVersion {
+  std::string Configuration;
+  uint64_t Version = 0;
+  std::shared_ptr<const VersionContent> Content;
+};
+
+/// A route that was found for a request, with the service it points at. The
+/// pointers live as long as the snapshot.
+struct RouteHit {
+  const Route *Matched = nullptr;
+  const Service *Destination = nullptr;
+  std::string ServiceName; ///< "configuration/name".
+};
+
+/// All that one proxy holds at one moment, closed under references: every
+/// route's service is in it. Immutable; a request keeps the snapshot that it
+/// began with.
+class Snapshot {
+public:
+  /// Builds the snapshot of \p versions. Fails with DanglingReference or
+  /// AmbiguousRoute and then nothing of it is applied.
+  static std::optional<std::shared_ptr<const Snapshot>>
+  create(std::vector<HeldVersion> versions, uint64_t offset,
+         base::LastReason &reason);
+
+  /// Returns the route for a request, or an empty hit.
+  RouteHit findRoute(std::string_view method, std::string_view host,
+                     std::string_view path) const;
+
+  /// Returns the service "configuration/name", or null.
+  const Service *findService(std::string_view name) const;
+
+  /// Returns the version held of \p configuration, or 0.
+  uint64_t versionOf(std::string_view configuration) const;
+
+  const std::vector<HeldVersion> &versions() const { return Versions; }
+
+  /// Returns the log offset up to which the snapshot reflects the log.
+  uint64_t offset() const { return AtOffset; }
+
+private:
+  Snapshot() = default;
+  struct Index;
+  std::vector<HeldVersion> Versions;
+  uint64_t AtOffset = 0;
+  std::shared_ptr<const Index> Lookup;
+};
+
+using SnapshotPointer = std::shared_ptr<const Snapshot>;
+
+} // namespace radishcross::config
--- /dev/null
+++ b/Libraries/LibHttp/Client.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace radishcross::http {
+
+/// Sends one request over a new connection and returns the whole answer; fails
+/// with NodeUnreachable (no byte was sent) or OutcomeUnknown.
+boost::asio::awaitable<std::optional<Response>>
+fetch(const base::Address &server, Request request, base::Duration timeout,
+      base::LastReason &reason);
+
+/// The same for command-line programs; runs its own io_context.
+std::optional<Response> fetchBlocking(const base::Address &server,
+                                      Request request, base::Duration timeout,
+                                      base::LastReason &reason);
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/Server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace radishcross::http {
+
+/// What a listener takes from its clients.
+struct ServerLimits {
+  size_t HeaderBytes = 16UL << 10;
+  size_t BodyBytes = 1UL << 20;
+  base::Duration RequestTimeout = std::chrono::seconds(10);
+  base::Duration IdleTimeout = std::chrono::seconds(75);
+  size_t Connections = 4096;
+};
+
+/// One request with where it came from.
+struct IncomingRequest {
+  Request Message;
+  base::Address Peer;
+  /// Tells whether the client still waits; polled by long-running handlers.
+  std::shared_ptr<bool> ClientGone = std::make_shared<bool>(false);
+};
+
+using Handler =
+    std::function<boost::asio::awaitable<Response>(IncomingRequest)>;
+
+/// A small HTTP/1.1 server on the node's one thread: one request at a time on
+/// a connection, strict about what it reads (ambiguous framing is refused).
+class Server {
+public:
+  /// Binds and starts to accept; fails with CannotListen.
+  static std::optional<std::shared_ptr<Server>>
+  create(boost::asio::io_context &context, const base::Address &listen,
+         const ServerLimits &limits, Handler handler, base::LastReason &reason);
+  virtual ~Server() = default;
+
+  /// Returns the bound address; its port is chosen when 0 was asked for.
+  virtual base::Address address() const = 0;
+
+  /// Stops accepting and closes idle connections; requests in flight finish and
+  /// their answers carry `Connection: close`.
+  virtual void drain() = 0;
+
+  /// Returns the number of requests that are being handled.
+  virtual size_t inFlight() const = 0;
+};
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibSchema/JsonSchema.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+
+#include <boost/json/value.hpp>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace radishcross::schema {
+
+/// A compiled JSON Schema.
+class JsonSchema {
+public:
+  /// Compiles \p text; fails with DocumentMalformed.
+  static std::optional<JsonSchema> create(std::string_view text,
+                                          base::LastReason &reason);
+  JsonSchema(JsonSchema &&) noexcept;
+  JsonSchema &operator=(JsonSchema &&) noexcept;
+  ~JsonSchema();
+
+  /// Checks \p value. On failure the reason is one line: the path of the first
+  /// offending key, what was found and what is expected; the code is one of
+  /// UnknownKey, WrongType, NumberOutOfRange, MissingKey and BadValue.
+  bool check(const boost::json::value &value, base::LastReason &reason) const;
+
+private:
+  struct Implementation;
+  explicit JsonSchema(std::unique_ptr<Implementation> compiled);
+  std::unique_ptr<Implementation> Compiled;
+};
+
+} // namespace radishcross::schema
--- /dev/null
+++ b/Libraries/LibSchema/StrictJson.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+
+#include <boost/json/value.hpp>
+#include <optional>
+#include <string_view>
+
+namespace radishcross::schema {
+
+/// What a document may be at most.
+struct DocumentLimits {
+  size_t MaximumBytes = 4UL << 20;
+  size_t MaximumDepth = 24;
+};
+
+/// Parses one JSON document strictly: UTF-8 only, no duplicate keys, nothing
+/// after the document. Numbers must fit 64 bits or be finite.
+///
+/// Fails with one of the 1003..1009 codes or NumberOutOfRange; the reason names
+/// the key's path or the line and column.
+std::optional<boost::json::value> parseStrictJson(std::string_view text,
+                                                  const DocumentLimits &limits,
+                                                  base::LastReason &reason);
+
+/// Reads the file at \p path, at most \p limits.MaximumBytes of it, and parses
+/// it; fails with FileUnreadable as well.
+std::optional<boost::json::value> readStrictJson(const std::string &path,
+                                                 const DocumentLimits &limits,
+                                                 base::LastReason &reason);
+
+/// Returns \p value serialized with the keys of all objects sorted, so that
+/// equal documents have equal bytes and hashes.
+std::string canonicalJson(const boost::json::value &value);
+
+} // namespace radishcross::schema
--- /dev/null
+++ b/Meta/Precompiled.cpp
@@ -0,0 +1,1 @@
+// The precompiled headers need one translation unit to be built with.
--- /dev/null
+++ b/Meta/Precompiled.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds one preset (default: release) and runs all of
+# its tests: Meta/test.sh [release|debug|sanitize]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset=${1:-release}
+Meta/install.sh
+cmake --preset "$preset" >/dev/null
+cmake --build --preset "$preset" -j "${JOBS:-$(nproc)}"
+Meta/run-tests.sh "$preset"
--- /dev/null
+++ b/Services/Radishcross/Main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("radishcross " RADISHCROSS_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/Tests/LibBase/TestMetrics.cpp
@@ -0,0 +1,27 @@
+#include <LibBase/Metrics.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross::base;
+using namespace std::chrono_literals;
+
+TEST_CASE("counters keep their place and print in the Prometheus form") {
+  Metrics metrics;
+  uint64_t &calls = metrics.counter("calls_total{rank=\"critical\"}");
+  metrics.counter("another_total");
+  calls += 3;
+  CHECK(metrics.prometheusText().find("calls_total{rank=\"critical\"} 3\n") !=
+        std::string::npos);
+}
+
+TEST_CASE("quantiles lie within one bin of the observations") {
+  Metrics metrics;
+  for (int i = 1; i <= 100; ++i)
+    metrics.observe("latency_ms", i * 1ms);
+  CHECK(metrics.quantileMilliseconds("latency_ms", 0.5) ==
+        doctest::Approx(50).epsilon(0.1));
+  CHECK(metrics.quantileMilliseconds("latency_ms", 0.99) ==
+        doctest::Approx(99).epsilon(0.1));
+  CHECK(metrics.prometheusText().find("latency_ms_bucket{le=\"+Inf\"} 100") !=
+        std::string::npos);
+}
