LibNode: Wire the libraries into one node

Cause: the parts have agreed interfaces but nothing passes events from one to the next.

One object owns the listeners, the timer and the decisions; changes wait for the fold's verdict on their record id, so a lost answer resolves itself. Not yet run: the shells it wires are not there.

--- /dev/null
+++ b/Libraries/LibNode/Node.cpp
@@ -0,0 +1,52 @@
+#include <LibNode/Node.h>
+
+#include <LibBase/LastReason.h>
+#include <LibBase/Logger.h>
+#include <LibNode/NodeProcess.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace radishcross::node {
+
+namespace {
+
+/// Starts the graceful shutdown on the first signal; a second one changes
+/// nothing, so that an impatient operator cuts no call.
+void drainOnSignal(boost::asio::signal_set &signals, NodeProcess &node) {
+  signals.async_wait([&signals, &node](boost::system::error_code ec, int) {
+    if (ec)
+      return;
+    node.drainSelf();
+    drainOnSignal(signals, node);
+  });
+}
+
+} // namespace
+
+base::ResultCode run(const admin::NodeSettings &settings) {
+  auto log = settings.Log;
+  log.Node = settings.Node;
+  log.DataCentre = settings.DataCentre;
+  base::setUpLog(log);
+  boost::asio::io_context context(1);
+  base::LastReason reason;
+  auto node = NodeProcess::create(context, settings, reason);
+  if (!node) {
+    base::log(base::LogLevel::Error, "node cannot start",
+              {{"reason", reason.line()}});
+    return reason.code();
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  drainOnSignal(signals, **node);
+  (*node)->whenDrained([&context] { context.stop(); });
+  base::log(base::LogLevel::Info, "node started",
+            {{"calls", (*node)->callsAddress().text()},
+             {"administration", settings.Administration.text()}});
+  context.run();
+  base::log(base::LogLevel::Info, "node stopped");
+  return base::ResultCode::Ok;
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -0,0 +1,319 @@
+#include <LibNode/NodeProcess.h>
+
+#include <LibBase/Logger.h>
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <charconv>
+#include <chrono>
+#include <random>
+#include <utility>
+
+namespace radishcross::node {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How often queue deadlines, leases and pending changes are looked at.
+constexpr base::Duration TickPeriod = 20ms;
+
+/// How long a draining node waits without any call before it ends: the others
+/// learn of it in this time, and none of their calls is refused.
+constexpr base::Duration QuietBeforeStop = 1500ms;
+
+constexpr std::string_view QuarantineTopic = "quarantine/";
+constexpr base::Duration QuarantineLifetime = std::chrono::minutes(10);
+
+uint64_t randomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32) | device();
+}
+
+fleet::NodeIdentity identityOf(const admin::NodeSettings &settings) {
+  fleet::NodeIdentity out;
+  out.Id = settings.Node;
+  out.DataCentre = settings.DataCentre;
+  out.Region = settings.Region;
+  out.NodeLabels = settings.Labels;
+  out.NodeLabels["data_centre"] = settings.DataCentre;
+  out.NodeLabels["region"] = settings.Region;
+  out.Gossip = settings.Gossip;
+  out.Peer = settings.Peer;
+  out.Mesh = settings.Mesh;
+  out.Administration = settings.Administration;
+  return out;
+}
+
+int64_t unixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(boost::asio::io_context &context,
+                         const admin::NodeSettings &settings)
+    : Context(&context), Settings(settings), Self(identityOf(settings)),
+      Platform(context, settings.Platform, Counters), Quarantined(Decisions),
+      Leases(Decisions),
+      CallsBroker({Self.Id, Self.DataCentre, Self.Region, randomSeed()},
+                  Quarantined, Decisions),
+      CallsGate(Quarantined, Decisions), Usage(CallsBroker),
+      Held(Self.Id, Self.NodeLabels), Changes(Platform, Time,
+                                              [this] {
+                                                if (Fleet)
+                                                  Fleet->readLogSoon();
+                                              }),
+      Announcements(Leases, Time, [this] { targetsChanged(); }),
+      Administration(*this, settings.Tokens), Timer(context) {}
+
+NodeProcess::~NodeProcess() = default;
+
+std::optional<std::unique_ptr<NodeProcess>>
+NodeProcess::create(boost::asio::io_context &context,
+                    const admin::NodeSettings &settings,
+                    base::LastReason &reason) {
+  std::unique_ptr<NodeProcess> node(new NodeProcess(context, settings));
+  if (!node->startFleet(reason) || !node->startListeners(reason))
+    return std::nullopt;
+  node->armTimer();
+  return node;
+}
+
+bool NodeProcess::startFleet(base::LastReason &reason) {
+  peer::FleetEnvironment environment;
+  environment.Context = Context;
+  environment.Time = &Time;
+  environment.Counters = &Counters;
+  environment.Recorder = &Decisions;
+  environment.Platform = &Platform;
+  environment.Self = Self;
+  environment.Seeds = Settings.Seeds;
+  environment.MeshKeys = Settings.MeshKeys;
+  environment.RandomSeed = randomSeed();
+  environment.TailersPerDataCentre = Settings.TailersPerDataCentre;
+  environment.FoldAdvanced = [this](const log::Fold &fold) {
+    foldAdvanced(fold);
+  };
+  environment.MembersChanged = [this] { MembersDirty = true; };
+  environment.NoticeArrived = [this](std::string_view topic,
+                                     std::string_view text) {
+    noticeArrived(topic, text);
+  };
+  auto shell = peer::FleetShell::create(std::move(environment), reason);
+  if (!shell)
+    return false;
+  Fleet = std::move(*shell);
+  return true;
+}
+
+bool NodeProcess::startListeners(base::LastReason &reason) {
+  http::CallProxyEnvironment environment;
+  environment.Context = Context;
+  environment.Time = &Time;
+  environment.Counters = &Counters;
+  environment.Broker = &Usage;
+  environment.Gate = &CallsGate;
+  environment.CurrentSnapshot = [this]() -> config::SnapshotPointer {
+    return ready() ? Held.snapshot() : nullptr;
+  };
+  environment.LocalTarget =
+      [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
+    for (auto &it : Leases.current())
+      if (it.TargetId == id)
+        return it;
+    return std::nullopt;
+  };
+  environment.MeshKeys = Settings.MeshKeys;
+  environment.NodeId = Self.Id;
+  environment.DataCentre = Self.DataCentre;
+  auto proxy = http::CallProxy::create(std::move(environment), Settings.Calls,
+                                       Settings.Mesh, reason);
+  if (!proxy)
+    return false;
+  Proxy = std::move(*proxy);
+  auto administration = http::Server::create(
+      *Context, Settings.Administration, {},
+      [this](http::IncomingRequest request) {
+        return Administration.handle(std::move(request));
+      },
+      reason);
+  if (!administration)
+    return false;
+  AdministrationServer = std::move(*administration);
+  auto targets = http::Server::create(
+      *Context, Settings.Targets, {},
+      [this](http::IncomingRequest request) {
+        return Announcements.handle(std::move(request));
+      },
+      reason);
+  if (!targets)
+    return false;
+  TargetServer = std::move(*targets);
+  return true;
+}
+
+void NodeProcess::foldAdvanced(const log::Fold &fold) {
+  if (Held.update(fold))
+    snapshotChanged(fold);
+  drainedChanged(fold);
+  Changes.foldAdvanced(fold);
+}
+
+void NodeProcess::snapshotChanged(const log::Fold &fold) {
+  CallsGate.limitsChanged(Held.snapshot());
+  for (const auto &held : Held.snapshot()->versions()) {
+    auto &since = Since[held.Configuration];
+    if (since.Version == held.Version)
+      continue;
+    since = {held.Configuration, held.Version, unixMilliseconds()};
+    base::log(base::LogLevel::Info, "version in force",
+              {{"configuration", held.Configuration},
+               {"version", std::to_string(held.Version)},
+               {"offset", std::to_string(fold.offset())}});
+  }
+}
+
+void NodeProcess::drainedChanged(const log::Fold &fold) {
+  std::vector<std::string> names;
+  for (const auto &[name, offset] : fold.drained())
+    names.push_back(name);
+  if (names == DrainedNames)
+    return;
+  DrainedNames = std::move(names);
+  CallsBroker.drainedChanged(DrainedNames, Time.now());
+}
+
+void NodeProcess::membersChanged() {
+  MembersDirty = false;
+  CallsBroker.membersChanged(Fleet->members(), Time.now());
+}
+
+void NodeProcess::targetsChanged() {
+  auto targets = Leases.current();
+  CallsGate.targetsChanged(targets, Time.now());
+  Fleet->setTargets(std::move(targets));
+}
+
+void NodeProcess::noticeArrived(std::string_view topic, std::string_view text) {
+  if (!topic.starts_with(QuarantineTopic))
+    return;
+  std::string_view digits = topic.substr(QuarantineTopic.size());
+  uint64_t fingerprint = 0;
+  auto [end, error] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), fingerprint, 16);
+  if (error != std::errc() || end != digits.data() + digits.size())
+    return;
+  Quarantined.learn(fingerprint, text, QuarantineLifetime, Time.now());
+}
+
+void NodeProcess::armTimer() {
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    tick();
+    armTimer();
+  });
+}
+
+void NodeProcess::tick() {
+  if (Leases.tick(Time.now()))
+    targetsChanged();
+  if (MembersDirty)
+    membersChanged();
+  CallsBroker.tick(Time.now());
+  Proxy->tick();
+  Changes.tick();
+  if (Draining)
+    drainTick();
+}
+
+std::vector<admin::HoldingSince> NodeProcess::holdingSince() const {
+  std::vector<admin::HoldingSince> out;
+  out.reserve(Since.size());
+  for (const auto &[name, since] : Since)
+    out.push_back(since);
+  return out;
+}
+
+std::vector<fleet::Member> NodeProcess::members() const {
+  return Fleet->members();
+}
+
+base::Metrics &NodeProcess::metrics() {
+  Counters.setGauge("control_bytes",
+                    static_cast<double>(Fleet->controlBytes()));
+  Counters.setGauge("calls_in_flight", static_cast<double>(Proxy->inFlight()));
+  Counters.setGauge("configuration_offset",
+                    static_cast<double>(Fleet->fold().offset()));
+  Counters.setGauge("members", static_cast<double>(Fleet->members().size()));
+  return Counters;
+}
+
+bool NodeProcess::ready() const { return Fleet && Fleet->ready(); }
+
+void NodeProcess::change(log::Record record, base::Duration patience,
+                         std::function<void(admin::ChangeOutcome)> done) {
+  Changes.change(record, patience, std::move(done));
+}
+
+boost::json::value NodeProcess::usage() const {
+  return Usage.usage(Time.now());
+}
+
+boost::json::value NodeProcess::quarantine() const {
+  boost::json::array out;
+  auto now = Time.now();
+  for (const auto &it : Quarantined.entries(now)) {
+    auto left =
+        std::chrono::duration_cast<std::chrono::seconds>(it.Until - now);
+    out.push_back(
+        boost::json::object{{"fingerprint", std::to_string(it.Fingerprint)},
+                            {"service", it.ServiceName},
+                            {"crashes", it.Crashes},
+                            {"seconds_left", left.count()}});
+  }
+  return out;
+}
+
+bool NodeProcess::liftQuarantine(uint64_t fingerprint) {
+  return Quarantined.lift(fingerprint);
+}
+
+std::string NodeProcess::recording(uint32_t) const { return {}; }
+
+void NodeProcess::drainSelf() {
+  if (Draining)
+    return;
+  Draining = true;
+  DrainStartedAt = LastBusyAt = Time.now();
+  base::log(base::LogLevel::Info, "drain started");
+  Leases.drainAll();
+  targetsChanged();
+  Proxy->drain();
+}
+
+void NodeProcess::drainTick() {
+  auto now = Time.now();
+  if (Proxy->inFlight() > 0)
+    LastBusyAt = now;
+  bool isQuiet = now - LastBusyAt >= QuietBeforeStop;
+  bool isLate =
+      now - DrainStartedAt >= std::chrono::seconds(Settings.DrainSeconds);
+  if (!isQuiet && !isLate)
+    return;
+  Draining = false;
+  base::log(isQuiet ? base::LogLevel::Info : base::LogLevel::Warning,
+            "drain ended",
+            {{"calls_in_flight", std::to_string(Proxy->inFlight())}});
+  Fleet->leave([this] {
+    if (Drained)
+      Drained();
+  });
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/NodeProcess.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <LibAdmin/Api.h>
+#include <LibAdmin/NodeControl.h>
+#include <LibAdmin/NodeSettings.h>
+#include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
+#include <LibBase/Metrics.h>
+#include <LibCalls/Broker.h>
+#include <LibCalls/Gate.h>
+#include <LibCalls/Quarantine.h>
+#include <LibCalls/TargetLeases.h>
+#include <LibHttp/CallProxy.h>
+#include <LibHttp/HttpPlatformClient.h>
+#include <LibHttp/Server.h>
+#include <LibLog/HeldVersions.h>
+#include <LibNode/ChangeFlow.h>
+#include <LibNode/DecisionLog.h>
+#include <LibNode/TargetListener.h>
+#include <LibNode/UsageMeter.h>
+#include <LibPeer/FleetShell.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishcross::node {
+
+/// One node put together: it owns the libraries' objects and passes events from
+/// one to the next. All of it runs on the thread of one io_context.
+class NodeProcess final : public admin::NodeControl {
+public:
+  /// Opens every listener and starts to recover; fails with CannotListen.
+  static std::optional<std::unique_ptr<NodeProcess>>
+  create(boost::asio::io_context &context, const admin::NodeSettings &settings,
+         base::LastReason &reason);
+  ~NodeProcess() override;
+
+  const fleet::NodeIdentity &identity() const override { return Self; }
+  const log::Fold &fold() const override { return Fleet->fold(); }
+  const log::HeldVersions &held() const override { return Held; }
+  std::vector<admin::HoldingSince> holdingSince() const override;
+  std::vector<fleet::Member> members() const override;
+  base::Metrics &metrics() override;
+  bool ready() const override;
+  void change(log::Record record, base::Duration patience,
+              std::function<void(admin::ChangeOutcome)> done) override;
+  boost::json::value usage() const override;
+  boost::json::value quarantine() const override;
+  bool liftQuarantine(uint64_t fingerprint) override;
+  std::string recording(uint32_t seconds) const override;
+  void drainSelf() override;
+
+  /// Calls \p done once the graceful shutdown is complete.
+  void whenDrained(std::function<void()> done) { Drained = std::move(done); }
+
+  base::Address callsAddress() const { return Proxy->callsAddress(); }
+
+private:
+  NodeProcess(boost::asio::io_context &context,
+              const admin::NodeSettings &settings);
+
+  bool startFleet(base::LastReason &reason);
+  bool startListeners(base::LastReason &reason);
+  void foldAdvanced(const log::Fold &fold);
+  void snapshotChanged(const log::Fold &fold);
+  void drainedChanged(const log::Fold &fold);
+  void membersChanged();
+  void targetsChanged();
+  void noticeArrived(std::string_view topic, std::string_view text);
+  void armTimer();
+  void tick();
+  void drainTick();
+
+  boost::asio::io_context *Context;
+  admin::NodeSettings Settings;
+  fleet::NodeIdentity Self;
+  base::SystemClock Time;
+  base::Metrics Counters;
+  DecisionLog Decisions;
+  http::HttpPlatformClient Platform;
+  calls::Quarantine Quarantined;
+  calls::TargetLeases Leases;
+  calls::Broker CallsBroker;
+  calls::Gate CallsGate;
+  UsageMeter Usage;
+  log::HeldVersions Held;
+  ChangeFlow Changes;
+  TargetListener Announcements;
+  admin::Api Administration;
+  std::shared_ptr<peer::FleetShell> Fleet;
+  std::shared_ptr<http::CallProxy> Proxy;
+  std::shared_ptr<http::Server> AdministrationServer;
+  std::shared_ptr<http::Server> TargetServer;
+  boost::asio::steady_timer Timer;
+  std::map<std::string, admin::HoldingSince, std::less<>> Since;
+  std::vector<std::string> DrainedNames;
+  bool MembersDirty = false;
+  bool Draining = false;
+  base::TimePoint DrainStartedAt{};
+  base::TimePoint LastBusyAt{};
+  std::function<void()> Drained;
+};
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -0,0 +1,120 @@
+#include <LibNode/TargetListener.h>
+
+#include <LibBase/LastReason.h>
+#include <LibSchema/JsonSchema.h>
+#include <LibSchema/StrictJson.h>
+
+#include <boost/beast/http/status.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <string>
+#include <utility>
+
+namespace radishcross::embedded {
+extern const std::string_view AnnouncementText;
+} // namespace radishcross::embedded
+
+namespace radishcross::node {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr schema::DocumentLimits AnnouncementLimits{16UL << 10, 4};
+
+const schema::JsonSchema *announcementSchema() {
+  static base::LastReason reason;
+  static auto compiled =
+      schema::JsonSchema::create(embedded::AnnouncementText, reason);
+  return compiled ? &*compiled : nullptr;
+}
+
+uint64_t numberAt(const boost::json::object &object, std::string_view key,
+                  uint64_t otherwise) {
+  const auto *it = object.if_contains(key);
+  return it ? it->to_number<uint64_t>() : otherwise;
+}
+
+std::string textAt(const boost::json::object &object, std::string_view key) {
+  const auto *it = object.if_contains(key);
+  return it ? std::string(it->as_string()) : std::string();
+}
+
+std::optional<calls::Announcement> decode(std::string_view body,
+                                          base::LastReason &reason) {
+  auto document = schema::parseStrictJson(body, AnnouncementLimits, reason);
+  if (!document)
+    return std::nullopt;
+  const auto *shape = announcementSchema();
+  if (!shape)
+    return reason.fail(base::ResultCode::Internal,
+                       "the announcement schema cannot be compiled");
+  if (!shape->check(*document, reason))
+    return std::nullopt;
+  const auto &object = document->as_object();
+  auto address = base::parseAddress(textAt(object, "address"), reason);
+  if (!address)
+    return std::nullopt;
+  auto state = base::fromName(fleet::TargetStateNames, textAt(object, "state"));
+  if (!state)
+    return reason.fail(base::ResultCode::BadValue, "state: unknown");
+  calls::Announcement out;
+  out.Target.Service = textAt(object, "service");
+  out.Target.TargetId = textAt(object, "target");
+  out.Target.Where = *address;
+  out.Target.State = *state;
+  out.Target.Slots = static_cast<uint32_t>(numberAt(object, "slots", 1));
+  out.Target.Connections =
+      static_cast<uint32_t>(numberAt(object, "connections", 1));
+  out.Target.LoadPermille =
+      static_cast<uint32_t>(numberAt(object, "load_permille", 0));
+  out.Target.Epoch = numberAt(object, "epoch", 0);
+  return out;
+}
+
+http::Response answer(beast_http::status status,
+                      const boost::json::object &body) {
+  http::Response out(status, 11);
+  out.set(beast_http::field::content_type, "application/json");
+  out.body() = boost::json::serialize(body);
+  out.prepare_payload();
+  return out;
+}
+
+http::Response refusal(const base::LastReason &reason) {
+  const auto &row = base::describe(reason.code());
+  return answer(static_cast<beast_http::status>(row.HttpStatus),
+                {{"code", static_cast<int>(reason.code())},
+                 {"name", row.Name},
+                 {"reason", reason.text()}});
+}
+
+} // namespace
+
+TargetListener::TargetListener(calls::TargetLeases &leases,
+                               const base::Clock &clock,
+                               std::function<void()> changed)
+    : Leases(&leases), Time(&clock), Changed(std::move(changed)) {}
+
+boost::asio::awaitable<http::Response>
+TargetListener::handle(http::IncomingRequest request) {
+  base::LastReason reason;
+  if (request.Message.method() != beast_http::verb::post ||
+      request.Message.target() != "/v1/targets") {
+    reason.fail(base::ResultCode::NotFound, "expected POST /v1/targets");
+    co_return refusal(reason);
+  }
+  auto announcement = decode(request.Message.body(), reason);
+  if (!announcement)
+    co_return refusal(reason);
+  auto lease = Leases->announce(*announcement, Time->now(), reason);
+  if (!lease)
+    co_return refusal(reason);
+  Changed();
+  auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(lease->Lifetime);
+  co_return answer(beast_http::status::ok,
+                   {{"epoch", lease->Epoch}, {"lease_ms", ms.count()}});
+}
+
+} // namespace radishcross::node
