LibChart: Read and check state charts

A chart with an unknown or unreachable state, an unbound action or a misspelt key would fail only when the state is entered, perhaps in an outage. create() refuses each with its own code and names the place. Duplicate keys are not seen: the parser keeps the last one.

--- /dev/null
+++ b/Libraries/LibChart/Chart.cpp
@@ -0,0 +1,210 @@
+#include <LibChart/Chart.h>
+
+#include <algorithm>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <utility>
+
+namespace radishcross::chart {
+
+namespace {
+
+using base::LastReason;
+using base::ResultCode;
+using boost::json::object;
+using boost::json::value;
+
+std::string quoted(std::string_view text) {
+  return "\"" + std::string(text) + "\"";
+}
+
+/// Fails when \p node has a key that is not in \p known.
+bool hasOnlyKeys(const object &node,
+                 std::initializer_list<std::string_view> known,
+                 const std::string &place, LastReason &reason) {
+  for (const auto &it : node) {
+    const std::string_view key = it.key();
+    if (std::find(known.begin(), known.end(), key) != known.end())
+      continue;
+    reason.fail(ResultCode::ChartMalformed,
+                place + " has the unknown key " + quoted(key));
+    return false;
+  }
+  return true;
+}
+
+const object *objectAt(const object &node, std::string_view key,
+                       const std::string &place, LastReason &reason) {
+  const auto *found = node.if_contains(key);
+  if (found && found->is_object())
+    return &found->get_object();
+  reason.fail(ResultCode::ChartMalformed,
+              place + " needs an object " + quoted(key));
+  return nullptr;
+}
+
+const boost::json::string *stringAt(const object &node, std::string_view key,
+                                    const std::string &place,
+                                    LastReason &reason) {
+  const auto *found = node.if_contains(key);
+  if (found && found->is_string())
+    return &found->get_string();
+  reason.fail(ResultCode::ChartMalformed,
+              place + " needs a string " + quoted(key));
+  return nullptr;
+}
+
+/// Returns the indexes of the actions that a transition's "do" lists.
+std::optional<std::vector<size_t>>
+readActions(const object &node, const std::vector<std::string> &bound,
+            const std::string &place, LastReason &reason) {
+  std::vector<size_t> out;
+  const auto *list = node.if_contains("do");
+  if (!list)
+    return out;
+  if (!list->is_array())
+    return reason.fail(ResultCode::ChartMalformed,
+                       place + " needs \"do\" to be an array");
+  for (const auto &it : list->get_array()) {
+    if (!it.is_string())
+      return reason.fail(ResultCode::ChartMalformed,
+                         place + " has an action that is not a string");
+    const std::string_view name = it.get_string();
+    const auto found = std::find(bound.begin(), bound.end(), name);
+    if (found == bound.end())
+      return reason.fail(ResultCode::ChartUnboundAction,
+                         place + " names the unbound action " + quoted(name));
+    out.push_back(static_cast<size_t>(found - bound.begin()));
+  }
+  return out;
+}
+
+std::optional<Chart::Transition>
+readTransition(const value &node, const std::vector<std::string> &states,
+               const std::vector<std::string> &bound, const std::string &place,
+               LastReason &reason) {
+  if (!node.is_object())
+    return reason.fail(ResultCode::ChartMalformed, place + " is not an object");
+  const auto &fields = node.get_object();
+  if (!hasOnlyKeys(fields, {"to", "do"}, place, reason))
+    return std::nullopt;
+  const auto *to = stringAt(fields, "to", place, reason);
+  if (!to)
+    return std::nullopt;
+  const std::string_view target = *to;
+  const auto it = std::find(states.begin(), states.end(), target);
+  if (it == states.end())
+    return reason.fail(ResultCode::ChartUnknownState,
+                       place + " leads to the unknown state " + quoted(target));
+  auto actions = readActions(fields, bound, place, reason);
+  if (!actions)
+    return std::nullopt;
+  return Chart::Transition{static_cast<size_t>(it - states.begin()),
+                           std::move(*actions)};
+}
+
+} // namespace
+
+std::optional<Chart> Chart::create(std::string_view text,
+                                   const std::vector<std::string> &boundActions,
+                                   LastReason &reason) {
+  boost::json::error_code ec;
+  const auto document = boost::json::parse(text, ec);
+  if (ec || !document.is_object())
+    return reason.fail(ResultCode::ChartMalformed,
+                       "the chart is not a JSON object");
+  const auto &top = document.get_object();
+  if (!hasOnlyKeys(top, {"initial", "states"}, "the chart", reason))
+    return std::nullopt;
+  const auto *states = objectAt(top, "states", "the chart", reason);
+  if (!states)
+    return std::nullopt;
+  const auto *initial = stringAt(top, "initial", "the chart", reason);
+  if (!initial)
+    return std::nullopt;
+
+  Chart out;
+  for (const auto &it : *states)
+    out.States.emplace_back(it.key());
+  const auto first = out.stateNamed(std::string_view(*initial));
+  if (!first)
+    return reason.fail(ResultCode::ChartUnknownState,
+                       "the initial state " +
+                           quoted(std::string_view(*initial)) +
+                           " does not exist");
+  out.Initial = *first;
+  for (const auto &it : *states)
+    if (!out.readState(it.key(), it.value(), boundActions, reason))
+      return std::nullopt;
+  if (!out.allReachable(reason))
+    return std::nullopt;
+  return out;
+}
+
+bool Chart::readState(std::string_view name, const value &node,
+                      const std::vector<std::string> &boundActions,
+                      LastReason &reason) {
+  const std::string place = "state " + quoted(name);
+  if (!node.is_object()) {
+    reason.fail(ResultCode::ChartMalformed, place + " is not an object");
+    return false;
+  }
+  const auto &fields = node.get_object();
+  auto &row = Transitions.emplace_back();
+  if (!hasOnlyKeys(fields, {"on"}, place, reason))
+    return false;
+  if (!fields.contains("on"))
+    return true; // A final state reacts to nothing.
+  const auto *events = objectAt(fields, "on", place, reason);
+  if (!events)
+    return false;
+  for (const auto &it : *events) {
+    const std::string_view event = it.key();
+    auto read = readTransition(it.value(), States, boundActions,
+                               place + " on " + quoted(event), reason);
+    if (!read)
+      return false;
+    row.emplace(event, std::move(*read));
+  }
+  return true;
+}
+
+bool Chart::allReachable(LastReason &reason) const {
+  std::vector<bool> seen(States.size(), false);
+  std::vector<size_t> open{Initial};
+  seen[Initial] = true;
+  while (!open.empty()) {
+    const size_t state = open.back();
+    open.pop_back();
+    for (const auto &it : Transitions[state]) {
+      const size_t to = it.second.To;
+      if (seen[to])
+        continue;
+      seen[to] = true;
+      open.push_back(to);
+    }
+  }
+  const auto missing = std::find(seen.begin(), seen.end(), false);
+  if (missing == seen.end())
+    return true;
+  const auto &name = States[static_cast<size_t>(missing - seen.begin())];
+  reason.fail(ResultCode::ChartUnreachableState,
+              "state " + quoted(name) + " cannot be reached");
+  return false;
+}
+
+std::optional<size_t> Chart::stateNamed(std::string_view name) const {
+  const auto it = std::find(States.begin(), States.end(), name);
+  if (it == States.end())
+    return std::nullopt;
+  return static_cast<size_t>(it - States.begin());
+}
+
+const Chart::Transition *Chart::find(size_t state,
+                                     std::string_view event) const {
+  const auto &row = Transitions[state];
+  const auto it = row.find(event);
+  return it == row.end() ? nullptr : &it->second;
+}
+
+} // namespace radishcross::chart
--- a/Libraries/LibChart/Chart.h
+++ b/Libraries/LibChart/Chart.h
@@ -2,11 +2,13 @@
 
 #include <LibBase/LastReason.h>
 
+#include <boost/json/value.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace radishcross::chart {
@@ -18,7 +20,7 @@
 public:
   struct Transition {
     size_t To = 0;
-    std::vector<size_t> Actions; ///< Indexes into actionNames().
+    std::vector<size_t> Actions; ///< Indexes into the bound actions.
   };
 
   /// Reads and checks a chart: every state named must exist and be reachable,
@@ -36,6 +38,12 @@
   const Transition *find(size_t state, std::string_view event) const;
 
 private:
+  Chart() = default;
+  bool readState(std::string_view name, const boost::json::value &node,
+                 const std::vector<std::string> &boundActions,
+                 base::LastReason &reason);
+  bool allReachable(base::LastReason &reason) const;
+
   std::vector<std::string> States;
   std::vector<std::map<std::string, Transition, std::less<>>> Transitions;
   size_t Initial = 0;
