LibSchema: Parse strictly and name the first offence in one line

Cause: settings and versions come from people and from the log, so every defect needs its own code and the place where it stands.

The validator keeps every error it finds, so documents of more than 50,000 values that fail are refused without naming the first offence.

--- /dev/null
+++ b/Libraries/LibSchema/DocumentBuilder.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <LibBase/ResultCode.h>
+
+#include <boost/json/error.hpp>
+#include <boost/json/string_view.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_stack.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace radishcross::schema {
+
+/// Handler of Boost.JSON's streaming parser that builds the value and refuses
+/// what the plain parser would take: an object with the same key twice and a
+/// number that fits neither 64 bits nor a finite double.
+class DocumentBuilder {
+public:
+  /// Returns the finished value; only valid after the document's end.
+  boost::json::value release() { return Values.release(); }
+
+  /// Returns the path of the key or element that was read last, such as
+  /// `routes[2].match`; empty at the document itself.
+  std::string path() const;
+
+  /// Returns the code of a refusal by this handler, or Ok.
+  base::ResultCode refusal() const { return Refusal; }
+
+  // The parser looks these up by their names.
+  // NOLINTBEGIN(readability-identifier-naming)
+  static constexpr size_t max_object_size = SIZE_MAX;
+  static constexpr size_t max_array_size = SIZE_MAX;
+  static constexpr size_t max_key_size = SIZE_MAX;
+  static constexpr size_t max_string_size = SIZE_MAX;
+
+  bool on_document_begin(boost::json::error_code &ec);
+  bool on_document_end(boost::json::error_code &ec);
+  bool on_array_begin(boost::json::error_code &ec);
+  bool on_array_end(size_t n, boost::json::error_code &ec);
+  bool on_object_begin(boost::json::error_code &ec);
+  bool on_object_end(size_t n, boost::json::error_code &ec);
+  bool on_string_part(boost::json::string_view text, size_t n,
+                      boost::json::error_code &ec);
+  bool on_string(boost::json::string_view text, size_t n,
+                 boost::json::error_code &ec);
+  bool on_key_part(boost::json::string_view text, size_t n,
+                   boost::json::error_code &ec);
+  bool on_key(boost::json::string_view text, size_t n,
+              boost::json::error_code &ec);
+  bool on_number_part(boost::json::string_view text,
+                      boost::json::error_code &ec);
+  bool on_int64(int64_t number, boost::json::string_view text,
+                boost::json::error_code &ec);
+  bool on_uint64(uint64_t number, boost::json::string_view text,
+                 boost::json::error_code &ec);
+  bool on_double(double number, boost::json::string_view text,
+                 boost::json::error_code &ec);
+  bool on_bool(bool value, boost::json::error_code &ec);
+  bool on_null(boost::json::error_code &ec);
+  bool on_comment_part(boost::json::string_view text,
+                       boost::json::error_code &ec);
+  bool on_comment(boost::json::string_view text, boost::json::error_code &ec);
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  /// An object or array that is not complete yet.
+  struct Container {
+    bool IsArray = false;
+    size_t Index = 0;
+    std::string Key;
+    std::unordered_set<std::string> Keys;
+  };
+
+  bool refuse(base::ResultCode code, boost::json::error_code &ec);
+  void elementEnded();
+
+  boost::json::value_stack Values;
+  std::vector<Container> Open;
+  std::string PendingKey;
+  std::string PendingNumber;
+  base::ResultCode Refusal = base::ResultCode::Ok;
+};
+
+} // namespace radishcross::schema
--- /dev/null
+++ b/Libraries/LibSchema/JsonSchema.cpp
@@ -0,0 +1,200 @@
+// Without it the library ends the process on a defective schema.
+#define VALIJSON_USE_EXCEPTIONS 1
+
+#include <LibSchema/JsonSchema.h>
+#include <LibSchema/SchemaExpectation.h>
+#include <LibSchema/StrictJson.h>
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <valijson/adapters/boost_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace radishcross::schema {
+
+namespace {
+
+using base::ResultCode;
+using boost::json::value;
+using valijson::adapters::BoostJsonAdapter;
+
+/// The validator keeps every error, so the first one is looked for only in
+/// documents of at most this many values.
+constexpr size_t MaximumReportedValues = 50000;
+
+size_t countValues(const value &of) {
+  size_t n = 1;
+  if (const auto *object = of.if_object())
+    for (const auto &it : *object)
+      n += countValues(it.value());
+  if (const auto *array = of.if_array())
+    for (const auto &it : *array)
+      n += countValues(it);
+  return n;
+}
+
+/// What an error's text needs.
+struct Finding {
+  const value &Schema;
+  const value &Document;
+  PathSteps Steps;
+  std::string Named; ///< The key that the validator put between quotes.
+};
+
+std::string textOf(const Finding &finding, const std::string &found,
+                   const std::string &expected) {
+  return pathText(finding.Document, finding.Steps) + ": found " + found +
+         ", expected " + expected;
+}
+
+std::string describeValue(const Finding &finding) {
+  const auto *node = findSubschema(finding.Schema, finding.Steps);
+  const auto *found = findValue(finding.Document, finding.Steps);
+  return textOf(finding, found ? describeFound(*found) : "nothing",
+                node ? describeExpectation(*node) : "another value");
+}
+
+std::string describeUnknownKey(const Finding &finding) {
+  const auto *node = findSubschema(finding.Schema, finding.Steps);
+  Finding below = finding;
+  below.Steps.push_back(finding.Named);
+  return textOf(below, "an unknown key",
+                node ? "one of " + describeKnownKeys(*node) : "no such key");
+}
+
+std::string describeMissingKey(const Finding &finding) {
+  Finding below = finding;
+  below.Steps.push_back(finding.Named);
+  const auto *node = findSubschema(below.Schema, below.Steps);
+  return textOf(below, "nothing",
+                node ? describeExpectation(*node) : "a value");
+}
+
+/// Maps the start of the validator's message to a code and a description. A
+/// key that the message names follows KeyMark.
+struct MessageRow {
+  std::string_view Start;
+  std::string_view KeyMark;
+  ResultCode Code;
+  std::string (*Describe)(const Finding &);
+};
+
+constexpr MessageRow Messages[] = {
+    {"Value type not permitted", "", ResultCode::WrongType, describeValue},
+    {"Object contains a property", "constraints: '", ResultCode::UnknownKey,
+     describeUnknownKey},
+    {"Missing required property", "property '", ResultCode::MissingKey,
+     describeMissingKey},
+    {"Expected number", "", ResultCode::NumberOutOfRange, describeValue},
+    {"Value should be a multiple", "", ResultCode::NumberOutOfRange,
+     describeValue},
+    {"", "", ResultCode::BadValue, describeValue},
+};
+
+/// Returns the key that stands between \p mark and the message's final "'.".
+std::string keyIn(std::string_view message, std::string_view mark) {
+  constexpr size_t Closing = 2;
+  size_t at = mark.empty() ? std::string_view::npos : message.find(mark);
+  if (at == std::string_view::npos ||
+      at + mark.size() + Closing > message.size())
+    return {};
+  message.remove_prefix(at + mark.size());
+  message.remove_suffix(Closing);
+  return std::string(message);
+}
+
+PathSteps stepsOf(const std::vector<std::string> &context) {
+  PathSteps steps;
+  for (const auto &it : context) {
+    if (it.size() < 2 || it.front() != '[')
+      continue;
+    steps.push_back(it.substr(1, it.size() - 2));
+  }
+  return steps;
+}
+
+/// An integer beyond 63 bits is a matter of range and not of type.
+ResultCode refineCode(ResultCode code, const Finding &finding) {
+  const auto *found = findValue(finding.Document, finding.Steps);
+  bool isHuge = found && found->is_uint64();
+  return code == ResultCode::WrongType && isHuge ? ResultCode::NumberOutOfRange
+                                                 : code;
+}
+
+void report(const value &schema, const value &document,
+            const valijson::ValidationResults::Error &error,
+            base::LastReason &reason) {
+  Finding finding{schema, document, stepsOf(error.context), {}};
+  for (const auto &row : Messages) {
+    if (!error.description.starts_with(row.Start))
+      continue;
+    finding.Named = keyIn(error.description, row.KeyMark);
+    reason.fail(refineCode(row.Code, finding), row.Describe(finding));
+    return;
+  }
+}
+
+} // namespace
+
+struct JsonSchema::Implementation {
+  value Document;
+  valijson::Schema Compiled;
+};
+
+JsonSchema::JsonSchema(std::unique_ptr<Implementation> compiled)
+    : Compiled(std::move(compiled)) {}
+JsonSchema::JsonSchema(JsonSchema &&) noexcept = default;
+JsonSchema &JsonSchema::operator=(JsonSchema &&) noexcept = default;
+JsonSchema::~JsonSchema() = default;
+
+std::optional<JsonSchema> JsonSchema::create(std::string_view text,
+                                             base::LastReason &reason) {
+  auto document = parseStrictJson(text, DocumentLimits{}, reason);
+  if (!document)
+    return reason.fail(ResultCode::DocumentMalformed,
+                       "the schema cannot be parsed: " + reason.text());
+  auto compiled = std::make_unique<Implementation>();
+  compiled->Document = std::move(*document);
+  // The parser of schemas reports defects by exceptions alone.
+  try {
+    valijson::SchemaParser parser;
+    parser.populateSchema(BoostJsonAdapter(compiled->Document),
+                          compiled->Compiled);
+  } catch (const std::exception &e) {
+    return reason.fail(ResultCode::DocumentMalformed,
+                       std::string("the schema is not valid: ") + e.what());
+  }
+  return JsonSchema(std::move(compiled));
+}
+
+bool JsonSchema::check(const value &document, base::LastReason &reason) const {
+  BoostJsonAdapter target(document);
+  valijson::Validator quick;
+  if (quick.validate(Compiled->Compiled, target, nullptr))
+    return true;
+  size_t n = countValues(document);
+  if (n > MaximumReportedValues) {
+    reason.fail(ResultCode::BadValue,
+                "(document): found " + std::to_string(n) +
+                    " values of which some do not meet the schema, expected "
+                    "at most " +
+                    std::to_string(MaximumReportedValues) +
+                    " to name the first");
+    return false;
+  }
+  valijson::ValidationResults results;
+  valijson::Validator thorough;
+  thorough.validate(Compiled->Compiled, target, &results);
+  valijson::ValidationResults::Error first;
+  if (results.popError(first))
+    report(Compiled->Document, document, first, reason);
+  else
+    reason.fail(ResultCode::BadValue, "(document): does not meet the schema");
+  return false;
+}
+
+} // namespace radishcross::schema
--- a/Libraries/LibSchema/JsonSchema.h
+++ b/Libraries/LibSchema/JsonSchema.h
@@ -9,7 +9,9 @@
 
 namespace radishcross::schema {
 
-/// A compiled JSON Schema.
+/// A compiled JSON Schema. Schemas should bound strings by length and leave
+/// their form to the code: the validator matches `pattern` recursively, so that
+/// a long string can exhaust the stack.
 class JsonSchema {
 public:
   /// Compiles \p text; fails with DocumentMalformed.
