LibHttp: Serve, fetch and reach the platform's log

Cause: the node needs HTTP listeners, a client and the platform's log before anything else can be wired.

A connection reads and writes whole messages. Ambiguous framing (two length fields, other transfer codings, folded lines, bare line ends, dot segments) is refused with a numbered answer before anything of it is handled. A deadline is one timer per connection that is moved without a system call. A server watches for its client's going away while it handles a request.

--- /dev/null
+++ b/Libraries/LibHttp/Connection.cpp
@@ -0,0 +1,338 @@
+#include <LibHttp/Connection.h>
+
+#include <LibHttp/Framing.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace radishcross::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace bh = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t ReadChunkBytes = 8UL << 10;
+constexpr size_t DiscardLimitBytes = 256UL << 10;
+constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Appends the message's bytes to \p out.
+template <bool IsRequest>
+void serialise(bh::message<IsRequest, bh::string_body> &message,
+               std::string &out) {
+  bh::serializer<IsRequest, bh::string_body> serializer(message);
+  error_code ec;
+  while (!serializer.is_done() && !ec)
+    serializer.next(ec, [&](error_code &, const auto &buffers) {
+      for (auto it : boost::beast::buffers_range_ref(buffers))
+        out.append(static_cast<const char *>(it.data()), it.size());
+      serializer.consume(boost::beast::buffer_bytes(buffers));
+    });
+}
+
+base::ResultCode codeOf(const error_code &ec) {
+  if (ec == bh::error::body_limit)
+    return base::ResultCode::BodyTooLarge;
+  if (ec == bh::error::header_limit)
+    return base::ResultCode::HeadersTooLarge;
+  return base::ResultCode::BadRequest;
+}
+
+size_t countFields(const bh::fields &fields) {
+  return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+}
+
+} // namespace
+
+void tuneSocket(tcp::socket &socket) {
+  error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+}
+
+Connection::Connection(tcp::socket socket)
+    : Socket(std::move(socket)), Timer(Socket.get_executor()) {
+  if (Socket.is_open())
+    tuneSocket(Socket);
+}
+
+Connection::~Connection() = default;
+
+void Connection::expireAfter(base::Duration timeout) {
+  Expired = false;
+  DeadlineAt = Clock::now() + timeout;
+  if (!Armed || DeadlineAt < Timer.expiry())
+    arm(DeadlineAt);
+}
+
+void Connection::arm(Clock::time_point at) {
+  Timer.expires_at(at);
+  Armed = true;
+  Timer.async_wait([weak = weak_from_this()](error_code ec) {
+    auto self = weak.lock();
+    if (!ec && self)
+      self->timerFired();
+  });
+}
+
+void Connection::timerFired() {
+  Armed = false;
+  if (DeadlineAt == NoDeadline)
+    return;
+  if (Clock::now() < DeadlineAt) {
+    arm(DeadlineAt);
+    return;
+  }
+  Expired = true;
+  error_code ec;
+  Socket.cancel(ec);
+}
+
+void Connection::close() {
+  error_code ec;
+  Socket.close(ec);
+}
+
+asio::awaitable<bool> Connection::connect(const base::Address &server) {
+  error_code ec;
+  auto ip = asio::ip::make_address(server.Host, ec);
+  if (ec)
+    co_return false;
+  co_await Socket.async_connect({ip, server.Port},
+                                asio::redirect_error(asio::use_awaitable, ec));
+  if (ec || Expired)
+    co_return false;
+  tuneSocket(Socket);
+  co_return true;
+}
+
+std::string_view Connection::buffered() const {
+  auto data = Buffer.cdata();
+  return {static_cast<const char *>(data.data()), data.size()};
+}
+
+asio::awaitable<ReadEnd> Connection::fill() {
+  if (Expired)
+    co_return ReadEnd::TimedOut;
+  error_code ec;
+  size_t n = co_await Socket.async_read_some(
+      Buffer.prepare(ReadChunkBytes),
+      asio::redirect_error(asio::use_awaitable, ec));
+  Buffer.commit(n);
+  if (!ec)
+    co_return ReadEnd::Complete;
+  co_return Expired ? ReadEnd::TimedOut : ReadEnd::Cut;
+}
+
+asio::awaitable<ReadEnd> Connection::awaitFirstByte() {
+  if (Buffer.size() > 0)
+    co_return ReadEnd::Complete;
+  ReadEnd end = co_await fill();
+  co_return end == ReadEnd::Cut ? ReadEnd::Closed : end;
+}
+
+asio::awaitable<ReadEnd> Connection::readHead(size_t maximum, size_t &size,
+                                              base::LastReason &reason) {
+  size_t scanned = 0;
+  while (true) {
+    std::string_view data = buffered();
+    size_t from = scanned < HeadEnd.size() ? 0 : scanned - HeadEnd.size() + 1;
+    size_t end = data.find(HeadEnd, from);
+    size = end == std::string_view::npos ? data.size() : end + HeadEnd.size();
+    if (size > maximum) {
+      reason.fail(base::ResultCode::HeadersTooLarge,
+                  "the head is over " + std::to_string(maximum) + " bytes");
+      co_return ReadEnd::Refused;
+    }
+    // A bare LF would never end the head: it is refused before more is awaited.
+    size_t line = data.substr(0, size).find('\n');
+    if (line != std::string_view::npos &&
+        (line == 0 || data[line - 1] != '\r')) {
+      reason.fail(base::ResultCode::BadRequest, "the head has a bare LF");
+      co_return ReadEnd::Refused;
+    }
+    if (end != std::string_view::npos)
+      break;
+    scanned = data.size();
+    ReadEnd got = co_await fill();
+    if (got != ReadEnd::Complete)
+      co_return got == ReadEnd::Cut &&scanned == 0 ? ReadEnd::Closed : got;
+  }
+  co_return checkRawHead(buffered().substr(0, size), reason) ? ReadEnd::Complete
+                                                             : ReadEnd::Refused;
+}
+
+template <typename Parser>
+asio::awaitable<ReadEnd> Connection::readBody(Parser &parser,
+                                              base::LastReason &reason) {
+  parser.eager(true);
+  while (!parser.is_done()) {
+    error_code ec;
+    if (Buffer.size() > 0)
+      Buffer.consume(parser.put(Buffer.cdata(), ec));
+    if (ec && ec != bh::error::need_more) {
+      reason.fail(codeOf(ec), "the body cannot be read: " + ec.message());
+      co_return ReadEnd::Refused;
+    }
+    if (parser.is_done())
+      break;
+    if (!ec && Buffer.size() > 0)
+      continue;
+    ReadEnd got = co_await fill();
+    if (got != ReadEnd::Complete)
+      co_return got;
+  }
+  co_return ReadEnd::Complete;
+}
+
+asio::awaitable<ReadEnd> Connection::readRequest(Request &request,
+                                                 const MessageLimits &limits,
+                                                 base::LastReason &reason) {
+  size_t size = 0;
+  ReadEnd end = co_await readHead(limits.HeaderBytes, size, reason);
+  if (end != ReadEnd::Complete)
+    co_return end;
+  bh::request_parser<bh::string_body> parser;
+  parser.header_limit(static_cast<uint32_t>(limits.HeaderBytes));
+  parser.body_limit(limits.BodyBytes);
+  error_code ec;
+  size_t used = parser.put(asio::buffer(Buffer.cdata(), size), ec);
+  if (ec || !parser.is_header_done()) {
+    reason.fail(codeOf(ec), "the head cannot be read: " + ec.message());
+    co_return ReadEnd::Refused;
+  }
+  Buffer.consume(used);
+  if (!checkRequestHead(parser.get(), reason))
+    co_return ReadEnd::Refused;
+  if (!parser.is_done()) {
+    if (parser.get().count(bh::field::expect) != 0 && Buffer.size() == 0) {
+      Output.assign(ContinueLine);
+      if (!co_await writeBytes())
+        co_return ReadEnd::Cut;
+    }
+    size_t fields = countFields(parser.get());
+    end = co_await readBody(parser, reason);
+    if (end != ReadEnd::Complete)
+      co_return end;
+    if (countFields(parser.get()) != fields) {
+      reason.fail(base::ResultCode::BadRequest, "trailers are not supported");
+      co_return ReadEnd::Refused;
+    }
+  }
+  request = parser.release();
+  co_return ReadEnd::Complete;
+}
+
+asio::awaitable<ReadEnd> Connection::readResponse(Response &response,
+                                                  bh::verb method,
+                                                  const MessageLimits &limits,
+                                                  base::LastReason &reason) {
+  while (true) {
+    size_t size = 0;
+    ReadEnd end = co_await readHead(limits.HeaderBytes, size, reason);
+    if (end != ReadEnd::Complete)
+      co_return end;
+    bh::response_parser<bh::string_body> parser;
+    parser.header_limit(static_cast<uint32_t>(limits.HeaderBytes));
+    parser.body_limit(limits.BodyBytes);
+    parser.skip(method == bh::verb::head);
+    error_code ec;
+    size_t used = parser.put(asio::buffer(Buffer.cdata(), size), ec);
+    if (ec || !parser.is_header_done()) {
+      reason.fail(base::ResultCode::CallOutcomeUnknown,
+                  "the answer's head cannot be read: " + ec.message());
+      co_return ReadEnd::Refused;
+    }
+    Buffer.consume(used);
+    auto status = parser.get().result_int();
+    if (status == 100 || status == 102 || status == 103)
+      continue; // An informational answer; the final one follows.
+    if (!checkResponseHead(parser.get(), reason))
+      co_return ReadEnd::Refused;
+    if (parser.need_eof() || status == 101) {
+      reason.fail(base::ResultCode::CallOutcomeUnknown,
+                  "the answer's body has no length");
+      co_return ReadEnd::Refused;
+    }
+    if (!parser.is_done())
+      end = co_await readBody(parser, reason);
+    if (end == ReadEnd::Complete)
+      response = parser.release();
+    co_return end;
+  }
+}
+
+asio::awaitable<bool> Connection::writeBytes() {
+  error_code ec;
+  BytesTaken = 0;
+  if (Expired)
+    co_return false;
+  BytesTaken =
+      co_await asio::async_write(Socket, asio::buffer(Output),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+  co_return !ec;
+}
+
+asio::awaitable<bool> Connection::write(Request &message) {
+  Output.clear();
+  serialise(message, Output);
+  return writeBytes();
+}
+
+asio::awaitable<bool> Connection::write(Response &message) {
+  Output.clear();
+  serialise(message, Output);
+  return writeBytes();
+}
+
+asio::awaitable<void> Connection::closeGently() {
+  error_code ec;
+  Socket.shutdown(tcp::socket::shutdown_send, ec);
+  if (!ec) {
+    expireAfter(DiscardTimeout);
+    size_t discarded = 0;
+    while (discarded < DiscardLimitBytes) {
+      Buffer.clear();
+      if (co_await fill() != ReadEnd::Complete)
+        break;
+      discarded += Buffer.size();
+    }
+  }
+  close();
+}
+
+bool Connection::hasPendingInput() {
+  if (Buffer.size() > 0)
+    return true;
+  char byte = 0;
+  ssize_t n = ::recv(Socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool Connection::atEndOfStream() {
+  char byte = 0;
+  ssize_t n = ::recv(Socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+base::Address Connection::peer() const {
+  error_code ec;
+  auto endpoint = Socket.remote_endpoint(ec);
+  if (ec)
+    return {};
+  return {endpoint.address().to_string(), endpoint.port()};
+}
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/Connection.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace radishcross::http {
+
+/// Bounds of one message, in bytes.
+struct MessageLimits {
+  size_t HeaderBytes = 16UL << 10;
+  size_t BodyBytes = 1UL << 20;
+};
+
+/// How reading one message ended.
+enum class ReadEnd : uint8_t {
+  Complete, ///< The whole message was read.
+  Closed,   ///< The other side closed before the first byte.
+  Cut,      ///< The other side closed, or the connection broke, in between.
+  TimedOut, ///< The connection's deadline passed.
+  Refused,  ///< The message is malformed or too large; the reason says why.
+};
+
+/// One TCP connection with its read buffer and a deadline, on the node's
+/// thread. Reads and writes whole HTTP/1.1 messages.
+class Connection final : public std::enable_shared_from_this<Connection> {
+public:
+  explicit Connection(boost::asio::ip::tcp::socket socket);
+  ~Connection();
+
+  /// Cancels pending operations after \p timeout. Moving the deadline later
+  /// costs no system call and no allocation.
+  void expireAfter(base::Duration timeout);
+
+  /// Removes the deadline.
+  void neverExpire() { DeadlineAt = NoDeadline; }
+
+  bool expired() const { return Expired; }
+
+  /// Cancels pending operations and closes the socket.
+  void close();
+  bool isOpen() const { return Socket.is_open(); }
+
+  /// Connects; returns false when the other side cannot be reached in time.
+  boost::asio::awaitable<bool> connect(const base::Address &server);
+
+  /// Waits until at least one byte is buffered.
+  boost::asio::awaitable<ReadEnd> awaitFirstByte();
+
+  /// Reads one request, strictly framed. Answers `Expect: 100-continue`.
+  boost::asio::awaitable<ReadEnd> readRequest(Request &request,
+                                              const MessageLimits &limits,
+                                              base::LastReason &reason);
+
+  /// Reads one answer to a request with \p method; its body must have a length
+  /// or be chunked, so that a cut answer is never taken for a whole one.
+  boost::asio::awaitable<ReadEnd> readResponse(Response &response,
+                                               boost::beast::http::verb method,
+                                               const MessageLimits &limits,
+                                               base::LastReason &reason);
+
+  /// Writes one whole message; returns false when the connection broke.
+  boost::asio::awaitable<bool> write(Request &message);
+  boost::asio::awaitable<bool> write(Response &message);
+
+  /// Returns the number of bytes of the last write that the kernel took.
+  size_t bytesTaken() const { return BytesTaken; }
+
+  /// Ends the connection so that the other side can still read the answer:
+  /// sends FIN, then discards what arrives for a bounded time.
+  boost::asio::awaitable<void> closeGently();
+
+  /// Tells whether bytes that were not asked for, or the end of the stream,
+  /// have arrived; never blocks.
+  bool hasPendingInput();
+
+  /// Tells whether the other side has closed its sending direction and left
+  /// nothing to read; never blocks.
+  bool atEndOfStream();
+
+  boost::asio::ip::tcp::socket &socket() { return Socket; }
+  base::Address peer() const;
+
+private:
+  using Clock = std::chrono::steady_clock;
+  static constexpr Clock::time_point NoDeadline = Clock::time_point::max();
+
+  void arm(Clock::time_point at);
+  void timerFired();
+  boost::asio::awaitable<ReadEnd> fill();
+  boost::asio::awaitable<ReadEnd> readHead(size_t maximum, size_t &size,
+                                           base::LastReason &reason);
+  boost::asio::awaitable<bool> writeBytes();
+  template <typename Parser>
+  boost::asio::awaitable<ReadEnd> readBody(Parser &parser,
+                                           base::LastReason &reason);
+  std::string_view buffered() const;
+
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer Timer;
+  boost::beast::flat_buffer Buffer;
+  std::string Output;
+  size_t BytesTaken = 0;
+  Clock::time_point DeadlineAt = NoDeadline;
+  bool Armed = false;
+  bool Expired = false;
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/// Opens a socket with the options of this program's connections.
+void tuneSocket(boost::asio::ip::tcp::socket &socket);
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/HttpPlatformClient.h
+++ b/Libraries/LibHttp/HttpPlatformClient.h
@@ -14,6 +14,8 @@
 ///   POST /v1/records            body: the record's bytes -> {"offset": N}
 ///   GET  /v1/records?from=N&maximum=N&wait_ms=N
 ///     -> {"first": N, "end": N, "records": [{"offset": N, "bytes": "..."}]}
+/// Records are UTF-8 text. 4xx and 503 say that nothing was appended; any other
+/// failure after bytes were sent is Unknown.
 /// Addresses are tried in turn; a failed append after bytes were sent is
 /// Unknown and is not sent again here.
 class HttpPlatformClient final : public log::PlatformClient {
--- /dev/null
+++ b/Libraries/LibHttp/Server.cpp
@@ -0,0 +1,292 @@
+#include <LibHttp/Server.h>
+
+#include <LibHttp/Answers.h>
+#include <LibHttp/Connection.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+#include <unordered_set>
+
+namespace radishcross::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// Pause after a failed accept, for example without free file descriptors.
+constexpr base::Duration AcceptPause = std::chrono::milliseconds(50);
+
+/// Returns the answer to a request that could not be read.
+Response refusalOf(ReadEnd end, const base::LastReason &reason) {
+  if (end == ReadEnd::TimedOut) {
+    Response answer =
+        makeAnswer(base::ResultCode::BadRequest, calls::CallOutcome::NotRun,
+                   "the request did not arrive in time");
+    answer.result(boost::beast::http::status::request_timeout);
+    return answer;
+  }
+  return makeAnswer(reason.code(), calls::CallOutcome::NotRun, reason.text());
+}
+
+class ServerState;
+
+/// One client's connection: reads, handles and answers one request at a time.
+class Session final : public std::enable_shared_from_this<Session> {
+public:
+  Session(std::shared_ptr<ServerState> owner, tcp::socket socket);
+
+  asio::awaitable<void> run();
+  void drain();
+  void stop();
+  bool idle() const { return Idle; }
+
+private:
+  asio::awaitable<bool> serveOne();
+  asio::awaitable<void> refuse(ReadEnd end, const base::LastReason &reason);
+  asio::awaitable<bool> answer(Response response);
+  asio::awaitable<Response> callHandler(Request request);
+  void watchClient();
+  void clientReadable(error_code ec);
+
+  std::shared_ptr<ServerState> Owner;
+  ConnectionPointer Link;
+  base::Address Peer;
+  std::shared_ptr<ClientWatch> Watch;
+  bool Idle = true;
+  bool WaitPending = false;
+  bool KeepAlive = true;
+};
+
+/// What a server's sessions share.
+class ServerState final : public std::enable_shared_from_this<ServerState> {
+public:
+  ServerState(asio::io_context &context, const ServerLimits &limits,
+              Handler handler)
+      : Acceptor(context), Limits(limits), Handle(std::move(handler)) {}
+
+  bool listen(const base::Address &address, base::LastReason &reason);
+  asio::awaitable<void> acceptLoop();
+  void drain();
+  void stop();
+  size_t inFlight() const;
+  void leave(Session *session) { Sessions.erase(session); }
+
+  tcp::acceptor Acceptor;
+  ServerLimits Limits;
+  Handler Handle;
+  bool Draining = false;
+
+private:
+  std::unordered_set<Session *> Sessions;
+};
+
+Session::Session(std::shared_ptr<ServerState> owner, tcp::socket socket)
+    : Owner(std::move(owner)),
+      Link(std::make_shared<Connection>(std::move(socket))),
+      Peer(Link->peer()) {}
+
+asio::awaitable<void> Session::run() {
+  auto self = shared_from_this();
+  while (Link->isOpen() && co_await serveOne())
+    continue;
+  Link->close();
+  Owner->leave(this);
+}
+
+/// Returns whether the connection may bring another request.
+asio::awaitable<bool> Session::serveOne() {
+  Idle = true;
+  Link->expireAfter(Owner->Draining ? DrainLinger : Owner->Limits.IdleTimeout);
+  if (co_await Link->awaitFirstByte() != ReadEnd::Complete)
+    co_return false;
+  Idle = false;
+  Link->expireAfter(Owner->Limits.RequestTimeout);
+  Request request;
+  base::LastReason reason;
+  MessageLimits limits{Owner->Limits.HeaderBytes, Owner->Limits.BodyBytes};
+  ReadEnd end = co_await Link->readRequest(request, limits, reason);
+  if (end == ReadEnd::Closed || end == ReadEnd::Cut)
+    co_return false;
+  if (end != ReadEnd::Complete) {
+    co_await refuse(end, reason);
+    co_return false;
+  }
+  Link->neverExpire();
+  KeepAlive = request.keep_alive();
+  bool isHead = request.method() == boost::beast::http::verb::head;
+  Response response = co_await callHandler(std::move(request));
+  if (isHead)
+    response.body().clear();
+  co_return co_await answer(std::move(response));
+}
+
+asio::awaitable<Response> Session::callHandler(Request request) {
+  Watch = std::make_shared<ClientWatch>();
+  IncomingRequest incoming{std::move(request), Peer,
+                           std::shared_ptr<bool>(Watch, &Watch->Gone), Watch};
+  watchClient();
+  std::string failure;
+  try {
+    Response response = co_await Owner->Handle(std::move(incoming));
+    Watch.reset();
+    co_return response;
+  } catch (const std::exception &error) {
+    failure = error.what();
+  }
+  Watch.reset();
+  co_return makeAnswer(base::ResultCode::Internal, calls::CallOutcome::Unknown,
+                       failure);
+}
+
+asio::awaitable<bool> Session::answer(Response response) {
+  bool keep = KeepAlive && !Owner->Draining && response.keep_alive();
+  response.keep_alive(keep);
+  Link->expireAfter(Owner->Limits.RequestTimeout);
+  if (!co_await Link->write(response))
+    co_return false;
+  if (!keep)
+    co_await Link->closeGently();
+  co_return keep;
+}
+
+asio::awaitable<void> Session::refuse(ReadEnd end,
+                                      const base::LastReason &reason) {
+  Response response = refusalOf(end, reason);
+  response.keep_alive(false);
+  Link->expireAfter(Owner->Limits.RequestTimeout);
+  if (co_await Link->write(response))
+    co_await Link->closeGently();
+}
+
+/// Watches for the client's going away while its request is handled. The wait
+/// is left pending between requests, which spares cancelling it each time.
+void Session::watchClient() {
+  if (WaitPending)
+    return;
+  WaitPending = true;
+  Link->socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](error_code ec) { self->clientReadable(ec); });
+}
+
+void Session::clientReadable(error_code ec) {
+  WaitPending = false;
+  // Without a request in hand the bytes are the next request; otherwise they
+  // are a pipelined one, which waits its turn, unless the stream has ended.
+  if (ec || !Watch || !Link->isOpen() || !Link->atEndOfStream())
+    return;
+  Watch->Gone = true;
+  if (Watch->OnGone)
+    std::exchange(Watch->OnGone, nullptr)();
+}
+
+void Session::drain() {
+  if (Idle)
+    Link->expireAfter(DrainLinger);
+}
+
+void Session::stop() { Link->close(); }
+
+bool ServerState::listen(const base::Address &address,
+                         base::LastReason &reason) {
+  error_code ec;
+  auto ip = asio::ip::make_address(address.Host, ec);
+  tcp::endpoint endpoint(ip, address.Port);
+  if (!ec)
+    Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(endpoint, ec);
+  if (!ec)
+    Acceptor.listen(tcp::acceptor::max_listen_connections, ec);
+  if (!ec)
+    return true;
+  reason.fail(base::ResultCode::CannotListen,
+              address.text() + ": " + ec.message());
+  return false;
+}
+
+asio::awaitable<void> ServerState::acceptLoop() {
+  auto self = shared_from_this();
+  while (Acceptor.is_open()) {
+    error_code ec;
+    tcp::socket socket = co_await Acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted || !Acceptor.is_open())
+      break;
+    if (ec) {
+      asio::steady_timer pause(Acceptor.get_executor(), AcceptPause);
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+      continue;
+    }
+    if (Sessions.size() >= Limits.Connections)
+      continue; // The socket is closed: a bound on memory and descriptors.
+    auto session = std::make_shared<Session>(self, std::move(socket));
+    Sessions.insert(session.get());
+    asio::co_spawn(Acceptor.get_executor(), session->run(), asio::detached);
+  }
+}
+
+void ServerState::drain() {
+  Draining = true;
+  error_code ec;
+  Acceptor.close(ec);
+  for (Session *it : Sessions)
+    it->drain();
+}
+
+void ServerState::stop() {
+  drain();
+  for (Session *it : Sessions)
+    it->stop();
+}
+
+size_t ServerState::inFlight() const {
+  size_t n = 0;
+  for (const Session *it : Sessions)
+    n += Draining || !it->idle() ? 1 : 0;
+  return n;
+}
+
+/// The server as its owner holds it; its end stops the sessions.
+class ListeningServer final : public Server {
+public:
+  explicit ListeningServer(std::shared_ptr<ServerState> state)
+      : State(std::move(state)) {}
+  ~ListeningServer() override { State->stop(); }
+  ListeningServer(const ListeningServer &) = delete;
+  ListeningServer &operator=(const ListeningServer &) = delete;
+
+  base::Address address() const override {
+    error_code ec;
+    auto endpoint = State->Acceptor.local_endpoint(ec);
+    return {endpoint.address().to_string(), endpoint.port()};
+  }
+  void drain() override { State->drain(); }
+  size_t inFlight() const override { return State->inFlight(); }
+
+private:
+  std::shared_ptr<ServerState> State;
+};
+
+} // namespace
+
+std::optional<std::shared_ptr<Server>>
+Server::create(asio::io_context &context, const base::Address &listen,
+               const ServerLimits &limits, Handler handler,
+               base::LastReason &reason) {
+  auto state =
+      std::make_shared<ServerState>(context, limits, std::move(handler));
+  if (!state->listen(listen, reason))
+    return std::nullopt;
+  asio::co_spawn(context, state->acceptLoop(), asio::detached);
+  return std::make_shared<ListeningServer>(std::move(state));
+}
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -22,12 +22,23 @@
   size_t Connections = 4096;
 };
 
+/// How long an idle connection of a draining server may still bring a request.
+constexpr base::Duration DrainLinger = std::chrono::seconds(1);
+
+/// Tells a handler that its client went away while it was working.
+struct ClientWatch {
+  bool Gone = false;
+  std::function<void()> OnGone; ///< Called once, unless empty.
+};
+
 /// One request with where it came from.
 struct IncomingRequest {
   Request Message;
   base::Address Peer;
   /// Tells whether the client still waits; polled by long-running handlers.
   std::shared_ptr<bool> ClientGone = std::make_shared<bool>(false);
+  /// The same as an event; null where nobody watches the client.
+  std::shared_ptr<ClientWatch> Watch;
 };
 
 using Handler =
@@ -46,11 +57,13 @@
   /// Returns the bound address; its port is chosen when 0 was asked for.
   virtual base::Address address() const = 0;
 
-  /// Stops accepting and closes idle connections; requests in flight finish and
-  /// their answers carry `Connection: close`.
+  /// Stops accepting. Requests in flight finish, and so does one that was on
+  /// its way on an idle connection; their answers carry `Connection: close`.
+  /// A connection that stays idle is closed after DrainLinger.
   virtual void drain() = 0;
 
-  /// Returns the number of requests that are being handled.
+  /// Returns the number of requests that are being read, handled or answered.
+  /// While draining, idle connections that may still bring one count as well.
   virtual size_t inFlight() const = 0;
 };
 
