--- /dev/null
+++ b/Libraries/LibFleet/Backoff.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace radishcross::fleet {
+
+/// Exponential backoff with jitter: each delay lies between half and the whole
+/// of a bound that doubles up to a maximum.
+class Backoff {
+public:
+  Backoff(base::Duration shortest, base::Duration longest)
+      : Shortest(shortest), Longest(longest) {}
+
+  base::Duration next(base::Random &dice) {
+    auto bound = std::min(Longest, Shortest * (1 << std::min(Failures, 16U)));
+    ++Failures;
+    return bound / 2 + base::Duration(dice.below(bound.count() / 2 + 1));
+  }
+
+  void reset() { Failures = 0; }
+  uint32_t failures() const { return Failures; }
+
+private:
+  base::Duration Shortest;
+  base::Duration Longest;
+  uint32_t Failures = 0;
+};
+
+} // namespace radishcross::fleet
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -66,6 +66,7 @@
   MemberState State = MemberState::Alive;
   log::Offset ConfigOffset = 0; ///< Offset in force at the node.
   uint64_t FoldHash = 0;        ///< Fold's hash at ConfigOffset.
+  bool IsRecovered = false;     ///< The node has recovered and serves.
   std::vector<TargetRecord> Targets;
 };
 
--- /dev/null
+++ b/Libraries/LibFleet/MemberTable.cpp
@@ -0,0 +1,115 @@
+#include <LibBase/Hash.h>
+#include <LibFleet/MemberTable.h>
+
+#include <string>
+#include <utility>
+
+namespace radishcross::fleet {
+
+size_t MemberTable::bucketOf(std::string_view id) {
+  return base::hash64(id) % MemberBuckets;
+}
+
+uint64_t MemberTable::recordHash(const Member &member) {
+  // Dead members are forgotten at different times on different nodes.
+  if (!isLive(member))
+    return 0;
+  uint64_t seed = base::hash64(member.Identity.Id, member.Incarnation);
+  uint64_t state = static_cast<uint64_t>(member.State);
+  return base::hash64(std::to_string(member.Revision), seed + state);
+}
+
+uint64_t MemberTable::hash() const {
+  uint64_t sum = 0;
+  for (uint64_t it : Hashes)
+    sum = sum * 31 + it;
+  return sum;
+}
+
+const Member *MemberTable::find(std::string_view id) const {
+  auto place = Places.find(std::string(id));
+  return place == Places.end() ? nullptr : &Members[place->second];
+}
+
+void MemberTable::insert(const Member &record) {
+  Places[record.Identity.Id] = Members.size();
+  Hashes[bucketOf(record.Identity.Id)] ^= recordHash(record);
+  Members.push_back(record);
+}
+
+bool MemberTable::mergeInto(Member &held, const MemberUpdate &update) {
+  const auto &record = update.Record;
+  bool changed = false;
+  if (update.HasContent && record.Revision > held.Revision) {
+    held.Identity = record.Identity;
+    held.Targets = record.Targets;
+    held.Revision = record.Revision;
+    changed = true;
+  }
+  bool isNewer = record.Incarnation > held.Incarnation;
+  bool isWorse =
+      record.Incarnation == held.Incarnation && record.State > held.State;
+  if (!isNewer && !isWorse)
+    return changed;
+  // A new incarnation may be a new process, which holds less.
+  if (isNewer) {
+    held.ConfigOffset = record.ConfigOffset;
+    held.IsRecovered = record.IsRecovered;
+  }
+  held.Incarnation = record.Incarnation;
+  held.State = record.State;
+  return true;
+}
+
+bool MemberTable::merge(const MemberUpdate &update) {
+  const auto &id = update.Record.Identity.Id;
+  auto place = Places.find(id);
+  if (place == Places.end()) {
+    if (!update.HasContent || !isLive(update.Record))
+      return false;
+    insert(update.Record);
+    return true;
+  }
+  auto &held = Members[place->second];
+  uint64_t before = recordHash(held);
+  if (!mergeInto(held, update))
+    return false;
+  Hashes[bucketOf(id)] ^= before ^ recordHash(held);
+  return true;
+}
+
+void MemberTable::noteDigest(std::string_view id, const Digest &digest) {
+  auto place = Places.find(std::string(id));
+  if (place == Places.end())
+    return;
+  auto &held = Members[place->second];
+  held.ConfigOffset = digest.Held;
+  held.FoldHash = digest.FoldHash;
+  held.IsRecovered = digest.IsRecovered;
+}
+
+void MemberTable::remove(std::string_view id) {
+  auto place = Places.find(std::string(id));
+  if (place == Places.end())
+    return;
+  size_t hole = place->second;
+  Hashes[bucketOf(id)] ^= recordHash(Members[hole]);
+  Places.erase(place);
+  if (hole + 1 != Members.size()) {
+    Members[hole] = std::move(Members.back());
+    Places[Members[hole].Identity.Id] = hole;
+  }
+  Members.pop_back();
+}
+
+std::vector<Member> MemberTable::differing(const BucketHashes &theirs) const {
+  std::vector<Member> result;
+  for (const auto &it : Members) {
+    size_t bucket = bucketOf(it.Identity.Id);
+    if (theirs[bucket] != Hashes[bucket])
+      result.push_back(it);
+  }
+  return result;
+}
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Libraries/LibFleet/Membership.cpp
@@ -0,0 +1,481 @@
+#include <LibFleet/Membership.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <utility>
+
+namespace radishcross::fleet {
+
+namespace {
+
+constexpr base::Duration RelayLifetime = std::chrono::seconds(2);
+constexpr base::Duration LongestTickGap = std::chrono::seconds(1);
+constexpr base::Duration LoadNewsSpacing = std::chrono::seconds(10);
+constexpr uint32_t LoadStepPermille = 250;
+constexpr size_t MaximumRelays = 256;
+constexpr uint64_t DeadProbeChance = 10; ///< One link in so many.
+constexpr size_t SeedsPerJoin = 3;
+constexpr size_t StatusBytes = 40;
+constexpr size_t MemberBytes = 140;
+constexpr size_t TargetBytes = 60;
+constexpr size_t LabelBytes = 24;
+
+size_t estimatedBytes(const MemberUpdate &update) {
+  const auto &it = update.Record;
+  if (!update.HasContent)
+    return StatusBytes + it.Identity.Id.size();
+  size_t bytes = MemberBytes + it.Identity.Id.size();
+  for (const auto &[key, value] : it.Identity.NodeLabels)
+    bytes += key.size() + value.size() + LabelBytes;
+  for (const auto &target : it.Targets)
+    bytes += target.Service.size() + target.TargetId.size() + TargetBytes;
+  return bytes;
+}
+
+bool sameButLoad(const TargetRecord &a, const TargetRecord &b) {
+  return a.Service == b.Service && a.TargetId == b.TargetId &&
+         a.Where == b.Where && a.State == b.State && a.Slots == b.Slots &&
+         a.Connections == b.Connections && a.Epoch == b.Epoch;
+}
+
+bool sameButLoad(const std::vector<TargetRecord> &a,
+                 const std::vector<TargetRecord> &b) {
+  return std::equal(
+      a.begin(), a.end(), b.begin(), b.end(),
+      [](const auto &x, const auto &y) { return sameButLoad(x, y); });
+}
+
+bool sameLoadSteps(const std::vector<TargetRecord> &a,
+                   const std::vector<TargetRecord> &b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const auto &x, const auto &y) {
+                      return x.LoadPermille / LoadStepPermille ==
+                             y.LoadPermille / LoadStepPermille;
+                    });
+}
+
+} // namespace
+
+Membership::Membership(Member self, std::vector<base::Address> seeds,
+                       MembershipSettings settings, uint64_t seed)
+    : SelfId(self.Identity.Id), DataCentre(self.Identity.DataCentre),
+      Seeds(std::move(seeds)), Settings(settings), Dice(seed),
+      Probes(SelfId, DataCentre, settings.Probing, Dice.next()) {
+  Table.merge({std::move(self), true});
+  Queue.push(SelfId, true);
+}
+
+MembershipActions Membership::tick(base::TimePoint now) {
+  MembershipActions actions;
+  if (IsLeaving)
+    return actions;
+  skipPause(now);
+  expireTimers(now);
+  Board.expire(now);
+  probe(now, actions);
+  joinIfDue(now, actions);
+  linkIfDue(now, actions);
+  if (!HasNews && !Board.hasFresh())
+    return actions;
+  for (auto &it : pushNews(now))
+    actions.Sends.push_back(std::move(it));
+  return actions;
+}
+
+void Membership::skipPause(base::TimePoint now) {
+  auto gap = now - LastTick;
+  bool isFirst = LastTick == base::TimePoint{};
+  LastTick = now;
+  if (isFirst || gap < LongestTickGap)
+    return;
+  Probes.shift(gap);
+  for (auto &[id, until] : SuspectUntil)
+    until += gap;
+}
+
+void Membership::probe(base::TimePoint now, MembershipActions &actions) {
+  while (true) {
+    auto action = Probes.next(Table, now);
+    if (action.What == ProbeAction::Kind::None)
+      return;
+    const auto *member = Table.find(action.Subject);
+    if (!member || !isLive(*member))
+      continue;
+    if (action.What == ProbeAction::Kind::Ping)
+      actions.Sends.push_back(
+          {member->Identity.Gossip,
+           compose(GossipKind::Ping, action.Number, action.Subject)});
+    if (action.What == ProbeAction::Kind::AskOthers)
+      askOthers(action, actions);
+    if (action.What == ProbeAction::Kind::Suspect &&
+        member->State == MemberState::Alive)
+      setState(*member, MemberState::Suspect, now);
+  }
+}
+
+void Membership::askOthers(const ProbeAction &action,
+                           MembershipActions &actions) {
+  auto helpers = choose(Settings.Probing.IndirectProbes, [&](const Member &it) {
+    return isLocal(it) && it.Identity.Id != action.Subject;
+  });
+  for (const auto *it : helpers)
+    actions.Sends.push_back(
+        {it->Identity.Gossip,
+         compose(GossipKind::PingRequest, action.Number, action.Subject)});
+}
+
+void Membership::joinIfDue(base::TimePoint now, MembershipActions &actions) {
+  if (now < NextJoin || Seeds.empty())
+    return;
+  bool isAlone = choose(1, [](const Member &) { return true; }).empty();
+  // Seeds are asked now and then also later: that heals two halves of a fleet
+  // that have declared each other dead.
+  auto period = isAlone ? Settings.JoinPeriod * (1U << std::min(JoinsSent, 4U))
+                        : Settings.LongestJoinPeriod;
+  auto jitter = base::Duration(Dice.below(period.count() / 2 + 1));
+  NextJoin = now + period / 2 + jitter;
+  ++JoinsSent;
+  size_t count = isAlone ? SeedsPerJoin : 1;
+  size_t first = Dice.below(Seeds.size());
+  for (size_t n = 0; n < std::min(count, Seeds.size()); ++n) {
+    const auto &seed = Seeds[(first + n) % Seeds.size()];
+    if (seed == self().Identity.Gossip)
+      continue;
+    auto message = compose(GossipKind::Join);
+    message.Updates.insert(message.Updates.begin(), ownUpdate());
+    actions.Sends.push_back({seed, std::move(message)});
+  }
+}
+
+bool Membership::drawLink() {
+  size_t local = std::max<size_t>(liveCount(DataCentre), 1);
+  return Dice.below(local) < Settings.LinksBetweenDataCentres;
+}
+
+void Membership::linkIfDue(base::TimePoint now, MembershipActions &actions) {
+  if (now < NextLink)
+    return;
+  NextLink = now + Settings.Probing.Period;
+  if (drawLink()) {
+    auto far = choose(1, [&](const Member &it) { return !isLocal(it); });
+    for (const auto *it : far)
+      actions.Sends.push_back(
+          {it->Identity.Gossip, compose(GossipKind::Ping, 0)});
+  }
+  if (DeadUntil.empty() || Dice.below(DeadProbeChance) != 0)
+    return;
+  // A member that was declared dead during a partition learns of it here.
+  auto dead = std::next(DeadUntil.begin(), Dice.below(DeadUntil.size()));
+  auto message = compose(GossipKind::Ping, 0);
+  message.Updates.insert(message.Updates.begin(), updateOf(dead->first, false));
+  actions.Sends.push_back(
+      {Table.find(dead->first)->Identity.Gossip, std::move(message)});
+}
+
+std::vector<GossipSend> Membership::pushNews(base::TimePoint now) {
+  HasNews = false;
+  auto peers = choose(Settings.NewsFanout,
+                      [&](const Member &it) { return isLocal(it); });
+  if (drawLink())
+    for (const auto *it :
+         choose(1, [&](const Member &it) { return !isLocal(it); }))
+      peers.push_back(it);
+  std::vector<GossipSend> sends;
+  for (const auto *it : peers) {
+    auto message = compose(GossipKind::News);
+    message.Notices =
+        Board.toSend(Settings.UpdateBytes / 2,
+                     Settings.NewsFanout * Settings.RetransmitFactor, now);
+    sends.push_back({it->Identity.Gossip, std::move(message)});
+  }
+  return sends;
+}
+
+std::vector<GossipSend> Membership::leave(base::TimePoint now) {
+  setState(self(), MemberState::Left, now);
+  IsLeaving = true;
+  return pushNews(now);
+}
+
+MembershipActions Membership::take(const GossipSender &sender,
+                                   const GossipMessage &message,
+                                   base::TimePoint now) {
+  MembershipActions actions;
+  if (IsLeaving || sender.Id == SelfId)
+    return actions;
+  for (const auto &it : message.Updates)
+    mergeNews(it, now);
+  for (const auto &it : message.Notices)
+    Board.post(it, now);
+  Table.noteDigest(sender.Id, message.Summary);
+  answer(sender, message, now, actions);
+  compareTables(sender, message.Summary, now, actions);
+  return actions;
+}
+
+void Membership::answer(const GossipSender &sender,
+                        const GossipMessage &message, base::TimePoint now,
+                        MembershipActions &actions) {
+  if (message.Kind == GossipKind::PingRequest)
+    return relayPing(sender, message, now, actions);
+  if (message.Kind == GossipKind::Ack)
+    return takeAck(sender, message, actions);
+  const auto *known = Table.find(sender.Id);
+  if (!known) {
+    // The sender's datagram lacks its record; a Join brings back an Ack with
+    // it.
+    auto join = compose(GossipKind::Join);
+    join.Updates.insert(join.Updates.begin(), ownUpdate());
+    actions.Sends.push_back({sender.From, std::move(join)});
+    return;
+  }
+  if (message.Kind == GossipKind::News && known->State == MemberState::Alive)
+    return;
+  auto ack = compose(GossipKind::Ack, message.Probe, message.Subject);
+  if (message.Kind == GossipKind::Join)
+    ack.Updates.insert(ack.Updates.begin(), ownUpdate());
+  // Who is thought dead gets the chance to refute it.
+  if (known->State != MemberState::Alive)
+    ack.Updates.insert(ack.Updates.begin(), updateOf(sender.Id, false));
+  actions.Sends.push_back({sender.From, std::move(ack)});
+}
+
+void Membership::relayPing(const GossipSender &sender,
+                           const GossipMessage &message, base::TimePoint now,
+                           MembershipActions &actions) {
+  std::erase_if(Relays, [&](const Relay &it) { return it.Expires <= now; });
+  const auto *subject = Table.find(message.Subject);
+  if (!subject || Relays.size() >= MaximumRelays)
+    return;
+  uint64_t number = (1ULL << 63) | ++LastRelay;
+  Relays.push_back({number, message.Subject, sender.From, message.Probe,
+                    now + RelayLifetime});
+  actions.Sends.push_back({subject->Identity.Gossip,
+                           compose(GossipKind::Ping, number, message.Subject)});
+}
+
+void Membership::takeAck(const GossipSender &sender,
+                         const GossipMessage &message,
+                         MembershipActions &actions) {
+  auto relay = std::find_if(Relays.begin(), Relays.end(), [&](const auto &it) {
+    return it.Number == message.Probe && it.Subject == sender.Id;
+  });
+  if (relay != Relays.end()) {
+    actions.Sends.push_back(
+        {relay->Requester,
+         compose(GossipKind::Ack, relay->TheirNumber, relay->Subject)});
+    Relays.erase(relay);
+    return;
+  }
+  const auto &subject = message.Subject.empty() ? sender.Id : message.Subject;
+  Probes.acknowledged(subject, message.Probe);
+}
+
+void Membership::compareTables(const GossipSender &sender, const Digest &theirs,
+                               base::TimePoint now,
+                               MembershipActions &actions) {
+  if (theirs.MembersHash == Table.hash()) {
+    Differences = 0;
+    return;
+  }
+  const auto *known = Table.find(sender.Id);
+  ++Differences;
+  // A newcomer asks at once; later on, news in flight explains most
+  // differences.
+  bool isNewcomer = Table.all().size() <= 2;
+  if (!known || !isLive(*known) || now < NextPull ||
+      (!isNewcomer && Differences < Settings.DifferencesBeforePull))
+    return;
+  Differences = 0;
+  auto spacing = isNewcomer ? Settings.JoinPeriod : Settings.PullSpacing;
+  NextPull = now + spacing / 2 + base::Duration(Dice.below(spacing.count()));
+  actions.PullFrom = sender.Id;
+}
+
+void Membership::takePulled(const std::vector<Member> &records,
+                            base::TimePoint now) {
+  for (const auto &it : records)
+    mergeNews({it, true}, now);
+}
+
+void Membership::mergeNews(const MemberUpdate &update, base::TimePoint now) {
+  if (update.Record.Identity.Id == SelfId)
+    return refute(update);
+  if (!Table.merge(update))
+    return;
+  ++Generation;
+  HasNews = true;
+  const auto *held = Table.find(update.Record.Identity.Id);
+  Queue.push(held->Identity.Id, update.HasContent);
+  noteTimers(*held, now);
+}
+
+void Membership::refute(const MemberUpdate &update) {
+  Member own = self();
+  bool isOutdated = update.Record.Incarnation > own.Incarnation ||
+                    update.Record.Revision > own.Revision;
+  bool isAccused = update.Record.Incarnation == own.Incarnation &&
+                   update.Record.State > own.State;
+  if (!isOutdated && !isAccused)
+    return;
+  own.Incarnation = std::max(own.Incarnation, update.Record.Incarnation) + 1;
+  own.Revision = std::max(own.Revision, update.Record.Revision) + 1;
+  own.State = MemberState::Alive;
+  Table.merge({own, true});
+  Queue.push(SelfId, true);
+  HasNews = true;
+  ++Generation;
+}
+
+void Membership::setState(const Member &member, MemberState state,
+                          base::TimePoint now) {
+  MemberUpdate update{member, false};
+  update.Record.State = state;
+  if (!Table.merge(update))
+    return;
+  ++Generation;
+  HasNews = true;
+  Queue.push(update.Record.Identity.Id, false);
+  noteTimers(update.Record, now);
+}
+
+void Membership::noteTimers(const Member &member, base::TimePoint now) {
+  const auto &id = member.Identity.Id;
+  SuspectUntil.erase(id);
+  if (isLive(member))
+    DeadUntil.erase(id);
+  else
+    DeadUntil.try_emplace(id, now + Settings.DeadKept);
+  if (member.State != MemberState::Suspect || !isLocal(member))
+    return;
+  double size =
+      std::max<double>(static_cast<double>(liveCount(DataCentre)), 10);
+  auto factor = std::log10(size);
+  SuspectUntil[id] =
+      now +
+      base::Duration(static_cast<int64_t>(
+          static_cast<double>(Settings.SuspicionTimeout.count()) * factor));
+}
+
+void Membership::expireTimers(base::TimePoint now) {
+  std::vector<NodeId> lost;
+  for (const auto &[id, until] : SuspectUntil)
+    if (until <= now)
+      lost.push_back(id);
+  for (const auto &id : lost)
+    if (const auto *member = Table.find(id))
+      setState(*member, MemberState::Dead, now);
+  for (auto it = DeadUntil.begin(); it != DeadUntil.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    Table.remove(it->first);
+    ++Generation;
+    it = DeadUntil.erase(it);
+  }
+}
+
+void Membership::setTargets(std::vector<TargetRecord> targets,
+                            base::TimePoint now) {
+  Member own = self();
+  bool isSame = sameButLoad(own.Targets, targets);
+  bool isFine =
+      isSame && (sameLoadSteps(own.Targets, targets) || now < NextLoadNews);
+  if (isFine)
+    return;
+  if (isSame)
+    NextLoadNews = now + LoadNewsSpacing;
+  own.Targets = std::move(targets);
+  ++own.Revision;
+  Table.merge({std::move(own), true});
+  Queue.push(SelfId, true);
+  HasNews = true;
+  ++Generation;
+}
+
+void Membership::setDigest(const Digest &digest) {
+  Own = digest;
+  Table.noteDigest(SelfId, digest);
+}
+
+void Membership::addSeeds(const std::vector<base::Address> &seeds) {
+  for (const auto &it : seeds)
+    if (std::find(Seeds.begin(), Seeds.end(), it) == Seeds.end())
+      Seeds.push_back(it);
+}
+
+void Membership::post(const Notice &notice, base::TimePoint now) {
+  Board.post(notice, now);
+}
+
+std::vector<Notice> Membership::takeNewNotices() { return Board.takeNew(); }
+
+GossipMessage Membership::compose(GossipKind kind, uint64_t probe,
+                                  const NodeId &subject) {
+  GossipMessage message;
+  message.Kind = kind;
+  message.Probe = probe;
+  message.Subject = subject;
+  message.Summary = Own;
+  message.Summary.MembersHash = Table.hash();
+  addUpdates(message);
+  return message;
+}
+
+void Membership::addUpdates(GossipMessage &message) {
+  constexpr size_t MaximumUpdates = 20;
+  auto limit = Settings.RetransmitFactor *
+               static_cast<uint32_t>(std::bit_width(Table.all().size()));
+  size_t room = Settings.UpdateBytes;
+  for (const auto &item : Queue.freshest(MaximumUpdates)) {
+    if (!Table.find(item.Id)) {
+      Queue.sent(item.Id, 0);
+      continue;
+    }
+    auto update = updateOf(item.Id, item.HasContent);
+    // A record too large for any datagram travels by comparing tables.
+    if (estimatedBytes(update) > Settings.UpdateBytes)
+      update = updateOf(item.Id, false);
+    size_t bytes = estimatedBytes(update);
+    if (bytes > room)
+      continue;
+    room -= bytes;
+    message.Updates.push_back(std::move(update));
+    Queue.sent(item.Id, limit);
+  }
+}
+
+MemberUpdate Membership::updateOf(const NodeId &id, bool hasContent) const {
+  return {*Table.find(id), hasContent};
+}
+
+size_t Membership::liveCount(std::string_view dataCentre) const {
+  return std::count_if(
+      Table.all().begin(), Table.all().end(), [&](const Member &it) {
+        return isLive(it) && it.Identity.DataCentre == dataCentre;
+      });
+}
+
+std::vector<const Member *>
+Membership::choose(size_t count,
+                   const std::function<bool(const Member &)> &accept) {
+  std::vector<const Member *> chosen;
+  size_t seen = 0;
+  for (const auto &it : Table.all()) {
+    if (it.Identity.Id == SelfId || !isLive(it) || !accept(it))
+      continue;
+    ++seen;
+    if (chosen.size() < count) {
+      chosen.push_back(&it);
+      continue;
+    }
+    // Reservoir sampling: each member is kept with equal chance.
+    if (auto place = Dice.below(seen); place < count)
+      chosen[place] = &it;
+  }
+  return chosen;
+}
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Libraries/LibFleet/Membership.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+#include <LibFleet/Gossip.h>
+#include <LibFleet/MemberTable.h>
+#include <LibFleet/NoticeBoard.h>
+#include <LibFleet/Prober.h>
+#include <LibFleet/UpdateQueue.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace radishcross::fleet {
+
+/// Periods and bounds of membership.
+struct MembershipSettings {
+  ProbeSettings Probing;
+  /// A suspect is dead after this time, times the decimal logarithm of the
+  /// number of members of its data centre.
+  base::Duration SuspicionTimeout = std::chrono::seconds(3);
+  uint32_t NewsFanout = 3;       ///< Peers told at once of fresh news.
+  uint32_t RetransmitFactor = 3; ///< Times the logarithm of the fleet's size.
+  /// Members of one data centre that talk to another one in each period.
+  uint32_t LinksBetweenDataCentres = 4;
+  base::Duration DeadKept = std::chrono::minutes(10);
+  base::Duration JoinPeriod = std::chrono::milliseconds(500);
+  base::Duration LongestJoinPeriod = std::chrono::seconds(30);
+  base::Duration PullSpacing = std::chrono::seconds(5);
+  uint32_t DifferencesBeforePull = 3;
+  size_t UpdateBytes = 1000; ///< Room for updates in one datagram.
+};
+
+/// What membership wants done.
+struct MembershipActions {
+  std::vector<GossipSend> Sends;
+  std::optional<NodeId> PullFrom; ///< Compare member tables with this one.
+};
+
+/// Decides who is alive (SWIM): probes in turn, probes through others,
+/// suspicion that the suspect can refute with a higher incarnation, and news
+/// that travels on the datagrams that are sent anyway. Members of other data
+/// centres are never suspected from here; their own data centre's word counts.
+class Membership {
+public:
+  /// \p self has the incarnation and revision to start with: both must be
+  /// higher than those of an earlier process with this id.
+  Membership(Member self, std::vector<base::Address> seeds,
+             MembershipSettings settings, uint64_t seed);
+
+  /// Does what is due; to be called every 50 ms or so.
+  MembershipActions tick(base::TimePoint now);
+
+  /// Takes one genuine datagram.
+  MembershipActions take(const GossipSender &sender,
+                         const GossipMessage &message, base::TimePoint now);
+
+  /// Takes records that were pulled from a peer's table.
+  void takePulled(const std::vector<Member> &records, base::TimePoint now);
+
+  /// Replaces this node's targets. A change of load alone spreads only when it
+  /// is coarse and not too frequent.
+  void setTargets(std::vector<TargetRecord> targets, base::TimePoint now);
+  void setDigest(const Digest &digest);
+  void addSeeds(const std::vector<base::Address> &seeds);
+  void post(const Notice &notice, base::TimePoint now);
+
+  /// Tells peers at once that this node's digest has grown.
+  std::vector<GossipSend> pushNews(base::TimePoint now);
+
+  /// Declares this node gone and tells a few peers.
+  std::vector<GossipSend> leave(base::TimePoint now);
+
+  const MemberTable &table() const { return Table; }
+  const Member &self() const { return *Table.find(SelfId); }
+
+  /// Grows whenever members(), apart from digests, changed.
+  uint64_t generation() const { return Generation; }
+  std::vector<Notice> takeNewNotices();
+
+  /// Returns up to \p count random live members that \p accept takes.
+  std::vector<const Member *>
+  choose(size_t count, const std::function<bool(const Member &)> &accept);
+
+private:
+  void mergeNews(const MemberUpdate &update, base::TimePoint now);
+  void refute(const MemberUpdate &update);
+  void setState(const Member &member, MemberState state, base::TimePoint now);
+  void noteTimers(const Member &member, base::TimePoint now);
+  void expireTimers(base::TimePoint now);
+  void probe(base::TimePoint now, MembershipActions &actions);
+  void askOthers(const ProbeAction &action, MembershipActions &actions);
+  void joinIfDue(base::TimePoint now, MembershipActions &actions);
+  void linkIfDue(base::TimePoint now, MembershipActions &actions);
+  void skipPause(base::TimePoint now);
+  void answer(const GossipSender &sender, const GossipMessage &message,
+              base::TimePoint now, MembershipActions &actions);
+  void relayPing(const GossipSender &sender, const GossipMessage &message,
+                 base::TimePoint now, MembershipActions &actions);
+  void takeAck(const GossipSender &sender, const GossipMessage &message,
+               MembershipActions &actions);
+  void compareTables(const GossipSender &sender, const Digest &theirs,
+                     base::TimePoint now, MembershipActions &actions);
+  GossipMessage compose(GossipKind kind, uint64_t probe = 0,
+                        const NodeId &subject = {});
+  void addUpdates(GossipMessage &message);
+  MemberUpdate updateOf(const NodeId &id, bool hasContent) const;
+  MemberUpdate ownUpdate() const { return updateOf(SelfId, true); }
+  size_t liveCount(std::string_view dataCentre) const;
+  bool drawLink();
+  bool isLocal(const Member &member) const {
+    return member.Identity.DataCentre == DataCentre;
+  }
+
+  struct Relay {
+    uint64_t Number = 0;
+    NodeId Subject;
+    base::Address Requester;
+    uint64_t TheirNumber = 0;
+    base::TimePoint Expires{};
+  };
+
+  NodeId SelfId;
+  std::string DataCentre;
+  std::vector<base::Address> Seeds;
+  MembershipSettings Settings;
+  base::Random Dice;
+  MemberTable Table;
+  Prober Probes;
+  UpdateQueue Queue;
+  NoticeBoard Board;
+  Digest Own;
+  std::map<NodeId, base::TimePoint> SuspectUntil;
+  std::map<NodeId, base::TimePoint> DeadUntil;
+  std::vector<Relay> Relays;
+  bool HasNews = true;
+  bool IsLeaving = false;
+  uint64_t Generation = 0;
+  uint64_t LastRelay = 0;
+  uint32_t JoinsSent = 0;
+  uint32_t Differences = 0;
+  base::TimePoint LastTick{};
+  base::TimePoint NextJoin{};
+  base::TimePoint NextLink{};
+  base::TimePoint NextPull{};
+  base::TimePoint NextLoadNews{};
+};
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Libraries/LibFleet/NoticeBoard.cpp
@@ -0,0 +1,78 @@
+#include <LibFleet/NoticeBoard.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::fleet {
+
+namespace {
+
+constexpr size_t NoticeOverheadBytes = 32;
+
+base::Duration lifetimeOf(const Notice &notice) {
+  return std::min<base::Duration>(
+      std::chrono::milliseconds(notice.LifetimeMilliseconds),
+      NoticeBoard::MaximumLifetime);
+}
+
+uint32_t millisecondsLeft(base::TimePoint expires, base::TimePoint now) {
+  auto left = std::chrono::ceil<std::chrono::milliseconds>(expires - now);
+  return static_cast<uint32_t>(std::max<int64_t>(left.count(), 0));
+}
+
+} // namespace
+
+bool NoticeBoard::post(const Notice &notice, base::TimePoint now) {
+  if (notice.Topic.empty() || notice.Topic.size() > MaximumTopicBytes ||
+      notice.Text.size() > MaximumTextBytes || notice.LifetimeMilliseconds == 0)
+    return false;
+  auto it = Posted.find(notice.Topic);
+  if (it != Posted.end() && it->second.Content.Revision >= notice.Revision)
+    return false;
+  if (it == Posted.end() && Posted.size() >= MaximumNotices)
+    return false;
+  bool wasFresh = it != Posted.end() && it->second.Transmissions == 0;
+  Posted[notice.Topic] = {notice, now + lifetimeOf(notice), 0};
+  Fresh += wasFresh ? 0 : 1;
+  New.push_back(notice);
+  return true;
+}
+
+std::vector<Notice> NoticeBoard::toSend(size_t room, uint32_t limit,
+                                        base::TimePoint now) {
+  std::vector<Entry *> order;
+  for (auto &[topic, entry] : Posted)
+    if (entry.Transmissions < limit && entry.Expires > now)
+      order.push_back(&entry);
+  std::stable_sort(order.begin(), order.end(), [](auto *a, auto *b) {
+    return a->Transmissions < b->Transmissions;
+  });
+  std::vector<Notice> result;
+  for (auto *it : order) {
+    size_t bytes = it->Content.Topic.size() + it->Content.Text.size() +
+                   NoticeOverheadBytes;
+    if (bytes > room)
+      continue;
+    room -= bytes;
+    Fresh -= it->Transmissions == 0 ? 1 : 0;
+    ++it->Transmissions;
+    result.push_back(it->Content);
+    result.back().LifetimeMilliseconds = millisecondsLeft(it->Expires, now);
+  }
+  return result;
+}
+
+std::vector<Notice> NoticeBoard::takeNew() { return std::exchange(New, {}); }
+
+void NoticeBoard::expire(base::TimePoint now) {
+  for (auto it = Posted.begin(); it != Posted.end();) {
+    if (it->second.Expires > now) {
+      ++it;
+      continue;
+    }
+    Fresh -= it->second.Transmissions == 0 ? 1 : 0;
+    it = Posted.erase(it);
+  }
+}
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Libraries/LibPeer/DatagramSocket.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/LastReason.h>
+#include <LibPeer/GossipCodec.h>
+#include <LibPeer/PullServer.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishcross::peer {
+
+/// One UDP socket; counts its bytes with the IP and UDP headers.
+class DatagramSocket : public std::enable_shared_from_this<DatagramSocket> {
+public:
+  using Handler =
+      std::function<void(std::string_view bytes, const base::Address &from)>;
+
+  /// Fails with CannotListen.
+  static std::optional<std::shared_ptr<DatagramSocket>>
+  create(boost::asio::io_context &context, const base::Address &where,
+         ControlBytes bytes, Handler handler, base::LastReason &reason);
+
+  /// Sends or drops: a full socket buffer never blocks the node.
+  void send(const base::Address &to, std::string_view bytes);
+  void close();
+
+private:
+  DatagramSocket(boost::asio::io_context &context, ControlBytes bytes,
+                 Handler handler);
+  void receive();
+
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::ip::udp::endpoint From;
+  std::array<char, MaximumDatagramBytes + 1> Buffer{};
+  ControlBytes Bytes;
+  Handler Received;
+};
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -0,0 +1,270 @@
+#include <LibBase/Logger.h>
+#include <LibPeer/FleetNode.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+namespace radishcross::peer {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{50};
+constexpr std::chrono::milliseconds LeaveDelay{100};
+
+uint64_t wallMilliseconds() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+/// The wall time makes incarnation and revision grow from process to process;
+/// should it have stepped back, peers' older news is refuted.
+fleet::Member firstRecord(const fleet::NodeIdentity &self, uint64_t epoch) {
+  fleet::Member member;
+  member.Identity = self;
+  member.Incarnation = epoch;
+  member.Revision = epoch;
+  return member;
+}
+
+} // namespace
+
+std::optional<std::shared_ptr<FleetShell>>
+FleetShell::create(FleetEnvironment environment, base::LastReason &reason) {
+  fleet::RecoverySettings settings;
+  settings.HasSeeds = !environment.Seeds.empty();
+  auto recovery =
+      fleet::Recovery::create(environment.Self.Id, environment.Self.DataCentre,
+                              settings, environment.Time->now(), reason);
+  if (!recovery)
+    return std::nullopt;
+  auto node = std::make_shared<FleetNode>(
+      std::move(environment), std::move(*recovery), wallMilliseconds());
+  if (!node->start(reason))
+    return std::nullopt;
+  return std::shared_ptr<FleetShell>(std::move(node));
+}
+
+FleetNode::FleetNode(FleetEnvironment environment, fleet::Recovery recovery,
+                     uint64_t epoch)
+    : Environment(std::move(environment)), Proof(Environment.MeshKeys),
+      Dice(Environment.RandomSeed), Epoch(epoch),
+      Bytes{&Environment.Counters->counter("control_bytes_sent_total"),
+            &Environment.Counters->counter("control_bytes_received_total")},
+      Members(firstRecord(Environment.Self, epoch), Environment.Seeds,
+              fleet::MembershipSettings{}, Dice.next()),
+      Spreading(Environment.Self.Id, Environment.Self.DataCentre,
+                fleet::SpreaderSettings{.TailersPerDataCentre =
+                                            Environment.TailersPerDataCentre},
+                Dice.next()),
+      Recovering(std::move(recovery)), Timer(*Environment.Context) {
+  Environment.Counters->counter("steps_back_total") = 0;
+}
+
+FleetNode::~FleetNode() {
+  if (Datagrams)
+    Datagrams->close();
+  if (Server)
+    Server->close();
+}
+
+bool FleetNode::start(base::LastReason &reason) {
+  std::weak_ptr<FleetNode> weak = weak_from_this();
+  auto datagrams = DatagramSocket::create(
+      *Environment.Context, Environment.Self.Gossip, Bytes,
+      [weak](std::string_view bytes, const base::Address &from) {
+        if (auto self = weak.lock())
+          self->received(bytes, from);
+      },
+      reason);
+  if (!datagrams)
+    return false;
+  Datagrams = std::move(*datagrams);
+  auto server = PullServer::create(
+      *Environment.Context, Environment.Self.Peer, Proof, Bytes,
+      *Environment.Counters,
+      [weak](const PullRequest &request) {
+        auto self = weak.lock();
+        return self ? self->serve(request) : PullAnswer{};
+      },
+      reason);
+  if (!server)
+    return false;
+  Server = std::move(*server);
+  Client = std::make_shared<PullClient>(*Environment.Context, Proof, Bytes);
+  armTimer();
+  return true;
+}
+
+void FleetNode::armTimer() {
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+    auto self = weak.lock();
+    if (ec || !self || self->HasLeft)
+      return;
+    self->tick();
+    self->armTimer();
+  });
+}
+
+void FleetNode::tick() {
+  Members.setDigest(digest());
+  run(Members.tick(Environment.Time->now()));
+  spread();
+  reportChanges();
+}
+
+fleet::Digest FleetNode::digest() const {
+  return {Held.offset(), HeldHash, 0, Recovering.isServing()};
+}
+
+void FleetNode::reportChanges() {
+  for (const auto &it : Members.takeNewNotices())
+    if (Environment.NoticeArrived)
+      Environment.NoticeArrived(it.Topic, it.Text);
+  if (ReportedGeneration == Members.generation())
+    return;
+  ReportedGeneration = Members.generation();
+  if (Environment.MembersChanged)
+    Environment.MembersChanged();
+}
+
+void FleetNode::drop(std::string_view reason) {
+  ++Environment.Counters->counter("datagrams_dropped_total{reason=\"" +
+                                  std::string(reason) + "\"}");
+}
+
+void FleetNode::received(std::string_view bytes, const base::Address &from) {
+  base::LastReason reason;
+  if (HasLeft)
+    return;
+  if (bytes.size() > MaximumDatagramBytes)
+    return drop("oversized");
+  auto body = Proof.open(bytes, reason);
+  if (!body)
+    return drop("unauthenticated");
+  auto datagram = decodeDatagram(*body, reason);
+  if (!datagram)
+    return drop("malformed");
+  if (datagram->Sender == Environment.Self.Id)
+    return drop("own");
+  if (!Replays.accept(datagram->Sender, datagram->Epoch, datagram->Sequence))
+    return drop("replayed");
+  run(Members.take({datagram->Sender, from}, datagram->Message,
+                   Environment.Time->now()));
+  compareFold(datagram->Sender, datagram->Message.Summary);
+  spread();
+}
+
+void FleetNode::compareFold(const fleet::NodeId &sender,
+                            const fleet::Digest &digest) {
+  if (digest.Held != Held.offset() || digest.FoldHash == HeldHash)
+    return;
+  ++Environment.Counters->counter("fold_hash_differences_total");
+  auto now = Environment.Time->now();
+  if (now < NextAlarm)
+    return;
+  NextAlarm = now + std::chrono::seconds(10);
+  base::log(base::LogLevel::Error, "folds differ at one offset",
+            {{"peer", sender}, {"offset", std::to_string(digest.Held)}});
+}
+
+void FleetNode::send(std::vector<fleet::GossipSend> sends) {
+  for (auto &it : sends) {
+    Datagram datagram{Environment.Self.Id, Epoch, ++Sequence,
+                      std::move(it.Message)};
+    auto bytes = Proof.seal(encodeDatagram(datagram));
+    // Estimates of sizes may err; news that does not fit is sent without it.
+    if (bytes.size() > MaximumDatagramBytes) {
+      ++Environment.Counters->counter("datagrams_trimmed_total");
+      datagram.Message.Updates.clear();
+      datagram.Message.Notices.clear();
+      bytes = Proof.seal(encodeDatagram(datagram));
+    }
+    Datagrams->send(it.To, bytes);
+  }
+}
+
+void FleetNode::run(fleet::MembershipActions actions) {
+  send(std::move(actions.Sends));
+  if (actions.PullFrom)
+    pullMembers(*actions.PullFrom);
+}
+
+void FleetNode::recover() {
+  if (IsServingReported)
+    return;
+  Recovering.look(Members.table(), Held.offset(), Environment.Time->now());
+  if (!Recovering.isServing())
+    return;
+  IsServingReported = true;
+  Members.setDigest(digest());
+  base::log(base::LogLevel::Info, "recovered",
+            {{"offset", std::to_string(Held.offset())}});
+  send(Members.pushNews(Environment.Time->now()));
+  if (Environment.FoldAdvanced)
+    Environment.FoldAdvanced(Held);
+}
+
+void FleetNode::spread() {
+  if (HasLeft)
+    return;
+  recover();
+  fleet::Spreader::Situation situation;
+  situation.Held = Held.offset();
+  situation.MayTail = Recovering.isServing() || Recovering.readsLog();
+  situation.ReadsToEnd = Recovering.readsLog();
+  situation.NeedsState = Recovering.needsState(Held.offset());
+  for (const auto &it :
+       Spreading.next(Members.table(), situation, Environment.Time->now()))
+    run(it);
+}
+
+void FleetNode::run(const fleet::SpreadAction &action) {
+  if (action.What == fleet::SpreadAction::Kind::ReadLog)
+    readLog(action);
+  else
+    pull(action);
+}
+
+void FleetNode::setTargets(std::vector<fleet::TargetRecord> targets) {
+  Members.setTargets(std::move(targets), Environment.Time->now());
+}
+
+void FleetNode::spreadNotice(std::string topic, std::string text,
+                             base::Duration lifetime) {
+  auto left = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
+  Members.post(
+      {std::move(topic), std::move(text), wallMilliseconds(),
+       static_cast<uint32_t>(std::clamp<int64_t>(left, 0, UINT32_MAX))},
+      Environment.Time->now());
+}
+
+void FleetNode::readLogSoon() {
+  Spreading.readSoon();
+  asio::post(*Environment.Context, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->spread();
+  });
+}
+
+void FleetNode::leave(std::function<void()> done) {
+  send(Members.leave(Environment.Time->now()));
+  HasLeft = true;
+  Server->close();
+  Timer.expires_after(LeaveDelay);
+  Timer.async_wait([self = shared_from_this(),
+                    done = std::move(done)](boost::system::error_code) {
+    self->Datagrams->close();
+    done();
+  });
+}
+
+uint64_t FleetNode::controlBytes() const {
+  return *Bytes.Sent + *Bytes.Received;
+}
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/FleetNode.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibFleet/Membership.h>
+#include <LibFleet/RecordStore.h>
+#include <LibFleet/Recovery.h>
+#include <LibFleet/Spreader.h>
+#include <LibFleet/TransferGate.h>
+#include <LibPeer/DatagramSocket.h>
+#include <LibPeer/FleetShell.h>
+#include <LibPeer/MeshProof.h>
+#include <LibPeer/PullClient.h>
+#include <LibPeer/PullServer.h>
+#include <LibPeer/ReplayGuard.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace radishcross::peer {
+
+/// Carries events to the decisions of LibFleet and their actions out.
+class FleetNode final : public FleetShell,
+                        public std::enable_shared_from_this<FleetNode> {
+public:
+  FleetNode(FleetEnvironment environment, fleet::Recovery recovery,
+            uint64_t epoch);
+  ~FleetNode() override;
+
+  /// Opens the listeners and starts the timer; fails with CannotListen.
+  bool start(base::LastReason &reason);
+
+  bool ready() const override { return Recovering.isServing(); }
+  const log::Fold &fold() const override { return Held; }
+  const std::vector<fleet::Member> &members() const override {
+    return Members.table().all();
+  }
+  void setTargets(std::vector<fleet::TargetRecord> targets) override;
+  void spreadNotice(std::string topic, std::string text,
+                    base::Duration lifetime) override;
+  void readLogSoon() override;
+  void leave(std::function<void()> done) override;
+  uint64_t controlBytes() const override;
+
+private:
+  void armTimer();
+  void tick();
+  void received(std::string_view bytes, const base::Address &from);
+  void drop(std::string_view reason);
+  void send(std::vector<fleet::GossipSend> sends);
+  void run(fleet::MembershipActions actions);
+  void run(const fleet::SpreadAction &action);
+  void spread();
+  void recover();
+  void reportChanges();
+
+  void readLog(const fleet::SpreadAction &action);
+  void logAnswered(const log::ReadAnswer &answer);
+  void watchLogEnd(const log::ReadAnswer &answer);
+  bool applyRecords(const std::vector<log::StoredRecord> &records);
+  bool applyState(const PullAnswer &answer);
+  void heldAdvanced(log::Offset before);
+  void compareFold(const fleet::NodeId &sender, const fleet::Digest &digest);
+
+  void pull(const fleet::SpreadAction &action);
+  void pullAnswered(const fleet::NodeId &peer,
+                    const std::optional<PullAnswer> &answer);
+  void pullMembers(const fleet::NodeId &peer);
+  PullAnswer serve(const PullRequest &request);
+  void serveRecords(const PullRequest &request, PullAnswer &answer);
+  void serveState(PullAnswer &answer);
+  fleet::Digest digest() const;
+
+  FleetEnvironment Environment;
+  MeshProof Proof;
+  ReplayGuard Replays;
+  base::Random Dice;
+  uint64_t Epoch;
+  uint64_t Sequence = 0;
+  ControlBytes Bytes;
+  log::Fold Held;
+  uint64_t HeldHash = 0;
+  std::string SavedState;
+  log::Offset SavedAt = 0;
+  fleet::RecordStore Records;
+  fleet::Membership Members;
+  fleet::Spreader Spreading;
+  fleet::Recovery Recovering;
+  fleet::TransferGate Transfers;
+  std::shared_ptr<DatagramSocket> Datagrams;
+  std::shared_ptr<PullServer> Server;
+  std::shared_ptr<PullClient> Client;
+  boost::asio::steady_timer Timer;
+  uint64_t ReportedGeneration = 0;
+  base::TimePoint NextAlarm{};
+  bool IsServingReported = false;
+  bool IsLogShort = false;
+  bool HasLeft = false;
+};
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -0,0 +1,202 @@
+#include <LibBase/Logger.h>
+#include <LibPeer/FleetNode.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <utility>
+
+// The part of FleetNode that moves records: reads of the log and pulls.
+
+namespace radishcross::peer {
+
+namespace {
+
+constexpr uint32_t RecordsPerRead = 256;
+constexpr size_t BytesPerPull = 1UL << 20;
+constexpr size_t ReadRequestBytes = 200;   ///< An HTTP request's usual size.
+constexpr size_t RecordOverheadBytes = 40; ///< Of a record in an HTTP answer.
+
+size_t bytesOf(const std::vector<log::StoredRecord> &records) {
+  size_t bytes = ReadRequestBytes;
+  for (const auto &it : records)
+    bytes += it.Bytes.size() + RecordOverheadBytes;
+  return bytes;
+}
+
+} // namespace
+
+void FleetNode::readLog(const fleet::SpreadAction &action) {
+  ++Environment.Counters->counter("platform_reads_total");
+  *Bytes.Sent += ReadRequestBytes;
+  Environment.Platform->read(
+      action.From, RecordsPerRead, action.Wait,
+      [weak = weak_from_this()](const log::ReadAnswer &answer) {
+        auto self = weak.lock();
+        if (self && !self->HasLeft)
+          self->logAnswered(answer);
+      });
+}
+
+void FleetNode::logAnswered(const log::ReadAnswer &answer) {
+  *Bytes.Received += bytesOf(answer.Records);
+  if (answer.Reached)
+    watchLogEnd(answer);
+  Recovering.logRead(answer.Reached, answer.First, answer.End);
+  bool advanced = answer.Reached && applyRecords(answer.Records);
+  Spreading.readDone(answer.Reached, advanced, Environment.Time->now());
+  spread();
+}
+
+void FleetNode::watchLogEnd(const log::ReadAnswer &answer) {
+  // FIXME: Records that a shortened log takes up to the offset held here are
+  // ignored; the log's service has to continue above it.
+  bool isShort = answer.End <= Held.offset();
+  if (isShort == IsLogShort)
+    return;
+  IsLogShort = isShort;
+  Environment.Counters->setGauge("log_shortened", isShort ? 1 : 0);
+  base::log(base::LogLevel::Error,
+            isShort ? "log is shorter than what this node holds"
+                    : "log has grown past what this node holds",
+            {{"held", std::to_string(Held.offset())},
+             {"end", std::to_string(answer.End)}});
+}
+
+bool FleetNode::applyRecords(const std::vector<log::StoredRecord> &records) {
+  auto before = Held.offset();
+  for (const auto &it : records) {
+    if (it.At <= Held.offset())
+      continue;
+    if (it.At != Held.offset() + 1)
+      break;
+    Held.apply(it);
+    Records.add(it);
+  }
+  heldAdvanced(before);
+  return Held.offset() > before;
+}
+
+bool FleetNode::applyState(const PullAnswer &answer) {
+  boost::system::error_code ec;
+  base::LastReason reason;
+  auto document = boost::json::parse(answer.State, ec);
+  if (ec)
+    return false;
+  auto loaded = log::Fold::load(document, reason);
+  // Never a step back: records may have come by another way meanwhile.
+  if (!loaded || loaded->offset() <= Held.offset())
+    return false;
+  auto before = Held.offset();
+  Held = std::move(*loaded);
+  heldAdvanced(before);
+  return true;
+}
+
+void FleetNode::heldAdvanced(log::Offset before) {
+  if (Held.offset() < before)
+    ++Environment.Counters->counter("steps_back_total");
+  if (Held.offset() <= before)
+    return;
+  HeldHash = Held.hash();
+  Members.setDigest(digest());
+  send(Members.pushNews(Environment.Time->now()));
+  if (Recovering.isServing() && Environment.FoldAdvanced)
+    Environment.FoldAdvanced(Held);
+}
+
+void FleetNode::pull(const fleet::SpreadAction &action) {
+  const auto *peer = Members.table().find(action.Peer);
+  if (!peer)
+    return pullAnswered(action.Peer, std::nullopt);
+  PullRequest request;
+  request.Sender = Environment.Self.Id;
+  request.Nonce = Dice.next();
+  request.Kind = action.What == fleet::SpreadAction::Kind::PullState
+                     ? PullKind::State
+                     : PullKind::Records;
+  request.From = action.From;
+  Client->pull(peer->Identity.Peer, request,
+               [weak = weak_from_this(),
+                id = action.Peer](const std::optional<PullAnswer> &answer) {
+                 auto self = weak.lock();
+                 if (!self || self->HasLeft)
+                   return;
+                 self->pullAnswered(id, answer);
+                 self->spread();
+               });
+}
+
+void FleetNode::pullAnswered(const fleet::NodeId &peer,
+                             const std::optional<PullAnswer> &answer) {
+  auto now = Environment.Time->now();
+  if (!answer)
+    return Spreading.pullDone(peer, fleet::PullOutcome::Failed, {}, now);
+  if (answer->Code == base::ResultCode::PeerBusy)
+    return Spreading.pullDone(
+        peer, fleet::PullOutcome::Busy,
+        std::chrono::milliseconds(answer->RetryAfterMilliseconds), now);
+  if (answer->Code == base::ResultCode::RecordExpired)
+    return Spreading.pullDone(peer, fleet::PullOutcome::Expired, {}, now);
+  bool advanced = answer->Kind == PullKind::State
+                      ? applyState(*answer)
+                      : applyRecords(answer->Records);
+  Spreading.pullDone(peer,
+                     advanced ? fleet::PullOutcome::Advanced
+                              : fleet::PullOutcome::Nothing,
+                     {}, now);
+}
+
+void FleetNode::pullMembers(const fleet::NodeId &peer) {
+  const auto *member = Members.table().find(peer);
+  if (!member)
+    return;
+  PullRequest request;
+  request.Sender = Environment.Self.Id;
+  request.Nonce = Dice.next();
+  request.Kind = PullKind::Members;
+  request.Buckets = Members.table().buckets();
+  Client->pull(
+      member->Identity.Peer, request,
+      [weak = weak_from_this()](const std::optional<PullAnswer> &answer) {
+        auto self = weak.lock();
+        if (!self || !answer || self->HasLeft)
+          return;
+        self->Members.takePulled(answer->Members,
+                                 self->Environment.Time->now());
+        self->spread();
+      });
+}
+
+PullAnswer FleetNode::serve(const PullRequest &request) {
+  PullAnswer answer;
+  answer.Summary = digest();
+  if (request.Kind == PullKind::Members)
+    answer.Members = Members.table().differing(request.Buckets);
+  if (request.Kind == PullKind::Records)
+    serveRecords(request, answer);
+  if (request.Kind == PullKind::State)
+    serveState(answer);
+  return answer;
+}
+
+void FleetNode::serveRecords(const PullRequest &request, PullAnswer &answer) {
+  if (request.From > Held.offset())
+    return;
+  if (!Records.covers(request.From)) {
+    answer.Code = base::ResultCode::RecordExpired;
+    return;
+  }
+  answer.Records = Records.slice(request.From, BytesPerPull);
+}
+
+void FleetNode::serveState(PullAnswer &answer) {
+  if (SavedAt != Held.offset()) {
+    SavedState = boost::json::serialize(Held.save());
+    SavedAt = Held.offset();
+  }
+  answer.State = SavedState;
+  answer.StateOffset = SavedAt;
+}
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/GossipCodec.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+#include <LibFleet/Gossip.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace radishcross::peer {
+
+/// The largest datagram that is sent or taken, in bytes; it fits into one
+/// Ethernet frame.
+constexpr size_t MaximumDatagramBytes = 1400;
+
+/// A gossip message with what identifies its sender's process.
+struct Datagram {
+  fleet::NodeId Sender;
+  uint64_t Epoch = 0;    ///< Grows with each process of the sender.
+  uint64_t Sequence = 0; ///< Grows with each datagram of the process.
+  fleet::GossipMessage Message;
+};
+
+/// Returns the packed message without the proof.
+std::string encodeDatagram(const Datagram &datagram);
+
+/// Fails with DatagramMalformed.
+std::optional<Datagram> decodeDatagram(std::string_view bytes,
+                                       base::LastReason &reason);
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/MeshProof.cpp
@@ -0,0 +1,38 @@
+#include <LibBase/Hash.h>
+#include <LibPeer/MeshProof.h>
+
+#include <utility>
+
+namespace radishcross::peer {
+
+namespace {
+
+std::string tagOf(const std::string &key, std::string_view body) {
+  return base::hmacSha256(key, body).substr(0, MeshProof::TagBytes);
+}
+
+} // namespace
+
+MeshProof::MeshProof(std::vector<std::string> keys) : Keys(std::move(keys)) {}
+
+std::string MeshProof::seal(std::string_view body) const {
+  std::string tag =
+      Keys.empty() ? std::string(TagBytes, '\0') : tagOf(Keys.front(), body);
+  return tag.append(body);
+}
+
+std::optional<std::string_view>
+MeshProof::open(std::string_view sealed, base::LastReason &reason) const {
+  if (sealed.size() < TagBytes)
+    return reason.fail(base::ResultCode::PeerUnauthenticated,
+                       "message without proof of the mesh key");
+  auto tag = sealed.substr(0, TagBytes);
+  auto body = sealed.substr(TagBytes);
+  for (const auto &key : Keys)
+    if (base::equalInConstantTime(tag, tagOf(key, body)))
+      return body;
+  return reason.fail(base::ResultCode::PeerUnauthenticated,
+                     "message with a wrong proof of the mesh key");
+}
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -0,0 +1,116 @@
+#include <LibPeer/Frame.h>
+#include <LibPeer/PullServer.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace radishcross::peer {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+constexpr size_t MaximumConnections = 64;
+constexpr std::chrono::milliseconds ConnectionLifetime{10000};
+constexpr std::string_view DroppedMalformed =
+    "pulls_dropped_total{reason=\"malformed\"}";
+constexpr std::string_view DroppedUnauthenticated =
+    "pulls_dropped_total{reason=\"unauthenticated\"}";
+constexpr std::string_view DroppedCrowded =
+    "pulls_dropped_total{reason=\"crowded\"}";
+} // namespace
+
+PullServer::PullServer(asio::io_context &context, MeshProof proof,
+                       ControlBytes bytes, base::Metrics &counters,
+                       Handler handler)
+    : Acceptor(context), Proof(std::move(proof)), Bytes(bytes),
+      Counters(counters), Serve(std::move(handler)) {}
+
+std::optional<std::shared_ptr<PullServer>>
+PullServer::create(asio::io_context &context, const base::Address &where,
+                   MeshProof proof, ControlBytes bytes, base::Metrics &counters,
+                   Handler handler, base::LastReason &reason) {
+  std::shared_ptr<PullServer> server(new PullServer(
+      context, std::move(proof), bytes, counters, std::move(handler)));
+  boost::system::error_code ec;
+  tcp::endpoint endpoint(asio::ip::make_address(where.Host, ec), where.Port);
+  auto &acceptor = server->Acceptor;
+  if (!ec)
+    acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    acceptor.bind(endpoint, ec);
+  if (!ec)
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return reason.fail(base::ResultCode::CannotListen,
+                       "peer address " + where.text() + ": " + ec.message());
+  asio::co_spawn(context, server->acceptAll(), asio::detached);
+  return server;
+}
+
+void PullServer::close() {
+  boost::system::error_code ignored;
+  Acceptor.close(ignored);
+}
+
+asio::awaitable<void> PullServer::acceptAll() {
+  auto self = shared_from_this();
+  while (Acceptor.is_open()) {
+    auto [ec, socket] =
+        co_await Acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+    if (ec == asio::error::operation_aborted)
+      co_return;
+    if (ec)
+      continue;
+    if (Connections >= MaximumConnections) {
+      ++Counters.counter(DroppedCrowded);
+      continue;
+    }
+    asio::co_spawn(Acceptor.get_executor(), serve(std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<std::optional<PullRequest>>
+PullServer::readRequest(tcp::socket &socket) {
+  auto frame = co_await readFrame(socket, MaximumRequestBytes);
+  if (!frame)
+    co_return std::nullopt;
+  *Bytes.Received += frame->size() + FrameHeaderBytes;
+  base::LastReason reason;
+  auto body = Proof.open(*frame, reason);
+  if (!body) {
+    ++Counters.counter(DroppedUnauthenticated);
+    co_return std::nullopt;
+  }
+  auto request = decodePullRequest(*body, reason);
+  if (!request)
+    ++Counters.counter(DroppedMalformed);
+  co_return request;
+}
+
+asio::awaitable<void> PullServer::serve(tcp::socket socket) {
+  auto self = shared_from_this();
+  ++Connections;
+  {
+    FrameDeadline deadline(socket, ConnectionLifetime);
+    auto request = co_await readRequest(socket);
+    if (request) {
+      auto answer = Serve(*request);
+      answer.Nonce = request->Nonce;
+      answer.Kind = request->Kind;
+      auto frame = Proof.seal(encodePullAnswer(answer));
+      *Bytes.Sent += frame.size() + FrameHeaderBytes;
+      co_await writeFrame(socket, std::move(frame));
+    }
+  }
+  --Connections;
+}
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Libraries/LibPeer/PullServer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+#include <LibBase/Metrics.h>
+#include <LibPeer/MeshProof.h>
+#include <LibPeer/PullCodec.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace radishcross::peer {
+
+/// Counts the bytes that control traffic costs.
+struct ControlBytes {
+  uint64_t *Sent = nullptr;
+  uint64_t *Received = nullptr;
+};
+
+/// Serves peers' pulls over TCP: one request and one answer on a connection,
+/// each with a length of four bytes, big endian, and the proof of the mesh key.
+class PullServer : public std::enable_shared_from_this<PullServer> {
+public:
+  using Handler = std::function<PullAnswer(const PullRequest &)>;
+
+  /// Fails with CannotListen.
+  static std::optional<std::shared_ptr<PullServer>>
+  create(boost::asio::io_context &context, const base::Address &where,
+         MeshProof proof, ControlBytes bytes, base::Metrics &counters,
+         Handler handler, base::LastReason &reason);
+
+  void close();
+
+private:
+  PullServer(boost::asio::io_context &context, MeshProof proof,
+             ControlBytes bytes, base::Metrics &counters, Handler handler);
+  boost::asio::awaitable<void> acceptAll();
+  boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<std::optional<PullRequest>>
+  readRequest(boost::asio::ip::tcp::socket &socket);
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  MeshProof Proof;
+  ControlBytes Bytes;
+  base::Metrics &Counters;
+  Handler Serve;
+  size_t Connections = 0;
+};
+
+} // namespace radishcross::peer
--- /dev/null
+++ b/Tests/LibFleet/FakeMesh.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibFleet/Membership.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace radishcross::fleet {
+
+inline base::Address fakeAddress(size_t n) {
+  return {"127.0.0.1", static_cast<uint16_t>(20000 + n)};
+}
+
+inline Member fakeMember(size_t n, const std::string &dataCentre,
+                         uint64_t incarnation = 1000) {
+  Member member;
+  member.Identity.Id = "node-" + std::to_string(n);
+  member.Identity.DataCentre = dataCentre;
+  member.Identity.Gossip = fakeAddress(n);
+  member.Identity.Peer = fakeAddress(n + 10000);
+  member.Incarnation = incarnation;
+  member.Revision = incarnation;
+  return member;
+}
+
+/// Carries datagrams and pulls between the membership decisions of a handful
+/// of nodes, with seeded loss and cuts, under a clock that tests move.
+class FakeMesh {
+public:
+  explicit FakeMesh(uint64_t seed) : Seed(seed), Dice(seed) {}
+
+  void add(size_t n, const std::string &dataCentre,
+           uint64_t incarnation = 1000) {
+    Nodes.insert_or_assign(n, Membership(fakeMember(n, dataCentre, incarnation),
+                                         {fakeAddress(0), fakeAddress(1)}, {},
+                                         Seed + n));
+    Down.erase(n);
+  }
+
+  /// Runs all nodes that are up for \p time.
+  void run(base::Duration time) {
+    for (auto end = Now + time; Now < end; Now += Step) {
+      for (auto &[n, node] : Nodes)
+        if (!Down.contains(n))
+          post(n, node.tick(Now));
+      deliver();
+    }
+  }
+
+  void post(size_t from, MembershipActions actions) {
+    for (auto &it : actions.Sends)
+      InFlight.push_back({from, std::move(it)});
+    if (!actions.PullFrom)
+      return;
+    for (auto &[n, node] : Nodes)
+      if (node.self().Identity.Id == *actions.PullFrom && passes(from, n))
+        Nodes.at(from).takePulled(
+            node.table().differing(Nodes.at(from).table().buckets()), Now);
+  }
+
+  /// Returns how many of the nodes that are up see \p id in \p state.
+  size_t seenAs(const NodeId &id, MemberState state) const {
+    size_t count = 0;
+    for (const auto &[n, node] : Nodes) {
+      const auto *member = node.table().find(id);
+      count += !Down.contains(n) && member && member->State == state ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::map<size_t, Membership> Nodes;
+  std::set<size_t> Down;
+  std::set<std::pair<size_t, size_t>> Cut; ///< From, to.
+  uint64_t LossPercent = 0;
+  base::TimePoint Now{std::chrono::seconds(100)};
+  uint64_t Datagrams = 0;
+
+private:
+  static constexpr std::chrono::milliseconds Step{50};
+  struct Travelling {
+    size_t From;
+    GossipSend Sent;
+  };
+
+  bool passes(size_t from, size_t to) const {
+    return !Down.contains(to) && !Down.contains(from) &&
+           !Cut.contains({from, to});
+  }
+
+  void deliver() {
+    for (int hops = 0; hops < 10 && !InFlight.empty(); ++hops) {
+      auto batch = std::exchange(InFlight, {});
+      for (auto &it : batch) {
+        ++Datagrams;
+        size_t to = it.Sent.To.Port - 20000;
+        if (!Nodes.contains(to) || !passes(it.From, to) ||
+            Dice.below(100) < LossPercent)
+          continue;
+        const auto &sender = Nodes.at(it.From).self().Identity;
+        post(to, Nodes.at(to).take({sender.Id, sender.Gossip}, it.Sent.Message,
+                                   Now));
+      }
+    }
+  }
+
+  uint64_t Seed;
+  base::Random Dice;
+  std::deque<Travelling> InFlight;
+};
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -0,0 +1,210 @@
+#include <LibFleet/FakeMesh.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+FakeMesh threeDataCentres(uint64_t seed, uint64_t lossPercent = 0) {
+  FakeMesh mesh(seed);
+  mesh.LossPercent = lossPercent;
+  for (size_t n = 0; n < 12; ++n)
+    mesh.add(n, "dc-" + std::to_string(n % 3));
+  return mesh;
+}
+
+bool allKnowAll(const FakeMesh &mesh) {
+  for (const auto &[n, node] : mesh.Nodes)
+    if (mesh.seenAs(node.self().Identity.Id, MemberState::Alive) !=
+        mesh.Nodes.size())
+      return false;
+  return true;
+}
+
+TargetRecord readyTarget(uint32_t loadPermille = 0) {
+  TargetRecord target;
+  target.Service = "badges/lookup";
+  target.TargetId = "t";
+  target.State = TargetState::Ready;
+  target.LoadPermille = loadPermille;
+  return target;
+}
+
+} // namespace
+
+TEST_CASE("nodes of three data centres find each other through seeds") {
+  for (uint64_t seed : {1, 2, 3, 4, 5}) {
+    for (uint64_t loss : {0, 20}) {
+      CAPTURE(seed);
+      CAPTURE(loss);
+      auto mesh = threeDataCentres(seed, loss);
+      mesh.run(loss == 0 ? 3s : 20s);
+      CHECK(allKnowAll(mesh));
+    }
+  }
+}
+
+TEST_CASE("a change of targets reaches all within a second") {
+  for (uint64_t seed : {1, 2, 3, 4, 5}) {
+    auto mesh = threeDataCentres(seed);
+    mesh.run(5s);
+    auto &origin = mesh.Nodes.at(7);
+    origin.setTargets({readyTarget()}, mesh.Now);
+    mesh.run(1s);
+    for (const auto &[n, node] : mesh.Nodes)
+      CHECK(node.table().find("node-7")->Targets.size() == 1);
+  }
+}
+
+TEST_CASE("load alone spreads only in coarse steps and seldom") {
+  auto mesh = threeDataCentres(1);
+  mesh.run(5s);
+  auto &origin = mesh.Nodes.at(7);
+  origin.setTargets({readyTarget(0)}, mesh.Now);
+  auto revision = origin.self().Revision;
+  struct Case {
+    uint32_t Load;
+    base::Duration After;
+    uint64_t Raised;
+  };
+  for (auto it : {Case{200, 0s, 0}, Case{600, 0s, 1}, Case{900, 1s, 1},
+                  Case{900, 20s, 2}}) {
+    CAPTURE(it.Load);
+    origin.setTargets({readyTarget(it.Load)}, mesh.Now + it.After);
+    CHECK(origin.self().Revision == revision + it.Raised);
+  }
+}
+
+TEST_CASE("a dead node is found by its data centre and told to all") {
+  for (uint64_t seed : {1, 2, 3, 4, 5}) {
+    auto mesh = threeDataCentres(seed);
+    mesh.run(5s);
+    mesh.Down.insert(7);
+    mesh.run(15s);
+    CHECK(mesh.seenAs("node-7", MemberState::Dead) == 11);
+    mesh.add(7, "dc-1", 2000);
+    mesh.run(5s);
+    CHECK(allKnowAll(mesh));
+  }
+}
+
+TEST_CASE("one broken path or loss leads to no death") {
+  for (uint64_t seed : {1, 2, 3}) {
+    auto mesh = threeDataCentres(seed, 5);
+    mesh.Cut = {{1, 4}, {4, 1}};
+    mesh.run(60s);
+    CHECK(allKnowAll(mesh));
+  }
+}
+
+TEST_CASE("a suspicion is refuted with a higher incarnation") {
+  auto mesh = threeDataCentres(1);
+  mesh.run(5s);
+  MemberUpdate accusation{mesh.Nodes.at(4).self(), false};
+  accusation.Record.State = MemberState::Suspect;
+  GossipMessage news;
+  news.Updates.push_back(accusation);
+  mesh.post(
+      1, mesh.Nodes.at(1).take({"node-10", fakeAddress(10)}, news, mesh.Now));
+  CHECK(mesh.seenAs("node-4", MemberState::Suspect) == 1);
+  mesh.run(2s);
+  CHECK(allKnowAll(mesh));
+  CHECK(mesh.Nodes.at(4).self().Incarnation == 1001);
+}
+
+TEST_CASE("a data centre that is cut off keeps its members and heals") {
+  auto mesh = threeDataCentres(3);
+  mesh.run(5s);
+  for (size_t a = 0; a < 12; ++a)
+    for (size_t b = 0; b < 12; ++b)
+      if ((a % 3 == 2) != (b % 3 == 2))
+        mesh.Cut.insert({a, b});
+  mesh.run(120s);
+  CHECK(allKnowAll(mesh));
+  mesh.Nodes.at(2).setTargets({readyTarget()}, mesh.Now);
+  mesh.run(5s);
+  CHECK(mesh.Nodes.at(0).table().find("node-2")->Targets.empty());
+  mesh.Cut.clear();
+  mesh.run(15s);
+  CHECK(mesh.Nodes.at(0).table().find("node-2")->Targets.size() == 1);
+}
+
+TEST_CASE("two halves of a data centre that declared each other dead rejoin") {
+  FakeMesh mesh(9);
+  for (size_t n = 0; n < 6; ++n)
+    mesh.add(n, "dc");
+  mesh.run(5s);
+  for (size_t a = 0; a < 3; ++a)
+    for (size_t b = 3; b < 6; ++b) {
+      mesh.Cut.insert({a, b});
+      mesh.Cut.insert({b, a});
+    }
+  mesh.run(30s);
+  CHECK(mesh.seenAs("node-0", MemberState::Dead) == 3);
+  mesh.Cut.clear();
+  mesh.run(60s);
+  CHECK(allKnowAll(mesh));
+}
+
+TEST_CASE("a node that was paused accuses nobody") {
+  auto mesh = threeDataCentres(2);
+  mesh.run(5s);
+  mesh.Now += 60s;
+  mesh.run(5s);
+  CHECK(allKnowAll(mesh));
+}
+
+TEST_CASE("a node that leaves is known to have left") {
+  auto mesh = threeDataCentres(2);
+  mesh.run(5s);
+  MembershipActions last;
+  last.Sends = mesh.Nodes.at(5).leave(mesh.Now);
+  mesh.post(5, std::move(last));
+  mesh.run(2s);
+  CHECK(mesh.seenAs("node-5", MemberState::Left) == 12);
+}
+
+TEST_CASE("a restart with a clock that stepped back is accepted") {
+  auto mesh = threeDataCentres(2);
+  mesh.run(5s);
+  mesh.add(7, "dc-1", 500);
+  mesh.Nodes.at(7).setTargets({readyTarget()}, mesh.Now);
+  mesh.run(5s);
+  CHECK(allKnowAll(mesh));
+  CHECK(mesh.Nodes.at(0).table().find("node-7")->Targets.size() == 1);
+}
+
+TEST_CASE("notices reach all once and end with their lifetime") {
+  auto mesh = threeDataCentres(4);
+  mesh.run(5s);
+  mesh.Nodes.at(3).post({"quarantine", "f1", 1, 10000}, mesh.Now);
+  mesh.run(3s);
+  for (auto &[n, node] : mesh.Nodes) {
+    auto arrived = node.takeNewNotices();
+    REQUIRE(arrived.size() == 1);
+    CHECK(arrived[0].Text == "f1");
+  }
+  mesh.run(10s);
+  mesh.Nodes.at(3).post({"quarantine", "f0", 1, 10000}, mesh.Now);
+  CHECK(mesh.Nodes.at(3).takeNewNotices().size() == 1);
+}
+
+TEST_CASE("tables that saw the same updates in any order are equal") {
+  std::vector<MemberUpdate> updates;
+  for (uint64_t n = 1; n <= 4; ++n) {
+    MemberUpdate update{fakeMember(1, "dc", n), n != 3};
+    update.Record.State = static_cast<MemberState>(n % 2);
+    updates.push_back(update);
+  }
+  MemberTable forward;
+  MemberTable backward;
+  for (const auto &it : updates)
+    forward.merge(it);
+  for (auto it = updates.rbegin(); it != updates.rend(); ++it)
+    backward.merge(*it);
+  CHECK(forward.hash() == backward.hash());
+  CHECK(forward.find("node-1")->Incarnation == 4);
+}
