--- a/Libraries/LibPeer/PullClient.cpp
+++ b/Libraries/LibPeer/PullClient.cpp
@@ -73,7 +73,7 @@
   };
   asio::post(Context, [this, peer, request = std::move(request),
                        finish = std::move(finish)]() mutable {
-    asio::co_spawn(Context, exchange(std::move(peer), std::move(request)),
+    asio::co_spawn(Context, exchange(peer, std::move(request)),
                    std::move(finish));
   });
 }
