--- /dev/null
+++ b/Libraries/LibConfig/RouteIndex.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibConfig/Resources.h>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace radishcross::config {
+
+/// Finds the route for a request: the longest path prefix wins, then a route
+/// with a host, then one with methods. Keeps views into the routes it was
+/// given, which must outlive it.
+class RouteIndex {
+public:
+  /// One route with the service that it points at.
+  struct Entry {
+    const Route *Matched = nullptr;
+    const Service *Destination = nullptr;
+    const std::string *ServiceName = nullptr;
+  };
+
+  /// Adds a route. Returns the route already there that matches some request
+  /// with equal precedence, and then adds nothing.
+  const Route *add(const Entry &entry);
+
+  /// Returns the entry for a request, or null. A query in \p path, a port in
+  /// \p host and the case of \p host are ignored.
+  const Entry *find(std::string_view method, std::string_view host,
+                    std::string_view path) const;
+
+private:
+  using ByHost = std::unordered_map<std::string_view, std::vector<Entry>>;
+
+  const Entry *findAt(std::string_view prefix, std::string_view method,
+                      std::string_view host) const;
+
+  std::unordered_map<std::string_view, ByHost> ByPrefix;
+  size_t DeepestPrefix = 0; ///< Segments of the longest prefix.
+};
+
+} // namespace radishcross::config
--- /dev/null
+++ b/Libraries/LibConfig/Snapshot.cpp
@@ -0,0 +1,118 @@
+#include <LibConfig/RouteIndex.h>
+#include <LibConfig/Snapshot.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::config {
+
+namespace {
+
+using base::ResultCode;
+
+/// Returns "configuration/name" for a reference made in \p configuration.
+std::string fullName(std::string_view configuration,
+                     std::string_view reference) {
+  if (reference.find('/') != std::string_view::npos)
+    return std::string(reference);
+  return std::string(configuration) + "/" + std::string(reference);
+}
+
+std::string describe(const HeldVersion &held, const Route &route) {
+  return "route " + held.Configuration + "/" + route.Name + " of version " +
+         std::to_string(held.Version);
+}
+
+} // namespace
+
+struct Snapshot::Index {
+  /// A node of this map is stable, so that entries can point at its key.
+  std::map<std::string, const Service *, std::less<>> Services;
+  RouteIndex Routes;
+
+  bool addServices(const HeldVersion &held, base::LastReason &reason) {
+    for (const auto &it : held.Content->Services) {
+      auto name = fullName(held.Configuration, it.Name);
+      if (Services.emplace(name, &it).second)
+        continue;
+      reason.fail(ResultCode::DuplicateName,
+                  "service " + name + " is defined twice");
+      return false;
+    }
+    return true;
+  }
+
+  bool addRoutes(const HeldVersion &held, base::LastReason &reason) {
+    for (const auto &route : held.Content->Routes) {
+      auto name = fullName(held.Configuration, route.Service);
+      auto service = Services.find(name);
+      if (service == Services.end()) {
+        reason.fail(ResultCode::DanglingReference,
+                    describe(held, route) + " points at service " + name +
+                        ", which is not held");
+        return false;
+      }
+      const auto *other =
+          Routes.add({&route, service->second, &service->first});
+      if (!other)
+        continue;
+      reason.fail(ResultCode::AmbiguousRoute,
+                  describe(held, route) + " matches the same requests as " +
+                      "route " + other->Name);
+      return false;
+    }
+    return true;
+  }
+};
+
+std::optional<std::shared_ptr<const Snapshot>>
+Snapshot::create(std::vector<HeldVersion> versions, uint64_t offset,
+                 base::LastReason &reason) {
+  std::sort(versions.begin(), versions.end(),
+            [](const HeldVersion &a, const HeldVersion &b) {
+              return a.Configuration < b.Configuration;
+            });
+  auto index = std::make_shared<Index>();
+  const std::string *last = nullptr;
+  for (const auto &it : versions) {
+    if (last && *last == it.Configuration)
+      return reason.fail(ResultCode::DuplicateName,
+                         "configuration " + it.Configuration +
+                             " is held in two versions");
+    last = &it.Configuration;
+    if (!index->addServices(it, reason))
+      return std::nullopt;
+  }
+  for (const auto &it : versions)
+    if (!index->addRoutes(it, reason))
+      return std::nullopt;
+  std::shared_ptr<Snapshot> out(new Snapshot);
+  out->Versions = std::move(versions);
+  out->AtOffset = offset;
+  out->Lookup = std::move(index);
+  return out;
+}
+
+RouteHit Snapshot::findRoute(std::string_view method, std::string_view host,
+                             std::string_view path) const {
+  const auto *entry = Lookup->Routes.find(method, host, path);
+  if (!entry)
+    return {};
+  return {entry->Matched, entry->Destination, *entry->ServiceName};
+}
+
+const Service *Snapshot::findService(std::string_view name) const {
+  auto it = Lookup->Services.find(name);
+  return it == Lookup->Services.end() ? nullptr : it->second;
+}
+
+uint64_t Snapshot::versionOf(std::string_view configuration) const {
+  auto it = std::lower_bound(Versions.begin(), Versions.end(), configuration,
+                             [](const HeldVersion &a, std::string_view b) {
+                               return a.Configuration < b;
+                             });
+  bool found = it != Versions.end() && it->Configuration == configuration;
+  return found ? it->Version : 0;
+}
+
+} // namespace radishcross::config
--- /dev/null
+++ b/Libraries/LibConfig/VersionContentCodec.cpp
@@ -0,0 +1,311 @@
+#include <LibConfig/Names.h>
+#include <LibConfig/VersionContentCodec.h>
+#include <LibSchema/JsonSchema.h>
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace radishcross::embedded {
+extern const std::string_view VersionText;
+} // namespace radishcross::embedded
+
+namespace radishcross::config {
+
+namespace {
+
+using base::ResultCode;
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+
+const schema::JsonSchema *versionSchema() {
+  static const auto compiled = [] {
+    base::LastReason reason;
+    return schema::JsonSchema::create(embedded::VersionText, reason);
+  }();
+  return compiled ? &*compiled : nullptr;
+}
+
+// The schema has fixed the types before these readers run.
+
+const array &listAt(const object &from, std::string_view key) {
+  static const array empty;
+  const auto *found = from.if_contains(key);
+  return found ? found->get_array() : empty;
+}
+
+std::string textAt(const object &from, std::string_view key,
+                   std::string_view otherwise) {
+  const auto *found = from.if_contains(key);
+  return std::string(found ? std::string_view(found->get_string()) : otherwise);
+}
+
+int64_t numberAt(const object &from, std::string_view key, int64_t otherwise) {
+  const auto *found = from.if_contains(key);
+  return found ? found->get_int64() : otherwise;
+}
+
+bool flagAt(const object &from, std::string_view key) {
+  const auto *found = from.if_contains(key);
+  return found && found->get_bool();
+}
+
+/// Binds the keys of "limits" to members.
+struct LimitRow {
+  std::string_view Key;
+  uint32_t ServiceLimits::*Member;
+};
+
+constexpr LimitRow Limits[] = {
+    {"queue_length", &ServiceLimits::QueueLength},
+    {"standard_floor_percent", &ServiceLimits::StandardFloorPercent},
+    {"background_floor_percent", &ServiceLimits::BackgroundFloorPercent},
+    {"retry_budget_percent", &ServiceLimits::RetryBudgetPercent},
+};
+
+Service readService(const object &from) {
+  Service out;
+  out.Name = textAt(from, "name", "");
+  const auto *limits = from.if_contains("limits");
+  if (!limits)
+    return out;
+  for (const auto &row : Limits)
+    out.Limits.*row.Member = static_cast<uint32_t>(
+        numberAt(limits->get_object(), row.Key, out.Limits.*row.Member));
+  return out;
+}
+
+std::string lowered(std::string text) {
+  for (char &c : text)
+    if (c >= 'A' && c <= 'Z')
+      c = static_cast<char>(c - 'A' + 'a');
+  return text;
+}
+
+RouteMatch readMatch(const object &from) {
+  RouteMatch out;
+  for (const auto &it : listAt(from, "methods"))
+    out.Methods.emplace_back(it.get_string());
+  std::sort(out.Methods.begin(), out.Methods.end());
+  out.Methods.erase(std::unique(out.Methods.begin(), out.Methods.end()),
+                    out.Methods.end());
+  out.Host = lowered(textAt(from, "host", ""));
+  out.PathPrefix = textAt(from, "path_prefix", "/");
+  while (out.PathPrefix.size() > 1 && out.PathPrefix.back() == '/')
+    out.PathPrefix.pop_back();
+  return out;
+}
+
+Route readRoute(const object &from) {
+  Route out;
+  out.Name = textAt(from, "name", "");
+  if (const auto *match = from.if_contains("match"))
+    out.Match = readMatch(match->get_object());
+  out.Service = textAt(from, "service", "");
+  out.CallRank = base::fromName(RankNames, textAt(from, "rank", "background"))
+                     .value_or(Rank::Background);
+  auto standard =
+      std::chrono::duration_cast<std::chrono::milliseconds>(out.Deadline);
+  out.Deadline = std::chrono::milliseconds(
+      numberAt(from, "deadline_ms", standard.count()));
+  out.Idempotent = flagAt(from, "idempotent");
+  return out;
+}
+
+bool isHost(std::string_view text) {
+  return text.empty() ||
+         text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-._:[]") ==
+             std::string_view::npos;
+}
+
+/// Tells whether \p text is an absolute path in its plain form: no empty, "."
+/// or ".." segment, no query, and nothing that a target could read differently.
+bool isPathPrefix(std::string_view text) {
+  if (text.empty() || text[0] != '/')
+    return false;
+  if (text.size() == 1)
+    return true;
+  for (char c : text)
+    if (c <= ' ' || c > '~' || c == '?' || c == '#' || c == '%' || c == '\\')
+      return false;
+  for (size_t at = 0; at < text.size();) {
+    size_t next = std::min(text.find('/', at + 1), text.size());
+    auto segment = text.substr(at + 1, next - at - 1);
+    if (segment.empty() || segment == "." || segment == "..")
+      return false;
+    at = next;
+  }
+  return true;
+}
+
+std::nullopt_t failAt(const std::string &path, ResultCode code,
+                      const std::string &found, const std::string &expected,
+                      base::LastReason &reason) {
+  return reason.fail(code,
+                     path + ": found \"" + found + "\", expected " + expected);
+}
+
+bool checkServices(const std::vector<Service> &services,
+                   std::set<std::string_view> &names,
+                   base::LastReason &reason) {
+  for (size_t i = 0; i < services.size(); ++i) {
+    const auto &name = services[i].Name;
+    std::string path = "services[" + std::to_string(i) + "].name";
+    if (!isName(name)) {
+      failAt(path, ResultCode::BadValue, name,
+             "letters, digits, '-', '_' and '.'", reason);
+      return false;
+    }
+    if (!names.insert(name).second) {
+      failAt(path, ResultCode::DuplicateName, name, "a name not used before",
+             reason);
+      return false;
+    }
+  }
+  return true;
+}
+
+/// One rule on a route; Code tells a failure.
+struct RouteRule {
+  std::string_view Key;
+  ResultCode Code;
+  std::string_view Expected;
+  bool (*Holds)(const Route &route);
+  std::string (*Found)(const Route &route);
+};
+
+constexpr RouteRule RouteRules[] = {
+    {"name", ResultCode::BadValue, "letters, digits, '-', '_' and '.'",
+     [](const Route &it) { return isName(it.Name); },
+     [](const Route &it) { return it.Name; }},
+    {"match.host", ResultCode::BadRoute, "a host name without a port",
+     [](const Route &it) { return isHost(it.Match.Host); },
+     [](const Route &it) { return it.Match.Host; }},
+    {"match.path_prefix", ResultCode::BadRoute,
+     "an absolute path without empty or dot segments, query or escapes",
+     [](const Route &it) { return isPathPrefix(it.Match.PathPrefix); },
+     [](const Route &it) { return it.Match.PathPrefix; }},
+    {"service", ResultCode::BadValue, "\"name\" or \"configuration/name\"",
+     [](const Route &it) { return isServiceReference(it.Service); },
+     [](const Route &it) { return it.Service; }},
+};
+
+bool checkRoute(const Route &route, const std::string &path,
+                const std::set<std::string_view> &services,
+                base::LastReason &reason) {
+  for (const auto &rule : RouteRules) {
+    if (rule.Holds(route))
+      continue;
+    failAt(path + "." + std::string(rule.Key), rule.Code, rule.Found(route),
+           std::string(rule.Expected), reason);
+    return false;
+  }
+  bool isLocal = route.Service.find('/') == std::string::npos;
+  if (!isLocal || services.contains(route.Service))
+    return true;
+  failAt(path + ".service", ResultCode::DanglingReference, route.Service,
+         "a service of this configuration", reason);
+  return false;
+}
+
+/// What two routes must not share.
+std::string matchKey(const RouteMatch &match, std::string_view method) {
+  return match.PathPrefix + '\n' + match.Host + '\n' + std::string(method);
+}
+
+bool checkAmbiguity(const Route &route, const std::string &path,
+                    std::set<std::string> &seen, base::LastReason &reason) {
+  auto methods = route.Match.Methods;
+  if (methods.empty())
+    methods.emplace_back();
+  for (const auto &method : methods) {
+    if (seen.insert(matchKey(route.Match, method)).second)
+      continue;
+    failAt(path + ".match", ResultCode::AmbiguousRoute, route.Match.PathPrefix,
+           "a match that no other route has", reason);
+    return false;
+  }
+  return true;
+}
+
+bool checkRoutes(const std::vector<Route> &routes,
+                 const std::set<std::string_view> &services,
+                 base::LastReason &reason) {
+  std::set<std::string_view> names;
+  std::set<std::string> matches;
+  for (size_t i = 0; i < routes.size(); ++i) {
+    std::string path = "routes[" + std::to_string(i) + "]";
+    if (!checkRoute(routes[i], path, services, reason))
+      return false;
+    if (!names.insert(routes[i].Name).second) {
+      failAt(path + ".name", ResultCode::DuplicateName, routes[i].Name,
+             "a name not used before", reason);
+      return false;
+    }
+    if (!checkAmbiguity(routes[i], path, matches, reason))
+      return false;
+  }
+  return true;
+}
+
+object writeService(const Service &service) {
+  object limits;
+  for (const auto &row : Limits)
+    limits[row.Key] = static_cast<int64_t>(service.Limits.*row.Member);
+  return {{"name", service.Name}, {"limits", std::move(limits)}};
+}
+
+object writeRoute(const Route &route) {
+  array methods(route.Match.Methods.begin(), route.Match.Methods.end());
+  object match{{"methods", std::move(methods)},
+               {"host", route.Match.Host},
+               {"path_prefix", route.Match.PathPrefix}};
+  auto deadline =
+      std::chrono::duration_cast<std::chrono::milliseconds>(route.Deadline);
+  return {{"name", route.Name},
+          {"match", std::move(match)},
+          {"service", route.Service},
+          {"rank", base::nameOf(RankNames, route.CallRank)},
+          {"deadline_ms", static_cast<int64_t>(deadline.count())},
+          {"idempotent", route.Idempotent}};
+}
+
+} // namespace
+
+std::string_view versionSchemaText() { return embedded::VersionText; }
+
+std::optional<VersionContent> decodeVersionContent(const value &document,
+                                                   base::LastReason &reason) {
+  const auto *schema = versionSchema();
+  if (!schema)
+    return reason.fail(ResultCode::Internal, "the version schema is defective");
+  if (!schema->check(document, reason))
+    return std::nullopt;
+  VersionContent out;
+  for (const auto &it : listAt(document.get_object(), "services"))
+    out.Services.push_back(readService(it.get_object()));
+  for (const auto &it : listAt(document.get_object(), "routes"))
+    out.Routes.push_back(readRoute(it.get_object()));
+  std::set<std::string_view> services;
+  if (!checkServices(out.Services, services, reason) ||
+      !checkRoutes(out.Routes, services, reason))
+    return std::nullopt;
+  return out;
+}
+
+value encodeVersionContent(const VersionContent &content) {
+  array services;
+  for (const auto &it : content.Services)
+    services.emplace_back(writeService(it));
+  array routes;
+  for (const auto &it : content.Routes)
+    routes.emplace_back(writeRoute(it));
+  return object{{"services", std::move(services)},
+                {"routes", std::move(routes)}};
+}
+
+} // namespace radishcross::config
