LibCalls: Lease targets' announcements by epoch

A holder that was paused past its lease still believes it holds it. Each grant gives a higher epoch; a heartbeat with another one is refused with lease-lapsed, also when no tick has noticed the lapse, and the target is offered no work until it has announced itself anew. Epochs follow the node's clock, so a restarted node never grants an old one again.

The call broker's interface gains what the shell needs for kept answers, retries below a retry and doubted connections; all of it has defaults.

--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -6,7 +6,9 @@
 #include <LibConfig/Snapshot.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 namespace radishcross::calls {
 
@@ -20,8 +22,12 @@
   uint64_t Fingerprint = 0;   ///< Hash of method, path and body.
   bool FromMesh = false;      ///< Forwarded here by another node.
   config::Rank ParentRank = config::Rank::Critical;
-  uint32_t Hops = 0;          ///< Calls above this one in the chain.
-  base::Duration Remaining{}; ///< Deadline left; 0: the route's alone.
+  uint32_t Hops = 0; ///< Calls above this one in the chain.
+  /// Deadline left; 0: the route's alone; below 0: it has passed.
+  base::Duration Remaining{};
+  /// The call above is itself a retry (its AttemptHeader was "2"): nothing
+  /// below it is retried, so that retries do not multiply along a chain.
+  bool BelowRetry = false;
 };
 
 /// How one attempt to run a call at a target ended.
@@ -39,6 +45,11 @@
   base::ResultCode Code = base::ResultCode::Ok;
   uint32_t PressurePermille = 0; ///< Of the target, as its node reported it.
   base::Duration Latency{};
+  /// When a refused caller may come back, as the target's node told it.
+  base::Duration RetryAfter{};
+  /// The answering node marked (AttemptHeader "below") that a call made while
+  /// running this one failed and was dealt with there: no retry here.
+  bool FailedBelow = false;
 };
 
 /// What to do next for a call.
@@ -56,7 +67,12 @@
   config::Rank CallRank = config::Rank::Background;
   base::Duration AttemptTimeout{}; ///< For connecting and the whole answer.
   base::Duration Remaining{};      ///< Deadline left, for the next hop.
-  bool FreshConnection = false;    ///< Do not reuse a pooled connection.
+  /// Open a new connection to the node of To and close the idle ones to it.
+  bool FreshConnection = false;
+  /// The attempt is a retry: AttemptHeader is "2", else "1".
+  bool Retry = false;
+  /// Hand the whole answer to keepAnswer() before attemptEnded(Answered).
+  bool KeepAnswer = false;
   CallOutcome Outcome = CallOutcome::NotRun;
   base::ResultCode Code = base::ResultCode::Ok;
   base::Duration RetryAfter{}; ///< When a refused caller may come back.
@@ -86,6 +102,20 @@
 
   /// Drops the call after its Finish, or after the caller went away.
   virtual void end(CallHandle call, base::TimePoint now) = 0;
+
+  /// Keeps the whole answer, in a form of the shell's own, of a call whose
+  /// Send asked for it. Comes before attemptEnded(Answered). An answer that
+  /// was not kept, or is too large, makes resends end as unknown.
+  virtual void keepAnswer(CallHandle, std::string &&, base::TimePoint) {}
+
+  /// Returns the answer that a Replay step stands for.
+  virtual std::string keptAnswer(CallHandle) const { return {}; }
+
+  /// Takes the function that is called when a call whose step was Wait goes
+  /// on with another one: Replay, Send or Finish. It is called from inside
+  /// attemptEnded(), end() or tick(); the shell carries the step out later.
+  using Resumed = std::function<void(CallHandle, const CallStep &)>;
+  virtual void whenResumed(const Resumed &) {}
 };
 
 } // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -0,0 +1,134 @@
+#include <LibCalls/TargetLeases.h>
+
+#include <algorithm>
+
+namespace radishcross::calls {
+
+namespace {
+
+using base::ResultCode;
+
+trace::Entry entryOf(base::TimePoint now, uint8_t event,
+                     std::string_view text) {
+  trace::Entry out;
+  out.AtMicroseconds = now.time_since_epoch().count();
+  out.Source = trace::Module::TargetLease;
+  out.Event = event;
+  out.Text = text;
+  return out;
+}
+
+} // namespace
+
+TargetLeases::TargetLeases(trace::Recorder &recorder) : Record(&recorder) {}
+
+std::optional<LeaseAnswer>
+TargetLeases::announce(const Announcement &announcement, base::TimePoint now,
+                       base::LastReason &reason) {
+  const auto &target = announcement.Target;
+  const auto out = decide(announcement, now, reason);
+  auto entry = entryOf(now, LeaseEvent::Announce, target.TargetId);
+  entry.Numbers = {static_cast<int64_t>(target.Epoch),
+                   static_cast<int64_t>(target.State), target.Slots,
+                   target.Connections, target.LoadPermille};
+  entry.Decided = {out ? static_cast<int64_t>(out->Epoch) : 0,
+                   out ? 0 : static_cast<int64_t>(reason.code())};
+  Record->record(std::move(entry));
+  return out;
+}
+
+std::optional<LeaseAnswer>
+TargetLeases::decide(const Announcement &announcement, base::TimePoint now,
+                     base::LastReason &reason) {
+  const auto &target = announcement.Target;
+  lapse(now);
+  const auto it = Leases.find(target.TargetId);
+  const bool known = it != Leases.end();
+  if (target.Epoch == 0) {
+    if (!known && !makeRoom())
+      return reason.fail(ResultCode::PeerBusy,
+                         "the node has as many targets as it may");
+    return grant(announcement, now);
+  }
+  if (!known || it->second.Lapsed || it->second.Target.Epoch != target.Epoch)
+    return reason.fail(ResultCode::LeaseLapsed,
+                       "the lease of target \"" + target.TargetId +
+                           "\" has lapsed; announce it with epoch 0");
+  it->second.Target = target;
+  it->second.ExpiresAt = now + Lifetime;
+  return LeaseAnswer{target.Epoch, Lifetime};
+}
+
+/// Gives a new epoch. It follows the clock, so that an epoch granted before
+/// the node's process was restarted is never granted again.
+std::optional<LeaseAnswer> TargetLeases::grant(const Announcement &announcement,
+                                               base::TimePoint now) {
+  auto &lease = Leases[announcement.Target.TargetId];
+  const auto byClock = static_cast<uint64_t>(now.time_since_epoch().count());
+  const uint64_t epoch = std::max(lease.Target.Epoch + 1, byClock);
+  lease.Target = announcement.Target;
+  lease.Target.Epoch = epoch;
+  lease.ExpiresAt = now + Lifetime;
+  lease.Lapsed = false;
+  return LeaseAnswer{epoch, Lifetime};
+}
+
+/// Forgets lapsed leases when the table is full; a holder that wakes then is
+/// refused all the same, because its epoch is unknown.
+bool TargetLeases::makeRoom() {
+  if (Leases.size() >= MaximumTargets)
+    std::erase_if(Leases, [](const auto &it) { return it.second.Lapsed; });
+  return Leases.size() < MaximumTargets;
+}
+
+bool TargetLeases::lapse(base::TimePoint now) {
+  bool out = false;
+  for (auto &it : Leases) {
+    if (it.second.Lapsed || it.second.ExpiresAt > now)
+      continue;
+    it.second.Lapsed = true;
+    out = true;
+  }
+  Changed = Changed || out;
+  return out;
+}
+
+bool TargetLeases::tick(base::TimePoint now) {
+  lapse(now);
+  const bool out = Changed;
+  Changed = false;
+  auto entry = entryOf(now, LeaseEvent::Tick, {});
+  entry.Decided = {out ? 1 : 0};
+  if (out)
+    Record->record(std::move(entry));
+  return out;
+}
+
+void TargetLeases::drain(std::string_view targetId) {
+  const auto it = Leases.find(targetId);
+  if (it != Leases.end())
+    it->second.DrainedByOperator = true;
+  Record->record(entryOf({}, LeaseEvent::Drain, targetId));
+}
+
+void TargetLeases::drainAll() {
+  AllDrained = true;
+  Record->record(entryOf({}, LeaseEvent::DrainAll, {}));
+}
+
+std::vector<fleet::TargetRecord> TargetLeases::current() const {
+  std::vector<fleet::TargetRecord> out;
+  for (const auto &it : Leases) {
+    const auto &lease = it.second;
+    if (lease.Lapsed)
+      continue;
+    auto target = lease.Target;
+    const bool drained = AllDrained || lease.DrainedByOperator;
+    if (drained && target.State != fleet::TargetState::Left)
+      target.State = fleet::TargetState::Draining;
+    out.push_back(std::move(target));
+  }
+  return out;
+}
+
+} // namespace radishcross::calls
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -23,14 +23,25 @@
   base::Duration Lifetime{};
 };
 
+/// Events of a trace's entries. Announce has the numbers epoch, state, slots,
+/// connections, load and decides the granted epoch or the code of the refusal;
+/// Tick decides 1. The text is the target.
+struct LeaseEvent {
+  enum Value : uint8_t { Announce, Tick, Drain, DrainAll };
+};
+
 /// Leases of the announcements of the targets behind one node. A target whose
 /// lease has lapsed is no longer offered work; when it wakes, its old epoch is
 /// refused with LeaseLapsed and it must announce anew before it takes work.
 class TargetLeases {
 public:
+  static constexpr base::Duration Lifetime = std::chrono::seconds(3);
+  static constexpr size_t MaximumTargets = 256;
+
   explicit TargetLeases(trace::Recorder &recorder);
 
-  /// Grants or renews a lease; fails with LeaseLapsed.
+  /// Grants or renews a lease; fails with LeaseLapsed, or with PeerBusy when
+  /// the node has as many targets as it may.
   std::optional<LeaseAnswer> announce(const Announcement &announcement,
                                       base::TimePoint now,
                                       base::LastReason &reason);
@@ -46,6 +57,14 @@
   std::vector<fleet::TargetRecord> current() const;
 
 private:
+  std::optional<LeaseAnswer> grant(const Announcement &announcement,
+                                   base::TimePoint now);
+  std::optional<LeaseAnswer> decide(const Announcement &announcement,
+                                    base::TimePoint now,
+                                    base::LastReason &reason);
+  bool makeRoom();
+  bool lapse(base::TimePoint now);
+
   struct Lease {
     fleet::TargetRecord Target;
     base::TimePoint ExpiresAt{};
@@ -53,6 +72,8 @@
     bool DrainedByOperator = false;
   };
   std::map<std::string, Lease, std::less<>> Leases;
+  bool AllDrained = false;
+  bool Changed = false; ///< A lease lapsed since the last tick.
   trace::Recorder *Record;
 };
 
