LibCalls: Quarantine requests that crash targets

A request that crashes each target that runs it is sent again by its caller. The second crash quarantines its fingerprint. Popular requests are in flight at most crashes too, so a fingerprint that was answered in the last minute is innocent, and a crash with more than 16 candidates makes no new suspects. Suspicions are news for the fleet as well, since the second crash is mostly at another node. 100,000 distinct fingerprints leave 1,024 entries.

--- /dev/null
+++ b/Libraries/LibCalls/Quarantine.cpp
@@ -0,0 +1,177 @@
+#include <LibCalls/Quarantine.h>
+#include <LibCalls/QuarantinePlayer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::calls {
+
+namespace {
+
+template <typename Map> void dropExpired(Map &entries, base::TimePoint now) {
+  std::erase_if(entries,
+                [now](const auto &it) { return it.second.Until <= now; });
+}
+
+} // namespace
+
+Quarantine::Quarantine(trace::Recorder &recorder)
+    : Answers(AnswerSlots), Record(&recorder) {}
+
+QuarantineEntry &Quarantine::insert(Entries &entries, uint64_t fingerprint,
+                                    std::string_view serviceName,
+                                    base::TimePoint now) {
+  const auto known = entries.find(fingerprint);
+  if (known != entries.end())
+    return known->second;
+  if (entries.size() >= MaximumEntries)
+    dropExpired(entries, now);
+  if (entries.size() >= MaximumEntries)
+    entries.erase(std::min_element(entries.begin(), entries.end(),
+                                   [](const auto &a, const auto &b) {
+                                     return a.second.Until < b.second.Until;
+                                   }));
+  auto &entry = entries[fingerprint];
+  entry.Fingerprint = fingerprint;
+  entry.ServiceName = serviceName;
+  return entry;
+}
+
+bool Quarantine::suspect(uint64_t fingerprint, std::string_view serviceName,
+                         base::TimePoint now, bool tellFleet) {
+  if (blocks(fingerprint, now))
+    return false;
+  auto &entry = insert(Suspects, fingerprint, serviceName, now);
+  if (entry.Until <= now)
+    entry.Crashes = 0;
+  ++entry.Crashes;
+  entry.Until = now + SuspicionLifetime;
+  if (entry.Crashes < 2) {
+    if (tellFleet)
+      tell(entry);
+    return false;
+  }
+  auto &blocked = insert(Blocked, fingerprint, serviceName, now);
+  blocked.Crashes = entry.Crashes;
+  blocked.Until = now + QuarantineLifetime;
+  tell(blocked);
+  Suspects.erase(fingerprint);
+  return true;
+}
+
+bool Quarantine::crashed(uint64_t fingerprint, std::string_view serviceName,
+                         base::TimePoint now) {
+  if (innocent(fingerprint, now))
+    return false;
+  const bool out = suspect(fingerprint, serviceName, now, true);
+  note(QuarantinePlayer::Crashed, fingerprint, serviceName, {}, now, out);
+  return out;
+}
+
+std::vector<uint64_t> Quarantine::targetCrashed(
+    std::string_view targetId, std::string_view serviceName,
+    const std::vector<uint64_t> &fingerprints, base::TimePoint now) {
+  std::erase_if(LastCrashes,
+                [now](const auto &it) { return now - it.second >= SameCrash; });
+  if (!LastCrashes.emplace(targetId, now).second)
+    return {};
+  auto distinct = fingerprints;
+  std::sort(distinct.begin(), distinct.end());
+  distinct.erase(std::unique(distinct.begin(), distinct.end()), distinct.end());
+  const bool few = distinct.size() <= MaximumCandidates;
+  std::vector<uint64_t> out;
+  for (const uint64_t it : distinct) {
+    if (it == 0 || (!few && !Suspects.contains(it)))
+      continue;
+    if (crashed(it, serviceName, now))
+      out.push_back(it);
+  }
+  return out;
+}
+
+void Quarantine::answered(uint64_t fingerprint, base::TimePoint now) {
+  Answers[fingerprint % AnswerSlots] = {fingerprint, now, true};
+  if (!Suspects.empty() && Suspects.contains(fingerprint))
+    clear(fingerprint, now);
+}
+
+bool Quarantine::clear(uint64_t fingerprint, base::TimePoint now) {
+  const bool out = Suspects.erase(fingerprint) > 0;
+  note(QuarantinePlayer::Cleared, fingerprint, {}, {}, now, out);
+  return out;
+}
+
+void Quarantine::tell(const QuarantineEntry &entry) {
+  if (News.size() >= MaximumEntries)
+    News.erase(News.begin());
+  News.push_back(entry);
+}
+
+bool Quarantine::innocent(uint64_t fingerprint, base::TimePoint now) const {
+  const auto &it = Answers[fingerprint % AnswerSlots];
+  return it.Used && it.Fingerprint == fingerprint &&
+         now - it.At < InnocenceLifetime;
+}
+
+void Quarantine::learn(uint64_t fingerprint, std::string_view serviceName,
+                       base::Duration lifetime, base::TimePoint now) {
+  auto &entry = insert(Blocked, fingerprint, serviceName, now);
+  entry.Crashes = std::max(entry.Crashes, 2U);
+  entry.Until =
+      std::max(entry.Until, now + std::min(lifetime, QuarantineLifetime));
+  Suspects.erase(fingerprint);
+  note(QuarantinePlayer::Learned, fingerprint, serviceName, lifetime, now,
+       true);
+}
+
+bool Quarantine::learnSuspicion(uint64_t fingerprint,
+                                std::string_view serviceName,
+                                base::TimePoint now) {
+  if (innocent(fingerprint, now))
+    return false;
+  const bool out = suspect(fingerprint, serviceName, now, false);
+  note(QuarantinePlayer::LearnedSuspicion, fingerprint, serviceName, {}, now,
+       out);
+  return out;
+}
+
+std::vector<QuarantineEntry> Quarantine::takeNews() {
+  return std::exchange(News, {});
+}
+
+bool Quarantine::blocks(uint64_t fingerprint, base::TimePoint now) const {
+  if (Blocked.empty())
+    return false;
+  const auto it = Blocked.find(fingerprint);
+  return it != Blocked.end() && it->second.Until > now;
+}
+
+bool Quarantine::lift(uint64_t fingerprint) {
+  Suspects.erase(fingerprint);
+  const bool out = Blocked.erase(fingerprint) > 0;
+  note(QuarantinePlayer::Lifted, fingerprint, {}, {}, {}, out);
+  return out;
+}
+
+std::vector<QuarantineEntry> Quarantine::entries(base::TimePoint now) const {
+  std::vector<QuarantineEntry> out;
+  for (const auto &it : Blocked)
+    if (it.second.Until > now)
+      out.push_back(it.second);
+  return out;
+}
+
+void Quarantine::note(uint8_t event, uint64_t fingerprint,
+                      std::string_view text, base::Duration lifetime,
+                      base::TimePoint now, bool decided) {
+  trace::Entry entry;
+  entry.AtMicroseconds = now.time_since_epoch().count();
+  entry.Source = trace::Module::Quarantine;
+  entry.Event = event;
+  entry.Numbers = {static_cast<int64_t>(fingerprint), lifetime.count()};
+  entry.Text = text;
+  entry.Decided = {decided ? 1 : 0};
+  Record->record(std::move(entry));
+}
+
+} // namespace radishcross::calls
--- a/Libraries/LibCalls/Quarantine.h
+++ b/Libraries/LibCalls/Quarantine.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibTrace/Recorder.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,7 +12,8 @@
 
 namespace radishcross::calls {
 
-/// One request that crashed targets.
+/// One request that crashed targets. One crash makes it a suspect, which may
+/// still run; the second quarantines it.
 struct QuarantineEntry {
   uint64_t Fingerprint = 0;
   std::string ServiceName;
@@ -20,9 +22,20 @@
 };
 
 /// Fingerprints of requests that were in flight on crashing targets. The
-/// second crash quarantines; entries expire; memory is bounded.
+/// second crash quarantines; entries expire; memory is bounded. A fingerprint
+/// that a target has answered lately is innocent: a request that crashes each
+/// target that runs it is never answered.
 class Quarantine {
 public:
+  static constexpr base::Duration SuspicionLifetime = std::chrono::minutes(5);
+  static constexpr base::Duration QuarantineLifetime = std::chrono::minutes(10);
+  static constexpr base::Duration InnocenceLifetime = std::chrono::minutes(1);
+  /// Two reports of one target within this time are one crash.
+  static constexpr base::Duration SameCrash = std::chrono::seconds(1);
+  /// With more requests in flight a crash says too little about each of them.
+  static constexpr size_t MaximumCandidates = 16;
+  static constexpr size_t MaximumEntries = 1024;
+
   explicit Quarantine(trace::Recorder &recorder);
 
   /// Reports that \p fingerprint was in flight when a target crashed. Returns
@@ -30,17 +43,61 @@
   bool crashed(uint64_t fingerprint, std::string_view serviceName,
                base::TimePoint now);
 
+  /// Reports the crash of one target with all that was in flight on it.
+  /// Returns the fingerprints that this quarantines.
+  std::vector<uint64_t> targetCrashed(std::string_view targetId,
+                                      std::string_view serviceName,
+                                      const std::vector<uint64_t> &fingerprints,
+                                      base::TimePoint now);
+
+  /// Reports that a target answered a request; a constant-time note.
+  void answered(uint64_t fingerprint, base::TimePoint now);
+
+  /// Drops a suspicion; returns true when there was one.
+  bool clear(uint64_t fingerprint, base::TimePoint now);
+
   /// Takes another node's decision.
   void learn(uint64_t fingerprint, std::string_view serviceName,
              base::Duration lifetime, base::TimePoint now);
 
+  /// Takes another node's suspicion, a first crash there. Returns true when
+  /// this quarantines the fingerprint, and the fleet should be told.
+  bool learnSuspicion(uint64_t fingerprint, std::string_view serviceName,
+                      base::TimePoint now);
+
+  /// Returns the suspicions and decisions of this node since the last call,
+  /// to be told to the fleet: with one crash a suspicion, with more a
+  /// decision.
+  std::vector<QuarantineEntry> takeNews();
+
   bool blocks(uint64_t fingerprint, base::TimePoint now) const;
   bool lift(uint64_t fingerprint);
   std::vector<QuarantineEntry> entries(base::TimePoint now) const;
 
 private:
-  std::map<uint64_t, QuarantineEntry> Suspects;
-  std::map<uint64_t, QuarantineEntry> Blocked;
+  using Entries = std::map<uint64_t, QuarantineEntry>;
+  struct Answer {
+    uint64_t Fingerprint = 0;
+    base::TimePoint At{};
+    bool Used = false;
+  };
+  static constexpr size_t AnswerSlots = 4096;
+
+  bool innocent(uint64_t fingerprint, base::TimePoint now) const;
+  bool suspect(uint64_t fingerprint, std::string_view serviceName,
+               base::TimePoint now, bool tellFleet);
+  static QuarantineEntry &insert(Entries &entries, uint64_t fingerprint,
+                                 std::string_view serviceName,
+                                 base::TimePoint now);
+  void tell(const QuarantineEntry &entry);
+  void note(uint8_t event, uint64_t fingerprint, std::string_view text,
+            base::Duration lifetime, base::TimePoint now, bool decided);
+
+  Entries Suspects;
+  Entries Blocked;
+  std::map<std::string, base::TimePoint, std::less<>> LastCrashes;
+  std::vector<Answer> Answers;
+  std::vector<QuarantineEntry> News;
   trace::Recorder *Record;
 };
 
--- /dev/null
+++ b/Libraries/LibCalls/QuarantinePlayer.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibCalls/Quarantine.h>
+#include <LibTrace/Player.h>
+
+namespace radishcross::calls {
+
+/// Replays a quarantine. Numbers: the fingerprint, the lifetime in
+/// microseconds. Text: the service. Decided: 1 when the event quarantined,
+/// cleared or lifted the fingerprint.
+class QuarantinePlayer final : public trace::Player {
+public:
+  enum Event : uint8_t { Crashed, Cleared, Learned, LearnedSuspicion, Lifted };
+
+  trace::Outcome play(const trace::Entry &entry) override;
+
+private:
+  trace::NullRecorder Ignored;
+  Quarantine Replayed{Ignored};
+};
+
+} // namespace radishcross::calls
