LibCalls: Admit calls to a target's slots by rank with floors

A flood of one rank must not starve the others. Slots go in strict order of ranks, except that a lower rank which is owed slot time under its floor goes first; floors are accounted as slot time, so 5% holds at a target with 6 slots. The queue is bounded, sheds the lowest rank first and turns to newest-first under overload, where those given up are told at once. The limit narrows the announced slots by observed latency.

--- /dev/null
+++ b/Libraries/LibCalls/Gate.cpp
@@ -0,0 +1,174 @@
+#include <LibCalls/Gate.h>
+
+#include <LibCalls/TargetGate.h>
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace radishcross::calls {
+
+namespace {
+
+using base::ResultCode;
+using fleet::TargetState;
+
+/// When a caller may come back to a target that this node does not know.
+constexpr base::Duration UnknownTargetRetryAfter = std::chrono::seconds(1);
+
+/// One target behind this node.
+struct GuardedTarget {
+  fleet::TargetRecord Target;
+  TargetGateSettings Settings;
+  std::unique_ptr<TargetGate> Admission;
+  bool Listed = true; ///< Announced; else only its calls in flight remain.
+};
+
+bool sameLimits(const config::ServiceLimits &a,
+                const config::ServiceLimits &b) {
+  return a.QueueLength == b.QueueLength &&
+         a.StandardFloorPercent == b.StandardFloorPercent &&
+         a.BackgroundFloorPercent == b.BackgroundFloorPercent &&
+         a.RetryBudgetPercent == b.RetryBudgetPercent;
+}
+
+bool sameSettings(const TargetGateSettings &a, const TargetGateSettings &b) {
+  return a.State == b.State && a.Slots == b.Slots &&
+         a.Connections == b.Connections && sameLimits(a.Limits, b.Limits);
+}
+
+} // namespace
+
+struct Gate::State {
+  Quarantine *Quarantined = nullptr;
+  trace::Recorder *Record = nullptr;
+  config::SnapshotPointer InForce;
+  std::map<std::string, GuardedTarget, std::less<>> Targets;
+  std::unordered_map<Ticket, GuardedTarget *> Calls;
+  Ticket LastTicket = 0;
+  base::TimePoint LastTime{};
+
+  config::ServiceLimits limitsOf(const std::string &serviceName) const {
+    const auto *service = InForce ? InForce->findService(serviceName) : nullptr;
+    return service ? service->Limits : config::ServiceLimits{};
+  }
+
+  void configure(GuardedTarget &guarded) {
+    const auto &target = guarded.Target;
+    const TargetGateSettings settings{
+        guarded.Listed ? target.State : TargetState::Left, target.Slots,
+        target.Connections, limitsOf(target.Service)};
+    if (guarded.Admission && sameSettings(guarded.Settings, settings))
+      return;
+    if (!guarded.Admission)
+      guarded.Admission =
+          std::make_unique<TargetGate>(target.TargetId, *Record);
+    guarded.Settings = settings;
+    guarded.Admission->configure(settings, LastTime);
+  }
+
+  void forgetRefused(const std::vector<GateAnswer> &answers) {
+    for (const auto &it : answers)
+      if (it.What == GateAnswer::Kind::Refuse)
+        Calls.erase(it.Call);
+  }
+};
+
+Gate::Gate(Quarantine &quarantine, trace::Recorder &recorder)
+    : Held(std::make_unique<State>()) {
+  Held->Quarantined = &quarantine;
+  Held->Record = &recorder;
+}
+
+Gate::~Gate() = default;
+
+GateAnswer Gate::arrive(const Arrival &arrival, base::TimePoint now) {
+  Held->LastTime = now;
+  const Ticket call = ++Held->LastTicket;
+  if (Held->Quarantined->blocks(arrival.Fingerprint, now))
+    return {GateAnswer::Kind::Refuse, call, ResultCode::Quarantined,
+            Quarantine::QuarantineLifetime};
+  const auto it = Held->Targets.find(arrival.TargetId);
+  if (it == Held->Targets.end() ||
+      it->second.Target.Service != arrival.ServiceName)
+    return {GateAnswer::Kind::Refuse, call, ResultCode::NoTarget,
+            UnknownTargetRetryAfter};
+  auto &guarded = it->second;
+  const auto out = guarded.Admission->arrive(
+      call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now);
+  if (out.What != GateAnswer::Kind::Refuse)
+    Held->Calls[call] = &guarded;
+  return out;
+}
+
+std::vector<GateAnswer> Gate::ended(Ticket call, const AttemptResult &result,
+                                    base::TimePoint now) {
+  Held->LastTime = now;
+  const auto it = Held->Calls.find(call);
+  if (it == Held->Calls.end())
+    return {};
+  auto &guarded = *it->second;
+  Held->Calls.erase(it);
+  if (result.End == AttemptEnd::Broken)
+    Held->Quarantined->targetCrashed(
+        guarded.Target.TargetId, guarded.Target.Service,
+        guarded.Admission->runningFingerprints(), now);
+  if (result.End == AttemptEnd::Answered)
+    Held->Quarantined->answered(guarded.Admission->fingerprintOf(call), now);
+  auto out = guarded.Admission->ended(call, result.End, now);
+  Held->forgetRefused(out);
+  return out;
+}
+
+void Gate::abandoned(Ticket call, base::TimePoint now) {
+  Held->LastTime = now;
+  const auto it = Held->Calls.find(call);
+  if (it == Held->Calls.end())
+    return;
+  it->second->Admission->abandoned(call, now);
+  Held->Calls.erase(it);
+}
+
+std::vector<GateAnswer> Gate::tick(base::TimePoint now) {
+  Held->LastTime = now;
+  std::vector<GateAnswer> out;
+  for (auto &it : Held->Targets) {
+    const auto answers = it.second.Admission->tick(now);
+    out.insert(out.end(), answers.begin(), answers.end());
+  }
+  Held->forgetRefused(out);
+  std::erase_if(Held->Targets, [](const auto &it) {
+    return !it.second.Listed && it.second.Admission->inFlight() == 0;
+  });
+  return out;
+}
+
+uint32_t Gate::pressurePermille(const std::string &targetId) const {
+  const auto it = Held->Targets.find(targetId);
+  return it == Held->Targets.end() ? 0
+                                   : it->second.Admission->pressurePermille();
+}
+
+size_t Gate::inFlight() const { return Held->Calls.size(); }
+
+void Gate::targetsChanged(const std::vector<fleet::TargetRecord> &targets,
+                          base::TimePoint now) {
+  Held->LastTime = now;
+  for (auto &it : Held->Targets)
+    it.second.Listed = false;
+  for (const auto &it : targets) {
+    auto &guarded = Held->Targets[it.TargetId];
+    guarded.Target = it;
+    guarded.Listed = true;
+  }
+  for (auto &it : Held->Targets)
+    Held->configure(it.second);
+}
+
+void Gate::limitsChanged(config::SnapshotPointer snapshot) {
+  Held->InForce = std::move(snapshot);
+  for (auto &it : Held->Targets)
+    Held->configure(it.second);
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/RankQueue.cpp
@@ -0,0 +1,115 @@
+#include <LibCalls/RankQueue.h>
+
+#include <algorithm>
+
+namespace radishcross::calls {
+
+namespace {
+
+using config::Rank;
+
+size_t keptPlaces(uint32_t queueLength, uint32_t floorPercent) {
+  return (static_cast<size_t>(queueLength) * floorPercent + 99) / 100;
+}
+
+} // namespace
+
+void RankQueue::setLimits(const config::ServiceLimits &limits) {
+  Limits = limits;
+  lineOf(Rank::Standard).KeptPlaces =
+      keptPlaces(limits.QueueLength, limits.StandardFloorPercent);
+  lineOf(Rank::Background).KeptPlaces =
+      keptPlaces(limits.QueueLength, limits.BackgroundFloorPercent);
+}
+
+std::optional<WaitingCall> RankQueue::push(const WaitingCall &call) {
+  if (Limits.QueueLength == 0)
+    return call;
+  auto &line = lineOf(call.CallRank);
+  if (line.Calls.empty())
+    line.BusySince = call.ArrivedAt;
+  line.Calls.push_back(call);
+  if (++Count <= Limits.QueueLength)
+    return std::nullopt;
+  const auto victim =
+      std::find_if(Lines.rbegin(), Lines.rend(), [](const Line &it) {
+        return it.Calls.size() > it.KeptPlaces;
+      });
+  auto &shed = victim == Lines.rend() ? line : *victim;
+  const auto out = shed.Calls.front();
+  shed.Calls.pop_front();
+  --Count;
+  return out;
+}
+
+std::optional<WaitingCall> RankQueue::pop(Rank rank, base::TimePoint now) {
+  auto &line = lineOf(rank);
+  if (line.Calls.empty())
+    return std::nullopt;
+  const bool newestFirst = overloaded(line, now);
+  const auto out = newestFirst ? line.Calls.back() : line.Calls.front();
+  if (newestFirst)
+    line.Calls.pop_back();
+  else
+    line.Calls.pop_front();
+  --Count;
+  return out;
+}
+
+bool RankQueue::remove(Ticket call) {
+  for (auto &line : Lines) {
+    const auto it = std::find_if(
+        line.Calls.begin(), line.Calls.end(),
+        [call](const WaitingCall &held) { return held.Call == call; });
+    if (it == line.Calls.end())
+      continue;
+    line.Calls.erase(it);
+    --Count;
+    return true;
+  }
+  return false;
+}
+
+std::vector<WaitingCall>
+RankQueue::expire(const std::array<base::Duration, config::RankCount> &patience,
+                  base::TimePoint now) {
+  std::vector<WaitingCall> out;
+  if (Count == 0)
+    return out;
+  for (size_t rank = 0; rank < Lines.size(); ++rank) {
+    auto &line = Lines[rank];
+    const bool impatient = overloaded(line, now);
+    std::erase_if(line.Calls, [&](const WaitingCall &it) {
+      const bool given = now >= it.LatestStart ||
+                         (impatient && now - it.ArrivedAt >= patience[rank]);
+      if (given)
+        out.push_back(it);
+      return given;
+    });
+  }
+  Count -= out.size();
+  return out;
+}
+
+std::vector<WaitingCall> RankQueue::clear() {
+  std::vector<WaitingCall> out;
+  for (auto &line : Lines) {
+    out.insert(out.end(), line.Calls.begin(), line.Calls.end());
+    line.Calls.clear();
+  }
+  Count = 0;
+  return out;
+}
+
+RankFlags RankQueue::waiting() const {
+  RankFlags out{};
+  for (size_t it = 0; it < Lines.size(); ++it)
+    out[it] = !Lines[it].Calls.empty();
+  return out;
+}
+
+bool RankQueue::overloaded(const Line &line, base::TimePoint now) const {
+  return !line.Calls.empty() && now - line.BusySince >= OverloadAfter;
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/RankQueue.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/RankShare.h>
+#include <LibConfig/Rank.h>
+#include <LibConfig/Resources.h>
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// One call that waits for a slot.
+struct WaitingCall {
+  Ticket Call = 0;
+  config::Rank CallRank = config::Rank::Background;
+  base::TimePoint ArrivedAt{};
+  base::TimePoint LatestStart{}; ///< Later its deadline could not be met.
+  uint64_t Fingerprint = 0;
+};
+
+/// The bounded queue of one target. When it is full the lowest rank is shed
+/// first, its oldest call first; each lower rank keeps a few places, without
+/// which it could not use its floor. A rank whose calls have waited without a
+/// pause for OverloadAfter is overloaded: its newest call is served first and
+/// those that waited too long are given up at once, because their callers are
+/// the least likely to still want an answer.
+class RankQueue {
+public:
+  static constexpr base::Duration OverloadAfter =
+      std::chrono::milliseconds(100);
+
+  void setLimits(const config::ServiceLimits &limits);
+
+  /// Adds a call; returns the call that has to be refused for it, if any,
+  /// which may be the same.
+  std::optional<WaitingCall> push(const WaitingCall &call);
+
+  /// Takes out the call of a rank that is to be served next.
+  std::optional<WaitingCall> pop(config::Rank rank, base::TimePoint now);
+
+  /// Takes out one call whose caller went away; false when it does not wait.
+  bool remove(Ticket call);
+
+  /// Takes out the calls that can no longer be served in time. \p patience is
+  /// how long a call of each rank may wait under overload.
+  std::vector<WaitingCall>
+  expire(const std::array<base::Duration, config::RankCount> &patience,
+         base::TimePoint now);
+
+  /// Takes out all calls.
+  std::vector<WaitingCall> clear();
+
+  RankFlags waiting() const;
+  size_t size() const { return Count; }
+  uint32_t capacity() const { return Limits.QueueLength; }
+
+private:
+  struct Line {
+    std::deque<WaitingCall> Calls; ///< Oldest first.
+    base::TimePoint BusySince{};
+    size_t KeptPlaces = 0;
+  };
+  bool overloaded(const Line &line, base::TimePoint now) const;
+  Line &lineOf(config::Rank rank) { return Lines[static_cast<size_t>(rank)]; }
+
+  config::ServiceLimits Limits;
+  std::array<Line, config::RankCount> Lines;
+  size_t Count = 0;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -0,0 +1,277 @@
+#include <LibCalls/TargetGate.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::calls {
+
+namespace {
+
+using base::Duration;
+using base::ResultCode;
+using config::Rank;
+using fleet::TargetState;
+
+/// Slot time assumed for a rank before its first call has ended.
+constexpr Duration InitialExpectedTime = std::chrono::milliseconds(10);
+/// A new sample enters the expected slot time with one eighth.
+constexpr int64_t ExpectedTimeDivisor = 8;
+
+/// While higher ranks called within this time, lower ranks leave a slot free
+/// for them, so that an urgent call need not wait for a slot.
+constexpr Duration ReserveMemory = std::chrono::seconds(1);
+/// Targets with fewer slots have none to spare.
+constexpr uint32_t LeastSlotsForReserve = 4;
+
+/// Bounds of the wait under overload, see patienceOf().
+constexpr Duration LeastPatience = std::chrono::milliseconds(10);
+constexpr int64_t PatienceInCalls = 2;
+constexpr int64_t PatienceInFloorTurns = 3;
+
+constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
+constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
+
+/// Parts of the pressure: slots in use, then the queue.
+constexpr uint32_t SlotsPressurePermille = 800;
+constexpr uint32_t QueuePressurePermille = 200;
+
+size_t indexOf(Rank rank) { return static_cast<size_t>(rank); }
+
+ResultCode refusalOf(TargetState state) {
+  return state == TargetState::Starting ? ResultCode::NoTarget
+                                        : ResultCode::Draining;
+}
+
+} // namespace
+
+TargetGate::TargetGate(std::string targetId, trace::Recorder &recorder)
+    : TargetId(std::move(targetId)), Record(&recorder) {
+  ExpectedTime.fill(InitialExpectedTime);
+}
+
+void TargetGate::configure(const TargetGateSettings &settings,
+                           base::TimePoint now) {
+  Settings = settings;
+  const auto &limits = settings.Limits;
+  Adaptive.setAnnounced(std::min(settings.Slots, settings.Connections));
+  Share.setLimits(limits);
+  Queue.setLimits(limits);
+  if (settings.State != TargetState::Ready)
+    for (const auto &it : Queue.clear())
+      Answers.push_back(refusal(it.Call, refusalOf(settings.State)));
+  note(AdmissionEvent::Configure,
+       {settings.Slots, settings.Connections,
+        static_cast<int64_t>(settings.State), limits.QueueLength,
+        limits.StandardFloorPercent, limits.BackgroundFloorPercent},
+       {}, now);
+}
+
+GateAnswer TargetGate::arrive(Ticket call, Rank rank, Duration remaining,
+                              uint64_t fingerprint, base::TimePoint now) {
+  const auto out = decideArrival(call, rank, remaining, fingerprint, now);
+  note(AdmissionEvent::Arrive,
+       {static_cast<int64_t>(call), static_cast<int64_t>(rank),
+        remaining.count()},
+       {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
+        out.RetryAfter.count()},
+       now);
+  return out;
+}
+
+GateAnswer TargetGate::decideArrival(Ticket call, Rank rank, Duration remaining,
+                                     uint64_t fingerprint,
+                                     base::TimePoint now) {
+  LastArrival[indexOf(rank)] = now;
+  Arrived[indexOf(rank)] = true;
+  if (Settings.State != TargetState::Ready)
+    return refusal(call, refusalOf(Settings.State));
+  if (remaining <= Duration::zero())
+    return refusal(call, ResultCode::DeadlineExceeded);
+  if (mayStart(rank, now)) {
+    start(call, rank, fingerprint, now);
+    return {GateAnswer::Kind::Run, call, ResultCode::Ok, {}};
+  }
+  const auto latest =
+      now + remaining - std::min(ExpectedTime[indexOf(rank)], remaining / 2);
+  const auto shed = Queue.push({call, rank, now, latest, fingerprint});
+  if (shed && shed->Call == call)
+    return refusal(call, ResultCode::Overloaded);
+  if (shed)
+    Answers.push_back(refusal(shed->Call, ResultCode::Overloaded));
+  return {GateAnswer::Kind::Queued, call, ResultCode::Ok, {}};
+}
+
+std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
+                                          base::TimePoint now) {
+  const auto it = Running.find(call);
+  if (it == Running.end())
+    return {};
+  const auto was = it->second;
+  Running.erase(it);
+  finish(was, end, now);
+  refuseExpired(now);
+  fillSlots(now);
+  auto out = takeAnswers();
+  note(AdmissionEvent::Ended,
+       {static_cast<int64_t>(call), static_cast<int64_t>(end)}, summaryOf(out),
+       now);
+  return out;
+}
+
+void TargetGate::finish(const RunningCall &call, AttemptEnd end,
+                        base::TimePoint now) {
+  const auto taken = now - call.StartedAt;
+  Share.ended(call.CallRank, call.Charged, taken, Queue.waiting());
+  if (end == AttemptEnd::RefusedNotRun)
+    Adaptive.refused();
+  if (end != AttemptEnd::Answered)
+    return;
+  Adaptive.answered(call.CallRank, taken, call.Saturated);
+  auto &expected = ExpectedTime[indexOf(call.CallRank)];
+  expected += (taken - expected) / ExpectedTimeDivisor;
+}
+
+void TargetGate::abandoned(Ticket call, base::TimePoint now) {
+  if (Queue.remove(call))
+    note(AdmissionEvent::Abandoned, {static_cast<int64_t>(call)}, {}, now);
+}
+
+std::vector<GateAnswer> TargetGate::tick(base::TimePoint now) {
+  refuseExpired(now);
+  fillSlots(now);
+  auto out = takeAnswers();
+  if (!out.empty())
+    note(AdmissionEvent::Tick, {}, summaryOf(out), now);
+  return out;
+}
+
+void TargetGate::fillSlots(base::TimePoint now) {
+  if (Settings.State != TargetState::Ready)
+    return;
+  auto eligible = Queue.waiting();
+  while (const auto rank = Share.next(eligible)) {
+    if (!mayStart(*rank, now)) {
+      eligible[indexOf(*rank)] = false;
+      continue;
+    }
+    const auto call = Queue.pop(*rank, now);
+    start(call->Call, *rank, call->Fingerprint, now);
+    Answers.push_back({GateAnswer::Kind::Run, call->Call, ResultCode::Ok, {}});
+    eligible = Queue.waiting();
+  }
+}
+
+bool TargetGate::mayStart(Rank rank, base::TimePoint now) const {
+  const uint32_t slots = limit();
+  if (Running.size() >= slots)
+    return false;
+  return Share.owed(rank) || Running.size() + reserveFrom(rank, now) < slots;
+}
+
+uint32_t TargetGate::reserveFrom(Rank rank, base::TimePoint now) const {
+  if (limit() < LeastSlotsForReserve)
+    return 0;
+  for (size_t it = 0; it < indexOf(rank); ++it)
+    if (Arrived[it] && now - LastArrival[it] < ReserveMemory)
+      return 1;
+  return 0;
+}
+
+void TargetGate::start(Ticket call, Rank rank, uint64_t fingerprint,
+                       base::TimePoint now) {
+  const auto expected = ExpectedTime[indexOf(rank)];
+  Share.started(rank, expected, Queue.waiting());
+  const bool saturated = Running.size() + 1 >= limit();
+  Running[call] = {rank, fingerprint, now, expected, saturated};
+}
+
+void TargetGate::refuseExpired(base::TimePoint now) {
+  std::array<Duration, config::RankCount> patience{};
+  for (size_t it = 0; it < patience.size(); ++it)
+    patience[it] = patienceOf(static_cast<Rank>(it));
+  for (const auto &it : Queue.expire(patience, now)) {
+    const bool late = now >= it.LatestStart;
+    Answers.push_back(refusal(it.Call, late ? ResultCode::DeadlineExceeded
+                                            : ResultCode::Overloaded));
+  }
+}
+
+/// Returns how long a call may wait under overload: a few calls' time, and for
+/// a rank that is served by its floor a few turns of that.
+Duration TargetGate::patienceOf(Rank rank) const {
+  const auto expected = ExpectedTime[indexOf(rank)];
+  const auto out = std::max(LeastPatience, expected * PatienceInCalls);
+  const auto &limits = Settings.Limits;
+  const uint32_t floors[] = {0, limits.StandardFloorPercent,
+                             limits.BackgroundFloorPercent};
+  const uint32_t floor = floors[indexOf(rank)];
+  if (floor == 0)
+    return out;
+  const auto turn = expected * 100 / (int64_t{limit()} * floor);
+  return std::max(out, turn * PatienceInFloorTurns);
+}
+
+GateAnswer TargetGate::refusal(Ticket call, ResultCode code) const {
+  return {GateAnswer::Kind::Refuse, call, code, retryAfter()};
+}
+
+/// Returns when a refused caller may come back: once what is in flight now
+/// will have ended, in whole seconds.
+Duration TargetGate::retryAfter() const {
+  Duration longest{};
+  for (const auto it : ExpectedTime)
+    longest = std::max(longest, it);
+  const auto wait = longest * static_cast<int64_t>(inFlight()) / limit();
+  return std::clamp(std::chrono::ceil<std::chrono::seconds>(wait) + Duration{},
+                    LeastRetryAfter, LongestRetryAfter);
+}
+
+uint32_t TargetGate::limit() const { return Adaptive.current(); }
+
+uint32_t TargetGate::pressurePermille() const {
+  const size_t slots = limit();
+  const size_t queue = std::max<size_t>(Queue.capacity(), 1);
+  const size_t used = std::min(Running.size(), slots);
+  const size_t waiting = std::min(Queue.size(), queue);
+  return static_cast<uint32_t>(used * SlotsPressurePermille / slots +
+                               waiting * QueuePressurePermille / queue);
+}
+
+std::vector<uint64_t> TargetGate::runningFingerprints() const {
+  std::vector<uint64_t> out;
+  out.reserve(Running.size());
+  for (const auto &it : Running)
+    out.push_back(it.second.Fingerprint);
+  return out;
+}
+
+uint64_t TargetGate::fingerprintOf(Ticket call) const {
+  const auto it = Running.find(call);
+  return it == Running.end() ? 0 : it->second.Fingerprint;
+}
+
+std::vector<GateAnswer> TargetGate::takeAnswers() {
+  return std::exchange(Answers, {});
+}
+
+trace::Outcome
+TargetGate::summaryOf(const std::vector<GateAnswer> &answers) const {
+  int64_t tickets = 0;
+  for (const auto &it : answers)
+    tickets += static_cast<int64_t>(it.Call);
+  return {static_cast<int64_t>(answers.size()), tickets, int64_t{limit()}};
+}
+
+void TargetGate::note(AdmissionEvent::Value event, const trace::Inputs &numbers,
+                      const trace::Outcome &decided, base::TimePoint now) {
+  trace::Entry entry;
+  entry.AtMicroseconds = now.time_since_epoch().count();
+  entry.Source = trace::Module::Admission;
+  entry.Event = event;
+  entry.Numbers = numbers;
+  entry.Text = TargetId;
+  entry.Decided = decided;
+  Record->record(std::move(entry));
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetGate.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/AdaptiveLimit.h>
+#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/RankQueue.h>
+#include <LibCalls/RankShare.h>
+#include <LibConfig/Resources.h>
+#include <LibFleet/Member.h>
+#include <LibTrace/Recorder.h>
+
+#include <array>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// What the gate knows of one target.
+struct TargetGateSettings {
+  fleet::TargetState State = fleet::TargetState::Starting;
+  uint32_t Slots = 1;
+  uint32_t Connections = 1;
+  config::ServiceLimits Limits;
+};
+
+/// Events of a trace's entries; the text is the target. Configure: slots,
+/// connections, state, queue length, floors of standard and background.
+/// Arrive: ticket, rank, remaining microseconds; decides kind, code,
+/// retry-after. Ended: ticket, end. Abandoned: ticket. Ended and Tick decide
+/// the number of answers, the sum of their tickets and the limit.
+struct AdmissionEvent {
+  enum Value : uint8_t { Configure, Arrive, Ended, Abandoned, Tick };
+};
+
+/// Admission to one target: slots by rank with floors, a bounded queue, a limit
+/// narrowed by observed latency.
+class TargetGate {
+public:
+  TargetGate(std::string targetId, trace::Recorder &recorder);
+
+  /// Takes the target's state and limits. A target that does not take work any
+  /// more refuses all that waits; those answers come with the next tick.
+  void configure(const TargetGateSettings &settings, base::TimePoint now);
+
+  GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
+                    uint64_t fingerprint, base::TimePoint now);
+  std::vector<GateAnswer> ended(Ticket call, AttemptEnd end,
+                                base::TimePoint now);
+  void abandoned(Ticket call, base::TimePoint now);
+  std::vector<GateAnswer> tick(base::TimePoint now);
+
+  uint32_t pressurePermille() const;
+  uint32_t limit() const;
+  size_t running() const { return Running.size(); }
+  size_t inFlight() const { return Running.size() + Queue.size(); }
+  std::vector<uint64_t> runningFingerprints() const;
+  /// Returns the fingerprint of a running call, or 0.
+  uint64_t fingerprintOf(Ticket call) const;
+
+private:
+  struct RunningCall {
+    config::Rank CallRank = config::Rank::Background;
+    uint64_t Fingerprint = 0;
+    base::TimePoint StartedAt{};
+    base::Duration Charged{};
+    bool Saturated = false;
+  };
+  GateAnswer decideArrival(Ticket call, config::Rank rank,
+                           base::Duration remaining, uint64_t fingerprint,
+                           base::TimePoint now);
+  bool mayStart(config::Rank rank, base::TimePoint now) const;
+  uint32_t reserveFrom(config::Rank rank, base::TimePoint now) const;
+  void start(Ticket call, config::Rank rank, uint64_t fingerprint,
+             base::TimePoint now);
+  void finish(const RunningCall &call, AttemptEnd end, base::TimePoint now);
+  void fillSlots(base::TimePoint now);
+  void refuseExpired(base::TimePoint now);
+  GateAnswer refusal(Ticket call, base::ResultCode code) const;
+  base::Duration retryAfter() const;
+  base::Duration patienceOf(config::Rank rank) const;
+  std::vector<GateAnswer> takeAnswers();
+  void note(AdmissionEvent::Value event, const trace::Inputs &numbers,
+            const trace::Outcome &decided, base::TimePoint now);
+  trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
+
+  std::string TargetId;
+  trace::Recorder *Record;
+  TargetGateSettings Settings;
+  AdaptiveLimit Adaptive;
+  RankShare Share;
+  RankQueue Queue;
+  std::unordered_map<Ticket, RunningCall> Running;
+  std::vector<GateAnswer> Answers; ///< For queued calls, not yet returned.
+  std::array<base::Duration, config::RankCount> ExpectedTime;
+  std::array<base::TimePoint, config::RankCount> LastArrival{};
+  std::array<bool, config::RankCount> Arrived{};
+};
+
+} // namespace radishcross::calls
