LibCalls: Plan the attempts of calls at the caller's node

Two random choices among healthy ready targets, the own data centre first. A call that was surely not run may go to another target; one that may have run is sent again only when idempotent, once, inside deadline and budget, and is otherwise told as unknown. Ejection follows a state chart; silence on a path makes the next attempts use new connections.

--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -33,6 +33,10 @@
   CallStep attemptEnded(CallHandle call, const AttemptResult &result,
                         base::TimePoint now) override;
   void end(CallHandle call, base::TimePoint now) override;
+  void keepAnswer(CallHandle call, std::string &&answer,
+                  base::TimePoint now) override;
+  std::string keptAnswer(CallHandle call) const override;
+  void whenResumed(const Resumed &resumed) override;
 
   /// Takes the fleet's members: targets appear, change, drain and go.
   void membersChanged(const std::vector<fleet::Member> &members,
--- /dev/null
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -0,0 +1,234 @@
+#include <LibCalls/CallPlanner.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::calls {
+
+namespace {
+
+using base::Duration;
+using base::ResultCode;
+
+/// When a caller may come back after a refusal that named no time.
+constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
+
+CallStep finish(CallOutcome outcome, ResultCode code,
+                Duration retryAfter = {}) {
+  CallStep out;
+  out.What = CallStep::Kind::Finish;
+  out.Outcome = outcome;
+  out.Code = code;
+  out.RetryAfter = retryAfter;
+  return out;
+}
+
+/// Refusals that another target may not share and that cost next to nothing.
+bool costsNoBudget(const AttemptResult &result) {
+  return result.End == AttemptEnd::NotSent ||
+         result.Code == ResultCode::Draining ||
+         result.Code == ResultCode::NoTarget;
+}
+
+/// Refusals that hold at every target.
+bool isFinal(const AttemptResult &result) {
+  return result.Code == ResultCode::Quarantined ||
+         result.Code == ResultCode::DeadlineExceeded ||
+         result.Code == ResultCode::TooManyHops ||
+         result.Code == ResultCode::IdempotencyMismatch;
+}
+
+} // namespace
+
+CallPlanner::CallPlanner(Place here, uint64_t randomSeed,
+                         trace::Recorder &recorder)
+    : Choice(std::move(here)), Randomness(randomSeed), Record(&recorder) {}
+
+CallStep CallPlanner::begin(CallHandle handle, const RoutedCall &call,
+                            base::TimePoint now) {
+  auto &planned = Calls[handle];
+  planned.Route = call;
+  planned.Deadline = now + call.Allowed;
+  return planFirst(planned, now);
+}
+
+CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
+  if (call.Route.Allowed <= HopMargin)
+    return finish(CallOutcome::NotRun, ResultCode::DeadlineExceeded);
+  auto &service = stateOf(call);
+  const auto rank = call.Route.CallRank;
+  if (service.Shed.shed(rank, now, Randomness))
+    return finish(CallOutcome::NotRun, ResultCode::Overloaded,
+                  EarlyShed::retryAfter(rank));
+  service.Budget.called(call.Route.RetryBudgetPercent);
+  auto out = send(call, false, now);
+  return out ? *out
+             : finish(CallOutcome::NotRun, ResultCode::NoTarget,
+                      DefaultRetryAfter);
+}
+
+CallStep CallPlanner::attemptEnded(CallHandle handle,
+                                   const AttemptResult &result,
+                                   base::TimePoint now) {
+  const auto it = Calls.find(handle);
+  if (it == Calls.end() || it->second.Target == 0)
+    return finish(CallOutcome::Unknown, ResultCode::Internal);
+  learn(it->second, result, now);
+  return planNext(it->second, result, now);
+}
+
+CallStep CallPlanner::planNext(PlannedCall &call, const AttemptResult &result,
+                               base::TimePoint now) {
+  switch (result.End) {
+  case AttemptEnd::Answered:
+    return finish(CallOutcome::Answered, ResultCode::Ok);
+  case AttemptEnd::NotSent:
+  case AttemptEnd::RefusedNotRun:
+    return afterRefusal(call, result, now);
+  case AttemptEnd::Broken:
+  case AttemptEnd::TimedOut:
+    return afterLoss(call, result, now);
+  case AttemptEnd::CallerGone:
+    break;
+  }
+  return finish(CallOutcome::Unknown, ResultCode::CallerGone);
+}
+
+/// The attempt was surely not run: any call may be sent to another target.
+CallStep CallPlanner::afterRefusal(PlannedCall &call,
+                                   const AttemptResult &result,
+                                   base::TimePoint now) {
+  auto &service = stateOf(call);
+  const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts;
+  if (retryable && (costsNoBudget(result) || mayRetry(call)))
+    if (auto out = send(call, true, now)) {
+      if (!costsNoBudget(result))
+        service.Budget.spend();
+      return *out;
+    }
+  if (result.Code == ResultCode::Overloaded)
+    service.Shed.refused(call.Route.CallRank);
+  // An earlier attempt of this call may have run although this one did not.
+  if (call.MayHaveRun)
+    return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+  const auto code =
+      result.Code == ResultCode::Ok ? ResultCode::NoTarget : result.Code;
+  return finish(CallOutcome::NotRun, code,
+                std::max(result.RetryAfter, DefaultRetryAfter));
+}
+
+/// The attempt may have run: only an idempotent call is sent once more.
+CallStep CallPlanner::afterLoss(PlannedCall &call, const AttemptResult &result,
+                                base::TimePoint now) {
+  call.MayHaveRun = true;
+  const bool retryable =
+      call.Route.Idempotent && !result.FailedBelow && !call.Retried;
+  if (retryable && mayRetry(call)) {
+    if (auto out = send(call, true, now)) {
+      stateOf(call).Budget.spend();
+      call.Retried = true;
+      return *out;
+    }
+  }
+  return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+}
+
+bool CallPlanner::mayRetry(const PlannedCall &call) {
+  return !call.Route.BelowRetry && stateOf(call).Budget.available();
+}
+
+std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
+                                          base::TimePoint now) {
+  const auto timeout = timeoutOf(call, retry, now);
+  if (timeout <= Duration::zero())
+    return std::nullopt;
+  const auto &targets = Table.usable(call.Route.ServiceName);
+  auto *target = Choice.choose(targets, call.LastTarget, stateOf(call).Locality,
+                               now, Randomness);
+  if (!target)
+    return std::nullopt;
+  ++target->InFlight;
+  target->Path->sent(now);
+  call.Target = target->Id;
+  call.LastTarget = target->Id;
+  call.Fresh = target->Path->doubtful();
+  call.Timeout = timeout;
+  ++call.Attempts;
+
+  CallStep out;
+  out.What = CallStep::Kind::Send;
+  out.To = target->Candidate;
+  out.ServiceName = call.Route.ServiceName;
+  out.CallRank = call.Route.CallRank;
+  out.AttemptTimeout = timeout;
+  out.Remaining = call.Deadline - now - HopMargin;
+  out.FreshConnection = call.Fresh;
+  out.Retry = retry;
+  return out;
+}
+
+/// Returns how long the next attempt may take: all that is left, but for the
+/// first attempt of a call that could be sent again.
+Duration CallPlanner::timeoutOf(const PlannedCall &call, bool retry,
+                                base::TimePoint now) {
+  const auto left = call.Deadline - now - HopMargin;
+  const bool another = Table.usable(call.Route.ServiceName).size() > 1;
+  if (!call.Route.Idempotent || retry || !another || !mayRetry(call))
+    return left;
+  return stateOf(call).Timer.firstAttempt(left);
+}
+
+/// Takes what an attempt tells of its target, its path and its service.
+void CallPlanner::learn(PlannedCall &call, const AttemptResult &result,
+                        base::TimePoint now) {
+  auto *target = Table.find(std::exchange(call.Target, 0));
+  if (!target)
+    return;
+  target->InFlight -= target->InFlight > 0 ? 1 : 0;
+  const bool heard = result.End == AttemptEnd::Answered ||
+                     result.End == AttemptEnd::RefusedNotRun;
+  if (heard)
+    target->Path->answered(call.Fresh, now);
+  else
+    target->Path->unanswered(result.End == AttemptEnd::TimedOut);
+  if (heard && result.PressurePermille > 0)
+    target->Load.observed(result.PressurePermille, now);
+  if (result.End == AttemptEnd::Answered) {
+    target->Health.succeeded();
+    stateOf(call).Timer.observed(result.Latency);
+  } else if (!heard && result.End != AttemptEnd::CallerGone) {
+    target->Health.failed(now);
+  }
+  if (result.End == AttemptEnd::TimedOut)
+    stateOf(call).Timer.observed(call.Timeout);
+}
+
+void CallPlanner::end(CallHandle handle, base::TimePoint now) {
+  const auto it = Calls.find(handle);
+  if (it == Calls.end())
+    return;
+  if (it->second.Target != 0) {
+    AttemptResult gone;
+    gone.End = AttemptEnd::CallerGone;
+    learn(it->second, gone, now);
+  }
+  Calls.erase(it);
+}
+
+void CallPlanner::membersChanged(const std::vector<fleet::Member> &members,
+                                 base::TimePoint now) {
+  Table.membersChanged(members, now);
+}
+
+void CallPlanner::drainedChanged(const std::vector<std::string> &drained,
+                                 base::TimePoint) {
+  Table.drainedChanged(drained);
+}
+
+void CallPlanner::tick(base::TimePoint now) { Table.tick(now); }
+
+CallPlanner::ServiceState &CallPlanner::stateOf(const PlannedCall &call) {
+  return Services[call.Route.ServiceName];
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibCalls/AttemptTimer.h>
+#include <LibCalls/CallBroker.h>
+#include <LibCalls/EarlyShed.h>
+#include <LibCalls/LocalityShare.h>
+#include <LibCalls/RetryBudget.h>
+#include <LibCalls/TargetChoice.h>
+#include <LibCalls/TargetTable.h>
+#include <LibTrace/Recorder.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// One call after its route was found: all that the plan depends on.
+struct RoutedCall {
+  std::string ServiceName;
+  config::Rank CallRank = config::Rank::Background;
+  base::Duration Allowed{}; ///< Deadline of the route or of the call above.
+  bool Idempotent = false;
+  bool BelowRetry = false;
+  uint32_t RetryBudgetPercent = 0;
+};
+
+/// Plans the attempts of calls: choice of target, timeouts, retries, and what
+/// the caller is told at the end.
+class CallPlanner {
+public:
+  /// Time that each hop keeps back, so that its answer still reaches the
+  /// caller before the caller's own deadline.
+  static constexpr base::Duration HopMargin = std::chrono::milliseconds(2);
+  /// Attempts of one call, of which at most one retry after bytes were sent.
+  static constexpr uint32_t MaximumAttempts = 3;
+
+  CallPlanner(Place here, uint64_t randomSeed, trace::Recorder &recorder);
+
+  /// Plans the first attempt of call \p handle.
+  CallStep begin(CallHandle handle, const RoutedCall &call,
+                 base::TimePoint now);
+  CallStep attemptEnded(CallHandle handle, const AttemptResult &result,
+                        base::TimePoint now);
+  void end(CallHandle handle, base::TimePoint now);
+
+  void membersChanged(const std::vector<fleet::Member> &members,
+                      base::TimePoint now);
+  void drainedChanged(const std::vector<std::string> &drained,
+                      base::TimePoint now);
+  void tick(base::TimePoint now);
+
+private:
+  struct PlannedCall {
+    RoutedCall Route;
+    base::TimePoint Deadline{};
+    uint64_t Target = 0; ///< Of the attempt in flight; 0: none.
+    uint64_t LastTarget = 0;
+    uint32_t Attempts = 0;
+    bool MayHaveRun = false;
+    bool Retried = false; ///< Sent again after bytes had been sent.
+    bool Fresh = false;   ///< The attempt uses a new connection.
+    base::Duration Timeout{};
+  };
+  struct ServiceState {
+    RetryBudget Budget;
+    EarlyShed Shed;
+    LocalityShare Locality;
+    AttemptTimer Timer;
+  };
+
+  CallStep planFirst(PlannedCall &call, base::TimePoint now);
+  CallStep planNext(PlannedCall &call, const AttemptResult &result,
+                    base::TimePoint now);
+  CallStep afterRefusal(PlannedCall &call, const AttemptResult &result,
+                        base::TimePoint now);
+  CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
+                     base::TimePoint now);
+  bool mayRetry(const PlannedCall &call);
+  std::optional<CallStep> send(PlannedCall &call, bool retry,
+                               base::TimePoint now);
+  base::Duration timeoutOf(const PlannedCall &call, bool retry,
+                           base::TimePoint now);
+  void learn(PlannedCall &call, const AttemptResult &result,
+             base::TimePoint now);
+  ServiceState &stateOf(const PlannedCall &call);
+
+  TargetTable Table;
+  TargetChoice Choice;
+  base::Random Randomness;
+  trace::Recorder *Record;
+  std::unordered_map<CallHandle, PlannedCall> Calls;
+  std::map<std::string, ServiceState, std::less<>> Services;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/PathDoubt.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace radishcross::calls {
+
+/// Whether the pooled connections to one node can still be believed. Something
+/// between the two ends may have lost track of them: then they stay silent for
+/// good, while new ones work. Silence with attempts in flight puts doubt on all
+/// of them; an answer over a new connection clears it.
+class PathDoubt {
+public:
+  /// Silence from which a path is doubted. A wrong doubt costs one connect.
+  static constexpr base::Duration SilenceLimit = std::chrono::seconds(1);
+
+  void sent(base::TimePoint now);
+
+  /// Reports any sign of life of the other end.
+  void answered(bool onFreshConnection, base::TimePoint now);
+
+  /// Reports that an attempt ended without a sign of life.
+  void unanswered(bool timedOut);
+
+  void tick(base::TimePoint now);
+
+  bool doubtful() const { return Doubtful; }
+
+private:
+  void leave();
+
+  uint32_t InFlight = 0;
+  std::optional<base::TimePoint> SilentSince;
+  bool Doubtful = false;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetChoice.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+#include <LibCalls/KnownTarget.h>
+#include <LibCalls/LocalityShare.h>
+#include <LibCalls/TargetTable.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// Where the choosing node is.
+struct Place {
+  std::string DataCentre;
+  std::string Region;
+};
+
+/// Chooses one of a service's usable targets: the own data centre first, then
+/// by headroom those of the region, then all others; ejected targets are left
+/// out while at least half remain; of two random ones the less loaded.
+class TargetChoice {
+public:
+  /// A target that became ready takes its full share after this time.
+  static constexpr base::Duration SlowStart = std::chrono::seconds(10);
+
+  explicit TargetChoice(Place here) : Here(std::move(here)) {}
+
+  /// Returns null when no target is left besides \p excluded (0: none).
+  KnownTarget *choose(const TargetTable::Targets &targets, uint64_t excluded,
+                      LocalityShare &locality, base::TimePoint now,
+                      base::Random &random) const;
+
+  /// Returns the target's score; the lower one is preferred.
+  static uint64_t score(const KnownTarget &target, base::TimePoint now);
+
+private:
+  using Targets = TargetTable::Targets;
+  static Targets withoutEjected(const Targets &targets);
+  struct Tiers {
+    Targets Own;
+    Targets Away;
+  };
+  Tiers tiersOf(const Targets &targets) const;
+  static const Targets &tierFor(const Tiers &tiers, LocalityShare &locality,
+                                base::TimePoint now, base::Random &random);
+
+  Place Here;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetHealth.cpp
@@ -0,0 +1,89 @@
+#include <LibCalls/TargetHealth.h>
+
+#include <LibBase/Logger.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <optional>
+#include <string_view>
+
+namespace radishcross::embedded {
+extern const std::string_view TargetHealthText;
+} // namespace radishcross::embedded
+
+namespace radishcross::calls {
+
+struct TargetHealth::ActionRow {
+  std::string Name;
+  chart::Machine<TargetHealth>::Action Run;
+};
+
+const std::vector<TargetHealth::ActionRow> &TargetHealth::actionTable() {
+  static const std::vector<ActionRow> rows = {
+      {"clearFailures", &TargetHealth::clearFailures},
+      {"countFailure", &TargetHealth::countFailure},
+      {"startEjection", &TargetHealth::startEjection},
+  };
+  return rows;
+}
+
+std::vector<std::string> TargetHealth::actionNames() {
+  std::vector<std::string> out;
+  for (const auto &it : actionTable())
+    out.push_back(it.Name);
+  return out;
+}
+
+namespace {
+
+/// Returns the chart, which is embedded in the program: when it is unsound the
+/// program itself is defective.
+const chart::Chart &healthChart() {
+  base::LastReason reason;
+  static const auto chart = chart::Chart::create(
+      embedded::TargetHealthText, TargetHealth::actionNames(), reason);
+  if (chart)
+    return *chart;
+  base::log(base::LogLevel::Error, "unsound state chart",
+            {{"reason", reason.line()}});
+  std::abort();
+}
+
+} // namespace
+
+TargetHealth::TargetHealth()
+    : Machine(healthChart(), [] {
+        std::vector<chart::Machine<TargetHealth>::Action> out;
+        for (const auto &it : actionTable())
+          out.push_back(it.Run);
+        return out;
+      }()) {}
+
+void TargetHealth::succeeded() { Machine.take(*this, "success"); }
+
+void TargetHealth::failed(base::TimePoint now) {
+  Now = now;
+  Machine.take(*this, "failure");
+  if (Failures >= FailureLimit)
+    Machine.take(*this, "limit");
+}
+
+void TargetHealth::tick(base::TimePoint now) {
+  if (ejected() && now >= EjectedUntil)
+    Machine.take(*this, "expired");
+}
+
+void TargetHealth::clearFailures() {
+  Failures = 0;
+  Ejection = FirstEjection;
+}
+
+void TargetHealth::countFailure() { ++Failures; }
+
+void TargetHealth::startEjection() {
+  Failures = 0;
+  EjectedUntil = Now + Ejection;
+  Ejection = std::min(Ejection * 2, LongestEjection);
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/TargetHealth.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibChart/Chart.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// Health of one target as a caller's node sees it, driven by the chart
+/// TargetHealth.chart.json: consecutive failures eject the target for a time
+/// that doubles; after it one call at a time probes the target.
+class TargetHealth {
+public:
+  static constexpr uint32_t FailureLimit = 3;
+  static constexpr base::Duration FirstEjection = std::chrono::seconds(1);
+  static constexpr base::Duration LongestEjection = std::chrono::seconds(30);
+
+  TargetHealth();
+
+  void succeeded();
+  void failed(base::TimePoint now);
+  /// Ends an ejection whose time is over.
+  void tick(base::TimePoint now);
+
+  bool ejected() const { return Machine.stateName() == "ejected"; }
+  bool probing() const { return Machine.stateName() == "probing"; }
+
+  /// Returns the names of the actions that the chart may use.
+  static std::vector<std::string> actionNames();
+
+private:
+  struct ActionRow;
+  void clearFailures();
+  void countFailure();
+  void startEjection();
+  static const std::vector<ActionRow> &actionTable();
+
+  chart::Machine<TargetHealth> Machine;
+  uint32_t Failures = 0;
+  base::Duration Ejection = FirstEjection;
+  base::TimePoint Now{};
+  base::TimePoint EjectedUntil{};
+};
+
+} // namespace radishcross::calls
