LibHttp: Carry calls between callers, nodes and targets

Cause: a caller's request has to reach a target through its own node and the target's node, and every answer has to be whole and truthful.

The engine carries out the steps of the broker and the gate; it decides nothing. The fields of the mesh are stripped at the edge, written by nodes and proven by an HMAC of the mesh key. NotSent is said only while no byte has gone out; an answer without a length, cut or ambiguous is unknown; a connection whose answer was abandoned is closed. The stand-ins play the platform, targets and open-loop callers.

--- /dev/null
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -0,0 +1,108 @@
+#include <LibHttp/CallProxy.h>
+
+#include <LibHttp/CallEngine.h>
+
+namespace radishcross::http {
+
+namespace {
+
+/// Room for the fields that nodes add to a caller's head.
+constexpr size_t MeshHeaderBytes = 32UL << 10;
+/// For how long other nodes may still send to a draining one.
+constexpr base::Duration MeshDrainDelay = std::chrono::seconds(3);
+
+/// The two listeners and their graceful shutdown.
+class CallProxyShell final : public CallProxy {
+public:
+  explicit CallProxyShell(CallProxyEnvironment environment)
+      : Engine(std::make_shared<CallEngine>(std::move(environment))) {}
+
+  bool listen(boost::asio::io_context &context,
+              const base::Address &callsListen, const base::Address &meshListen,
+              base::LastReason &reason);
+
+  base::Address callsAddress() const override { return Callers->address(); }
+  base::Address meshAddress() const override { return Mesh->address(); }
+  void drain() override;
+  size_t inFlight() const override;
+  void tick() override;
+
+private:
+  std::shared_ptr<CallEngine> Engine;
+  std::shared_ptr<Server> Callers;
+  std::shared_ptr<Server> Mesh;
+  std::optional<base::TimePoint> DrainingSince;
+  bool Closing = false;
+};
+
+bool CallProxyShell::listen(boost::asio::io_context &context,
+                            const base::Address &callsListen,
+                            const base::Address &meshListen,
+                            base::LastReason &reason) {
+  auto callers = Server::create(
+      context, callsListen, {},
+      [engine = Engine](IncomingRequest it) {
+        return engine->handleCaller(std::move(it));
+      },
+      reason);
+  if (!callers)
+    return false;
+  ServerLimits meshLimits;
+  meshLimits.HeaderBytes = MeshHeaderBytes;
+  auto mesh = Server::create(
+      context, meshListen, meshLimits,
+      [engine = Engine](IncomingRequest it) {
+        return engine->handleMesh(std::move(it));
+      },
+      reason);
+  if (!mesh)
+    return false;
+  Callers = *callers;
+  Mesh = *mesh;
+  return true;
+}
+
+void CallProxyShell::drain() {
+  if (DrainingSince)
+    return;
+  DrainingSince = Engine->now();
+  Callers->closeAfterAnswers();
+  Mesh->closeAfterAnswers();
+}
+
+size_t CallProxyShell::inFlight() const {
+  size_t n = Callers->inFlight() + Mesh->inFlight();
+  return DrainingSince && !Closing ? n + 1 : n;
+}
+
+void CallProxyShell::tick() {
+  Engine->tick();
+  if (!DrainingSince || Closing)
+    return;
+  base::Duration draining = Engine->now() - *DrainingSince;
+  if (draining > DrainLinger)
+    Engine->refuseNewCalls();
+  // Deeper calls of calls in flight still come to the callers' listener.
+  if (draining < MeshDrainDelay || Engine->callsAtGate() > 0)
+    return;
+  Closing = true;
+  Callers->drain();
+  Mesh->drain();
+}
+
+} // namespace
+
+std::optional<std::shared_ptr<CallProxy>>
+CallProxy::create(CallProxyEnvironment environment,
+                  const base::Address &callsListen,
+                  const base::Address &meshListen, base::LastReason &reason) {
+  if (environment.MeshKeys.empty())
+    return reason.fail(base::ResultCode::MissingKey, "there is no mesh key");
+  auto *context = environment.Context;
+  auto shell = std::make_shared<CallProxyShell>(std::move(environment));
+  if (!shell->listen(*context, callsListen, meshListen, reason))
+    return std::nullopt;
+  return shell;
+}
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -0,0 +1,76 @@
+#include <LibHttp/ConnectionPool.h>
+
+#include <algorithm>
+
+namespace radishcross::http {
+
+namespace {
+
+/// Shorter than any server's idle timeout: this side closes first, so that no
+/// request crosses the other side's close.
+constexpr base::Duration IdleTimeout = std::chrono::seconds(10);
+constexpr size_t MaximumIdlePerServer = 120;
+
+} // namespace
+
+ConnectionPointer ConnectionPool::takeIdle(const base::Address &server,
+                                           base::TimePoint now) {
+  auto it = Idle.find(server);
+  if (it == Idle.end())
+    return nullptr;
+  auto &links = it->second;
+  while (!links.empty()) {
+    IdleLink idle = std::move(links.back());
+    links.pop_back();
+    if (now - idle.Since < IdleTimeout && !idle.Link->hasPendingInput())
+      return idle.Link;
+    idle.Link->close();
+  }
+  return nullptr;
+}
+
+ConnectionPointer ConnectionPool::makeNew() {
+  return std::make_shared<Connection>(boost::asio::ip::tcp::socket(*Context));
+}
+
+void ConnectionPool::giveBack(const base::Address &server,
+                              ConnectionPointer link, base::TimePoint now) {
+  auto &links = Idle[server];
+  link->neverExpire();
+  if (links.size() >= MaximumIdlePerServer) {
+    link->close();
+    return;
+  }
+  links.push_back({std::move(link), now});
+}
+
+void ConnectionPool::dropIdle(const base::Address &server) {
+  auto it = Idle.find(server);
+  if (it == Idle.end())
+    return;
+  for (IdleLink &idle : it->second)
+    idle.Link->close();
+  Idle.erase(it);
+}
+
+void ConnectionPool::tick(base::TimePoint now) {
+  for (auto &[server, links] : Idle) {
+    // The oldest are in front, as the last one given back is taken first.
+    auto fresh = std::find_if(links.begin(), links.end(), [&](IdleLink &idle) {
+      return now - idle.Since < IdleTimeout;
+    });
+    for (auto it = links.begin(); it != fresh; ++it)
+      it->Link->close();
+    links.erase(links.begin(), fresh);
+  }
+  std::erase_if(Idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
+size_t ConnectionPool::idleCount() const {
+  size_t n = 0;
+  for (const auto &[server, links] : Idle)
+    n += links.size();
+  return n;
+}
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Clock.h>
+#include <LibHttp/Connection.h>
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <vector>
+
+namespace radishcross::http {
+
+/// Idle keep-alive connections by the address that they lead to. A connection
+/// is in the pool only between a whole answer and the next request.
+class ConnectionPool {
+public:
+  explicit ConnectionPool(boost::asio::io_context &context)
+      : Context(&context) {}
+
+  /// Returns the connection to \p server that was used last and is still
+  /// usable, or null.
+  ConnectionPointer takeIdle(const base::Address &server, base::TimePoint now);
+
+  /// Returns a new connection, not yet connected.
+  ConnectionPointer makeNew();
+
+  /// Takes back a connection after a whole answer.
+  void giveBack(const base::Address &server, ConnectionPointer link,
+                base::TimePoint now);
+
+  /// Closes the idle connections to \p server, as what lies in between may
+  /// have lost track of them all.
+  void dropIdle(const base::Address &server);
+
+  /// Closes connections that were idle for too long.
+  void tick(base::TimePoint now);
+
+  size_t idleCount() const;
+
+private:
+  struct IdleLink {
+    ConnectionPointer Link;
+    base::TimePoint Since{};
+  };
+  boost::asio::io_context *Context;
+  std::map<base::Address, std::vector<IdleLink>> Idle;
+};
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/Exchange.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/CallBroker.h>
+#include <LibHttp/ConnectionPool.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+namespace radishcross::http {
+
+/// What one attempt needs besides the request.
+struct ExchangePlan {
+  base::Address Server;
+  base::Duration Timeout{};     ///< For connecting and the whole answer.
+  bool FreshConnection = false; ///< Do not reuse a pooled connection.
+  MessageLimits AnswerLimits{32UL << 10, 8UL << 20};
+};
+
+/// How one attempt ended; Answer is whole where End is Answered.
+struct ExchangeResult {
+  calls::AttemptEnd End = calls::AttemptEnd::NotSent;
+  base::Duration Latency{};
+  Response Answer;
+};
+
+/// Sends \p request over a pooled or a new connection and reads the whole
+/// answer. NotSent is only said while no byte has gone out; a connection whose
+/// answer was abandoned is closed. \p watch may end the attempt early.
+boost::asio::awaitable<ExchangeResult>
+exchange(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
+         Request &request, std::shared_ptr<ClientWatch> watch);
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -0,0 +1,131 @@
+#include <LibHttp/GateRunner.h>
+
+#include <LibCalls/CallTypes.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace radishcross::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using calls::AttemptEnd;
+using calls::GateAnswer;
+
+GateOutcome refusal(base::ResultCode code, base::Duration retryAfter = {}) {
+  GateOutcome outcome;
+  outcome.Result.End = code == base::ResultCode::CallerGone
+                           ? AttemptEnd::CallerGone
+                           : AttemptEnd::RefusedNotRun;
+  outcome.Result.Code = code;
+  outcome.RetryAfter = retryAfter;
+  return outcome;
+}
+
+/// Tells whether a target says that it did not run the request.
+bool saysNotRun(const Response &answer) {
+  auto it = answer.find(calls::OutcomeHeader);
+  return it != answer.end() &&
+         it->value() ==
+             base::nameOf(calls::CallOutcomeNames, calls::CallOutcome::NotRun);
+}
+
+} // namespace
+
+GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool)
+    : Environment(environment), Pool(pool) {}
+
+asio::awaitable<GateOutcome>
+GateRunner::run(MeshCall call, Request &request, uint64_t fingerprint,
+                std::shared_ptr<ClientWatch> watch) {
+  auto target = Environment.LocalTarget(call.TargetId);
+  if (!target)
+    co_return refusal(base::ResultCode::NoTarget);
+  base::TimePoint now = Environment.Time->now();
+  base::TimePoint deadline = now + call.Remaining;
+  calls::Arrival arrival{call.CallId,   call.ServiceName, call.TargetId,
+                         call.CallRank, call.Remaining,   fingerprint};
+  GateAnswer answer = Environment.Gate->arrive(arrival, now);
+  calls::Ticket ticket = answer.Call;
+  if (answer.What == GateAnswer::Kind::Queued)
+    answer = co_await awaitTurn(ticket, watch);
+  if (answer.What != GateAnswer::Kind::Run)
+    co_return refusal(answer.Code, answer.RetryAfter);
+  GateOutcome outcome =
+      co_await runAtTarget(call, *target, request, deadline, watch);
+  dispatch(
+      Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
+  outcome.Result.PressurePermille =
+      Environment.Gate->pressurePermille(call.TargetId);
+  co_return outcome;
+}
+
+asio::awaitable<GateAnswer>
+GateRunner::awaitTurn(calls::Ticket ticket,
+                      std::shared_ptr<ClientWatch> watch) {
+  QueuedCall queued{asio::steady_timer(*Environment.Context,
+                                       asio::steady_timer::time_point::max()),
+                    std::nullopt};
+  Queue[ticket] = &queued;
+  watch->OnGone = [&queued] { queued.Wake.cancel(); };
+  boost::system::error_code ec;
+  co_await queued.Wake.async_wait(
+      asio::redirect_error(asio::use_awaitable, ec));
+  watch->OnGone = nullptr;
+  Queue.erase(ticket);
+  if (queued.Answer)
+    co_return *queued.Answer;
+  Environment.Gate->abandoned(ticket, Environment.Time->now());
+  GateAnswer gone;
+  gone.Call = ticket;
+  gone.Code = base::ResultCode::CallerGone;
+  co_return gone;
+}
+
+asio::awaitable<GateOutcome>
+GateRunner::runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
+                        Request &request, base::TimePoint deadline,
+                        std::shared_ptr<ClientWatch> watch) {
+  MeshCall parent = call;
+  parent.Remaining = deadline - Environment.Time->now();
+  if (watch->Gone)
+    co_return refusal(base::ResultCode::CallerGone);
+  if (parent.Remaining.count() <= 0)
+    co_return refusal(base::ResultCode::DeadlineExceeded);
+  writeMeshCall(request, parent, MeshAudience::Target,
+                Environment.MeshKeys.front());
+  request.keep_alive(true);
+  ExchangePlan plan;
+  plan.Server = target.Where;
+  plan.Timeout = parent.Remaining;
+  ExchangeResult result =
+      co_await exchange(Pool, *Environment.Time, plan, request, watch);
+  GateOutcome outcome;
+  outcome.Result.End = result.End;
+  outcome.Result.Latency = result.Latency;
+  if (result.End == AttemptEnd::Answered && saysNotRun(result.Answer)) {
+    outcome.Result.End = AttemptEnd::RefusedNotRun;
+    outcome.Result.Code = base::ResultCode::TargetRefused;
+  }
+  if (outcome.Result.End == AttemptEnd::NotSent)
+    outcome.Result.Code = base::ResultCode::NoTarget;
+  outcome.Answer = std::move(result.Answer);
+  co_return outcome;
+}
+
+void GateRunner::dispatch(const std::vector<GateAnswer> &answers) {
+  for (const GateAnswer &answer : answers) {
+    auto it = Queue.find(answer.Call);
+    if (it == Queue.end())
+      continue;
+    it->second->Answer = answer;
+    it->second->Wake.cancel();
+  }
+}
+
+void GateRunner::tick() {
+  dispatch(Environment.Gate->tick(Environment.Time->now()));
+}
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/GateRunner.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibHttp/CallProxy.h>
+#include <LibHttp/Exchange.h>
+#include <LibHttp/MeshCall.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+
+namespace radishcross::http {
+
+/// How a call ended at the target's node.
+struct GateOutcome {
+  calls::AttemptResult Result;
+  base::Duration RetryAfter{};
+  Response Answer; ///< The target's answer where Result.End is Answered.
+};
+
+/// The target's node: carries out the gate's decisions for calls of other nodes
+/// and of this one.
+class GateRunner {
+public:
+  GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool);
+
+  /// Runs one call at a target behind this node.
+  boost::asio::awaitable<GateOutcome> run(MeshCall call, Request &request,
+                                          uint64_t fingerprint,
+                                          std::shared_ptr<ClientWatch> watch);
+
+  /// Refuses queued calls whose deadline has passed.
+  void tick();
+
+private:
+  struct QueuedCall {
+    boost::asio::steady_timer Wake;
+    std::optional<calls::GateAnswer> Answer;
+  };
+
+  boost::asio::awaitable<calls::GateAnswer>
+  awaitTurn(calls::Ticket ticket, std::shared_ptr<ClientWatch> watch);
+  boost::asio::awaitable<GateOutcome>
+  runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
+              Request &request, base::TimePoint deadline,
+              std::shared_ptr<ClientWatch> watch);
+  void dispatch(const std::vector<calls::GateAnswer> &answers);
+
+  CallProxyEnvironment &Environment;
+  ConnectionPool &Pool;
+  std::unordered_map<calls::Ticket, QueuedCall *> Queue;
+};
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -80,6 +80,7 @@
   ServerLimits Limits;
   Handler Handle;
   bool Draining = false;
+  bool ClosesAfterAnswers = false;
 
 private:
   std::unordered_set<Session *> Sessions;
@@ -135,6 +136,9 @@
     Response response = co_await Owner->Handle(std::move(incoming));
     Watch.reset();
     co_return response;
+  } catch (const DropConnection &) {
+    Link->close();
+    failure = "the connection is dropped";
   } catch (const std::exception &error) {
     failure = error.what();
   }
@@ -144,7 +148,8 @@
 }
 
 asio::awaitable<bool> Session::answer(Response response) {
-  bool keep = KeepAlive && !Owner->Draining && response.keep_alive();
+  bool keep = KeepAlive && !Owner->Draining && !Owner->ClosesAfterAnswers &&
+              response.keep_alive();
   response.keep_alive(keep);
   Link->expireAfter(Owner->Limits.RequestTimeout);
   if (!co_await Link->write(response))
@@ -268,6 +273,7 @@
     auto endpoint = State->Acceptor.local_endpoint(ec);
     return {endpoint.address().to_string(), endpoint.port()};
   }
+  void closeAfterAnswers() override { State->ClosesAfterAnswers = true; }
   void drain() override { State->drain(); }
   size_t inFlight() const override { return State->inFlight(); }
 
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -41,6 +41,10 @@
   std::shared_ptr<ClientWatch> Watch;
 };
 
+/// Thrown by a handler to close the connection without an answer; for tests of
+/// lost answers.
+struct DropConnection {};
+
 using Handler =
     std::function<boost::asio::awaitable<Response>(IncomingRequest)>;
 
@@ -57,6 +61,10 @@
   /// Returns the bound address; its port is chosen when 0 was asked for.
   virtual base::Address address() const = 0;
 
+  /// From now on every answer carries `Connection: close`; connections are
+  /// still accepted.
+  virtual void closeAfterAnswers() = 0;
+
   /// Stops accepting. Requests in flight finish, and so does one that was on
   /// its way on an idle connection; their answers carry `Connection: close`.
   /// A connection that stays idle is closed after DrainLinger.
--- /dev/null
+++ b/Tests/LibHttp/Mesh.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <LibHttp/CallProxy.h>
+#include <LibHttp/Client.h>
+#include <LibHttp/MockDecisions.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+namespace radishcross::tests {
+
+namespace asio = boost::asio;
+namespace bh = boost::beast::http;
+
+/// Runs the loop until \p done holds; fails the test when it never does.
+template <typename Done> void runUntil(asio::io_context &context, Done done) {
+  auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!done() && std::chrono::steady_clock::now() < limit) {
+    context.restart();
+    context.run_one_for(std::chrono::milliseconds(100));
+  }
+  REQUIRE(done());
+}
+
+/// Runs one coroutine to its end and returns what it returned.
+template <typename Value>
+Value await(asio::io_context &context, asio::awaitable<Value> work) {
+  std::optional<Value> value;
+  asio::co_spawn(context, std::move(work),
+                 [&](const std::exception_ptr &error, Value got) {
+                   REQUIRE_FALSE(error);
+                   value = std::move(got);
+                 });
+  runUntil(context, [&] { return value.has_value(); });
+  return std::move(*value);
+}
+
+/// Sends one request over a new connection.
+inline std::optional<http::Response> ask(asio::io_context &context,
+                                         const base::Address &server,
+                                         http::Request request) {
+  base::LastReason reason;
+  return await(context, http::fetch(server, std::move(request),
+                                    std::chrono::seconds(10), reason));
+}
+
+/// Connects, sends raw bytes and returns all that comes back until the other
+/// side closes.
+inline asio::awaitable<std::string> talk(base::Address server, std::string text,
+                                         bool halfClose) {
+  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+  co_await socket.async_connect(
+      {asio::ip::make_address(server.Host), server.Port}, asio::use_awaitable);
+  boost::system::error_code ec;
+  co_await asio::async_write(socket, asio::buffer(text),
+                             asio::redirect_error(asio::use_awaitable, ec));
+  if (halfClose)
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  std::string got;
+  co_await asio::async_read(socket, asio::dynamic_buffer(got),
+                            asio::redirect_error(asio::use_awaitable, ec));
+  co_return got;
+}
+
+/// A server that answers each connection's first bytes with raw bytes, then
+/// closes it.
+class RawServer {
+public:
+  RawServer(asio::io_context &context, std::string answer)
+      : Acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        Answer(std::move(answer)) {
+    asio::co_spawn(context, run(), asio::detached);
+  }
+  base::Address address() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+  size_t Accepted = 0;
+
+private:
+  asio::awaitable<void> run() {
+    boost::system::error_code ec;
+    while (true) {
+      auto socket = co_await Acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec)
+        co_return;
+      ++Accepted;
+      std::string buf(4096, ' ');
+      co_await socket.async_read_some(
+          asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+      co_await asio::async_write(socket, asio::buffer(Answer),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  std::string Answer;
+};
+
+inline config::SnapshotPointer emptySnapshot() {
+  static const int Unread = 0;
+  return {std::make_shared<int>(),
+          reinterpret_cast<const config::Snapshot *>(&Unread)};
+}
+
+/// One node's proxy over mocked decisions.
+struct ProxyNode {
+  ProxyNode(asio::io_context &context, const base::Clock &clock,
+            const std::string &id) {
+    http::CallProxyEnvironment environment;
+    environment.Context = &context;
+    environment.Time = &clock;
+    environment.Counters = &Counters;
+    environment.Broker = &Broker;
+    environment.Gate = &Gate;
+    environment.CurrentSnapshot = [this] { return Snapshot; };
+    environment.LocalTarget = [this](const std::string &name) {
+      return Local && Local->TargetId == name ? Local : std::nullopt;
+    };
+    environment.MeshKeys = {"the mesh key"};
+    environment.NodeId = id;
+    base::LastReason reason;
+    auto proxy = http::CallProxy::create(environment, {"127.0.0.1", 0},
+                                         {"127.0.0.1", 0}, reason);
+    REQUIRE(proxy);
+    Proxy = *proxy;
+  }
+
+  /// Lets the broker send the first attempt to \p target behind \p node.
+  void sendTo(const ProxyNode &node, const std::string &id,
+              const fleet::TargetRecord &target) {
+    Broker.First.What = calls::CallStep::Kind::Send;
+    Broker.First.To = {id, "dc", node.Proxy->meshAddress(), target};
+    Broker.First.ServiceName = target.Service;
+    Broker.First.CallRank = config::Rank::Standard;
+    Broker.First.AttemptTimeout = std::chrono::seconds(5);
+    Broker.First.Remaining = std::chrono::seconds(5);
+  }
+
+  base::Metrics Counters;
+  MockBroker Broker;
+  MockGate Gate;
+  /// Any snapshot will do, as the proxy passes it on unread.
+  config::SnapshotPointer Snapshot = emptySnapshot();
+  std::optional<fleet::TargetRecord> Local;
+  std::shared_ptr<http::CallProxy> Proxy;
+};
+
+} // namespace radishcross::tests
--- /dev/null
+++ b/Tests/LibHttp/MockDecisions.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/CallBroker.h>
+
+#include <deque>
+#include <map>
+
+namespace radishcross::tests {
+
+/// A broker that answers with scripted steps and keeps what it was told.
+class MockBroker final : public calls::CallBroker {
+public:
+  calls::CallHandle begin(const calls::CallRequest &request,
+                          config::SnapshotPointer, base::TimePoint) override {
+    Requests.push_back(request);
+    return ++Handles;
+  }
+  calls::CallStep step(calls::CallHandle) const override { return First; }
+  calls::CallStep attemptEnded(calls::CallHandle,
+                               const calls::AttemptResult &result,
+                               base::TimePoint) override {
+    Results.push_back(result);
+    if (!Next.empty()) {
+      calls::CallStep step = Next.front();
+      Next.pop_front();
+      return step;
+    }
+    calls::CallStep finish;
+    bool answered = result.End == calls::AttemptEnd::Answered;
+    bool notRun = result.End == calls::AttemptEnd::NotSent ||
+                  result.End == calls::AttemptEnd::RefusedNotRun;
+    finish.Outcome = answered ? calls::CallOutcome::Answered
+                     : notRun ? calls::CallOutcome::NotRun
+                              : calls::CallOutcome::Unknown;
+    finish.Code = notRun ? base::ResultCode::NoTarget
+                         : base::ResultCode::CallOutcomeUnknown;
+    return finish;
+  }
+  void end(calls::CallHandle, base::TimePoint) override { ++Ended; }
+
+  calls::CallStep First;
+  std::deque<calls::CallStep> Next;
+  std::vector<calls::CallRequest> Requests;
+  std::vector<calls::AttemptResult> Results;
+  calls::CallHandle Handles = 0;
+  size_t Ended = 0;
+};
+
+/// A gate that admits all calls, or queues them until they are released.
+class MockGate final : public calls::AdmissionGate {
+public:
+  calls::GateAnswer arrive(const calls::Arrival &arrival,
+                           base::TimePoint) override {
+    Arrivals.push_back(arrival);
+    calls::GateAnswer answer;
+    answer.What = Kind;
+    answer.Call = ++Tickets;
+    answer.Code = base::ResultCode::Overloaded;
+    answer.RetryAfter = std::chrono::seconds(2);
+    Running += Kind == calls::GateAnswer::Kind::Run ? 1 : 0;
+    return answer;
+  }
+  std::vector<calls::GateAnswer> ended(calls::Ticket,
+                                       const calls::AttemptResult &result,
+                                       base::TimePoint) override {
+    Results.push_back(result);
+    Running -= 1;
+    return {};
+  }
+  void abandoned(calls::Ticket, base::TimePoint) override { ++Abandoned; }
+  std::vector<calls::GateAnswer> tick(base::TimePoint) override {
+    return std::exchange(AtTick, {});
+  }
+  uint32_t pressurePermille(const std::string &) const override { return 250; }
+  size_t inFlight() const override { return Running; }
+
+  calls::GateAnswer::Kind Kind = calls::GateAnswer::Kind::Run;
+  std::vector<calls::GateAnswer> AtTick;
+  std::vector<calls::Arrival> Arrivals;
+  std::vector<calls::AttemptResult> Results;
+  calls::Ticket Tickets = 0;
+  size_t Running = 0;
+  size_t Abandoned = 0;
+};
+
+} // namespace radishcross::tests
--- /dev/null
+++ b/Tests/StandIns/Target.cpp
@@ -0,0 +1,297 @@
+#include "StandIns.h"
+
+#include <LibBase/Hash.h>
+#include <LibBase/Random.h>
+#include <LibCalls/CallTypes.h>
+#include <LibHttp/Answers.h>
+#include <LibHttp/Client.h>
+#include <LibHttp/Server.h>
+
+#include <absl/flags/flag.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+ABSL_FLAG(std::string, node, "", "IP:PORT of the node's targets listener");
+ABSL_FLAG(std::string, service, "", "configuration/name of the service");
+ABSL_FLAG(std::string, target_id, "", "name; the listening address if empty");
+ABSL_FLAG(uint32_t, slots, 9, "calls that it runs at once");
+ABSL_FLAG(uint32_t, connections, 120, "connections that it accepts");
+ABSL_FLAG(double, work_ms, 5, "mean time that a call takes");
+ABSL_FLAG(uint32_t, cold_calls, 0, "first calls that take five times as long");
+ABSL_FLAG(uint32_t, load_lag_ms, 0, "age of the load that it reports");
+ABSL_FLAG(int32_t, load_lie, -1, "reports this load in permille, if not -1");
+ABSL_FLAG(bool, allow_crash, false, "aborts at a request with X-Test-Crash: 1");
+ABSL_FLAG(std::string, forward, "",
+          "IP:PORT of the node's callers' listener, for X-Test-Chain");
+
+namespace radishcross::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace bh = boost::beast::http;
+using Clock = std::chrono::steady_clock;
+
+constexpr double ColdFactor = 5;
+constexpr double JitterShare = 0.4; ///< Work is 0.8 to 1.2 of its mean.
+constexpr std::chrono::milliseconds AnnounceRetry{300};
+constexpr std::chrono::milliseconds DrainQuiet{3000};
+constexpr std::chrono::seconds ForwardTimeout{5};
+constexpr std::string_view PassedOn[] = {
+    calls::CallIdHeader,  calls::RankHeader,    calls::DeadlineHeader,
+    calls::HopsHeader,    calls::ServiceHeader, calls::TargetHeader,
+    calls::AttemptHeader, calls::ProofHeader};
+
+std::string headerOf(const http::Request &request, std::string_view name) {
+  auto it = request.find(name);
+  return it == request.end() ? std::string() : std::string(it->value());
+}
+
+/// A target with slots, cold start, drain and faults on demand.
+class Target {
+public:
+  explicit Target(asio::io_context &context)
+      : Context(context), Rng(absl::GetFlag(FLAGS_seed)) {}
+
+  asio::awaitable<http::Response> handle(http::IncomingRequest incoming) {
+    std::string path(incoming.Message.target());
+    bool isPost = incoming.Message.method() == bh::verb::post;
+    if (path == "/control/runs")
+      co_return isPost ? countsOf(incoming.Message.body()) : runs();
+    if (path == "/control")
+      co_return control(incoming.Message.body());
+    if (isSilent(incoming.Peer))
+      co_await pause(Clock::duration::max() / 4, *incoming.Watch);
+    if (headerOf(incoming.Message, "X-Test-Crash") == "1" &&
+        absl::GetFlag(FLAGS_allow_crash))
+      std::abort();
+    if (Running >= absl::GetFlag(FLAGS_slots))
+      co_return http::makeAnswer(base::ResultCode::TargetRefused,
+                                 calls::CallOutcome::NotRun,
+                                 "all slots are taken");
+    co_return co_await run(std::move(incoming));
+  }
+
+  /// Announces the target as a heartbeat until it has left.
+  asio::awaitable<void> announceLoop(base::Address node, base::Address own) {
+    Own = own;
+    while (State != "left") {
+      auto wait = co_await announce(node);
+      ClientWatchNeverGone.Gone = false;
+      co_await pause(wait, ClientWatchNeverGone);
+    }
+  }
+
+  /// Leaves: announces that it drains, finishes, announces that it has left.
+  asio::awaitable<void> leave(base::Address node) {
+    State = "draining";
+    co_await announce(node);
+    Clock::time_point quietSince = Clock::now();
+    while (Running > 0 || Clock::now() - quietSince < DrainQuiet) {
+      if (Running > 0)
+        quietSince = Clock::now();
+      ClientWatchNeverGone.Gone = false;
+      co_await pause(std::chrono::milliseconds(50), ClientWatchNeverGone);
+    }
+    State = "left";
+    co_await announce(node);
+    Context.stop();
+  }
+
+private:
+  asio::awaitable<void> pause(Clock::duration time, http::ClientWatch &watch) {
+    asio::steady_timer timer(Context, time);
+    watch.OnGone = [&timer] { timer.cancel(); };
+    boost::system::error_code ec;
+    if (!watch.Gone)
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    watch.OnGone = nullptr;
+  }
+
+  /// Runs one call and echoes what the caller checks its answer by.
+  asio::awaitable<http::Response> run(http::IncomingRequest incoming) {
+    const http::Request &request = incoming.Message;
+    std::string id = headerOf(request, "X-Request-Id");
+    Runs[id] += 1;
+    Total += 1;
+    Running += 1;
+    double factor = 1 + JitterShare * (Rng.unit() - 0.5);
+    if (Total <= absl::GetFlag(FLAGS_cold_calls))
+      factor *= ColdFactor;
+    std::chrono::duration<double, std::milli> work(
+        absl::GetFlag(FLAGS_work_ms) * factor);
+    if (work.count() > 0)
+      co_await pause(std::chrono::duration_cast<Clock::duration>(work),
+                     *incoming.Watch);
+    unsigned status = co_await forward(request, id);
+    Running -= 1;
+    Cancelled += incoming.Watch->Gone ? 1 : 0;
+    json::object body{{"id", id},
+                      {"path", std::string(request.target())},
+                      {"digest", base::hash64(request.body())}};
+    http::Response answer = http::makeJson(status, json::serialize(body));
+    answer.set("X-Request-Id", id);
+    co_return answer;
+  }
+
+  /// Calls on through the node while X-Test-Chain asks for deeper calls.
+  asio::awaitable<unsigned> forward(const http::Request &request,
+                                    const std::string &id) {
+    int depth = std::atoi(headerOf(request, "X-Test-Chain").c_str());
+    base::LastReason reason;
+    auto node = base::parseAddress(absl::GetFlag(FLAGS_forward), reason);
+    if (depth <= 0 || !node)
+      co_return 200;
+    http::Request deeper(request.method(), request.target(), 11);
+    deeper.set("X-Request-Id", id + "." + std::to_string(depth));
+    deeper.set("X-Test-Chain", std::to_string(depth - 1));
+    for (std::string_view name : PassedOn)
+      if (std::string value = headerOf(request, name); !value.empty())
+        deeper.set(name, value);
+    deeper.body() = request.body();
+    auto answer = co_await http::fetch(*node, deeper, ForwardTimeout, reason);
+    co_return answer ? answer->result_int() : 502;
+  }
+
+  /// Makes connections silent that were open when the switch was set.
+  bool isSilent(const base::Address &peer) {
+    bool isOpen = !Seen.insert(peer).second;
+    if (isOpen && SilentWanted > 0 && Silent.insert(peer).second)
+      SilentWanted -= 1;
+    return Silent.count(peer) != 0;
+  }
+
+  uint32_t load() {
+    if (absl::GetFlag(FLAGS_load_lie) >= 0)
+      return static_cast<uint32_t>(absl::GetFlag(FLAGS_load_lie));
+    auto now = Clock::now();
+    Loads.emplace_back(now, Running * 1000 / absl::GetFlag(FLAGS_slots));
+    std::chrono::milliseconds lag(absl::GetFlag(FLAGS_load_lag_ms));
+    while (Loads.size() > 1 && Loads[1].first <= now - lag)
+      Loads.pop_front();
+    return Loads.front().second;
+  }
+
+  /// Returns the time to the next announcement.
+  asio::awaitable<Clock::duration> announce(const base::Address &node) {
+    std::string name = absl::GetFlag(FLAGS_target_id);
+    json::object body{{"service", absl::GetFlag(FLAGS_service)},
+                      {"target", name.empty() ? Own.text() : name},
+                      {"address", Own.text()},
+                      {"state", State},
+                      {"slots", absl::GetFlag(FLAGS_slots)},
+                      {"connections", absl::GetFlag(FLAGS_connections)},
+                      {"load_permille", load()},
+                      {"epoch", Epoch}};
+    http::Request request(bh::verb::post, "/v1/targets", 11);
+    request.set(bh::field::content_type, "application/json");
+    request.body() = json::serialize(body);
+    base::LastReason reason;
+    auto answer =
+        co_await http::fetch(node, request, AnnounceRetry * 5, reason);
+    boost::system::error_code ec;
+    json::value lease =
+        answer ? json::parse(answer->body(), ec) : json::value();
+    if (!answer || answer->result_int() != 200 || ec || !lease.is_object()) {
+      Epoch = 0; // A lapsed lease is asked for anew.
+      co_return AnnounceRetry;
+    }
+    Epoch = lease.at("epoch").to_number<uint64_t>();
+    co_return std::chrono::milliseconds(
+        lease.at("lease_ms").to_number<uint64_t>() / 3);
+  }
+
+  http::Response runs() const {
+    json::array twice;
+    for (const auto &[id, n] : Runs)
+      if (n > 1)
+        twice.push_back({{"id", id}, {"runs", n}});
+    return http::makeJson(
+        200, json::serialize(json::object{{"total", Total},
+                                          {"running", Running},
+                                          {"cancelled", Cancelled},
+                                          {"twice", std::move(twice)}}));
+  }
+
+  /// Answers {"ids": [...]} with how often each was run.
+  http::Response countsOf(const std::string &body) const {
+    boost::system::error_code ec;
+    json::value asked = json::parse(body, ec);
+    if (ec || !asked.is_object() || !asked.as_object().contains("ids"))
+      return http::makeJson(400, "{}");
+    json::array counts;
+    for (const json::value &id : asked.at("ids").as_array()) {
+      auto it = Runs.find(std::string(id.as_string()));
+      counts.emplace_back(it == Runs.end() ? 0 : it->second);
+    }
+    return http::makeJson(
+        200, json::serialize(json::object{{"counts", std::move(counts)}}));
+  }
+
+  http::Response control(const std::string &body) {
+    boost::system::error_code ec;
+    json::value wish = json::parse(body, ec);
+    if (ec || !wish.is_object())
+      return http::makeJson(400, "{}");
+    if (const json::value *it = wish.as_object().if_contains("silent"))
+      SilentWanted = it->to_number<uint32_t>();
+    return http::makeJson(200, "{}");
+  }
+
+  asio::io_context &Context;
+  base::Random Rng;
+  base::Address Own;
+  std::string State = "ready";
+  uint64_t Epoch = 0;
+  uint32_t Running = 0;
+  uint64_t Total = 0;
+  uint64_t Cancelled = 0;
+  uint32_t SilentWanted = 0;
+  std::unordered_map<std::string, uint32_t> Runs;
+  std::set<base::Address> Seen;
+  std::set<base::Address> Silent;
+  std::deque<std::pair<Clock::time_point, uint32_t>> Loads;
+  http::ClientWatch ClientWatchNeverGone;
+};
+
+} // namespace
+
+int runTarget() {
+  asio::io_context context(1);
+  Target target(context);
+  base::LastReason reason;
+  auto node = base::parseAddress(absl::GetFlag(FLAGS_node), reason);
+  http::ServerLimits limits;
+  limits.HeaderBytes = 64UL << 10;
+  limits.Connections = absl::GetFlag(FLAGS_connections);
+  auto server = listenAsAsked(context, limits, [&](http::IncomingRequest it) {
+    return target.handle(std::move(it));
+  });
+  if (!server)
+    return 4;
+  asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](auto, int) {
+    if (!node)
+      return context.stop();
+    asio::co_spawn(context, target.leave(*node), asio::detached);
+  });
+  if (node)
+    asio::co_spawn(context, target.announceLoop(*node, server->address()),
+                   asio::detached);
+  context.run();
+  return 0;
+}
+
+} // namespace radishcross::standins
