LibAdmin: Read settings and answer the administration API

Operators had no way to reach a node. Settings are read as strict JSON, by schema, then by meaning; each fault is one line with the key's path and a code. The API routes by a table, asks for a bearer token's role, and turns changes into log records whose outcome is accepted, rejected or unknown. A client chooses the record's id, so that a lost answer can be resolved later. fleet-status asks every live member and says who is missing and why; what a node should hold follows from its labels, so it is known of unreachable nodes as well.

--- /dev/null
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -0,0 +1,240 @@
+#include <LibAdmin/ApiHandlers.h>
+
+#include <LibAdmin/Answers.h>
+#include <LibAdmin/AuditQuery.h>
+#include <LibAdmin/ChangeRequest.h>
+#include <LibAdmin/ConfigurationReport.h>
+#include <LibAdmin/FleetReport.h>
+#include <LibAdmin/StatusReport.h>
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <charconv>
+#include <memory>
+
+namespace radishcross::admin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::ResultCode;
+
+constexpr base::Duration ChangePatience = std::chrono::seconds(5);
+constexpr uint64_t DefaultRecordingSeconds = 60;
+constexpr uint64_t MaximumRecordingSeconds = 3600;
+constexpr std::string_view PrometheusType = "text/plain; version=0.0.4";
+constexpr std::string_view TraceType = "application/x-ndjson";
+
+http::Response failure(ResultCode code, std::string text) {
+  base::LastReason reason;
+  reason.fail(code, std::move(text));
+  return failureAnswer(reason);
+}
+
+/// Appends a record and waits until its fate is known or patience ends.
+asio::awaitable<ChangeOutcome> appendAndWait(NodeControl &node,
+                                             log::Record record) {
+  auto initiate = [&node, &record](auto handler) {
+    auto executor = asio::get_associated_executor(handler);
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    node.change(std::move(record), ChangePatience,
+                [shared, executor](ChangeOutcome outcome) {
+                  asio::post(executor,
+                             [shared, outcome = std::move(outcome)]() mutable {
+                               (*shared)(std::move(outcome));
+                             });
+                });
+  };
+  return asio::async_initiate<const asio::use_awaitable_t<> &,
+                              void(ChangeOutcome)>(initiate,
+                                                   asio::use_awaitable);
+}
+
+json::object document(const fleet::Member &member) {
+  const auto &self = member.Identity;
+  json::object labels;
+  for (const auto &[key, value] : self.NodeLabels)
+    labels[key] = value;
+  json::array targets;
+  for (const auto &it : member.Targets)
+    targets.push_back(
+        json::object{{"service", it.Service},
+                     {"target", it.TargetId},
+                     {"state", base::nameOf(fleet::TargetStateNames, it.State)},
+                     {"slots", it.Slots},
+                     {"connections", it.Connections},
+                     {"load_permille", it.LoadPermille}});
+  return {
+      {"node", self.Id},
+      {"data_centre", self.DataCentre},
+      {"region", self.Region},
+      {"state", base::nameOf(fleet::MemberStateNames, member.State)},
+      {"incarnation", member.Incarnation},
+      {"offset", member.ConfigOffset},
+      {"administration", self.Administration.text()},
+      {"labels", std::move(labels)},
+      {"targets", std::move(targets)},
+  };
+}
+
+} // namespace
+
+http::Response ApiHandlers::health(const ApiRequest &) {
+  return textAnswer("ok\n", "text/plain");
+}
+
+http::Response ApiHandlers::readiness(const ApiRequest &) {
+  if (Node.ready())
+    return textAnswer("ready\n", "text/plain");
+  return failure(ResultCode::NotRecovered,
+                 "the node has not recovered its configuration yet");
+}
+
+http::Response ApiHandlers::metrics(const ApiRequest &) {
+  return textAnswer(Node.metrics().prometheusText(), PrometheusType);
+}
+
+http::Response ApiHandlers::status(const ApiRequest &request) {
+  return jsonAnswer(statusReport(Node, queryText(request, "configuration")));
+}
+
+ApiHandlers::Later ApiHandlers::fleet(ApiRequest request) {
+  auto name = queryText(request, "configuration");
+  if (!name.empty() && !Node.fold().configurations().contains(name))
+    co_return failure(ResultCode::UnknownConfiguration,
+                      "no configuration is named " + name);
+  auto answers = co_await askFleet(Node.members(), name,
+                                   std::move(request.Authorization), Send);
+  co_return jsonAnswer(fleetReport(Node.fold(), name, answers));
+}
+
+http::Response ApiHandlers::members(const ApiRequest &) {
+  json::array rows;
+  for (const auto &it : Node.members())
+    rows.push_back(document(it));
+  return jsonAnswer(json::object{{"members", std::move(rows)}});
+}
+
+http::Response ApiHandlers::configurations(const ApiRequest &) {
+  return jsonAnswer(
+      json::object{{"configurations", configurationReports(Node.fold())}});
+}
+
+http::Response ApiHandlers::configuration(const ApiRequest &request) {
+  const auto &name = request.Captures.at(0);
+  auto it = Node.fold().configurations().find(name);
+  if (it == Node.fold().configurations().end())
+    return failure(ResultCode::UnknownConfiguration,
+                   "no configuration is named " + name);
+  return jsonAnswer(configurationReport(Node.fold(), it->second));
+}
+
+http::Response ApiHandlers::version(const ApiRequest &request) {
+  base::LastReason reason;
+  const auto &name = request.Captures.at(0);
+  auto number = parseNumber(request.Captures.at(1), "version", reason);
+  if (!number)
+    return failureAnswer(reason);
+  auto it = Node.fold().configurations().find(name);
+  if (it == Node.fold().configurations().end())
+    return failure(ResultCode::UnknownConfiguration,
+                   "no configuration is named " + name);
+  const auto *version = findVersion(it->second, *number);
+  if (!version)
+    return failure(ResultCode::UnknownVersion, name + " has no version " +
+                                                   std::to_string(*number) +
+                                                   " or no longer keeps it");
+  return jsonAnswer(versionReport(it->second, *version));
+}
+
+ApiHandlers::Later ApiHandlers::change(ApiRequest request, Build build) {
+  if (!Node.ready())
+    co_return failure(ResultCode::NotRecovered,
+                      "the node has not recovered its configuration yet");
+  base::LastReason reason;
+  auto record = build(request, Node.fold(), reason);
+  if (!record)
+    co_return failureAnswer(reason);
+  if (auto known = Node.fold().outcomeOf(record->Id))
+    co_return changeAnswer(
+        {ChangeOutcome::Kind::Accepted, record->Id, std::move(*known)},
+        Node.fold());
+  auto outcome = co_await appendAndWait(Node, std::move(*record));
+  co_return changeAnswer(outcome, Node.fold());
+}
+
+ApiHandlers::Later ApiHandlers::publish(ApiRequest request) {
+  return change(std::move(request), publishRecord);
+}
+
+ApiHandlers::Later ApiHandlers::attach(ApiRequest request) {
+  return change(std::move(request), attachRecord);
+}
+
+ApiHandlers::Later ApiHandlers::detach(ApiRequest request) {
+  return change(std::move(request), detachRecord);
+}
+
+ApiHandlers::Later ApiHandlers::drain(ApiRequest request) {
+  return change(std::move(request), drainRecord);
+}
+
+http::Response ApiHandlers::audit(const ApiRequest &request) {
+  base::LastReason reason;
+  auto report = auditReport(request, Node.fold(), reason);
+  return report ? jsonAnswer(*report) : failureAnswer(reason);
+}
+
+http::Response ApiHandlers::record(const ApiRequest &request) {
+  const auto &id = request.Captures.at(0);
+  auto outcome = Node.fold().outcomeOf(id);
+  if (!outcome)
+    return failure(ResultCode::NotFound,
+                   "the log holds no record " + id + " up to offset " +
+                       std::to_string(Node.fold().offset()) +
+                       ", or its outcome is no longer kept");
+  outcome->RecordId = id;
+  return jsonAnswer(outcomeDocument(*outcome, Node.fold()));
+}
+
+http::Response ApiHandlers::drainSelf(const ApiRequest &) {
+  Node.drainSelf();
+  return jsonAnswer(
+      json::object{{"node", Node.identity().Id}, {"draining", true}});
+}
+
+http::Response ApiHandlers::quarantine(const ApiRequest &) {
+  return jsonAnswer(json::object{{"quarantine", Node.quarantine()}});
+}
+
+http::Response ApiHandlers::liftQuarantine(const ApiRequest &request) {
+  const auto &text = request.Captures.at(0);
+  uint64_t fingerprint = 0;
+  const char *last = text.data() + text.size();
+  auto [end, error] = std::from_chars(text.data(), last, fingerprint, 16);
+  if (error != std::errc() || end != last)
+    return failure(ResultCode::UsageError,
+                   "fingerprint: expected hexadecimal digits");
+  if (!Node.liftQuarantine(fingerprint))
+    return failure(ResultCode::NotFound,
+                   "no request with this fingerprint is in quarantine");
+  return jsonAnswer(json::object{{"lifted", text}});
+}
+
+http::Response ApiHandlers::recording(const ApiRequest &request) {
+  base::LastReason reason;
+  auto seconds = queryNumber(request, "seconds", DefaultRecordingSeconds,
+                             MaximumRecordingSeconds, reason);
+  if (!seconds)
+    return failureAnswer(reason);
+  return textAnswer(Node.recording(static_cast<uint32_t>(*seconds)), TraceType);
+}
+
+http::Response ApiHandlers::usage(const ApiRequest &) {
+  return jsonAnswer(Node.usage());
+}
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/ApiHandlers.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/FleetStatus.h>
+#include <LibAdmin/NodeControl.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace radishcross::admin {
+
+/// What each resource of the administration API answers. The requests were
+/// routed and allowed before.
+class ApiHandlers {
+public:
+  ApiHandlers(NodeControl &node, Ask ask) : Node(node), Send(std::move(ask)) {}
+
+  /// Answers of resources that wait for the log or for other nodes.
+  using Later = boost::asio::awaitable<http::Response>;
+
+  http::Response health(const ApiRequest &request);
+  http::Response readiness(const ApiRequest &request);
+  http::Response metrics(const ApiRequest &request);
+  http::Response status(const ApiRequest &request);
+  Later fleet(ApiRequest request);
+  http::Response members(const ApiRequest &request);
+  http::Response configurations(const ApiRequest &request);
+  http::Response configuration(const ApiRequest &request);
+  http::Response version(const ApiRequest &request);
+  Later publish(ApiRequest request);
+  Later attach(ApiRequest request);
+  Later detach(ApiRequest request);
+  http::Response audit(const ApiRequest &request);
+  http::Response record(const ApiRequest &request);
+  Later drain(ApiRequest request);
+  http::Response drainSelf(const ApiRequest &request);
+  http::Response quarantine(const ApiRequest &request);
+  http::Response liftQuarantine(const ApiRequest &request);
+  http::Response recording(const ApiRequest &request);
+  http::Response usage(const ApiRequest &request);
+
+private:
+  using Build = std::optional<log::Record> (*)(const ApiRequest &,
+                                               const log::Fold &,
+                                               base::LastReason &);
+
+  /// Builds a record, appends it and answers with its fate. A record whose
+  /// outcome is known already is not appended again.
+  Later change(ApiRequest request, Build build);
+
+  NodeControl &Node;
+  Ask Send;
+};
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/AuditQuery.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibAdmin/ApiRequest.h>
+#include <LibLog/Fold.h>
+
+#include <boost/json/object.hpp>
+#include <optional>
+
+namespace radishcross::admin {
+
+/// Returns the newest lines of the audit trail that the query asks for, in log
+/// order: {"entries": [...], "left_out": N}. Filters: configuration, actor,
+/// team, kind, outcome ("accepted" or "rejected"), since (an offset), limit.
+/// Fails with UsageError.
+std::optional<boost::json::object> auditReport(const ApiRequest &request,
+                                               const log::Fold &fold,
+                                               base::LastReason &reason);
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/ChangeRequest.cpp
@@ -0,0 +1,296 @@
+#include <LibAdmin/ChangeRequest.h>
+
+#include <LibAdmin/RecordId.h>
+#include <LibAdmin/TokenTable.h>
+#include <LibConfig/Selector.h>
+#include <LibConfig/VersionContentCodec.h>
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+
+namespace radishcross::admin {
+
+namespace {
+
+namespace json = boost::json;
+using base::ResultCode;
+
+constexpr size_t MaximumNameLength = 64;
+constexpr std::string_view VmPrefix = "vm:";
+constexpr std::string_view ServicePrefix = "service:";
+
+bool isName(std::string_view text) {
+  return !text.empty() && text.size() <= MaximumNameLength &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+         });
+}
+
+std::optional<std::string> readName(std::string text, std::string_view key,
+                                    base::LastReason &reason) {
+  if (isName(text))
+    return text;
+  return reason.fail(ResultCode::BadValue,
+                     std::string(key) + ": found \"" +
+                         text.substr(0, MaximumNameLength) +
+                         "\", expected 1 to 64 letters, digits, '-', '_' or "
+                         "'.'");
+}
+
+/// Reads a text; fails with WrongType, or MissingKey without a \p fallback.
+std::optional<std::string> readText(const json::object &body,
+                                    std::string_view key,
+                                    std::optional<std::string> fallback,
+                                    base::LastReason &reason) {
+  const auto *value = body.if_contains(key);
+  if (value && value->is_string())
+    return std::string(value->as_string());
+  if (value)
+    return reason.fail(ResultCode::WrongType,
+                       std::string(key) + ": expected a text");
+  if (!fallback)
+    return reason.fail(ResultCode::MissingKey,
+                       std::string(key) + ": the key is missing");
+  return fallback;
+}
+
+std::optional<uint64_t> readNumber(const json::object &body,
+                                   std::string_view key, uint64_t fallback,
+                                   base::LastReason &reason) {
+  const auto *value = body.if_contains(key);
+  if (!value)
+    return fallback;
+  boost::system::error_code ec;
+  auto n = value->to_number<uint64_t>(ec);
+  if (ec)
+    return reason.fail(ResultCode::WrongType,
+                       std::string(key) + ": expected a whole number");
+  return n;
+}
+
+/// Starts a record with its id and author; the id is the client's choice.
+std::optional<log::Record> startRecord(const ApiRequest &request,
+                                       log::RecordKind kind, std::string id,
+                                       base::LastReason &reason) {
+  if (id.empty())
+    id = newRecordId();
+  if (!isRecordId(id))
+    return reason.fail(ResultCode::BadValue,
+                       "record: expected 8 to 64 letters, digits or hyphens");
+  log::Record out;
+  out.Id = std::move(id);
+  out.Kind = kind;
+  out.By = {request.By->Team, request.By->Name, request.PeerHost};
+  return out;
+}
+
+std::optional<log::Record> startRecord(const ApiRequest &request,
+                                       log::RecordKind kind,
+                                       const json::object &body,
+                                       base::LastReason &reason) {
+  auto id = readText(body, "record", "", reason);
+  if (!id)
+    return std::nullopt;
+  return startRecord(request, kind, std::move(*id), reason);
+}
+
+const log::Configuration *findConfiguration(const log::Fold &fold,
+                                            std::string_view name) {
+  auto it = fold.configurations().find(name);
+  return it == fold.configurations().end() ? nullptr : &it->second;
+}
+
+uint64_t newestVersion(const log::Fold &fold, std::string_view name) {
+  const auto *found = findConfiguration(fold, name);
+  return found && !found->Versions.empty() ? found->Versions.back().Number : 0;
+}
+
+/// Fails with WrongTeam when the configuration is another team's. The fold
+/// decides the same from the log; here it spares the append.
+bool checkTeam(const ApiRequest &request, const log::Fold &fold,
+               std::string_view name, base::LastReason &reason) {
+  const auto *found = findConfiguration(fold, name);
+  if (!found || found->Team == request.By->Team)
+    return true;
+  reason.fail(ResultCode::WrongTeam, "the configuration " + std::string(name) +
+                                         " belongs to another team");
+  return false;
+}
+
+std::optional<json::object> readAttachment(const json::value &value,
+                                           base::LastReason &reason) {
+  if (!value.is_object())
+    return reason.fail(ResultCode::WrongType,
+                       "attach: expected {\"name\", \"selector\"}");
+  auto name = readText(value.as_object(), "name", std::nullopt, reason);
+  if (name)
+    name = readName(std::move(*name), "attach.name", reason);
+  if (!name)
+    return std::nullopt;
+  auto text = readText(value.as_object(), "selector", "", reason);
+  if (!text)
+    return std::nullopt;
+  auto selector = config::Selector::create(*text, reason);
+  if (!selector)
+    return std::nullopt;
+  return json::object{{"name", *name}, {"selector", selector->text()}};
+}
+
+/// Returns what a new version is attached to when the operator does not say:
+/// all that the configuration is attached to now, or every node at first.
+json::array usualAttachments(const log::Fold &fold, const std::string &name) {
+  json::array out;
+  if (!findConfiguration(fold, name)) {
+    out.push_back(json::object{{"name", name}, {"selector", ""}});
+    return out;
+  }
+  for (const auto &[key, it] : fold.attachments())
+    if (it.Configuration == name)
+      out.push_back(
+          json::object{{"name", it.Name}, {"selector", it.Chooses.text()}});
+  return out;
+}
+
+std::optional<json::array> readAttachments(const json::object &body,
+                                           const log::Fold &fold,
+                                           const std::string &name,
+                                           base::LastReason &reason) {
+  const auto *value = body.if_contains("attach");
+  if (!value)
+    return usualAttachments(fold, name);
+  json::array out;
+  if (value->is_null())
+    return out;
+  json::array given =
+      value->is_array() ? value->as_array() : json::array{*value};
+  for (const auto &it : given) {
+    auto attachment = readAttachment(it, reason);
+    if (!attachment)
+      return std::nullopt;
+    out.push_back(std::move(*attachment));
+  }
+  return out;
+}
+
+} // namespace
+
+std::optional<log::Record> publishRecord(const ApiRequest &request,
+                                         const log::Fold &fold,
+                                         base::LastReason &reason) {
+  auto name = readName(request.Captures.at(0), "configuration", reason);
+  if (!name || !checkTeam(request, fold, *name, reason))
+    return std::nullopt;
+  auto body = parseBody(
+      request, {"record", "base", "content", "attach", "accepted_impact"},
+      reason);
+  if (!body)
+    return std::nullopt;
+  const auto *content = body->if_contains("content");
+  if (!content)
+    return reason.fail(ResultCode::MissingKey, "content: the key is missing");
+  if (!config::decodeVersionContent(*content, reason))
+    return std::nullopt;
+  auto base = readNumber(*body, "base", newestVersion(fold, *name), reason);
+  auto impact = readText(*body, "accepted_impact", "", reason);
+  if (!base || !impact)
+    return std::nullopt;
+  auto attachments = readAttachments(*body, fold, *name, reason);
+  if (!attachments)
+    return std::nullopt;
+  auto record = startRecord(request, log::RecordKind::Publish, *body, reason);
+  if (!record)
+    return std::nullopt;
+  json::object out{
+      {"configuration", *name}, {"base", *base}, {"content", *content}};
+  if (!attachments->empty())
+    out["attach"] = std::move(*attachments);
+  if (!impact->empty())
+    out["accepted_impact"] = *impact;
+  record->Body = std::move(out);
+  return record;
+}
+
+std::optional<log::Record> attachRecord(const ApiRequest &request,
+                                        const log::Fold &fold,
+                                        base::LastReason &reason) {
+  auto body = parseBody(
+      request, {"record", "name", "configuration", "version", "selector"},
+      reason);
+  if (!body)
+    return std::nullopt;
+  auto name = readText(*body, "name", std::nullopt, reason);
+  if (name)
+    name = readName(std::move(*name), "name", reason);
+  if (!name)
+    return std::nullopt;
+  auto configuration = readText(*body, "configuration", std::nullopt, reason);
+  if (!configuration || !checkTeam(request, fold, *configuration, reason))
+    return std::nullopt;
+  if (!findConfiguration(fold, *configuration))
+    return reason.fail(ResultCode::UnknownConfiguration,
+                       "no configuration is named " + *configuration);
+  auto version =
+      readNumber(*body, "version", newestVersion(fold, *configuration), reason);
+  auto text = readText(*body, "selector", "", reason);
+  if (!version || !text)
+    return std::nullopt;
+  auto selector = config::Selector::create(*text, reason);
+  if (!selector)
+    return std::nullopt;
+  auto record = startRecord(request, log::RecordKind::Attach, *body, reason);
+  if (record)
+    record->Body = json::object{{"name", *name},
+                                {"configuration", *configuration},
+                                {"version", *version},
+                                {"selector", selector->text()}};
+  return record;
+}
+
+std::optional<log::Record> detachRecord(const ApiRequest &request,
+                                        const log::Fold &fold,
+                                        base::LastReason &reason) {
+  const auto &name = request.Captures.at(0);
+  auto it = fold.attachments().find(name);
+  if (it == fold.attachments().end())
+    return reason.fail(ResultCode::NotFound, "no attachment is named " + name);
+  if (!checkTeam(request, fold, it->second.Configuration, reason))
+    return std::nullopt;
+  auto record = startRecord(request, log::RecordKind::Detach,
+                            queryText(request, "record"), reason);
+  if (record)
+    record->Body = json::object{{"name", name}};
+  return record;
+}
+
+std::optional<log::Record> drainRecord(const ApiRequest &request,
+                                       const log::Fold &fold,
+                                       base::LastReason &reason) {
+  auto body = parseBody(request, {"record", "name", "drained"}, reason);
+  if (!body)
+    return std::nullopt;
+  auto name = readText(*body, "name", std::nullopt, reason);
+  if (!name)
+    return std::nullopt;
+  if (name->starts_with(VmPrefix)) {
+    if (!allows(*request.By, Role::Administrator, reason))
+      return std::nullopt;
+  } else if (name->starts_with(ServicePrefix)) {
+    auto service = name->substr(ServicePrefix.size());
+    if (!checkTeam(request, fold, service.substr(0, service.find('/')), reason))
+      return std::nullopt;
+  } else {
+    return reason.fail(ResultCode::BadValue,
+                       "name: expected vm:ID or service:CONFIGURATION/NAME");
+  }
+  const auto *drained = body->if_contains("drained");
+  if (drained && !drained->is_bool())
+    return reason.fail(ResultCode::WrongType,
+                       "drained: expected true or false");
+  auto record = startRecord(request, log::RecordKind::Drain, *body, reason);
+  if (record)
+    record->Body = json::object{{"name", *name},
+                                {"drained", !drained || drained->as_bool()}};
+  return record;
+}
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/FleetReport.cpp
@@ -0,0 +1,143 @@
+#include <LibAdmin/FleetReport.h>
+
+#include <LibAdmin/StatusReport.h>
+
+#include <boost/json/array.hpp>
+
+namespace radishcross::admin {
+
+namespace {
+
+namespace json = boost::json;
+
+/// What one node says of one configuration.
+struct Holding {
+  uint64_t Wanted = 0;
+  uint64_t Version = 0;
+  int64_t SinceUnixMilliseconds = 0;
+  Standing How = Standing::NotSelected;
+  std::string Reason;
+};
+
+template <typename Number>
+Number numberAt(const json::object &from, std::string_view key) {
+  const auto *value = from.if_contains(key);
+  boost::system::error_code ec;
+  return value ? value->to_number<Number>(ec) : Number{};
+}
+
+std::string textAt(const json::object &from, std::string_view key) {
+  const auto *value = from.if_contains(key);
+  return value && value->is_string() ? std::string(value->as_string())
+                                     : std::string();
+}
+
+/// Returns the row of \p configuration in a node's own report, or null.
+const json::object *rowOf(const json::object &status,
+                          std::string_view configuration) {
+  const auto *rows = status.if_contains("configurations");
+  if (!rows || !rows->is_array())
+    return nullptr;
+  for (const auto &it : rows->as_array())
+    if (it.is_object() &&
+        textAt(it.as_object(), "configuration") == configuration)
+      return &it.as_object();
+  return nullptr;
+}
+
+void judge(Holding &out, const json::object *row) {
+  const auto *waiting = row ? row->if_contains("waiting") : nullptr;
+  if (waiting && waiting->is_object())
+    out.Reason = textAt(waiting->as_object(), "reason");
+  if (out.Wanted == 0)
+    out.How = out.Version == 0 ? Standing::NotSelected : Standing::Holdover;
+  else if (out.Version >= out.Wanted)
+    out.How = Standing::Current;
+  else
+    out.How = out.Reason.empty() ? Standing::Behind : Standing::Waiting;
+}
+
+Holding holdingOf(const log::Fold &fold, const MemberAnswer &answer,
+                  std::string_view configuration) {
+  Holding out;
+  out.Wanted = wantedVersion(fold, answer.About.Identity, configuration);
+  if (!answer.Status) {
+    out.Reason = answer.Reason.text();
+    out.How = out.Wanted == 0 ? Standing::NotSelected : Standing::Unreachable;
+    return out;
+  }
+  const auto *row = rowOf(*answer.Status, configuration);
+  if (row) {
+    out.Version = numberAt<uint64_t>(*row, "version");
+    out.SinceUnixMilliseconds = numberAt<int64_t>(*row, "since_unix_ms");
+  }
+  judge(out, row);
+  return out;
+}
+
+/// Returns the least satisfied holding of a node over all configurations.
+Holding worstHolding(const log::Fold &fold, const MemberAnswer &answer) {
+  Holding worst;
+  for (const auto &[name, it] : fold.configurations()) {
+    auto holding = holdingOf(fold, answer, name);
+    bool isMissing = holding.How == Standing::Behind ||
+                     holding.How == Standing::Waiting ||
+                     holding.How == Standing::Unreachable;
+    if (isMissing) {
+      holding.Reason =
+          name + (holding.Reason.empty() ? "" : ": ") + holding.Reason;
+      return holding;
+    }
+    if (holding.How == Standing::Current || worst.How == Standing::NotSelected)
+      worst = holding;
+  }
+  return worst;
+}
+
+json::object document(const MemberAnswer &answer, const Holding &holding) {
+  const auto &self = answer.About.Identity;
+  json::object out{
+      {"node", self.Id},
+      {"data_centre", self.DataCentre},
+      {"state", base::nameOf(fleet::MemberStateNames, answer.About.State)},
+      {"standing", base::nameOf(StandingNames, holding.How)},
+      {"reachable", answer.Status.has_value()},
+      {"wanted", holding.Wanted},
+      {"version", holding.Version},
+      {"since_unix_ms", holding.SinceUnixMilliseconds},
+      {"reason", holding.Reason},
+  };
+  if (answer.Status) {
+    out["offset"] = numberAt<uint64_t>(*answer.Status, "offset");
+    out["fold_hash"] = textAt(*answer.Status, "fold_hash");
+  }
+  return out;
+}
+
+} // namespace
+
+json::object fleetReport(const log::Fold &fold, std::string_view configuration,
+                         const std::vector<MemberAnswer> &answers) {
+  json::array rows;
+  size_t reachable = 0;
+  size_t selected = 0;
+  size_t current = 0;
+  for (const auto &it : answers) {
+    auto holding = configuration.empty() ? worstHolding(fold, it)
+                                         : holdingOf(fold, it, configuration);
+    reachable += it.Status ? 1 : 0;
+    selected += holding.Wanted > 0 ? 1 : 0;
+    current += holding.How == Standing::Current ? 1 : 0;
+    rows.push_back(document(it, holding));
+  }
+  return {
+      {"configuration", configuration},
+      {"nodes", answers.size()},
+      {"reachable", reachable},
+      {"selected", selected},
+      {"current", current},
+      {"rows", std::move(rows)},
+  };
+}
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -0,0 +1,221 @@
+#include <LibAdmin/NodeSettings.h>
+
+#include <LibSchema/JsonSchema.h>
+#include <LibSchema/StrictJson.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/json/value.hpp>
+#include <set>
+
+namespace radishcross::embedded {
+extern const std::string_view NodeSettingsText;
+} // namespace radishcross::embedded
+
+namespace radishcross::admin {
+
+namespace {
+
+namespace json = boost::json;
+using base::ResultCode;
+
+constexpr size_t MaximumSettingsBytes = 1UL << 20;
+
+constexpr base::EnumName<base::LogLevel> LogLevelNames[] = {
+    {base::LogLevel::Debug, "debug"},
+    {base::LogLevel::Info, "info"},
+    {base::LogLevel::Warning, "warning"},
+    {base::LogLevel::Error, "error"},
+};
+
+constexpr base::EnumName<base::LogFormat> LogFormatNames[] = {
+    {base::LogFormat::Json, "json"},
+    {base::LogFormat::Plain, "plain"},
+};
+
+/// One listener of a node.
+struct Listener {
+  std::string_view Key;
+  base::Address NodeSettings::*Where;
+  bool IsAnnounced; ///< Other nodes learn the address and connect to it.
+  bool IsStream;    ///< TCP; gossip alone is UDP.
+  bool MayChoosePort;
+};
+
+constexpr Listener Listeners[] = {
+    {"calls", &NodeSettings::Calls, false, true, true},
+    {"mesh", &NodeSettings::Mesh, true, true, true},
+    {"gossip", &NodeSettings::Gossip, true, false, false},
+    {"peer", &NodeSettings::Peer, true, true, false},
+    {"targets", &NodeSettings::Targets, false, true, true},
+    {"administration", &NodeSettings::Administration, true, true, true},
+};
+
+std::string text(const json::value &value) {
+  return std::string(value.as_string());
+}
+
+bool isUnspecified(const base::Address &address) {
+  return boost::asio::ip::make_address(address.Host).is_unspecified();
+}
+
+/// Reads one address at \p path; a port of 0 only where \p mayChoosePort.
+std::optional<base::Address> readAddress(const json::value &value,
+                                         const std::string &path,
+                                         bool mayChoosePort,
+                                         base::LastReason &reason) {
+  auto address = base::parseAddress(text(value), reason);
+  if (!address)
+    return reason.fail(ResultCode::BadAddress, path + ": " + reason.text());
+  if (address->Port == 0 && !mayChoosePort)
+    return reason.fail(ResultCode::BadAddress,
+                       path + ": found port 0, expected a port from 1 to "
+                              "65535, since other nodes connect to it");
+  return address;
+}
+
+bool readListeners(const json::object &listen, NodeSettings &settings,
+                   base::LastReason &reason) {
+  for (const auto &it : Listeners) {
+    std::string path = "listen." + std::string(it.Key);
+    auto address =
+        readAddress(listen.at(it.Key), path, it.MayChoosePort, reason);
+    if (!address)
+      return false;
+    if (it.IsAnnounced && isUnspecified(*address)) {
+      reason.fail(ResultCode::BadAddress,
+                  path + ": found \"" + address->text() +
+                      "\", expected the IP number that other nodes connect to");
+      return false;
+    }
+    settings.*it.Where = *address;
+  }
+  return true;
+}
+
+bool clash(const base::Address &a, const base::Address &b) {
+  if (a.Port != b.Port || a.Port == 0)
+    return false;
+  return a.Host == b.Host || isUnspecified(a) || isUnspecified(b);
+}
+
+bool checkPortClash(const NodeSettings &settings, base::LastReason &reason) {
+  for (const auto *a = std::begin(Listeners); a != std::end(Listeners); ++a) {
+    for (const auto *b = std::begin(Listeners); b != a; ++b) {
+      if (a->IsStream != b->IsStream ||
+          !clash(settings.*a->Where, settings.*b->Where))
+        continue;
+      reason.fail(ResultCode::PortClash, "listen." + std::string(a->Key) +
+                                             ": found " +
+                                             (settings.*a->Where).text() +
+                                             ", expected another port "
+                                             "than that of listen." +
+                                             std::string(b->Key));
+      return false;
+    }
+  }
+  return true;
+}
+
+bool readAddresses(const json::array &values, const std::string &path,
+                   std::vector<base::Address> &out, base::LastReason &reason) {
+  for (const auto &value : values) {
+    auto address = readAddress(
+        value, path + "[" + std::to_string(out.size()) + "]", false, reason);
+    if (!address)
+      return false;
+    out.push_back(std::move(*address));
+  }
+  return true;
+}
+
+bool readTokens(const json::array &values, NodeSettings &settings,
+                base::LastReason &reason) {
+  std::set<std::string> hashes;
+  for (const auto &value : values) {
+    const auto &row = value.as_object();
+    Token token{text(row.at("name")), text(row.at("sha256")),
+                text(row.at("team")),
+                *base::fromName(RoleNames, text(row.at("role")))};
+    if (!hashes.insert(token.Sha256).second) {
+      reason.fail(ResultCode::BadValue,
+                  "tokens[" + std::to_string(settings.Tokens.size()) +
+                      "].sha256: found the hash of an earlier token, expected "
+                      "one token per holder");
+      return false;
+    }
+    settings.Tokens.push_back(std::move(token));
+  }
+  return true;
+}
+
+void readLog(const json::object &log, base::LogSettings &out) {
+  if (const auto *level = log.if_contains("level"))
+    out.Level = *base::fromName(LogLevelNames, text(*level));
+  if (const auto *format = log.if_contains("format"))
+    out.Format = *base::fromName(LogFormatNames, text(*format));
+}
+
+void readLabels(const json::object &root, NodeSettings &settings) {
+  if (const auto *labels = root.if_contains("labels"))
+    for (const auto &[key, value] : labels->as_object())
+      settings.Labels.emplace(key, text(value));
+  settings.Labels["data_centre"] = settings.DataCentre;
+  settings.Labels["region"] = settings.Region;
+}
+
+bool checkAgainstSchema(const json::value &document, base::LastReason &reason) {
+  auto schema = schema::JsonSchema::create(embedded::NodeSettingsText, reason);
+  return schema && schema->check(document, reason);
+}
+
+} // namespace
+
+std::string_view nodeSettingsSchemaText() { return embedded::NodeSettingsText; }
+
+std::optional<NodeSettings> decodeNodeSettings(const json::value &document,
+                                               base::LastReason &reason) {
+  if (!checkAgainstSchema(document, reason))
+    return std::nullopt;
+  const auto &root = document.as_object();
+  NodeSettings settings;
+  settings.Node = text(root.at("node"));
+  settings.DataCentre = text(root.at("data_centre"));
+  settings.Region = text(root.at("region"));
+  readLabels(root, settings);
+  if (!readListeners(root.at("listen").as_object(), settings, reason) ||
+      !checkPortClash(settings, reason))
+    return std::nullopt;
+  const auto &platform = root.at("platform").as_object();
+  if (!readAddresses(platform.at("addresses").as_array(), "platform.addresses",
+                     settings.Platform, reason))
+    return std::nullopt;
+  if (const auto *seeds = root.if_contains("seeds"))
+    if (!readAddresses(seeds->as_array(), "seeds", settings.Seeds, reason))
+      return std::nullopt;
+  for (const auto &key : root.at("mesh_keys").as_array())
+    settings.MeshKeys.push_back(text(key));
+  if (const auto *tokens = root.if_contains("tokens"))
+    if (!readTokens(tokens->as_array(), settings, reason))
+      return std::nullopt;
+  if (const auto *log = root.if_contains("log"))
+    readLog(log->as_object(), settings.Log);
+  settings.Log.Node = settings.Node;
+  settings.Log.DataCentre = settings.DataCentre;
+  if (const auto *n = root.if_contains("tailers_per_data_centre"))
+    settings.TailersPerDataCentre = n->to_number<uint32_t>();
+  if (const auto *n = root.if_contains("drain_seconds"))
+    settings.DrainSeconds = n->to_number<uint32_t>();
+  return settings;
+}
+
+std::optional<NodeSettings> loadNodeSettings(const std::string &path,
+                                             base::LastReason &reason) {
+  schema::DocumentLimits limits;
+  limits.MaximumBytes = MaximumSettingsBytes;
+  auto document = schema::readStrictJson(path, limits, reason);
+  if (!document)
+    return std::nullopt;
+  return decodeNodeSettings(*document, reason);
+}
+
+} // namespace radishcross::admin
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -6,6 +6,7 @@
 #include <LibBase/Logger.h>
 #include <LibConfig/Labels.h>
 
+#include <boost/json/value.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,6 +59,13 @@
 /// Returns the JSON Schema of the settings (NodeSettings.schema.json).
 std::string_view nodeSettingsSchemaText();
 
+/// Checks \p document against the schema, then by meaning, and returns the
+/// settings. Fails with a 1xxx code; the reason names the key's path, what was
+/// found and what is expected. Labels get "data_centre" and "region".
+std::optional<NodeSettings>
+decodeNodeSettings(const boost::json::value &document,
+                   base::LastReason &reason);
+
 /// Reads and checks a settings file. Fails with a 1xxx code; the reason names
 /// the key's path, what was found and what is expected.
 std::optional<NodeSettings> loadNodeSettings(const std::string &path,
--- /dev/null
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -0,0 +1,118 @@
+#include <LibAdmin/NodeSettings.h>
+#include <LibSchema/StrictJson.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using base::ResultCode;
+
+namespace {
+
+boost::json::value goodSettings() {
+  return boost::json::parse(R"({
+    "node": "north-1", "data_centre": "north", "region": "south",
+    "labels": {"tier": "edge"},
+    "listen": {"calls": "0.0.0.0:9000", "mesh": "127.0.0.1:9001",
+      "gossip": "127.0.0.1:9001", "peer": "127.0.0.1:9002",
+      "targets": "127.0.0.1:9003", "administration": "127.0.0.1:9900"},
+    "platform": {"addresses": ["127.0.0.1:9800"]},
+    "seeds": ["127.0.0.1:9101"],
+    "mesh_keys": ["0123456789abcdef0123456789abcdef"],
+    "tokens": [{"name": "ops", "sha256":
+      "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+      "team": "permits", "role": "publisher"}],
+    "log": {"level": "warning", "format": "plain"},
+    "tailers_per_data_centre": 3, "drain_seconds": 20})");
+}
+
+/// Settings with one member changed, and what must be said of it.
+struct Case {
+  const char *Pointer;
+  const char *Value; ///< JSON; empty removes the member.
+  ResultCode Code;
+  const char *Named; ///< Part of the reason.
+};
+
+/// Sets the member at \p pointer, or removes it when \p value is empty.
+void change(boost::json::value &document, std::string_view pointer,
+            std::string_view value) {
+  size_t slash = pointer.rfind('/');
+  auto &parent = document.at_pointer(pointer.substr(0, slash));
+  auto key = pointer.substr(slash + 1);
+  if (value.empty())
+    parent.as_object().erase(key);
+  else if (parent.is_array())
+    parent.as_array().at(key[0] - '0') = boost::json::parse(value);
+  else
+    parent.as_object()[key] = boost::json::parse(value);
+}
+
+} // namespace
+
+TEST_CASE("settings are read whole") {
+  base::LastReason reason;
+  auto settings = admin::decodeNodeSettings(goodSettings(), reason);
+  INFO(reason.line());
+  REQUIRE(settings);
+  CHECK(settings->Node == "north-1");
+  CHECK(settings->Labels == config::Labels{{"data_centre", "north"},
+                                           {"region", "south"},
+                                           {"tier", "edge"}});
+  CHECK(settings->Calls.text() == "0.0.0.0:9000");
+  CHECK(settings->Peer.Port == 9002);
+  CHECK(settings->Platform.at(0).Port == 9800);
+  CHECK(settings->Seeds.at(0).Port == 9101);
+  CHECK(settings->Tokens.at(0).Holds == admin::Role::Publisher);
+  CHECK(settings->Log.Level == base::LogLevel::Warning);
+  CHECK(settings->Log.Format == base::LogFormat::Plain);
+  CHECK(settings->Log.DataCentre == "north");
+  CHECK(settings->TailersPerDataCentre == 3);
+  CHECK(settings->DrainSeconds == 20);
+}
+
+TEST_CASE("each fault in settings is named with its key and its code") {
+  const Case cases[] = {
+      {"/colour", "1", ResultCode::UnknownKey, "colour"},
+      {"/listen/admin", "\"127.0.0.1:1\"", ResultCode::UnknownKey, "listen"},
+      {"/drain_seconds", "\"30\"", ResultCode::WrongType, "drain_seconds"},
+      {"/drain_seconds", "0", ResultCode::NumberOutOfRange, "drain_seconds"},
+      {"/platform", "", ResultCode::MissingKey, "platform"},
+      {"/log/level", "\"loud\"", ResultCode::BadValue, "log.level"},
+      {"/mesh_keys/0", "\"short\"", ResultCode::BadValue, "mesh_keys"},
+      {"/tokens/0/sha256", "\"xyz\"", ResultCode::BadValue, "sha256"},
+      {"/listen/calls", "\"localhost:80\"", ResultCode::BadAddress,
+       "listen.calls"},
+      {"/listen/peer", "\"127.0.0.1:0\"", ResultCode::BadAddress,
+       "listen.peer"},
+      {"/listen/mesh", "\"0.0.0.0:9001\"", ResultCode::BadAddress,
+       "listen.mesh"},
+      {"/platform/addresses/0", "\"9800\"", ResultCode::BadAddress,
+       "platform.addresses[0]"},
+      {"/listen/targets", "\"127.0.0.1:9002\"", ResultCode::PortClash,
+       "listen.targets"},
+      {"/listen/administration", "\"127.0.0.1:9000\"", ResultCode::PortClash,
+       "listen.administration"},
+  };
+  for (const auto &it : cases) {
+    auto document = goodSettings();
+    change(document, it.Pointer, it.Value);
+    base::LastReason reason;
+    CAPTURE(it.Pointer);
+    CHECK_FALSE(admin::decodeNodeSettings(document, reason));
+    CAPTURE(reason.line());
+    CHECK(reason.code() == it.Code);
+    CHECK(reason.text().find(it.Named) != std::string::npos);
+    CHECK(reason.text().find('\n') == std::string::npos);
+  }
+}
+
+TEST_CASE("two tokens cannot share a hash") {
+  auto document = goodSettings();
+  auto &tokens = document.at("tokens").as_array();
+  tokens.push_back(boost::json::value(tokens[0]));
+  base::LastReason reason;
+  CHECK_FALSE(admin::decodeNodeSettings(document, reason));
+  CHECK(reason.code() == ResultCode::BadValue);
+}
