LibFleet: Put a record into force once others hold it too

A tailer that serves a record which nobody else has yet, and then restarts while the platform is down, comes back with less than it served. ForceRule holds a record back until two other live nodes of the data centre hold it, one has it in force, or two seconds have passed; 0 holders switches it off.

Transfers of whole states are bounded by TransferGate; who is refused is told when to come back.

--- /dev/null
+++ b/Libraries/LibFleet/ForceRule.cpp
@@ -0,0 +1,46 @@
+#include <LibFleet/ForceRule.h>
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace radishcross::fleet {
+
+void ForceRule::received(log::Offset held, base::TimePoint now) {
+  if (!Arrivals.empty() && Arrivals.back().Upto >= held)
+    return;
+  if (held > Allowed)
+    Arrivals.push_back({held, now});
+}
+
+log::Offset ForceRule::allowed(const MemberTable &table, base::TimePoint now) {
+  if (Arrivals.empty())
+    return Allowed;
+  log::Offset inForceElsewhere = 0;
+  std::vector<log::Offset> heldBy;
+  for (const auto &it : table.all()) {
+    const auto &identity = it.Identity;
+    if (!isLive(it) || identity.DataCentre != DataCentre || identity.Id == Self)
+      continue;
+    inForceElsewhere = std::max(inForceElsewhere, it.ConfigOffset);
+    heldBy.push_back(it.HeldOffset);
+  }
+  size_t needed = std::min<size_t>(Settings.Holders, heldBy.size());
+  log::Offset safe = Arrivals.back().Upto;
+  if (needed > 0) {
+    std::nth_element(heldBy.begin(), heldBy.begin() + (needed - 1),
+                     heldBy.end(), std::greater<>());
+    safe = std::max(heldBy[needed - 1], inForceElsewhere);
+  }
+  Allowed = std::max(Allowed, std::min(safe, Arrivals.back().Upto));
+  while (!Arrivals.empty() && Arrivals.front().Upto <= Allowed)
+    Arrivals.pop_front();
+  while (!Arrivals.empty() && now >= Arrivals.front().At + Settings.Patience) {
+    Allowed = Arrivals.front().Upto;
+    Arrivals.pop_front();
+    ++ForcedAlone;
+  }
+  return Allowed;
+}
+
+} // namespace radishcross::fleet
--- a/Libraries/LibFleet/Gossip.h
+++ b/Libraries/LibFleet/Gossip.h
@@ -28,8 +28,9 @@
 
 /// What a node holds, in a few bytes; every datagram carries it.
 struct Digest {
-  log::Offset Held = 0;     ///< The last offset that the node has folded.
-  uint64_t FoldHash = 0;    ///< The fold's hash at Held.
+  log::Offset Held = 0;     ///< The last offset that the node has received.
+  log::Offset InForce = 0;  ///< The last offset in force; at most Held.
+  uint64_t FoldHash = 0;    ///< The fold's hash at InForce.
   uint64_t MembersHash = 0; ///< MemberTable::hash().
   bool IsRecovered = false; ///< The node serves.
 };
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -65,6 +65,7 @@
   uint64_t Revision = 0;    ///< Raised by the node when its targets change.
   MemberState State = MemberState::Alive;
   log::Offset ConfigOffset = 0; ///< Offset in force at the node.
+  log::Offset HeldOffset = 0;   ///< Offset received, maybe not yet in force.
   uint64_t FoldHash = 0;        ///< Fold's hash at ConfigOffset.
   bool IsRecovered = false;     ///< The node has recovered and serves.
   std::vector<TargetRecord> Targets;
--- a/Libraries/LibFleet/MemberTable.cpp
+++ b/Libraries/LibFleet/MemberTable.cpp
@@ -54,6 +54,7 @@
   // A new incarnation may be a new process, which holds less.
   if (isNewer) {
     held.ConfigOffset = record.ConfigOffset;
+    held.HeldOffset = record.HeldOffset;
     held.IsRecovered = record.IsRecovered;
   }
   held.Incarnation = record.Incarnation;
@@ -83,7 +84,8 @@
   if (place == Places.end())
     return;
   auto &held = Members[place->second];
-  held.ConfigOffset = digest.Held;
+  held.ConfigOffset = digest.InForce;
+  held.HeldOffset = digest.Held;
   held.FoldHash = digest.FoldHash;
   held.IsRecovered = digest.IsRecovered;
 }
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace radishcross::fleet {
@@ -76,10 +77,14 @@
   probe(now, actions);
   joinIfDue(now, actions);
   linkIfDue(now, actions);
-  if (!HasNews && !Board.hasFresh())
+  bool isSecondPush = SecondPush && now >= *SecondPush;
+  if (!HasNews && !Board.hasFresh() && !isSecondPush)
     return actions;
-  for (auto &it : pushNews(now))
-    actions.Sends.push_back(std::move(it));
+  HasNews = false;
+  if (isSecondPush)
+    SecondPush.reset();
+  auto sends = push([](const Member &) { return true; }, now);
+  std::move(sends.begin(), sends.end(), std::back_inserter(actions.Sends));
   return actions;
 }
 
@@ -173,13 +178,27 @@
       {Table.find(dead->first)->Identity.Gossip, std::move(message)});
 }
 
-std::vector<GossipSend> Membership::pushNews(base::TimePoint now) {
-  HasNews = false;
-  auto peers = choose(Settings.NewsFanout,
-                      [&](const Member &it) { return isLocal(it); });
+std::vector<GossipSend> Membership::pushNews(base::TimePoint now,
+                                             const NodeId &source) {
+  auto delay = Settings.SecondPushDelay.count();
+  SecondPush = now + base::Duration(delay / 2 + Dice.below(delay));
+  auto sends =
+      push([&](const Member &it) { return it.HeldOffset < Own.Held; }, now);
+  if (const auto *it = Table.find(source))
+    sends.push_back({it->Identity.Gossip, compose(GossipKind::News)});
+  return sends;
+}
+
+std::vector<GossipSend>
+Membership::push(const std::function<bool(const Member &)> &accept,
+                 base::TimePoint now) {
+  auto peers = choose(Settings.NewsFanout, [&](const Member &it) {
+    return isLocal(it) && accept(it);
+  });
   if (drawLink())
-    for (const auto *it :
-         choose(1, [&](const Member &it) { return !isLocal(it); }))
+    for (const auto *it : choose(1, [&](const Member &far) {
+           return !isLocal(far) && accept(far);
+         }))
       peers.push_back(it);
   std::vector<GossipSend> sends;
   for (const auto *it : peers) {
@@ -195,7 +214,7 @@
 std::vector<GossipSend> Membership::leave(base::TimePoint now) {
   setState(self(), MemberState::Left, now);
   IsLeaving = true;
-  return pushNews(now);
+  return push([](const Member &) { return true; }, now);
 }
 
 MembershipActions Membership::take(const GossipSender &sender,
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -21,7 +21,8 @@
   /// A suspect is dead after this time, times the decimal logarithm of the
   /// number of members of its data centre.
   base::Duration SuspicionTimeout = std::chrono::seconds(3);
-  uint32_t NewsFanout = 3;       ///< Peers told at once of fresh news.
+  uint32_t NewsFanout = 3; ///< Peers told at once of fresh news.
+  base::Duration SecondPushDelay = std::chrono::milliseconds(150);
   uint32_t RetransmitFactor = 3; ///< Times the logarithm of the fleet's size.
   /// Members of one data centre that talk to another one in each period.
   uint32_t LinksBetweenDataCentres = 4;
@@ -67,8 +68,16 @@
   void addSeeds(const std::vector<base::Address> &seeds);
   void post(const Notice &notice, base::TimePoint now);
 
-  /// Tells peers at once that this node's digest has grown.
-  std::vector<GossipSend> pushNews(base::TimePoint now);
+  /// Tells peers that lack them at once that this node holds new records, and
+  /// \p source, from which they came, that they are held here. A second push to
+  /// any peers follows, since one alone misses some.
+  std::vector<GossipSend> pushNews(base::TimePoint now,
+                                   const NodeId &source = {});
+
+  /// Takes a digest that came with a pull's answer.
+  void noteDigest(const NodeId &id, const Digest &digest) {
+    Table.noteDigest(id, digest);
+  }
 
   /// Declares this node gone and tells a few peers.
   std::vector<GossipSend> leave(base::TimePoint now);
@@ -110,6 +119,8 @@
   MemberUpdate ownUpdate() const { return updateOf(SelfId, true); }
   size_t liveCount(std::string_view dataCentre) const;
   bool drawLink();
+  std::vector<GossipSend>
+  push(const std::function<bool(const Member &)> &accept, base::TimePoint now);
   bool isLocal(const Member &member) const {
     return member.Identity.DataCentre == DataCentre;
   }
@@ -146,6 +157,7 @@
   base::TimePoint NextLink{};
   base::TimePoint NextPull{};
   base::TimePoint NextLoadNews{};
+  std::optional<base::TimePoint> SecondPush;
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/Recovery.cpp
+++ b/Libraries/LibFleet/Recovery.cpp
@@ -17,10 +17,11 @@
   return shared ? &*shared : nullptr;
 }
 
-/// Returns the highest offset that serving members hold, or nothing when no
+/// Returns the highest offset in force at serving members, or nothing when no
 /// serving member is known.
-std::optional<log::Offset> heldBy(const MemberTable &table, const NodeId &self,
-                                  const std::string *dataCentre) {
+std::optional<log::Offset> servedBy(const MemberTable &table,
+                                    const NodeId &self,
+                                    const std::string *dataCentre) {
   std::optional<log::Offset> highest;
   for (const auto &it : table.all()) {
     if (!isLive(it) || !it.IsRecovered || it.Identity.Id == self)
@@ -62,24 +63,25 @@
   LogEnd = end;
 }
 
-bool Recovery::isCaughtUp(const MemberTable &table, log::Offset held) const {
-  auto local = heldBy(table, Self, &DataCentre);
+bool Recovery::isCaughtUp(const MemberTable &table, log::Offset inForce) const {
+  auto local = servedBy(table, Self, &DataCentre);
   if (local)
-    return held >= *local;
-  auto any = heldBy(table, Self, nullptr);
-  if (any && held < *any)
+    return inForce >= *local;
+  auto any = servedBy(table, Self, nullptr);
+  if (any && inForce < *any)
     return false;
-  bool hasWholeLog = LogReached && held + 1 >= LogEnd;
+  bool hasWholeLog = LogReached && inForce + 1 >= LogEnd;
   // Another data centre's state is enough while the platform is down.
   bool hasPeersWord = any && LogTried && !LogReached;
   return hasWholeLog || hasPeersWord;
 }
 
-std::string_view Recovery::eventFor(const MemberTable &table, log::Offset held,
+std::string_view Recovery::eventFor(const MemberTable &table,
+                                    log::Offset inForce,
                                     base::TimePoint now) const {
   if (Settings.HasSeeds && now < Started + Settings.JoinGrace)
     return {};
-  bool hasLocalPeer = heldBy(table, Self, &DataCentre).has_value();
+  bool hasLocalPeer = servedBy(table, Self, &DataCentre).has_value();
   const auto &state = stateName();
   if (state == "from-peers" && !hasLocalPeer)
     return "no-peer";
@@ -87,21 +89,21 @@
     return "peer-found";
   if (state == "joining")
     return "no-peer";
-  if (state == "waiting" && LogReached && !needsState(held))
+  if (state == "waiting" && LogReached && !needsState(inForce))
     return "log-found";
-  if (isCaughtUp(table, held))
+  if (isCaughtUp(table, inForce))
     return state == "waiting" ? "log-found" : "caught-up";
-  bool hasAnyPeer = heldBy(table, Self, nullptr).has_value();
-  bool isLogOfUse = !LogTried || (LogReached && !needsState(held));
+  bool hasAnyPeer = servedBy(table, Self, nullptr).has_value();
+  bool isLogOfUse = !LogTried || (LogReached && !needsState(inForce));
   return !hasAnyPeer && !isLogOfUse ? "no-source" : "";
 }
 
-void Recovery::look(const MemberTable &table, log::Offset held,
+void Recovery::look(const MemberTable &table, log::Offset inForce,
                     base::TimePoint now) {
   // Each event leads to another state, so a few steps reach the last one.
   constexpr int MaximumSteps = 4;
   for (int n = 0; n < MaximumSteps && !Serving; ++n) {
-    auto event = eventFor(table, held, now);
+    auto event = eventFor(table, inForce, now);
     if (event.empty() || !Chart.take(*this, event))
       return;
   }
--- a/Libraries/LibFleet/Recovery.h
+++ b/Libraries/LibFleet/Recovery.h
@@ -34,8 +34,8 @@
   /// oldest offset and one past its newest.
   void logRead(bool reached, log::Offset first, log::Offset end);
 
-  /// Looks at what is known now.
-  void look(const MemberTable &table, log::Offset held, base::TimePoint now);
+  /// Looks at what is known now; \p inForce is what this node could serve.
+  void look(const MemberTable &table, log::Offset inForce, base::TimePoint now);
 
   bool isServing() const { return Serving; }
 
@@ -52,9 +52,9 @@
 private:
   Recovery(const chart::Chart &chart, NodeId self, std::string dataCentre,
            RecoverySettings settings, base::TimePoint now);
-  std::string_view eventFor(const MemberTable &table, log::Offset held,
+  std::string_view eventFor(const MemberTable &table, log::Offset inForce,
                             base::TimePoint now) const;
-  bool isCaughtUp(const MemberTable &table, log::Offset held) const;
+  bool isCaughtUp(const MemberTable &table, log::Offset inForce) const;
   void serve() { Serving = true; }
   void readLog() { ReadsLog = true; }
   void leaveLog() { ReadsLog = false; }
--- a/Libraries/LibFleet/Spreader.cpp
+++ b/Libraries/LibFleet/Spreader.cpp
@@ -94,7 +94,7 @@
   uint64_t localSeen = 0;
   uint64_t farSeen = 0;
   for (const auto &it : table.all()) {
-    if (!isLive(it) || it.ConfigOffset <= held || it.Identity.Id == Self)
+    if (!isLive(it) || it.HeldOffset <= held || it.Identity.Id == Self)
       continue;
     auto busy = BusyUntil.find(it.Identity.Id);
     if (busy != BusyUntil.end() && busy->second > now)
@@ -119,7 +119,7 @@
   if (!source)
     return std::nullopt;
   PullRunning = true;
-  bool isFar = source->ConfigOffset - situation.Held > Settings.StateDistance;
+  bool isFar = source->HeldOffset - situation.Held > Settings.StateDistance;
   bool wantsState = std::exchange(StateWanted, false);
   auto what = isFar || wantsState || situation.NeedsState
                   ? SpreadAction::Kind::PullState
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -54,6 +54,8 @@
       Dice(Environment.RandomSeed), Epoch(epoch),
       Bytes{&Environment.Counters->counter("control_bytes_sent_total"),
             &Environment.Counters->counter("control_bytes_received_total")},
+      Rule(Environment.Self.Id, Environment.Self.DataCentre,
+           {.Holders = Environment.HoldersBeforeForce}),
       Members(firstRecord(Environment.Self, epoch), Environment.Seeds,
               fleet::MembershipSettings{}, Dice.next()),
       Spreading(Environment.Self.Id, Environment.Self.DataCentre,
@@ -113,12 +115,13 @@
 void FleetNode::tick() {
   Members.setDigest(digest());
   run(Members.tick(Environment.Time->now()));
+  putInForce();
   spread();
   reportChanges();
 }
 
 fleet::Digest FleetNode::digest() const {
-  return {Held.offset(), HeldHash, 0, Recovering.isServing()};
+  return {heldOffset(), Held.offset(), HeldHash, 0, Recovering.isServing()};
 }
 
 void FleetNode::reportChanges() {
@@ -156,12 +159,13 @@
   run(Members.take({datagram->Sender, from}, datagram->Message,
                    Environment.Time->now()));
   compareFold(datagram->Sender, datagram->Message.Summary);
+  putInForce();
   spread();
 }
 
 void FleetNode::compareFold(const fleet::NodeId &sender,
                             const fleet::Digest &digest) {
-  if (digest.Held != Held.offset() || digest.FoldHash == HeldHash)
+  if (digest.InForce != Held.offset() || digest.FoldHash == HeldHash)
     return;
   ++Environment.Counters->counter("fold_hash_differences_total");
   auto now = Environment.Time->now();
@@ -169,7 +173,7 @@
     return;
   NextAlarm = now + std::chrono::seconds(10);
   base::log(base::LogLevel::Error, "folds differ at one offset",
-            {{"peer", sender}, {"offset", std::to_string(digest.Held)}});
+            {{"peer", sender}, {"offset", std::to_string(digest.InForce)}});
 }
 
 void FleetNode::send(std::vector<fleet::GossipSend> sends) {
@@ -214,10 +218,10 @@
     return;
   recover();
   fleet::Spreader::Situation situation;
-  situation.Held = Held.offset();
+  situation.Held = heldOffset();
   situation.MayTail = Recovering.isServing() || Recovering.readsLog();
   situation.ReadsToEnd = Recovering.readsLog();
-  situation.NeedsState = Recovering.needsState(Held.offset());
+  situation.NeedsState = Recovering.needsState(heldOffset());
   for (const auto &it :
        Spreading.next(Members.table(), situation, Environment.Time->now()))
     run(it);
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <LibBase/Random.h>
+#include <LibFleet/ForceRule.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/RecordStore.h>
 #include <LibFleet/Recovery.h>
 #include <LibFleet/Spreader.h>
-#include <LibFleet/TransferGate.h>
 #include <LibPeer/DatagramSocket.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MeshProof.h>
@@ -14,6 +14,7 @@
 #include <LibPeer/ReplayGuard.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 
 namespace radishcross::peer {
 
@@ -55,9 +56,13 @@
   void readLog(const fleet::SpreadAction &action);
   void logAnswered(const log::ReadAnswer &answer);
   void watchLogEnd(const log::ReadAnswer &answer);
-  bool applyRecords(const std::vector<log::StoredRecord> &records);
-  bool applyState(const PullAnswer &answer);
-  void heldAdvanced(log::Offset before);
+  bool takeRecords(std::vector<log::StoredRecord> records,
+                   const fleet::NodeId &source);
+  bool applyState(const PullAnswer &answer, const fleet::NodeId &source);
+  void heldAdvanced(const fleet::NodeId &source);
+  void putInForce();
+  /// Returns the offset of the last record received, in force or not.
+  log::Offset heldOffset() const { return Held.offset() + Waiting.size(); }
   void compareFold(const fleet::NodeId &sender, const fleet::Digest &digest);
 
   void pull(const fleet::SpreadAction &action);
@@ -80,11 +85,12 @@
   uint64_t HeldHash = 0;
   std::string SavedState;
   log::Offset SavedAt = 0;
+  std::deque<log::StoredRecord> Waiting; ///< Received, not yet in force.
   fleet::RecordStore Records;
+  fleet::ForceRule Rule;
   fleet::Membership Members;
   fleet::Spreader Spreading;
   fleet::Recovery Recovering;
-  fleet::TransferGate Transfers;
   std::shared_ptr<DatagramSocket> Datagrams;
   std::shared_ptr<PullServer> Server;
   std::shared_ptr<PullClient> Client;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -43,7 +43,7 @@
   if (answer.Reached)
     watchLogEnd(answer);
   Recovering.logRead(answer.Reached, answer.First, answer.End);
-  bool advanced = answer.Reached && applyRecords(answer.Records);
+  bool advanced = answer.Reached && takeRecords(answer.Records, {});
   Spreading.readDone(answer.Reached, advanced, Environment.Time->now());
   spread();
 }
@@ -51,7 +51,7 @@
 void FleetNode::watchLogEnd(const log::ReadAnswer &answer) {
   // FIXME: Records that a shortened log takes up to the offset held here are
   // ignored; the log's service has to continue above it.
-  bool isShort = answer.End <= Held.offset();
+  bool isShort = answer.End <= heldOffset();
   if (isShort == IsLogShort)
     return;
   IsLogShort = isShort;
@@ -59,25 +59,29 @@
   base::log(base::LogLevel::Error,
             isShort ? "log is shorter than what this node holds"
                     : "log has grown past what this node holds",
-            {{"held", std::to_string(Held.offset())},
+            {{"held", std::to_string(heldOffset())},
              {"end", std::to_string(answer.End)}});
 }
 
-bool FleetNode::applyRecords(const std::vector<log::StoredRecord> &records) {
-  auto before = Held.offset();
-  for (const auto &it : records) {
-    if (it.At <= Held.offset())
+bool FleetNode::takeRecords(std::vector<log::StoredRecord> records,
+                            const fleet::NodeId &source) {
+  auto before = heldOffset();
+  for (auto &it : records) {
+    if (it.At <= heldOffset())
       continue;
-    if (it.At != Held.offset() + 1)
+    if (it.At != heldOffset() + 1)
       break;
-    Held.apply(it);
     Records.add(it);
+    Waiting.push_back(std::move(it));
   }
-  heldAdvanced(before);
-  return Held.offset() > before;
+  if (heldOffset() == before)
+    return false;
+  heldAdvanced(source);
+  return true;
 }
 
-bool FleetNode::applyState(const PullAnswer &answer) {
+bool FleetNode::applyState(const PullAnswer &answer,
+                           const fleet::NodeId &source) {
   boost::system::error_code ec;
   base::LastReason reason;
   auto document = boost::json::parse(answer.State, ec);
@@ -85,22 +89,42 @@
     return false;
   auto loaded = log::Fold::load(document, reason);
   // Never a step back: records may have come by another way meanwhile.
-  if (!loaded || loaded->offset() <= Held.offset())
+  if (!loaded || loaded->offset() <= heldOffset())
     return false;
-  auto before = Held.offset();
+  Waiting.clear();
   Held = std::move(*loaded);
-  heldAdvanced(before);
+  HeldHash = Held.hash();
+  heldAdvanced(source);
+  if (Recovering.isServing() && Environment.FoldAdvanced)
+    Environment.FoldAdvanced(Held);
   return true;
 }
 
-void FleetNode::heldAdvanced(log::Offset before) {
+void FleetNode::heldAdvanced(const fleet::NodeId &source) {
+  Rule.received(heldOffset(), Environment.Time->now());
+  Members.setDigest(digest());
+  putInForce();
+  send(Members.pushNews(Environment.Time->now(), source));
+}
+
+void FleetNode::putInForce() {
+  if (Waiting.empty())
+    return;
+  auto before = Held.offset();
+  auto alone = Rule.forcedAlone();
+  auto allowed = Rule.allowed(Members.table(), Environment.Time->now());
+  while (!Waiting.empty() && Waiting.front().At <= allowed) {
+    Held.apply(Waiting.front());
+    Waiting.pop_front();
+  }
   if (Held.offset() < before)
     ++Environment.Counters->counter("steps_back_total");
-  if (Held.offset() <= before)
+  Environment.Counters->counter("in_force_without_holders_total") +=
+      Rule.forcedAlone() - alone;
+  if (Held.offset() == before)
     return;
   HeldHash = Held.hash();
   Members.setDigest(digest());
-  send(Members.pushNews(Environment.Time->now()));
   if (Recovering.isServing() && Environment.FoldAdvanced)
     Environment.FoldAdvanced(Held);
 }
@@ -132,6 +156,7 @@
   auto now = Environment.Time->now();
   if (!answer)
     return Spreading.pullDone(peer, fleet::PullOutcome::Failed, {}, now);
+  Members.noteDigest(peer, answer->Summary);
   if (answer->Code == base::ResultCode::PeerBusy)
     return Spreading.pullDone(
         peer, fleet::PullOutcome::Busy,
@@ -139,8 +164,8 @@
   if (answer->Code == base::ResultCode::RecordExpired)
     return Spreading.pullDone(peer, fleet::PullOutcome::Expired, {}, now);
   bool advanced = answer->Kind == PullKind::State
-                      ? applyState(*answer)
-                      : applyRecords(answer->Records);
+                      ? applyState(*answer, peer)
+                      : takeRecords(answer->Records, peer);
   Spreading.pullDone(peer,
                      advanced ? fleet::PullOutcome::Advanced
                               : fleet::PullOutcome::Nothing,
@@ -181,7 +206,7 @@
 }
 
 void FleetNode::serveRecords(const PullRequest &request, PullAnswer &answer) {
-  if (request.From > Held.offset())
+  if (request.From > heldOffset())
     return;
   if (!Records.covers(request.From)) {
     answer.Code = base::ResultCode::RecordExpired;
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -33,6 +33,9 @@
   uint64_t RandomSeed = 0;
   /// The number of nodes of each data centre that tail the log.
   uint32_t TailersPerDataCentre = 2;
+  /// Other nodes of the data centre that must hold a record before it is in
+  /// force here; 0 switches the rule off.
+  uint32_t HoldersBeforeForce = 2;
   /// Called on the node's thread, never from inside a call to the shell.
   std::function<void(const log::Fold &)> FoldAdvanced;
   std::function<void()> MembersChanged;
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -43,6 +43,7 @@
   content @4 :Content;
   held @5 :UInt64;
   isRecovered @6 :Bool;
+  inForce @7 :UInt64;
 }
 
 struct Notice {
@@ -57,6 +58,7 @@
   foldHash @1 :UInt64;
   membersHash @2 :UInt64;
   isRecovered @3 :Bool;
+  inForce @4 :UInt64;
 }
 
 struct Datagram {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -103,7 +103,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e420f8afdde2b9ba, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e420f8afdde2b9ba, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -133,7 +133,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0f9d86e8880fddc, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f0f9d86e8880fddc, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -694,6 +694,8 @@
 
   inline bool getIsRecovered() const;
 
+  inline  ::uint64_t getInForce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -751,6 +753,9 @@
   inline bool getIsRecovered();
   inline void setIsRecovered(bool value);
 
+  inline  ::uint64_t getInForce();
+  inline void setInForce( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -904,6 +909,8 @@
 
   inline bool getIsRecovered() const;
 
+  inline  ::uint64_t getInForce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -944,6 +951,9 @@
   inline bool getIsRecovered();
   inline void setIsRecovered(bool value);
 
+  inline  ::uint64_t getInForce();
+  inline void setInForce( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2172,6 +2182,20 @@
       ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Member::Reader::getInForce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getInForce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setInForce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Notice::Reader::hasTopic() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2324,6 +2348,20 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getInForce() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getInForce() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setInForce( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -20,6 +20,8 @@
     "pulls_dropped_total{reason=\"malformed\"}";
 constexpr std::string_view DroppedUnauthenticated =
     "pulls_dropped_total{reason=\"unauthenticated\"}";
+constexpr std::string_view RefusedBusy =
+    "pulls_dropped_total{reason=\"busy\"}";
 constexpr std::string_view DroppedCrowded =
     "pulls_dropped_total{reason=\"crowded\"}";
 } // namespace
@@ -95,21 +97,35 @@
   co_return request;
 }
 
+asio::awaitable<void> PullServer::answer(tcp::socket &socket,
+                                         PullRequest request) {
+  PullAnswer answer;
+  bool isState = request.Kind == PullKind::State;
+  bool hasPlace = Transfers.begin(isState);
+  if (hasPlace) {
+    answer = Serve(request);
+  } else {
+    ++Counters.counter(RefusedBusy);
+    answer.Code = base::ResultCode::PeerBusy;
+    answer.RetryAfterMilliseconds =
+        static_cast<uint32_t>(Transfers.retryAfter().count());
+  }
+  answer.Nonce = request.Nonce;
+  answer.Kind = request.Kind;
+  auto frame = Proof.seal(encodePullAnswer(answer));
+  *Bytes.Sent += frame.size() + FrameHeaderBytes;
+  co_await writeFrame(socket, std::move(frame));
+  if (hasPlace)
+    Transfers.end(isState);
+}
+
 asio::awaitable<void> PullServer::serve(tcp::socket socket) {
   auto self = shared_from_this();
   ++Connections;
-  {
-    FrameDeadline deadline(socket, ConnectionLifetime);
-    auto request = co_await readRequest(socket);
-    if (request) {
-      auto answer = Serve(*request);
-      answer.Nonce = request->Nonce;
-      answer.Kind = request->Kind;
-      auto frame = Proof.seal(encodePullAnswer(answer));
-      *Bytes.Sent += frame.size() + FrameHeaderBytes;
-      co_await writeFrame(socket, std::move(frame));
-    }
-  }
+  FrameDeadline deadline(socket, ConnectionLifetime);
+  auto request = co_await readRequest(socket);
+  if (request)
+    co_await answer(socket, std::move(*request));
   --Connections;
 }
 
--- a/Libraries/LibPeer/PullServer.h
+++ b/Libraries/LibPeer/PullServer.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/LastReason.h>
 #include <LibBase/Metrics.h>
+#include <LibFleet/TransferGate.h>
 #include <LibPeer/MeshProof.h>
 #include <LibPeer/PullCodec.h>
 
@@ -40,6 +41,8 @@
              ControlBytes bytes, base::Metrics &counters, Handler handler);
   boost::asio::awaitable<void> acceptAll();
   boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+  boost::asio::awaitable<void> answer(boost::asio::ip::tcp::socket &socket,
+                                      PullRequest request);
   boost::asio::awaitable<std::optional<PullRequest>>
   readRequest(boost::asio::ip::tcp::socket &socket);
 
@@ -48,6 +51,7 @@
   ControlBytes Bytes;
   base::Metrics &Counters;
   Handler Serve;
+  fleet::TransferGate Transfers;
   size_t Connections = 0;
 };
 
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -129,7 +129,8 @@
   builder.setIncarnation(member.Incarnation);
   builder.setRevision(member.Revision);
   builder.setState(static_cast<uint8_t>(member.State));
-  builder.setHeld(member.ConfigOffset);
+  builder.setHeld(member.HeldOffset);
+  builder.setInForce(member.ConfigOffset);
   builder.setIsRecovered(member.IsRecovered);
   if (hasContent)
     writeContent(builder.initContent(), member);
@@ -144,7 +145,8 @@
   member.State = static_cast<fleet::MemberState>(reader.getState());
   member.Incarnation = reader.getIncarnation();
   member.Revision = reader.getRevision();
-  member.ConfigOffset = reader.getHeld();
+  member.HeldOffset = reader.getHeld();
+  member.ConfigOffset = reader.getInForce();
   member.IsRecovered = reader.getIsRecovered();
   update.HasContent = reader.hasContent();
   return !update.HasContent || readContent(reader.getContent(), member);
@@ -152,14 +154,15 @@
 
 void writeDigest(wire::Digest::Builder builder, const fleet::Digest &digest) {
   builder.setHeld(digest.Held);
+  builder.setInForce(digest.InForce);
   builder.setFoldHash(digest.FoldHash);
   builder.setMembersHash(digest.MembersHash);
   builder.setIsRecovered(digest.IsRecovered);
 }
 
 fleet::Digest readDigest(wire::Digest::Reader reader) {
-  return {reader.getHeld(), reader.getFoldHash(), reader.getMembersHash(),
-          reader.getIsRecovered()};
+  return {reader.getHeld(), reader.getInForce(), reader.getFoldHash(),
+          reader.getMembersHash(), reader.getIsRecovered()};
 }
 
 } // namespace radishcross::peer
--- a/Tests/LibFleet/FakeMesh.h
+++ b/Tests/LibFleet/FakeMesh.h
@@ -33,6 +33,9 @@
 class FakeMesh {
 public:
   explicit FakeMesh(uint64_t seed) : Seed(seed), Dice(seed) {}
+  virtual ~FakeMesh() = default;
+  FakeMesh(const FakeMesh &) = delete;
+  FakeMesh &operator=(const FakeMesh &) = delete;
 
   void add(size_t n, const std::string &dataCentre,
            uint64_t incarnation = 1000) {
@@ -48,10 +51,20 @@
       for (auto &[n, node] : Nodes)
         if (!Down.contains(n))
           post(n, node.tick(Now));
+      step();
       deliver();
     }
   }
 
+  /// Runs until \p holds or \p limit has passed; returns the time taken.
+  template <typename Condition>
+  base::Duration runUntil(Condition holds, base::Duration limit) {
+    auto begin = Now;
+    while (!holds() && Now < begin + limit)
+      run(Step);
+    return Now - begin;
+  }
+
   void post(size_t from, MembershipActions actions) {
     for (auto &it : actions.Sends)
       InFlight.push_back({from, std::move(it)});
@@ -63,6 +76,14 @@
             node.table().differing(Nodes.at(from).table().buckets()), Now);
   }
 
+  /// Cuts the two halves of the nodes that \p isInside tells apart.
+  template <typename Condition> void partition(Condition isInside) {
+    for (const auto &[a, first] : Nodes)
+      for (const auto &[b, second] : Nodes)
+        if (isInside(a) != isInside(b))
+          Cut.insert({a, b});
+  }
+
   /// Returns how many of the nodes that are up see \p id in \p state.
   size_t seenAs(const NodeId &id, MemberState state) const {
     size_t count = 0;
@@ -80,31 +101,35 @@
   base::TimePoint Now{std::chrono::seconds(100)};
   uint64_t Datagrams = 0;
 
-private:
-  static constexpr std::chrono::milliseconds Step{50};
-  struct Travelling {
-    size_t From;
-    GossipSend Sent;
-  };
+protected:
+  static constexpr std::chrono::milliseconds Step{10};
+
+  /// Done in each step, after the nodes' ticks.
+  virtual void step() {}
 
   bool passes(size_t from, size_t to) const {
     return !Down.contains(to) && !Down.contains(from) &&
            !Cut.contains({from, to});
   }
 
+private:
+  struct Travelling {
+    size_t From;
+    GossipSend Sent;
+  };
+
+  /// Carries each datagram one hop in a step.
   void deliver() {
-    for (int hops = 0; hops < 10 && !InFlight.empty(); ++hops) {
-      auto batch = std::exchange(InFlight, {});
-      for (auto &it : batch) {
-        ++Datagrams;
-        size_t to = it.Sent.To.Port - 20000;
-        if (!Nodes.contains(to) || !passes(it.From, to) ||
-            Dice.below(100) < LossPercent)
-          continue;
-        const auto &sender = Nodes.at(it.From).self().Identity;
-        post(to, Nodes.at(to).take({sender.Id, sender.Gossip}, it.Sent.Message,
-                                   Now));
-      }
+    auto batch = std::exchange(InFlight, {});
+    for (auto &it : batch) {
+      ++Datagrams;
+      size_t to = it.Sent.To.Port - 20000;
+      if (!Nodes.contains(to) || !passes(it.From, to) ||
+          Dice.below(100) < LossPercent)
+        continue;
+      const auto &sender = Nodes.at(it.From).self().Identity;
+      post(to,
+           Nodes.at(to).take({sender.Id, sender.Gossip}, it.Sent.Message, Now));
     }
   }
 
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 
-FakeMesh threeDataCentres(uint64_t seed, uint64_t lossPercent = 0) {
-  FakeMesh mesh(seed);
-  mesh.LossPercent = lossPercent;
-  for (size_t n = 0; n < 12; ++n)
-    mesh.add(n, "dc-" + std::to_string(n % 3));
-  return mesh;
-}
+struct ThreeDataCentres : FakeMesh {
+  explicit ThreeDataCentres(uint64_t seed, uint64_t lossPercent = 0)
+      : FakeMesh(seed) {
+    LossPercent = lossPercent;
+    for (size_t n = 0; n < 12; ++n)
+      add(n, "dc-" + std::to_string(n % 3));
+  }
+};
 
 bool allKnowAll(const FakeMesh &mesh) {
   for (const auto &[n, node] : mesh.Nodes)
@@ -40,7 +41,7 @@
     for (uint64_t loss : {0, 20}) {
       CAPTURE(seed);
       CAPTURE(loss);
-      auto mesh = threeDataCentres(seed, loss);
+      ThreeDataCentres mesh(seed, loss);
       mesh.run(loss == 0 ? 3s : 20s);
       CHECK(allKnowAll(mesh));
     }
@@ -49,7 +50,7 @@
 
 TEST_CASE("a change of targets reaches all within a second") {
   for (uint64_t seed : {1, 2, 3, 4, 5}) {
-    auto mesh = threeDataCentres(seed);
+    ThreeDataCentres mesh(seed);
     mesh.run(5s);
     auto &origin = mesh.Nodes.at(7);
     origin.setTargets({readyTarget()}, mesh.Now);
@@ -60,7 +61,7 @@
 }
 
 TEST_CASE("load alone spreads only in coarse steps and seldom") {
-  auto mesh = threeDataCentres(1);
+  ThreeDataCentres mesh(1);
   mesh.run(5s);
   auto &origin = mesh.Nodes.at(7);
   origin.setTargets({readyTarget(0)}, mesh.Now);
@@ -80,7 +81,7 @@
 
 TEST_CASE("a dead node is found by its data centre and told to all") {
   for (uint64_t seed : {1, 2, 3, 4, 5}) {
-    auto mesh = threeDataCentres(seed);
+    ThreeDataCentres mesh(seed);
     mesh.run(5s);
     mesh.Down.insert(7);
     mesh.run(15s);
@@ -93,7 +94,7 @@
 
 TEST_CASE("one broken path or loss leads to no death") {
   for (uint64_t seed : {1, 2, 3}) {
-    auto mesh = threeDataCentres(seed, 5);
+    ThreeDataCentres mesh(seed, 5);
     mesh.Cut = {{1, 4}, {4, 1}};
     mesh.run(60s);
     CHECK(allKnowAll(mesh));
@@ -101,7 +102,7 @@
 }
 
 TEST_CASE("a suspicion is refuted with a higher incarnation") {
-  auto mesh = threeDataCentres(1);
+  ThreeDataCentres mesh(1);
   mesh.run(5s);
   MemberUpdate accusation{mesh.Nodes.at(4).self(), false};
   accusation.Record.State = MemberState::Suspect;
@@ -116,12 +117,9 @@
 }
 
 TEST_CASE("a data centre that is cut off keeps its members and heals") {
-  auto mesh = threeDataCentres(3);
+  ThreeDataCentres mesh(3);
   mesh.run(5s);
-  for (size_t a = 0; a < 12; ++a)
-    for (size_t b = 0; b < 12; ++b)
-      if ((a % 3 == 2) != (b % 3 == 2))
-        mesh.Cut.insert({a, b});
+  mesh.partition([](size_t n) { return n % 3 == 2; });
   mesh.run(120s);
   CHECK(allKnowAll(mesh));
   mesh.Nodes.at(2).setTargets({readyTarget()}, mesh.Now);
@@ -137,11 +135,7 @@
   for (size_t n = 0; n < 6; ++n)
     mesh.add(n, "dc");
   mesh.run(5s);
-  for (size_t a = 0; a < 3; ++a)
-    for (size_t b = 3; b < 6; ++b) {
-      mesh.Cut.insert({a, b});
-      mesh.Cut.insert({b, a});
-    }
+  mesh.partition([](size_t n) { return n < 3; });
   mesh.run(30s);
   CHECK(mesh.seenAs("node-0", MemberState::Dead) == 3);
   mesh.Cut.clear();
@@ -150,7 +144,7 @@
 }
 
 TEST_CASE("a node that was paused accuses nobody") {
-  auto mesh = threeDataCentres(2);
+  ThreeDataCentres mesh(2);
   mesh.run(5s);
   mesh.Now += 60s;
   mesh.run(5s);
@@ -158,7 +152,7 @@
 }
 
 TEST_CASE("a node that leaves is known to have left") {
-  auto mesh = threeDataCentres(2);
+  ThreeDataCentres mesh(2);
   mesh.run(5s);
   MembershipActions last;
   last.Sends = mesh.Nodes.at(5).leave(mesh.Now);
@@ -168,7 +162,7 @@
 }
 
 TEST_CASE("a restart with a clock that stepped back is accepted") {
-  auto mesh = threeDataCentres(2);
+  ThreeDataCentres mesh(2);
   mesh.run(5s);
   mesh.add(7, "dc-1", 500);
   mesh.Nodes.at(7).setTargets({readyTarget()}, mesh.Now);
@@ -178,7 +172,7 @@
 }
 
 TEST_CASE("notices reach all once and end with their lifetime") {
-  auto mesh = threeDataCentres(4);
+  ThreeDataCentres mesh(4);
   mesh.run(5s);
   mesh.Nodes.at(3).post({"quarantine", "f1", 1, 10000}, mesh.Now);
   mesh.run(3s);
