LibConfig: Keep documents by their changes

Cause: 2,700 versions of a configuration with 1,000 routes would take gigabytes as parsed documents, and an audit trail needs what changed.

A document is cut into canonical pieces, one for each service and route. A history keeps the oldest document whole and every later one as its edits to the one before; any version is found by replaying them. The structural difference of two documents names elements added, removed and changed by key, and becomes counts when it would be too large to keep.

--- /dev/null
+++ b/Libraries/LibConfig/Difference.cpp
@@ -0,0 +1,115 @@
+#include <LibConfig/Difference.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace radishcross::config {
+
+namespace {
+
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+
+using ByName = std::map<std::string_view, const object *>;
+
+constexpr std::string_view Parts[] = {"services", "routes"};
+
+ByName elementsOf(const value &document, std::string_view part) {
+  ByName out;
+  const auto *object = document.if_object();
+  const auto *found = object ? object->if_contains(part) : nullptr;
+  const auto *list = found ? found->if_array() : nullptr;
+  if (!list)
+    return out;
+  for (const auto &it : *list) {
+    const auto *element = it.if_object();
+    const auto *name = element ? element->if_contains("name") : nullptr;
+    if (name && name->is_string())
+      out.emplace(name->get_string(), element);
+  }
+  return out;
+}
+
+object changedKeys(const object &older, const object &newer) {
+  std::set<std::string_view> keys;
+  for (const auto &it : older)
+    keys.insert(it.key());
+  for (const auto &it : newer)
+    keys.insert(it.key());
+  object out;
+  for (auto key : keys) {
+    const auto *before = older.if_contains(key);
+    const auto *after = newer.if_contains(key);
+    if (before && after && *before == *after)
+      continue;
+    out[key] = array{before ? *before : value(), after ? *after : value()};
+  }
+  return out;
+}
+
+object partDifference(const ByName &older, const ByName &newer) {
+  array added;
+  array removed;
+  object changed;
+  for (const auto &[name, element] : newer) {
+    auto before = older.find(name);
+    if (before == older.end()) {
+      added.emplace_back(name);
+      continue;
+    }
+    auto keys = changedKeys(*before->second, *element);
+    if (!keys.empty())
+      changed[name] = std::move(keys);
+  }
+  for (const auto &[name, element] : older)
+    if (!newer.contains(name))
+      removed.emplace_back(name);
+  object out;
+  if (!added.empty())
+    out["added"] = std::move(added);
+  if (!removed.empty())
+    out["removed"] = std::move(removed);
+  if (!changed.empty())
+    out["changed"] = std::move(changed);
+  return out;
+}
+
+size_t sizeOf(const value &of) {
+  return of.is_array() ? of.get_array().size() : of.get_object().size();
+}
+
+/// Replaces lists by their lengths.
+object counts(const object &whole) {
+  object out;
+  for (const auto &part : whole) {
+    object numbers;
+    for (const auto &it : part.value().get_object())
+      numbers[it.key()] = sizeOf(it.value());
+    out[part.key()] = std::move(numbers);
+  }
+  return out;
+}
+
+} // namespace
+
+value difference(const value &older, const value &newer, size_t maximumBytes) {
+  object out;
+  for (auto part : Parts) {
+    auto found =
+        partDifference(elementsOf(older, part), elementsOf(newer, part));
+    if (!found.empty())
+      out[part] = std::move(found);
+  }
+  if (boost::json::serialize(out).size() > maximumBytes)
+    return counts(out);
+  return out;
+}
+
+} // namespace radishcross::config
--- a/Libraries/LibLog/Fold.h
+++ b/Libraries/LibLog/Fold.h
@@ -37,12 +37,15 @@
   std::string AcceptedImpact;    ///< Reason given for an accepted impact.
 };
 
-/// One immutable version.
+/// One immutable version. Content and Document are there for the newest version
+/// of a configuration and for attached ones; Fold::documentOf() and
+/// Fold::contentOf() give those of any version kept.
 struct Version {
   uint64_t Number = 0;
   Offset At = 0;
   std::shared_ptr<const config::VersionContent> Content;
   boost::json::value Document;
+  uint64_t DocumentHash = 0;
 };
 
 /// Binds a version to the nodes that a selector chooses.
@@ -83,7 +86,9 @@
 
   /// Applies the record at the next offset. A record that is malformed or
   /// breaks a rule changes nothing but the offset and the outcomes. An offset
-  /// at or below offset() is ignored and gives DuplicateRecord.
+  /// at or below offset() is ignored and gives DuplicateRecord. One that leaves
+  /// a gap is ignored too and gives RecordExpired: what lies between has to
+  /// come from a snapshot.
   RecordOutcome apply(const StoredRecord &record);
 
   /// Returns the offset of the last record applied.
@@ -95,6 +100,15 @@
   /// Returns the outcome of the record with this id, when it is still kept.
   std::optional<RecordOutcome> outcomeOf(std::string_view recordId) const;
 
+  /// Returns the document or the content of a version, whether it is in use or
+  /// only in the history. Fails with UnknownConfiguration or UnknownVersion.
+  std::optional<boost::json::value> documentOf(std::string_view configuration,
+                                               uint64_t version,
+                                               base::LastReason &reason) const;
+  std::shared_ptr<const config::VersionContent>
+  contentOf(std::string_view configuration, uint64_t version,
+            base::LastReason &reason) const;
+
   const std::map<std::string, Configuration, std::less<>> &
   configurations() const;
   const std::map<std::string, Attachment, std::less<>> &attachments() const;
--- /dev/null
+++ b/Libraries/LibLog/FoldCodec.cpp
@@ -0,0 +1,307 @@
+#include <LibConfig/VersionContentCodec.h>
+#include <LibLog/BodyReader.h>
+#include <LibLog/FoldCodec.h>
+#include <LibLog/FoldLimits.h>
+#include <LibLog/RecordId.h>
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <utility>
+
+namespace radishcross::log {
+
+namespace {
+
+using base::ResultCode;
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+
+constexpr uint64_t Format = 1;
+constexpr size_t MaximumTextBytes = 4096;
+
+value saveAttachment(const Attachment &it) {
+  return object{{"name", it.Name},
+                {"configuration", it.Configuration},
+                {"version", it.Version},
+                {"selector", it.Chooses.text()},
+                {"at", it.At}};
+}
+
+value saveBeacon(const BeaconEntry &it) {
+  return object{{"node", it.NodeId},
+                {"data_centre", it.DataCentre},
+                {"gossip", it.GossipAddress},
+                {"peer", it.PeerAddress},
+                {"expires_at_unix_s", it.ExpiresAtUnixSeconds},
+                {"at", it.At}};
+}
+
+value saveAudit(const AuditEntry &it) {
+  return object{{"outcome", saveOutcome(it.Outcome)},
+                {"kind", base::nameOf(RecordKindNames, it.Kind)},
+                {"team", it.By.Team},
+                {"actor", it.By.Actor},
+                {"address", it.By.Address},
+                {"base", it.Base},
+                {"difference", it.Difference},
+                {"accepted_impact", it.AcceptedImpact}};
+}
+
+/// Saves the values of a map or list, one after the other.
+template <typename Range, typename Save>
+array saveEach(const Range &range, const Save &save) {
+  array out;
+  for (const auto &it : range)
+    out.push_back(save(it));
+  return out;
+}
+
+bool loadAttachment(const value &from, FoldState &state,
+                    base::LastReason &reason) {
+  BodyReader reader(from);
+  Attachment out;
+  out.Name = reader.name("name");
+  out.Configuration = reader.name("configuration");
+  out.Version = reader.number("version");
+  auto text = reader.text("selector", MaximumTextBytes);
+  out.At = reader.number("at");
+  const auto *line = state.find(out.Configuration);
+  if (!line || !FoldState::find(*line, out.Version))
+    reader.fail("version", "a version that the state keeps");
+  if (!reader.finish(reason))
+    return false;
+  auto selector = config::Selector::create(text, reason);
+  if (!selector)
+    return false;
+  out.Chooses = std::move(*selector);
+  state.setAttachment(std::move(out));
+  return true;
+}
+
+bool loadBeacon(const value &from, FoldState &state, base::LastReason &reason) {
+  BodyReader reader(from);
+  BeaconEntry out;
+  out.NodeId = reader.text("node", MaximumTextBytes);
+  out.DataCentre = reader.text("data_centre", MaximumTextBytes);
+  out.GossipAddress = reader.text("gossip", MaximumTextBytes);
+  out.PeerAddress = reader.text("peer", MaximumTextBytes);
+  out.ExpiresAtUnixSeconds =
+      static_cast<int64_t>(reader.number("expires_at_unix_s", INT64_MAX));
+  out.At = reader.number("at");
+  if (!reader.finish(reason))
+    return false;
+  state.setBeacon(std::move(out));
+  return true;
+}
+
+bool loadDrained(const value &from, FoldState &state,
+                 base::LastReason &reason) {
+  BodyReader reader(from);
+  auto what = reader.text("what", MaximumTextBytes);
+  auto at = reader.number("at");
+  if (!reader.finish(reason))
+    return false;
+  state.setDrained(what, true, at);
+  return true;
+}
+
+bool loadAudit(const value &from, FoldState &state, base::LastReason &reason) {
+  BodyReader reader(from);
+  AuditEntry out;
+  auto outcome = loadOutcome(reader.any("outcome"), reason);
+  auto kind = base::fromName(RecordKindNames, reader.text("kind", 16));
+  out.By.Team = reader.text("team", MaximumTextBytes);
+  out.By.Actor = reader.text("actor", MaximumTextBytes);
+  out.By.Address = reader.text("address", MaximumTextBytes);
+  out.Base = reader.number("base");
+  out.Difference = reader.any("difference");
+  out.AcceptedImpact = reader.text("accepted_impact", MaximumTextBytes);
+  if (!kind)
+    reader.fail("kind", "a known kind of record");
+  if (!reader.finish(reason) || !outcome)
+    return false;
+  out.Outcome = std::move(*outcome);
+  out.Kind = *kind;
+  state.addAudit(std::move(out));
+  return true;
+}
+
+using LoadOne = bool (*)(const value &, FoldState &, base::LastReason &);
+
+bool loadEach(const array &list, size_t maximum, LoadOne load, FoldState &state,
+              base::LastReason &reason) {
+  if (list.size() > maximum) {
+    reason.fail(ResultCode::SnapshotMismatch,
+                "a list has " + std::to_string(list.size()) +
+                    " elements, expected at most " + std::to_string(maximum));
+    return false;
+  }
+  for (const auto &it : list)
+    if (!load(it, state, reason))
+      return false;
+  return true;
+}
+
+} // namespace
+
+value FoldCodec::saveLine(const FoldState &state, const Configuration &line) {
+  const auto &history = state.historyOf(line.Name);
+  array versions;
+  for (const auto &it : line.Versions) {
+    object version{{"number", it.Number}, {"at", it.At}};
+    // A version in use that the history has forgotten is saved whole.
+    if (it.Number < history.oldest())
+      version["document"] = it.Document;
+    versions.push_back(std::move(version));
+  }
+  return object{{"name", line.Name},
+                {"team", line.Team},
+                {"changed_at", line.ChangedAt},
+                {"versions", std::move(versions)},
+                {"history", history.save()}};
+}
+
+value FoldCodec::save(const FoldState &state) {
+  auto valueOf = [](const auto &save) {
+    return [&save](const auto &it) { return save(it.second); };
+  };
+  auto line = [&](const Configuration &it) { return saveLine(state, it); };
+  return object{
+      {"format", Format},
+      {"offset", state.At},
+      {"configurations", saveEach(state.Lines, valueOf(line))},
+      {"attachments", saveEach(state.Bound, valueOf(saveAttachment))},
+      {"beacons", saveEach(state.Lights, valueOf(saveBeacon))},
+      {"drained",
+       saveEach(state.Stopped,
+                [](const auto &it) {
+                  return object{{"what", it.first}, {"at", it.second}};
+                })},
+      {"audit", saveEach(state.Trail, saveAudit)},
+      {"outcomes", state.Ledger.save()},
+      {"chunks", state.Chunks.save()}};
+}
+
+bool FoldCodec::loadVersion(const value &from, Configuration &line,
+                            base::LastReason &reason) {
+  BodyReader reader(from);
+  Version out;
+  out.Number = reader.number("number");
+  out.At = reader.number("at");
+  const auto *document = reader.optional("document");
+  bool isAscending =
+      line.Versions.empty() || line.Versions.back().Number < out.Number;
+  if (!isAscending)
+    reader.fail("number", "ascending numbers");
+  if (!reader.finish(reason))
+    return false;
+  if (document) {
+    if (!config::decodeVersionContent(*document, reason))
+      return false;
+    out.Document = *document;
+    out.DocumentHash = config::hashOf(config::cutDocument(*document));
+  }
+  line.Versions.push_back(std::move(out));
+  return true;
+}
+
+bool FoldCodec::loadLine(const value &from, FoldState &state,
+                         base::LastReason &reason) {
+  BodyReader reader(from);
+  auto name = reader.name("name");
+  auto team = reader.text("team", MaximumTextBytes);
+  auto changedAt = reader.number("changed_at");
+  const auto &versions = reader.list("versions");
+  auto history = config::DocumentHistory::load(reader.any("history"));
+  if (!history || history->empty())
+    reader.fail("history", "a sound history");
+  if (state.find(name))
+    reader.fail("name", "a name not used before");
+  if (!reader.finish(reason))
+    return false;
+  state.addConfiguration(name, team);
+  state.touch(name, changedAt);
+  auto &line = state.Lines.find(name)->second;
+  for (const auto &it : versions)
+    if (!loadVersion(it, line, reason))
+      return false;
+  // Every version stands either in the history or whole beside it.
+  size_t matched = 0;
+  history->forEach([&](uint64_t number, const config::DocumentPieces &pieces) {
+    auto version = std::find_if(
+        line.Versions.begin(), line.Versions.end(),
+        [number](const Version &it) { return it.Number == number; });
+    if (version == line.Versions.end() || !version->Document.is_null())
+      return;
+    version->DocumentHash = config::hashOf(pieces);
+    ++matched;
+  });
+  size_t whole = 0;
+  for (const auto &it : line.Versions)
+    whole += it.Document.is_null() ? 0 : 1;
+  bool isComplete =
+      matched == history->size() && matched + whole == line.Versions.size();
+  auto pieces =
+      history->find(line.Versions.empty() ? 0 : line.Versions.back().Number);
+  if (!isComplete || !pieces) {
+    reason.fail(ResultCode::SnapshotMismatch,
+                "configuration " + name + ": versions and history differ");
+    return false;
+  }
+  auto newest = config::joinDocument(*pieces);
+  if (!newest || !config::decodeVersionContent(*newest, reason)) {
+    reason.fail(ResultCode::SnapshotMismatch,
+                "configuration " + name + ": the newest version is not sound");
+    return false;
+  }
+  state.VersionsKept += history->size();
+  state.Histories.insert_or_assign(name, std::move(*history));
+  state.addVersionHashes(line);
+  return true;
+}
+
+bool FoldCodec::loadAll(const value &document, FoldState &state,
+                        base::LastReason &reason) {
+  BodyReader reader(document);
+  if (reader.number("format") != Format)
+    reader.fail("format", std::to_string(Format));
+  state.At = reader.number("offset");
+  const auto &lines = reader.list("configurations");
+  const auto &attachments = reader.list("attachments");
+  const auto &beacons = reader.list("beacons");
+  const auto &drained = reader.list("drained");
+  const auto &audit = reader.list("audit");
+  const auto &outcomes = reader.any("outcomes");
+  const auto &chunks = reader.any("chunks");
+  if (!reader.finish(reason))
+    return false;
+  if (!loadEach(lines, MaximumConfigurations, &FoldCodec::loadLine, state,
+                reason) ||
+      !loadEach(attachments, MaximumAttachments, loadAttachment, state,
+                reason) ||
+      !loadEach(beacons, MaximumBeacons, loadBeacon, state, reason) ||
+      !loadEach(drained, MaximumDrained, loadDrained, state, reason) ||
+      !loadEach(audit, MaximumAuditEntries, loadAudit, state, reason))
+    return false;
+  auto ledger = OutcomeLedger::load(outcomes, reason);
+  auto assembler = ChunkAssembler::load(chunks, reason);
+  if (!ledger || !assembler)
+    return false;
+  state.Ledger = std::move(*ledger);
+  state.Chunks = std::move(*assembler);
+  for (const auto &[name, line] : state.configurations())
+    state.settleVersions(name);
+  return true;
+}
+
+bool FoldCodec::load(const value &document, FoldState &state,
+                     base::LastReason &reason) {
+  if (loadAll(document, state, reason))
+    return true;
+  reason.fail(ResultCode::SnapshotMismatch, reason.text());
+  return false;
+}
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Libraries/LibLog/FoldCodec.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibLog/FoldState.h>
+
+#include <boost/json/value.hpp>
+
+namespace radishcross::log {
+
+/// The saved form of the fold's state.
+class FoldCodec {
+public:
+  /// Returns the state as one JSON document.
+  static boost::json::value save(const FoldState &state);
+
+  /// Fills the empty \p state from \p document. Fails with SnapshotMismatch,
+  /// and then \p state is not to be used.
+  static bool load(const boost::json::value &document, FoldState &state,
+                   base::LastReason &reason);
+
+private:
+  static boost::json::value saveLine(const FoldState &state,
+                                     const Configuration &line);
+  static bool loadLine(const boost::json::value &from, FoldState &state,
+                       base::LastReason &reason);
+  static bool loadVersion(const boost::json::value &from, Configuration &line,
+                          base::LastReason &reason);
+  static bool loadAll(const boost::json::value &document, FoldState &state,
+                      base::LastReason &reason);
+};
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Libraries/LibLog/FoldRules.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibLog/FoldState.h>
+#include <LibLog/Record.h>
+
+namespace radishcross::log {
+
+/// The rules by which a record changes the state. Every rule depends on the
+/// state and the record alone, so that all nodes decide alike.
+class FoldRules {
+public:
+  explicit FoldRules(FoldState &state) : State(state) {}
+
+  /// Decides one record at the next offset.
+  RecordOutcome apply(const StoredRecord &stored);
+
+private:
+  /// What a rule works on and fills in.
+  struct Decision {
+    const Record &From;
+    RecordOutcome &Outcome;
+    AuditEntry &Audit;
+    base::LastReason &Reason;
+  };
+  using Rule = bool (FoldRules::*)(Decision &decision);
+  struct RuleRow;
+  static const RuleRow Rules[];
+
+  RecordOutcome decide(const Record &record, Offset at);
+  RecordOutcome decideChunk(const Record &chunk, Offset at);
+  void forgetChunks(Offset at);
+  bool refuse(Decision &decision, base::ResultCode code, std::string text);
+  bool ownsLine(Decision &decision, const Configuration &line);
+  bool mayBind(Decision &decision, const std::string &attachment,
+               const std::string &configuration);
+
+  bool publish(Decision &decision);
+  bool attach(Decision &decision);
+  bool detach(Decision &decision);
+  bool drain(Decision &decision);
+  bool beacon(Decision &decision);
+  bool snapshot(Decision &decision);
+
+  FoldState &State;
+};
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Libraries/LibLog/HeldVersions.cpp
@@ -0,0 +1,127 @@
+#include <LibLog/HeldVersions.h>
+#include <LibLog/VersionPlan.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::log {
+
+namespace {
+
+using base::ResultCode;
+
+Offset acceptedAt(const Fold &fold, const std::string &configuration,
+                  uint64_t version) {
+  auto line = fold.configurations().find(configuration);
+  if (line == fold.configurations().end())
+    return 0;
+  for (const auto &it : line->second.Versions)
+    if (it.Number == version)
+      return it.At;
+  return 0;
+}
+
+} // namespace
+
+HeldVersions::HeldVersions(std::string nodeId, config::Labels labels)
+    : NodeId(std::move(nodeId)), NodeLabels(std::move(labels)) {
+  base::LastReason reason;
+  Current = *config::Snapshot::create({}, 0, reason);
+}
+
+void HeldVersions::raiseFloor(const std::map<std::string, uint64_t> &versions) {
+  for (const auto &[name, version] : versions) {
+    auto &floor = Floor[name];
+    floor = std::max(floor, version);
+  }
+}
+
+/// Returns the highest version attached to this proxy of each configuration.
+HeldVersions::Targets HeldVersions::selected(const Fold &fold) const {
+  Targets out;
+  for (const auto &[name, it] : fold.attachments()) {
+    if (!it.Chooses.matches(NodeId, NodeLabels))
+      continue;
+    auto &version = out[it.Configuration];
+    version = std::max(version, it.Version);
+  }
+  return out;
+}
+
+/// Returns the versions above what is held.
+std::vector<HeldVersions::Target>
+HeldVersions::pending(const Targets &selected) const {
+  Targets goals = selected;
+  for (const auto &[name, version] : Floor) {
+    auto &goal = goals[name];
+    goal = std::max(goal, version);
+  }
+  std::vector<Target> out;
+  for (const auto &[name, version] : goals)
+    if (version > Current->versionOf(name))
+      out.push_back({name, version});
+  return out;
+}
+
+void HeldVersions::listHoldovers(const Targets &selected) {
+  Holdovers.clear();
+  for (const auto &it : Current->versions()) {
+    auto wanted = selected.find(it.Configuration);
+    if (wanted == selected.end() || wanted->second < it.Version)
+      Holdovers.push_back(it.Configuration);
+  }
+}
+
+bool HeldVersions::update(const Fold &fold) {
+  auto chosen = selected(fold);
+  auto targets = pending(chosen);
+  bool isBlocked = !targets.empty() && targets == Blocked;
+  bool changed = !isBlocked && advance(fold, targets);
+  listHoldovers(chosen);
+  return changed;
+}
+
+bool HeldVersions::advance(const Fold &fold,
+                           const std::vector<Target> &targets) {
+  Waiting.clear();
+  Blocked.clear();
+  std::vector<Candidate> candidates;
+  for (const auto &it : targets) {
+    base::LastReason reason;
+    auto content = fold.contentOf(it.Configuration, it.Version, reason);
+    if (!content) {
+      Waiting.push_back(
+          {it.Configuration, it.Version, reason.code(), reason.text()});
+      continue;
+    }
+    candidates.push_back({{it.Configuration, it.Version, std::move(content)},
+                          acceptedAt(fold, it.Configuration, it.Version)});
+  }
+  if (candidates.empty())
+    return false;
+  VersionPlan plan(Current->versions(), candidates);
+  auto waiting = plan.waiting();
+  Waiting.insert(Waiting.end(), waiting.begin(), waiting.end());
+  if (waiting.size() == candidates.size()) {
+    // The answer stays the same until a target changes, unless one of them is
+    // missing in the fold and may arrive.
+    if (Waiting.size() == waiting.size())
+      Blocked = targets;
+    return false;
+  }
+  base::LastReason reason;
+  auto next = config::Snapshot::create(plan.result(), fold.offset(), reason);
+  if (next) {
+    Current = std::move(*next);
+    return true;
+  }
+  // The plan and the snapshot check the same rules, so this is a defect; what
+  // is held stays in force.
+  Waiting.clear();
+  for (const auto &it : targets)
+    Waiting.push_back(
+        {it.Configuration, it.Version, reason.code(), reason.text()});
+  return false;
+}
+
+} // namespace radishcross::log
--- a/Libraries/LibLog/HeldVersions.h
+++ b/Libraries/LibLog/HeldVersions.h
@@ -32,20 +32,36 @@
 
   const std::vector<WaitingVersion> &waiting() const { return Waiting; }
 
-  /// Returns configurations that are held but no longer selected.
+  /// Returns the configurations that are held in a version that no attachment
+  /// gives this proxy: it was narrowed away, or attached to an older version.
   const std::vector<std::string> &holdovers() const { return Holdovers; }
 
-  /// Forgets nothing below these versions: used when a node that restarts
-  /// learns from its peers what its data centre holds.
+  /// Holds at least these versions from the next update on: used when a node
+  /// that restarts learns from its peers what its data centre holds. A version
+  /// that the fold does not have yet is waited for, and no lower one is taken.
   void raiseFloor(const std::map<std::string, uint64_t> &versions);
 
 private:
+  /// Names one version of one configuration.
+  struct Target {
+    std::string Configuration;
+    uint64_t Version = 0;
+    bool operator==(const Target &) const = default;
+  };
+  using Targets = std::map<std::string, uint64_t>;
+
+  Targets selected(const Fold &fold) const;
+  std::vector<Target> pending(const Targets &selected) const;
+  void listHoldovers(const Targets &selected);
+  bool advance(const Fold &fold, const std::vector<Target> &targets);
+
   std::string NodeId;
   config::Labels NodeLabels;
   config::SnapshotPointer Current;
   std::vector<WaitingVersion> Waiting;
   std::vector<std::string> Holdovers;
   std::map<std::string, uint64_t> Floor;
+  std::vector<Target> Blocked; ///< Targets of the last update, all waiting.
 };
 
 } // namespace radishcross::log
--- a/Libraries/LibLog/Record.h
+++ b/Libraries/LibLog/Record.h
@@ -61,6 +61,10 @@
 std::optional<Record> decodeRecord(std::string_view bytes,
                                    base::LastReason &reason);
 
+/// As above with another limit, for a record that was put together from chunks.
+std::optional<Record> decodeRecord(std::string_view bytes, size_t maximumBytes,
+                                   base::LastReason &reason);
+
 /// Returns the record's bytes for the log.
 std::string encodeRecord(const Record &record);
 
--- /dev/null
+++ b/Tests/LibLog/FoldDriver.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <LibLog/Chunks.h>
+#include <LibLog/Fold.h>
+#include <LibLog/RecordBodies.h>
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace radishcross::log {
+
+/// Appends records to a fold as a log would, and keeps their bytes.
+class FoldDriver {
+public:
+  RecordOutcome append(std::string bytes) {
+    Log.push_back({Log.size() + 1, std::move(bytes)});
+    return State.apply(Log.back());
+  }
+
+  /// Appends all bytes of \p record and returns the last outcome.
+  RecordOutcome append(const Record &record) {
+    RecordOutcome out;
+    for (auto &it : splitRecord(record))
+      out = append(std::move(it));
+    return out;
+  }
+
+  Fold State;
+  std::vector<StoredRecord> Log;
+};
+
+inline config::Selector selectorOf(std::string_view text) {
+  base::LastReason reason;
+  auto out = config::Selector::create(text, reason);
+  REQUIRE_MESSAGE(out, reason.text());
+  return *out;
+}
+
+/// A version's content with these services and routes, each "name>service"
+/// under the path "/name".
+inline boost::json::value contentOf(const std::vector<std::string> &services,
+                                    const std::vector<std::string> &routes) {
+  boost::json::array defined;
+  for (const auto &it : services)
+    defined.push_back(boost::json::object{{"name", it}});
+  boost::json::array wired;
+  for (const auto &it : routes) {
+    auto name = it.substr(0, it.find('>'));
+    wired.push_back(boost::json::object{
+        {"name", name},
+        {"service", it.substr(it.find('>') + 1)},
+        {"match", boost::json::object{{"path_prefix", "/" + name}}}});
+  }
+  return boost::json::object{{"services", std::move(defined)},
+                             {"routes", std::move(wired)}};
+}
+
+inline const Author Badges{"badges", "ana", "127.0.0.1"};
+inline const Author Surf{"surf", "ben", "127.0.0.2"};
+
+/// A publish that also attaches to all nodes under the configuration's name.
+inline Record publish(std::string id, const std::string &configuration,
+                      uint64_t base, boost::json::value content,
+                      std::string_view selector = "", Author by = Badges) {
+  PublishBody body{configuration, base, std::move(content), {}, ""};
+  if (selector != "none")
+    body.Attach.push_back({configuration, selectorOf(selector)});
+  return makePublish(std::move(id), std::move(by), body);
+}
+
+inline Record attach(std::string id, const std::string &name,
+                     const std::string &configuration, uint64_t version,
+                     std::string_view selector, Author by = Badges) {
+  return makeAttach(std::move(id), std::move(by),
+                    {name, configuration, version, selectorOf(selector)});
+}
+
+/// Checks that saving and loading gives an equal state.
+inline void checkRoundTrip(const Fold &fold) {
+  base::LastReason reason;
+  auto again = Fold::load(fold.save(), reason);
+  REQUIRE_MESSAGE(again, reason.text());
+  CHECK(again->hash() == fold.hash());
+  CHECK(again->save() == fold.save());
+}
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Tests/LibLog/TestFold.cpp
@@ -0,0 +1,149 @@
+#include <LibLog/Fold.h>
+#include <LibLog/FoldDriver.h>
+#include <LibLog/FoldLimits.h>
+
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace radishcross;
+using base::ResultCode;
+using log::FoldDriver;
+
+namespace {
+
+const boost::json::value One = log::contentOf({"s"}, {"r>s"});
+const boost::json::value Two = log::contentOf({"s", "t"}, {"r>t"});
+
+} // namespace
+
+TEST_CASE("conflict of two publishers: the first in the log wins") {
+  FoldDriver log;
+  CHECK(log.append(log::publish("p1", "badges", 0, One)).Version == 1);
+  auto won = log.append(log::publish("p2", "badges", 1, Two));
+  CHECK(won.Code == ResultCode::Ok);
+  CHECK(won.Version == 2);
+  auto lost = log.append(log::publish("p3", "badges", 1, One));
+  CHECK(lost.Code == ResultCode::StaleBase);
+  CHECK(lost.WinnerAt == 2);
+  CHECK(lost.Reason == "base 1 is stale: version 2 was accepted at offset 2");
+  CHECK(log.State.configurations().at("badges").Versions.back().Number == 2);
+  CHECK(log.State.attachments().at("badges").Version == 2);
+  CHECK(log.State.audit().size() == 3);
+  // The loser sees what separates its change from the winner's.
+  CHECK(boost::json::serialize(log.State.audit().back().Difference) ==
+        R"({"services":{"removed":["t"]},)"
+        R"("routes":{"changed":{"r":{"service":["t","s"]}}}})");
+  auto retried = log.append(log::publish("p4", "badges", 2, One));
+  CHECK(retried.Version == 3);
+  checkRoundTrip(log.State);
+}
+
+TEST_CASE("duplicate record: an append repeated after a lost answer counts "
+          "once") {
+  FoldDriver log;
+  auto record = log::publish("p1", "badges", 0, One);
+  log.append(record);
+  auto again = log.append(record);
+  CHECK(again.Code == ResultCode::DuplicateRecord);
+  CHECK(again.Version == 1);
+  CHECK(log.State.outcomeOf("p1")->Code == ResultCode::Ok);
+  CHECK(log.State.outcomeOf("p1")->At == 1);
+  CHECK_FALSE(log.State.outcomeOf("p2"));
+  CHECK(log.State.configurations().at("badges").Versions.size() == 1);
+  // The same offset read twice changes nothing at all.
+  uint64_t hash = log.State.hash();
+  CHECK(log.State.apply(log.Log[0]).Code == ResultCode::DuplicateRecord);
+  CHECK(log.State.apply({9, log.Log[0].Bytes}).Code ==
+        ResultCode::RecordExpired);
+  CHECK(log.State.hash() == hash);
+}
+
+TEST_CASE("every rule refuses with its own code and never stops the fold") {
+  FoldDriver log;
+  log.append(log::publish("p1", "badges", 0, One));
+  log.append(log::publish("p2", "surf", 0, One, "", log::Surf));
+  struct Row {
+    log::Record Change;
+    ResultCode Code;
+  };
+  auto dangling = log::contentOf({}, {"r>gone"});
+  const Row table[] = {
+      {log::publish("x1", "badges", 7, Two), ResultCode::UnknownVersion},
+      {log::publish("x2", "badges", 0, Two), ResultCode::StaleBase},
+      {log::publish("x3", "badges", 1, dangling),
+       ResultCode::DanglingReference},
+      {log::publish("x4", "badges", 1, Two, "", log::Surf),
+       ResultCode::WrongTeam},
+      {log::publish("x5", "new", 0, Two, "", {"", "a", ""}),
+       ResultCode::WrongTeam},
+      {log::attach("x6", "a", "badges", 1, "", log::Surf),
+       ResultCode::WrongTeam},
+      {log::attach("x7", "a", "badges", 2, ""), ResultCode::UnknownVersion},
+      {log::attach("x8", "a", "none", 1, ""), ResultCode::UnknownConfiguration},
+      {log::attach("x9", "surf", "badges", 1, ""), ResultCode::DuplicateName},
+      {log::makeDetach("x10", log::Badges, {"none"}), ResultCode::NotFound},
+      {log::makeDetach("x11", log::Surf, {"badges"}), ResultCode::WrongTeam},
+      {log::makeDrain("x12", log::Surf, {"service:badges/s", true}),
+       ResultCode::WrongTeam},
+      {log::makeDrain("x13", log::Surf, {"rack:1", true}),
+       ResultCode::RecordMalformed},
+      {{"x14", log::RecordKind::Publish, log::Badges, boost::json::object{}},
+       ResultCode::RecordMalformed},
+  };
+  auto before = log.State.configurations().at("badges").ChangedAt;
+  for (const auto &row : table) {
+    CAPTURE(row.Change.Id);
+    auto outcome = log.append(row.Change);
+    CHECK(outcome.Code == row.Code);
+    CHECK_FALSE(outcome.Reason.empty());
+    CHECK(log.State.outcomeOf(row.Change.Id)->Code == row.Code);
+  }
+  CHECK(log.append(std::string("not json")).Code ==
+        ResultCode::RecordMalformed);
+  CHECK(log.append(std::string(log::MaximumRecordBytes + 1, 'x')).Code ==
+        ResultCode::RecordTooLarge);
+  CHECK(log.State.configurations().at("badges").ChangedAt == before);
+  CHECK(log.State.attachments().size() == 2);
+  CHECK(log.State.drained().empty());
+  CHECK(log.append(log::publish("p3", "badges", 1, Two)).Version == 2);
+  checkRoundTrip(log.State);
+}
+
+TEST_CASE("attachments, drains and beacons are kept beside the versions") {
+  FoldDriver log;
+  log.append(log::publish("p1", "badges", 0, One, "none"));
+  CHECK(log.State.attachments().empty());
+  log.append(log::attach("a1", "edge", "badges", 1, "tier=edge"));
+  CHECK(log.State.attachments().at("edge").Chooses.text() == "tier=edge");
+  log.append(log::makeDetach("d1", log::Badges, {"edge"}));
+  CHECK(log.State.attachments().empty());
+  log.append(log::makeDrain("x1", log::Badges, {"vm:n1", true}));
+  log.append(log::makeDrain("x2", log::Badges, {"service:badges/s", true}));
+  CHECK(log.State.drained().size() == 2);
+  log.append(log::makeDrain("x3", log::Badges, {"vm:n1", false}));
+  CHECK(log.State.drained().size() == 1);
+  uint64_t line = log.State.configurations().at("badges").ChangedAt;
+  log.append(log::makeBeacon("b1", {}, {"n1", "dc", "g", "p", 50}));
+  log.append(log::makeBeacon("b2", {}, {"n1", "dc", "g2", "p", 60}));
+  log.append(log::makeBeacon("b3", {}, {"n1", "dc", "late", "p", 40}));
+  CHECK(log.State.beacons().at("n1").GossipAddress == "g2");
+  CHECK(log.State.configurations().at("badges").ChangedAt == line);
+  for (size_t i = 0; i < log::MaximumBeacons; ++i)
+    log.append(log::makeBeacon("c", {},
+                               {"m" + std::to_string(i), "dc", "g", "p", 100}));
+  CHECK(log.State.beacons().size() == log::MaximumBeacons);
+  CHECK_FALSE(log.State.beacons().contains("n1"));
+  checkRoundTrip(log.State);
+}
+
+TEST_CASE("equal records give equal hashes and any difference shows") {
+  FoldDriver a;
+  FoldDriver b;
+  for (auto *log : {&a, &b})
+    log->append(log::publish("p1", "badges", 0, One));
+  CHECK(a.State.hash() == b.State.hash());
+  a.append(log::publish("p2", "badges", 1, One, "", {"badges", "x", ""}));
+  b.append(log::publish("p2", "badges", 1, One, "", {"badges", "y", ""}));
+  CHECK(a.State.hash() != b.State.hash());
+}
--- /dev/null
+++ b/Tests/LibLog/TestHeldVersions.cpp
@@ -0,0 +1,149 @@
+#include <LibLog/FoldDriver.h>
+#include <LibLog/HeldVersions.h>
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace radishcross;
+using base::ResultCode;
+using log::FoldDriver;
+using log::HeldVersions;
+
+namespace {
+
+const config::Labels Edge{{"tier", "edge"}};
+
+/// A log, a fold and one proxy that follows it.
+struct Proxy {
+  FoldDriver Log;
+  HeldVersions Held{"n1", Edge};
+
+  bool append(const log::Record &record) {
+    auto outcome = Log.append(record);
+    REQUIRE_MESSAGE(outcome.Code == ResultCode::Ok, outcome.Reason);
+    return Held.update(Log.State);
+  }
+  uint64_t version(std::string_view configuration) const {
+    return Held.snapshot()->versionOf(configuration);
+  }
+};
+
+} // namespace
+
+TEST_CASE("the highest version attached is held whole") {
+  Proxy proxy;
+  CHECK(proxy.version("a") == 0);
+  CHECK(
+      proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {"r>s"}))));
+  CHECK(proxy.version("a") == 1);
+  CHECK(proxy.Held.snapshot()->offset() == 1);
+  auto old = proxy.Held.snapshot();
+  CHECK(
+      proxy.append(log::publish("2", "a", 1, log::contentOf({"t"}, {"q>t"}))));
+  CHECK(proxy.version("a") == 2);
+  CHECK(proxy.Held.snapshot()->findRoute("GET", "", "/q").ServiceName == "a/t");
+  // A request that began before keeps what it began with.
+  CHECK(old->findRoute("GET", "", "/r").ServiceName == "a/s");
+  CHECK_FALSE(proxy.Held.update(proxy.Log.State));
+}
+
+TEST_CASE("narrowed selector: the proxy keeps its version as a holdover") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {}), ""));
+  proxy.append(log::publish("2", "a", 1, log::contentOf({"s"}, {}), ""));
+  CHECK_FALSE(proxy.append(log::attach("3", "a", "a", 2, "tier=back")));
+  CHECK(proxy.version("a") == 2);
+  CHECK(proxy.Held.holdovers() == std::vector<std::string>{"a"});
+  // An older version attached later moves nobody back.
+  CHECK_FALSE(proxy.append(log::attach("4", "a", "a", 1, "tier=edge")));
+  CHECK(proxy.version("a") == 2);
+  CHECK(proxy.Held.holdovers() == std::vector<std::string>{"a"});
+  CHECK(proxy.Held.waiting().empty());
+  CHECK_FALSE(proxy.append(log::makeDetach("5", log::Badges, {"a"})));
+  CHECK(proxy.version("a") == 2);
+  // Going back is a new version with the old content.
+  CHECK(proxy.append(log::publish("6", "a", 2, log::contentOf({"s"}, {}))));
+  CHECK(proxy.version("a") == 3);
+  CHECK(proxy.Held.holdovers().empty());
+}
+
+TEST_CASE("crossing updates: routes wait for their service, others go ahead") {
+  Proxy proxy;
+  CHECK_FALSE(proxy.append(
+      log::publish("1", "front", 0, log::contentOf({}, {"r>back/s"}))));
+  REQUIRE(proxy.Held.waiting().size() == 1);
+  CHECK(proxy.Held.waiting()[0].Configuration == "front");
+  CHECK(proxy.Held.waiting()[0].Code == ResultCode::WaitingForReference);
+  CHECK(proxy.Held.waiting()[0].Reason ==
+        "route front/r needs service back/s, which is not held");
+  CHECK(proxy.append(log::publish("2", "other", 0, log::contentOf({"o"}, {}))));
+  CHECK(proxy.version("front") == 0);
+  CHECK(proxy.version("other") == 1);
+  CHECK(proxy.append(log::publish("3", "back", 0, log::contentOf({"s"}, {}))));
+  CHECK(proxy.version("front") == 1);
+  CHECK(proxy.version("back") == 1);
+  CHECK(proxy.Held.waiting().empty());
+}
+
+TEST_CASE("removal before its routes: the removal waits") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "back", 0, log::contentOf({"s", "t"}, {})));
+  proxy.append(log::publish("2", "front", 0, log::contentOf({}, {"r>back/s"})));
+  CHECK_FALSE(
+      proxy.append(log::publish("3", "back", 1, log::contentOf({"t"}, {}))));
+  CHECK(proxy.version("back") == 1);
+  REQUIRE(proxy.Held.waiting().size() == 1);
+  CHECK(proxy.Held.waiting()[0].Reason ==
+        "route front/r still uses service back/s");
+  // A route added to a service whose removal waits goes ahead.
+  CHECK(proxy.append(log::publish(
+      "4", "front", 1, log::contentOf({}, {"r>back/s", "q>back/t"}))));
+  CHECK(proxy.version("back") == 1);
+  CHECK(proxy.append(
+      log::publish("5", "front", 2, log::contentOf({}, {"q>back/t"}))));
+  CHECK(proxy.version("front") == 3);
+  CHECK(proxy.version("back") == 2);
+  CHECK(proxy.Held.waiting().empty());
+}
+
+TEST_CASE("versions that need each other are taken together") {
+  Proxy proxy;
+  proxy.append(
+      log::publish("1", "a", 0, log::contentOf({"s"}, {"r>b/t"}), "none"));
+  proxy.append(log::publish("2", "b", 0, log::contentOf({"t"}, {"q>a/s"})));
+  CHECK(proxy.version("b") == 0);
+  CHECK(proxy.append(log::attach("3", "a", "a", 1, "")));
+  CHECK(proxy.version("a") == 1);
+  CHECK(proxy.version("b") == 1);
+}
+
+TEST_CASE("routes that clash with another configuration's wait") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {"r>s"})));
+  CHECK_FALSE(
+      proxy.append(log::publish("2", "b", 0, log::contentOf({"s"}, {"r>s"}))));
+  REQUIRE(proxy.Held.waiting().size() == 1);
+  CHECK(proxy.Held.waiting()[0].Code == ResultCode::AmbiguousRoute);
+  CHECK(proxy.append(log::publish("3", "a", 1, log::contentOf({"s"}, {}))));
+  CHECK(proxy.version("a") == 2);
+  CHECK(proxy.version("b") == 1);
+}
+
+TEST_CASE("a restarted proxy takes no version below its floor") {
+  FoldDriver log;
+  log.append(log::publish("1", "a", 0, log::contentOf({"s"}, {})));
+  HeldVersions held("n1", Edge);
+  held.raiseFloor({{"a", 2}});
+  held.raiseFloor({{"a", 1}});
+  CHECK_FALSE(held.update(log.State));
+  CHECK(held.snapshot()->versionOf("a") == 0);
+  REQUIRE(held.waiting().size() == 1);
+  CHECK(held.waiting()[0].Code == ResultCode::UnknownVersion);
+  // The version is held as soon as the fold has it, selected or not.
+  log.append(log::publish("2", "a", 1, log::contentOf({"s"}, {}), "none"));
+  log.append(log::publish("3", "a", 2, log::contentOf({"s"}, {}), "none"));
+  CHECK(held.update(log.State));
+  CHECK(held.snapshot()->versionOf("a") == 2);
+  CHECK(held.holdovers() == std::vector<std::string>{"a"});
+}
