--- a/Libraries/LibLog/VersionPlan.cpp
+++ b/Libraries/LibLog/VersionPlan.cpp
@@ -30,6 +30,15 @@
     out.push_back(where + it);
 }
 
+std::string describeUse(const std::string &configuration,
+                        const std::string &route, const std::string &service,
+                        bool removed) {
+  std::string out = "route " + configuration + "/" + route;
+  out += removed ? " still uses service " : " needs service ";
+  out += service;
+  return removed ? out : out + ", which is not held";
+}
+
 } // namespace
 
 VersionPlan::Summary
@@ -118,14 +127,10 @@
                      has(owner->second.HeldSummary, service);
       if (removed != isRemoval)
         continue;
-      std::string user = "route " + name + "/" + route;
-      if (removed)
-        out.push_back({&owner->second, ResultCode::WaitingForReference,
-                       user + " still uses service " + service});
-      else if (line.Taken)
-        out.push_back(
-            {&line, ResultCode::WaitingForReference,
-             user + " needs service " + service + ", which is not held"});
+      Line *waits = removed ? &owner->second : &line;
+      if (waits->Taken)
+        out.push_back({waits, ResultCode::WaitingForReference,
+                       describeUse(name, route, service, removed)});
     }
   }
   return out;
