LibCalls: Let ranks in demand earn their floors

A rank earned its floor only while a call of it waited at that moment; in a flood of critical work at 10 times capacity it then got less than its floor (standard 9.6% instead of 10% of slot time at 6 slots). A rank now earns for a second after each arrival, and a twentieth more.

--- a/Libraries/LibCalls/RankShare.cpp
+++ b/Libraries/LibCalls/RankShare.cpp
@@ -13,6 +13,11 @@
 constexpr int64_t DeepestDebt = 4;
 constexpr int64_t HighestSaving = 2;
 
+/// Ranks earn a twentieth more than their floors, because savings are bounded:
+/// what a rank earns while none of its calls waits may be lost.
+constexpr int64_t EarnedPermille = 1050;
+constexpr int64_t FloorUnits = 100 * 1000; ///< Percent times permille.
+
 constexpr Rank LowerRanks[] = {Rank::Standard, Rank::Background};
 
 size_t indexOf(Rank rank) { return static_cast<size_t>(rank); }
@@ -43,22 +48,23 @@
 }
 
 void RankShare::started(Rank rank, base::Duration expected,
-                        const RankFlags &waiting) {
-  account(rank, expected.count(), waiting);
+                        const RankFlags &demand) {
+  account(rank, expected.count(), demand);
   clamp(rank, expected.count());
 }
 
 void RankShare::ended(Rank rank, base::Duration charged, base::Duration taken,
-                      const RankFlags &waiting) {
-  account(rank, (taken - charged).count(), waiting);
+                      const RankFlags &demand) {
+  account(rank, (taken - charged).count(), demand);
   clamp(rank, std::max(charged, taken).count());
 }
 
 void RankShare::account(Rank rank, int64_t microseconds,
-                        const RankFlags &waiting) {
+                        const RankFlags &demand) {
   for (const Rank it : LowerRanks)
-    if (waiting[indexOf(it)] || it == rank)
-      Credit[indexOf(it)] += microseconds * FloorPercent[indexOf(it)] / 100;
+    if (demand[indexOf(it)] || it == rank)
+      Credit[indexOf(it)] += microseconds * FloorPercent[indexOf(it)] *
+                             EarnedPermille / FloorUnits;
   if (rank != Rank::Critical)
     Credit[indexOf(rank)] -= microseconds;
 }
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -17,9 +17,10 @@
 /// A new sample enters the expected slot time with one eighth.
 constexpr int64_t ExpectedTimeDivisor = 8;
 
-/// While higher ranks called within this time, lower ranks leave a slot free
-/// for them, so that an urgent call need not wait for a slot.
-constexpr Duration ReserveMemory = std::chrono::seconds(1);
+/// A rank is in demand for this time after a call of it arrived. Ranks in
+/// demand earn their floors; lower ranks leave a slot free for them, so that an
+/// urgent call need not wait for one.
+constexpr Duration DemandMemory = std::chrono::seconds(1);
 /// Targets with fewer slots have none to spare.
 constexpr uint32_t LeastSlotsForReserve = 4;
 
@@ -121,7 +122,7 @@
 void TargetGate::finish(const RunningCall &call, AttemptEnd end,
                         base::TimePoint now) {
   const auto taken = now - call.StartedAt;
-  Share.ended(call.CallRank, call.Charged, taken, Queue.waiting());
+  Share.ended(call.CallRank, call.Charged, taken, demand(now));
   if (end == AttemptEnd::RefusedNotRun)
     Adaptive.refused();
   if (end != AttemptEnd::Answered)
@@ -171,16 +172,22 @@
 uint32_t TargetGate::reserveFrom(Rank rank, base::TimePoint now) const {
   if (limit() < LeastSlotsForReserve)
     return 0;
-  for (size_t it = 0; it < indexOf(rank); ++it)
-    if (Arrived[it] && now - LastArrival[it] < ReserveMemory)
-      return 1;
-  return 0;
+  const auto wanted = demand(now);
+  const auto higher = wanted.begin() + static_cast<ptrdiff_t>(indexOf(rank));
+  return std::find(wanted.begin(), higher, true) == higher ? 0 : 1;
+}
+
+RankFlags TargetGate::demand(base::TimePoint now) const {
+  RankFlags out{};
+  for (size_t it = 0; it < out.size(); ++it)
+    out[it] = Arrived[it] && now - LastArrival[it] < DemandMemory;
+  return out;
 }
 
 void TargetGate::start(Ticket call, Rank rank, uint64_t fingerprint,
                        base::TimePoint now) {
   const auto expected = ExpectedTime[indexOf(rank)];
-  Share.started(rank, expected, Queue.waiting());
+  Share.started(rank, expected, demand(now));
   const bool saturated = Running.size() + 1 >= limit();
   Running[call] = {rank, fingerprint, now, expected, saturated};
 }
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -71,6 +71,7 @@
                            base::TimePoint now);
   bool mayStart(config::Rank rank, base::TimePoint now) const;
   uint32_t reserveFrom(config::Rank rank, base::TimePoint now) const;
+  RankFlags demand(base::TimePoint now) const;
   void start(Ticket call, config::Rank rank, uint64_t fingerprint,
              base::TimePoint now);
   void finish(const RunningCall &call, AttemptEnd end, base::TimePoint now);
--- /dev/null
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -0,0 +1,193 @@
+#include <LibCalls/Broker.h>
+#include <LibCalls/CallFixtures.h>
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Kind = CallStep::Kind;
+
+/// A broker of node "n0" in dc1 with a lookup (idempotent) and a payment route.
+struct BrokerBench {
+  BrokerBench() {
+    config::VersionContent content;
+    content.Services = {{"lookup", {}}};
+    config::Route lookup{"lookup", {{}, "", "/lookup"}, "lookup"};
+    lookup.CallRank = Rank::Standard;
+    lookup.Idempotent = true;
+    config::Route payment{"payment", {{"POST"}, "", "/pay"}, "lookup"};
+    payment.CallRank = Rank::Critical;
+    content.Routes = {lookup, payment};
+    base::LastReason reason;
+    auto built = config::Snapshot::create(
+        {{"badges", 1,
+          std::make_shared<const config::VersionContent>(content)}},
+        1, reason);
+    REQUIRE(built);
+    InForce = *built;
+    members({member("n1"), member("n2")});
+  }
+
+  void members(const std::vector<fleet::Member> &list) {
+    Node.membersChanged(list, at(Now));
+  }
+  CallHandle begin(const std::string &path, CallRequest request = {}) {
+    request.Method = "POST";
+    request.Path = path;
+    return Node.begin(request, InForce, at(Now));
+  }
+  CallStep end(CallHandle call, AttemptEnd how,
+               ResultCode code = ResultCode::Ok) {
+    return Node.attemptEnded(call, ends(how, code), at(Now));
+  }
+  /// Runs one call to its end with the same end of each attempt.
+  CallStep run(const std::string &path, AttemptEnd how,
+               ResultCode code = ResultCode::Ok) {
+    const auto call = begin(path);
+    auto step = Node.step(call);
+    for (Sends = 0; step.What == Kind::Send; ++Sends)
+      step = end(call, how, code);
+    Node.end(call, at(Now));
+    return step;
+  }
+
+  trace::NullRecorder Recorder;
+  Quarantine Crashers{Recorder};
+  Broker Node{{"n0", "dc1", "south", 1}, Crashers, Recorder};
+  config::SnapshotPointer InForce;
+  base::Duration Now = 100s;
+  int Sends = 0;
+};
+
+void checkFinish(const CallStep &step, CallOutcome outcome, ResultCode code) {
+  CHECK(step.What == Kind::Finish);
+  CHECK(step.Outcome == outcome);
+  CHECK(step.Code == code);
+}
+
+} // namespace
+
+TEST_CASE("a call is sent to a ready target with its rank and deadline") {
+  BrokerBench it;
+  const auto call = it.begin("/pay");
+  const auto step = it.Node.step(call);
+  REQUIRE(step.What == Kind::Send);
+  CHECK(step.ServiceName == Lookup);
+  CHECK(step.CallRank == Rank::Critical);
+  CHECK(step.AttemptTimeout < 5s);
+  CHECK(step.Remaining < 5s);
+  CHECK(step.Remaining > 4900ms);
+  CHECK_FALSE(step.Retry);
+  checkFinish(it.end(call, AttemptEnd::Answered), CallOutcome::Answered,
+              ResultCode::Ok);
+}
+
+TEST_CASE("ends of attempts decide between a retry, not run and unknown") {
+  struct Row {
+    std::string Path;
+    AttemptEnd End;
+    ResultCode Code;
+    int Sends;
+    CallOutcome Outcome;
+    ResultCode Told;
+  };
+  const Row rows[] = {
+      {"/pay", AttemptEnd::NotSent, ResultCode::Ok, 3, CallOutcome::NotRun,
+       ResultCode::NoTarget},
+      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Draining, 3,
+       CallOutcome::NotRun, ResultCode::Draining},
+      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Overloaded, 2,
+       CallOutcome::NotRun, ResultCode::Overloaded},
+      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Quarantined, 1,
+       CallOutcome::NotRun, ResultCode::Quarantined},
+      {"/pay", AttemptEnd::Broken, ResultCode::Ok, 1, CallOutcome::Unknown,
+       ResultCode::CallOutcomeUnknown},
+      {"/pay", AttemptEnd::TimedOut, ResultCode::Ok, 1, CallOutcome::Unknown,
+       ResultCode::CallOutcomeUnknown},
+      {"/lookup", AttemptEnd::Broken, ResultCode::Ok, 2, CallOutcome::Unknown,
+       ResultCode::CallOutcomeUnknown},
+      {"/lookup", AttemptEnd::TimedOut, ResultCode::Ok, 2, CallOutcome::Unknown,
+       ResultCode::CallOutcomeUnknown},
+      {"/lookup", AttemptEnd::CallerGone, ResultCode::Ok, 1,
+       CallOutcome::Unknown, ResultCode::CallerGone},
+  };
+  for (const auto &row : rows) {
+    CAPTURE(row.Path);
+    CAPTURE(static_cast<int>(row.End));
+    BrokerBench it;
+    checkFinish(it.run(row.Path, row.End, row.Code), row.Outcome, row.Told);
+    CHECK(it.Sends == row.Sends);
+  }
+}
+
+TEST_CASE("a retry goes to another target and says unknown after a loss") {
+  BrokerBench it;
+  const auto call = it.begin("/lookup");
+  const auto first = it.Node.step(call);
+  const auto second = it.end(call, AttemptEnd::Broken);
+  REQUIRE(second.What == Kind::Send);
+  CHECK(second.To.Node != first.To.Node);
+  CHECK(second.Retry);
+  auto last = it.end(call, AttemptEnd::NotSent);
+  while (last.What == Kind::Send)
+    last = it.end(call, AttemptEnd::NotSent);
+  checkFinish(last, CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+}
+
+TEST_CASE("calls that cannot be sent are refused at once as not run") {
+  BrokerBench it;
+  CallRequest deep;
+  deep.Hops = MaximumHops;
+  CallRequest late;
+  late.Remaining = -1ms;
+  CallRequest poison;
+  poison.Fingerprint = 66;
+  it.Crashers.learn(66, Lookup, 1min, at(it.Now));
+  const auto refused = [&it](const std::string &path, CallRequest request) {
+    auto out = it.Node.step(it.begin(path, std::move(request)));
+    CHECK(out.What == Kind::Finish);
+    CHECK(out.Outcome == CallOutcome::NotRun);
+    return out;
+  };
+  CHECK(refused("/none", {}).Code == ResultCode::NoRoute);
+  CHECK(refused("/pay", deep).Code == ResultCode::TooManyHops);
+  CHECK(refused("/pay", late).Code == ResultCode::DeadlineExceeded);
+  CHECK(refused("/pay", poison).Code == ResultCode::Quarantined);
+  CHECK(refused("/pay", poison).RetryAfter > 0s);
+  it.members({member("n1", "dc1", TargetState::Draining),
+              member("n2", "dc1", TargetState::Starting)});
+  CHECK(refused("/pay", {}).Code == ResultCode::NoTarget);
+  CHECK(refused("/pay", {}).RetryAfter > 0s);
+}
+
+TEST_CASE("drained services and VMs and dead members get nothing new") {
+  BrokerBench it;
+  const auto nodes = [&it] {
+    std::set<std::string> out;
+    for (int n = 0; n < 50; ++n) {
+      const auto call = it.begin("/pay");
+      const auto step = it.Node.step(call);
+      if (step.What == Kind::Send)
+        out.insert(step.To.Node);
+      it.end(call, AttemptEnd::Answered);
+      it.Node.end(call, at(it.Now));
+    }
+    return out;
+  };
+  using Nodes = std::set<std::string>;
+  CHECK(nodes() == Nodes{"n1", "n2"});
+  it.Node.drainedChanged({"vm:n1"}, at(it.Now));
+  CHECK(nodes() == Nodes{"n2"});
+  it.Node.drainedChanged({"service:badges/lookup"}, at(it.Now));
+  CHECK(nodes().empty());
+  it.Node.drainedChanged({}, at(it.Now));
+  auto dead = member("n1");
+  dead.State = fleet::MemberState::Dead;
+  it.members({dead, member("n2")});
+  CHECK(nodes() == Nodes{"n2"});
+}
--- /dev/null
+++ b/Tests/LibCalls/TestGate.cpp
@@ -0,0 +1,121 @@
+#include <LibCalls/CallFixtures.h>
+#include <LibCalls/Gate.h>
+
+#include <doctest/doctest.h>
+#include <utility>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Kind = GateAnswer::Kind;
+
+struct GateBench {
+  explicit GateBench(uint32_t slots = 2) {
+    Node.targetsChanged({target("t", slots)}, at(0s));
+  }
+  GateAnswer arrive(Rank rank, base::Duration passed = 0s,
+                    base::Duration remaining = 1s, uint64_t fingerprint = 0) {
+    Arrival it;
+    it.ServiceName = Lookup;
+    it.TargetId = "t";
+    it.CallRank = rank;
+    it.Remaining = remaining;
+    it.Fingerprint = fingerprint;
+    return Node.arrive(it, at(passed));
+  }
+  std::vector<GateAnswer> end(Ticket call, base::Duration passed,
+                              AttemptEnd how = AttemptEnd::Answered) {
+    return Node.ended(call, ends(how), at(passed));
+  }
+
+  trace::NullRecorder Recorder;
+  Quarantine Crashers{Recorder};
+  Gate Node{Crashers, Recorder};
+};
+
+} // namespace
+
+TEST_CASE("slots run, then calls queue, and the most urgent goes next") {
+  GateBench it;
+  const auto first = it.arrive(Rank::Background);
+  CHECK(first.What == Kind::Run);
+  CHECK(it.arrive(Rank::Background).What == Kind::Run);
+  const auto background = it.arrive(Rank::Background);
+  const auto critical = it.arrive(Rank::Critical);
+  CHECK(background.What == Kind::Queued);
+  CHECK(critical.What == Kind::Queued);
+  CHECK(it.Node.inFlight() == 4);
+  CHECK(it.Node.pressurePermille("t") > 800);
+  const auto next = it.end(first.Call, 10ms);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].What == Kind::Run);
+  CHECK(next[0].Call == critical.Call);
+  it.Node.abandoned(background.Call, at(20ms));
+  CHECK(it.end(critical.Call, 20ms).empty());
+  CHECK(it.Node.inFlight() == 1);
+}
+
+TEST_CASE("calls that cannot run are refused at once with a code") {
+  GateBench it;
+  it.Crashers.learn(66, Lookup, 1min, at(0s));
+  CHECK(it.arrive(Rank::Critical, 0s, 1s, 66).Code == ResultCode::Quarantined);
+  CHECK(it.arrive(Rank::Critical, 0s, 0s).Code == ResultCode::DeadlineExceeded);
+  const std::pair<TargetState, ResultCode> states[] = {
+      {TargetState::Starting, ResultCode::NoTarget},
+      {TargetState::Draining, ResultCode::Draining},
+      {TargetState::Left, ResultCode::Draining}};
+  for (const auto &[state, code] : states) {
+    it.Node.targetsChanged({target("t", 2, state)}, at(0s));
+    const auto answer = it.arrive(Rank::Critical);
+    CHECK(answer.What == Kind::Refuse);
+    CHECK(answer.Code == code);
+    CHECK(answer.RetryAfter >= 1s);
+  }
+  it.Node.targetsChanged({}, at(0s));
+  it.Node.tick(at(0s));
+  CHECK(it.arrive(Rank::Critical).Code == ResultCode::NoTarget);
+}
+
+TEST_CASE("a target that leaves finishes what runs and refuses what waits") {
+  GateBench it(1);
+  const auto running = it.arrive(Rank::Critical);
+  const auto waiting = it.arrive(Rank::Critical);
+  SUBCASE("drained") {
+    it.Node.targetsChanged({target("t", 1, TargetState::Draining)}, at(1ms));
+  }
+  SUBCASE("lapsed") { it.Node.targetsChanged({}, at(1ms)); }
+  const auto refused = it.Node.tick(at(2ms));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].Call == waiting.Call);
+  CHECK(refused[0].Code == ResultCode::Draining);
+  CHECK(it.Node.inFlight() == 1);
+  CHECK(it.end(running.Call, 5ms).empty());
+  CHECK(it.Node.inFlight() == 0);
+}
+
+TEST_CASE("a queued call is refused before its deadline is lost") {
+  GateBench it(1);
+  it.arrive(Rank::Critical);
+  const auto waiting = it.arrive(Rank::Critical, 0s, 100ms);
+  CHECK(it.Node.tick(at(50ms)).empty());
+  const auto refused = it.Node.tick(at(95ms));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].Call == waiting.Call);
+  CHECK(refused[0].Code == ResultCode::DeadlineExceeded);
+}
+
+TEST_CASE("a request in flight on two crashes is quarantined") {
+  GateBench it;
+  for (const auto passed : {0s, 5s}) {
+    const auto poison = it.arrive(Rank::Standard, passed, 1s, 66);
+    const auto other = it.arrive(Rank::Standard, passed, 1s,
+                                 static_cast<uint64_t>(passed.count() + 1));
+    it.end(poison.Call, passed + 1s, AttemptEnd::Broken);
+    it.end(other.Call, passed + 1s, AttemptEnd::Broken);
+  }
+  CHECK(it.arrive(Rank::Standard, 10s, 1s, 66).Code == ResultCode::Quarantined);
+  CHECK(it.arrive(Rank::Standard, 10s, 1s, 1).What == Kind::Run);
+}
