--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -10,6 +10,13 @@
 
 namespace radishcross::http {
 
+/// Orders addresses by port first, which differs more often.
+struct AddressOrder {
+  bool operator()(const base::Address &a, const base::Address &b) const {
+    return a.Port != b.Port ? a.Port < b.Port : a.Host < b.Host;
+  }
+};
+
 /// Idle keep-alive connections by the address that they lead to. A connection
 /// is in the pool only between a whole answer and the next request.
 class ConnectionPool {
@@ -43,7 +50,7 @@
     base::TimePoint Since{};
   };
   boost::asio::io_context *Context;
-  std::map<base::Address, std::vector<IdleLink>> Idle;
+  std::map<base::Address, std::vector<IdleLink>, AddressOrder> Idle;
 };
 
 } // namespace radishcross::http
--- a/Tests/LibHttp/Mesh.h
+++ b/Tests/LibHttp/Mesh.h
@@ -108,9 +108,10 @@
 };
 
 inline config::SnapshotPointer emptySnapshot() {
-  static const int Unread = 0;
-  return {std::make_shared<int>(),
-          reinterpret_cast<const config::Snapshot *>(&Unread)};
+  base::LastReason reason;
+  auto snapshot = config::Snapshot::create({}, 1, reason);
+  REQUIRE(snapshot);
+  return *snapshot;
 }
 
 /// One node's proxy over mocked decisions.
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -3,6 +3,9 @@
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/Answers.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
 using namespace radishcross;
 using namespace radishcross::tests;
 using calls::AttemptEnd;
@@ -12,23 +15,36 @@
 
 /// Two nodes; a target that echoes is behind the second.
 struct TwoNodes {
-  TwoNodes() {
+  TwoNodes() { startTarget(); }
+
+  void startTarget() {
     base::LastReason reason;
     auto server = http::Server::create(
         Context, {"127.0.0.1", 0}, {},
-        [this](http::IncomingRequest in) -> asio::awaitable<http::Response> {
-          SeenByTarget.push_back(in.Message);
-          http::Response answer =
-              http::makeJson(200, "echo " + in.Message.body());
-          answer.set(calls::RankHeader, "forged by the target");
-          co_return answer;
-        },
+        [this](http::IncomingRequest in) { return echo(std::move(in)); },
         reason);
     REQUIRE(server);
     Target = *server;
     route(Target->address());
   }
 
+  asio::awaitable<http::Response> echo(http::IncomingRequest in) {
+    SeenByTarget.push_back(in.Message);
+    PeersOfTarget.insert(in.Peer.text());
+    asio::steady_timer never(Context, std::chrono::hours(1));
+    in.Watch->OnGone = [&never] { never.cancel(); };
+    boost::system::error_code ec;
+    while (HoldAnswers && !Release && !in.Watch->Gone) {
+      never.expires_after(std::chrono::milliseconds(1));
+      co_await never.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    in.Watch->OnGone = nullptr;
+    GoneAtTarget += in.Watch->Gone ? 1 : 0;
+    http::Response answer = http::makeJson(200, "echo " + in.Message.body());
+    answer.set(calls::RankHeader, "forged by the target");
+    co_return answer;
+  }
+
   void route(const base::Address &target) {
     fleet::TargetRecord record;
     record.Service = "badges/pay";
@@ -53,6 +69,10 @@
   ProxyNode Far{Context, Clock, "far"};
   std::shared_ptr<http::Server> Target;
   std::vector<http::Request> SeenByTarget;
+  std::set<std::string> PeersOfTarget;
+  size_t GoneAtTarget = 0;
+  bool HoldAnswers = false;
+  bool Release = false;
 };
 
 std::string codeOf(const http::Response &answer) {
@@ -189,3 +209,183 @@
   CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::NotSent);
   CHECK((*answer)[calls::OutcomeHeader] == "not-run");
 }
+
+TEST_CASE("connections are reused, and one that was closed meanwhile is not") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  for (int i = 0; i < 3; ++i)
+    REQUIRE(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
+  CHECK(mesh.PeersOfTarget.size() == 1);
+  mesh.Target = nullptr;
+  mesh.startTarget();
+  CHECK(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
+  CHECK(mesh.Far.Gate.Results.back().End == AttemptEnd::Answered);
+  CHECK(mesh.PeersOfTarget.size() == 2);
+}
+
+TEST_CASE("a caller that goes away ends its call at the target") {
+  for (bool queued : {false, true}) {
+    TwoNodes mesh;
+    mesh.HoldAnswers = true;
+    if (queued)
+      mesh.Far.Gate.Kind = GateAnswer::Kind::Queued;
+    asio::ip::tcp::socket caller(mesh.Context);
+    auto address = mesh.Near.Proxy->callsAddress();
+    caller.connect({asio::ip::make_address(address.Host), address.Port});
+    asio::write(caller,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    runUntil(mesh.Context, [&] {
+      return queued ? !mesh.Far.Gate.Arrivals.empty()
+                    : !mesh.SeenByTarget.empty();
+    });
+    caller.close();
+    if (queued) {
+      runUntil(mesh.Context, [&] { return mesh.Far.Gate.Abandoned == 1; });
+      CHECK(mesh.SeenByTarget.empty());
+    } else {
+      runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
+      CHECK(mesh.Far.Gate.Results[0].End == AttemptEnd::CallerGone);
+    }
+    runUntil(mesh.Context, [&] { return mesh.Near.Broker.Ended == 1; });
+    CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::CallerGone);
+    // What was abandoned is never used for another call.
+    mesh.HoldAnswers = false;
+    mesh.Far.Gate.Kind = GateAnswer::Kind::Run;
+    CHECK(ask(mesh.Context, address, mesh.post())->body() == "echo body");
+  }
+}
+
+TEST_CASE("a target that falls silent ends the attempt and its idle pool") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  REQUIRE(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
+  mesh.HoldAnswers = true;
+  mesh.Near.Broker.First.AttemptTimeout = std::chrono::milliseconds(20);
+  auto answer = ask(mesh.Context, callers, mesh.post());
+  REQUIRE(answer);
+  CHECK((*answer)[calls::OutcomeHeader] == "unknown");
+  CHECK(mesh.Near.Broker.Results.back().End == AttemptEnd::TimedOut);
+  mesh.HoldAnswers = false;
+  mesh.Near.Broker.First.AttemptTimeout = std::chrono::seconds(5);
+  CHECK(ask(mesh.Context, callers, mesh.post())->body() == "echo body");
+  CHECK(mesh.PeersOfTarget.size() == 2);
+}
+
+TEST_CASE("a target's own refusal is not run; its plain 503 is its answer") {
+  for (bool says : {true, false}) {
+    TwoNodes mesh;
+    RawServer target(mesh.Context,
+                     std::string("HTTP/1.1 503 Busy\r\nContent-Length: "
+                                 "0\r\n") +
+                         (says ? "X-Radishcross-Outcome: not-run\r\n" : "") +
+                         "\r\n");
+    mesh.route(target.address());
+    auto answer =
+        ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
+    REQUIRE(answer);
+    CHECK(answer->result_int() == 503);
+    CHECK(mesh.Near.Broker.Results[0].End ==
+          (says ? AttemptEnd::RefusedNotRun : AttemptEnd::Answered));
+    CHECK(answer->count(calls::OutcomeHeader) == (says ? 1 : 0));
+  }
+}
+
+TEST_CASE("answers keep their meaning on the next connection") {
+  struct Row {
+    const char *Raw;
+    bh::verb Method;
+    unsigned Status;
+    const char *Length;
+    const char *Body;
+  };
+  const Row rows[] = {
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: "
+       "X\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n",
+       bh::verb::get, 200, "3", "abc"},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+       "2\r\n\r\nok",
+       bh::verb::post, 200, "2", "ok"},
+      {"HTTP/1.1 204 No Content\r\n\r\n", bh::verb::get, 204, "", ""},
+      {"HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\n\r\n", bh::verb::get, 304,
+       "", ""},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", bh::verb::head, 200, "7",
+       ""},
+      {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nConnection: X-P\r\nX-P: "
+       "1\r\n\r\nok",
+       bh::verb::get, 200, "2", "ok"},
+  };
+  for (const Row &row : rows) {
+    CAPTURE(row.Raw);
+    TwoNodes mesh;
+    RawServer target(mesh.Context, row.Raw);
+    mesh.route(target.address());
+    auto answer = ask(mesh.Context, mesh.Near.Proxy->callsAddress(),
+                      {row.Method, "/", 11});
+    REQUIRE(answer);
+    CHECK(answer->result_int() == row.Status);
+    CHECK((*answer)["Content-Length"] == row.Length);
+    CHECK(answer->body() == row.Body);
+    CHECK(answer->count("X-P") == 0);
+  }
+}
+
+TEST_CASE("a drained proxy finishes its calls, then lets go of everyone") {
+  TwoNodes mesh;
+  mesh.HoldAnswers = true;
+  std::optional<http::Response> answer;
+  base::LastReason reason;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  asio::co_spawn(
+      mesh.Context,
+      http::fetch(callers, mesh.post(), std::chrono::seconds(10), reason),
+      [&](const std::exception_ptr &, std::optional<http::Response> got) {
+        answer = std::move(got);
+      });
+  runUntil(mesh.Context, [&] { return !mesh.SeenByTarget.empty(); });
+  mesh.Near.Proxy->drain();
+  mesh.Far.Proxy->drain();
+  mesh.Clock.advance(std::chrono::seconds(4));
+  mesh.Near.Proxy->tick();
+  mesh.Far.Proxy->tick();
+  CHECK(mesh.Far.Proxy->inFlight() > 0);
+  mesh.Release = true;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(answer->body() == "echo body");
+  mesh.Far.Proxy->tick();
+  runUntil(mesh.Context, [&] {
+    return mesh.Near.Proxy->inFlight() + mesh.Far.Proxy->inFlight() == 0;
+  });
+  CHECK_FALSE(ask(mesh.Context, callers, mesh.post()));
+}
+
+TEST_CASE("a draining proxy refuses new calls but takes deeper ones") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  REQUIRE(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
+  http::Request deeper = mesh.SeenByTarget.front();
+  mesh.Near.Proxy->drain();
+  mesh.Clock.advance(std::chrono::seconds(2));
+  mesh.Near.Proxy->tick();
+  auto refused = ask(mesh.Context, callers, mesh.post());
+  REQUIRE(refused);
+  CHECK(codeOf(*refused) == "5014");
+  CHECK((*refused)[calls::OutcomeHeader] == "not-run");
+  auto taken = ask(mesh.Context, callers, deeper);
+  REQUIRE(taken);
+  CHECK(taken->result_int() == 200);
+  CHECK(mesh.Near.Broker.Requests.back().ParentRank == config::Rank::Standard);
+  CHECK(mesh.Near.Broker.Requests.back().Hops == 1);
+}
+
+TEST_CASE("a call forwarded without a target is run by the receiving broker") {
+  TwoNodes mesh;
+  mesh.Far.sendTo(mesh.Far, "far", *mesh.Far.Local);
+  mesh.Near.Broker.First.What = calls::CallStep::Kind::Forward;
+  auto answer = ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
+  REQUIRE(answer);
+  CHECK(answer->body() == "echo body");
+  REQUIRE(mesh.Far.Broker.Requests.size() == 1);
+  CHECK(mesh.Far.Broker.Requests[0].FromMesh);
+  CHECK(mesh.Far.Broker.Requests[0].CallId ==
+        mesh.Near.Broker.Requests[0].CallId);
+}
--- a/Tests/StandIns/Target.cpp
+++ b/Tests/StandIns/Target.cpp
@@ -5,6 +5,7 @@
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/Answers.h>
 #include <LibHttp/Client.h>
+#include <LibHttp/ConnectionPool.h>
 #include <LibHttp/Server.h>
 
 #include <absl/flags/flag.h>
@@ -260,8 +261,8 @@
   uint64_t Cancelled = 0;
   uint32_t SilentWanted = 0;
   std::unordered_map<std::string, uint32_t> Runs;
-  std::set<base::Address> Seen;
-  std::set<base::Address> Silent;
+  std::set<base::Address, http::AddressOrder> Seen;
+  std::set<base::Address, http::AddressOrder> Silent;
   std::deque<std::pair<Clock::time_point, uint32_t>> Loads;
   http::ClientWatch ClientWatchNeverGone;
 };
