LibTrace: Keep, write, read and replay decisions

A node's decisions could not be shown again. A ring keeps the newest entries in bounded memory and hands out windows that begin with each module's set-up entry, since a player cannot run what came before it. Traces are JSON lines with a header and a checksummed closing line, so that a truncated, altered, malformed or newer trace gets its own code. A replay plays the entries through registered players and explains the first difference; entries without a player are counted.

--- a/Libraries/LibTrace/Entry.h
+++ b/Libraries/LibTrace/Entry.h
@@ -44,6 +44,12 @@
 constexpr size_t InputCount = 6;
 constexpr size_t OutcomeCount = 4;
 
+/// The event of every module that sets it up: its entry holds what a player
+/// needs to start from, so a trace of a module begins with one. A module may
+/// record it again at any time with the state it has then; the module is as if
+/// new from there on.
+constexpr uint8_t SetUpEvent = 0;
+
 using Inputs = std::array<int64_t, InputCount>;
 using Outcome = std::array<int64_t, OutcomeCount>;
 
@@ -57,6 +63,8 @@
   Inputs Numbers{};  ///< The event's numbers.
   std::string Text;  ///< The event's text, such as a record's bytes.
   Outcome Decided{}; ///< What the module answered.
+
+  bool operator==(const Entry &) const = default;
 };
 
 } // namespace radishcross::trace
--- /dev/null
+++ b/Libraries/LibTrace/Replay.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibTrace/Player.h>
+#include <LibTrace/TraceText.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace radishcross::trace {
+
+/// The first entry whose outcome is not the recorded one.
+struct Difference {
+  size_t Index = 0; ///< Of the entry in the trace, from 0.
+  Entry Recorded;
+  Outcome Decided{};
+  std::string EventName; ///< Empty when the player gives none.
+};
+
+/// How a replay went.
+struct ReplayReport {
+  size_t Played = 0;
+  std::map<Module, size_t> NotPlayed; ///< Entries of modules without a player.
+  std::optional<Difference> First;
+};
+
+/// Runs traces through the players of decision modules.
+class Replay {
+public:
+  using Factory = std::function<std::unique_ptr<Player>()>;
+
+  /// Names the player of a module; each trace gets a new one.
+  void add(Module source, Factory make) { Factories[source] = std::move(make); }
+
+  /// Plays the entries in their order up to the first difference.
+  ReplayReport run(const Trace &trace) const;
+
+private:
+  std::map<Module, Factory> Factories;
+};
+
+/// Returns one line that says what was decided now, what was recorded, and for
+/// which event.
+std::string explain(const Difference &difference);
+
+} // namespace radishcross::trace
