LibPeer: Write beacons, and test shells and decoders

Where the log's first records have expired, the beacons of the records that it still has are read without folding them.

A message may unpack to eight times its size and no more: before, a mutated one could make a decoder reserve up to 128 MB.

TestLibPeer: two to four shells on loopback join, fold the log, recover with the platform down, take an expired state from a peer, rotate keys, meet a shortened log and find a peer through a beacon. 10 cases pass.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -17,6 +17,7 @@
 constexpr size_t MaximumRelays = 256;
 constexpr uint64_t DeadProbeChance = 10; ///< One link in so many.
 constexpr size_t SeedsPerJoin = 3;
+constexpr size_t MaximumFoundSeeds = 32;
 constexpr size_t StatusBytes = 40;
 constexpr size_t MemberBytes = 140;
 constexpr size_t TargetBytes = 60;
@@ -61,7 +62,8 @@
 Membership::Membership(Member self, std::vector<base::Address> seeds,
                        MembershipSettings settings, uint64_t seed)
     : SelfId(self.Identity.Id), DataCentre(self.Identity.DataCentre),
-      Seeds(std::move(seeds)), Settings(settings), Dice(seed),
+      Seeds(std::move(seeds)), ConfiguredSeeds(Seeds.size()),
+      Settings(settings), Dice(seed),
       Probes(SelfId, DataCentre, settings.Probing, Dice.next()) {
   Table.merge({std::move(self), true});
   Queue.push(SelfId, true);
@@ -420,9 +422,16 @@
 }
 
 void Membership::addSeeds(const std::vector<base::Address> &seeds) {
-  for (const auto &it : seeds)
-    if (std::find(Seeds.begin(), Seeds.end(), it) == Seeds.end())
-      Seeds.push_back(it);
+  for (const auto &it : seeds) {
+    if (std::find(Seeds.begin(), Seeds.end(), it) != Seeds.end())
+      continue;
+    // The configured seeds stay; of those found later the oldest goes.
+    if (Seeds.size() >= ConfiguredSeeds + MaximumFoundSeeds)
+      Seeds.erase(Seeds.begin() + static_cast<ptrdiff_t>(ConfiguredSeeds));
+    Seeds.push_back(it);
+    NextJoin = {};
+    JoinsSent = 0;
+  }
 }
 
 void Membership::post(const Notice &notice, base::TimePoint now) {
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -65,6 +65,8 @@
   /// is coarse and not too frequent.
   void setTargets(std::vector<TargetRecord> targets, base::TimePoint now);
   void setDigest(const Digest &digest);
+
+  /// Adds addresses to join through, found in the log.
   void addSeeds(const std::vector<base::Address> &seeds);
   void post(const Notice &notice, base::TimePoint now);
 
@@ -136,6 +138,7 @@
   NodeId SelfId;
   std::string DataCentre;
   std::vector<base::Address> Seeds;
+  size_t ConfiguredSeeds;
   MembershipSettings Settings;
   base::Random Dice;
   MemberTable Table;
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -62,7 +62,10 @@
                 fleet::SpreaderSettings{.TailersPerDataCentre =
                                             Environment.TailersPerDataCentre},
                 Dice.next()),
-      Recovering(std::move(recovery)), Timer(*Environment.Context) {
+      Recovering(std::move(recovery)),
+      Beacons(Environment.Self.Id, Environment.Self.DataCentre, {},
+              Dice.next()),
+      Timer(*Environment.Context) {
   Environment.Counters->counter("steps_back_total") = 0;
 }
 
@@ -117,6 +120,7 @@
   run(Members.tick(Environment.Time->now()));
   putInForce();
   spread();
+  appendBeaconIfDue();
   reportChanges();
 }
 
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Random.h>
+#include <LibFleet/BeaconPlan.h>
 #include <LibFleet/ForceRule.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/RecordStore.h>
@@ -65,6 +66,10 @@
   log::Offset heldOffset() const { return Held.offset() + Waiting.size(); }
   void compareFold(const fleet::NodeId &sender, const fleet::Digest &digest);
 
+  void appendBeaconIfDue();
+  void joinThroughBeacons();
+  void joinThroughRecords(const std::vector<log::StoredRecord> &records);
+
   void pull(const fleet::SpreadAction &action);
   void pullAnswered(const fleet::NodeId &peer,
                     const std::optional<PullAnswer> &answer);
@@ -91,6 +96,8 @@
   fleet::Membership Members;
   fleet::Spreader Spreading;
   fleet::Recovery Recovering;
+  fleet::BeaconPlan Beacons;
+  uint64_t BeaconsSent = 0;
   std::shared_ptr<DatagramSocket> Datagrams;
   std::shared_ptr<PullServer> Server;
   std::shared_ptr<PullClient> Client;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -43,6 +43,9 @@
   if (answer.Reached)
     watchLogEnd(answer);
   Recovering.logRead(answer.Reached, answer.First, answer.End);
+  // Records that cannot be folded yet may still name a live peer.
+  if (Recovering.needsState(heldOffset()))
+    joinThroughRecords(answer.Records);
   bool advanced = answer.Reached && takeRecords(answer.Records, {});
   Spreading.readDone(answer.Reached, advanced, Environment.Time->now());
   spread();
@@ -124,6 +127,7 @@
   if (Held.offset() == before)
     return;
   HeldHash = Held.hash();
+  joinThroughBeacons();
   Members.setDigest(digest());
   if (Recovering.isServing() && Environment.FoldAdvanced)
     Environment.FoldAdvanced(Held);
--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -20,8 +20,7 @@
     "pulls_dropped_total{reason=\"malformed\"}";
 constexpr std::string_view DroppedUnauthenticated =
     "pulls_dropped_total{reason=\"unauthenticated\"}";
-constexpr std::string_view RefusedBusy =
-    "pulls_dropped_total{reason=\"busy\"}";
+constexpr std::string_view RefusedBusy = "pulls_dropped_total{reason=\"busy\"}";
 constexpr std::string_view DroppedCrowded =
     "pulls_dropped_total{reason=\"crowded\"}";
 } // namespace
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -1,5 +1,6 @@
 #include <LibPeer/WireTypes.h>
 
+#include <algorithm>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
@@ -10,6 +11,7 @@
 
 constexpr size_t MaximumHostBytes = 45;
 constexpr size_t MaximumTextBytes = 256;
+constexpr uint64_t SmallMessageWords = 64;
 
 void writeAddress(wire::Address::Builder builder,
                   const base::Address &address) {
@@ -107,7 +109,9 @@
     kj::ArrayInputStream in(kj::ArrayPtr<const kj::byte>(
         reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
     capnp::ReaderOptions options;
-    options.traversalLimitInWords = maximumWords;
+    // Packed zeros may expand a thousandfold; genuine messages do not.
+    options.traversalLimitInWords =
+        std::min<uint64_t>(maximumWords, bytes.size() + SmallMessageWords);
     options.nestingLimit = 8;
     capnp::PackedMessageReader message(in, options);
     return read(message);
--- /dev/null
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -0,0 +1,188 @@
+#include <LibBase/Random.h>
+#include <LibPeer/GossipCodec.h>
+#include <LibPeer/MeshProof.h>
+#include <LibPeer/PullCodec.h>
+#include <LibPeer/ReplayGuard.h>
+
+#include <doctest/doctest.h>
+#include <functional>
+
+using namespace radishcross;
+using namespace radishcross::peer;
+
+namespace {
+
+constexpr int MutationsPerDecoder = 200000;
+
+fleet::Member exampleMember() {
+  fleet::Member member;
+  member.Identity = {"node-1",         "dc-0",
+                     "south",          {{"ring", "canary"}},
+                     {"127.0.0.1", 1}, {"127.0.0.1", 2},
+                     {"127.0.0.1", 3}, {"::1", 4}};
+  member.Incarnation = 7;
+  member.Revision = 9;
+  member.State = fleet::MemberState::Suspect;
+  member.ConfigOffset = 4;
+  member.HeldOffset = 5;
+  member.Targets.push_back({"badges/lookup",
+                            "t",
+                            {"127.0.0.1", 5},
+                            fleet::TargetState::Draining,
+                            9,
+                            120,
+                            300,
+                            2});
+  return member;
+}
+
+Datagram exampleDatagram() {
+  Datagram datagram{"node-1", 100, 3, {}};
+  auto &message = datagram.Message;
+  message.Kind = fleet::GossipKind::PingRequest;
+  message.Probe = 12;
+  message.Subject = "node-2";
+  message.Summary = {5, 4, 3, 2, true};
+  message.Updates = {{exampleMember(), true}, {exampleMember(), false}};
+  message.Notices = {{"topic", "text", 8, 1000}};
+  return datagram;
+}
+
+PullAnswer exampleAnswer() {
+  PullAnswer answer;
+  answer.Nonce = 5;
+  answer.Kind = PullKind::Members;
+  answer.Code = base::ResultCode::PeerBusy;
+  answer.RetryAfterMilliseconds = 50;
+  answer.Records = {{3, "three"}, {4, std::string("\0four", 5)}};
+  answer.State = "{}";
+  answer.StateOffset = 2;
+  answer.Members = {exampleMember()};
+  return answer;
+}
+
+PullRequest exampleRequest() {
+  PullRequest request{"node-1", 5, PullKind::Members, 3, {}};
+  request.Buckets[3] = 17;
+  return request;
+}
+
+/// Changes, cuts, lengthens or repeats a few bytes of \p bytes.
+std::string mutate(std::string bytes, base::Random &dice) {
+  for (auto n = 1 + dice.below(4); n > 0 && !bytes.empty(); --n) {
+    auto at = dice.below(bytes.size());
+    switch (dice.below(5)) {
+    case 0:
+      bytes[at] = static_cast<char>(dice.next());
+      break;
+    case 1:
+      bytes[at] = static_cast<char>(bytes[at] ^ (1 << dice.below(8)));
+      break;
+    case 2:
+      bytes.resize(at);
+      break;
+    case 3:
+      bytes.insert(at, bytes.substr(at, dice.below(16)));
+      break;
+    default:
+      bytes.insert(at, std::string(dice.below(8), dice.below(2) ? '\xff' : 0));
+    }
+  }
+  return bytes;
+}
+
+} // namespace
+
+TEST_CASE("messages survive the way there and back") {
+  base::LastReason reason;
+  auto datagram = decodeDatagram(encodeDatagram(exampleDatagram()), reason);
+  REQUIRE(datagram);
+  CHECK(encodeDatagram(*datagram) == encodeDatagram(exampleDatagram()));
+  const auto &member = datagram->Message.Updates[0].Record;
+  CHECK(member.Identity.NodeLabels == exampleMember().Identity.NodeLabels);
+  CHECK(member.Identity.Administration.text() == "[::1]:4");
+  CHECK(member.Targets[0].State == fleet::TargetState::Draining);
+  CHECK(member.HeldOffset == 5);
+  CHECK_FALSE(datagram->Message.Updates[1].HasContent);
+
+  auto request = decodePullRequest(encodePullRequest(exampleRequest()), reason);
+  REQUIRE(request);
+  CHECK(request->Buckets == exampleRequest().Buckets);
+
+  auto answer = decodePullAnswer(encodePullAnswer(exampleAnswer()), reason);
+  REQUIRE(answer);
+  CHECK(answer->Records[1].Bytes == exampleAnswer().Records[1].Bytes);
+  CHECK(encodePullAnswer(*answer) == encodePullAnswer(exampleAnswer()));
+}
+
+TEST_CASE("decoders refuse what is not a message, and never crash") {
+  struct Case {
+    std::string Whole;
+    std::function<bool(std::string_view, base::LastReason &)> Decode;
+  };
+  Case cases[] = {
+      {encodeDatagram(exampleDatagram()),
+       [](auto bytes, auto &reason) {
+         return decodeDatagram(bytes, reason).has_value();
+       }},
+      {encodePullRequest(exampleRequest()),
+       [](auto bytes, auto &reason) {
+         return decodePullRequest(bytes, reason).has_value();
+       }},
+      {encodePullAnswer(exampleAnswer()),
+       [](auto bytes, auto &reason) {
+         return decodePullAnswer(bytes, reason).has_value();
+       }},
+  };
+  for (uint64_t seed = 1; const auto &it : cases) {
+    base::Random dice(seed++);
+    int refused = 0;
+    for (int n = 0; n < MutationsPerDecoder; ++n) {
+      base::LastReason reason;
+      if (it.Decode(mutate(it.Whole, dice), reason))
+        continue;
+      ++refused;
+      REQUIRE(reason.code() == base::ResultCode::DatagramMalformed);
+    }
+    CHECK(refused > MutationsPerDecoder / 10);
+    base::LastReason reason;
+    CHECK_FALSE(it.Decode("", reason));
+    // A pair of bytes that unpacks to 2 KB of zeros, often repeated.
+    std::string bomb;
+    for (int n = 0; n < 600; ++n)
+      bomb += std::string("\0\xff", 2);
+    CHECK_FALSE(it.Decode(bomb, reason));
+  }
+}
+
+TEST_CASE("a mutated message has no proof of the key") {
+  MeshProof proof({"new", "old"});
+  auto sealed = MeshProof({"old"}).seal("body");
+  base::LastReason reason;
+  CHECK(proof.open(sealed, reason) == "body");
+  base::Random dice(1);
+  for (int n = 0; n < 10000; ++n) {
+    auto changed = mutate(sealed, dice);
+    REQUIRE((changed == sealed || !proof.open(changed, reason)));
+  }
+  CHECK(reason.code() == base::ResultCode::PeerUnauthenticated);
+  CHECK_FALSE(MeshProof({}).open(MeshProof({}).seal("body"), reason));
+}
+
+TEST_CASE("each datagram is taken once, in any order within the window") {
+  struct Case {
+    uint64_t Epoch;
+    uint64_t Sequence;
+    bool Taken;
+  };
+  ReplayGuard guard;
+  for (auto it : {Case{5, 10, true}, Case{5, 10, false}, Case{5, 12, true},
+                  Case{5, 11, true}, Case{5, 11, false}, Case{5, 200, true},
+                  Case{5, 136, false}, Case{5, 137, true}, Case{4, 300, false},
+                  Case{6, 1, true}, Case{5, 201, false}}) {
+    CAPTURE(it.Epoch);
+    CAPTURE(it.Sequence);
+    CHECK(guard.accept("node-1", it.Epoch, it.Sequence) == it.Taken);
+  }
+  CHECK(guard.accept("node-2", 5, 10));
+}
--- /dev/null
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -0,0 +1,223 @@
+#include <LibPeer/FleetShell.h>
+#include <LibPeer/MockPlatform.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace radishcross;
+using namespace radishcross::peer;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Returns an address whose port the system has chosen for UDP or TCP.
+template <typename Protocol> base::Address freeAddress() {
+  asio::io_context context;
+  typename Protocol::socket socket(
+      context,
+      typename Protocol::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  return {"127.0.0.1", socket.local_endpoint().port()};
+}
+
+struct Shell {
+  base::Metrics Counters;
+  std::shared_ptr<FleetShell> Fleet;
+  std::vector<log::Offset> Advances;
+  std::vector<std::string> Notices;
+};
+
+/// A few shells on loopback, on one loop, with one platform.
+struct LoopbackFleet {
+  asio::io_context Context;
+  base::SystemClock Time;
+  trace::NullRecorder Recorder;
+  MockPlatform Platform{Context};
+  std::vector<base::Address> Seeds{freeAddress<asio::ip::udp>()};
+  std::vector<std::unique_ptr<Shell>> Shells;
+
+  Shell &start(const std::string &dataCentre,
+               std::vector<std::string> keys = {"a mesh key"}) {
+    auto shell = std::make_unique<Shell>();
+    FleetEnvironment it;
+    it.Context = &Context;
+    it.Time = &Time;
+    it.Counters = &shell->Counters;
+    it.Recorder = &Recorder;
+    it.Platform = &Platform;
+    it.Self.Id = "node-" + std::to_string(Shells.size());
+    it.Self.DataCentre = dataCentre;
+    it.Self.Gossip = Shells.empty() ? Seeds[0] : freeAddress<asio::ip::udp>();
+    it.Self.Peer = freeAddress<asio::ip::tcp>();
+    it.Seeds = Seeds;
+    it.MeshKeys = std::move(keys);
+    it.RandomSeed = Shells.size() + 1;
+    it.FoldAdvanced = [raw = shell.get()](const log::Fold &fold) {
+      raw->Advances.push_back(fold.offset());
+    };
+    it.NoticeArrived = [raw = shell.get()](std::string_view topic,
+                                           std::string_view text) {
+      raw->Notices.push_back(std::string(topic) + "=" + std::string(text));
+    };
+    base::LastReason reason;
+    auto created = FleetShell::create(std::move(it), reason);
+    CAPTURE(reason.line());
+    REQUIRE(created);
+    shell->Fleet = *created;
+    Shells.push_back(std::move(shell));
+    return *Shells.back();
+  }
+
+  /// Runs the loop until \p holds; false when that takes over 20 s.
+  template <typename Condition> bool runUntil(Condition holds) {
+    auto end = Time.now() + 20s;
+    while (!holds() && Time.now() < end)
+      Context.run_one_for(100ms);
+    return holds();
+  }
+
+  bool allServe(log::Offset offset) const {
+    for (const auto &it : Shells)
+      if (!it->Fleet->ready() || it->Fleet->fold().offset() < offset)
+        return false;
+    return true;
+  }
+};
+
+} // namespace
+
+TEST_CASE("shells of two data centres join, fold the log and spread news") {
+  LoopbackFleet fleet;
+  fleet.Platform.addDrain("a");
+  for (const char *it : {"dc-0", "dc-0", "dc-0", "dc-1"})
+    fleet.start(it);
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(1); }));
+  REQUIRE(fleet.runUntil([&] {
+    for (const auto &it : fleet.Shells)
+      if (it->Fleet->members().size() != 4)
+        return false;
+    return true;
+  }));
+
+  fleet.Platform.addDrain("b");
+  fleet.Shells[0]->Fleet->readLogSoon();
+  REQUIRE(fleet.runUntil([&] {
+    for (const auto &it : fleet.Shells)
+      if (!it->Fleet->fold().drained().contains("vm:b"))
+        return false;
+    // Beacons are in the log too.
+    return fleet.allServe(fleet.Platform.Records.size());
+  }));
+  for (const auto &it : fleet.Shells) {
+    CHECK(it->Fleet->fold().hash() == fleet.Shells[0]->Fleet->fold().hash());
+    CHECK(std::is_sorted(it->Advances.begin(), it->Advances.end()));
+    CHECK(it->Counters.counter("steps_back_total") == 0);
+    CHECK(it->Fleet->controlBytes() > 0);
+  }
+
+  fleet::TargetRecord target;
+  target.Service = "badges/lookup";
+  target.TargetId = "t";
+  fleet.Shells[1]->Fleet->setTargets({target});
+  fleet.Shells[1]->Fleet->spreadNotice("quarantine/1", "f", 1min);
+  auto seesTarget = [](const Shell &shell) {
+    for (const auto &it : shell.Fleet->members())
+      if (it.Identity.Id == "node-1" && it.Targets.size() == 1)
+        return true;
+    return false;
+  };
+  CHECK(fleet.runUntil([&] {
+    return seesTarget(*fleet.Shells[3]) && fleet.Shells[3]->Notices.size() == 1;
+  }));
+  CHECK(fleet.Shells[3]->Notices[0] == "quarantine/1=f");
+
+  bool left = false;
+  fleet.Shells[2]->Fleet->leave([&] { left = true; });
+  CHECK(fleet.runUntil([&] {
+    for (const auto &it : fleet.Shells[0]->Fleet->members())
+      if (it.Identity.Id == "node-2")
+        return left && it.State == fleet::MemberState::Left;
+    return false;
+  }));
+}
+
+TEST_CASE("a newcomer recovers from peers while the platform is down") {
+  LoopbackFleet fleet;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  fleet.start("dc-0");
+  fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  fleet.Platform.IsUp = false;
+  auto &newcomer = fleet.start("dc-0");
+  CHECK_FALSE(newcomer.Fleet->ready());
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  CHECK(newcomer.Advances.front() >= 5);
+  CHECK(newcomer.Fleet->fold().hash() == fleet.Shells[0]->Fleet->fold().hash());
+}
+
+TEST_CASE("a state that the log has lost comes whole from a peer") {
+  LoopbackFleet fleet;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  fleet.Platform.First = 5;
+  fleet.start("dc-1");
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  CHECK(fleet.Shells[1]->Fleet->fold().hash() ==
+        fleet.Shells[0]->Fleet->fold().hash());
+}
+
+TEST_CASE("a newcomer without live seeds finds a peer through the log") {
+  LoopbackFleet fleet;
+  fleet.Platform.addDrain("a");
+  auto &first = fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] {
+    return first.Fleet->ready() && first.Fleet->fold().beacons().size() == 1;
+  }));
+  CHECK(first.Counters.counter("platform_appends_total") == 1);
+  fleet.Seeds = {freeAddress<asio::ip::udp>()};
+  // The first records have expired, so that only a peer has the state.
+  fleet.Platform.First = 2;
+  fleet.start("dc-1");
+  CHECK(fleet.runUntil(
+      [&] { return fleet.allServe(2) && first.Fleet->members().size() == 2; }));
+}
+
+TEST_CASE("keys rotate: old and new prove each other, strangers are dropped") {
+  LoopbackFleet fleet;
+  fleet.Platform.addDrain("a");
+  fleet.start("dc-0", {"old"});
+  fleet.start("dc-0", {"old", "new"});
+  fleet.start("dc-0", {"old", "new"});
+  fleet.start("dc-0", {"stranger"});
+  REQUIRE(fleet.runUntil([&] {
+    return fleet.Shells[0]->Fleet->members().size() == 3 &&
+           fleet.Shells[2]->Fleet->members().size() == 3;
+  }));
+  CHECK(fleet.runUntil([&] {
+    return fleet.Shells[0]->Counters.counter(
+               "datagrams_dropped_total{reason=\"unauthenticated\"}") > 0;
+  }));
+  CHECK(fleet.Shells[3]->Fleet->members().size() == 1);
+}
+
+TEST_CASE("a log that came back shorter is an alarm, not a step back") {
+  LoopbackFleet fleet;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  auto &shell = fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  fleet.Platform.Records.resize(2);
+  CHECK(fleet.runUntil([&] {
+    return shell.Counters.prometheusText().find("log_shortened 1") !=
+           std::string::npos;
+  }));
+  CHECK(shell.Fleet->ready());
+  CHECK(shell.Fleet->fold().offset() >= 5);
+}
