LibNode: Test the whole path through three nodes in one process

Cause: the parts are tested alone; nothing held the path from a published version to an answered call, nor a restart while the platform is down.

--- a/Meta/mesh.py
+++ b/Meta/mesh.py
@@ -208,7 +208,7 @@
                 _, status = fetch(node.address("administration"), f"/v1/status?configuration={configuration}")
             except OSError:
                 continue
-            for held in status.get("held", []):
+            for held in status.get("configurations", []):
                 if held["configuration"] == configuration and held["version"] >= version:
                     since[node.name] = held["since_unix_ms"]
         return since
--- /dev/null
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -0,0 +1,214 @@
+#include <LibNode/MockPlatform.h>
+
+#include <LibBase/Hash.h>
+#include <LibHttp/Client.h>
+#include <LibNode/NodeProcess.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/beast/http/status.hpp>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *TokenText = "an administrator's token";
+constexpr auto Patience = 20s;
+
+constexpr const char *FirstVersion = R"({"content": {
+  "services": [{"name": "lookup"}],
+  "routes": [{"name": "lookup", "match": {"path_prefix": "/lookup"},
+    "service": "lookup", "rank": "standard", "deadline_ms": 5000,
+    "idempotent": true}]}})";
+
+base::Address freeAddress(boost::asio::io_context &context) {
+  namespace ip = boost::asio::ip;
+  for (;;) {
+    ip::tcp::acceptor tcp(context, {ip::make_address("127.0.0.1"), 0});
+    uint16_t port = tcp.local_endpoint().port();
+    ip::udp::socket udp(context, ip::udp::v4());
+    boost::system::error_code ec;
+    udp.bind({ip::make_address("127.0.0.1"), port}, ec);
+    if (!ec)
+      return {"127.0.0.1", port};
+  }
+}
+
+http::Request makeRequest(boost::beast::http::verb method,
+                          const std::string &path, std::string body = {}) {
+  http::Request out(method, path, 11);
+  out.set(boost::beast::http::field::host, "badges.example");
+  out.set(boost::beast::http::field::authorization,
+          std::string("Bearer ") + TokenText);
+  out.body() = std::move(body);
+  out.prepare_payload();
+  return out;
+}
+
+/// A mesh of nodes in one process, one in each of three data centres.
+struct Mesh {
+  boost::asio::io_context Context{1};
+  test::MockPlatform Platform{Context};
+  std::vector<admin::NodeSettings> Settings;
+  std::vector<std::unique_ptr<node::NodeProcess>> Nodes;
+  std::shared_ptr<http::Server> Target;
+  base::Address TargetAddress;
+  int Runs = 0;
+
+  Mesh() {
+    for (const char *dataCentre : {"mobile", "savannah", "macon"}) {
+      admin::NodeSettings it;
+      it.Node = std::string(dataCentre) + "-1";
+      it.DataCentre = dataCentre;
+      it.Region = "south";
+      it.Calls = freeAddress(Context);
+      it.Mesh = freeAddress(Context);
+      it.Gossip = freeAddress(Context);
+      it.Peer = freeAddress(Context);
+      it.Targets = freeAddress(Context);
+      it.Administration = freeAddress(Context);
+      it.Platform = {Platform.address()};
+      it.MeshKeys = {"0123456789abcdef0123456789abcdef"};
+      it.Tokens = {{"operator", base::sha256Hex(TokenText), "permits",
+                    admin::Role::Administrator}};
+      it.DrainSeconds = 10;
+      Settings.push_back(std::move(it));
+    }
+    for (auto &it : Settings)
+      for (const auto &other : Settings)
+        if (other.Node != it.Node)
+          it.Seeds.push_back(other.Gossip);
+    for (const auto &it : Settings)
+      start(it);
+    startTarget();
+  }
+
+  void start(const admin::NodeSettings &settings) {
+    base::LastReason reason;
+    auto node = node::NodeProcess::create(Context, settings, reason);
+    REQUIRE_MESSAGE(node, reason.text());
+    Nodes.push_back(std::move(*node));
+  }
+
+  void startTarget() {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        Context, {"127.0.0.1", 0}, {},
+        [this](http::IncomingRequest request)
+            -> boost::asio::awaitable<http::Response> {
+          ++Runs;
+          http::Response out(boost::beast::http::status::ok, 11);
+          out.body() = "ran " + std::string(request.Message.target());
+          out.prepare_payload();
+          co_return out;
+        },
+        reason);
+    REQUIRE_MESSAGE(server, reason.text());
+    Target = *server;
+    TargetAddress = Target->address();
+  }
+
+  /// Runs the loop until \p condition holds; false after the patience.
+  template <typename Condition> bool runUntil(Condition condition) {
+    auto deadline = std::chrono::steady_clock::now() + Patience;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > deadline)
+        return false;
+      Context.run_one_for(100ms);
+    }
+    return true;
+  }
+
+  std::optional<http::Response> ask(const base::Address &server,
+                                    const http::Request &request) {
+    std::optional<http::Response> out;
+    bool isDone = false;
+    boost::asio::co_spawn(
+        Context,
+        [&]() -> boost::asio::awaitable<void> {
+          base::LastReason reason;
+          out = co_await http::fetch(server, request, 10s, reason);
+          isDone = true;
+        },
+        boost::asio::detached);
+    REQUIRE(runUntil([&] { return isDone; }));
+    return out;
+  }
+
+  void announceTarget() {
+    std::string body =
+        R"({"service": "badges/lookup", "target": "t1", "address": ")" +
+        TargetAddress.text() +
+        R"(", "state": "ready", "slots": 9, "connections": 120})";
+    auto answer =
+        ask(Settings[0].Targets,
+            makeRequest(boost::beast::http::verb::post, "/v1/targets", body));
+    REQUIRE(answer);
+    REQUIRE(answer->result_int() == 200);
+  }
+
+  bool allReady() {
+    return std::all_of(Nodes.begin(), Nodes.end(),
+                       [](const auto &it) { return it->ready(); });
+  }
+
+  bool allHold(uint64_t version) {
+    return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &it) {
+      return it->held().snapshot()->versionOf("badges") >= version;
+    });
+  }
+};
+
+} // namespace
+
+TEST_CASE("a published version routes a call through another node's target") {
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  auto published =
+      mesh.ask(mesh.Settings[1].Administration,
+               makeRequest(boost::beast::http::verb::post,
+                           "/v1/configurations/badges/versions", FirstVersion));
+  REQUIRE(published);
+  INFO(published->body());
+  CHECK(published->result_int() < 300);
+  CHECK(mesh.runUntil([&] { return mesh.allHold(1); }));
+
+  mesh.announceTarget();
+  auto lookup = makeRequest(boost::beast::http::verb::get, "/lookup/badge");
+  std::optional<http::Response> answer;
+  CHECK(mesh.runUntil([&] {
+    answer = mesh.ask(mesh.Settings[2].Calls, lookup);
+    return answer && answer->result_int() == 200;
+  }));
+  CHECK(answer->body() == "ran /lookup/badge");
+  CHECK(mesh.Runs == 1);
+
+  auto unknown = mesh.ask(mesh.Settings[2].Calls,
+                          makeRequest(boost::beast::http::verb::get, "/none"));
+  REQUIRE(unknown);
+  CHECK(unknown->result_int() == 404);
+
+  bool isDrained = false;
+  mesh.Nodes[0]->whenDrained([&] { isDrained = true; });
+  mesh.Nodes[0]->drainSelf();
+  CHECK(mesh.runUntil([&] { return isDrained; }));
+}
+
+TEST_CASE("a restarted node holds the version while the platform is down") {
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  mesh.ask(mesh.Settings[0].Administration,
+           makeRequest(boost::beast::http::verb::post,
+                       "/v1/configurations/badges/versions", FirstVersion));
+  REQUIRE(mesh.runUntil([&] { return mesh.allHold(1); }));
+  mesh.Platform.Outage = true;
+  mesh.Nodes.pop_back();
+  mesh.start(mesh.Settings[2]);
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  CHECK(mesh.allHold(1));
+}
