--- /dev/null
+++ b/Libraries/LibLog/FoldWitness.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibBase/EnumNames.h>
+#include <LibLog/Record.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+namespace radishcross::log {
+
+/// What is known about a claim that the fold has a hash at an offset.
+enum class Belief : uint8_t { Unconfirmed, Confirmed, Refuted };
+
+constexpr base::EnumName<Belief> BeliefNames[] = {
+    {Belief::Unconfirmed, "unconfirmed"},
+    {Belief::Confirmed, "confirmed"},
+    {Belief::Refuted, "refuted"},
+};
+
+/// Remembers which source had which hash at which offset and judges claims by
+/// it: a node's own fold decides alone; without one, a source other than the
+/// claim's own confirms. Bounded to the latest sightings.
+class FoldWitness {
+public:
+  /// Notes the hash of this node's own fold, which started from an empty state
+  /// or from a confirmed one.
+  void noteOwn(Offset at, uint64_t hash);
+
+  /// Notes what another node or a snapshot in the log said.
+  void noteOther(std::string_view source, Offset at, uint64_t hash);
+
+  /// Judges the claim that \p claimant made. Sources that disagree leave it
+  /// unconfirmed.
+  Belief judge(std::string_view claimant, Offset at, uint64_t hash) const;
+
+private:
+  struct Sighting {
+    std::string Source; ///< Empty: this node's own fold.
+    Offset At = 0;
+    uint64_t Hash = 0;
+  };
+
+  static void keep(std::deque<Sighting> &in, Sighting sighting);
+
+  std::deque<Sighting> Own;
+  std::deque<Sighting> Others;
+};
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Libraries/LibLog/SnapshotPolicy.cpp
@@ -0,0 +1,82 @@
+#include <LibBase/Hash.h>
+#include <LibLog/SnapshotPolicy.h>
+
+#include <algorithm>
+
+namespace radishcross::log {
+
+namespace {
+
+constexpr uint64_t IntervalRecords = 5000;
+constexpr base::Duration IntervalTime = std::chrono::minutes(30);
+constexpr uint64_t FirstIntervalRecords = 1000;
+constexpr base::Duration FirstIntervalTime = std::chrono::minutes(5);
+
+/// How long a writer waits to read its own snapshot back.
+constexpr base::Duration WritingTime = std::chrono::seconds(60);
+
+/// A candidate's turn ends after so many records or so much time.
+constexpr uint64_t TurnRecords = 50;
+constexpr base::Duration TurnTime = std::chrono::seconds(10);
+
+} // namespace
+
+void SnapshotPolicy::snapshotSeen(Offset at, Offset firstPartAt,
+                                  base::TimePoint now) {
+  // One of an older state, from a writer that was paused, replaces nothing.
+  if (at <= LastAt)
+    return;
+  LastAt = at;
+  LastFirstPartAt = firstPartAt;
+  LastSeen = now;
+  SilentUntil.reset();
+  DueSince.reset();
+}
+
+bool SnapshotPolicy::isDue(Offset offset, const LogWindow &window,
+                           base::TimePoint now) const {
+  if (offset <= LastAt)
+    return false;
+  bool isFirst = LastFirstPartAt == 0;
+  if (offset - LastAt >= (isFirst ? FirstIntervalRecords : IntervalRecords) ||
+      now - *LastSeen >= (isFirst ? FirstIntervalTime : IntervalTime))
+    return true;
+  // Every snapshot is behind what the platform still keeps, or soon will be.
+  return window.First > 1 &&
+         LastFirstPartAt < window.First + (window.End - window.First) / 2;
+}
+
+size_t SnapshotPolicy::rank(const std::vector<std::string> &candidates) const {
+  std::string key = "snapshot-" + std::to_string(LastAt);
+  uint64_t own = base::rendezvousWeight(key, Self);
+  return std::count_if(candidates.begin(), candidates.end(),
+                       [&](const std::string &it) {
+                         uint64_t weight = base::rendezvousWeight(key, it);
+                         return weight > own || (weight == own && it < Self);
+                       });
+}
+
+bool SnapshotPolicy::shouldWrite(Offset offset, const LogWindow &window,
+                                 const std::vector<std::string> &candidates,
+                                 base::TimePoint now) {
+  if (!LastSeen)
+    LastSeen = now;
+  if (!isDue(offset, window, now) || (SilentUntil && now < *SilentUntil)) {
+    DueSince.reset();
+    return false;
+  }
+  if (!DueSince) {
+    DueSince = now;
+    DueAt = offset;
+  }
+  size_t before = rank(candidates);
+  return offset - DueAt >= before * TurnRecords ||
+         now - *DueSince >= TurnTime * static_cast<int64_t>(before);
+}
+
+void SnapshotPolicy::writing(base::TimePoint now) {
+  SilentUntil = now + WritingTime;
+  DueSince.reset();
+}
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Libraries/LibLog/SpreadForm.cpp
@@ -0,0 +1,12 @@
+#include <LibLog/SpreadForm.h>
+
+namespace radishcross::log {
+
+std::string_view spreadForm(const StoredRecord &record) {
+  base::LastReason reason;
+  auto decoded = decodeRecord(record.Bytes, reason);
+  bool isSnapshot = decoded && decoded->Kind == RecordKind::Snapshot;
+  return isSnapshot ? std::string_view() : std::string_view(record.Bytes);
+}
+
+} // namespace radishcross::log
