LibConfig: Compare a planned change with what is served

Cause: the worst outages began as planned changes, so an operator has to see what a version would take away before it is published.

compareImpact looks up the requests of every route that has calls in the candidate: routes lost with their calls per second by rank, routes taken by a less urgent one, services that would be called without a target, and limits set below what is in use. servicesLosingLastTarget does the same for a drain.

TestLibConfig: 5 cases on the impact pass.

--- /dev/null
+++ b/Libraries/LibConfig/Impact.cpp
@@ -0,0 +1,230 @@
+#include <LibConfig/Impact.h>
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <cmath>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace radishcross::config {
+
+namespace {
+
+using base::ResultCode;
+using boost::json::array;
+using boost::json::object;
+using boost::json::value;
+
+/// The method by which a route without methods is looked up.
+constexpr std::string_view AnyMethod = "GET";
+
+/// Binds a limit's key to what is in use and to the proposal.
+struct LimitRow {
+  std::string_view Key;
+  uint32_t ServiceUsage::*InUse;
+  uint32_t ServiceLimits::*Proposed;
+};
+
+constexpr LimitRow Limits[] = {
+    {"queue_length", &ServiceUsage::QueueLength, &ServiceLimits::QueueLength},
+    {"retry_budget_percent", &ServiceUsage::RetryPercent,
+     &ServiceLimits::RetryBudgetPercent},
+};
+
+/// Binds a usage document's keys to members.
+struct UsageRow {
+  std::string_view Key;
+  uint32_t ServiceUsage::*Member;
+};
+
+constexpr UsageRow UsageKeys[] = {
+    {"targets", &ServiceUsage::Targets},
+    {"queue_length", &ServiceUsage::QueueLength},
+    {"retry_percent", &ServiceUsage::RetryPercent},
+};
+
+double numberAt(const value &from, std::string_view key) {
+  const auto *object = from.if_object();
+  const auto *found = object ? object->if_contains(key) : nullptr;
+  boost::json::error_code ec;
+  double n = found && found->is_number() ? found->to_number<double>(ec) : 0;
+  return std::isfinite(n) && n > 0 ? n : 0;
+}
+
+uint32_t countAt(const value &from, std::string_view key) {
+  return static_cast<uint32_t>(
+      std::min<double>(numberAt(from, key), UINT32_MAX));
+}
+
+/// Returns the object at \p key; an empty one where it is missing.
+const object *sectionAt(const value &document, std::string_view key) {
+  static const object empty;
+  const auto *root = document.if_object();
+  if (!root)
+    return nullptr;
+  const auto *found = root->if_contains(key);
+  return found ? found->if_object() : &empty;
+}
+
+std::vector<std::string_view> methodsOf(const Route &route) {
+  std::vector<std::string_view> out(route.Match.Methods.begin(),
+                                    route.Match.Methods.end());
+  if (out.empty())
+    out.push_back(AnyMethod);
+  return out;
+}
+
+/// Compares one route's requests under the candidate.
+class RouteComparison {
+public:
+  RouteComparison(const Snapshot &current, const Snapshot &candidate)
+      : Current(current), Candidate(candidate) {}
+
+  /// Looks up each of the route's methods; the worst answer counts.
+  void compare(const Route &route) {
+    for (auto method : methodsOf(route)) {
+      const auto &match = route.Match;
+      auto now = Current.findRoute(method, match.Host, match.PathPrefix);
+      // Another route takes these requests already.
+      if (now.Matched != &route)
+        continue;
+      auto then = Candidate.findRoute(method, match.Host, match.PathPrefix);
+      IsLost = IsLost || !then.Matched;
+      if (!then.Matched)
+        continue;
+      IsDemoted = IsDemoted || then.Matched->CallRank > route.CallRank;
+      Services.insert(then.ServiceName);
+    }
+  }
+
+  bool IsLost = false;
+  bool IsDemoted = false;
+  std::set<std::string> Services; ///< That would serve the requests.
+
+private:
+  const Snapshot &Current;
+  const Snapshot &Candidate;
+};
+
+bool hasTargets(const Usage &usage, const std::string &service) {
+  auto it = usage.Services.find(service);
+  return it != usage.Services.end() && it->second.Targets > 0;
+}
+
+void compareLimits(const Snapshot &current, const Snapshot &candidate,
+                   const Usage &usage, Impact &out) {
+  for (const auto &[name, used] : usage.Services) {
+    const auto *older = current.findService(name);
+    const auto *newer = candidate.findService(name);
+    if (!older || !newer)
+      continue;
+    for (const auto &row : Limits) {
+      uint32_t proposed = newer->Limits.*row.Proposed;
+      bool tightened = proposed < older->Limits.*row.Proposed;
+      if (tightened && proposed < used.*row.InUse)
+        out.TightenedLimits.push_back(
+            {name, std::string(row.Key), used.*row.InUse, proposed});
+    }
+  }
+}
+
+array encodeRoutes(const std::vector<AffectedRoute> &routes) {
+  array out;
+  for (const auto &it : routes)
+    out.push_back(object{{"route", it.Name},
+                         {"rank", base::nameOf(RankNames, it.CallRank)},
+                         {"calls_per_s", it.CallsPerSecond}});
+  return out;
+}
+
+} // namespace
+
+bool Impact::isHarmless() const {
+  return LostRoutes.empty() && DemotedRoutes.empty() &&
+         WithoutTargets.empty() && TightenedLimits.empty();
+}
+
+std::optional<Usage> decodeUsage(const value &document,
+                                 base::LastReason &reason) {
+  const auto *routes = sectionAt(document, "routes");
+  const auto *services = sectionAt(document, "services");
+  if (!routes || !services)
+    return reason.fail(ResultCode::WrongType,
+                       "usage: expected objects \"routes\" and \"services\"");
+  Usage out;
+  for (const auto &it : *routes)
+    out.CallsPerSecond[it.key()] = numberAt(it.value(), "calls_per_s");
+  for (const auto &it : *services)
+    for (const auto &row : UsageKeys)
+      out.Services[it.key()].*row.Member = countAt(it.value(), row.Key);
+  return out;
+}
+
+Impact compareImpact(const Snapshot &current, const Snapshot &candidate,
+                     const Usage &usage) {
+  Impact out;
+  std::set<std::string> withoutTargets;
+  for (const auto &held : current.versions()) {
+    for (const auto &route : held.Content->Routes) {
+      std::string name = held.Configuration;
+      name += '/';
+      name += route.Name;
+      auto calls = usage.CallsPerSecond.find(name);
+      if (calls == usage.CallsPerSecond.end() || calls->second <= 0)
+        continue;
+      RouteComparison comparison(current, candidate);
+      comparison.compare(route);
+      AffectedRoute affected{name, route.CallRank, calls->second};
+      if (comparison.IsLost) {
+        out.LostCallsPerSecond[static_cast<size_t>(route.CallRank)] +=
+            calls->second;
+        out.LostRoutes.push_back(affected);
+      }
+      if (comparison.IsDemoted)
+        out.DemotedRoutes.push_back(affected);
+      for (const auto &service : comparison.Services)
+        if (!hasTargets(usage, service))
+          withoutTargets.insert(service);
+    }
+  }
+  out.WithoutTargets.assign(withoutTargets.begin(), withoutTargets.end());
+  compareLimits(current, candidate, usage, out);
+  return out;
+}
+
+std::vector<std::string>
+servicesLosingLastTarget(const Usage &usage,
+                         const std::map<std::string, uint32_t> &targets) {
+  std::vector<std::string> out;
+  for (const auto &[name, leaving] : targets) {
+    auto it = usage.Services.find(name);
+    bool served = it != usage.Services.end() && it->second.Targets > 0;
+    if (served && it->second.Targets <= leaving)
+      out.push_back(name);
+  }
+  return out;
+}
+
+value encodeImpact(const Impact &impact) {
+  object lost;
+  for (const auto &row : RankNames)
+    lost[row.Name] =
+        impact.LostCallsPerSecond.at(static_cast<size_t>(row.Value));
+  array without(impact.WithoutTargets.begin(), impact.WithoutTargets.end());
+  array limits;
+  for (const auto &it : impact.TightenedLimits)
+    limits.push_back(object{{"service", it.Service},
+                            {"limit", it.Limit},
+                            {"in_use", it.InUse},
+                            {"proposed", it.Proposed}});
+  return object{{"harmless", impact.isHarmless()},
+                {"lost_routes", encodeRoutes(impact.LostRoutes)},
+                {"lost_calls_per_s", std::move(lost)},
+                {"demoted_routes", encodeRoutes(impact.DemotedRoutes)},
+                {"without_targets", std::move(without)},
+                {"tightened_limits", std::move(limits)}};
+}
+
+} // namespace radishcross::config
--- /dev/null
+++ b/Tests/LibConfig/TestImpact.cpp
@@ -0,0 +1,126 @@
+#include <LibConfig/Impact.h>
+#include <LibConfig/VersionContentCodec.h>
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+#include <string>
+
+using namespace radishcross;
+using config::compareImpact;
+
+namespace {
+
+config::SnapshotPointer snapshotOf(std::string_view document) {
+  base::LastReason reason;
+  auto content =
+      config::decodeVersionContent(boost::json::parse(document), reason);
+  REQUIRE_MESSAGE(content, reason.text());
+  auto held = std::make_shared<const config::VersionContent>(*content);
+  auto out = config::Snapshot::create({{"c", 1, held}}, 1, reason);
+  REQUIRE_MESSAGE(out, reason.text());
+  return *out;
+}
+
+constexpr std::string_view Services =
+    R"("services":[{"name":"s"},{"name":"t"}])";
+
+std::string with(std::string_view routes) {
+  return "{" + std::string(Services) + ",\"routes\":[" + std::string(routes) +
+         "]}";
+}
+
+const std::string Pay =
+    R"({"name":"pay","service":"s","rank":"critical",)"
+    R"("match":{"methods":["POST","PUT"],"path_prefix":"/pay"}})";
+const std::string Look = R"({"name":"look","service":"s","rank":"standard",)"
+                         R"("match":{"path_prefix":"/look"}})";
+
+config::Usage usageOf(std::string_view text) {
+  base::LastReason reason;
+  auto out = config::decodeUsage(boost::json::parse(text), reason);
+  REQUIRE(out);
+  return *out;
+}
+
+const std::string Busy =
+    R"({"routes":{"c/pay":{"calls_per_s":12.5},"c/look":{"calls_per_s":40}},)"
+    R"("services":{"c/s":{"targets":3,"queue_length":30,"retry_percent":4}}})";
+
+} // namespace
+
+TEST_CASE("routes that vanish are reported with their calls by rank") {
+  auto current = snapshotOf(with(Pay + "," + Look));
+  auto usage = usageOf(Busy);
+  CHECK(compareImpact(*current, *current, usage).isHarmless());
+  auto impact = compareImpact(*current, *snapshotOf(with(Look)), usage);
+  REQUIRE(impact.LostRoutes.size() == 1);
+  CHECK(impact.LostRoutes[0].Name == "c/pay");
+  CHECK(impact.LostCallsPerSecond[0] == 12.5);
+  CHECK(impact.LostCallsPerSecond[1] == 0);
+  // One of two methods lost is a loss as well.
+  auto half =
+      snapshotOf(with(R"({"name":"pay","service":"s","rank":"critical",)"
+                      R"("match":{"methods":["POST"],"path_prefix":"/pay"}},)" +
+                      Look));
+  CHECK(compareImpact(*current, *half, usage).LostRoutes.size() == 1);
+  // A route without calls harms nobody.
+  CHECK(compareImpact(*current, *snapshotOf(with(Pay)),
+                      usageOf(R"({"routes":{"c/look":{"calls_per_s":0}}})"))
+            .isHarmless());
+}
+
+TEST_CASE("a renamed route that takes the same requests is no loss") {
+  auto current = snapshotOf(with(Look));
+  auto renamed =
+      snapshotOf(with(R"({"name":"all","service":"s","rank":"standard"})"));
+  CHECK(compareImpact(*current, *renamed, usageOf(Busy)).isHarmless());
+  auto demoted = snapshotOf(with(R"({"name":"all","service":"s"})"));
+  auto impact = compareImpact(*current, *demoted, usageOf(Busy));
+  REQUIRE(impact.DemotedRoutes.size() == 1);
+  CHECK(impact.DemotedRoutes[0].Name == "c/look");
+}
+
+TEST_CASE("calls moved to a service without targets are reported") {
+  auto current = snapshotOf(with(Look));
+  auto moved =
+      snapshotOf(with(R"({"name":"look","service":"t","rank":"standard",)"
+                      R"("match":{"path_prefix":"/look"}})"));
+  auto impact = compareImpact(*current, *moved, usageOf(Busy));
+  CHECK(impact.WithoutTargets == std::vector<std::string>{"c/t"});
+  auto usage = usageOf(Busy);
+  CHECK(config::servicesLosingLastTarget(usage, {{"c/s", 2}, {"c/x", 1}})
+            .empty());
+  CHECK(config::servicesLosingLastTarget(usage, {{"c/s", 3}}) ==
+        std::vector<std::string>{"c/s"});
+}
+
+TEST_CASE("a limit set below what is in use is reported") {
+  auto limits = [](std::string_view text) {
+    return snapshotOf(R"({"services":[{"name":"s","limits":)" +
+                      std::string(text) + "}]}");
+  };
+  auto current = limits(R"({"queue_length":64,"retry_budget_percent":10})");
+  auto impact = compareImpact(
+      *current, *limits(R"({"queue_length":20,"retry_budget_percent":5})"),
+      usageOf(Busy));
+  REQUIRE(impact.TightenedLimits.size() == 1);
+  CHECK(impact.TightenedLimits[0].Limit == "queue_length");
+  CHECK(impact.TightenedLimits[0].InUse == 30);
+  CHECK(impact.TightenedLimits[0].Proposed == 20);
+  auto text = config::encodeImpact(impact);
+  CHECK(text.at("harmless") == false);
+  CHECK(text.at("tightened_limits").at(0).at("service") == "c/s");
+  CHECK(
+      compareImpact(*current, *limits(R"({"queue_length":30})"), usageOf(Busy))
+          .isHarmless());
+}
+
+TEST_CASE("a usage that is no object is refused") {
+  base::LastReason reason;
+  for (const char *text : {"[]", R"({"routes":1})", R"({"services":[]})"})
+    CHECK_FALSE(config::decodeUsage(boost::json::parse(text), reason));
+  CHECK(usageOf(R"({"routes":{"a":{"calls_per_s":-1},"b":{"calls_per_s":"x"}},)"
+                R"("services":{"s":{"targets":1e30}}})")
+            .CallsPerSecond.at("a") == 0);
+}
