--- /dev/null
+++ b/Libraries/LibLog/FoldPlayer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibLog/Fold.h>
+#include <LibTrace/Entry.h>
+#include <LibTrace/Player.h>
+
+#include <cstdint>
+
+namespace radishcross::log {
+
+/// Events of Module::Fold. Times are those of the entry alone.
+enum class FoldEvent : uint8_t {
+  /// Sets the state up. Text: the saved state. Decided: 1 when it was sound,
+  /// offset, hash.
+  Load,
+  /// Applies a record. Numbers: offset. Text: the record's bytes. Decided:
+  /// result code, version, hash after it, offset after it.
+  Apply,
+};
+
+/// Returns the entry that sets a player up with \p fold.
+trace::Entry traceLoad(int64_t atMicroseconds, const Fold &fold);
+
+/// Returns the entry of a record that \p fold has just applied.
+trace::Entry traceApply(int64_t atMicroseconds, const StoredRecord &record,
+                        const RecordOutcome &outcome, const Fold &fold);
+
+/// Replays the entries of Module::Fold.
+class FoldPlayer final : public trace::Player {
+public:
+  trace::Outcome play(const trace::Entry &entry) override;
+
+  const Fold &state() const { return State; }
+
+private:
+  Fold State;
+};
+
+} // namespace radishcross::log
--- a/Libraries/LibLog/HeldVersions.cpp
+++ b/Libraries/LibLog/HeldVersions.cpp
@@ -48,14 +48,9 @@
   return out;
 }
 
-/// Returns the versions above what is held.
+/// Returns the goals that are above what is held.
 std::vector<HeldVersions::Target>
-HeldVersions::pending(const Targets &selected) const {
-  Targets goals = selected;
-  for (const auto &[name, version] : Floor) {
-    auto &goal = goals[name];
-    goal = std::max(goal, version);
-  }
+HeldVersions::above(const Targets &goals) const {
   std::vector<Target> out;
   for (const auto &[name, version] : goals)
     if (version > Current->versionOf(name))
@@ -74,9 +69,17 @@
 
 bool HeldVersions::update(const Fold &fold) {
   auto chosen = selected(fold);
-  auto targets = pending(chosen);
+  auto goals = chosen;
+  for (const auto &[name, version] : Floor)
+    goals[name] = std::max(goals[name], version);
+  auto targets = above(goals);
   bool isBlocked = !targets.empty() && targets == Blocked;
-  bool changed = !isBlocked && advance(fold, targets);
+  bool changed = false;
+  if (!isBlocked) {
+    // What a restarted proxy held was closed, and newer versions may not be.
+    changed = advance(fold, above(Floor));
+    changed = advance(fold, above(goals)) || changed;
+  }
   listHoldovers(chosen);
   return changed;
 }
--- a/Libraries/LibLog/HeldVersions.h
+++ b/Libraries/LibLog/HeldVersions.h
@@ -37,10 +37,16 @@
   const std::vector<std::string> &holdovers() const { return Holdovers; }
 
   /// Holds at least these versions from the next update on: used when a node
-  /// that restarts learns from its peers what its data centre holds. A version
-  /// that the fold does not have yet is waited for, and no lower one is taken.
+  /// that restarts learns from its peers what its data centre holds. They are
+  /// taken before the newer ones that are attached, which may have to wait. A
+  /// version that the fold does not have yet is waited for, and no lower one is
+  /// taken.
   void raiseFloor(const std::map<std::string, uint64_t> &versions);
 
+  const std::string &node() const { return NodeId; }
+  const config::Labels &labels() const { return NodeLabels; }
+  const std::map<std::string, uint64_t> &floor() const { return Floor; }
+
 private:
   /// Names one version of one configuration.
   struct Target {
@@ -51,7 +57,7 @@
   using Targets = std::map<std::string, uint64_t>;
 
   Targets selected(const Fold &fold) const;
-  std::vector<Target> pending(const Targets &selected) const;
+  std::vector<Target> above(const Targets &goals) const;
   void listHoldovers(const Targets &selected);
   bool advance(const Fold &fold, const std::vector<Target> &targets);
 
--- a/Tests/LibLog/TestHeldVersions.cpp
+++ b/Tests/LibLog/TestHeldVersions.cpp
@@ -147,3 +147,20 @@
   CHECK(held.snapshot()->versionOf("a") == 2);
   CHECK(held.holdovers() == std::vector<std::string>{"a"});
 }
+
+TEST_CASE("a restarted proxy takes what it held before newer ones that wait") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {})));
+  proxy.append(log::publish("2", "b", 0, log::contentOf({"t"}, {"r>a/s"})));
+  // Version 2 waits for a service that nobody defines.
+  proxy.append(log::publish("3", "b", 1, log::contentOf({"t"}, {"r>a/gone"})));
+  CHECK(proxy.version("b") == 1);
+  HeldVersions again("n1", Edge);
+  again.raiseFloor({{"a", 1}, {"b", 1}});
+  CHECK(again.update(proxy.Log.State));
+  CHECK(again.snapshot()->versionOf("b") == 1);
+  REQUIRE(again.waiting().size() == 1);
+  CHECK(again.waiting()[0].Version == 2);
+  CHECK_FALSE(again.update(proxy.Log.State));
+  CHECK(again.waiting().size() == 1);
+}
