LibAdmin: Test the API over a fold and preview attachments

The API was untested against a real fold. A mock node now folds what the API appends, so that the tests see publish, stale base, lost answer, teams, roles and the fleet's status end to end. A record's id is taken from the query of every change, so that a repeated request gets the first one's outcome whatever the state is by then; before, a repeated detach answered not-found. Old versions come from the fold's history.

--- a/Libraries/LibAdmin/Api.cpp
+++ b/Libraries/LibAdmin/Api.cpp
@@ -50,6 +50,7 @@
        Role::Publisher,
        &H::publish},
       {post, {"v1", "attachments"}, Role::Publisher, &H::attach},
+      {post, {"v1", "attachments", "preview"}, Role::Reader, &H::previewAttach},
       {delete_, {"v1", "attachments", "*"}, Role::Publisher, &H::detach},
       {get, {"v1", "audit"}, Role::Reader, &H::audit},
       {get, {"v1", "records", "*"}, Role::Reader, &H::record},
--- a/Libraries/LibAdmin/ApiHandlers.cpp
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -1,6 +1,7 @@
 #include <LibAdmin/ApiHandlers.h>
 
 #include <LibAdmin/Answers.h>
+#include <LibAdmin/AttachPreview.h>
 #include <LibAdmin/AuditQuery.h>
 #include <LibAdmin/ChangeRequest.h>
 #include <LibAdmin/ConfigurationReport.h>
@@ -138,30 +139,29 @@
   auto number = parseNumber(request.Captures.at(1), "version", reason);
   if (!number)
     return failureAnswer(reason);
-  auto it = Node.fold().configurations().find(name);
-  if (it == Node.fold().configurations().end())
-    return failure(ResultCode::UnknownConfiguration,
-                   "no configuration is named " + name);
-  const auto *version = findVersion(it->second, *number);
-  if (!version)
-    return failure(ResultCode::UnknownVersion, name + " has no version " +
-                                                   std::to_string(*number) +
-                                                   " or no longer keeps it");
-  return jsonAnswer(versionReport(it->second, *version));
+  auto content = Node.fold().documentOf(name, *number, reason);
+  if (!content)
+    return failureAnswer(reason);
+  return jsonAnswer(json::object{{"configuration", name},
+                                 {"version", *number},
+                                 {"content", std::move(*content)}});
 }
 
 ApiHandlers::Later ApiHandlers::change(ApiRequest request, Build build) {
   if (!Node.ready())
     co_return failure(ResultCode::NotRecovered,
                       "the node has not recovered its configuration yet");
+  // A repeated request gets the outcome of the first one, whatever the state
+  // is by now.
+  auto id = queryText(request, "record");
+  if (auto known = Node.fold().outcomeOf(id))
+    co_return changeAnswer(
+        {ChangeOutcome::Kind::Accepted, std::move(id), std::move(*known)},
+        Node.fold());
   base::LastReason reason;
   auto record = build(request, Node.fold(), reason);
   if (!record)
     co_return failureAnswer(reason);
-  if (auto known = Node.fold().outcomeOf(record->Id))
-    co_return changeAnswer(
-        {ChangeOutcome::Kind::Accepted, record->Id, std::move(*known)},
-        Node.fold());
   auto outcome = co_await appendAndWait(Node, std::move(*record));
   co_return changeAnswer(outcome, Node.fold());
 }
@@ -174,6 +174,14 @@
   return change(std::move(request), attachRecord);
 }
 
+http::Response ApiHandlers::previewAttach(const ApiRequest &request) {
+  base::LastReason reason;
+  auto planned = plannedAttachment(request, Node.fold(), reason);
+  if (!planned)
+    return failureAnswer(reason);
+  return jsonAnswer(attachPreview(Node.fold(), *planned, Node.members()));
+}
+
 ApiHandlers::Later ApiHandlers::detach(ApiRequest request) {
   return change(std::move(request), detachRecord);
 }
--- a/Libraries/LibAdmin/ApiHandlers.h
+++ b/Libraries/LibAdmin/ApiHandlers.h
@@ -29,6 +29,7 @@
   http::Response version(const ApiRequest &request);
   Later publish(ApiRequest request);
   Later attach(ApiRequest request);
+  http::Response previewAttach(const ApiRequest &request);
   Later detach(ApiRequest request);
   http::Response audit(const ApiRequest &request);
   http::Response record(const ApiRequest &request);
--- a/Libraries/LibAdmin/ChangeRequest.cpp
+++ b/Libraries/LibAdmin/ChangeRequest.cpp
@@ -68,10 +68,11 @@
   return n;
 }
 
-/// Starts a record with its id and author; the id is the client's choice.
+/// Starts a record with its id and author; the id may be the client's choice.
 std::optional<log::Record> startRecord(const ApiRequest &request,
-                                       log::RecordKind kind, std::string id,
+                                       log::RecordKind kind,
                                        base::LastReason &reason) {
+  auto id = queryText(request, "record");
   if (id.empty())
     id = newRecordId();
   if (!isRecordId(id))
@@ -84,16 +85,6 @@
   return out;
 }
 
-std::optional<log::Record> startRecord(const ApiRequest &request,
-                                       log::RecordKind kind,
-                                       const json::object &body,
-                                       base::LastReason &reason) {
-  auto id = readText(body, "record", "", reason);
-  if (!id)
-    return std::nullopt;
-  return startRecord(request, kind, std::move(*id), reason);
-}
-
 const log::Configuration *findConfiguration(const log::Fold &fold,
                                             std::string_view name) {
   auto it = fold.configurations().find(name);
@@ -181,8 +172,7 @@
   if (!name || !checkTeam(request, fold, *name, reason))
     return std::nullopt;
   auto body = parseBody(
-      request, {"record", "base", "content", "attach", "accepted_impact"},
-      reason);
+      request, {"base", "content", "attach", "accepted_impact"}, reason);
   if (!body)
     return std::nullopt;
   const auto *content = body->if_contains("content");
@@ -197,7 +187,7 @@
   auto attachments = readAttachments(*body, fold, *name, reason);
   if (!attachments)
     return std::nullopt;
-  auto record = startRecord(request, log::RecordKind::Publish, *body, reason);
+  auto record = startRecord(request, log::RecordKind::Publish, reason);
   if (!record)
     return std::nullopt;
   json::object out{
@@ -210,12 +200,11 @@
   return record;
 }
 
-std::optional<log::Record> attachRecord(const ApiRequest &request,
-                                        const log::Fold &fold,
-                                        base::LastReason &reason) {
+std::optional<log::Attachment> plannedAttachment(const ApiRequest &request,
+                                                 const log::Fold &fold,
+                                                 base::LastReason &reason) {
   auto body = parseBody(
-      request, {"record", "name", "configuration", "version", "selector"},
-      reason);
+      request, {"name", "configuration", "version", "selector"}, reason);
   if (!body)
     return std::nullopt;
   auto name = readText(*body, "name", std::nullopt, reason);
@@ -224,7 +213,7 @@
   if (!name)
     return std::nullopt;
   auto configuration = readText(*body, "configuration", std::nullopt, reason);
-  if (!configuration || !checkTeam(request, fold, *configuration, reason))
+  if (!configuration)
     return std::nullopt;
   if (!findConfiguration(fold, *configuration))
     return reason.fail(ResultCode::UnknownConfiguration,
@@ -237,12 +226,22 @@
   auto selector = config::Selector::create(*text, reason);
   if (!selector)
     return std::nullopt;
-  auto record = startRecord(request, log::RecordKind::Attach, *body, reason);
+  return log::Attachment{*name, *configuration, *version, std::move(*selector),
+                         0};
+}
+
+std::optional<log::Record> attachRecord(const ApiRequest &request,
+                                        const log::Fold &fold,
+                                        base::LastReason &reason) {
+  auto planned = plannedAttachment(request, fold, reason);
+  if (!planned || !checkTeam(request, fold, planned->Configuration, reason))
+    return std::nullopt;
+  auto record = startRecord(request, log::RecordKind::Attach, reason);
   if (record)
-    record->Body = json::object{{"name", *name},
-                                {"configuration", *configuration},
-                                {"version", *version},
-                                {"selector", selector->text()}};
+    record->Body = json::object{{"name", planned->Name},
+                                {"configuration", planned->Configuration},
+                                {"version", planned->Version},
+                                {"selector", planned->Chooses.text()}};
   return record;
 }
 
@@ -255,8 +254,7 @@
     return reason.fail(ResultCode::NotFound, "no attachment is named " + name);
   if (!checkTeam(request, fold, it->second.Configuration, reason))
     return std::nullopt;
-  auto record = startRecord(request, log::RecordKind::Detach,
-                            queryText(request, "record"), reason);
+  auto record = startRecord(request, log::RecordKind::Detach, reason);
   if (record)
     record->Body = json::object{{"name", name}};
   return record;
@@ -265,31 +263,29 @@
 std::optional<log::Record> drainRecord(const ApiRequest &request,
                                        const log::Fold &fold,
                                        base::LastReason &reason) {
-  auto body = parseBody(request, {"record", "name", "drained"}, reason);
+  auto body = parseBody(request, {"what", "on"}, reason);
   if (!body)
     return std::nullopt;
-  auto name = readText(*body, "name", std::nullopt, reason);
-  if (!name)
+  auto what = readText(*body, "what", std::nullopt, reason);
+  if (!what)
     return std::nullopt;
-  if (name->starts_with(VmPrefix)) {
+  if (what->starts_with(VmPrefix)) {
     if (!allows(*request.By, Role::Administrator, reason))
       return std::nullopt;
-  } else if (name->starts_with(ServicePrefix)) {
-    auto service = name->substr(ServicePrefix.size());
+  } else if (what->starts_with(ServicePrefix)) {
+    auto service = what->substr(ServicePrefix.size());
     if (!checkTeam(request, fold, service.substr(0, service.find('/')), reason))
       return std::nullopt;
   } else {
     return reason.fail(ResultCode::BadValue,
-                       "name: expected vm:ID or service:CONFIGURATION/NAME");
+                       "what: expected vm:ID or service:CONFIGURATION/NAME");
   }
-  const auto *drained = body->if_contains("drained");
-  if (drained && !drained->is_bool())
-    return reason.fail(ResultCode::WrongType,
-                       "drained: expected true or false");
-  auto record = startRecord(request, log::RecordKind::Drain, *body, reason);
+  const auto *on = body->if_contains("on");
+  if (on && !on->is_bool())
+    return reason.fail(ResultCode::WrongType, "on: expected true or false");
+  auto record = startRecord(request, log::RecordKind::Drain, reason);
   if (record)
-    record->Body = json::object{{"name", *name},
-                                {"drained", !drained || drained->as_bool()}};
+    record->Body = json::object{{"what", *what}, {"on", !on || on->as_bool()}};
   return record;
 }
 
--- a/Libraries/LibAdmin/ConfigurationReport.cpp
+++ b/Libraries/LibAdmin/ConfigurationReport.cpp
@@ -34,22 +34,4 @@
   return out;
 }
 
-const log::Version *findVersion(const log::Configuration &configuration,
-                                uint64_t number) {
-  for (const auto &it : configuration.Versions)
-    if (it.Number == number)
-      return &it;
-  return nullptr;
-}
-
-json::object versionReport(const log::Configuration &configuration,
-                           const log::Version &version) {
-  return {
-      {"configuration", configuration.Name},
-      {"version", version.Number},
-      {"offset", version.At},
-      {"content", version.Document},
-  };
-}
-
 } // namespace radishcross::admin
--- a/Libraries/LibAdmin/ConfigurationReport.h
+++ b/Libraries/LibAdmin/ConfigurationReport.h
@@ -16,12 +16,4 @@
 /// Returns the report of every configuration, by name.
 boost::json::array configurationReports(const log::Fold &fold);
 
-/// Returns the version \p number, or null when it is not kept.
-const log::Version *findVersion(const log::Configuration &configuration,
-                                uint64_t number);
-
-/// Returns {"configuration", "version", "offset", "content"}.
-boost::json::object versionReport(const log::Configuration &configuration,
-                                  const log::Version &version);
-
 } // namespace radishcross::admin
--- /dev/null
+++ b/Services/Radishcross/Change.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+
+#include <boost/beast/http/verb.hpp>
+#include <boost/json/object.hpp>
+#include <string>
+
+namespace radishcross::cli {
+
+/// Sends a change and prints its outcome: accepted, rejected or unknown. The
+/// record's id is chosen here, so that the outcome can be asked for even when
+/// the node's answer is lost.
+base::ResultCode sendChange(boost::beast::http::verb method,
+                            const std::string &target,
+                            const boost::json::object &body,
+                            const std::string &what);
+
+} // namespace radishcross::cli
--- /dev/null
+++ b/Services/Radishcross/Flags.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <absl/flags/declare.h>
+#include <cstdint>
+#include <string>
+
+ABSL_DECLARE_FLAG(std::string, node);
+ABSL_DECLARE_FLAG(std::string, token);
+ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(std::string, settings);
+ABSL_DECLARE_FLAG(std::string, configuration);
+ABSL_DECLARE_FLAG(std::string, base);
+ABSL_DECLARE_FLAG(std::string, attach);
+ABSL_DECLARE_FLAG(bool, no_attach);
+ABSL_DECLARE_FLAG(std::string, selector);
+ABSL_DECLARE_FLAG(std::string, version_number);
+ABSL_DECLARE_FLAG(std::string, accept_impact);
+ABSL_DECLARE_FLAG(bool, dry_run);
+ABSL_DECLARE_FLAG(std::string, record);
+ABSL_DECLARE_FLAG(std::string, from);
+ABSL_DECLARE_FLAG(std::string, to);
+ABSL_DECLARE_FLAG(std::string, actor);
+ABSL_DECLARE_FLAG(std::string, team);
+ABSL_DECLARE_FLAG(std::string, kind);
+ABSL_DECLARE_FLAG(std::string, outcome);
+ABSL_DECLARE_FLAG(std::string, since);
+ABSL_DECLARE_FLAG(uint32_t, limit);
+ABSL_DECLARE_FLAG(uint32_t, seconds);
+ABSL_DECLARE_FLAG(bool, undo);
+ABSL_DECLARE_FLAG(std::string, lift);
--- /dev/null
+++ b/Services/Radishcross/Inspect.cpp
@@ -0,0 +1,85 @@
+#include "Command.h"
+#include "Flags.h"
+#include "NodeApi.h"
+#include "Output.h"
+
+#include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/TextTable.h>
+
+#include <absl/flags/flag.h>
+
+namespace radishcross::cli {
+
+namespace json = boost::json;
+using base::ResultCode;
+
+namespace {
+
+/// Appends one filter to a path's query when it is set.
+void addFilter(std::string &target, std::string_view key,
+               const std::string &value) {
+  if (value.empty())
+    return;
+  target += target.find('?') == std::string::npos ? '?' : '&';
+  target += std::string(key) + "=" + admin::percentEncode(value);
+}
+
+std::string outcomeText(const json::value &entry) {
+  return numberOf(entry, "code") == 0
+             ? "accepted"
+             : "rejected: " + cell(entry, "code") + " " + cell(entry, "name");
+}
+
+} // namespace
+
+ResultCode audit(const Arguments &) {
+  std::string target =
+      "/v1/audit?limit=" + std::to_string(absl::GetFlag(FLAGS_limit));
+  addFilter(target, "configuration", absl::GetFlag(FLAGS_configuration));
+  addFilter(target, "actor", absl::GetFlag(FLAGS_actor));
+  addFilter(target, "team", absl::GetFlag(FLAGS_team));
+  addFilter(target, "kind", absl::GetFlag(FLAGS_kind));
+  addFilter(target, "outcome", absl::GetFlag(FLAGS_outcome));
+  addFilter(target, "since", absl::GetFlag(FLAGS_since));
+  base::LastReason reason;
+  auto answer = getFromNode(target, reason);
+  if (!answer)
+    return printFailure(reason);
+  if (isForMachines()) {
+    printDocument(answer->Document);
+    return ResultCode::Ok;
+  }
+  admin::TextTable table({"OFFSET", "KIND", "CONFIGURATION", "VERSION", "BASE",
+                          "TEAM", "ACTOR", "FROM", "OUTCOME"});
+  for (const auto &it : answer->Document.at("entries").as_array())
+    table.add({cell(it, "offset"), cell(it, "kind"), cell(it, "configuration"),
+               cell(it, "version"), cell(it, "base"), cell(it, "team"),
+               cell(it, "actor"), cell(it, "address"), outcomeText(it)});
+  print(table.text());
+  if (numberOf(answer->Document, "left_out") > 0)
+    print("(" + cell(answer->Document, "left_out") +
+          " older lines left out; see --limit)\n");
+  return ResultCode::Ok;
+}
+
+ResultCode members(const Arguments &) {
+  base::LastReason reason;
+  auto answer = getFromNode("/v1/members", reason);
+  if (!answer)
+    return printFailure(reason);
+  if (isForMachines()) {
+    printDocument(answer->Document);
+    return ResultCode::Ok;
+  }
+  admin::TextTable table({"NODE", "DATA CENTRE", "REGION", "STATE", "OFFSET",
+                          "TARGETS", "ADMINISTRATION"});
+  for (const auto &it : answer->Document.at("members").as_array())
+    table.add({cell(it, "node"), cell(it, "data_centre"), cell(it, "region"),
+               cell(it, "state"), cell(it, "offset"),
+               std::to_string(it.at("targets").as_array().size()),
+               cell(it, "administration")});
+  print(table.text());
+  return ResultCode::Ok;
+}
+
+} // namespace radishcross::cli
--- /dev/null
+++ b/Services/Radishcross/Players.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <LibTrace/Replay.h>
+
+namespace radishcross::cli {
+
+/// Returns a replay that knows the player of every decision module that has
+/// one.
+trace::Replay allPlayers();
+
+} // namespace radishcross::cli
--- /dev/null
+++ b/Services/Radishcross/Traces.cpp
@@ -0,0 +1,135 @@
+#include "Command.h"
+#include "Flags.h"
+#include "NodeApi.h"
+#include "Output.h"
+#include "Players.h"
+
+#include <LibTrace/TraceText.h>
+
+#include <absl/flags/flag.h>
+#include <chrono>
+#include <fstream>
+#include <iterator>
+
+namespace radishcross::cli {
+
+namespace {
+
+namespace json = boost::json;
+using base::ResultCode;
+
+/// Returns the administration address of the node named \p from, which is an
+/// address already or the id of a member.
+std::optional<std::string> addressOf(const std::string &from,
+                                     base::LastReason &reason) {
+  if (from.empty() || from.find(':') != std::string::npos)
+    return from;
+  auto answer = getFromNode("/v1/members", reason);
+  if (!answer)
+    return std::nullopt;
+  for (const auto &it : answer->Document.at("members").as_array())
+    if (cell(it, "node") == from)
+      return cell(it, "administration");
+  return reason.fail(ResultCode::NotFound, "no member is named " + from);
+}
+
+std::optional<std::string> readWhole(const std::string &path,
+                                     base::LastReason &reason) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file)
+    return reason.fail(ResultCode::FileUnreadable,
+                       path + ": the file cannot be opened");
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+/// One replayed trace, for people and for machines.
+struct Result {
+  std::string Path;
+  trace::ReplayReport Report;
+  double Seconds = 0;
+};
+
+std::string rateOf(const Result &result) {
+  double rate = result.Seconds > 0
+                    ? static_cast<double>(result.Report.Played) / result.Seconds
+                    : 0;
+  return std::to_string(static_cast<uint64_t>(rate));
+}
+
+void printForMachines(const Result &result) {
+  json::object notPlayed;
+  for (const auto &[module, n] : result.Report.NotPlayed)
+    notPlayed[base::nameOf(trace::ModuleNames, module)] = n;
+  json::object out{{"trace", result.Path},
+                   {"played", result.Report.Played},
+                   {"not_played", std::move(notPlayed)},
+                   {"seconds", result.Seconds},
+                   {"agrees", !result.Report.First.has_value()}};
+  if (result.Report.First)
+    out["difference"] = trace::explain(*result.Report.First);
+  printDocument(out);
+}
+
+void printForPeople(const Result &result) {
+  print(result.Path + ": " + std::to_string(result.Report.Played) +
+        " entries played, " + rateOf(result) + " a second, " +
+        (result.Report.First ? "one differs" : "all outcomes agree") + "\n");
+  for (const auto &[module, n] : result.Report.NotPlayed)
+    print("  not played: " + std::to_string(n) + " entries of " +
+          std::string(base::nameOf(trace::ModuleNames, module)) + "\n");
+  if (result.Report.First)
+    print("  " + trace::explain(*result.Report.First) + "\n");
+}
+
+ResultCode replayOne(const trace::Replay &players, const std::string &path) {
+  base::LastReason reason;
+  auto text = readWhole(path, reason);
+  if (!text)
+    return printFailure(reason);
+  auto trace = trace::readTrace(*text, reason);
+  if (!trace) {
+    reason.fail(reason.code(), path + ": " + std::string(reason.text()));
+    return printFailure(reason);
+  }
+  Result result;
+  result.Path = path;
+  auto start = std::chrono::steady_clock::now();
+  result.Report = players.run(*trace);
+  std::chrono::duration<double> taken =
+      std::chrono::steady_clock::now() - start;
+  result.Seconds = taken.count();
+  if (isForMachines())
+    printForMachines(result);
+  else
+    printForPeople(result);
+  return result.Report.First ? ResultCode::TraceDiffers : ResultCode::Ok;
+}
+
+} // namespace
+
+ResultCode record(const Arguments &) {
+  base::LastReason reason;
+  auto where = addressOf(absl::GetFlag(FLAGS_from), reason);
+  if (!where)
+    return printFailure(reason);
+  auto answer = getFromNode("/v1/recording?seconds=" +
+                                std::to_string(absl::GetFlag(FLAGS_seconds)),
+                            reason, *where);
+  if (!answer)
+    return printFailure(reason);
+  print(answer->Text);
+  return ResultCode::Ok;
+}
+
+ResultCode replay(const Arguments &arguments) {
+  auto players = allPlayers();
+  auto worst = ResultCode::Ok;
+  for (const auto &path : arguments) {
+    auto code = replayOne(players, path);
+    if (code != ResultCode::Ok)
+      worst = code;
+  }
+  return worst;
+}
+
+} // namespace radishcross::cli
--- /dev/null
+++ b/Tests/LibAdmin/MockNodeControl.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibAdmin/Api.h>
+#include <LibAdmin/NodeControl.h>
+#include <LibHttp/Message.h>
+
+#include <string>
+
+namespace radishcross::admin {
+
+/// A node whose log is a counter and a fold.
+class MockNodeControl final : public NodeControl {
+public:
+  MockNodeControl();
+
+  const fleet::NodeIdentity &identity() const override { return Self; }
+  const log::Fold &fold() const override { return State; }
+  const log::HeldVersions &held() const override { return Holds; }
+  std::vector<HoldingSince> holdingSince() const override;
+  std::vector<fleet::Member> members() const override { return Members; }
+  base::Metrics &metrics() override { return Counters; }
+  bool ready() const override { return Ready; }
+  void change(log::Record record, base::Duration patience,
+              std::function<void(ChangeOutcome)> done) override;
+  boost::json::value usage() const override { return Usage; }
+  boost::json::value quarantine() const override;
+  bool liftQuarantine(uint64_t fingerprint) override;
+  std::string recording(uint32_t seconds) const override;
+  void drainSelf() override { Draining = true; }
+
+  /// Adds a member like this node with another id.
+  fleet::Member &addMember(const std::string &id, const std::string &dataCentre,
+                           fleet::MemberState state);
+
+  fleet::NodeIdentity Self;
+  log::Fold State;
+  log::HeldVersions Holds;
+  std::vector<fleet::Member> Members;
+  base::Metrics Counters;
+  boost::json::value Usage = boost::json::object();
+  bool Ready = true;
+  bool Draining = false;
+  bool LosesAnswers = false; ///< The append takes effect, its answer is lost.
+  uint64_t Quarantined = 0xabc;
+  size_t Appends = 0;
+};
+
+/// The tokens of TestApi, by name: "eye" reads and "ops" publishes for the team
+/// "permits", "surf" publishes for "shops", "root" administers for "permits".
+/// The token of a name is "NAME-secret".
+std::vector<Token> mockTokens();
+
+/// Sends one request to \p api on its own event loop and returns the answer.
+http::Response call(Api &api, boost::beast::http::verb method,
+                    const std::string &target, const std::string &tokenName,
+                    const std::string &body = "");
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -0,0 +1,283 @@
+#include <LibAdmin/MockNodeControl.h>
+
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::admin;
+using base::ResultCode;
+using boost::beast::http::verb;
+
+namespace {
+
+constexpr const char *Publish = R"({"content": {
+  "services": [{"name": "lookup"}],
+  "routes": [{"name": "look", "match": {"path_prefix": "/badges"},
+              "service": "lookup", "rank": "standard"}]}})";
+
+boost::json::value documentOf(const http::Response &answer) {
+  CAPTURE(answer.body());
+  return boost::json::parse(answer.body());
+}
+
+std::string textOf(const boost::json::value &from, std::string_view key) {
+  return std::string(from.at(key).as_string());
+}
+
+/// A node with its API.
+struct Fixture {
+  MockNodeControl Node;
+  Api Served{Node, mockTokens()};
+
+  http::Response get(const std::string &target, const char *token = "eye") {
+    return call(Served, verb::get, target, token);
+  }
+  http::Response publish(const std::string &record, const std::string &body,
+                         const char *token = "ops") {
+    return post("/v1/configurations/badges/versions?record=" + record, body,
+                token);
+  }
+  http::Response post(const std::string &target, const std::string &body,
+                      const char *token = "ops") {
+    return call(Served, verb::post, target, token, body);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "health needs no token and tells what is so") {
+  CHECK(get("/healthz", "").result_int() == 200);
+  CHECK(get("/metrics", "").result_int() == 200);
+  CHECK(get("/readyz", "").result_int() == 200);
+  Node.Ready = false;
+  auto answer = get("/readyz", "");
+  CHECK(answer.result_int() == 503);
+  CHECK(answer[boost::beast::http::field::retry_after] == "1");
+}
+
+TEST_CASE_FIXTURE(Fixture, "each resource asks for its role") {
+  struct Case {
+    verb Method;
+    const char *Target;
+    Role Needs;
+  };
+  const Case cases[] = {
+      {verb::get, "/v1/status", Role::Reader},
+      {verb::get, "/v1/fleet-status", Role::Reader},
+      {verb::get, "/v1/members", Role::Reader},
+      {verb::get, "/v1/configurations", Role::Reader},
+      {verb::get, "/v1/audit", Role::Reader},
+      {verb::get, "/v1/records/x", Role::Reader},
+      {verb::get, "/v1/quarantine", Role::Reader},
+      {verb::get, "/v1/usage", Role::Reader},
+      {verb::post, "/v1/configurations/badges/versions", Role::Publisher},
+      {verb::post, "/v1/attachments", Role::Publisher},
+      {verb::delete_, "/v1/attachments/x", Role::Publisher},
+      {verb::post, "/v1/drain", Role::Publisher},
+      {verb::post, "/v1/drain-self", Role::Administrator},
+      {verb::get, "/v1/recording", Role::Administrator},
+      {verb::delete_, "/v1/quarantine/abc", Role::Administrator},
+  };
+  const std::pair<const char *, Role> holders[] = {
+      {"eye", Role::Reader},
+      {"ops", Role::Publisher},
+      {"root", Role::Administrator}};
+  for (const auto &it : cases) {
+    CAPTURE(it.Target);
+    for (const char *stranger : {"", "nobody"})
+      CHECK(call(Served, it.Method, it.Target, stranger).result_int() == 401);
+    for (const auto &[name, role] : holders) {
+      CAPTURE(name);
+      auto status = call(Served, it.Method, it.Target, name).result_int();
+      CHECK((status == 403) == (role < it.Needs));
+      CHECK(status != 401);
+    }
+  }
+  CHECK(Node.Counters.counter(
+            "administration_refused_total{reason=\"unauthorised\"}") == 30);
+  CHECK(Node.Appends == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a refusal tells nothing of tokens or paths") {
+  auto body = get("/v1/status", "wrong").body();
+  CHECK(body.find("wrong") == std::string::npos);
+  CHECK(body == get("/v1/audit", "").body());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a publish is accepted once and held") {
+  auto answer = publish("record-0001", Publish);
+  CAPTURE(answer.body());
+  REQUIRE(answer.result_int() == 200);
+  auto document = documentOf(answer);
+  CHECK(textOf(document, "outcome") == "accepted");
+  CHECK(document.at("version").as_int64() == 1);
+  CHECK(document.at("offset").as_int64() == 1);
+  // The same record again: its outcome is known, nothing is appended.
+  CHECK(publish("record-0001", Publish).body() == answer.body());
+  CHECK(Node.Appends == 1);
+  CHECK(documentOf(get("/v1/records/record-0001")) == document);
+
+  auto status = documentOf(get("/v1/status?configuration=badges"));
+  const auto &row = status.at("configurations").at(0);
+  CHECK(row.at("version").as_int64() == 1);
+  CHECK(row.at("wanted").as_int64() == 1);
+  CHECK(row.at("since_unix_ms").as_int64() > 0);
+  auto version = documentOf(get("/v1/configurations/badges/versions/1"));
+  CHECK(version.at("content").at("services").at(0).at("name") == "lookup");
+  auto audit = documentOf(get("/v1/audit?configuration=badges&actor=ops"));
+  CHECK(textOf(audit.at("entries").at(0), "address") == "127.0.0.7");
+  CHECK(
+      documentOf(get("/v1/audit?actor=eye")).at("entries").as_array().empty());
+}
+
+TEST_CASE_FIXTURE(Fixture,
+                  "the next version moves the attachments that exist") {
+  auto withAttach = boost::json::parse(Publish);
+  withAttach.as_object()["attach"] = boost::json::object{
+      {"name", "canary"}, {"selector", "data_centre=north"}};
+  REQUIRE(
+      publish("record-0002", boost::json::serialize(withAttach)).result_int() ==
+      200);
+  auto again = boost::json::parse(Publish);
+  again.at("content").at("routes").at(0).as_object()["rank"] = "background";
+  REQUIRE(publish("record-0003", boost::json::serialize(again)).result_int() ==
+          200);
+  again.at("content").at("routes").at(0).as_object()["rank"] = "critical";
+  again.as_object()["attach"] = nullptr;
+  REQUIRE(publish("record-0004", boost::json::serialize(again)).result_int() ==
+          200);
+  auto report = documentOf(get("/v1/configurations/badges"));
+  CHECK(report.at("newest").as_int64() == 3);
+  REQUIRE(report.at("attachments").as_array().size() == 1);
+  const auto &attachment = report.at("attachments").at(0);
+  CHECK(textOf(attachment, "name") == "canary");
+  CHECK(textOf(attachment, "selector") == "data_centre=north");
+  CHECK(attachment.at("version").as_int64() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a stale base is rejected with who won") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  auto stale = boost::json::parse(Publish);
+  stale.as_object()["base"] = 0;
+  auto answer = publish("record-0005", boost::json::serialize(stale), "root");
+  CHECK(answer.result_int() == 409);
+  auto document = documentOf(answer);
+  CHECK(textOf(document, "outcome") == "rejected");
+  CHECK(document.at("code").as_int64() == 3003);
+  CHECK(textOf(document.at("winner"), "actor") == "ops");
+  CHECK(document.at("winner").at("difference").is_object());
+}
+
+TEST_CASE_FIXTURE(Fixture, "a lost answer is unknown and can be resolved") {
+  Node.LosesAnswers = true;
+  auto answer = publish("record-0001", Publish);
+  CHECK(answer.result_int() == 504);
+  CHECK(textOf(documentOf(answer), "outcome") == "unknown");
+  auto record = documentOf(get("/v1/records/record-0001"));
+  CHECK(textOf(record, "outcome") == "accepted");
+  CHECK(get("/v1/records/record-9999").result_int() == 404);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a team cannot change another team's lines") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  struct Case {
+    verb Method;
+    const char *Target;
+    const char *Body;
+  };
+  const Case cases[] = {
+      {verb::post, "/v1/configurations/badges/versions", Publish},
+      {verb::post, "/v1/attachments",
+       R"({"name": "mine", "configuration": "badges"})"},
+      {verb::delete_, "/v1/attachments/badges", ""},
+      {verb::post, "/v1/drain",
+       R"({"what": "service:badges/lookup", "on": true})"},
+  };
+  for (const auto &it : cases) {
+    auto answer = call(Served, it.Method, it.Target, "surf", it.Body);
+    CAPTURE(answer.body());
+    CHECK(answer.result_int() == 403);
+    CHECK(documentOf(answer).at("code").as_int64() == 3004);
+  }
+  CHECK(Node.Appends == 1);
+  CHECK(post("/v1/drain", R"({"what": "vm:north-1"})", "ops").result_int() ==
+        403);
+  CHECK(post("/v1/drain", R"({"what": "vm:north-1"})", "root").result_int() ==
+        200);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a bad body is refused before the log") {
+  struct Case {
+    const char *Target;
+    const char *Body;
+    ResultCode Code;
+  };
+  const Case cases[] = {
+      {"/v1/configurations/badges/versions", "", ResultCode::DocumentEmpty},
+      {"/v1/configurations/badges/versions",
+       "{\"content\":", ResultCode::DocumentTruncated},
+      {"/v1/configurations/badges/versions", "{}", ResultCode::MissingKey},
+      {"/v1/configurations/badges/versions", R"({"contents": {}})",
+       ResultCode::UnknownKey},
+      {"/v1/configurations/bad%20name/versions", "{}", ResultCode::BadValue},
+      {"/v1/attachments", R"({"name": "a", "configuration": "none"})",
+       ResultCode::UnknownConfiguration},
+      {"/v1/attachments", R"({"name": 7})", ResultCode::WrongType},
+      {"/v1/drain", R"({"what": "north-1"})", ResultCode::BadValue},
+  };
+  for (const auto &it : cases) {
+    auto answer = post(it.Target, it.Body);
+    CAPTURE(answer.body());
+    CHECK(documentOf(answer).at("code").as_int64() ==
+          static_cast<int>(it.Code));
+  }
+  Node.Ready = false;
+  CHECK(post("/v1/drain", "{}").result_int() == 503);
+  CHECK(Node.Appends == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the fleet's status says who is missing and why") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  Node.addMember("north-2", "north", fleet::MemberState::Dead);
+  Node.addMember("east-1", "east", fleet::MemberState::Alive);
+  Node.addMember("east-2", "east", fleet::MemberState::Left);
+  CHECK(get("/v1/fleet-status?configuration=none").result_int() == 404);
+  auto report = documentOf(get("/v1/fleet-status?configuration=badges"));
+  CHECK(report.at("selected").as_int64() == 2);
+  CHECK(report.at("current").as_int64() == 0);
+  const auto &rows = report.at("rows").as_array();
+  REQUIRE(rows.size() == 2);
+  CHECK(textOf(rows[0], "node") == "east-1");
+  for (const auto &it : rows)
+    CHECK(textOf(it, "standing") == "unreachable");
+  CHECK(textOf(rows[1], "reason") == "the node is dead");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a preview lists who would change") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  for (const char *id : {"north-1", "north-2"})
+    Node.addMember(id, "north", fleet::MemberState::Alive);
+  Node.addMember("east-1", "east", fleet::MemberState::Alive);
+  auto preview =
+      documentOf(post("/v1/attachments/preview", R"({"name": "badges",
+      "configuration": "badges", "selector": "data_centre=east"})"));
+  CHECK(preview.at("selected").as_int64() == 1);
+  const auto &changes = preview.at("changes").as_array();
+  REQUIRE(changes.size() == 2);
+  CHECK(textOf(changes[0], "effect") == "keeps");
+  CHECK(Node.Appends == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "operating a node") {
+  CHECK(get("/v1/recording?seconds=30", "root").body() == "trace of 30");
+  CHECK(get("/v1/recording?seconds=x", "root").result_int() == 400);
+  CHECK(
+      call(Served, verb::delete_, "/v1/quarantine/abc", "root").result_int() ==
+      200);
+  CHECK(
+      call(Served, verb::delete_, "/v1/quarantine/abc", "root").result_int() ==
+      404);
+  CHECK(post("/v1/drain-self", "", "root").result_int() == 200);
+  CHECK(Node.Draining);
+  CHECK(get("/v1/nothing").result_int() == 404);
+}
