--- a/Meta/measure_spread.py
+++ b/Meta/measure_spread.py
@@ -50,7 +50,8 @@
 
     def status(self, node):
         try:
-            return fetch(node.address("administration"), f"/v1/status?configuration={CONFIGURATION}")[1]
+            return fetch(node.address("administration"), f"/v1/status?configuration={CONFIGURATION}",
+                         token=self.mesh.token)[1]
         except OSError:
             return None
 
--- a/Meta/mesh.py
+++ b/Meta/mesh.py
@@ -205,7 +205,8 @@
         since = {}
         for node in nodes or self.nodes:
             try:
-                _, status = fetch(node.address("administration"), f"/v1/status?configuration={configuration}")
+                _, status = fetch(node.address("administration"), f"/v1/status?configuration={configuration}",
+                                  token=self.token)
             except OSError:
                 continue
             for held in status.get("configurations", []):
