--- a/Libraries/LibLog/FoldState.cpp
+++ b/Libraries/LibLog/FoldState.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace radishcross::log {
--- a/Libraries/LibLog/RecordBodies.cpp
+++ b/Libraries/LibLog/RecordBodies.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <tuple>
 #include <utility>
 
 namespace radishcross::log {
--- a/Tests/LibLog/TestHeldVersions.cpp
+++ b/Tests/LibLog/TestHeldVersions.cpp
@@ -107,6 +107,19 @@
   CHECK(proxy.Held.waiting().empty());
 }
 
+TEST_CASE(
+    "a removal and a new use that cross: the use goes, the removal waits") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "back", 0, log::contentOf({"s"}, {})));
+  proxy.append(log::publish("2", "front", 0, log::contentOf({}, {})));
+  // Both arrive between two updates of the proxy.
+  proxy.Log.append(log::publish("3", "back", 1, log::contentOf({}, {})));
+  CHECK(proxy.append(
+      log::publish("4", "front", 1, log::contentOf({}, {"r>back/s"}))));
+  CHECK(proxy.version("front") == 2);
+  CHECK(proxy.version("back") == 1);
+}
+
 TEST_CASE("versions that need each other are taken together") {
   Proxy proxy;
   proxy.append(
