LibLog: Test bounds, chunks and altered inputs

Cause: whatever stands on the log must neither stop the fold nor be read in part, and memory must not grow with the log.

--- /dev/null
+++ b/Tests/LibLog/Mutator.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <LibBase/Random.h>
+
+#include <boost/json/value.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::log {
+
+/// Alters sound inputs at random, by bytes or by JSON values; equal seeds give
+/// equal inputs.
+class Mutator {
+public:
+  explicit Mutator(uint64_t seed) : Chance(seed) {}
+
+  /// Returns \p text with a few bytes changed, dropped, doubled or put in.
+  std::string bytes(std::string text) {
+    for (uint64_t n = 1 + Chance.below(4); n > 0; --n) {
+      size_t at = Chance.below(text.size() + 1);
+      size_t length = Chance.below(8);
+      switch (Chance.below(5)) {
+      case 0:
+        text.insert(at, 1, static_cast<char>(Chance.below(256)));
+        break;
+      case 1:
+        text.erase(at, length);
+        break;
+      case 2:
+        text.insert(at, text.substr(Chance.below(text.size() + 1), length));
+        break;
+      case 3:
+        text.insert(at, Words[Chance.below(std::size(Words))]);
+        break;
+      default:
+        if (at < text.size())
+          text[at] = static_cast<char>(text[at] ^ (1U << Chance.below(8)));
+      }
+    }
+    return text;
+  }
+
+  /// Replaces one value somewhere in \p document, drops it or doubles it.
+  void value(boost::json::value &document) {
+    auto *at = &document;
+    while (Chance.below(4) != 0) {
+      auto *next = child(*at);
+      if (!next)
+        break;
+      at = next;
+    }
+    auto *list = at->if_array();
+    auto *object = at->if_object();
+    if (list && !list->empty() && Chance.below(2) == 0)
+      list->push_back(boost::json::value((*list)[0]));
+    else if (object && !object->empty() && Chance.below(2) == 0)
+      object->erase(object->begin() + Chance.below(object->size()));
+    else
+      *at = replacement();
+  }
+
+private:
+  static constexpr std::string_view Words[] = {
+      "\"",      "\\",   "{",     "}",  "[",    "]",
+      ",",       ":",    "1e999", "-1", "null", "18446744073709551616",
+      "\\u0000", "\xFF", "(",     ")",  "%",    " in "};
+
+  boost::json::value *child(boost::json::value &of) {
+    if (auto *list = of.if_array())
+      return list->empty() ? nullptr : &(*list)[Chance.below(list->size())];
+    auto *object = of.if_object();
+    if (!object || object->empty())
+      return nullptr;
+    return &(object->begin() + Chance.below(object->size()))->value();
+  }
+
+  boost::json::value replacement() {
+    switch (Chance.below(7)) {
+    case 0:
+      return nullptr;
+    case 1:
+      return -1;
+    case 2:
+      return UINT64_MAX;
+    case 3:
+      return "";
+    case 4:
+      return boost::json::array{};
+    case 5:
+      return boost::json::object{};
+    default:
+      return Chance.below(4);
+    }
+  }
+
+  base::Random Chance;
+};
+
+} // namespace radishcross::log
--- /dev/null
+++ b/Tests/LibLog/TestChunks.cpp
@@ -0,0 +1,88 @@
+#include <LibLog/Chunks.h>
+#include <LibLog/FoldDriver.h>
+#include <LibLog/FoldLimits.h>
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace radishcross;
+using base::ResultCode;
+using log::FoldDriver;
+
+namespace {
+
+/// A version of \p routes routes, larger than one record for many of them.
+boost::json::value largeContent(int routes) {
+  std::vector<std::string> names(routes);
+  for (int i = 0; i < routes; ++i)
+    names[i] = "route-" + std::to_string(i) + ">s";
+  return log::contentOf({"s"}, names);
+}
+
+} // namespace
+
+TEST_CASE("a large record is split, put together and decided once") {
+  auto record = log::publish("big", "a", 0, largeContent(2000));
+  auto pieces = log::splitRecord(record);
+  REQUIRE(pieces.size() > 3);
+  for (const auto &it : pieces)
+    CHECK(it.size() <= log::MaximumRecordBytes);
+  FoldDriver log;
+  // Another writer's record, a repeated chunk and another order disturb it not.
+  log.append(pieces[1]);
+  log.append(pieces[1]);
+  log.append(log::publish("small", "b", 0, log::contentOf({"t"}, {})));
+  CHECK_FALSE(log.State.outcomeOf("big"));
+  checkRoundTrip(log.State);
+  log::RecordOutcome last;
+  for (size_t i = 0; i < pieces.size(); ++i)
+    if (i != 1)
+      last = log.append(pieces[i]);
+  CHECK(last.RecordId == "big");
+  CHECK(last.Code == ResultCode::Ok);
+  CHECK(last.Version == 1);
+  CHECK(log.State.configurations().at("a").Versions[0].Content->Routes.size() ==
+        2000);
+  // The whole appended again, after a lost answer, counts no second time.
+  CHECK(log.append(record).Code == ResultCode::DuplicateRecord);
+  checkRoundTrip(log.State);
+}
+
+TEST_CASE("chunks that never become complete are forgotten and said so") {
+  auto pieces =
+      log::splitRecord(log::publish("big", "a", 0, largeContent(2000)));
+  REQUIRE(pieces.size() >= 2);
+  FoldDriver log;
+  log.append(pieces[0]);
+  while (log.Log.size() <= log::ChunkLifetimeOffsets)
+    log.append(log::makeBeacon("b", {}, {"n", "dc", "g", "p", 1}));
+  CHECK_FALSE(log.State.outcomeOf("big"));
+  log.append(log::makeBeacon("b", {}, {"n", "dc", "g", "p", 1}));
+  CHECK(log.State.outcomeOf("big")->Code == ResultCode::ChunksIncomplete);
+  CHECK(log.append(pieces[1]).Code == ResultCode::DuplicateRecord);
+  CHECK(log.State.configurations().empty());
+}
+
+TEST_CASE("chunks that do not fit are refused and hold nothing up") {
+  FoldDriver log;
+  auto chunk = [&](const std::string &of, uint32_t part, uint32_t parts,
+                   std::string bytes) {
+    return log.append(log::makeChunk(of + std::to_string(part), {},
+                                     {of, part, parts, std::move(bytes)}));
+  };
+  for (size_t i = 0; i < log::MaximumChunkSets; ++i)
+    CHECK(chunk("open" + std::to_string(i), 0, 2, "x").Code == ResultCode::Ok);
+  CHECK(chunk("more", 0, 2, "x").Code == ResultCode::RecordMalformed);
+  CHECK(chunk("open0", 1, 3, "x").Code == ResultCode::RecordMalformed);
+  CHECK(chunk("open0", 0, log::MaximumChunks + 1, "x").Code ==
+        ResultCode::RecordMalformed);
+  // The whole has to be a record with the id that its chunks name.
+  CHECK(chunk("open1", 1, 2, "y").Code == ResultCode::RecordMalformed);
+  CHECK(log.State.outcomeOf("open1")->Code == ResultCode::RecordMalformed);
+  auto other = log::encodeRecord(log::makeDetach("other", {}, {"a"}));
+  CHECK(chunk("free", 0, 1, other).Code == ResultCode::RecordMalformed);
+  checkRoundTrip(log.State);
+  CHECK(log::splitRecord(log::publish("huge", "a", 0, largeContent(90000)))
+            .empty());
+}
