--- /dev/null
+++ b/Libraries/LibCalls/RankShare.cpp
@@ -0,0 +1,81 @@
+#include <LibCalls/RankShare.h>
+
+#include <algorithm>
+
+namespace radishcross::calls {
+
+namespace {
+
+using config::Rank;
+
+/// Bounds of a credit, in calls: how far a rank may run ahead of its floor
+/// without being held back for it later, and how much it may save up.
+constexpr int64_t DeepestDebt = 4;
+constexpr int64_t HighestSaving = 2;
+
+/// Ranks earn a twentieth more than their floors, because savings are bounded:
+/// what a rank earns while none of its calls waits may be lost.
+constexpr int64_t EarnedPermille = 1050;
+constexpr int64_t FloorUnits = 100 * 1000; ///< Percent times permille.
+
+constexpr Rank LowerRanks[] = {Rank::Standard, Rank::Background};
+
+size_t indexOf(Rank rank) { return static_cast<size_t>(rank); }
+
+} // namespace
+
+void RankShare::setLimits(const config::ServiceLimits &limits) {
+  FloorPercent[indexOf(Rank::Standard)] = limits.StandardFloorPercent;
+  FloorPercent[indexOf(Rank::Background)] = limits.BackgroundFloorPercent;
+}
+
+bool RankShare::owed(Rank rank) const { return Credit[indexOf(rank)] > 0; }
+
+std::optional<Rank> RankShare::next(const RankFlags &waiting) const {
+  std::optional<Rank> out;
+  for (const Rank it : LowerRanks) {
+    if (!waiting[indexOf(it)] || !owed(it))
+      continue;
+    if (!out || Credit[indexOf(it)] > Credit[indexOf(*out)])
+      out = it;
+  }
+  if (out)
+    return out;
+  for (size_t it = 0; it < config::RankCount; ++it)
+    if (waiting[it])
+      return static_cast<Rank>(it);
+  return std::nullopt;
+}
+
+void RankShare::started(Rank rank, base::Duration expected,
+                        const RankFlags &demand) {
+  account(rank, expected.count(), demand);
+  clamp(rank, expected.count());
+}
+
+void RankShare::ended(Rank rank, base::Duration charged, base::Duration taken,
+                      const RankFlags &demand) {
+  account(rank, (taken - charged).count(), demand);
+  clamp(rank, std::max(charged, taken).count());
+}
+
+void RankShare::account(Rank rank, int64_t microseconds,
+                        const RankFlags &demand) {
+  for (const Rank it : LowerRanks)
+    if (demand[indexOf(it)] || it == rank)
+      Credit[indexOf(it)] += microseconds * FloorPercent[indexOf(it)] *
+                             EarnedPermille / FloorUnits;
+  if (rank != Rank::Critical)
+    Credit[indexOf(rank)] -= microseconds;
+}
+
+void RankShare::clamp(Rank rank, int64_t callTime) {
+  for (const Rank it : LowerRanks) {
+    auto &credit = Credit[indexOf(it)];
+    credit = std::min(credit, HighestSaving * callTime);
+    if (it == rank)
+      credit = std::max(credit, -DeepestDebt * callTime);
+  }
+}
+
+} // namespace radishcross::calls
