LibCalls: Honour idempotency keys at their owner

A payment that is sent again must not run twice. The key's owner is the living member of the data centre with the highest rendezvous weight; it lets resends wait for the first call and gives them the kept answer for a window of 60 s. It runs a key only when no other node can have run it in the window: it has owned the key that long without a pause, sees the majority of its data centre, and no member was lost that would have owned it. Otherwise it answers as unknown with the time to come back.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -1,8 +1,12 @@
 #include <LibCalls/Broker.h>
 
 #include <LibCalls/CallPlanner.h>
+#include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/KeyOwnership.h>
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -12,13 +16,32 @@
 
 using base::ResultCode;
 
-CallStep refuse(ResultCode code, base::Duration retryAfter = {}) {
+using Ownership = KeyOwnership::Verdict::Kind;
+
+/// The longest idempotency key that is accepted, in bytes.
+constexpr size_t MaximumKeyLength = 255;
+/// When a caller may come back after a refusal that names no other time.
+constexpr base::Duration DefaultRetryAfter = std::chrono::seconds(1);
+
+CallStep finish(CallOutcome outcome, ResultCode code,
+                base::Duration retryAfter = {}) {
   CallStep out;
+  out.Outcome = outcome;
   out.Code = code;
   out.RetryAfter = retryAfter;
   return out;
 }
 
+CallStep refuse(ResultCode code, base::Duration retryAfter = {}) {
+  return finish(CallOutcome::NotRun, code, retryAfter);
+}
+
+CallStep replay() {
+  auto out = finish(CallOutcome::Answered, ResultCode::Ok);
+  out.What = CallStep::Kind::Replay;
+  return out;
+}
+
 /// Returns the time that a call may take: the route's, cut by what the call
 /// above has left.
 base::Duration allowedTime(const CallRequest &request,
@@ -35,44 +58,204 @@
         trace::Recorder &recorder)
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
-                recorder) {}
+                recorder),
+        Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow),
+        Keys(Settings.KeyWindow, recorder) {}
 
   struct OpenCall {
     config::SnapshotPointer Snapshot;
     CallStep Step;
+    RoutedCall Route;
+    base::TimePoint Deadline{};
+    std::string Key;    ///< Service and idempotency key, when it has one.
+    bool First = false; ///< Runs as the first call of its key, here.
+    /// To be kept for the key, or kept for it and to be replayed.
+    std::optional<std::string> Answer;
   };
 
-  CallStep plan(CallHandle call, const CallRequest &request,
-                const config::SnapshotPointer &snapshot, base::TimePoint now) {
-    if (request.Hops >= MaximumHops)
-      return refuse(ResultCode::TooManyHops);
-    if (!snapshot)
-      return refuse(ResultCode::NotRecovered, std::chrono::seconds(1));
-    const auto hit =
-        snapshot->findRoute(request.Method, request.Host, request.Path);
-    if (!hit.Matched)
-      return refuse(ResultCode::NoRoute);
-    if (Quarantined->blocks(request.Fingerprint, now))
-      return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
-    const auto &route = *hit.Matched;
-    RoutedCall routed;
-    routed.ServiceName = hit.ServiceName;
-    routed.CallRank = config::lowerOf(route.CallRank, request.ParentRank);
-    routed.Allowed = allowedTime(request, route);
-    routed.Idempotent = route.Idempotent;
-    routed.BelowRetry = request.BelowRetry;
-    routed.RetryBudgetPercent = hit.Destination->Limits.RetryBudgetPercent;
-    return Planner.begin(call, routed, now);
-  }
+  CallStep plan(CallHandle handle, OpenCall &call, const CallRequest &request,
+                base::TimePoint now);
+  CallStep planKeyed(CallHandle handle, OpenCall &call,
+                     const CallRequest &request, base::TimePoint now);
+  CallStep runHere(CallHandle handle, OpenCall &call, base::TimePoint now);
+  CallStep forward(const OpenCall &call, const KeyOwnership::Verdict &owner);
+  CallStep afterForward(const AttemptResult &result);
+  CallStep beginKey(CallHandle handle, OpenCall &call, uint64_t fingerprint,
+                    base::TimePoint now);
+  void keyEnded(OpenCall &call, base::TimePoint now);
+  void resume(CallHandle handle, CallStep step);
+  void stopLateWaiters(base::TimePoint now);
 
   BrokerSettings Settings;
   Quarantine *Quarantined;
   CallPlanner Planner;
+  KeyOwnership Owners;
+  IdempotencyTable Keys;
   std::unordered_map<CallHandle, OpenCall> Open;
+  std::set<CallHandle> Waiting;
   CallHandle LastHandle = 0;
   Resumed OnResumed;
 };
 
+CallStep Broker::State::plan(CallHandle handle, OpenCall &call,
+                             const CallRequest &request, base::TimePoint now) {
+  if (request.Hops >= MaximumHops)
+    return refuse(ResultCode::TooManyHops);
+  if (!call.Snapshot)
+    return refuse(ResultCode::NotRecovered, DefaultRetryAfter);
+  const auto hit =
+      call.Snapshot->findRoute(request.Method, request.Host, request.Path);
+  if (!hit.Matched)
+    return refuse(ResultCode::NoRoute);
+  if (Quarantined->blocks(request.Fingerprint, now))
+    return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
+  const auto &route = *hit.Matched;
+  auto &routed = call.Route;
+  routed.ServiceName = hit.ServiceName;
+  routed.CallRank = config::lowerOf(route.CallRank, request.ParentRank);
+  routed.Allowed = allowedTime(request, route);
+  routed.Idempotent = route.Idempotent;
+  routed.BelowRetry = request.BelowRetry;
+  routed.RetryBudgetPercent = hit.Destination->Limits.RetryBudgetPercent;
+  call.Deadline = now + routed.Allowed;
+  // Idempotent calls may run twice anyway; their keys cost nothing.
+  if (request.IdempotencyKey.empty() || route.Idempotent)
+    return Planner.begin(handle, routed, now);
+  return planKeyed(handle, call, request, now);
+}
+
+CallStep Broker::State::planKeyed(CallHandle handle, OpenCall &call,
+                                  const CallRequest &request,
+                                  base::TimePoint now) {
+  if (request.IdempotencyKey.size() > MaximumKeyLength)
+    return refuse(ResultCode::BadRequest);
+  if (call.Route.Allowed <= CallPlanner::HopMargin)
+    return refuse(ResultCode::DeadlineExceeded);
+  // A call must end before another node may own its key.
+  call.Route.Allowed = std::min(call.Route.Allowed, Settings.KeyWindow / 2);
+  call.Deadline = now + call.Route.Allowed;
+  const auto key = call.Route.ServiceName + "\n" + request.IdempotencyKey;
+  const auto owner = Owners.verdict(key, now);
+  if (owner.What == Ownership::Other && !request.FromMesh)
+    return forward(call, owner);
+  Keys.tick(now);
+  // What this node knows of a key holds, also where it may not run it.
+  if (owner.What != Ownership::Own && !Keys.knows(key))
+    return finish(CallOutcome::Unknown, ResultCode::IdempotencyOwnerLost,
+                  std::max(owner.RetryAfter, DefaultRetryAfter));
+  call.Key = key;
+  return beginKey(handle, call, request.Fingerprint, now);
+}
+
+CallStep Broker::State::beginKey(CallHandle handle, OpenCall &call,
+                                 uint64_t fingerprint, base::TimePoint now) {
+  CallStep out;
+  switch (Keys.begin(call.Key, fingerprint, handle, now)) {
+  case KeyVerdict::Run:
+    return runHere(handle, call, now);
+  case KeyVerdict::Wait:
+    Waiting.insert(handle);
+    out.What = CallStep::Kind::Wait;
+    return out;
+  case KeyVerdict::Replay:
+    call.Answer = Keys.answerOf(call.Key);
+    return replay();
+  case KeyVerdict::Mismatch:
+    return refuse(ResultCode::IdempotencyMismatch);
+  case KeyVerdict::Full:
+    return refuse(ResultCode::Overloaded, DefaultRetryAfter);
+  case KeyVerdict::Unknown:
+    break;
+  }
+  return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown,
+                Settings.KeyWindow);
+}
+
+CallStep Broker::State::runHere(CallHandle handle, OpenCall &call,
+                                base::TimePoint now) {
+  call.First = true;
+  call.Step = Planner.begin(handle, call.Route, now);
+  call.Step.KeepAnswer = call.Step.What == CallStep::Kind::Send;
+  if (call.Step.What == CallStep::Kind::Finish)
+    keyEnded(call, now);
+  return call.Step;
+}
+
+CallStep Broker::State::forward(const OpenCall &call,
+                                const KeyOwnership::Verdict &owner) {
+  CallStep out;
+  out.What = CallStep::Kind::Forward;
+  out.To.Node = owner.Node;
+  out.To.DataCentre = Settings.DataCentre;
+  out.To.Mesh = owner.Mesh;
+  out.ServiceName = call.Route.ServiceName;
+  out.CallRank = call.Route.CallRank;
+  out.AttemptTimeout = call.Route.Allowed - CallPlanner::HopMargin;
+  out.Remaining = out.AttemptTimeout;
+  out.Retry = call.Route.BelowRetry;
+  return out;
+}
+
+/// The owner was asked and answered, or was lost: then an earlier call of the
+/// key may have run there, even when this one was not sent.
+CallStep Broker::State::afterForward(const AttemptResult &result) {
+  if (result.End == AttemptEnd::Answered)
+    return finish(CallOutcome::Answered, ResultCode::Ok);
+  if (result.End == AttemptEnd::RefusedNotRun)
+    return refuse(result.Code, std::max(result.RetryAfter, DefaultRetryAfter));
+  if (result.End == AttemptEnd::CallerGone)
+    return finish(CallOutcome::Unknown, ResultCode::CallerGone);
+  const auto code = result.Code == ResultCode::Ok
+                        ? ResultCode::IdempotencyOwnerLost
+                        : result.Code;
+  return finish(CallOutcome::Unknown, code,
+                std::max(result.RetryAfter, DefaultRetryAfter));
+}
+
+/// Ends the key of its first call and lets those go on that waited for it.
+void Broker::State::keyEnded(OpenCall &call, base::TimePoint now) {
+  call.First = false;
+  const auto end = call.Step;
+  const auto waited = Keys.finished(call.Key, end.Outcome, end.Code,
+                                    std::move(call.Answer), now);
+  const auto &kept = Keys.answerOf(call.Key);
+  for (const auto it : waited) {
+    Waiting.erase(it);
+    if (!kept.empty()) {
+      Open[it].Answer = kept;
+      resume(it, replay());
+      continue;
+    }
+    const bool answerLost = end.Outcome == CallOutcome::Answered;
+    resume(it, answerLost ? finish(CallOutcome::Unknown,
+                                   ResultCode::CallOutcomeUnknown)
+                          : finish(end.Outcome, end.Code, end.RetryAfter));
+  }
+}
+
+void Broker::State::resume(CallHandle handle, CallStep step) {
+  const auto it = Open.find(handle);
+  if (it == Open.end())
+    return;
+  it->second.Step = std::move(step);
+  if (OnResumed)
+    OnResumed(handle, CallStep(it->second.Step));
+}
+
+/// Answers those whose own deadline passes while the first call still runs.
+void Broker::State::stopLateWaiters(base::TimePoint now) {
+  std::vector<CallHandle> late;
+  for (const auto it : Waiting)
+    if (Open[it].Deadline - CallPlanner::HopMargin <= now)
+      late.push_back(it);
+  for (const auto it : late) {
+    Waiting.erase(it);
+    Keys.leave(Open[it].Key, it, now);
+    resume(it, finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown,
+                      DefaultRetryAfter));
+  }
+}
+
 Broker::Broker(BrokerSettings settings, Quarantine &quarantine,
                trace::Recorder &recorder)
     : Held(std::make_unique<State>(std::move(settings), quarantine, recorder)) {
@@ -83,10 +266,11 @@
 CallHandle Broker::begin(const CallRequest &request,
                          config::SnapshotPointer snapshot,
                          base::TimePoint now) {
-  const CallHandle call = ++Held->LastHandle;
-  auto step = Held->plan(call, request, snapshot, now);
-  Held->Open[call] = {std::move(snapshot), std::move(step)};
-  return call;
+  const CallHandle handle = ++Held->LastHandle;
+  auto &call = Held->Open[handle];
+  call.Snapshot = std::move(snapshot);
+  call.Step = Held->plan(handle, call, request, now);
+  return handle;
 }
 
 CallStep Broker::step(CallHandle call) const {
@@ -95,29 +279,57 @@
                                 : it->second.Step;
 }
 
-CallStep Broker::attemptEnded(CallHandle call, const AttemptResult &result,
+CallStep Broker::attemptEnded(CallHandle handle, const AttemptResult &result,
                               base::TimePoint now) {
-  const auto it = Held->Open.find(call);
+  const auto it = Held->Open.find(handle);
   if (it == Held->Open.end())
-    return refuse(ResultCode::Internal);
-  it->second.Step = Held->Planner.attemptEnded(call, result, now);
-  return it->second.Step;
+    return finish(CallOutcome::Unknown, ResultCode::Internal);
+  auto &call = it->second;
+  if (call.Step.What == CallStep::Kind::Forward) {
+    call.Step = Held->afterForward(result);
+    return call.Step;
+  }
+  call.Step = Held->Planner.attemptEnded(handle, result, now);
+  call.Step.KeepAnswer = call.First && call.Step.What == CallStep::Kind::Send;
+  if (call.First && call.Step.What == CallStep::Kind::Finish)
+    Held->keyEnded(call, now);
+  return call.Step;
 }
 
-void Broker::end(CallHandle call, base::TimePoint now) {
-  Held->Planner.end(call, now);
-  Held->Open.erase(call);
+void Broker::end(CallHandle handle, base::TimePoint now) {
+  const auto it = Held->Open.find(handle);
+  if (it == Held->Open.end())
+    return;
+  Held->Planner.end(handle, now);
+  auto &call = it->second;
+  if (call.First) {
+    call.Step = finish(CallOutcome::Unknown, ResultCode::CallerGone);
+    Held->keyEnded(call, now);
+  }
+  if (Held->Waiting.erase(handle) > 0)
+    Held->Keys.leave(call.Key, handle, now);
+  Held->Open.erase(handle);
 }
 
-void Broker::keepAnswer(CallHandle, std::string &&, base::TimePoint) {}
+void Broker::keepAnswer(CallHandle handle, std::string &&answer,
+                        base::TimePoint) {
+  const auto it = Held->Open.find(handle);
+  if (it != Held->Open.end() && it->second.First)
+    it->second.Answer = std::move(answer);
+}
 
-std::string Broker::keptAnswer(CallHandle) const { return {}; }
+std::string Broker::keptAnswer(CallHandle handle) const {
+  const auto it = Held->Open.find(handle);
+  return it == Held->Open.end() ? std::string()
+                                : it->second.Answer.value_or(std::string());
+}
 
 void Broker::whenResumed(const Resumed &resumed) { Held->OnResumed = resumed; }
 
 void Broker::membersChanged(const std::vector<fleet::Member> &members,
                             base::TimePoint now) {
   Held->Planner.membersChanged(members, now);
+  Held->Owners.membersChanged(members, now);
 }
 
 void Broker::drainedChanged(const std::vector<std::string> &drained,
@@ -125,6 +337,15 @@
   Held->Planner.drainedChanged(drained, now);
 }
 
-void Broker::tick(base::TimePoint now) { Held->Planner.tick(now); }
+void Broker::nothingRanBefore(base::TimePoint now) {
+  Held->Owners.nothingRanBefore(now);
+}
+
+void Broker::tick(base::TimePoint now) {
+  Held->Planner.tick(now);
+  Held->Owners.tick(now);
+  Held->Keys.tick(now);
+  Held->stopLateWaiters(now);
+}
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -18,6 +18,8 @@
   std::string DataCentre;
   std::string Region;
   uint64_t RandomSeed = 0;
+  /// How long the answers of idempotency keys are kept and resends recognised.
+  base::Duration KeyWindow = std::chrono::minutes(1);
 };
 
 /// The broker of one node; see CallBroker.
@@ -46,7 +48,13 @@
   void drainedChanged(const std::vector<std::string> &drained,
                       base::TimePoint now);
 
-  /// Runs the periodic work: ageing of reports, readmission of targets.
+  /// Tells that the fleet had no configuration when this node recovered: no
+  /// call can have run before. Without it a node answers calls with an
+  /// idempotency key that it owns as unknown until the window has passed.
+  void nothingRanBefore(base::TimePoint now);
+
+  /// Runs the periodic work: ageing of reports, readmission of targets, calls
+  /// that waited too long. Must be called at least once in a second.
   void tick(base::TimePoint now);
 
 private:
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -25,7 +25,7 @@
   uint32_t Hops = 0; ///< Calls above this one in the chain.
   /// Deadline left; 0: the route's alone; below 0: it has passed.
   base::Duration Remaining{};
-  /// The call above is itself a retry (its AttemptHeader was "2"): nothing
+  /// The call above is itself a retry (its AttemptHeader was above 0): nothing
   /// below it is retried, so that retries do not multiply along a chain.
   bool BelowRetry = false;
 };
@@ -47,8 +47,8 @@
   base::Duration Latency{};
   /// When a refused caller may come back, as the target's node told it.
   base::Duration RetryAfter{};
-  /// The answering node marked (AttemptHeader "below") that a call made while
-  /// running this one failed and was dealt with there: no retry here.
+  /// The answering node marked (AttemptHeader on its answer) that a call made
+  /// while running this one failed and was dealt with there: no retry here.
   bool FailedBelow = false;
 };
 
@@ -65,13 +65,16 @@
   TargetCandidate To;
   std::string ServiceName;
   config::Rank CallRank = config::Rank::Background;
-  base::Duration AttemptTimeout{}; ///< For connecting and the whole answer.
-  base::Duration Remaining{};      ///< Deadline left, for the next hop.
+  /// For connecting and the whole answer. Nothing is sent any more once it has
+  /// passed since the step was given, also after a pause of the process.
+  base::Duration AttemptTimeout{};
+  base::Duration Remaining{}; ///< Deadline left, for the next hop.
   /// Open a new connection to the node of To and close the idle ones to it.
   bool FreshConnection = false;
-  /// The attempt is a retry: AttemptHeader is "2", else "1".
+  /// The attempt is a retry, or below one: AttemptHeader is above 0.
   bool Retry = false;
-  /// Hand the whole answer to keepAnswer() before attemptEnded(Answered).
+  /// Hand the whole answer to keepAnswer() before attemptEnded(Answered). The
+  /// attempt goes on when the caller goes away: its resend gets this answer.
   bool KeepAnswer = false;
   CallOutcome Outcome = CallOutcome::NotRun;
   base::ResultCode Code = base::ResultCode::Ok;
--- /dev/null
+++ b/Libraries/LibCalls/KeyOwnership.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Clock.h>
+#include <LibFleet/Member.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::calls {
+
+/// Which node of the data centre owns an idempotency key, and whether this node
+/// may act as its owner. The owner is the living member with the highest
+/// rendezvous weight. A node runs a key's call only when no other node can have
+/// run it within the window: it has itself owned the key for that long without
+/// a pause, and no member that would have owned the key was lost meanwhile.
+/// Otherwise it cannot say whether the call ran.
+class KeyOwnership {
+public:
+  /// Time within which the nodes of a data centre come to the same view.
+  static constexpr base::Duration ViewMargin = std::chrono::seconds(10);
+  /// A node that did not run for longer was perhaps taken for dead.
+  static constexpr base::Duration PauseLimit = std::chrono::seconds(2);
+  /// A lost member counts for this long towards the majority.
+  static constexpr base::Duration LostMemory = std::chrono::hours(1);
+
+  /// What this node may do for a key.
+  struct Verdict {
+    enum class Kind : uint8_t {
+      Own,       ///< This node owns the key and knows all that was run.
+      Other,     ///< Node owns the key.
+      CannotSay, ///< The call may have run at a node that is lost.
+    };
+    Kind What = Kind::CannotSay;
+    fleet::NodeId Node;
+    base::Address Mesh;
+    base::Duration RetryAfter{}; ///< CannotSay: when this may have changed.
+  };
+
+  /// \p window is the time for which answers are kept and resends recognised.
+  KeyOwnership(fleet::NodeId self, std::string dataCentre,
+               base::Duration window);
+
+  /// Takes the fleet's members.
+  void membersChanged(const std::vector<fleet::Member> &members,
+                      base::TimePoint now);
+
+  /// Tells that no call can have run in the fleet before now, because it had no
+  /// configuration: this node knows all there is to know.
+  void nothingRanBefore(base::TimePoint now);
+
+  /// Notes that this node runs; called often. A gap is a pause.
+  void tick(base::TimePoint now);
+
+  Verdict verdict(std::string_view key, base::TimePoint now) const;
+
+private:
+  struct Peer {
+    base::Address Mesh;
+    bool Alive = false;
+    bool LeftInOrder = false;
+    base::TimePoint LastAlive{};
+  };
+  void loseMemory(base::TimePoint now);
+  bool hasMajority() const;
+  base::Duration memoryNeeded() const { return Window + ViewMargin; }
+
+  fleet::NodeId Self;
+  std::string DataCentre;
+  base::Duration Window;
+  std::map<fleet::NodeId, Peer> Peers;
+  uint64_t OwnIncarnation = 0;
+  std::optional<base::TimePoint> LastTick;
+  /// From then on this node knows all calls of the keys that it owns.
+  std::optional<base::TimePoint> KnowsFrom;
+  bool Majority = true;
+};
+
+} // namespace radishcross::calls
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -1,5 +1,4 @@
-#include <LibCalls/Broker.h>
-#include <LibCalls/CallFixtures.h>
+#include <LibCalls/BrokerBench.h>
 
 #include <doctest/doctest.h>
 #include <set>
@@ -12,64 +11,6 @@
 
 using Kind = CallStep::Kind;
 
-/// A broker of node "n0" in dc1 with a lookup (idempotent) and a payment route.
-struct BrokerBench {
-  BrokerBench() {
-    config::VersionContent content;
-    content.Services = {{"lookup", {}}};
-    config::Route lookup{"lookup", {{}, "", "/lookup"}, "lookup"};
-    lookup.CallRank = Rank::Standard;
-    lookup.Idempotent = true;
-    config::Route payment{"payment", {{"POST"}, "", "/pay"}, "lookup"};
-    payment.CallRank = Rank::Critical;
-    content.Routes = {lookup, payment};
-    base::LastReason reason;
-    auto built = config::Snapshot::create(
-        {{"badges", 1,
-          std::make_shared<const config::VersionContent>(content)}},
-        1, reason);
-    REQUIRE(built);
-    InForce = *built;
-    members({member("n1"), member("n2")});
-  }
-
-  void members(const std::vector<fleet::Member> &list) {
-    Node.membersChanged(list, at(Now));
-  }
-  CallHandle begin(const std::string &path, CallRequest request = {}) {
-    request.Method = "POST";
-    request.Path = path;
-    return Node.begin(request, InForce, at(Now));
-  }
-  CallStep end(CallHandle call, AttemptEnd how,
-               ResultCode code = ResultCode::Ok) {
-    return Node.attemptEnded(call, ends(how, code), at(Now));
-  }
-  /// Runs one call to its end with the same end of each attempt.
-  CallStep run(const std::string &path, AttemptEnd how,
-               ResultCode code = ResultCode::Ok) {
-    const auto call = begin(path);
-    auto step = Node.step(call);
-    for (Sends = 0; step.What == Kind::Send; ++Sends)
-      step = end(call, how, code);
-    Node.end(call, at(Now));
-    return step;
-  }
-
-  trace::NullRecorder Recorder;
-  Quarantine Crashers{Recorder};
-  Broker Node{{"n0", "dc1", "south", 1}, Crashers, Recorder};
-  config::SnapshotPointer InForce;
-  base::Duration Now = 100s;
-  int Sends = 0;
-};
-
-void checkFinish(const CallStep &step, CallOutcome outcome, ResultCode code) {
-  CHECK(step.What == Kind::Finish);
-  CHECK(step.Outcome == outcome);
-  CHECK(step.Code == code);
-}
-
 } // namespace
 
 TEST_CASE("a call is sent to a ready target with its rank and deadline") {
--- /dev/null
+++ b/Tests/LibCalls/TestIdempotency.cpp
@@ -0,0 +1,233 @@
+#include <LibBase/Hash.h>
+#include <LibCalls/BrokerBench.h>
+#include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/KeyOwnership.h>
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Kind = CallStep::Kind;
+using Owner = KeyOwnership::Verdict::Kind;
+
+constexpr base::Duration Window = 1min;
+constexpr base::Duration Settled = Window + KeyOwnership::ViewMargin;
+
+/// Returns a key whose owner among n0, n1, n2 is \p owner and, without that
+/// one, \p next.
+std::string keyOf(const std::string &owner, const std::string &next,
+                  const std::string &prefix = "") {
+  for (int n = 0;; ++n) {
+    auto key = "key" + std::to_string(n);
+    std::map<uint64_t, std::string> order;
+    for (const std::string it : {"n0", "n1", "n2"})
+      order[base::rendezvousWeight(prefix + key, it)] = it;
+    if (order.rbegin()->second == owner && (++order.rbegin())->second == next)
+      return key;
+  }
+}
+
+std::string payKeyOf(const std::string &owner) {
+  return keyOf(owner, owner == "n0" ? "n1" : "n0", std::string(Lookup) + "\n");
+}
+
+/// The view that node n0 has of its data centre.
+struct OwnershipBench {
+  OwnershipBench() { members(); }
+  void members() {
+    fleet::Member self = member("n0");
+    self.Incarnation = Incarnation;
+    auto one = member("n1");
+    one.State = First;
+    View.membersChanged({self, one, member("n2"), member("x", "dc2")}, at(Now));
+  }
+  void pass(base::Duration time) {
+    const auto until = Now + time;
+    for (; Now < until; Now += 500ms)
+      View.tick(at(Now));
+    View.tick(at(Now));
+  }
+  Owner verdict(const std::string &key) {
+    return View.verdict(key, at(Now)).What;
+  }
+  KeyOwnership View{"n0", "dc1", Window};
+  fleet::MemberState First = fleet::MemberState::Alive;
+  uint64_t Incarnation = 1;
+  base::Duration Now = 100s;
+};
+
+} // namespace
+
+TEST_CASE("an owner speaks for its keys once it has owned them long enough") {
+  OwnershipBench it;
+  const auto own = keyOf("n0", "n1");
+  CHECK(it.verdict(own) == Owner::CannotSay);
+  CHECK(it.View.verdict(own, at(it.Now)).RetryAfter == Settled);
+  CHECK(it.verdict(keyOf("n1", "n0")) == Owner::Other);
+  it.pass(Settled - 1s);
+  CHECK(it.verdict(own) == Owner::CannotSay);
+  it.pass(1s);
+  CHECK(it.verdict(own) == Owner::Own);
+  OwnershipBench first;
+  first.View.nothingRanBefore(at(first.Now));
+  CHECK(first.verdict(own) == Owner::Own);
+}
+
+TEST_CASE("an owner is silent on keys that a lost member may have run") {
+  OwnershipBench it;
+  it.pass(Settled);
+  const auto inherited = keyOf("n1", "n0");
+  it.First = fleet::MemberState::Dead;
+  it.members();
+  CHECK(it.verdict(inherited) == Owner::CannotSay);
+  CHECK(it.verdict(keyOf("n0", "n1")) == Owner::Own);
+  it.pass(Settled);
+  CHECK(it.verdict(inherited) == Owner::Own);
+  // It comes back and owns the key again; it has to settle by itself.
+  it.First = fleet::MemberState::Alive;
+  it.members();
+  CHECK(it.verdict(inherited) == Owner::Other);
+}
+
+TEST_CASE("a paused, accused or cut off owner settles anew") {
+  OwnershipBench it;
+  it.pass(Settled);
+  const auto own = keyOf("n0", "n1");
+  REQUIRE(it.verdict(own) == Owner::Own);
+  SUBCASE("paused: noticed before the first tick after it") {
+    it.Now += KeyOwnership::PauseLimit + 1s;
+    CHECK(it.verdict(own) == Owner::CannotSay);
+    it.View.tick(at(it.Now));
+  }
+  SUBCASE("taken for dead by the others") {
+    it.Incarnation = 2;
+    it.members();
+  }
+  SUBCASE("cut off from the majority and back") {
+    it.View.membersChanged({member("n0")}, at(it.Now));
+    it.pass(Settled * 2);
+    CHECK(it.verdict(keyOf("n0", "n1")) == Owner::CannotSay);
+    it.members();
+  }
+  CHECK(it.verdict(own) == Owner::CannotSay);
+  it.pass(Settled);
+  CHECK(it.verdict(own) == Owner::Own);
+}
+
+TEST_CASE("a resend waits for the first call and gets its kept answer") {
+  BrokerBench it;
+  it.Node.nothingRanBefore(at(it.Now));
+  const auto key = payKeyOf("n0");
+  const auto first = it.pay(key);
+  REQUIRE(it.stepOf(first).What == Kind::Send);
+  CHECK(it.stepOf(first).KeepAnswer);
+  const auto second = it.pay(key);
+  CHECK(it.stepOf(second).What == Kind::Wait);
+  checkFinish(it.stepOf(it.pay(key, 2)), CallOutcome::NotRun,
+              ResultCode::IdempotencyMismatch);
+  it.Node.keepAnswer(first, "paid", at(it.Now));
+  checkFinish(it.end(first, AttemptEnd::Answered), CallOutcome::Answered,
+              ResultCode::Ok);
+  REQUIRE(it.Resumed.contains(second));
+  CHECK(it.Resumed[second].What == Kind::Replay);
+  CHECK(it.Node.keptAnswer(second) == "paid");
+  it.Node.end(first, at(it.Now));
+  it.pass(Window - 1s);
+  const auto third = it.pay(key, 1, true);
+  CHECK(it.stepOf(third).What == Kind::Replay);
+  CHECK(it.Node.keptAnswer(third) == "paid");
+  it.pass(1s);
+  CHECK(it.stepOf(it.pay(key)).What == Kind::Send);
+}
+
+TEST_CASE("after a loss a key is unknown; after a refusal it is free") {
+  BrokerBench it;
+  it.Node.nothingRanBefore(at(it.Now));
+  const auto key = payKeyOf("n0");
+  SUBCASE("broken") {
+    const auto first = it.pay(key);
+    const auto second = it.pay(key);
+    it.end(first, AttemptEnd::Broken);
+    checkFinish(it.Resumed[second], CallOutcome::Unknown,
+                ResultCode::CallOutcomeUnknown);
+    checkFinish(it.stepOf(it.pay(key)), CallOutcome::Unknown,
+                ResultCode::CallOutcomeUnknown);
+  }
+  SUBCASE("the shell dropped the first call, or kept no answer") {
+    const auto first = it.pay(key);
+    SUBCASE("dropped") { it.Node.end(first, at(it.Now)); }
+    SUBCASE("not kept") { it.end(first, AttemptEnd::Answered); }
+    checkFinish(it.stepOf(it.pay(key)), CallOutcome::Unknown,
+                ResultCode::CallOutcomeUnknown);
+  }
+  SUBCASE("surely not run") {
+    const auto first = it.pay(key);
+    const auto second = it.pay(key);
+    it.end(first, AttemptEnd::RefusedNotRun, ResultCode::DeadlineExceeded);
+    checkFinish(it.Resumed[second], CallOutcome::NotRun,
+                ResultCode::DeadlineExceeded);
+    CHECK(it.stepOf(it.pay(key)).What == Kind::Send);
+  }
+  SUBCASE("a waiting call keeps its own deadline") {
+    it.pay(key);
+    const auto second = it.pay(key);
+    it.pass(5s);
+    checkFinish(it.Resumed[second], CallOutcome::Unknown,
+                ResultCode::CallOutcomeUnknown);
+  }
+}
+
+TEST_CASE("a key's call is forwarded to its owner and never run elsewhere") {
+  BrokerBench it;
+  it.Node.nothingRanBefore(at(it.Now));
+  const auto key = payKeyOf("n1");
+  const auto call = it.pay(key);
+  const auto step = it.stepOf(call);
+  REQUIRE(step.What == Kind::Forward);
+  CHECK(step.To.Node == "n1");
+  const std::pair<AttemptEnd, ResultCode> ends[] = {
+      {AttemptEnd::NotSent, ResultCode::IdempotencyOwnerLost},
+      {AttemptEnd::Broken, ResultCode::IdempotencyOwnerLost},
+      {AttemptEnd::TimedOut, ResultCode::IdempotencyOwnerLost}};
+  for (const auto &[end, code] : ends)
+    checkFinish(it.end(it.pay(key), end), CallOutcome::Unknown, code);
+  checkFinish(it.end(it.pay(key), AttemptEnd::RefusedNotRun,
+                     ResultCode::IdempotencyMismatch),
+              CallOutcome::NotRun, ResultCode::IdempotencyMismatch);
+  checkFinish(it.end(call, AttemptEnd::Answered), CallOutcome::Answered,
+              ResultCode::Ok);
+  // A node that is asked as the owner but is not runs nothing.
+  checkFinish(it.stepOf(it.pay(key, 1, true)), CallOutcome::Unknown,
+              ResultCode::IdempotencyOwnerLost);
+}
+
+TEST_CASE("the table is bounded in keys and bytes and forgets no key early") {
+  trace::NullRecorder recorder;
+  IdempotencyTable table(Window, recorder);
+  const std::string answer(IdempotencyTable::MaximumAnswerBytes, 'a');
+  const size_t kept = IdempotencyTable::MaximumBytes / answer.size();
+  for (size_t n = 0; n < IdempotencyTable::MaximumKeys; ++n) {
+    const auto key = std::to_string(n);
+    CHECK(table.begin(key, 1, n, at(0s)) == KeyVerdict::Run);
+    table.finished(key, CallOutcome::Answered, ResultCode::Ok, answer, at(0s));
+  }
+  CHECK(table.bytes() <= IdempotencyTable::MaximumBytes);
+  CHECK(table.begin("more", 1, 1, at(1s)) == KeyVerdict::Full);
+  CHECK(table.begin("0", 1, 1, at(1s)) == KeyVerdict::Unknown);
+  const auto last = std::to_string(IdempotencyTable::MaximumKeys - 1);
+  CHECK(table.begin(last, 1, 1, at(1s)) == KeyVerdict::Replay);
+  const auto first = std::to_string(IdempotencyTable::MaximumKeys - kept);
+  CHECK(table.begin(first, 1, 1, at(1s)) == KeyVerdict::Replay);
+  table.tick(at(Window));
+  CHECK(table.keys() == 0);
+  CHECK(table.bytes() == 0);
+  CHECK(table.begin("big", 1, 1, at(Window)) == KeyVerdict::Run);
+  table.finished("big", CallOutcome::Answered, ResultCode::Ok, answer + "a",
+                 at(Window));
+  CHECK(table.begin("big", 1, 1, at(Window)) == KeyVerdict::Unknown);
+}
