LibCalls: Record and replay the decisions about calls

Plans of calls, admission, leases and idempotency keys are recorded with all that they depend on, and players run the entries through the same code. TestReplay drives each with 3,000 random steps from 5 seeds: every outcome replays equally, and a trace with events left out differs.

--- /dev/null
+++ b/Libraries/LibCalls/AdmissionPlayer.cpp
@@ -0,0 +1,52 @@
+#include <LibCalls/AdmissionPlayer.h>
+
+namespace radishcross::calls {
+
+namespace {
+
+TargetGateSettings settingsOf(const trace::Inputs &numbers) {
+  const auto number = [&numbers](size_t index) {
+    return static_cast<uint32_t>(numbers[index]);
+  };
+  TargetGateSettings out;
+  out.Slots = number(0);
+  out.Connections = number(1);
+  out.State = static_cast<fleet::TargetState>(numbers[2]);
+  out.Limits.QueueLength = number(3);
+  out.Limits.StandardFloorPercent = number(4);
+  out.Limits.BackgroundFloorPercent = number(5);
+  return out;
+}
+
+} // namespace
+
+trace::Outcome AdmissionPlayer::play(const trace::Entry &entry) {
+  auto &gate = Gates[entry.Text];
+  if (!gate)
+    gate = std::make_unique<TargetGate>(entry.Text, Ignored);
+  const base::TimePoint now{base::Duration(entry.AtMicroseconds)};
+  const auto ticket = static_cast<Ticket>(entry.Numbers[0]);
+  switch (static_cast<AdmissionEvent::Value>(entry.Event)) {
+  case AdmissionEvent::Configure:
+    gate->configure(settingsOf(entry.Numbers), now);
+    return {};
+  case AdmissionEvent::Arrive: {
+    const auto out =
+        gate->arrive(ticket, static_cast<config::Rank>(entry.Numbers[1]),
+                     base::Duration(entry.Numbers[2]), 0, now);
+    return {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
+            out.RetryAfter.count()};
+  }
+  case AdmissionEvent::Ended:
+    return gate->summaryOf(
+        gate->ended(ticket, static_cast<AttemptEnd>(entry.Numbers[1]), now));
+  case AdmissionEvent::Abandoned:
+    gate->abandoned(ticket, now);
+    return {};
+  case AdmissionEvent::Tick:
+    return gate->summaryOf(gate->tick(now));
+  }
+  return {};
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/AdmissionPlayer.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <LibCalls/TargetGate.h>
+#include <LibTrace/Player.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace radishcross::calls {
+
+/// Replays the gates of a node's targets; see AdmissionEvent.
+class AdmissionPlayer final : public trace::Player {
+public:
+  trace::Outcome play(const trace::Entry &entry) override;
+
+private:
+  trace::NullRecorder Ignored;
+  std::map<std::string, std::unique_ptr<TargetGate>> Gates;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -0,0 +1,120 @@
+#include <LibCalls/CallPlanPlayer.h>
+
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace radishcross::calls {
+
+namespace {
+
+base::TimePoint timeOf(const trace::Entry &entry) {
+  return base::TimePoint{base::Duration(entry.AtMicroseconds)};
+}
+
+std::vector<std::string> linesOf(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);)
+    out.push_back(line);
+  return out;
+}
+
+CallHandle handleOf(const trace::Entry &entry) {
+  return static_cast<CallHandle>(entry.Numbers[0]);
+}
+
+} // namespace
+
+const CallPlanPlayer::Handler CallPlanPlayer::Handlers[] = {
+    &CallPlanPlayer::start,        &CallPlanPlayer::target,
+    &CallPlanPlayer::drained,      &CallPlanPlayer::begin,
+    &CallPlanPlayer::attemptEnded, &CallPlanPlayer::end,
+    &CallPlanPlayer::tick};
+
+trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
+  if (entry.Event >= std::size(Handlers))
+    return {};
+  if (!Replayed && entry.Event != CallPlanEvent::Start)
+    return {};
+  return (this->*Handlers[entry.Event])(entry);
+}
+
+trace::Outcome CallPlanPlayer::start(const trace::Entry &entry) {
+  auto lines = linesOf(entry.Text);
+  lines.resize(2);
+  Listed.clear();
+  Replayed = std::make_unique<CallPlanner>(
+      Place{lines[0], lines[1]}, static_cast<uint64_t>(entry.Numbers[0]),
+      Ignored);
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::target(const trace::Entry &entry) {
+  auto lines = linesOf(entry.Text);
+  lines.resize(5);
+  fleet::TargetRecord record;
+  record.Service = lines[3];
+  record.TargetId = lines[4];
+  record.State = static_cast<fleet::TargetState>(entry.Numbers[0]);
+  record.Slots = static_cast<uint32_t>(entry.Numbers[1]);
+  record.LoadPermille = static_cast<uint32_t>(entry.Numbers[2]);
+  record.Epoch = static_cast<uint64_t>(entry.Numbers[3]);
+  fleet::Member member;
+  member.Identity.Id = lines[0];
+  member.Identity.DataCentre = lines[1];
+  member.Identity.Region = lines[2];
+  member.State = entry.Numbers[4] != 0 ? fleet::MemberState::Suspect
+                                       : fleet::MemberState::Alive;
+  member.Targets = {record};
+  const auto name = lines[0] + "\n" + lines[4];
+  Listed.erase(name);
+  if (entry.Numbers[5] != 0)
+    Listed.emplace(name, std::move(member));
+  std::vector<fleet::Member> members;
+  for (const auto &it : Listed)
+    members.push_back(it.second);
+  Replayed->membersChanged(members, timeOf(entry));
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::drained(const trace::Entry &entry) {
+  Replayed->drainedChanged(linesOf(entry.Text), timeOf(entry));
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::begin(const trace::Entry &entry) {
+  RoutedCall call;
+  call.ServiceName = entry.Text;
+  call.CallRank = static_cast<config::Rank>(entry.Numbers[1]);
+  call.Allowed = base::Duration(entry.Numbers[2]);
+  call.Idempotent = (entry.Numbers[3] & 1) != 0;
+  call.BelowRetry = (entry.Numbers[3] & 2) != 0;
+  call.RetryBudgetPercent = static_cast<uint32_t>(entry.Numbers[4]);
+  return CallPlanner::outcomeOf(
+      Replayed->begin(handleOf(entry), call, timeOf(entry)));
+}
+
+trace::Outcome CallPlanPlayer::attemptEnded(const trace::Entry &entry) {
+  AttemptResult result;
+  result.End = static_cast<AttemptEnd>(entry.Numbers[1] % 256);
+  result.FailedBelow = entry.Numbers[1] >= 256;
+  result.Code = static_cast<base::ResultCode>(entry.Numbers[2]);
+  result.PressurePermille = static_cast<uint32_t>(entry.Numbers[3]);
+  result.Latency = base::Duration(entry.Numbers[4]);
+  result.RetryAfter = base::Duration(entry.Numbers[5]);
+  return CallPlanner::outcomeOf(
+      Replayed->attemptEnded(handleOf(entry), result, timeOf(entry)));
+}
+
+trace::Outcome CallPlanPlayer::end(const trace::Entry &entry) {
+  Replayed->end(handleOf(entry), timeOf(entry));
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::tick(const trace::Entry &entry) {
+  Replayed->tick(timeOf(entry));
+  return {};
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/CallPlanPlayer.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCalls/CallPlanner.h>
+#include <LibTrace/Player.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace radishcross::calls {
+
+/// Replays the plans of calls; see CallPlanEvent.
+class CallPlanPlayer final : public trace::Player {
+public:
+  trace::Outcome play(const trace::Entry &entry) override;
+
+private:
+  trace::Outcome start(const trace::Entry &entry);
+  trace::Outcome target(const trace::Entry &entry);
+  trace::Outcome drained(const trace::Entry &entry);
+  trace::Outcome begin(const trace::Entry &entry);
+  trace::Outcome attemptEnded(const trace::Entry &entry);
+  trace::Outcome end(const trace::Entry &entry);
+  trace::Outcome tick(const trace::Entry &entry);
+
+  using Handler = trace::Outcome (CallPlanPlayer::*)(const trace::Entry &);
+  static const Handler Handlers[];
+
+  trace::NullRecorder Ignored;
+  std::unique_ptr<CallPlanner> Replayed;
+  std::map<std::string, fleet::Member> Listed; ///< One for each target.
+};
+
+} // namespace radishcross::calls
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -1,5 +1,7 @@
 #include <LibCalls/CallPlanner.h>
 
+#include <LibBase/Hash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -40,16 +42,25 @@
 
 } // namespace
 
-CallPlanner::CallPlanner(Place here, uint64_t randomSeed,
+CallPlanner::CallPlanner(const Place &here, uint64_t randomSeed,
                          trace::Recorder &recorder)
-    : Choice(std::move(here)), Randomness(randomSeed), Record(&recorder) {}
+    : Choice(here), Randomness(randomSeed), Record(&recorder) {
+  note(CallPlanEvent::Start, {static_cast<int64_t>(randomSeed)},
+       here.DataCentre + "\n" + here.Region, {}, {});
+}
 
 CallStep CallPlanner::begin(CallHandle handle, const RoutedCall &call,
                             base::TimePoint now) {
   auto &planned = Calls[handle];
   planned.Route = call;
   planned.Deadline = now + call.Allowed;
-  return planFirst(planned, now);
+  auto out = planFirst(planned, now);
+  const int flags = (call.Idempotent ? 1 : 0) + (call.BelowRetry ? 2 : 0);
+  note(CallPlanEvent::Begin,
+       {static_cast<int64_t>(handle), static_cast<int64_t>(call.CallRank),
+        call.Allowed.count(), flags, call.RetryBudgetPercent},
+       call.ServiceName, outcomeOf(out), now);
+  return out;
 }
 
 CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
@@ -74,7 +85,14 @@
   if (it == Calls.end() || it->second.Target == 0)
     return finish(CallOutcome::Unknown, ResultCode::Internal);
   learn(it->second, result, now);
-  return planNext(it->second, result, now);
+  auto out = planNext(it->second, result, now);
+  note(CallPlanEvent::AttemptEnded,
+       {static_cast<int64_t>(handle),
+        static_cast<int64_t>(result.End) + (result.FailedBelow ? 256 : 0),
+        static_cast<int64_t>(result.Code), result.PressurePermille,
+        result.Latency.count(), result.RetryAfter.count()},
+       {}, outcomeOf(out), now);
+  return out;
 }
 
 CallStep CallPlanner::planNext(PlannedCall &call, const AttemptResult &result,
@@ -163,7 +181,7 @@
   out.AttemptTimeout = timeout;
   out.Remaining = call.Deadline - now - HopMargin;
   out.FreshConnection = call.Fresh;
-  out.Retry = retry;
+  out.Retry = retry || call.Route.BelowRetry;
   return out;
 }
 
@@ -213,19 +231,62 @@
     learn(it->second, gone, now);
   }
   Calls.erase(it);
+  note(CallPlanEvent::End, {static_cast<int64_t>(handle)}, {}, {}, now);
 }
 
 void CallPlanner::membersChanged(const std::vector<fleet::Member> &members,
                                  base::TimePoint now) {
-  Table.membersChanged(members, now);
+  for (const auto *it : Table.membersChanged(members, now))
+    noteTarget(*it, now);
 }
 
 void CallPlanner::drainedChanged(const std::vector<std::string> &drained,
-                                 base::TimePoint) {
+                                 base::TimePoint now) {
   Table.drainedChanged(drained);
+  std::string names;
+  for (const auto &it : drained)
+    names += it + "\n";
+  note(CallPlanEvent::Drained, {}, std::move(names), {}, now);
+}
+
+void CallPlanner::tick(base::TimePoint now) {
+  if (Table.tick(now))
+    note(CallPlanEvent::Tick, {}, {}, {}, now);
+}
+
+trace::Outcome CallPlanner::outcomeOf(const CallStep &step) {
+  const auto code = static_cast<int64_t>(step.Code);
+  const auto told =
+      static_cast<int64_t>(step.What) * 10 + static_cast<int64_t>(step.Outcome);
+  const auto node = step.To.Node.empty() ? 0 : base::hash64(step.To.Node);
+  return {told * 10'000 + code, static_cast<int64_t>(node),
+          step.AttemptTimeout.count(), step.RetryAfter.count()};
 }
 
-void CallPlanner::tick(base::TimePoint now) { Table.tick(now); }
+void CallPlanner::noteTarget(const KnownTarget &target, base::TimePoint now) {
+  const auto &candidate = target.Candidate;
+  const auto &record = candidate.Target;
+  note(CallPlanEvent::Target,
+       {static_cast<int64_t>(record.State), record.Slots, record.LoadPermille,
+        static_cast<int64_t>(record.Epoch), target.Suspect ? 1 : 0,
+        target.Listed ? 1 : 0},
+       candidate.Node + "\n" + candidate.DataCentre + "\n" + target.Region +
+           "\n" + record.Service + "\n" + record.TargetId,
+       {}, now);
+}
+
+void CallPlanner::note(CallPlanEvent::Value event, const trace::Inputs &numbers,
+                       std::string text, const trace::Outcome &decided,
+                       base::TimePoint now) {
+  trace::Entry entry;
+  entry.AtMicroseconds = now.time_since_epoch().count();
+  entry.Source = trace::Module::CallPlan;
+  entry.Event = event;
+  entry.Numbers = numbers;
+  entry.Text = std::move(text);
+  entry.Decided = decided;
+  Record->record(std::move(entry));
+}
 
 CallPlanner::ServiceState &CallPlanner::stateOf(const PlannedCall &call) {
   return Services[call.Route.ServiceName];
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -28,6 +28,26 @@
   uint32_t RetryBudgetPercent = 0;
 };
 
+/// Events of a trace's entries. Start: random seed; text: data centre, region.
+/// Target: state, slots, load, epoch, whether its node is suspected, whether it
+/// is listed; text: node, data centre, region, service, target. Drained: text:
+/// the names. Begin: handle, rank, allowed time, flags (1 idempotent, 2 below a
+/// retry), budget percent; text: service. AttemptEnded: handle, end (256 more:
+/// failed below), code, pressure, latency, retry-after. End: handle. Begin and
+/// AttemptEnded decide kind, outcome and code, the node's hash, the timeout,
+/// and retry-after.
+struct CallPlanEvent {
+  enum Value : uint8_t {
+    Start,
+    Target,
+    Drained,
+    Begin,
+    AttemptEnded,
+    End,
+    Tick,
+  };
+};
+
 /// Plans the attempts of calls: choice of target, timeouts, retries, and what
 /// the caller is told at the end.
 class CallPlanner {
@@ -38,7 +58,8 @@
   /// Attempts of one call, of which at most one retry after bytes were sent.
   static constexpr uint32_t MaximumAttempts = 3;
 
-  CallPlanner(Place here, uint64_t randomSeed, trace::Recorder &recorder);
+  CallPlanner(const Place &here, uint64_t randomSeed,
+              trace::Recorder &recorder);
 
   /// Plans the first attempt of call \p handle.
   CallStep begin(CallHandle handle, const RoutedCall &call,
@@ -53,6 +74,9 @@
                       base::TimePoint now);
   void tick(base::TimePoint now);
 
+  /// Returns a step in the form of a trace's entry.
+  static trace::Outcome outcomeOf(const CallStep &step);
+
 private:
   struct PlannedCall {
     RoutedCall Route;
@@ -87,6 +111,10 @@
   void learn(PlannedCall &call, const AttemptResult &result,
              base::TimePoint now);
   ServiceState &stateOf(const PlannedCall &call);
+  void note(CallPlanEvent::Value event, const trace::Inputs &numbers,
+            std::string text, const trace::Outcome &decided,
+            base::TimePoint now);
+  void noteTarget(const KnownTarget &target, base::TimePoint now);
 
   TargetTable Table;
   TargetChoice Choice;
--- /dev/null
+++ b/Libraries/LibCalls/IdempotencyPlayer.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibCalls/IdempotencyTable.h>
+#include <LibTrace/Player.h>
+
+#include <optional>
+
+namespace radishcross::calls {
+
+/// Replays the table of idempotency keys; see IdempotencyEvent. A kept answer
+/// is replaced by as many blanks: answers are not recorded.
+class IdempotencyPlayer final : public trace::Player {
+public:
+  trace::Outcome play(const trace::Entry &entry) override;
+
+private:
+  trace::Outcome finished(const trace::Entry &entry);
+
+  trace::NullRecorder Ignored;
+  std::optional<IdempotencyTable> Replayed;
+};
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibCalls/LeasePlayer.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibCalls/TargetLeases.h>
+#include <LibTrace/Player.h>
+
+namespace radishcross::calls {
+
+/// Replays the leases of a node's targets; see LeaseEvent.
+class LeasePlayer final : public trace::Player {
+public:
+  trace::Outcome play(const trace::Entry &entry) override;
+
+private:
+  trace::Outcome announce(const trace::Entry &entry);
+
+  trace::NullRecorder Ignored;
+  TargetLeases Replayed{Ignored};
+};
+
+} // namespace radishcross::calls
--- a/Libraries/LibCalls/PathDoubt.cpp
+++ b/Libraries/LibCalls/PathDoubt.cpp
@@ -22,9 +22,11 @@
   Doubtful = Doubtful || timedOut;
 }
 
-void PathDoubt::tick(base::TimePoint now) {
-  if (SilentSince && now - *SilentSince >= SilenceLimit)
-    Doubtful = true;
+bool PathDoubt::tick(base::TimePoint now) {
+  if (Doubtful || !SilentSince || now - *SilentSince < SilenceLimit)
+    return false;
+  Doubtful = true;
+  return true;
 }
 
 void PathDoubt::leave() {
--- a/Libraries/LibCalls/PathDoubt.h
+++ b/Libraries/LibCalls/PathDoubt.h
@@ -24,7 +24,8 @@
   /// Reports that an attempt ended without a sign of life.
   void unanswered(bool timedOut);
 
-  void tick(base::TimePoint now);
+  /// Looks for silence; returns whether that put doubt on the path.
+  bool tick(base::TimePoint now);
 
   bool doubtful() const { return Doubtful; }
 
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -50,6 +50,9 @@
   void abandoned(Ticket call, base::TimePoint now);
   std::vector<GateAnswer> tick(base::TimePoint now);
 
+  /// Returns answers in the form of a trace's entry.
+  trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
+
   uint32_t pressurePermille() const;
   uint32_t limit() const;
   size_t running() const { return Running.size(); }
@@ -83,7 +86,6 @@
   std::vector<GateAnswer> takeAnswers();
   void note(AdmissionEvent::Value event, const trace::Inputs &numbers,
             const trace::Outcome &decided, base::TimePoint now);
-  trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
 
   std::string TargetId;
   trace::Recorder *Record;
--- a/Libraries/LibCalls/TargetHealth.cpp
+++ b/Libraries/LibCalls/TargetHealth.cpp
@@ -68,9 +68,8 @@
     Machine.take(*this, "limit");
 }
 
-void TargetHealth::tick(base::TimePoint now) {
-  if (ejected() && now >= EjectedUntil)
-    Machine.take(*this, "expired");
+bool TargetHealth::tick(base::TimePoint now) {
+  return ejected() && now >= EjectedUntil && Machine.take(*this, "expired");
 }
 
 void TargetHealth::clearFailures() {
--- a/Libraries/LibCalls/TargetHealth.h
+++ b/Libraries/LibCalls/TargetHealth.h
@@ -22,8 +22,8 @@
 
   void succeeded();
   void failed(base::TimePoint now);
-  /// Ends an ejection whose time is over.
-  void tick(base::TimePoint now);
+  /// Ends an ejection whose time is over; returns whether it did.
+  bool tick(base::TimePoint now);
 
   bool ejected() const { return Machine.stateName() == "ejected"; }
   bool probing() const { return Machine.stateName() == "probing"; }
--- a/Libraries/LibCalls/TargetTable.cpp
+++ b/Libraries/LibCalls/TargetTable.cpp
@@ -19,48 +19,73 @@
 
 } // namespace
 
-void TargetTable::membersChanged(const std::vector<fleet::Member> &members,
-                                 base::TimePoint now) {
-  for (auto &it : Known)
-    it.second->Listed = false;
+TargetTable::Targets
+TargetTable::membersChanged(const std::vector<fleet::Member> &members,
+                            base::TimePoint now) {
+  Targets out;
+  std::set<uint64_t> named;
   for (const auto &member : members) {
     if (!serves(member.State))
       continue;
-    for (const auto &target : member.Targets)
-      take(member, target, now);
+    for (const auto &target : member.Targets) {
+      auto &known = knownOf(member, target);
+      named.insert(known.Id);
+      if (take(known, member, target, now))
+        out.push_back(&known);
+    }
   }
-  index();
+  for (auto &it : Known) {
+    auto &known = *it.second;
+    if (!known.Listed || named.contains(known.Id))
+      continue;
+    known.Listed = false;
+    out.push_back(&known);
+  }
+  if (!out.empty())
+    index();
+  return out;
 }
 
-void TargetTable::take(const fleet::Member &member,
-                       const fleet::TargetRecord &target, base::TimePoint now) {
-  const auto &identity = member.Identity;
-  const uint64_t id = idOf(identity.Id, target.TargetId);
+KnownTarget &TargetTable::knownOf(const fleet::Member &member,
+                                  const fleet::TargetRecord &target) {
+  const auto &node = member.Identity.Id;
+  const uint64_t id = idOf(node, target.TargetId);
   auto &slot = Known[id];
-  if (!slot) {
-    slot = std::make_unique<KnownTarget>();
-    slot->Id = id;
-  }
-  auto &known = *slot;
-  if (!known.Path) {
-    auto path = Paths[identity.Id].lock();
-    if (!path)
-      path = std::make_shared<PathDoubt>();
-    Paths[identity.Id] = path;
-    known.Path = path;
-  }
+  if (slot)
+    return *slot;
+  slot = std::make_unique<KnownTarget>();
+  slot->Id = id;
+  slot->Path = Paths[node].lock();
+  if (!slot->Path)
+    slot->Path = std::make_shared<PathDoubt>();
+  Paths[node] = slot->Path;
+  return *slot;
+}
+
+/// Takes what the fleet says of a target; returns false when it is nothing new.
+bool TargetTable::take(KnownTarget &known, const fleet::Member &member,
+                       const fleet::TargetRecord &target, base::TimePoint now) {
   const auto &before = known.Candidate.Target;
-  const bool ready = target.State == TargetState::Ready;
-  const bool fresh = before.State != TargetState::Ready ||
-                     before.Epoch != target.Epoch || !known.Usable;
-  if (ready && fresh)
+  const bool suspect = member.State == MemberState::Suspect;
+  const bool changed =
+      !known.Listed || before.State != target.State ||
+      before.Epoch != target.Epoch || before.Service != target.Service ||
+      before.Slots != target.Slots || before.Where != target.Where;
+  const bool newLoad = before.LoadPermille != target.LoadPermille;
+  if (!changed && !newLoad && known.Suspect == suspect)
+    return false;
+  const bool readyAnew = !known.Listed || before.State != target.State ||
+                         before.Epoch != target.Epoch;
+  if (target.State == TargetState::Ready && readyAnew)
     known.ReadySince = now;
-  if (fresh || before.LoadPermille != target.LoadPermille)
+  if (readyAnew || newLoad)
     known.Load.reported(target.LoadPermille, now);
+  const auto &identity = member.Identity;
   known.Candidate = {identity.Id, identity.DataCentre, identity.Mesh, target};
   known.Region = identity.Region;
-  known.Suspect = member.State == MemberState::Suspect;
+  known.Suspect = suspect;
   known.Listed = true;
+  return true;
 }
 
 void TargetTable::drainedChanged(const std::vector<std::string> &drained) {
@@ -101,15 +126,17 @@
   return it == Known.end() ? nullptr : it->second.get();
 }
 
-void TargetTable::tick(base::TimePoint now) {
+bool TargetTable::tick(base::TimePoint now) {
+  bool out = false;
   for (auto &it : Known) {
-    it.second->Health.tick(now);
-    it.second->Path->tick(now);
+    out = it.second->Health.tick(now) || out;
+    out = it.second->Path->tick(now) || out;
   }
-  std::erase_if(Known, [](const auto &it) {
+  const auto forgotten = std::erase_if(Known, [](const auto &it) {
     return !it.second->Listed && it.second->InFlight == 0;
   });
   std::erase_if(Paths, [](const auto &it) { return it.second.expired(); });
+  return out || forgotten > 0;
 }
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/TargetTable.h
+++ b/Libraries/LibCalls/TargetTable.h
@@ -19,9 +19,9 @@
   using Targets = std::vector<KnownTarget *>;
 
   /// Takes the fleet's members. What was learnt of a target stays while it is
-  /// listed or calls to it are in flight.
-  void membersChanged(const std::vector<fleet::Member> &members,
-                      base::TimePoint now);
+  /// listed or calls to it are in flight. Returns the targets that changed.
+  Targets membersChanged(const std::vector<fleet::Member> &members,
+                         base::TimePoint now);
 
   /// Takes the names of drained services and VMs ("service:..", "vm:..").
   void drainedChanged(const std::vector<std::string> &drained);
@@ -32,12 +32,15 @@
   /// Returns a target by its id, or null.
   KnownTarget *find(uint64_t id);
 
-  /// Ends ejections, notices silence, forgets what is gone.
-  void tick(base::TimePoint now);
+  /// Ends ejections, notices silence, forgets what is gone. Returns whether
+  /// any of this happened.
+  bool tick(base::TimePoint now);
 
 private:
-  void take(const fleet::Member &member, const fleet::TargetRecord &target,
-            base::TimePoint now);
+  KnownTarget &knownOf(const fleet::Member &member,
+                       const fleet::TargetRecord &target);
+  static bool take(KnownTarget &known, const fleet::Member &member,
+                   const fleet::TargetRecord &target, base::TimePoint now);
   bool drained(const KnownTarget &target) const;
   void index();
 
--- /dev/null
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -0,0 +1,153 @@
+#include <LibBase/Random.h>
+#include <LibCalls/AdmissionPlayer.h>
+#include <LibCalls/CallFixtures.h>
+#include <LibCalls/CallPlanPlayer.h>
+#include <LibCalls/IdempotencyPlayer.h>
+#include <LibCalls/LeasePlayer.h>
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <memory>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+constexpr uint64_t Steps = 3000;
+
+/// Draws events for one module from a seed.
+struct Driver {
+  explicit Driver(uint64_t seed) : Draw(seed) {}
+  template <typename Enum> Enum pick(uint64_t count) {
+    return static_cast<Enum>(Draw.below(count));
+  }
+  base::TimePoint now() {
+    Now += base::Duration(static_cast<int64_t>(Draw.below(20'000)));
+    return at(Now);
+  }
+  base::Random Draw;
+  base::Duration Now = 1min;
+};
+
+void planCalls(trace::Recorder &recorder, Driver &it) {
+  CallPlanner planner({"dc1", "south"}, it.Draw.next(), recorder);
+  for (uint64_t n = 1; n <= Steps; ++n) {
+    const auto now = it.now();
+    planner.tick(now);
+    std::vector<fleet::Member> members;
+    for (const char *node : {"a", "b", "c", "d"})
+      members.push_back(member(node, it.Draw.below(2) == 0 ? "dc1" : "dc2",
+                               it.pick<TargetState>(4)));
+    if (n % 50 == 1)
+      planner.membersChanged(members, now);
+    if (n % 170 == 0)
+      planner.drainedChanged({"vm:a"}, now);
+    RoutedCall call{std::string(Lookup), it.pick<Rank>(3), 1s, true, false, 10};
+    call.Idempotent = it.Draw.below(2) == 0;
+    auto step = planner.begin(n, call, now);
+    while (step.What == CallStep::Kind::Send && it.Draw.below(10) > 0) {
+      auto result = ends(it.pick<AttemptEnd>(6));
+      result.PressurePermille = static_cast<uint32_t>(it.Draw.below(1000));
+      step = planner.attemptEnded(n, result, it.now());
+    }
+    if (n > 5)
+      planner.end(n - 5, now);
+  }
+}
+
+void admitCalls(trace::Recorder &recorder, Driver &it) {
+  TargetGate gate("t", recorder);
+  TargetGateSettings settings;
+  settings.Slots = 6;
+  settings.Connections = 110;
+  settings.Limits.QueueLength = 10;
+  for (Ticket n = 1; n <= Steps; ++n) {
+    settings.State =
+        it.Draw.below(10) == 0 ? TargetState::Draining : TargetState::Ready;
+    if (n % 100 == 1)
+      gate.configure(settings, it.now());
+    gate.arrive(n, it.pick<Rank>(3), 100ms, 0, it.now());
+    gate.ended(it.Draw.below(n), it.pick<AttemptEnd>(6), it.now());
+    gate.abandoned(it.Draw.below(n), it.now());
+    gate.tick(it.now());
+  }
+}
+
+void leaseTargets(trace::Recorder &recorder, Driver &it) {
+  TargetLeases leases(recorder);
+  std::map<std::string, uint64_t> epochs;
+  for (uint64_t n = 0; n < Steps; ++n) {
+    it.Now += base::Duration(static_cast<int64_t>(it.Draw.below(2'000'000)));
+    auto record = target("t" + std::to_string(it.Draw.below(3)));
+    auto &epoch = epochs[record.TargetId];
+    record.Epoch = it.Draw.below(9) == 0 ? 0 : epoch;
+    base::LastReason reason;
+    const auto answer = leases.announce({record}, it.now(), reason);
+    epoch = answer ? answer->Epoch : epoch;
+    leases.tick(it.now());
+  }
+}
+
+void keepKeys(trace::Recorder &recorder, Driver &it) {
+  IdempotencyTable table(1s, recorder);
+  for (CallHandle n = 1; n <= Steps; ++n) {
+    const auto key = "k" + std::to_string(it.Draw.below(20));
+    table.begin(key, it.Draw.below(10) == 0 ? 2 : 1, n, it.now());
+    table.leave(key, n - it.Draw.below(3), it.now());
+    const std::string answer(it.Draw.below(100), 'x');
+    if (it.Draw.below(2) == 0)
+      table.finished(key, it.pick<CallOutcome>(3), ResultCode::Ok, answer,
+                     it.now());
+  }
+}
+
+struct Row {
+  void (*Drive)(trace::Recorder &, Driver &);
+  std::function<std::unique_ptr<trace::Player>()> Player;
+};
+
+const Row Rows[] = {
+    {planCalls, [] { return std::make_unique<CallPlanPlayer>(); }},
+    {admitCalls, [] { return std::make_unique<AdmissionPlayer>(); }},
+    {leaseTargets, [] { return std::make_unique<LeasePlayer>(); }},
+    {keepKeys, [] { return std::make_unique<IdempotencyPlayer>(); }},
+};
+
+} // namespace
+
+TEST_CASE("recorded decisions replay with equal outcomes") {
+  for (const auto &row : Rows) {
+    for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+      KeepingRecorder recorder;
+      Driver driver(seed);
+      row.Drive(recorder, driver);
+      REQUIRE(recorder.Entries.size() > Steps);
+      const auto player = row.Player();
+      size_t differing = 0;
+      for (const auto &entry : recorder.Entries)
+        differing += player->play(entry) == entry.Decided ? 0 : 1;
+      CAPTURE(static_cast<int>(recorder.Entries.front().Source));
+      CAPTURE(seed);
+      CHECK(differing == 0);
+    }
+  }
+}
+
+TEST_CASE("a replay with events left out differs") {
+  for (const auto &row : Rows) {
+    KeepingRecorder recorder;
+    Driver driver(1);
+    row.Drive(recorder, driver);
+    const auto first = recorder.Entries.begin() + 1;
+    recorder.Entries.erase(first, first + Steps / 10);
+    const auto player = row.Player();
+    size_t differing = 0;
+    for (const auto &entry : recorder.Entries)
+      differing += player->play(entry) == entry.Decided ? 0 : 1;
+    CAPTURE(static_cast<int>(recorder.Entries.front().Source));
+    CHECK(differing > 0);
+  }
+}
