LibCalls: Keep key ownership through short absences

A successor is silent on a lost member's keys for a whole window, so an owner that was paused or cut off for less than half of it cannot have been replaced and need not settle anew.

--- a/Libraries/LibCalls/KeyOwnership.cpp
+++ b/Libraries/LibCalls/KeyOwnership.cpp
@@ -32,14 +32,7 @@
     it.second.Alive = false;
   for (const auto &member : members) {
     const auto &identity = member.Identity;
-    if (identity.Id == Self) {
-      // The others had taken this node for dead: its keys had another owner.
-      if (OwnIncarnation != 0 && member.Incarnation > OwnIncarnation)
-        loseMemory(now);
-      OwnIncarnation = std::max(OwnIncarnation, member.Incarnation);
-      continue;
-    }
-    if (identity.DataCentre != DataCentre)
+    if (identity.Id == Self || identity.DataCentre != DataCentre)
       continue;
     const bool alive = isAlive(member.State);
     if (!alive && !Peers.contains(identity.Id))
@@ -51,8 +44,12 @@
     if (alive)
       peer.LastAlive = now;
   }
-  const bool had = std::exchange(Majority, hasMajority());
-  if (had != Majority)
+  if (!hasMajority()) {
+    MinoritySince = MinoritySince.value_or(now);
+    return;
+  }
+  const auto since = std::exchange(MinoritySince, std::nullopt);
+  if (since && now - *since > longestAbsence())
     loseMemory(now);
 }
 
@@ -82,7 +79,7 @@
 void KeyOwnership::loseMemory(base::TimePoint now) { KnowsFrom = now; }
 
 void KeyOwnership::tick(base::TimePoint now) {
-  if (!KnowsFrom || (LastTick && now - *LastTick > PauseLimit))
+  if (!KnowsFrom || (LastTick && now - *LastTick > longestAbsence()))
     loseMemory(now);
   LastTick = now;
   for (auto &it : Peers)
@@ -114,8 +111,8 @@
   }
   if (owner)
     return {Verdict::Kind::Other, owner->first, owner->second.Mesh, {}};
-  const bool paused = !LastTick || now - *LastTick > PauseLimit;
-  if (paused || !Majority || !KnowsFrom)
+  const bool paused = !LastTick || now - *LastTick > longestAbsence();
+  if (paused || MinoritySince || !KnowsFrom)
     return {Verdict::Kind::CannotSay, {}, {}, DefaultRetryAfter};
   const auto from = std::max(*KnowsFrom, lost.value_or(*KnowsFrom));
   if (now - from < memoryNeeded())
--- a/Libraries/LibCalls/KeyOwnership.h
+++ b/Libraries/LibCalls/KeyOwnership.h
@@ -17,14 +17,14 @@
 /// may act as its owner. The owner is the living member with the highest
 /// rendezvous weight. A node runs a key's call only when no other node can have
 /// run it within the window: it has itself owned the key for that long without
-/// a pause, and no member that would have owned the key was lost meanwhile.
-/// Otherwise it cannot say whether the call ran.
+/// a long pause, and no member that would have owned the key was lost
+/// meanwhile. Otherwise it cannot say whether the call ran. Since a successor
+/// is silent for a whole window, an absence of less than half a window does no
+/// harm: nobody has run this node's keys meanwhile.
 class KeyOwnership {
 public:
   /// Time within which the nodes of a data centre come to the same view.
   static constexpr base::Duration ViewMargin = std::chrono::seconds(10);
-  /// A node that did not run for longer was perhaps taken for dead.
-  static constexpr base::Duration PauseLimit = std::chrono::seconds(2);
   /// A lost member counts for this long towards the majority.
   static constexpr base::Duration LostMemory = std::chrono::hours(1);
 
@@ -68,16 +68,16 @@
   void loseMemory(base::TimePoint now);
   bool hasMajority() const;
   base::Duration memoryNeeded() const { return Window + ViewMargin; }
+  base::Duration longestAbsence() const { return Window / 2; }
 
   fleet::NodeId Self;
   std::string DataCentre;
   base::Duration Window;
   std::map<fleet::NodeId, Peer> Peers;
-  uint64_t OwnIncarnation = 0;
   std::optional<base::TimePoint> LastTick;
   /// From then on this node knows all calls of the keys that it owns.
   std::optional<base::TimePoint> KnowsFrom;
-  bool Majority = true;
+  std::optional<base::TimePoint> MinoritySince;
 };
 
 } // namespace radishcross::calls
