LibCalls: Check the promises about calls over lists of events

Five small checks: whole answer to the own request, told not run was not run, non-idempotent runs once, a leaving target gets no new work after 3 s, a planned stop cuts nothing.

--- /dev/null
+++ b/Tests/LibCalls/TestCallInvariants.cpp
@@ -0,0 +1,91 @@
+#include <LibCalls/BrokerBench.h>
+#include <LibCalls/CallInvariants.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Kind = CallEvent::Kind;
+
+/// Calls through a broker whose targets run some of what they are sent, and
+/// lose, refuse or answer it as the seed wills. Resends carry the same key.
+std::vector<CallEvent> explore(uint64_t seed) {
+  BrokerBench it;
+  it.Node.nothingRanBefore(at(it.Now));
+  base::Random random(seed);
+  std::vector<CallEvent> out;
+  for (int n = 0; n < 300; ++n) {
+    const bool payment = random.below(2) == 0;
+    const auto key = "key" + std::to_string(random.below(40));
+    const auto call = payment ? it.pay(key, 1, true) : it.begin("/lookup");
+    const auto name = payment ? key : "lookup" + std::to_string(n);
+    auto step = it.stepOf(call);
+    while (step.What == CallStep::Kind::Send) {
+      const auto end = static_cast<AttemptEnd>(random.below(5));
+      const bool ran = end == AttemptEnd::Answered ||
+                       (end >= AttemptEnd::Broken && random.below(2) == 0);
+      if (ran)
+        out.push_back(
+            {at(it.Now), Kind::Ran, name, step.To.Node, {}, !payment});
+      if (step.KeepAnswer)
+        it.Node.keepAnswer(call, "answer " + name, at(it.Now));
+      step = it.end(call, end);
+    }
+    CallEvent told{at(it.Now), Kind::ToldUnknown, name, {}, name, !payment};
+    if (step.What == CallStep::Kind::Replay)
+      told.Other = it.Node.keptAnswer(call).substr(7);
+    if (step.Outcome == CallOutcome::Answered)
+      told.What = Kind::Answered;
+    else if (step.Outcome == CallOutcome::NotRun && !payment)
+      told.What = Kind::ToldNotRun;
+    out.push_back(told);
+    it.Node.end(call, at(it.Now));
+    it.pass(50ms);
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("each broken promise is found by its check alone") {
+  const std::vector<CallEvent> sound = {
+      {at(0s), Kind::Announced, {}, "a", {}},
+      {at(1s), Kind::Ran, "one", "a", {}},
+      {at(1s), Kind::Answered, "one", {}, "one"},
+      {at(1s), Kind::ToldNotRun, "two", {}, {}},
+      {at(2s), Kind::Ran, "three", "a", {}, true},
+      {at(2s), Kind::Ran, "three", "b", {}, true},
+      {at(2s), Kind::Cut, "three", "b", {}},
+      {at(3s), Kind::Leaving, {}, "a", {}},
+      {at(3s), Kind::StopBegun, {}, "a", {}},
+      {at(6s), Kind::Ran, "four", "a", {}}};
+  CHECK(checkCalls(sound).empty());
+  const std::pair<CallEvent, size_t> broken[] = {
+      {{at(7s), Kind::Answered, "one", {}, "two"}, 0},
+      {{at(7s), Kind::CutShort, "one", {}, {}}, 0},
+      {{at(7s), Kind::ToldNotRun, "one", {}, {}}, 1},
+      {{at(7s), Kind::Ran, "two", "b", {}}, 1},
+      {{at(7s), Kind::Ran, "one", "b", {}}, 2},
+      {{at(7s), Kind::Ran, "five", "a", {}}, 3},
+      {{at(7s), Kind::Cut, "four", "a", {}}, 4}};
+  for (const auto &[event, which] : broken) {
+    auto list = sound;
+    list.push_back(event);
+    CHECK(checkCalls(list).size() == 1);
+    const auto found = callInvariants()[which].Check(list);
+    REQUIRE(found);
+    CHECK(found->Event == sound.size());
+  }
+}
+
+TEST_CASE("random faults and resends break no promise about calls") {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    for (const auto &it : checkCalls(explore(seed)))
+      FAIL(it.Text);
+  }
+}
