--- a/Meta/mesh.py
+++ b/Meta/mesh.py
@@ -205,10 +205,11 @@
         since = {}
         for node in nodes or self.nodes:
             try:
-                _, status = fetch(node.address("administration"), f"/v1/status?configuration={configuration}")
+                _, status = fetch(node.address("administration"), f"/v1/status?configuration={configuration}",
+                                  token=self.token)
             except OSError:
                 continue
-            for held in status.get("held", []):
+            for held in status.get("configurations", []):
                 if held["configuration"] == configuration and held["version"] >= version:
                     since[node.name] = held["since_unix_ms"]
         return since
--- a/Tests/LibLog/TestHeldVersions.cpp
+++ b/Tests/LibLog/TestHeldVersions.cpp
@@ -107,6 +107,19 @@
   CHECK(proxy.Held.waiting().empty());
 }
 
+TEST_CASE(
+    "a removal and a new use that cross: the use goes, the removal waits") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "back", 0, log::contentOf({"s"}, {})));
+  proxy.append(log::publish("2", "front", 0, log::contentOf({}, {})));
+  // Both arrive between two updates of the proxy.
+  proxy.Log.append(log::publish("3", "back", 1, log::contentOf({}, {})));
+  CHECK(proxy.append(
+      log::publish("4", "front", 1, log::contentOf({}, {"r>back/s"}))));
+  CHECK(proxy.version("front") == 2);
+  CHECK(proxy.version("back") == 1);
+}
+
 TEST_CASE("versions that need each other are taken together") {
   Proxy proxy;
   proxy.append(
@@ -147,3 +160,20 @@
   CHECK(held.snapshot()->versionOf("a") == 2);
   CHECK(held.holdovers() == std::vector<std::string>{"a"});
 }
+
+TEST_CASE("a restarted proxy takes what it held before newer ones that wait") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {})));
+  proxy.append(log::publish("2", "b", 0, log::contentOf({"t"}, {"r>a/s"})));
+  // Version 2 waits for a service that nobody defines.
+  proxy.append(log::publish("3", "b", 1, log::contentOf({"t"}, {"r>a/gone"})));
+  CHECK(proxy.version("b") == 1);
+  HeldVersions again("n1", Edge);
+  again.raiseFloor({{"a", 1}, {"b", 1}});
+  CHECK(again.update(proxy.Log.State));
+  CHECK(again.snapshot()->versionOf("b") == 1);
+  REQUIRE(again.waiting().size() == 1);
+  CHECK(again.waiting()[0].Version == 2);
+  CHECK_FALSE(again.update(proxy.Log.State));
+  CHECK(again.waiting().size() == 1);
+}
