--- a/Libraries/LibFleet/Spreader.cpp
+++ b/Libraries/LibFleet/Spreader.cpp
@@ -1,6 +1,9 @@
 #include <LibBase/Hash.h>
 #include <LibFleet/Spreader.h>
 
+#include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace radishcross::fleet {
@@ -41,6 +44,34 @@
   return ahead < count;
 }
 
+std::vector<NodeId> Spreader::tailers(const MemberTable &table,
+                                      uint32_t count) {
+  struct Weighed {
+    uint64_t Weight;
+    const NodeId *Id;
+    bool operator>(const Weighed &other) const {
+      return std::tie(Weight, *Id) > std::tie(other.Weight, *other.Id);
+    }
+  };
+  std::map<std::string, std::vector<Weighed>> byDataCentre;
+  for (const auto &it : table.all()) {
+    const auto &identity = it.Identity;
+    if (isLive(it))
+      byDataCentre[identity.DataCentre].push_back(
+          {base::rendezvousWeight(identity.DataCentre, identity.Id),
+           &identity.Id});
+  }
+  std::vector<NodeId> result;
+  for (auto &[dataCentre, members] : byDataCentre) {
+    auto chosen = std::min<size_t>(count, members.size());
+    std::partial_sort(members.begin(), members.begin() + chosen, members.end(),
+                      std::greater<>());
+    for (size_t n = 0; n < chosen; ++n)
+      result.push_back(*members[n].Id);
+  }
+  return result;
+}
+
 std::vector<SpreadAction> Spreader::next(const SpreadView &view,
                                          base::TimePoint now) {
   std::vector<SpreadAction> actions;
--- a/Libraries/LibFleet/Spreader.h
+++ b/Libraries/LibFleet/Spreader.h
@@ -87,6 +87,9 @@
   static bool isTailer(const MemberTable &table, const std::string &dataCentre,
                        const NodeId &id, uint32_t count);
 
+  /// Returns the ids of the tailers of all data centres.
+  static std::vector<NodeId> tailers(const MemberTable &table, uint32_t count);
+
 private:
   std::optional<SpreadAction> nextRead(const SpreadView &view,
                                        base::TimePoint now);
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -62,7 +62,7 @@
       Members(firstRecord(Environment.Self, epoch), Environment.Seeds,
               fleet::MembershipSettings{}, Dice.next()),
       SpreadSeed(Dice.next()), Spreading({}, SpreadSeed),
-      Recovering(std::move(recovery)),
+      Recovering(std::move(recovery)), Snapshots(Environment.Self.Id),
       Beacons(Environment.Self.Id, Environment.Self.DataCentre, {},
               Dice.next()),
       Timer(*Environment.Context) {
@@ -122,6 +122,7 @@
   putInForce();
   spread();
   appendBeaconIfDue();
+  writeSnapshotIfDue();
   reportChanges();
 }
 
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -7,6 +7,9 @@
 #include <LibFleet/RecordStore.h>
 #include <LibFleet/Recovery.h>
 #include <LibFleet/Spreader.h>
+#include <LibLog/FoldWitness.h>
+#include <LibLog/SnapshotParts.h>
+#include <LibLog/SnapshotPolicy.h>
 #include <LibPeer/DatagramSocket.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MeshProof.h>
@@ -60,6 +63,7 @@
 
   void readLog(const fleet::SpreadAction &action);
   void logAnswered(const log::ReadAnswer &answer);
+  bool readWithoutState(const log::ReadAnswer &answer);
   void watchLogEnd(const log::ReadAnswer &answer);
   bool takeRecords(std::vector<log::StoredRecord> records,
                    const fleet::NodeId &source);
@@ -74,6 +78,11 @@
   void joinThroughBeacons();
   void joinThroughRecords(const std::vector<log::StoredRecord> &records);
 
+  void scanSnapshots(const std::vector<log::StoredRecord> &records);
+  bool startFromSnapshot();
+  void writeSnapshotIfDue();
+  void appendNextPart();
+
   void pull(const fleet::SpreadAction &action);
   void pullAnswered(const fleet::NodeId &peer,
                     const std::optional<PullAnswer> &answer);
@@ -104,6 +113,15 @@
   fleet::Spreader Spreading;
   bool IsSpreadRecorded = false;
   fleet::Recovery Recovering;
+  log::SnapshotPolicy Snapshots;
+  log::SnapshotAssembler Assembler;
+  log::FoldWitness Witness;
+  log::LogWindow Window;
+  std::optional<log::LogSnapshot> Candidate; ///< To start from, if believed.
+  std::deque<std::string> Unwritten; ///< Parts of the snapshot being written.
+  log::Offset ScanFrom = 1;          ///< Where a node without state reads on.
+  base::TimePoint CandidateSince{};
+  base::TimePoint NextSnapshotLook{};
   fleet::BeaconPlan Beacons;
   uint64_t BeaconsSent = 0;
   std::shared_ptr<DatagramSocket> Datagrams;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -3,6 +3,7 @@
 #include <LibFleet/SpreaderPlayer.h>
 #include <LibPeer/FleetNode.h>
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
@@ -51,19 +52,28 @@
   entry.Decided = fleet::RecoveryPlayer::outcomeOf(Recovering);
   if (!Recovering.isServing())
     Environment.Recorder->record(std::move(entry));
-  // Records that cannot be folded yet may still name a live peer.
-  if (Recovering.needsState(heldOffset()))
-    joinThroughRecords(answer.Records);
-  bool advanced = answer.Reached && takeRecords(answer.Records, {});
+  scanSnapshots(answer.Records);
+  bool advanced = Recovering.needsState(heldOffset())
+                      ? readWithoutState(answer)
+                      : takeRecords(answer.Records, {});
   Spreading.readDone(answer.Reached, advanced, now);
   Environment.Recorder->record(
       fleet::SpreaderPlayer::readDone(answer.Reached, advanced, now));
   spread();
 }
 
+bool FleetNode::readWithoutState(const log::ReadAnswer &answer) {
+  // Records that cannot be folded yet may still name a live peer.
+  joinThroughRecords(answer.Records);
+  if (!answer.Records.empty())
+    ScanFrom = answer.Records.back().At + 1;
+  return startFromSnapshot() || !answer.Records.empty();
+}
+
 void FleetNode::watchLogEnd(const log::ReadAnswer &answer) {
   // FIXME: Records that a shortened log takes up to the offset held here are
   // ignored; the log's service has to continue above it.
+  Window = {answer.First, answer.End};
   bool isShort = answer.End <= heldOffset();
   if (isShort == IsLogShort)
     return;
--- /dev/null
+++ b/Libraries/LibPeer/FleetSnapshots.cpp
@@ -0,0 +1,120 @@
+#include <LibBase/Logger.h>
+#include <LibPeer/FleetNode.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+// The part of FleetNode that writes the fold's state to the log before records
+// expire, and starts from such a state when nobody else has one.
+
+namespace radishcross::peer {
+
+namespace {
+
+constexpr base::Duration LookPeriod = std::chrono::seconds(1);
+/// How long a newcomer waits for a second source to confirm a snapshot before
+/// it takes the newest sound one: a fleet that has lost every state would else
+/// never come back.
+constexpr base::Duration ConfirmationPatience = std::chrono::seconds(10);
+constexpr size_t RecordOverheadBytes = 250; ///< HTTP's, request and answer.
+
+bool isMaybeSnapshot(const log::StoredRecord &record) {
+  return record.Bytes.find("\"snapshot\"") != std::string::npos;
+}
+
+} // namespace
+
+void FleetNode::scanSnapshots(const std::vector<log::StoredRecord> &records) {
+  auto now = Environment.Time->now();
+  for (const auto &it : records) {
+    base::LastReason reason;
+    if (!isMaybeSnapshot(it))
+      continue;
+    auto record = log::decodeRecord(it.Bytes, reason);
+    if (!record || record->Kind != log::RecordKind::Snapshot)
+      continue;
+    auto found = Assembler.take(*record, it.At, reason);
+    if (!found)
+      continue;
+    Snapshots.snapshotSeen(found->State.offset(), found->FirstPartAt, now);
+    Witness.noteOther(found->Writer, found->State.offset(),
+                      found->State.hash());
+    if (Recovering.isServing() || found->State.offset() <= heldOffset())
+      continue;
+    if (!Candidate)
+      CandidateSince = now;
+    if (!Candidate || found->State.offset() >= Candidate->State.offset())
+      Candidate = std::move(found);
+  }
+}
+
+bool FleetNode::startFromSnapshot() {
+  if (!Candidate || !Recovering.needsState(heldOffset()))
+    return false;
+  const auto &state = Candidate->State;
+  for (const auto &it : Members.table().all())
+    Witness.noteOther(it.Identity.Id, it.ConfigOffset, it.FoldHash);
+  auto belief = Witness.judge(Candidate->Writer, state.offset(), state.hash());
+  auto now = Environment.Time->now();
+  if (belief == log::Belief::Refuted) {
+    Candidate.reset();
+    return false;
+  }
+  if (belief == log::Belief::Unconfirmed) {
+    if (now < CandidateSince + ConfirmationPatience)
+      return false;
+    ++Environment.Counters->counter("snapshots_unconfirmed_total");
+    base::log(base::LogLevel::Warning,
+              "starting from a snapshot without a second source",
+              {{"offset", std::to_string(state.offset())},
+               {"writer", Candidate->Writer}});
+  }
+  Waiting.clear();
+  Held = std::move(Candidate->State);
+  Candidate.reset();
+  HeldHash = Held.hash();
+  heldAdvanced({});
+  return true;
+}
+
+void FleetNode::writeSnapshotIfDue() {
+  auto now = Environment.Time->now();
+  if (!Recovering.isServing() || now < NextSnapshotLook || !Unwritten.empty())
+    return;
+  NextSnapshotLook = now + LookPeriod;
+  auto candidates = fleet::Spreader::tailers(Members.table(),
+                                             Environment.TailersPerDataCentre);
+  const auto &self = Environment.Self;
+  bool isCandidate = std::find(candidates.begin(), candidates.end(), self.Id) !=
+                     candidates.end();
+  if (!isCandidate ||
+      !Snapshots.shouldWrite(Held.offset(), Window, candidates, now))
+    return;
+  Snapshots.writing(now);
+  for (const auto &it :
+       log::makeSnapshotParts(Held, {"", self.Id, self.Gossip.Host}))
+    Unwritten.push_back(log::encodeRecord(it));
+  appendNextPart();
+}
+
+void FleetNode::appendNextPart() {
+  if (Unwritten.empty())
+    return;
+  auto bytes = std::move(Unwritten.front());
+  Unwritten.pop_front();
+  ++Environment.Counters->counter("platform_appends_total");
+  *Bytes.Sent += bytes.size() + RecordOverheadBytes;
+  Environment.Platform->append(
+      std::move(bytes), [weak = weak_from_this()](const log::AppendAnswer &it) {
+        auto self = weak.lock();
+        if (!self || self->HasLeft)
+          return;
+        // A refused part makes the rest useless; the policy tries again later.
+        if (it.Outcome == log::AppendAnswer::Kind::Refused)
+          self->Unwritten.clear();
+        self->appendNextPart();
+      });
+}
+
+} // namespace radishcross::peer
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/SnapshotParts.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MockPlatform.h>
 #include <LibTrace/Replay.h>
@@ -28,6 +29,13 @@
   return {"127.0.0.1", socket.local_endpoint().port()};
 }
 
+/// The machine's clock, which a test can set forward.
+struct JumpingClock final : base::Clock {
+  base::TimePoint now() const override { return Machine.now() + Jump; }
+  base::SystemClock Machine;
+  base::Duration Jump{};
+};
+
 struct Shell {
   base::Metrics Counters;
   std::shared_ptr<FleetShell> Fleet;
@@ -38,7 +46,7 @@
 /// A few shells on loopback, on one loop, with one platform.
 struct LoopbackFleet {
   asio::io_context Context;
-  base::SystemClock Time;
+  JumpingClock Time;
   std::vector<std::unique_ptr<trace::Ring>> Rings;
   MockPlatform Platform{Context};
   std::vector<base::Address> Seeds{freeAddress<asio::ip::udp>()};
@@ -79,8 +87,8 @@
 
   /// Runs the loop until \p holds; false when that takes over 20 s.
   template <typename Condition> bool runUntil(Condition holds) {
-    auto end = Time.now() + 20s;
-    while (!holds() && Time.now() < end)
+    auto end = Time.Machine.now() + 20s;
+    while (!holds() && Time.Machine.now() < end)
       Context.run_one_for(100ms);
     return holds();
   }
@@ -241,3 +249,54 @@
   CHECK(shell.Fleet->ready());
   CHECK(shell.Fleet->fold().offset() >= 5);
 }
+
+TEST_CASE("a fleet that lost every state starts from the log's snapshot") {
+  LoopbackFleet fleet;
+  log::Fold fold;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  for (const auto &it : fleet.Platform.Records)
+    fold.apply(it);
+  // Two writers, as after a pause, confirm each other; one alone has to do
+  // when nobody confirms it in time.
+  bool isConfirmed = false;
+  SUBCASE("confirmed") { isConfirmed = true; }
+  SUBCASE("unconfirmed") {}
+  for (const char *writer : {"node-8", "node-9"})
+    for (const auto &it : log::makeSnapshotParts(fold, {"", writer, ""}))
+      if (isConfirmed || writer == std::string("node-8"))
+        fleet.Platform.Records.push_back(
+            {fleet.Platform.Records.size() + 1, log::encodeRecord(it)});
+  fleet.Platform.addDrain("last");
+  auto end = fleet.Platform.Records.size();
+  fleet.Platform.First = 4;
+  auto &shell = fleet.start("dc-0");
+  if (!isConfirmed) {
+    REQUIRE(fleet.runUntil([&] { return fleet.Platform.Reads > 6; }));
+    CHECK_FALSE(shell.Fleet->ready());
+    fleet.Time.Jump = 11s;
+  }
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(end); }));
+  CHECK(shell.Fleet->fold().drained().contains("vm:0"));
+  CHECK(shell.Fleet->fold().drained().contains("vm:last"));
+  CHECK(shell.Counters.counter("snapshots_unconfirmed_total") ==
+        (isConfirmed ? 0 : 1));
+}
+
+TEST_CASE("a snapshot is written to the log before records expire") {
+  LoopbackFleet fleet;
+  for (int n = 0; n < 1100; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  fleet.start("dc-0");
+  auto snapshots = [&] {
+    log::SnapshotAssembler assembler;
+    size_t count = 0;
+    base::LastReason reason;
+    for (const auto &it : fleet.Platform.Records)
+      if (auto record = log::decodeRecord(it.Bytes, reason);
+          record && record->Kind == log::RecordKind::Snapshot)
+        count += assembler.take(*record, it.At, reason) ? 1 : 0;
+    return count;
+  };
+  CHECK(fleet.runUntil([&] { return snapshots() > 0; }));
+}
