LibNode: Record decisions, spread quarantine news, keep answers

Cause: the node dropped every recorded decision; the quarantine's findings stayed on the node that made them; the usage meter hid the broker's support for idempotency keys, since it did not forward the calls that keep and replay answers, so resends would have ended as unknown.

Now the recorder is the bounded ring that the administration API serves, suspicions and quarantines travel as notices, and the meter forwards all of the broker's interface. A node that recovers an empty configuration tells the broker that no call can have run before.

--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -1,11 +1,11 @@
 #include <LibNode/NodeProcess.h>
 
 #include <LibBase/Logger.h>
+#include <LibTrace/TraceText.h>
 
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <charconv>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -23,8 +23,8 @@
 /// learn of it in this time, and none of their calls is refused.
 constexpr base::Duration QuietBeforeStop = 1500ms;
 
-constexpr std::string_view QuarantineTopic = "quarantine/";
-constexpr base::Duration QuarantineLifetime = std::chrono::minutes(10);
+/// What a node remembers of its decisions for \ref recording.
+constexpr trace::RingLimits DecisionLimits{65536, 8UL << 20};
 
 uint64_t randomSeed() {
   std::random_device device;
@@ -57,10 +57,11 @@
 NodeProcess::NodeProcess(boost::asio::io_context &context,
                          const admin::NodeSettings &settings)
     : Context(&context), Settings(settings), Self(identityOf(settings)),
+      Seed(randomSeed()), Decisions(DecisionLimits),
       Platform(context, settings.Platform, Counters), Quarantined(Decisions),
-      Leases(Decisions),
-      CallsBroker({Self.Id, Self.DataCentre, Self.Region, randomSeed()},
-                  Quarantined, Decisions),
+      News(Quarantined), Leases(Decisions),
+      CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed}, Quarantined,
+                  Decisions),
       CallsGate(Quarantined, Decisions), Usage(CallsBroker),
       Held(Self.Id, Self.NodeLabels), Changes(Platform, Time,
                                               [this] {
@@ -93,7 +94,7 @@
   environment.Self = Self;
   environment.Seeds = Settings.Seeds;
   environment.MeshKeys = Settings.MeshKeys;
-  environment.RandomSeed = randomSeed();
+  environment.RandomSeed = Seed;
   environment.TailersPerDataCentre = Settings.TailersPerDataCentre;
   environment.FoldAdvanced = [this](const log::Fold &fold) {
     foldAdvanced(fold);
@@ -101,7 +102,7 @@
   environment.MembersChanged = [this] { MembersDirty = true; };
   environment.NoticeArrived = [this](std::string_view topic,
                                      std::string_view text) {
-    noticeArrived(topic, text);
+    News.arrived(topic, text, Time.now());
   };
   auto shell = peer::FleetShell::create(std::move(environment), reason);
   if (!shell)
@@ -198,18 +199,6 @@
   Fleet->setTargets(std::move(targets));
 }
 
-void NodeProcess::noticeArrived(std::string_view topic, std::string_view text) {
-  if (!topic.starts_with(QuarantineTopic))
-    return;
-  std::string_view digits = topic.substr(QuarantineTopic.size());
-  uint64_t fingerprint = 0;
-  auto [end, error] = std::from_chars(
-      digits.data(), digits.data() + digits.size(), fingerprint, 16);
-  if (error != std::errc() || end != digits.data() + digits.size())
-    return;
-  Quarantined.learn(fingerprint, text, QuarantineLifetime, Time.now());
-}
-
 void NodeProcess::armTimer() {
   Timer.expires_after(TickPeriod);
   Timer.async_wait([this](boost::system::error_code ec) {
@@ -221,8 +210,15 @@
 }
 
 void NodeProcess::tick() {
+  if (!Recovered && ready())
+    recovered();
   if (Leases.tick(Time.now()))
     targetsChanged();
+  News.spread(
+      [this](std::string topic, std::string text, base::Duration lifetime) {
+        Fleet->spreadNotice(std::move(topic), std::move(text), lifetime);
+      },
+      Time.now());
   if (MembersDirty)
     membersChanged();
   CallsBroker.tick(Time.now());
@@ -232,6 +228,16 @@
     drainTick();
 }
 
+void NodeProcess::recovered() {
+  Recovered = true;
+  // No call can have run in a fleet that never had a configuration, so
+  // idempotency keys need not be doubted.
+  if (fold().offset() == 0)
+    CallsBroker.nothingRanBefore(Time.now());
+  base::log(base::LogLevel::Info, "recovered",
+            {{"offset", std::to_string(fold().offset())}});
+}
+
 std::vector<admin::HoldingSince> NodeProcess::holdingSince() const {
   std::vector<admin::HoldingSince> out;
   out.reserve(Since.size());
@@ -284,7 +290,14 @@
   return Quarantined.lift(fingerprint);
 }
 
-std::string NodeProcess::recording(uint32_t) const { return {}; }
+std::string NodeProcess::recording(uint32_t seconds) const {
+  auto from = Time.now() - std::chrono::seconds(seconds);
+  trace::Trace out;
+  out.Node = Self.Id;
+  out.Seed = Seed;
+  out.Entries = Decisions.since(from.time_since_epoch().count());
+  return trace::writeTrace(out);
+}
 
 void NodeProcess::drainSelf() {
   if (Draining)
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -15,10 +15,11 @@
 #include <LibHttp/Server.h>
 #include <LibLog/HeldVersions.h>
 #include <LibNode/ChangeFlow.h>
-#include <LibNode/DecisionLog.h>
+#include <LibNode/QuarantineNews.h>
 #include <LibNode/TargetListener.h>
 #include <LibNode/UsageMeter.h>
 #include <LibPeer/FleetShell.h>
+#include <LibTrace/Ring.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -72,9 +73,9 @@
   void drainedChanged(const log::Fold &fold);
   void membersChanged();
   void targetsChanged();
-  void noticeArrived(std::string_view topic, std::string_view text);
   void armTimer();
   void tick();
+  void recovered();
   void drainTick();
 
   boost::asio::io_context *Context;
@@ -82,9 +83,11 @@
   fleet::NodeIdentity Self;
   base::SystemClock Time;
   base::Metrics Counters;
-  DecisionLog Decisions;
+  uint64_t Seed;
+  trace::Ring Decisions;
   http::HttpPlatformClient Platform;
   calls::Quarantine Quarantined;
+  QuarantineNews News;
   calls::TargetLeases Leases;
   calls::Broker CallsBroker;
   calls::Gate CallsGate;
@@ -101,6 +104,7 @@
   std::map<std::string, admin::HoldingSince, std::less<>> Since;
   std::vector<std::string> DrainedNames;
   bool MembersDirty = false;
+  bool Recovered = false;
   bool Draining = false;
   base::TimePoint DrainStartedAt{};
   base::TimePoint LastBusyAt{};
--- /dev/null
+++ b/Libraries/LibNode/QuarantineNews.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/Quarantine.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace radishcross::node {
+
+/// Carries suspicions and decisions of the quarantine between nodes as
+/// notices. The topic is "quarantine/FINGERPRINT/CRASHES" with the fingerprint
+/// in hexadecimal; the text is the service's name.
+class QuarantineNews {
+public:
+  using Spread = std::function<void(std::string topic, std::string text,
+                                    base::Duration lifetime)>;
+
+  explicit QuarantineNews(calls::Quarantine &quarantine);
+
+  /// Spreads what this node has found since the last call.
+  void spread(const Spread &spread, base::TimePoint now);
+
+  /// Takes a notice; one of another kind is ignored.
+  void arrived(std::string_view topic, std::string_view text,
+               base::TimePoint now);
+
+private:
+  calls::Quarantine *Held;
+};
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/UsageMeter.cpp
+++ b/Libraries/LibNode/UsageMeter.cpp
@@ -54,6 +54,19 @@
   Next->end(call, now);
 }
 
+void UsageMeter::keepAnswer(calls::CallHandle call, std::string &&answer,
+                            base::TimePoint now) {
+  Next->keepAnswer(call, std::move(answer), now);
+}
+
+std::string UsageMeter::keptAnswer(calls::CallHandle call) const {
+  return Next->keptAnswer(call);
+}
+
+void UsageMeter::whenResumed(const Resumed &resumed) {
+  Next->whenResumed(resumed);
+}
+
 boost::json::value UsageMeter::usage(base::TimePoint now) const {
   constexpr double WindowSeconds =
       std::chrono::duration<double>(SliceLength * SliceCount).count();
