--- a/Meta/measure_calls.py
+++ b/Meta/measure_calls.py
@@ -100,7 +100,7 @@
     calls = Calls(mesh)
     report = calls.run(*mixed(60, 120, 60))
     direct = calls.run(*mixed(60, 120, 60), addresses=[it.address for it in mesh.targets])
-    return row("quiet", report, direct=direct["by_rank"])
+    return row("quiet", report, direct=direct["ranks"])
 
 
 def flood(case, mix, rate, floor_ranks):
@@ -108,10 +108,10 @@
         calls = Calls(mesh)
         base = calls.run(*mixed(60, 120, 60))
         report = calls.run(mix, rate)
-        ratio = {rank: round(report["by_rank"][rank]["p99_ms"] / max(0.1, base["by_rank"][rank]["p99_ms"]), 2)
-                 for rank in report["by_rank"] if rank in base["by_rank"]}
-        kept = {rank: round(report["by_rank"][rank]["answered"] / max(1, report["by_rank"][rank]["offered"]), 3)
-                for rank in report["by_rank"]}
+        ratio = {rank: round(report["ranks"][rank]["p99_ms"] / max(0.1, base["ranks"][rank]["p99_ms"]), 2)
+                 for rank in report["ranks"] if rank in base["ranks"]}
+        kept = {rank: round(report["ranks"][rank]["answered"] / max(1, report["ranks"][rank]["offered"]), 3)
+                for rank in report["ranks"]}
         goodput = report["answered"] / SECONDS
         return row(case, report, p99_ratio_to_quiet=ratio, answered_share=kept,
                    goodput_per_s=round(goodput), capacity_per_s=CAPACITY)
