LibCalls: Follow latency baselines without a bias

The baseline fell fast and rose slowly, towards the shortest window means. Where most calls counted as saturated this narrowed healthy targets with exponential slot times (6 slots: 1,663 standard calls refused in a flood of background work). It also ignored saturation while a slot was left free for higher ranks, so a flooded target was never narrowed. Baselines now average 8,192 calls, slow windows count an eighth, and the free slot counts as in use.

--- a/Libraries/LibCalls/AdaptiveLimit.cpp
+++ b/Libraries/LibCalls/AdaptiveLimit.cpp
@@ -6,10 +6,14 @@
 
 namespace {
 
-/// Share of a window's mean that enters the baseline: a fall is believed soon,
-/// a rise only slowly, so that an overloaded target does not become the norm.
-constexpr uint64_t FallDivisor = 4;
-constexpr uint64_t RiseDivisor = 64;
+/// Calls over which a baseline averages. While the target seems slow its
+/// latency counts for little, so that overload does not become the norm; it
+/// counts at all, so that a service that got slower for good is not narrowed
+/// for ever.
+constexpr int64_t MemoryInCalls = 8192;
+constexpr int64_t SlowMemoryInCalls = 8 * MemoryInCalls;
+/// Mean latency over its baseline, in permille, from which a target is slow.
+constexpr int64_t SlowPermille = 1250;
 
 /// Each narrowing keeps nine tenths, and at least a quarter of the announced.
 constexpr uint32_t KeptTenths = 9;
@@ -27,7 +31,7 @@
 void AdaptiveLimit::answered(config::Rank rank, base::Duration latency,
                              bool saturated) {
   auto &it = Baselines[static_cast<size_t>(rank)];
-  it.Sum += static_cast<uint64_t>(std::max<int64_t>(latency.count(), 1));
+  it.Sum += std::max<int64_t>(latency.count(), 1);
   ++it.Calls;
   SaturatedCalls += saturated ? 1 : 0;
   if (++Calls >= Window)
@@ -37,33 +41,40 @@
 void AdaptiveLimit::refused() { narrow(); }
 
 void AdaptiveLimit::closeWindow() {
-  uint64_t weighted = 0;
-  uint64_t compared = 0;
+  int64_t weighted = 0;
   for (auto &it : Baselines) {
     if (it.Calls == 0)
       continue;
-    const uint64_t mean = it.Sum / it.Calls;
-    if (it.Microseconds == 0)
-      it.Microseconds = mean;
+    const int64_t mean = it.Sum / it.Calls;
+    it.Microseconds = it.Microseconds == 0 ? mean : it.Microseconds;
     weighted += mean * 1000 / it.Microseconds * it.Calls;
-    compared += it.Calls;
-    if (mean < it.Microseconds)
-      it.Microseconds -= (it.Microseconds - mean) / FallDivisor;
-    else
-      it.Microseconds += (mean - it.Microseconds) / RiseDivisor;
-    it.Microseconds = std::max<uint64_t>(it.Microseconds, 1);
-    it.Sum = 0;
-    it.Calls = 0;
   }
-  const bool mostlySaturated = SaturatedCalls * 2 >= Calls;
+  const bool overloaded =
+      weighted > OverloadPermille * Calls && SaturatedCalls * 2 >= Calls;
+  for (auto &it : Baselines)
+    it.follow(weighted > SlowPermille * Calls);
   Calls = 0;
   SaturatedCalls = 0;
-  if (weighted > OverloadPermille * compared && mostlySaturated)
+  if (overloaded)
     narrow();
   else
     Limit = std::min(Announced, Limit + 1);
 }
 
+/// Moves the baseline towards the mean of the window that ends, the less the
+/// more calls it stands for.
+void AdaptiveLimit::Baseline::follow(bool slow) {
+  if (Calls == 0)
+    return;
+  const int64_t mean = Sum / Calls;
+  Seen = std::min(Seen + Calls, MemoryInCalls);
+  const int64_t memory = slow ? SlowMemoryInCalls : Seen;
+  Microseconds += (mean - Microseconds) * Calls / memory;
+  Microseconds = std::max<int64_t>(Microseconds, 1);
+  Sum = 0;
+  Calls = 0;
+}
+
 void AdaptiveLimit::narrow() {
   const uint32_t least = std::max(1U, Announced / LeastDivisor);
   Limit = std::max(least, Limit * KeptTenths / 10);
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -188,7 +188,7 @@
                        base::TimePoint now) {
   const auto expected = ExpectedTime[indexOf(rank)];
   Share.started(rank, expected, demand(now));
-  const bool saturated = Running.size() + 1 >= limit();
+  const bool saturated = Running.size() + 1 + reserveFrom(rank, now) >= limit();
   Running[call] = {rank, fingerprint, now, expected, saturated};
 }
 
--- a/Tests/LibCalls/FloodModel.h
+++ b/Tests/LibCalls/FloodModel.h
@@ -8,9 +8,10 @@
 #include <array>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <queue>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace radishcross::calls::testing {
@@ -18,6 +19,9 @@
 /// What one run offers: calls a second by rank and the slot times.
 struct FloodCase {
   uint32_t Slots = 9;
+  /// Calls that the target carries at once after a third of the time; with more
+  /// all get slower.
+  double Carries = 9;
   std::array<double, config::RankCount> Offered{};
   bool Exponential = false; ///< Else uniform between half and 1.5 times Mean.
   base::Duration Mean = 10ms;
@@ -54,105 +58,94 @@
     settings.Connections = 120;
     Gate.configure(settings, at(0s));
     for (size_t rank = 0; rank < config::RankCount; ++rank)
-      scheduleArrival(static_cast<Rank>(rank), 0us);
-    Events.push({10ms, Event::Tick, 0});
+      scheduleArrival(rank);
+    scheduleTick();
   }
 
   std::array<FloodOutcome, config::RankCount> run() {
-    while (Events.top().At < What.Length) {
-      const auto event = Events.top();
-      Events.pop();
-      (this->*Handlers[event.Kind])(event);
+    while (Events.begin()->first < What.Length) {
+      const auto event = Events.extract(Events.begin());
+      Now = event.key();
+      event.mapped()();
     }
     return Outcomes;
   }
 
-private:
-  struct Event {
-    enum Type : uint8_t { Arrive, End, Tick };
-    base::Duration At{};
-    Type Kind = Arrive;
-    uint64_t Number = 0; ///< Rank or ticket.
-    bool operator<(const Event &other) const { return other.At < At; }
-  };
-  struct Call {
-    Rank CallRank;
-    base::Duration ArrivedAt;
-  };
-
-  double exponential() { return -std::log(1 - Randomness.unit()); }
+  uint32_t limit() const { return Gate.limit(); }
 
-  base::Duration slotTime() {
-    const double factor =
-        What.Exponential ? exponential() : 0.5 + Randomness.unit();
-    return base::Duration(
-        static_cast<int64_t>(factor * static_cast<double>(What.Mean.count())));
-  }
+private:
+  using Call = std::pair<size_t, base::Duration>; ///< Rank, arrival.
 
-  void scheduleArrival(Rank rank, base::Duration now) {
-    const double rate = What.Offered[static_cast<size_t>(rank)];
-    if (rate <= 0)
-      return;
-    const base::Duration gap(static_cast<int64_t>(exponential() * 1e6 / rate));
-    Events.push({now + gap, Event::Arrive, static_cast<uint64_t>(rank)});
+  void after(double microseconds, std::function<void()> what) {
+    const base::Duration wait(static_cast<int64_t>(microseconds));
+    Events.emplace(Now + wait, std::move(what));
   }
 
-  void arrive(const Event &event) {
-    const auto rank = static_cast<Rank>(event.Number);
-    scheduleArrival(rank, event.At);
-    ++Outcomes[event.Number].Offered;
-    Calls[++Last] = {rank, event.At};
-    const auto answer = Gate.arrive(Last, rank, What.Deadline, 0, at(event.At));
-    if (answer.What != GateAnswer::Kind::Queued)
-      take({answer}, event.At);
-  }
+  double exponential() { return -std::log(1 - Randomness.unit()); }
 
-  void end(const Event &event) {
-    const auto call = Calls.at(event.Number);
-    Calls.erase(event.Number);
-    auto &outcome = Outcomes[static_cast<size_t>(call.CallRank)];
-    const auto latency = event.At - call.ArrivedAt;
-    if (latency <= What.Deadline) {
-      ++outcome.Answered;
-      outcome.Latencies.push_back(latency.count());
-    }
-    take(Gate.ended(event.Number, AttemptEnd::Answered, at(event.At)),
-         event.At);
+  void scheduleTick() {
+    after(10'000, [this] {
+      scheduleTick();
+      take(Gate.tick(at(Now)));
+    });
   }
 
-  void tick(const Event &event) {
-    take(Gate.tick(at(event.At)), event.At);
-    Events.push({event.At + 10ms, Event::Tick, 0});
+  void scheduleArrival(size_t rank) {
+    if (What.Offered[rank] <= 0)
+      return;
+    after(exponential() * 1e6 / What.Offered[rank], [this, rank] {
+      scheduleArrival(rank);
+      ++Outcomes[rank].Offered;
+      Calls[++Last] = {rank, Now};
+      const auto answer =
+          Gate.arrive(Last, static_cast<Rank>(rank), What.Deadline, 0, at(Now));
+      if (answer.What != GateAnswer::Kind::Queued)
+        take({answer});
+    });
   }
 
-  void take(const std::vector<GateAnswer> &answers, base::Duration now) {
+  void take(const std::vector<GateAnswer> &answers) {
     for (const auto &it : answers) {
-      const auto call = Calls.at(it.Call);
-      auto &outcome = Outcomes[static_cast<size_t>(call.CallRank)];
+      const auto [rank, arrived] = Calls.at(it.Call);
+      auto &outcome = Outcomes[rank];
       if (it.What == GateAnswer::Kind::Run) {
-        const auto taken = slotTime();
-        outcome.SlotTime += taken;
-        Events.push({now + taken, Event::End, it.Call});
+        start(it.Call, outcome);
         continue;
       }
       Calls.erase(it.Call);
       ++outcome.Refused;
-      outcome.LongestRefusal =
-          std::max(outcome.LongestRefusal, now - call.ArrivedAt);
+      outcome.LongestRefusal = std::max(outcome.LongestRefusal, Now - arrived);
     }
   }
 
-  static constexpr void (FloodModel::*Handlers[])(const Event &) = {
-      &FloodModel::arrive, &FloodModel::end, &FloodModel::tick};
+  void start(Ticket call, FloodOutcome &outcome) {
+    const double factor =
+        What.Exponential ? exponential() : 0.5 + Randomness.unit();
+    const auto running =
+        static_cast<double>(Now < What.Length / 3 ? 0 : Gate.running());
+    const double taken = factor * static_cast<double>(What.Mean.count()) *
+                         std::max(1.0, running / What.Carries);
+    outcome.SlotTime += base::Duration(static_cast<int64_t>(taken));
+    after(taken, [this, call, &outcome] {
+      const auto latency = Now - Calls.at(call).second;
+      Calls.erase(call);
+      if (latency <= What.Deadline) {
+        ++outcome.Answered;
+        outcome.Latencies.push_back(latency.count());
+      }
+      take(Gate.ended(call, AttemptEnd::Answered, at(Now)));
+    });
+  }
 
   FloodCase What;
   trace::NullRecorder Recorder;
   TargetGate Gate{"t", Recorder};
   base::Random Randomness{7};
-  std::priority_queue<Event> Events;
-  std::unordered_map<uint64_t, Call> Calls;
+  std::multimap<base::Duration, std::function<void()>> Events;
+  std::unordered_map<Ticket, Call> Calls;
   std::array<FloodOutcome, config::RankCount> Outcomes;
-  uint64_t Last = 0;
+  Ticket Last = 0;
+  base::Duration Now{};
 };
 
 } // namespace radishcross::calls::testing
--- a/Tests/LibCalls/TestCallRate.cpp
+++ b/Tests/LibCalls/TestCallRate.cpp
@@ -13,6 +13,7 @@
   constexpr int Calls = 200'000;
   BrokerBench it;
   std::vector<fleet::Member> members;
+  members.reserve(8);
   for (int n = 0; n < 8; ++n)
     members.push_back(member("node-" + std::to_string(n)));
   it.members(members);
--- a/Tests/LibCalls/TestFloods.cpp
+++ b/Tests/LibCalls/TestFloods.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <iostream>
+#include <tuple>
 
 using namespace radishcross;
 using namespace radishcross::calls;
@@ -94,3 +95,15 @@
     }
   }
 }
+
+TEST_CASE("slots that a target cannot carry are narrowed, the others are not") {
+  auto flood = floodOf(Rank::Standard, 9, false);
+  for (const auto &[carries, least, most] :
+       {std::tuple{9.0, 9U, 9U}, std::tuple{2.0, 2U, 6U}}) {
+    flood.Carries = carries;
+    FloodModel model(flood);
+    model.run();
+    CHECK(model.limit() >= least);
+    CHECK(model.limit() <= most);
+  }
+}
