--- /dev/null
+++ b/Libraries/LibHttp/AnswerFields.cpp
@@ -0,0 +1,71 @@
+#include <LibHttp/AnswerFields.h>
+
+#include <LibCalls/CallTypes.h>
+#include <LibHttp/Answers.h>
+#include <LibHttp/Framing.h>
+#include <LibHttp/MeshCall.h>
+
+#include <charconv>
+#include <string_view>
+
+namespace radishcross::http {
+
+namespace {
+
+namespace bh = boost::beast::http;
+using calls::AttemptEnd;
+using calls::CallOutcome;
+
+std::string_view textOf(const bh::fields &fields, std::string_view name) {
+  auto it = fields.find(name);
+  if (it == fields.end())
+    return {};
+  return {it->value().data(), it->value().size()};
+}
+
+uint32_t numberOf(const bh::fields &fields, std::string_view name) {
+  std::string_view text = textOf(fields, name);
+  uint32_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+} // namespace
+
+void reframe(Response &answer, bh::verb method) {
+  dropHopFields(answer);
+  stripMeshFields(answer);
+  answer.version(11);
+  answer.keep_alive(true);
+  if (answer.result() == bh::status::no_content)
+    answer.content_length(boost::none);
+  else if (method != bh::verb::head &&
+           answer.result() != bh::status::not_modified)
+    answer.content_length(answer.body().size());
+}
+
+void readResult(const Response &answer, calls::AttemptResult &result) {
+  result.PressurePermille = numberOf(answer, calls::PressureHeader);
+  result.FailedBelow = textOf(answer, calls::AttemptHeader) == FailedBelowMark;
+  std::string_view outcome = textOf(answer, calls::OutcomeHeader);
+  if (outcome.empty())
+    return; // The target's answer.
+  result.Code =
+      static_cast<base::ResultCode>(numberOf(answer, calls::CodeHeader));
+  result.RetryAfter = std::chrono::seconds(numberOf(answer, "Retry-After"));
+  bool notRun =
+      outcome == base::nameOf(calls::CallOutcomeNames, CallOutcome::NotRun);
+  result.End = notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Broken;
+}
+
+Response refusalOf(const calls::AttemptResult &result) {
+  bool notRun = result.End == AttemptEnd::NotSent ||
+                result.End == AttemptEnd::RefusedNotRun;
+  auto code = result.Code == base::ResultCode::Ok
+                  ? base::ResultCode::CallOutcomeUnknown
+                  : result.Code;
+  return makeAnswer(code, notRun ? CallOutcome::NotRun : CallOutcome::Unknown,
+                    {}, result.RetryAfter);
+}
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/AnswerFields.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibCalls/CallBroker.h>
+#include <LibHttp/Message.h>
+
+namespace radishcross::http {
+
+/// Makes \p answer fit to be sent on another connection: without the fields of
+/// one connection and of the mesh, and with its body's length.
+void reframe(Response &answer, boost::beast::http::verb method);
+
+/// Reads what another node's answer says of the attempt; without OutcomeHeader
+/// it is the target's answer and the attempt's end stays as it is.
+void readResult(const Response &answer, calls::AttemptResult &result);
+
+/// Returns what another node is told of an attempt without a target's answer.
+Response refusalOf(const calls::AttemptResult &result);
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/Answers.cpp
+++ b/Libraries/LibHttp/Answers.cpp
@@ -1,11 +1,74 @@
 #include <LibHttp/Answers.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <string>
 
 namespace radishcross::http {
 
+namespace {
+
+namespace bh = boost::beast::http;
+
+void append(std::string &out, boost::beast::string_view text) {
+  out.append(text.data(), text.size());
+}
+
+std::string_view versionName(unsigned version) {
+  return version == 10 ? "HTTP/1.0" : "HTTP/1.1";
+}
+
+// Written directly, as the library's serializer costs three times as much.
+void appendFields(const bh::fields &fields, std::string &out) {
+  for (const auto &it : fields) {
+    append(out, it.name_string());
+    out += ": ";
+    append(out, it.value());
+    out += "\r\n";
+  }
+}
+
+} // namespace
+
+void appendMessage(const Request &message, std::string_view lines,
+                   std::string &out) {
+  append(out, message.method_string());
+  out += ' ';
+  append(out, message.target());
+  out += ' ';
+  out += versionName(message.version());
+  out += "\r\n";
+  appendFields(message, out);
+  out += lines;
+  out += "\r\n";
+  out += message.body();
+}
+
+void appendMessage(const Response &message, std::string &out) {
+  out += versionName(message.version());
+  out += ' ';
+  out += std::to_string(message.result_int());
+  out += ' ';
+  append(out, message.reason());
+  out += "\r\n";
+  appendFields(message, out);
+  out += "\r\n";
+  out += message.body();
+}
+
+std::optional<Response> parseAnswer(std::string_view bytes) {
+  bh::response_parser<bh::string_body> parser;
+  parser.body_limit(boost::none);
+  parser.eager(true);
+  boost::system::error_code ec;
+  parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
+  if (ec || !parser.is_done())
+    return std::nullopt;
+  return parser.release();
+}
+
 Response makeJson(unsigned status, std::string body) {
   Response answer;
   answer.version(11);
--- a/Libraries/LibHttp/Answers.h
+++ b/Libraries/LibHttp/Answers.h
@@ -5,6 +5,8 @@
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/Message.h>
 
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace radishcross::http {
@@ -18,4 +20,13 @@
 /// Returns an answer with a JSON text as its body.
 Response makeJson(unsigned status, std::string body);
 
+/// Appends the bytes of a whole message to \p out; the fields must frame the
+/// body already. \p lines are further fields, each line with its line break.
+void appendMessage(const Request &message, std::string_view lines,
+                   std::string &out);
+void appendMessage(const Response &message, std::string &out);
+
+/// Reads a whole answer back from what appendMessage() wrote.
+std::optional<Response> parseAnswer(std::string_view bytes);
+
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -2,15 +2,21 @@
 
 #include <LibBase/Hash.h>
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/AnswerFields.h>
 #include <LibHttp/Answers.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/MeshCall.h>
 
 #include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
-#include <cstdlib>
 #include <random>
 
+// g++ 12 takes the frames' operator new, when it is inlined, for another one
+// than that of their operator delete.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
 namespace radishcross::http {
 
 namespace {
@@ -23,6 +29,8 @@
 
 /// When a caller may come back to a node that cannot take its call now.
 constexpr base::Duration ComeBackDelay = std::chrono::seconds(1);
+/// What the broker is told of a deadline that has passed.
+constexpr base::Duration PassedDeadline{-1};
 
 uint64_t fingerprintOf(const Request &request) {
   uint64_t head = base::hash64(
@@ -31,19 +39,6 @@
   return base::hash64(request.body(), head);
 }
 
-/// Makes \p answer fit to be sent on another connection.
-void reframe(Response &answer, bh::verb method) {
-  dropHopFields(answer);
-  stripMeshFields(answer);
-  answer.version(11);
-  answer.keep_alive(true);
-  if (answer.result() == bh::status::no_content)
-    answer.content_length(boost::none);
-  else if (method != bh::verb::head &&
-           answer.result() != bh::status::not_modified)
-    answer.content_length(answer.body().size());
-}
-
 std::string_view textOf(const Request &request, std::string_view name) {
   auto it = request.find(name);
   if (it == request.end())
@@ -70,15 +65,21 @@
 } // namespace
 
 CallEngine::CallEngine(CallProxyEnvironment environment)
-    : Environment(std::move(environment)), Pool(*Environment.Context),
-      Targets(Environment, Pool), Figures(*Environment.Counters),
-      Ids(std::random_device()() ^ base::hash64(Environment.NodeId)) {}
+    : Environment(std::move(environment)), Keys(Environment.MeshKeys),
+      Pool(*Environment.Context), Targets(Environment, Pool, Keys),
+      Figures(*Environment.Counters),
+      Ids(std::random_device()() ^ base::hash64(Environment.NodeId)) {
+  Environment.Broker->whenResumed(
+      [this](calls::CallHandle call, const CallStep &step) {
+        resume(call, step);
+      });
+}
+
+CallEngine::~CallEngine() { Environment.Broker->whenResumed({}); }
 
 void CallEngine::tick() {
   Targets.tick();
   Pool.tick(now());
-  Environment.Counters->setGauge("proxy_idle_connections",
-                                 static_cast<double>(Pool.idleCount()));
 }
 
 std::string CallEngine::newCallId() {
@@ -90,30 +91,33 @@
 }
 
 asio::awaitable<Response> CallEngine::handleCaller(IncomingRequest incoming) {
-  Request &request = incoming.Message;
-  calls::CallRequest call;
+  OwnCall call;
   base::LastReason reason;
   auto parent =
-      readMeshCall(request, MeshAudience::Target, Environment.MeshKeys, reason);
-  if (parent) {
-    call.ParentRank = parent->CallRank;
-    call.Hops = parent->Hops + 1;
-    call.Remaining = parent->Remaining;
-  } else if (RefusesNewCalls) {
-    // Deeper calls of calls in flight are still taken; new ones are not.
+      readMeshCall(incoming.Message, MeshAudience::Target, Keys, reason);
+  // Deeper calls of calls in flight are still taken while draining.
+  if (!parent && RefusesNewCalls)
     co_return makeAnswer(base::ResultCode::Draining, CallOutcome::NotRun, {},
                          ComeBackDelay);
+  if (parent) {
+    auto remaining =
+        Targets.remainingOf(parent->CallId).value_or(parent->Remaining);
+    call.Request.ParentRank = parent->CallRank;
+    call.Request.Hops = parent->Hops + 1;
+    call.Request.Remaining = remaining.count() > 0 ? remaining : PassedDeadline;
+    call.Request.BelowRetry = parent->Attempt >= RetryAttempt;
+    call.ParentId = std::move(parent->CallId);
   }
-  stripMeshFields(request);
-  dropHopFields(request);
-  call.CallId = newCallId();
-  co_return co_await runCall(std::move(call), std::move(incoming));
+  stripMeshFields(incoming.Message);
+  dropHopFields(incoming.Message);
+  call.Request.CallId = newCallId();
+  call.Incoming = std::move(incoming);
+  co_return co_await runCall(std::move(call));
 }
 
 asio::awaitable<Response> CallEngine::handleMesh(IncomingRequest incoming) {
   base::LastReason reason;
-  auto mesh = readMeshCall(incoming.Message, MeshAudience::Node,
-                           Environment.MeshKeys, reason);
+  auto mesh = readMeshCall(incoming.Message, MeshAudience::Node, Keys, reason);
   if (!mesh) {
     Environment.Counters->counter("mesh_requests_refused_total") += 1;
     co_return makeAnswer(reason.code(), CallOutcome::NotRun, reason.text());
@@ -122,13 +126,16 @@
   dropHopFields(incoming.Message);
   if (!mesh->TargetId.empty())
     co_return co_await runAtGate(std::move(*mesh), std::move(incoming));
-  calls::CallRequest call;
-  call.CallId = mesh->CallId;
-  call.FromMesh = true;
-  call.ParentRank = mesh->CallRank;
-  call.Hops = mesh->Hops;
-  call.Remaining = mesh->Remaining;
-  co_return co_await runCall(std::move(call), std::move(incoming));
+  OwnCall call;
+  call.Request.CallId = std::move(mesh->CallId);
+  call.Request.FromMesh = true;
+  call.Request.ParentRank = mesh->CallRank;
+  call.Request.Hops = mesh->Hops;
+  call.Request.Remaining =
+      mesh->Remaining.count() > 0 ? mesh->Remaining : PassedDeadline;
+  call.Request.BelowRetry = mesh->Attempt >= RetryAttempt;
+  call.Incoming = std::move(incoming);
+  co_return co_await runCall(std::move(call));
 }
 
 /// Answers a call of another node with the target's answer or a refusal.
@@ -136,7 +143,6 @@
                                                 IncomingRequest incoming) {
   uint64_t fingerprint = fingerprintOf(incoming.Message);
   bh::verb method = incoming.Message.method();
-  std::string targetId = call.TargetId;
   GateOutcome outcome = co_await Targets.run(std::move(call), incoming.Message,
                                              fingerprint, incoming.Watch);
   Response answer;
@@ -144,132 +150,157 @@
     answer = std::move(outcome.Answer);
     reframe(answer, method);
   } else {
-    bool notRun = outcome.Result.End == AttemptEnd::NotSent ||
-                  outcome.Result.End == AttemptEnd::RefusedNotRun;
-    auto code = outcome.Result.Code == base::ResultCode::Ok
-                    ? base::ResultCode::CallOutcomeUnknown
-                    : outcome.Result.Code;
-    answer =
-        makeAnswer(code, notRun ? CallOutcome::NotRun : CallOutcome::Unknown,
-                   {}, outcome.RetryAfter);
+    answer = refusalOf(outcome.Result);
   }
   answer.set(calls::PressureHeader,
-             std::to_string(Environment.Gate->pressurePermille(targetId)));
+             std::to_string(outcome.Result.PressurePermille));
+  if (outcome.Result.FailedBelow)
+    answer.set(calls::AttemptHeader, FailedBelowMark);
   co_return answer;
 }
 
-asio::awaitable<Response> CallEngine::runCall(calls::CallRequest call,
-                                              IncomingRequest incoming) {
+asio::awaitable<Response> CallEngine::runCall(OwnCall call) {
   config::SnapshotPointer snapshot = Environment.CurrentSnapshot();
   if (!snapshot)
     co_return makeAnswer(base::ResultCode::NotRecovered, CallOutcome::NotRun,
                          {}, ComeBackDelay);
-  const Request &request = incoming.Message;
-  call.Method = request.method_string();
-  call.Host = textOf(request, "Host");
-  call.Path = request.target();
-  call.IdempotencyKey = textOf(request, calls::IdempotencyKeyHeader);
-  call.Fingerprint = fingerprintOf(request);
-  co_return co_await runSteps(call, incoming, std::move(snapshot));
+  const Request &request = call.Incoming.Message;
+  call.Request.Method = request.method_string();
+  call.Request.Host = textOf(request, "Host");
+  call.Request.Path = request.target();
+  call.Request.IdempotencyKey = textOf(request, calls::IdempotencyKeyHeader);
+  call.Request.Fingerprint = fingerprintOf(request);
+  base::TimePoint started = now();
+  call.Handle =
+      Environment.Broker->begin(call.Request, std::move(snapshot), started);
+  CallGuard guard(*Environment.Broker, *Environment.Time, call.Handle);
+  CallStep first = Environment.Broker->step(call.Handle);
+  CallStep last = co_await runSteps(call, first);
+  Figures.ended(first.CallRank, last.Outcome, now() - started);
+  bool answered = last.Outcome == CallOutcome::Answered;
+  if (!call.ParentId.empty() && (!answered || call.FailedBelow))
+    Targets.failedBelow(call.ParentId);
+  if (!answered)
+    call.Answer = makeAnswer(last.Code, last.Outcome, {}, last.RetryAfter);
+  co_return std::move(call.Answer);
 }
 
-/// Carries out the broker's steps for one call until its end.
-asio::awaitable<Response>
-CallEngine::runSteps(const calls::CallRequest &call, IncomingRequest &incoming,
-                     config::SnapshotPointer snapshot) {
-  base::TimePoint started = now();
-  calls::CallHandle handle = Environment.Broker->begin(call, snapshot, started);
-  CallGuard guard(*Environment.Broker, *Environment.Time, handle);
-  CallStep step = Environment.Broker->step(handle);
-  config::Rank rank = step.CallRank;
-  Response answer;
-  uint32_t attempts = 0;
-  while (step.What == CallStep::Kind::Send ||
-         step.What == CallStep::Kind::Forward) {
-    calls::AttemptResult result =
-        co_await attempt(call, step, attempts++, incoming, answer);
-    step = Environment.Broker->attemptEnded(handle, result, now());
+/// Carries out the broker's steps until the call's last one.
+asio::awaitable<CallStep> CallEngine::runSteps(OwnCall &call, CallStep step) {
+  while (step.What != CallStep::Kind::Finish) {
+    if (step.What == CallStep::Kind::Replay) {
+      replay(call, step);
+    } else if (step.What == CallStep::Kind::Wait) {
+      step = co_await awaitEqualCall(call);
+    } else {
+      calls::AttemptResult result = co_await attempt(call, step);
+      step = conclude(call, step, result);
+    }
   }
-  if (step.What != CallStep::Kind::Finish) {
-    // FIXME: Answers of idempotency keys are not kept yet.
-    step.Code = base::ResultCode::CallOutcomeUnknown;
-    step.Outcome = CallOutcome::Unknown;
+  co_return step;
+}
+
+CallStep CallEngine::conclude(OwnCall &call, const CallStep &step,
+                              const calls::AttemptResult &result) {
+  call.FailedBelow = call.FailedBelow || result.FailedBelow;
+  if (result.End == AttemptEnd::Answered)
+    reframe(call.Answer, call.Incoming.Message.method());
+  if (result.End == AttemptEnd::Answered && step.KeepAnswer) {
+    std::string bytes;
+    appendMessage(call.Answer, bytes);
+    Environment.Broker->keepAnswer(call.Handle, std::move(bytes), now());
   }
-  Figures.ended(rank, step.Outcome, now() - started);
-  if (step.Outcome != CallOutcome::Answered)
-    answer = makeAnswer(step.Code, step.Outcome, {}, step.RetryAfter);
-  co_return answer;
+  return Environment.Broker->attemptEnded(call.Handle, result, now());
+}
+
+/// Answers with the kept answer; one that cannot be read is unknown.
+void CallEngine::replay(OwnCall &call, CallStep &step) {
+  auto answer = parseAnswer(Environment.Broker->keptAnswer(call.Handle));
+  step.What = CallStep::Kind::Finish;
+  step.Outcome = answer ? CallOutcome::Answered : CallOutcome::Unknown;
+  step.Code =
+      answer ? base::ResultCode::Ok : base::ResultCode::CallOutcomeUnknown;
+  if (answer)
+    call.Answer = std::move(*answer);
+}
+
+/// Waits until the broker resumes the call, or its caller goes away.
+asio::awaitable<CallStep> CallEngine::awaitEqualCall(OwnCall &call) {
+  WaitingCall waiting{asio::steady_timer(*Environment.Context,
+                                         asio::steady_timer::time_point::max()),
+                      std::nullopt};
+  Waiting[call.Handle] = &waiting;
+  call.Incoming.Watch->OnGone = [&waiting] { waiting.Wake.cancel(); };
+  boost::system::error_code ec;
+  co_await waiting.Wake.async_wait(
+      asio::redirect_error(asio::use_awaitable, ec));
+  call.Incoming.Watch->OnGone = nullptr;
+  Waiting.erase(call.Handle);
+  if (waiting.Next)
+    co_return *waiting.Next;
+  CallStep gone;
+  gone.Outcome = CallOutcome::Unknown;
+  gone.Code = base::ResultCode::CallerGone;
+  co_return gone;
+}
+
+void CallEngine::resume(calls::CallHandle call, const CallStep &step) {
+  auto it = Waiting.find(call);
+  if (it == Waiting.end())
+    return;
+  it->second->Next = step;
+  it->second->Wake.cancel();
 }
 
 asio::awaitable<calls::AttemptResult>
-CallEngine::attempt(const calls::CallRequest &call, const CallStep &step,
-                    uint32_t attempts, IncomingRequest &incoming,
-                    Response &answer) {
-  if (incoming.Watch->Gone)
-    co_return calls::AttemptResult{
-        AttemptEnd::CallerGone, base::ResultCode::CallerGone, 0, {}};
+CallEngine::attempt(OwnCall &call, const CallStep &step) {
+  calls::AttemptResult result;
+  if (call.Incoming.Watch->Gone) {
+    result.End = AttemptEnd::CallerGone;
+    result.Code = base::ResultCode::CallerGone;
+    co_return result;
+  }
   MeshCall mesh;
-  mesh.CallId = call.CallId;
+  mesh.CallId = call.Request.CallId;
   mesh.CallRank = step.CallRank;
   mesh.Remaining = std::min(step.Remaining, step.AttemptTimeout);
-  mesh.Hops = call.Hops;
-  mesh.Attempt = attempts;
+  mesh.Hops = call.Request.Hops;
+  mesh.Attempt = step.Retry || call.Request.BelowRetry ? RetryAttempt : 1;
   mesh.ServiceName = step.ServiceName;
   if (step.What == CallStep::Kind::Send)
     mesh.TargetId = step.To.Target.TargetId;
-  bh::verb method = incoming.Message.method();
-  calls::AttemptResult result;
-  if (step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId) {
-    GateOutcome outcome = co_await Targets.run(
-        std::move(mesh), incoming.Message, call.Fingerprint, incoming.Watch);
-    result = outcome.Result;
-    answer = std::move(outcome.Answer);
-  } else {
-    result = co_await sendToNode(step, mesh, incoming, answer);
-  }
-  if (result.End == AttemptEnd::Answered)
-    reframe(answer, method);
-  co_return result;
+  bool isLocal =
+      step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
+  if (!isLocal)
+    co_return co_await sendToNode(call, step, mesh);
+  GateOutcome outcome =
+      co_await Targets.run(std::move(mesh), call.Incoming.Message,
+                           call.Request.Fingerprint, call.Incoming.Watch);
+  call.Answer = std::move(outcome.Answer);
+  co_return outcome.Result;
 }
 
 /// Sends a call to another node's mesh listener and reads from its answer
 /// whether it is the target's.
 asio::awaitable<calls::AttemptResult>
-CallEngine::sendToNode(const CallStep &step, const MeshCall &call,
-                       IncomingRequest &incoming, Response &answer) {
-  Request &request = incoming.Message;
-  writeMeshCall(request, call, MeshAudience::Node,
-                Environment.MeshKeys.front());
-  request.version(11);
-  request.keep_alive(true);
-  request.content_length(request.body().size());
+CallEngine::sendToNode(OwnCall &call, const CallStep &step,
+                       const MeshCall &mesh) {
+  Request &request = call.Incoming.Message;
+  frameForNextHop(request);
   ExchangePlan plan;
   plan.Server = step.To.Mesh;
   plan.Timeout = step.AttemptTimeout;
   plan.FreshConnection = step.FreshConnection;
-  ExchangeResult exchanged =
-      co_await exchange(Pool, *Environment.Time, plan, request, incoming.Watch);
+  plan.Lines = meshLines(request, mesh, MeshAudience::Node, Keys);
+  ExchangeResult exchanged = co_await exchange(Pool, *Environment.Time, plan,
+                                               request, call.Incoming.Watch);
   calls::AttemptResult result;
   result.End = exchanged.End;
   result.Latency = exchanged.Latency;
-  if (exchanged.End != AttemptEnd::Answered)
-    co_return result;
-  answer = std::move(exchanged.Answer);
-  auto number = [&](std::string_view name) {
-    auto it = answer.find(name);
-    return it == answer.end()
-               ? 0U
-               : static_cast<uint32_t>(std::strtoul(
-                     std::string(it->value()).c_str(), nullptr, 10));
-  };
-  result.PressurePermille = number(calls::PressureHeader);
-  result.Code = static_cast<base::ResultCode>(number(calls::CodeHeader));
-  auto outcome = answer.find(calls::OutcomeHeader);
-  if (outcome == answer.end())
-    co_return result;
-  bool notRun = outcome->value() ==
-                base::nameOf(calls::CallOutcomeNames, CallOutcome::NotRun);
-  result.End = notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Broken;
+  if (exchanged.End == AttemptEnd::Answered) {
+    call.Answer = std::move(exchanged.Answer);
+    readResult(call.Answer, result);
+  }
   co_return result;
 }
 
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -7,7 +7,10 @@
 #include <LibHttp/GateRunner.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace radishcross::http {
 
@@ -16,6 +19,9 @@
 class CallEngine {
 public:
   explicit CallEngine(CallProxyEnvironment environment);
+  ~CallEngine();
+  CallEngine(const CallEngine &) = delete;
+  CallEngine &operator=(const CallEngine &) = delete;
 
   /// Handles a request of a caller, or a deeper call of a local target.
   boost::asio::awaitable<Response> handleCaller(IncomingRequest incoming);
@@ -30,28 +36,47 @@
   void tick();
   base::TimePoint now() const { return Environment.Time->now(); }
   size_t callsAtGate() const { return Environment.Gate->inFlight(); }
+  size_t idleConnections() const { return Pool.idleCount(); }
 
 private:
+  /// One call of which this node is the caller's node.
+  struct OwnCall {
+    calls::CallRequest Request;
+    IncomingRequest Incoming;
+    std::string ParentId; ///< The call above, where it runs at this node.
+    calls::CallHandle Handle = 0;
+    Response Answer;
+    bool FailedBelow = false;
+  };
+  /// A call whose step is Wait, until the broker resumes it.
+  struct WaitingCall {
+    boost::asio::steady_timer Wake;
+    std::optional<calls::CallStep> Next;
+  };
+
   boost::asio::awaitable<Response> runAtGate(MeshCall call,
                                              IncomingRequest incoming);
-  boost::asio::awaitable<Response> runCall(calls::CallRequest call,
-                                           IncomingRequest incoming);
-  boost::asio::awaitable<Response> runSteps(const calls::CallRequest &call,
-                                            IncomingRequest &incoming,
-                                            config::SnapshotPointer snapshot);
+  boost::asio::awaitable<Response> runCall(OwnCall call);
+  boost::asio::awaitable<calls::CallStep> runSteps(OwnCall &call,
+                                                   calls::CallStep step);
+  boost::asio::awaitable<calls::CallStep> awaitEqualCall(OwnCall &call);
   boost::asio::awaitable<calls::AttemptResult>
-  attempt(const calls::CallRequest &call, const calls::CallStep &step,
-          uint32_t attempts, IncomingRequest &incoming, Response &answer);
+  attempt(OwnCall &call, const calls::CallStep &step);
   boost::asio::awaitable<calls::AttemptResult>
-  sendToNode(const calls::CallStep &step, const MeshCall &call,
-             IncomingRequest &incoming, Response &answer);
+  sendToNode(OwnCall &call, const calls::CallStep &step, const MeshCall &mesh);
+  calls::CallStep conclude(OwnCall &call, const calls::CallStep &step,
+                           const calls::AttemptResult &result);
+  void replay(OwnCall &call, calls::CallStep &step);
+  void resume(calls::CallHandle call, const calls::CallStep &step);
   std::string newCallId();
 
   CallProxyEnvironment Environment;
+  MeshKeys Keys;
   ConnectionPool Pool;
   GateRunner Targets;
   CallFigures Figures;
   base::Random Ids;
+  std::unordered_map<calls::CallHandle, WaitingCall *> Waiting;
   bool RefusesNewCalls = false;
 };
 
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -15,7 +15,8 @@
 class CallProxyShell final : public CallProxy {
 public:
   explicit CallProxyShell(CallProxyEnvironment environment)
-      : Engine(std::make_shared<CallEngine>(std::move(environment))) {}
+      : Counters(environment.Counters),
+        Engine(std::make_shared<CallEngine>(std::move(environment))) {}
 
   bool listen(boost::asio::io_context &context,
               const base::Address &callsListen, const base::Address &meshListen,
@@ -28,6 +29,7 @@
   void tick() override;
 
 private:
+  base::Metrics *Counters;
   std::shared_ptr<CallEngine> Engine;
   std::shared_ptr<Server> Callers;
   std::shared_ptr<Server> Mesh;
@@ -39,18 +41,19 @@
                             const base::Address &callsListen,
                             const base::Address &meshListen,
                             base::LastReason &reason) {
+  ServerLimits limits;
+  limits.Counters = Counters;
   auto callers = Server::create(
-      context, callsListen, {},
+      context, callsListen, limits,
       [engine = Engine](IncomingRequest it) {
         return engine->handleCaller(std::move(it));
       },
       reason);
   if (!callers)
     return false;
-  ServerLimits meshLimits;
-  meshLimits.HeaderBytes = MeshHeaderBytes;
+  limits.HeaderBytes = MeshHeaderBytes;
   auto mesh = Server::create(
-      context, meshListen, meshLimits,
+      context, meshListen, limits,
       [engine = Engine](IncomingRequest it) {
         return engine->handleMesh(std::move(it));
       },
@@ -77,10 +80,16 @@
 
 void CallProxyShell::tick() {
   Engine->tick();
+  auto gauge = [this](std::string_view name, size_t value) {
+    Counters->setGauge(name, static_cast<double>(value));
+  };
+  gauge("proxy_connections{side=\"callers\"}", Callers->connections());
+  gauge("proxy_connections{side=\"mesh\"}", Mesh->connections());
+  gauge("proxy_idle_connections", Engine->idleConnections());
   if (!DrainingSince || Closing)
     return;
   base::Duration draining = Engine->now() - *DrainingSince;
-  if (draining > DrainLinger)
+  if (draining > DefaultDrainLinger)
     Engine->refuseNewCalls();
   // Deeper calls of calls in flight still come to the callers' listener.
   if (draining < MeshDrainDelay || Engine->callsAtGate() > 0)
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -1,15 +1,14 @@
 #include <LibHttp/Connection.h>
 
+#include <LibHttp/Answers.h>
 #include <LibHttp/Framing.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -26,23 +25,12 @@
 constexpr size_t ReadChunkBytes = 8UL << 10;
 constexpr size_t DiscardLimitBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
+constexpr int KeepaliveIdleSeconds = 5;
+constexpr int KeepaliveIntervalSeconds = 2;
+constexpr int KeepaliveProbes = 3;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Appends the message's bytes to \p out.
-template <bool IsRequest>
-void serialise(bh::message<IsRequest, bh::string_body> &message,
-               std::string &out) {
-  bh::serializer<IsRequest, bh::string_body> serializer(message);
-  error_code ec;
-  while (!serializer.is_done() && !ec)
-    serializer.next(ec, [&](error_code &, const auto &buffers) {
-      for (auto it : boost::beast::buffers_range_ref(buffers))
-        out.append(static_cast<const char *>(it.data()), it.size());
-      serializer.consume(boost::beast::buffer_bytes(buffers));
-    });
-}
-
 base::ResultCode codeOf(const error_code &ec) {
   if (ec == bh::error::body_limit)
     return base::ResultCode::BodyTooLarge;
@@ -57,15 +45,28 @@
 
 } // namespace
 
-void tuneSocket(tcp::socket &socket) {
+void tuneSocket(tcp::socket &socket, base::Duration userTimeout) {
+  using Seconds =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(userTimeout);
   error_code ec;
   socket.set_option(tcp::no_delay(true), ec);
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  socket.set_option(Seconds(KeepaliveIdleSeconds), ec);
+  socket.set_option(Interval(KeepaliveIntervalSeconds), ec);
+  socket.set_option(Count(KeepaliveProbes), ec);
+  socket.set_option(UserTimeout(static_cast<int>(ms.count())), ec);
 }
 
 Connection::Connection(tcp::socket socket)
     : Socket(std::move(socket)), Timer(Socket.get_executor()) {
   if (Socket.is_open())
-    tuneSocket(Socket);
+    tuneSocket(Socket, IncomingUserTimeout);
 }
 
 Connection::~Connection() = default;
@@ -114,7 +115,7 @@
                                 asio::redirect_error(asio::use_awaitable, ec));
   if (ec || Expired)
     co_return false;
-  tuneSocket(Socket);
+  tuneSocket(Socket, OutgoingUserTimeout);
   co_return true;
 }
 
@@ -285,15 +286,16 @@
   co_return !ec;
 }
 
-asio::awaitable<bool> Connection::write(Request &message) {
+asio::awaitable<bool> Connection::write(const Request &message,
+                                        std::string_view lines) {
   Output.clear();
-  serialise(message, Output);
+  appendMessage(message, lines, Output);
   return writeBytes();
 }
 
-asio::awaitable<bool> Connection::write(Response &message) {
+asio::awaitable<bool> Connection::write(const Response &message) {
   Output.clear();
-  serialise(message, Output);
+  appendMessage(message, Output);
   return writeBytes();
 }
 
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -69,8 +69,10 @@
                                                base::LastReason &reason);
 
   /// Writes one whole message; returns false when the connection broke.
-  boost::asio::awaitable<bool> write(Request &message);
-  boost::asio::awaitable<bool> write(Response &message);
+  /// \p lines are further fields of the head, each line with its line break.
+  boost::asio::awaitable<bool> write(const Request &message,
+                                     std::string_view lines = {});
+  boost::asio::awaitable<bool> write(const Response &message);
 
   /// Returns the number of bytes of the last write that the kernel took.
   size_t bytesTaken() const { return BytesTaken; }
@@ -117,7 +119,14 @@
 
 using ConnectionPointer = std::shared_ptr<Connection>;
 
-/// Opens a socket with the options of this program's connections.
-void tuneSocket(boost::asio::ip::tcp::socket &socket);
+/// How long sent bytes may stay unacknowledged before a connection counts as
+/// broken.
+constexpr base::Duration IncomingUserTimeout = std::chrono::seconds(30);
+constexpr base::Duration OutgoingUserTimeout = std::chrono::seconds(5);
+
+/// Sets the options of this program's connections: no delay of small writes,
+/// keepalive probes and the user timeout, so that a silent path is found.
+void tuneSocket(boost::asio::ip::tcp::socket &socket,
+                base::Duration userTimeout);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -26,14 +26,15 @@
 class Attempt {
 public:
   Attempt(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
-          Request &request, std::shared_ptr<ClientWatch> watch)
+          const Request &request, std::shared_ptr<ClientWatch> watch)
       : Pool(pool), Time(clock), Plan(std::move(plan)), Message(request),
         Watch(std::move(watch)), Started(clock.now()) {}
 
   asio::awaitable<ExchangeResult> run() {
     ExchangeResult result;
-    ConnectionPointer link =
-        Plan.FreshConnection ? nullptr : Pool.takeIdle(Plan.Server, Started);
+    if (Plan.FreshConnection)
+      Pool.dropIdle(Plan.Server);
+    ConnectionPointer link = Pool.takeIdle(Plan.Server, Started);
     if (link) {
       result.End = co_await send(link, result.Answer);
       // A pooled connection that took no byte says nothing of the server.
@@ -67,7 +68,7 @@
   asio::awaitable<AttemptEnd> send(ConnectionPointer link, Response &answer) {
     GoneGuard guard(Watch, link);
     link->expireAfter(left());
-    bool written = co_await link->write(Message);
+    bool written = co_await link->write(Message, Plan.Lines);
     if (!written && link->bytesTaken() == 0 && !Watch->Gone) {
       link->close();
       co_return AttemptEnd::NotSent;
@@ -82,7 +83,8 @@
   AttemptEnd conclude(const ConnectionPointer &link, const Response &answer,
                       ReadEnd end, bool written) {
     if (end == ReadEnd::Complete) {
-      if (written && answer.keep_alive() && !link->hasPendingInput())
+      // Bytes beyond the answer are noticed when the connection is taken.
+      if (written && answer.keep_alive())
         Pool.giveBack(Plan.Server, link, Time.now());
       else
         link->close();
@@ -100,17 +102,16 @@
   ConnectionPool &Pool;
   const base::Clock &Time;
   ExchangePlan Plan;
-  Request &Message;
+  const Request &Message;
   std::shared_ptr<ClientWatch> Watch;
   base::TimePoint Started;
 };
 
 } // namespace
 
-asio::awaitable<ExchangeResult> exchange(ConnectionPool &pool,
-                                         const base::Clock &clock,
-                                         ExchangePlan plan, Request &request,
-                                         std::shared_ptr<ClientWatch> watch) {
+asio::awaitable<ExchangeResult>
+exchange(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
+         const Request &request, std::shared_ptr<ClientWatch> watch) {
   Attempt attempt(pool, clock, std::move(plan), request, std::move(watch));
   co_return co_await attempt.run();
 }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -7,14 +7,17 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <string>
 
 namespace radishcross::http {
 
 /// What one attempt needs besides the request.
 struct ExchangePlan {
   base::Address Server;
-  base::Duration Timeout{};     ///< For connecting and the whole answer.
-  bool FreshConnection = false; ///< Do not reuse a pooled connection.
+  base::Duration Timeout{}; ///< For connecting and the whole answer.
+  /// Open a new connection and close the idle ones to the server.
+  bool FreshConnection = false;
+  std::string Lines; ///< Further fields of the request's head.
   MessageLimits AnswerLimits{32UL << 10, 8UL << 20};
 };
 
@@ -30,6 +33,6 @@
 /// answer was abandoned is closed. \p watch may end the attempt early.
 boost::asio::awaitable<ExchangeResult>
 exchange(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
-         Request &request, std::shared_ptr<ClientWatch> watch);
+         const Request &request, std::shared_ptr<ClientWatch> watch);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Framing.cpp
+++ b/Libraries/LibHttp/Framing.cpp
@@ -34,24 +34,46 @@
                      [](char c) { return c >= '0' && c <= '9'; });
 }
 
+/// The fields that framing and routing depend on, found in one pass.
+struct HeadFields {
+  explicit HeadFields(const bh::fields &fields) {
+    for (const auto &it : fields) {
+      if (it.name() == bh::field::content_length)
+        ++Lengths, Length = text(it.value());
+      else if (it.name() == bh::field::transfer_encoding)
+        ++Codings, Coding = text(it.value());
+      else if (it.name() == bh::field::host)
+        ++Hosts;
+      else if (it.name() == bh::field::upgrade)
+        ++Upgrades;
+      else if (it.name() == bh::field::expect)
+        Expect = text(it.value());
+    }
+  }
+
+  size_t Lengths = 0;
+  size_t Codings = 0;
+  size_t Hosts = 0;
+  size_t Upgrades = 0;
+  std::string_view Length;
+  std::string_view Coding;
+  std::string_view Expect;
+};
+
 /// Checks the fields that give the body's length; returns what is wrong, or an
 /// empty text.
-template <typename Message>
-std::string_view lengthFault(const Message &message) {
-  size_t lengths = message.count(bh::field::content_length);
-  size_t codings = message.count(bh::field::transfer_encoding);
-  if (lengths > 1)
+std::string_view lengthFault(const HeadFields &head, unsigned version) {
+  if (head.Lengths > 1)
     return "Content-Length appears more than once";
-  if (codings > 1)
+  if (head.Codings > 1)
     return "Transfer-Encoding appears more than once";
-  if (lengths != 0 && codings != 0)
+  if (head.Lengths != 0 && head.Codings != 0)
     return "both Content-Length and Transfer-Encoding are given";
-  if (lengths != 0 && !isNumber(text(message[bh::field::content_length])))
+  if (head.Lengths != 0 && !isNumber(head.Length))
     return "Content-Length is not a number";
-  if (codings != 0 &&
-      !boost::beast::iequals(message[bh::field::transfer_encoding], "chunked"))
+  if (head.Codings != 0 && !boost::beast::iequals(head.Coding, "chunked"))
     return "Transfer-Encoding is not chunked";
-  if (codings != 0 && message.version() < 11)
+  if (head.Codings != 0 && version < 11)
     return "Transfer-Encoding is not part of HTTP/1.0";
   return {};
 }
@@ -59,22 +81,23 @@
 std::string_view requestFault(const Request &request) {
   if (request.version() != 11 && request.version() != 10)
     return "the version is not HTTP/1.1 or HTTP/1.0";
-  if (std::string_view fault = lengthFault(request); !fault.empty())
+  HeadFields head(request);
+  if (std::string_view fault = lengthFault(head, request.version());
+      !fault.empty())
     return fault;
-  size_t hosts = request.count(bh::field::host);
-  if (hosts > 1 || (hosts == 0 && request.version() == 11))
+  if (head.Hosts > 1 || (head.Hosts == 0 && request.version() == 11))
     return "there must be one Host field";
   if (request.method() == bh::verb::connect)
     return "CONNECT is not supported";
-  if (request.count(bh::field::upgrade) != 0)
+  if (head.Upgrades != 0)
     return "Upgrade is not supported";
   std::string_view target = text(request.target());
   if (target.empty() || target.front() != '/')
     return "the target is not a path";
   if (isAmbiguousPath(target))
     return "the path has dot segments, a backslash or a fragment";
-  if (request.count(bh::field::expect) != 0 &&
-      !boost::beast::iequals(request[bh::field::expect], "100-continue"))
+  if (!head.Expect.empty() &&
+      !boost::beast::iequals(head.Expect, "100-continue"))
     return "Expect is not 100-continue";
   return {};
 }
@@ -129,7 +152,8 @@
 }
 
 bool checkResponseHead(const Response &response, base::LastReason &reason) {
-  std::string_view fault = lengthFault(response);
+  std::string_view fault =
+      lengthFault(HeadFields(response), response.version());
   if (fault.empty())
     return true;
   reason.fail(base::ResultCode::CallOutcomeUnknown,
@@ -151,16 +175,28 @@
   return false;
 }
 
+void frameForNextHop(Request &request) {
+  request.version(11);
+  bool hasBody =
+      !request.body().empty() || request.count(bh::field::content_length) != 0;
+  if (hasBody)
+    request.content_length(request.body().size());
+}
+
 void dropHopFields(bh::fields &fields) {
   std::vector<std::string> named;
   for (const auto &token : bh::token_list(fields[bh::field::connection]))
-    named.emplace_back(token.data(), token.size());
+    if (!boost::beast::iequals(token, "close") &&
+        !boost::beast::iequals(token, "keep-alive"))
+      named.emplace_back(token.data(), token.size());
   for (const std::string &name : named)
-    if (!boost::beast::iequals(name, "close") &&
-        !boost::beast::iequals(name, "keep-alive"))
-      fields.erase(name);
-  for (bh::field it : HopFields)
-    fields.erase(it);
+    fields.erase(name);
+  for (auto it = fields.begin(); it != fields.end();)
+    if (std::find(std::begin(HopFields), std::end(HopFields), it->name()) !=
+        std::end(HopFields))
+      it = fields.erase(it);
+    else
+      ++it;
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Framing.h
+++ b/Libraries/LibHttp/Framing.h
@@ -22,6 +22,10 @@
 /// a backslash or a fragment.
 bool isAmbiguousPath(std::string_view path);
 
+/// Gives a request without fields of one connection its framing for the next
+/// one: HTTP/1.1, kept alive, the body's length.
+void frameForNextHop(Request &request);
+
 /// Removes the fields that concern one connection alone (RFC 9110, 7.6.1), and
 /// those that the Connection field names.
 void dropHopFields(boost::beast::http::fields &fields);
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/GateRunner.h>
 
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/Framing.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,7 +20,7 @@
                            ? AttemptEnd::CallerGone
                            : AttemptEnd::RefusedNotRun;
   outcome.Result.Code = code;
-  outcome.RetryAfter = retryAfter;
+  outcome.Result.RetryAfter = retryAfter;
   return outcome;
 }
 
@@ -33,17 +34,33 @@
 
 } // namespace
 
-GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool)
-    : Environment(environment), Pool(pool) {}
+GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
+                       const MeshKeys &keys)
+    : Environment(environment), Pool(pool), Keys(keys) {}
 
 asio::awaitable<GateOutcome>
 GateRunner::run(MeshCall call, Request &request, uint64_t fingerprint,
                 std::shared_ptr<ClientWatch> watch) {
+  Open[call.CallId].Deadline = Environment.Time->now() + call.Remaining;
+  GateOutcome outcome =
+      co_await passGate(call, request, fingerprint, std::move(watch));
+  outcome.Result.PressurePermille =
+      Environment.Gate->pressurePermille(call.TargetId);
+  auto it = Open.find(call.CallId);
+  if (it != Open.end()) {
+    outcome.Result.FailedBelow = it->second.FailedBelow;
+    Open.erase(it);
+  }
+  co_return outcome;
+}
+
+asio::awaitable<GateOutcome>
+GateRunner::passGate(const MeshCall &call, Request &request,
+                     uint64_t fingerprint, std::shared_ptr<ClientWatch> watch) {
   auto target = Environment.LocalTarget(call.TargetId);
   if (!target)
     co_return refusal(base::ResultCode::NoTarget);
   base::TimePoint now = Environment.Time->now();
-  base::TimePoint deadline = now + call.Remaining;
   calls::Arrival arrival{call.CallId,   call.ServiceName, call.TargetId,
                          call.CallRank, call.Remaining,   fingerprint};
   GateAnswer answer = Environment.Gate->arrive(arrival, now);
@@ -53,11 +70,9 @@
   if (answer.What != GateAnswer::Kind::Run)
     co_return refusal(answer.Code, answer.RetryAfter);
   GateOutcome outcome =
-      co_await runAtTarget(call, *target, request, deadline, watch);
+      co_await runAtTarget(call, *target, request, now + call.Remaining, watch);
   dispatch(
       Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
-  outcome.Result.PressurePermille =
-      Environment.Gate->pressurePermille(call.TargetId);
   co_return outcome;
 }
 
@@ -93,12 +108,11 @@
     co_return refusal(base::ResultCode::CallerGone);
   if (parent.Remaining.count() <= 0)
     co_return refusal(base::ResultCode::DeadlineExceeded);
-  writeMeshCall(request, parent, MeshAudience::Target,
-                Environment.MeshKeys.front());
-  request.keep_alive(true);
+  frameForNextHop(request);
   ExchangePlan plan;
   plan.Server = target.Where;
   plan.Timeout = parent.Remaining;
+  plan.Lines = meshLines(request, parent, MeshAudience::Target, Keys);
   ExchangeResult result =
       co_await exchange(Pool, *Environment.Time, plan, request, watch);
   GateOutcome outcome;
@@ -124,6 +138,20 @@
   }
 }
 
+std::optional<base::Duration>
+GateRunner::remainingOf(const std::string &callId) const {
+  auto it = Open.find(callId);
+  if (it == Open.end())
+    return std::nullopt;
+  return it->second.Deadline - Environment.Time->now();
+}
+
+void GateRunner::failedBelow(const std::string &callId) {
+  auto it = Open.find(callId);
+  if (it != Open.end())
+    it->second.FailedBelow = true;
+}
+
 void GateRunner::tick() {
   dispatch(Environment.Gate->tick(Environment.Time->now()));
 }
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -12,7 +12,6 @@
 /// How a call ended at the target's node.
 struct GateOutcome {
   calls::AttemptResult Result;
-  base::Duration RetryAfter{};
   Response Answer; ///< The target's answer where Result.End is Answered.
 };
 
@@ -20,7 +19,8 @@
 /// and of this one.
 class GateRunner {
 public:
-  GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool);
+  GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
+             const MeshKeys &keys);
 
   /// Runs one call at a target behind this node.
   boost::asio::awaitable<GateOutcome> run(MeshCall call, Request &request,
@@ -30,12 +30,26 @@
   /// Refuses queued calls whose deadline has passed.
   void tick();
 
+  /// Returns the deadline left of a call that runs here now, or nothing.
+  std::optional<base::Duration> remainingOf(const std::string &callId) const;
+
+  /// Notes that a call made while running \p callId failed and was dealt with.
+  void failedBelow(const std::string &callId);
+
 private:
+  /// A call that has arrived at the gate and has not ended.
+  struct OpenCall {
+    base::TimePoint Deadline{};
+    bool FailedBelow = false;
+  };
   struct QueuedCall {
     boost::asio::steady_timer Wake;
     std::optional<calls::GateAnswer> Answer;
   };
 
+  boost::asio::awaitable<GateOutcome>
+  passGate(const MeshCall &call, Request &request, uint64_t fingerprint,
+           std::shared_ptr<ClientWatch> watch);
   boost::asio::awaitable<calls::GateAnswer>
   awaitTurn(calls::Ticket ticket, std::shared_ptr<ClientWatch> watch);
   boost::asio::awaitable<GateOutcome>
@@ -46,7 +60,9 @@
 
   CallProxyEnvironment &Environment;
   ConnectionPool &Pool;
+  const MeshKeys &Keys;
   std::unordered_map<calls::Ticket, QueuedCall *> Queue;
+  std::unordered_map<std::string, OpenCall> Open;
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/HttpPlatformClient.cpp
+++ b/Libraries/LibHttp/HttpPlatformClient.cpp
@@ -101,8 +101,7 @@
 
 } // namespace
 
-struct HttpPlatformClient::Implementation
-    : std::enable_shared_from_this<Implementation> {
+struct HttpPlatformClient::Implementation {
   Implementation(asio::io_context &context,
                  std::vector<base::Address> addresses, base::Metrics &metrics)
       : Context(&context), Addresses(std::move(addresses)),
@@ -157,7 +156,6 @@
 
 asio::awaitable<void> HttpPlatformClient::Implementation::append(
     std::string bytes, std::function<void(log::AppendAnswer)> done) {
-  auto self = shared_from_this();
   Request request(boost::beast::http::verb::post, "/v1/records", 11);
   request.body() = std::move(bytes);
   *Appends += 1;
@@ -175,7 +173,6 @@
 asio::awaitable<void> HttpPlatformClient::Implementation::read(
     std::string target, base::Duration timeout,
     std::function<void(log::ReadAnswer)> done) {
-  auto self = shared_from_this();
   *Reads += 1;
   log::ReadAnswer answer;
   auto response =
@@ -207,9 +204,12 @@
 
 void HttpPlatformClient::append(std::string bytes,
                                 std::function<void(log::AppendAnswer)> done) {
-  asio::co_spawn(*Held->Context,
-                 Held->append(std::move(bytes), std::move(done)),
-                 asio::detached);
+  asio::co_spawn(
+      *Held->Context,
+      [held = Held, bytes = std::move(bytes), done = std::move(done)] {
+        return held->append(bytes, done);
+      },
+      asio::detached);
 }
 
 void HttpPlatformClient::read(log::Offset from, uint32_t maximumRecords,
@@ -221,7 +221,9 @@
                        "&wait_ms=" + std::to_string(waitMs.count());
   asio::co_spawn(
       *Held->Context,
-      Held->read(std::move(target), wait + ReadSlack, std::move(done)),
+      [held = Held, target = std::move(target), wait, done = std::move(done)] {
+        return held->read(target, wait + ReadSlack, done);
+      },
       asio::detached);
 }
 
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -1,9 +1,8 @@
 #include <LibHttp/MeshCall.h>
 
-#include <LibBase/Hash.h>
 #include <LibCalls/CallTypes.h>
 
-#include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <string_view>
@@ -28,45 +27,32 @@
   return {it->value().data(), it->value().size()};
 }
 
-std::string toHex(std::string_view bytes) {
-  constexpr std::string_view Digits = "0123456789abcdef";
-  std::string out;
-  out.reserve(bytes.size() * 2);
-  for (char c : bytes) {
-    auto byte = static_cast<unsigned char>(c);
-    out += Digits[byte >> 4];
-    out += Digits[byte & 15U];
-  }
-  return out;
-}
+/// The proven fields, in the order that a proof covers them.
+constexpr std::string_view ProvenFields[] = {
+    calls::CallIdHeader,  calls::RankHeader,    calls::DeadlineHeader,
+    calls::HopsHeader,    calls::ServiceHeader, calls::TargetHeader,
+    calls::AttemptHeader,
+};
+
+using FieldValues = std::array<std::string_view, std::size(ProvenFields)>;
 
 /// Returns the bytes that a proof covers, one field a line.
-std::string provenText(const Request &request, MeshAudience audience) {
-  std::string text(base::nameOf(AudienceNames, audience));
+std::string provenText(const Request &request, MeshAudience audience,
+                       const FieldValues &values) {
+  constexpr size_t UsualSize = 256;
+  std::string text;
+  text.reserve(UsualSize);
+  text += base::nameOf(AudienceNames, audience);
   // A target's deeper calls have methods and paths of their own.
   if (audience == MeshAudience::Node) {
     text.append("\n").append(request.method_string());
     text.append("\n").append(request.target());
   }
-  for (std::string_view name :
-       {calls::CallIdHeader, calls::RankHeader, calls::DeadlineHeader,
-        calls::HopsHeader, calls::ServiceHeader, calls::TargetHeader,
-        calls::AttemptHeader})
-    text.append("\n").append(fieldOf(request, name));
+  for (std::string_view value : values)
+    text.append("\n").append(value);
   return text;
 }
 
-bool isProven(const Request &request, MeshAudience audience,
-              const std::vector<std::string> &keys) {
-  std::string_view proof = fieldOf(request, calls::ProofHeader);
-  if (proof.empty())
-    return false;
-  std::string text = provenText(request, audience);
-  return std::any_of(keys.begin(), keys.end(), [&](const std::string &key) {
-    return base::equalInConstantTime(toHex(base::hmacSha256(key, text)), proof);
-  });
-}
-
 template <typename Number>
 bool parseNumber(std::string_view text, Number &number) {
   auto [end, ec] =
@@ -86,29 +72,42 @@
   }
 }
 
-void writeMeshCall(Request &request, const MeshCall &call,
-                   MeshAudience audience, const std::string &key) {
+std::string meshLines(const Request &request, const MeshCall &call,
+                      MeshAudience audience, const MeshKeys &keys) {
   auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(call.Remaining);
-  stripMeshFields(request);
-  request.set(calls::CallIdHeader, call.CallId);
-  request.set(calls::RankHeader,
-              base::nameOf(config::RankNames, call.CallRank));
-  request.set(calls::DeadlineHeader, std::to_string(remaining.count()));
-  request.set(calls::HopsHeader, std::to_string(call.Hops));
-  request.set(calls::ServiceHeader, call.ServiceName);
-  request.set(calls::AttemptHeader, std::to_string(call.Attempt));
-  if (!call.TargetId.empty())
-    request.set(calls::TargetHeader, call.TargetId);
-  request.set(calls::ProofHeader,
-              toHex(base::hmacSha256(key, provenText(request, audience))));
+  std::string deadline = std::to_string(remaining.count());
+  std::string hops = std::to_string(call.Hops);
+  std::string attempt = std::to_string(call.Attempt);
+  const FieldValues values = {
+      call.CallId,      base::nameOf(config::RankNames, call.CallRank),
+      deadline,         hops,
+      call.ServiceName, call.TargetId,
+      attempt};
+  constexpr size_t UsualSize = 512;
+  std::string lines;
+  lines.reserve(UsualSize);
+  auto add = [&](std::string_view name, std::string_view value) {
+    lines.append(name).append(": ").append(value).append("\r\n");
+  };
+  for (size_t i = 0; i < values.size(); ++i)
+    if (!values[i].empty())
+      add(ProvenFields[i], values[i]);
+  add(calls::ProofHeader, keys.sign(provenText(request, audience, values)));
+  return lines;
 }
 
 std::optional<MeshCall> readMeshCall(const Request &request,
                                      MeshAudience audience,
-                                     const std::vector<std::string> &keys,
+                                     const MeshKeys &keys,
                                      base::LastReason &reason) {
-  if (!isProven(request, audience, keys))
+  std::string_view proof = fieldOf(request, calls::ProofHeader);
+  FieldValues values;
+  if (!proof.empty())
+    for (size_t i = 0; i < values.size(); ++i)
+      values[i] = fieldOf(request, ProvenFields[i]);
+  if (proof.empty() ||
+      !keys.verify(provenText(request, audience, values), proof))
     return reason.fail(base::ResultCode::PeerUnauthenticated,
                        "the request carries no valid proof of the mesh key");
   MeshCall call;
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -3,12 +3,13 @@
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibConfig/Rank.h>
+#include <LibHttp/MeshKey.h>
 #include <LibHttp/Message.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace radishcross::http {
 
@@ -16,13 +17,21 @@
 struct MeshCall {
   std::string CallId;
   config::Rank CallRank = config::Rank::Background;
-  base::Duration Remaining{}; ///< Deadline left; travels in milliseconds.
-  uint32_t Hops = 0;          ///< Calls above this one in the chain.
-  uint32_t Attempt = 0;       ///< Attempts of this call before this one.
-  std::string ServiceName;    ///< "configuration/name".
+  /// Deadline left; travels in milliseconds; 0 means that it has passed.
+  base::Duration Remaining{};
+  uint32_t Hops = 0;       ///< Calls above this one in the chain.
+  uint32_t Attempt = 1;    ///< 2 for a retry.
+  std::string ServiceName; ///< "configuration/name".
   std::string TargetId; ///< Empty: the receiving node's broker runs the call.
 };
 
+/// AttemptHeader of a request that is a retry.
+constexpr uint32_t RetryAttempt = 2;
+
+/// AttemptHeader of an answer when a call made below it failed and was dealt
+/// with there.
+constexpr std::string_view FailedBelowMark = "below";
+
 /// Who a message is for; a proof for one cannot be used for the other.
 enum class MeshAudience : uint8_t {
   Node,   ///< Another node's mesh listener.
@@ -32,15 +41,16 @@
 /// Removes every field of the mesh.
 void stripMeshFields(boost::beast::http::fields &fields);
 
-/// Writes the call's fields and their proof under \p key.
-void writeMeshCall(Request &request, const MeshCall &call,
-                   MeshAudience audience, const std::string &key);
+/// Returns the lines of the call's fields and of their proof, to be written
+/// into the head of \p request, which has no fields of the mesh itself.
+std::string meshLines(const Request &request, const MeshCall &call,
+                      MeshAudience audience, const MeshKeys &keys);
 
 /// Reads the call's fields; fails with PeerUnauthenticated where no key of
 /// \p keys made the proof, and with BadRequest where a field is malformed.
 std::optional<MeshCall> readMeshCall(const Request &request,
                                      MeshAudience audience,
-                                     const std::vector<std::string> &keys,
+                                     const MeshKeys &keys,
                                      base::LastReason &reason);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -20,6 +20,9 @@
 
 /// Pause after a failed accept, for example without free file descriptors.
 constexpr base::Duration AcceptPause = std::chrono::milliseconds(50);
+/// Connections over the limit that are told so at a time; more are just closed.
+constexpr size_t RefusalRoom = 256;
+constexpr base::Duration OverloadRetry = std::chrono::seconds(1);
 
 /// Returns the answer to a request that could not be read.
 Response refusalOf(ReadEnd end, const base::LastReason &reason) {
@@ -41,13 +44,14 @@
   Session(std::shared_ptr<ServerState> owner, tcp::socket socket);
 
   asio::awaitable<void> run();
+  asio::awaitable<void> runOverLimit();
   void drain();
   void stop();
   bool idle() const { return Idle; }
 
 private:
   asio::awaitable<bool> serveOne();
-  asio::awaitable<void> refuse(ReadEnd end, const base::LastReason &reason);
+  asio::awaitable<void> refuse(Response response, std::string_view reason);
   asio::awaitable<bool> answer(Response response);
   asio::awaitable<Response> callHandler(Request request);
   void watchClient();
@@ -74,6 +78,7 @@
   void drain();
   void stop();
   size_t inFlight() const;
+  size_t connections() const { return Sessions.size(); }
   void leave(Session *session) { Sessions.erase(session); }
 
   tcp::acceptor Acceptor;
@@ -83,6 +88,9 @@
   bool ClosesAfterAnswers = false;
 
 private:
+  void admit(tcp::socket socket);
+  void acceptBacklog();
+
   std::unordered_set<Session *> Sessions;
 };
 
@@ -92,9 +100,9 @@
       Peer(Link->peer()) {}
 
 asio::awaitable<void> Session::run() {
-  auto self = shared_from_this();
-  while (Link->isOpen() && co_await serveOne())
-    continue;
+  bool isServing = true;
+  while (isServing)
+    isServing = co_await serveOne();
   Link->close();
   Owner->leave(this);
 }
@@ -102,7 +110,8 @@
 /// Returns whether the connection may bring another request.
 asio::awaitable<bool> Session::serveOne() {
   Idle = true;
-  Link->expireAfter(Owner->Draining ? DrainLinger : Owner->Limits.IdleTimeout);
+  Link->expireAfter(Owner->Draining ? Owner->Limits.DrainLinger
+                                    : Owner->Limits.IdleTimeout);
   if (co_await Link->awaitFirstByte() != ReadEnd::Complete)
     co_return false;
   Idle = false;
@@ -114,7 +123,10 @@
   if (end == ReadEnd::Closed || end == ReadEnd::Cut)
     co_return false;
   if (end != ReadEnd::Complete) {
-    co_await refuse(end, reason);
+    std::string_view name = end == ReadEnd::TimedOut
+                                ? "request-timeout"
+                                : base::describe(reason.code()).Name;
+    co_await refuse(refusalOf(end, reason), name);
     co_return false;
   }
   Link->neverExpire();
@@ -159,15 +171,28 @@
   co_return keep;
 }
 
-asio::awaitable<void> Session::refuse(ReadEnd end,
-                                      const base::LastReason &reason) {
-  Response response = refusalOf(end, reason);
+asio::awaitable<void> Session::refuse(Response response,
+                                      std::string_view reason) {
+  if (base::Metrics *counters = Owner->Limits.Counters)
+    counters->counter("bad_requests_total{reason=\"" + std::string(reason) +
+                      "\"}") += 1;
   response.keep_alive(false);
   Link->expireAfter(Owner->Limits.RequestTimeout);
   if (co_await Link->write(response))
     co_await Link->closeGently();
 }
 
+/// Tells a client that there are too many connections; reads nothing.
+asio::awaitable<void> Session::runOverLimit() {
+  Idle = false;
+  co_await refuse(makeAnswer(base::ResultCode::Overloaded,
+                             calls::CallOutcome::NotRun,
+                             "there are too many connections", OverloadRetry),
+                  "too-many-connections");
+  Link->close();
+  Owner->leave(this);
+}
+
 /// Watches for the client's going away while its request is handled. The wait
 /// is left pending between requests, which spares cancelling it each time.
 void Session::watchClient() {
@@ -192,7 +217,7 @@
 
 void Session::drain() {
   if (Idle)
-    Link->expireAfter(DrainLinger);
+    Link->expireAfter(Owner->Limits.DrainLinger);
 }
 
 void Session::stop() { Link->close(); }
@@ -218,7 +243,6 @@
 }
 
 asio::awaitable<void> ServerState::acceptLoop() {
-  auto self = shared_from_this();
   while (Acceptor.is_open()) {
     error_code ec;
     tcp::socket socket = co_await Acceptor.async_accept(
@@ -230,15 +254,41 @@
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
       continue;
     }
-    if (Sessions.size() >= Limits.Connections)
-      continue; // The socket is closed: a bound on memory and descriptors.
-    auto session = std::make_shared<Session>(self, std::move(socket));
-    Sessions.insert(session.get());
-    asio::co_spawn(Acceptor.get_executor(), session->run(), asio::detached);
+    admit(std::move(socket));
+  }
+}
+
+void ServerState::admit(tcp::socket socket) {
+  if (Sessions.size() >= Limits.Connections + RefusalRoom)
+    return; // The socket is closed: a bound on memory and descriptors.
+  bool isOver = Sessions.size() >= Limits.Connections;
+  auto session =
+      std::make_shared<Session>(shared_from_this(), std::move(socket));
+  Sessions.insert(session.get());
+  // The function keeps the session alive from before its first step on.
+  asio::co_spawn(
+      Acceptor.get_executor(),
+      [session, isOver] {
+        return isOver ? session->runOverLimit() : session->run();
+      },
+      asio::detached);
+}
+
+/// Takes the connections that the kernel has already set up for us: closing the
+/// listener would reset them, with the requests that they may have brought.
+void ServerState::acceptBacklog() {
+  error_code ec;
+  Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    tcp::socket socket = Acceptor.accept(ec);
+    if (!ec)
+      admit(std::move(socket));
   }
 }
 
 void ServerState::drain() {
+  if (!Draining)
+    acceptBacklog();
   Draining = true;
   error_code ec;
   Acceptor.close(ec);
@@ -247,7 +297,9 @@
 }
 
 void ServerState::stop() {
-  drain();
+  Draining = true;
+  error_code ec;
+  Acceptor.close(ec);
   for (Session *it : Sessions)
     it->stop();
 }
@@ -276,6 +328,7 @@
   void closeAfterAnswers() override { State->ClosesAfterAnswers = true; }
   void drain() override { State->drain(); }
   size_t inFlight() const override { return State->inFlight(); }
+  size_t connections() const override { return State->connections(); }
 
 private:
   std::shared_ptr<ServerState> State;
@@ -291,7 +344,8 @@
       std::make_shared<ServerState>(context, limits, std::move(handler));
   if (!state->listen(listen, reason))
     return std::nullopt;
-  asio::co_spawn(context, state->acceptLoop(), asio::detached);
+  asio::co_spawn(
+      context, [state] { return state->acceptLoop(); }, asio::detached);
   return std::make_shared<ListeningServer>(std::move(state));
 }
 
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
+#include <LibBase/Metrics.h>
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -13,18 +14,21 @@
 
 namespace radishcross::http {
 
+/// How long an idle connection of a draining server may still bring a request.
+constexpr base::Duration DefaultDrainLinger = std::chrono::seconds(1);
+
 /// What a listener takes from its clients.
 struct ServerLimits {
   size_t HeaderBytes = 16UL << 10;
   size_t BodyBytes = 1UL << 20;
   base::Duration RequestTimeout = std::chrono::seconds(10);
   base::Duration IdleTimeout = std::chrono::seconds(75);
+  base::Duration DrainLinger = DefaultDrainLinger;
   size_t Connections = 4096;
+  /// Where set, refusals are counted as bad_requests_total{reason}.
+  base::Metrics *Counters = nullptr;
 };
 
-/// How long an idle connection of a draining server may still bring a request.
-constexpr base::Duration DrainLinger = std::chrono::seconds(1);
-
 /// Tells a handler that its client went away while it was working.
 struct ClientWatch {
   bool Gone = false;
@@ -67,12 +71,16 @@
 
   /// Stops accepting. Requests in flight finish, and so does one that was on
   /// its way on an idle connection; their answers carry `Connection: close`.
-  /// A connection that stays idle is closed after DrainLinger.
+  /// A connection that stays idle is closed after the DrainLinger of its
+  /// limits.
   virtual void drain() = 0;
 
   /// Returns the number of requests that are being read, handled or answered.
   /// While draining, idle connections that may still bring one count as well.
   virtual size_t inFlight() const = 0;
+
+  /// Returns the number of open connections.
+  virtual size_t connections() const = 0;
 };
 
 } // namespace radishcross::http
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -38,8 +38,16 @@
     return finish;
   }
   void end(calls::CallHandle, base::TimePoint) override { ++Ended; }
+  void keepAnswer(calls::CallHandle, std::string &&answer,
+                  base::TimePoint) override {
+    Kept = std::move(answer);
+  }
+  std::string keptAnswer(calls::CallHandle) const override { return Kept; }
+  void whenResumed(const Resumed &resumed) override { Resume = resumed; }
 
   calls::CallStep First;
+  std::string Kept;
+  Resumed Resume;
   std::deque<calls::CallStep> Next;
   std::vector<calls::CallRequest> Requests;
   std::vector<calls::AttemptResult> Results;
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -389,3 +389,69 @@
   CHECK(mesh.Far.Broker.Requests[0].CallId ==
         mesh.Near.Broker.Requests[0].CallId);
 }
+
+TEST_CASE("an equal call waits for the first and gets its kept answer") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  mesh.Near.Broker.First.KeepAnswer = true;
+  REQUIRE(ask(mesh.Context, callers, mesh.post())->body() == "echo body");
+  mesh.Near.Broker.First.What = calls::CallStep::Kind::Wait;
+  calls::CallStep next;
+  next.What = calls::CallStep::Kind::Replay;
+  for (bool isKept : {true, false}) {
+    if (!isKept)
+      mesh.Near.Broker.Kept = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut";
+    std::optional<http::Response> answer;
+    base::LastReason reason;
+    asio::co_spawn(
+        mesh.Context,
+        http::fetch(callers, mesh.post(), std::chrono::seconds(10), reason),
+        [&](const std::exception_ptr &, std::optional<http::Response> got) {
+          answer = std::move(got);
+        });
+    auto handle = mesh.Near.Broker.Handles + 1;
+    runUntil(mesh.Context, [&] { return mesh.Near.Broker.Handles == handle; });
+    mesh.Near.Broker.Resume(handle, next);
+    runUntil(mesh.Context, [&] { return answer.has_value(); });
+    CHECK(answer->result_int() == (isKept ? 200 : 502));
+    CHECK(answer->body().starts_with(isKept ? "echo body" : "{"));
+  }
+  CHECK(mesh.SeenByTarget.size() == 1);
+}
+
+TEST_CASE("a deeper call inherits from its parent and reports failure up") {
+  TwoNodes mesh;
+  mesh.Near.Local = mesh.Far.Local;
+  mesh.HoldAnswers = true;
+  mesh.Near.Broker.First.Retry = true;
+  std::optional<http::Response> answer;
+  base::LastReason reason;
+  asio::co_spawn(
+      mesh.Context,
+      http::fetch(mesh.Near.Proxy->callsAddress(), mesh.post(),
+                  std::chrono::seconds(10), reason),
+      [&](const std::exception_ptr &, std::optional<http::Response> got) {
+        answer = std::move(got);
+      });
+  runUntil(mesh.Context, [&] { return !mesh.SeenByTarget.empty(); });
+  mesh.Clock.advance(std::chrono::seconds(2));
+  // The target behind the far node calls on through that node and fails.
+  http::Request deeper = mesh.SeenByTarget.front();
+  mesh.Far.Broker.First = calls::CallStep();
+  mesh.Far.Broker.First.Code = base::ResultCode::NoRoute;
+  auto below = ask(mesh.Context, mesh.Far.Proxy->callsAddress(), deeper);
+  REQUIRE(below);
+  CHECK(codeOf(*below) == "5001");
+  const calls::CallRequest &seen = mesh.Far.Broker.Requests.back();
+  CHECK(seen.ParentRank == config::Rank::Standard);
+  CHECK(seen.Hops == 1);
+  CHECK(seen.BelowRetry);
+  CHECK(seen.Remaining == std::chrono::seconds(3));
+  mesh.Release = true;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(mesh.Near.Broker.Results[0].FailedBelow);
+  // After the call has ended, its fields do not lend time to anyone.
+  deeper.set(calls::DeadlineHeader, "9000");
+  ask(mesh.Context, mesh.Far.Proxy->callsAddress(), deeper);
+  CHECK(mesh.Far.Broker.Requests.back().Hops == 0);
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -1,14 +1,36 @@
-#include <LibHttp/Client.h>
-#include <LibHttp/Server.h>
+#include <LibHttp/Mesh.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <doctest/doctest.h>
+#include <LibHttp/Answers.h>
 
 using namespace radishcross;
-namespace asio = boost::asio;
-namespace bh = boost::beast::http;
+using namespace radishcross::tests;
+
+namespace {
+
+const std::string Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+asio::awaitable<http::Response> answerOk(http::IncomingRequest) {
+  co_return http::makeJson(200, "{}");
+}
+
+asio::ip::tcp::socket connectTo(asio::io_context &context,
+                                const base::Address &server) {
+  asio::ip::tcp::socket socket(context);
+  socket.connect({asio::ip::make_address(server.Host), server.Port});
+  return socket;
+}
+
+std::string readToEnd(asio::io_context &context,
+                      asio::ip::tcp::socket &socket) {
+  std::string got;
+  bool done = false;
+  asio::async_read(socket, asio::dynamic_buffer(got),
+                   [&](auto, size_t) { done = true; });
+  runUntil(context, [&] { return done; });
+  return got;
+}
+
+} // namespace
 
 TEST_CASE("a server answers a fetch with the handler's whole answer") {
   asio::io_context context(1);
@@ -50,3 +72,45 @@
                                   std::chrono::seconds(5), reason));
   CHECK(reason.code() == base::ResultCode::NodeUnreachable);
 }
+
+TEST_CASE("a draining server serves a request that was on its way, then closes "
+          "what stays idle") {
+  asio::io_context context(1);
+  base::LastReason reason;
+  http::ServerLimits limits;
+  limits.DrainLinger = std::chrono::milliseconds(20);
+  auto server =
+      http::Server::create(context, {"127.0.0.1", 0}, limits, answerOk, reason);
+  REQUIRE(server);
+  auto racing = connectTo(context, (*server)->address());
+  auto idle = connectTo(context, (*server)->address());
+  // The request is in the kernel, unread, when the drain begins.
+  asio::write(racing, asio::buffer(Get));
+  (*server)->drain();
+  std::string answer = readToEnd(context, racing);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(readToEnd(context, idle).empty());
+  runUntil(context, [&] { return (*server)->inFlight() == 0; });
+}
+
+TEST_CASE("connections over the limit are told so") {
+  asio::io_context context(1);
+  base::LastReason reason;
+  base::Metrics counters;
+  http::ServerLimits limits;
+  limits.Connections = 1;
+  limits.Counters = &counters;
+  auto server =
+      http::Server::create(context, {"127.0.0.1", 0}, limits, answerOk, reason);
+  REQUIRE(server);
+  auto first = connectTo(context, (*server)->address());
+  runUntil(context, [&] { return (*server)->connections() == 1; });
+  auto second = connectTo(context, (*server)->address());
+  asio::write(second, asio::buffer(Get));
+  std::string answer = readToEnd(context, second);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: 1") != std::string::npos);
+  CHECK(counters.counter(
+            "bad_requests_total{reason=\"too-many-connections\"}") == 1);
+}
--- a/Tests/StandIns/Load.cpp
+++ b/Tests/StandIns/Load.cpp
@@ -20,7 +20,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdio>
-#include <unordered_map>
+#include <map>
+#include <memory>
+#include <utility>
 
 ABSL_FLAG(std::string, nodes, "", "IP:PORT,... of nodes' callers' listeners");
 ABSL_FLAG(std::string, targets, "", "IP:PORT,... of stand-in targets to check");
@@ -31,6 +33,9 @@
 ABSL_FLAG(uint32_t, body_bytes, 64, "body of a POST");
 ABSL_FLAG(uint32_t, timeout_ms, 10000, "time that a caller waits");
 ABSL_FLAG(uint32_t, chain, 0, "calls that targets make on from each");
+ABSL_FLAG(double, cancel_share, 0, "share of calls whose callers go away");
+ABSL_FLAG(uint32_t, crash_every, 0, "each Nth call asks its target to crash");
+ABSL_FLAG(uint32_t, resend, 1, "times that a crash request is sent again");
 
 namespace radishcross::standins {
 
@@ -43,6 +48,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds Pace{1};
+constexpr std::chrono::milliseconds LongestPatience{20};
+constexpr std::chrono::milliseconds ResendPause{200};
 constexpr size_t IdsPerQuestion = 500;
 constexpr std::chrono::seconds ControlTimeout{10};
 
@@ -55,6 +62,7 @@
   Crossed,
   NotSent,
   Other,
+  Cancelled,
   Pending,
 };
 
@@ -62,7 +70,8 @@
     {End::Answered, "answered"}, {End::RefusedNotRun, "refused_not_run"},
     {End::Unknown, "unknown"},   {End::Cut, "cut"},
     {End::Crossed, "crossed"},   {End::NotSent, "not_sent"},
-    {End::Other, "other"},       {End::Pending, "pending"},
+    {End::Other, "other"},       {End::Cancelled, "cancelled"},
+    {End::Pending, "pending"},
 };
 
 /// One kind of call of the mix.
@@ -172,8 +181,10 @@
   }
 
 private:
-  asio::awaitable<void> pause(Clock::duration time) {
-    asio::steady_timer timer(Context, time);
+  asio::awaitable<void>
+  pause(std::chrono::duration<double, std::milli> milliseconds) {
+    asio::steady_timer timer(
+        Context, std::chrono::duration_cast<Clock::duration>(milliseconds));
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
@@ -195,38 +206,75 @@
 
   asio::awaitable<void> call(size_t seq, Clock::time_point scheduled) {
     const Kind &kind = Kinds[Calls[seq].KindIndex];
+    uint32_t crashEvery = absl::GetFlag(FLAGS_crash_every);
+    bool crashes = crashEvery > 0 && seq % crashEvery == crashEvery - 1;
+    http::Request request = makeRequest(kind, seq, crashes);
+    End end = co_await send(request);
+    for (uint32_t n = 0; crashes && n < absl::GetFlag(FLAGS_resend); ++n) {
+      co_await pause(ResendPause);
+      request.set("X-Request-Id", idOf(seq) + "r" + std::to_string(n));
+      end = co_await send(request);
+    }
+    RankFigures &figures = Figures[crashes ? "crash" : kind.RankName];
+    figures.Offered += 1;
+    figures.Ends[static_cast<size_t>(end)] += 1;
+    if (end == End::Answered)
+      figures.Microseconds.push_back(static_cast<uint32_t>(
+          std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
+                                                                scheduled)
+              .count()));
+    Calls[seq].Ended = crashes ? End::Other : end;
+    Pending -= 1;
+  }
+
+  /// Crash requests have a path of their own and equal bodies, so that they
+  /// are alike to the mesh and unlike all others.
+  static http::Request makeRequest(const Kind &kind, size_t seq, bool crashes) {
     http::Request request(kind.Method, kind.Path, 11);
-    const base::Address &node = Nodes[Rng.below(Nodes.size())];
-    request.set(bh::field::host, node.text());
     request.set("X-Request-Id", idOf(seq));
     if (absl::GetFlag(FLAGS_chain) > 0)
       request.set("X-Test-Chain", std::to_string(absl::GetFlag(FLAGS_chain)));
     if (kind.Method != bh::verb::get)
       request.body() =
           idOf(seq) + std::string(absl::GetFlag(FLAGS_body_bytes), 'x');
+    if (crashes) {
+      request.target(kind.Path + "/crash");
+      request.set("X-Test-Crash", "1");
+      request.body().clear();
+    }
     request.prepare_payload();
+    return request;
+  }
+
+  asio::awaitable<End> send(http::Request &request) {
     http::ExchangePlan plan;
-    plan.Server = node;
+    plan.Server = Nodes[Rng.below(Nodes.size())];
     plan.Timeout = std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
-    http::ExchangeResult result = co_await http::exchange(
-        Pool, Time, plan, request, std::make_shared<http::ClientWatch>());
-    End end = judge(result, request);
-    RankFigures &figures = Figures[kind.RankName];
-    figures.Offered += 1;
-    figures.Ends[static_cast<size_t>(end)] += 1;
-    if (end == End::Answered)
-      figures.Microseconds.push_back(static_cast<uint32_t>(
-          std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
-                                                                scheduled)
-              .count()));
-    Calls[seq].Ended = end;
-    Pending -= 1;
+    request.set(bh::field::host, plan.Server.text());
+    auto watch = std::make_shared<http::ClientWatch>();
+    if (Rng.unit() < absl::GetFlag(FLAGS_cancel_share))
+      asio::co_spawn(
+          Context, [this, watch] { return goAway(watch); }, asio::detached);
+    http::ExchangeResult result =
+        co_await http::exchange(Pool, Time, plan, request, watch);
+    co_return judge(result, request);
+  }
+
+  /// Lets a caller go away after a while, where its call has not ended.
+  asio::awaitable<void> goAway(std::shared_ptr<http::ClientWatch> watch) {
+    co_await pause(LongestPatience * Rng.unit());
+    if (!watch->OnGone)
+      co_return;
+    watch->Gone = true;
+    std::exchange(watch->OnGone, nullptr)();
   }
 
   static End judge(const http::ExchangeResult &result,
                    const http::Request &request) {
     if (result.End == AttemptEnd::NotSent)
       return End::NotSent;
+    if (result.End == AttemptEnd::CallerGone)
+      return End::Cancelled;
     if (result.End != AttemptEnd::Answered)
       return End::Cut;
     auto outcome = result.Answer.find(calls::OutcomeHeader);
