--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -50,6 +50,9 @@
   void abandoned(Ticket call, base::TimePoint now);
   std::vector<GateAnswer> tick(base::TimePoint now);
 
+  /// Returns answers in the form of a trace's entry.
+  trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
+
   uint32_t pressurePermille() const;
   uint32_t limit() const;
   size_t running() const { return Running.size(); }
@@ -71,6 +74,7 @@
                            base::TimePoint now);
   bool mayStart(config::Rank rank, base::TimePoint now) const;
   uint32_t reserveFrom(config::Rank rank, base::TimePoint now) const;
+  RankFlags demand(base::TimePoint now) const;
   void start(Ticket call, config::Rank rank, uint64_t fingerprint,
              base::TimePoint now);
   void finish(const RunningCall &call, AttemptEnd end, base::TimePoint now);
@@ -82,7 +86,6 @@
   std::vector<GateAnswer> takeAnswers();
   void note(AdmissionEvent::Value event, const trace::Inputs &numbers,
             const trace::Outcome &decided, base::TimePoint now);
-  trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
 
   std::string TargetId;
   trace::Recorder *Record;
