LibTrace: Make players together and begin dependent modules later

The player of held versions reads the fold that another player replays, which a factory for each module could not give. A replay now makes all players of a run at once, and a window of the ring begins a module that reads another's state only after the other's set-up entry.

--- /dev/null
+++ b/Libraries/LibAdmin/ChangeAnswer.cpp
@@ -0,0 +1,67 @@
+#include <LibAdmin/ChangeAnswer.h>
+
+#include <LibAdmin/Answers.h>
+#include <LibAdmin/ImpactSurvey.h>
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+
+namespace radishcross::admin {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr base::Duration ChangePatience = std::chrono::seconds(5);
+
+/// Appends a record and waits until its fate is known or patience ends.
+asio::awaitable<ChangeOutcome> appendAndWait(NodeControl &node,
+                                             log::Record record) {
+  auto initiate = [&node, &record](auto handler) {
+    auto executor = asio::get_associated_executor(handler);
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    node.change(std::move(record), ChangePatience,
+                [shared, executor](ChangeOutcome outcome) {
+                  asio::post(executor,
+                             [shared, outcome = std::move(outcome)]() mutable {
+                               (*shared)(std::move(outcome));
+                             });
+                });
+  };
+  return asio::async_initiate<const asio::use_awaitable_t<> &,
+                              void(ChangeOutcome)>(initiate,
+                                                   asio::use_awaitable);
+}
+
+} // namespace
+
+asio::awaitable<http::Response>
+answerChange(NodeControl &node, ApiRequest request, ChangeRule rule, Ask ask) {
+  base::LastReason reason;
+  if (!node.ready()) {
+    reason.fail(base::ResultCode::NotRecovered,
+                "the node has not recovered its configuration yet");
+    co_return failureAnswer(reason);
+  }
+  // A repeated request gets the outcome of the first one, whatever the state
+  // is by now.
+  auto id = queryText(request, "record");
+  if (auto known = node.fold().outcomeOf(id))
+    co_return changeAnswer(
+        {ChangeOutcome::Kind::Accepted, std::move(id), std::move(*known)},
+        node.fold());
+  if (rule.IsAssessed) {
+    auto refusal = co_await refuseHarmful(node, request, std::move(ask));
+    if (refusal)
+      co_return std::move(*refusal);
+  }
+  auto record = rule.Build(request, node.fold(), reason);
+  if (!record)
+    co_return failureAnswer(reason);
+  auto outcome = co_await appendAndWait(node, std::move(*record));
+  co_return changeAnswer(outcome, node.fold());
+}
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/ChangeAnswer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/FleetStatus.h>
+#include <LibAdmin/NodeControl.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace radishcross::admin {
+
+/// How one kind of change is made.
+struct ChangeRule {
+  std::optional<log::Record> (*Build)(const ApiRequest &, const log::Fold &,
+                                      base::LastReason &) = nullptr;
+  bool IsAssessed = false; ///< A harmful one is refused unless accepted.
+};
+
+/// Builds the record that a request asks for, appends it and answers with its
+/// fate. A record whose outcome is known already is not appended again.
+boost::asio::awaitable<http::Response>
+answerChange(NodeControl &node, ApiRequest request, ChangeRule rule, Ask ask);
+
+} // namespace radishcross::admin
--- /dev/null
+++ b/Libraries/LibAdmin/ImpactSurvey.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/FleetStatus.h>
+#include <LibAdmin/NodeControl.h>
+#include <LibHttp/Message.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+namespace radishcross::admin {
+
+/// Asks all members what they serve now and answers with the impact that the
+/// request's content would have.
+boost::asio::awaitable<http::Response>
+answerImpact(const NodeControl &node, const ApiRequest &request, Ask ask);
+
+/// Returns the refusal of a publish whose impact is harmful and not accepted,
+/// or nothing when it may go on.
+boost::asio::awaitable<std::optional<http::Response>>
+refuseHarmful(const NodeControl &node, const ApiRequest &request, Ask ask);
+
+} // namespace radishcross::admin
--- a/Libraries/LibTrace/Replay.cpp
+++ b/Libraries/LibTrace/Replay.cpp
@@ -16,36 +16,17 @@
   return out + "]";
 }
 
-/// The players of one run, made when their first entry comes.
-class Stage {
-public:
-  explicit Stage(const std::map<Module, Replay::Factory> &factories)
-      : Factories(factories) {}
-
-  Player *find(Module source) {
-    auto &player = Players[static_cast<size_t>(source)];
-    if (player)
-      return player.get();
-    auto it = Factories.find(source);
-    if (it == Factories.end())
-      return nullptr;
-    player = it->second();
-    return player.get();
-  }
-
-private:
-  const std::map<Module, Replay::Factory> &Factories;
-  std::array<std::unique_ptr<Player>, std::size(ModuleNames)> Players;
-};
-
 } // namespace
 
 ReplayReport Replay::run(const Trace &trace) const {
   ReplayReport report;
-  Stage stage(Factories);
+  auto players = Make();
+  std::array<Player *, std::size(ModuleNames)> found{};
+  for (const auto &[source, player] : players)
+    found[static_cast<size_t>(source)] = player.get();
   for (size_t i = 0; i < trace.Entries.size(); ++i) {
     const auto &entry = trace.Entries[i];
-    auto *player = stage.find(entry.Source);
+    auto *player = found[static_cast<size_t>(entry.Source)];
     if (!player) {
       ++report.NotPlayed[entry.Source];
       continue;
--- a/Libraries/LibTrace/Replay.h
+++ b/Libraries/LibTrace/Replay.h
@@ -30,16 +30,18 @@
 /// Runs traces through the players of decision modules.
 class Replay {
 public:
-  using Factory = std::function<std::unique_ptr<Player>()>;
+  /// The player of each module that has one.
+  using Players = std::map<Module, std::unique_ptr<Player>>;
 
-  /// Names the player of a module; each trace gets a new one.
-  void add(Module source, Factory make) { Factories[source] = std::move(make); }
+  /// Each trace gets new players; \p make makes all of them at once, since one
+  /// may read the state of another.
+  explicit Replay(std::function<Players()> make) : Make(std::move(make)) {}
 
   /// Plays the entries in their order up to the first difference.
   ReplayReport run(const Trace &trace) const;
 
 private:
-  std::map<Module, Factory> Factories;
+  std::function<Players()> Make;
 };
 
 /// Returns one line that says what was decided now, what was recorded, and for
--- a/Libraries/LibTrace/Ring.cpp
+++ b/Libraries/LibTrace/Ring.cpp
@@ -2,10 +2,22 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace radishcross::trace {
 
+namespace {
+
+/// A module whose player reads what another module's player holds, so that its
+/// entries begin after the other's.
+struct Dependency {
+  Module Reader;
+  Module Source;
+};
+
+constexpr Dependency Dependencies[] = {{Module::Snapshot, Module::Fold}};
+
+} // namespace
+
 Ring::Ring(const RingLimits &limits) : Limits(limits) {
   // A ring that can hold nothing would have no slot to write to.
   Limits.Entries = std::max<size_t>(1, Limits.Entries);
@@ -34,18 +46,29 @@
   ++Count;
 }
 
-std::vector<Entry> Ring::since(int64_t fromMicroseconds) const {
-  constexpr size_t None = std::numeric_limits<size_t>::max();
-  // Where the entries of each module begin.
-  std::array<size_t, std::size(ModuleNames)> begin{};
-  begin.fill(None);
-  for (size_t i = 0; i < Count; ++i) {
+size_t Ring::findSetUp(Module source, int64_t fromMicroseconds,
+                       size_t first) const {
+  size_t found = Count;
+  for (size_t i = first; i < Count; ++i) {
     const auto &entry = at(i);
-    auto &start = begin[static_cast<size_t>(entry.Source)];
-    bool isBefore = entry.AtMicroseconds <= fromMicroseconds;
-    if (entry.Event == SetUpEvent && (isBefore || start == None))
-      start = i;
+    if (entry.Source != source || entry.Event != SetUpEvent)
+      continue;
+    if (entry.AtMicroseconds > fromMicroseconds && found != Count)
+      break;
+    found = i;
   }
+  return found;
+}
+
+std::vector<Entry> Ring::since(int64_t fromMicroseconds) const {
+  std::array<size_t, std::size(ModuleNames)> begin{};
+  for (const auto &row : ModuleNames)
+    begin[static_cast<size_t>(row.Value)] =
+        findSetUp(row.Value, fromMicroseconds, 0);
+  for (const auto &it : Dependencies)
+    begin[static_cast<size_t>(it.Reader)] =
+        findSetUp(it.Reader, fromMicroseconds,
+                  std::min(Count, begin[static_cast<size_t>(it.Source)]));
   std::vector<Entry> out;
   for (size_t i = 0; i < Count; ++i)
     if (begin[static_cast<size_t>(at(i).Source)] <= i)
--- a/Libraries/LibTrace/Ring.h
+++ b/Libraries/LibTrace/Ring.h
@@ -25,7 +25,8 @@
   /// Returns the entries at or after \p fromMicroseconds, oldest first. For
   /// each module they begin with its newest set-up entry at or before that
   /// time, or with its first set-up entry after it, since a player cannot run
-  /// what came before: entries that have no set-up entry are left out.
+  /// what came before: entries that have no set-up entry are left out. Those of
+  /// a module that reads another's state begin after the other's.
   std::vector<Entry> since(int64_t fromMicroseconds) const;
 
   size_t size() const { return Count; }
@@ -38,6 +39,10 @@
   const Entry &at(size_t i) const { return Slots[(First + i) % Slots.size()]; }
   void dropOldest();
 
+  /// Returns where the entries of a module begin, looking from \p first on, or
+  /// size() when it has no set-up entry there.
+  size_t findSetUp(Module source, int64_t fromMicroseconds, size_t first) const;
+
   RingLimits Limits;
   std::vector<Entry> Slots; ///< Grows up to the limit, then wraps.
   size_t First = 0;
--- a/Tests/LibTrace/TestReplay.cpp
+++ b/Tests/LibTrace/TestReplay.cpp
@@ -42,9 +42,11 @@
 }
 
 Replay sumReplay() {
-  Replay out;
-  out.add(Module::Admission, [] { return std::make_unique<SumPlayer>(); });
-  return out;
+  return Replay([] {
+    Replay::Players out;
+    out[Module::Admission] = std::make_unique<SumPlayer>();
+    return out;
+  });
 }
 
 ResultCode codeOf(const std::string &text) {
--- a/Tests/LibTrace/TestRing.cpp
+++ b/Tests/LibTrace/TestRing.cpp
@@ -53,3 +53,14 @@
   CHECK(timesOf(ring.since(3)) == Times{1, 2, 4, 5, 7, 8, 9});
   CHECK(timesOf(ring.since(100)) == Times{4, 5, 7, 8, 9});
 }
+
+TEST_CASE("a module that reads another's state begins after it") {
+  Ring ring({.Entries = 100, .TextBytes = 1000});
+  ring.record(entryAt(1, Module::Snapshot, SetUpEvent));
+  ring.record(entryAt(2, Module::Snapshot, 1));
+  ring.record(entryAt(3, Module::Fold, SetUpEvent));
+  ring.record(entryAt(4, Module::Snapshot, 1));
+  ring.record(entryAt(5, Module::Snapshot, SetUpEvent));
+  ring.record(entryAt(6, Module::Snapshot, 1));
+  CHECK(timesOf(ring.since(2)) == std::vector<int64_t>{3, 5, 6});
+}
