LibAdmin: Refuse a publish whose impact nobody accepted

A version could take routes or last targets away from live traffic unseen. Before a publish the node asks all members what they serve, adds it up, counts the targets that take work, and compares the newest attached versions with the same after the change. A harmful change is refused with the impact, unless the request names why it is accepted; the audit trail keeps that. A service that has no targets already does not count against the version that mends it. The impact alone can be asked for by a reader.

--- a/Libraries/LibAdmin/Answers.cpp
+++ b/Libraries/LibAdmin/Answers.cpp
@@ -108,6 +108,15 @@
   return out;
 }
 
+http::Response impactRefusal(json::object impact) {
+  json::object out{{"outcome", "rejected"}};
+  addCode(out, ResultCode::ImpactNotAccepted,
+          "the change would harm the traffic of now and its impact was not "
+          "accepted; nothing was appended");
+  out["impact"] = std::move(impact);
+  return answer(ResultCode::ImpactNotAccepted, out);
+}
+
 http::Response changeAnswer(const ChangeOutcome &outcome,
                             const log::Fold &fold) {
   if (outcome.What == ChangeOutcome::Kind::Unknown) {
--- a/Libraries/LibAdmin/Answers.h
+++ b/Libraries/LibAdmin/Answers.h
@@ -25,6 +25,10 @@
 http::Response changeAnswer(const ChangeOutcome &outcome,
                             const log::Fold &fold);
 
+/// Returns the refusal of a change whose impact nobody accepted: "rejected"
+/// with "code", "name", "reason" and "impact".
+http::Response impactRefusal(boost::json::object impact);
+
 /// Returns the document of a record's outcome, as changeAnswer() does.
 boost::json::object outcomeDocument(const log::RecordOutcome &outcome,
                                     const log::Fold &fold);
--- a/Libraries/LibAdmin/Api.cpp
+++ b/Libraries/LibAdmin/Api.cpp
@@ -45,6 +45,7 @@
        {"v1", "configurations", "*", "versions", "*"},
        Role::Reader,
        &H::version},
+      {post, {"v1", "configurations", "*", "impact"}, Role::Reader, &H::impact},
       {post,
        {"v1", "configurations", "*", "versions"},
        Role::Publisher,
@@ -147,10 +148,10 @@
   }
 };
 
-Api::Api(NodeControl &node, std::vector<Token> tokens)
-    : Held(std::make_unique<Implementation>(
-          Implementation{node, TokenTable(std::move(tokens)),
-                         ApiHandlers(node, http::fetch)})) {}
+Api::Api(NodeControl &node, std::vector<Token> tokens, Ask ask)
+    : Held(std::make_unique<Implementation>(Implementation{
+          node, TokenTable(std::move(tokens)),
+          ApiHandlers(node, ask ? std::move(ask) : Ask(http::fetch))})) {}
 
 Api::~Api() = default;
 
--- a/Libraries/LibAdmin/Api.h
+++ b/Libraries/LibAdmin/Api.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmin/FleetStatus.h>
 #include <LibAdmin/NodeControl.h>
 #include <LibAdmin/NodeSettings.h>
 #include <LibHttp/Server.h>
@@ -13,7 +14,8 @@
 /// /healthz and /readyz, which need no token.
 class Api {
 public:
-  Api(NodeControl &node, std::vector<Token> tokens);
+  /// \p ask reaches other nodes; http::fetch() when none is given.
+  Api(NodeControl &node, std::vector<Token> tokens, Ask ask = nullptr);
   ~Api();
 
   /// Handles one request; used as the handler of an http::Server.
--- a/Libraries/LibAdmin/ApiHandlers.cpp
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -3,17 +3,15 @@
 #include <LibAdmin/Answers.h>
 #include <LibAdmin/AttachPreview.h>
 #include <LibAdmin/AuditQuery.h>
+#include <LibAdmin/ChangeAnswer.h>
 #include <LibAdmin/ChangeRequest.h>
 #include <LibAdmin/ConfigurationReport.h>
 #include <LibAdmin/FleetReport.h>
+#include <LibAdmin/ImpactSurvey.h>
 #include <LibAdmin/StatusReport.h>
 
-#include <boost/asio/associated_executor.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <charconv>
-#include <memory>
 
 namespace radishcross::admin {
 
@@ -23,7 +21,6 @@
 namespace json = boost::json;
 using base::ResultCode;
 
-constexpr base::Duration ChangePatience = std::chrono::seconds(5);
 constexpr uint64_t DefaultRecordingSeconds = 60;
 constexpr uint64_t MaximumRecordingSeconds = 3600;
 constexpr std::string_view PrometheusType = "text/plain; version=0.0.4";
@@ -35,25 +32,6 @@
   return failureAnswer(reason);
 }
 
-/// Appends a record and waits until its fate is known or patience ends.
-asio::awaitable<ChangeOutcome> appendAndWait(NodeControl &node,
-                                             log::Record record) {
-  auto initiate = [&node, &record](auto handler) {
-    auto executor = asio::get_associated_executor(handler);
-    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-    node.change(std::move(record), ChangePatience,
-                [shared, executor](ChangeOutcome outcome) {
-                  asio::post(executor,
-                             [shared, outcome = std::move(outcome)]() mutable {
-                               (*shared)(std::move(outcome));
-                             });
-                });
-  };
-  return asio::async_initiate<const asio::use_awaitable_t<> &,
-                              void(ChangeOutcome)>(initiate,
-                                                   asio::use_awaitable);
-}
-
 json::object document(const fleet::Member &member) {
   const auto &self = member.Identity;
   json::object labels;
@@ -107,8 +85,12 @@
   if (!name.empty() && !Node.fold().configurations().contains(name))
     co_return failure(ResultCode::UnknownConfiguration,
                       "no configuration is named " + name);
-  auto answers = co_await askFleet(Node.members(), name,
-                                   std::move(request.Authorization), Send);
+  FleetQuestion question;
+  question.Target = "/v1/status";
+  if (!name.empty())
+    question.Target += "?configuration=" + percentEncode(name);
+  question.Authorization = std::move(request.Authorization);
+  auto answers = co_await askFleet(Node.members(), std::move(question), Send);
   co_return jsonAnswer(fleetReport(Node.fold(), name, answers));
 }
 
@@ -147,31 +129,16 @@
                                  {"content", std::move(*content)}});
 }
 
-ApiHandlers::Later ApiHandlers::change(ApiRequest request, Build build) {
-  if (!Node.ready())
-    co_return failure(ResultCode::NotRecovered,
-                      "the node has not recovered its configuration yet");
-  // A repeated request gets the outcome of the first one, whatever the state
-  // is by now.
-  auto id = queryText(request, "record");
-  if (auto known = Node.fold().outcomeOf(id))
-    co_return changeAnswer(
-        {ChangeOutcome::Kind::Accepted, std::move(id), std::move(*known)},
-        Node.fold());
-  base::LastReason reason;
-  auto record = build(request, Node.fold(), reason);
-  if (!record)
-    co_return failureAnswer(reason);
-  auto outcome = co_await appendAndWait(Node, std::move(*record));
-  co_return changeAnswer(outcome, Node.fold());
+ApiHandlers::Later ApiHandlers::impact(ApiRequest request) {
+  co_return co_await answerImpact(Node, request, Send);
 }
 
 ApiHandlers::Later ApiHandlers::publish(ApiRequest request) {
-  return change(std::move(request), publishRecord);
+  return answerChange(Node, std::move(request), {publishRecord, true}, Send);
 }
 
 ApiHandlers::Later ApiHandlers::attach(ApiRequest request) {
-  return change(std::move(request), attachRecord);
+  return answerChange(Node, std::move(request), {attachRecord, false}, Send);
 }
 
 http::Response ApiHandlers::previewAttach(const ApiRequest &request) {
@@ -183,11 +150,11 @@
 }
 
 ApiHandlers::Later ApiHandlers::detach(ApiRequest request) {
-  return change(std::move(request), detachRecord);
+  return answerChange(Node, std::move(request), {detachRecord, false}, Send);
 }
 
 ApiHandlers::Later ApiHandlers::drain(ApiRequest request) {
-  return change(std::move(request), drainRecord);
+  return answerChange(Node, std::move(request), {drainRecord, false}, Send);
 }
 
 http::Response ApiHandlers::audit(const ApiRequest &request) {
--- a/Libraries/LibAdmin/ApiHandlers.h
+++ b/Libraries/LibAdmin/ApiHandlers.h
@@ -27,6 +27,7 @@
   http::Response configurations(const ApiRequest &request);
   http::Response configuration(const ApiRequest &request);
   http::Response version(const ApiRequest &request);
+  Later impact(ApiRequest request);
   Later publish(ApiRequest request);
   Later attach(ApiRequest request);
   http::Response previewAttach(const ApiRequest &request);
@@ -41,14 +42,6 @@
   http::Response usage(const ApiRequest &request);
 
 private:
-  using Build = std::optional<log::Record> (*)(const ApiRequest &,
-                                               const log::Fold &,
-                                               base::LastReason &);
-
-  /// Builds a record, appends it and answers with its fate. A record whose
-  /// outcome is known already is not appended again.
-  Later change(ApiRequest request, Build build);
-
   NodeControl &Node;
   Ask Send;
 };
--- a/Libraries/LibAdmin/ChangeRequest.cpp
+++ b/Libraries/LibAdmin/ChangeRequest.cpp
@@ -15,6 +15,8 @@
 namespace json = boost::json;
 using base::ResultCode;
 
+const std::vector<std::string_view> PublishKeys = {"base", "content", "attach",
+                                                   "accepted_impact"};
 constexpr size_t MaximumNameLength = 64;
 constexpr std::string_view VmPrefix = "vm:";
 constexpr std::string_view ServicePrefix = "service:";
@@ -165,14 +167,44 @@
 
 } // namespace
 
+std::optional<PlannedContent> plannedContent(const ApiRequest &request,
+                                             base::LastReason &reason) {
+  auto name = readName(request.Captures.at(0), "configuration", reason);
+  if (!name)
+    return std::nullopt;
+  auto body = parseBody(request, PublishKeys, reason);
+  if (!body)
+    return std::nullopt;
+  const auto *document = body->if_contains("content");
+  if (!document)
+    return reason.fail(ResultCode::MissingKey, "content: the key is missing");
+  auto content = config::decodeVersionContent(*document, reason);
+  if (!content)
+    return std::nullopt;
+  return PlannedContent{
+      std::move(*name),
+      std::make_shared<const config::VersionContent>(std::move(*content))};
+}
+
+bool needsAssessment(const ApiRequest &request) {
+  base::LastReason ignored;
+  auto body = parseBody(request, PublishKeys, ignored);
+  if (!body)
+    return false;
+  const auto *attach = body->if_contains("attach");
+  const auto *accepted = body->if_contains("accepted_impact");
+  bool isAccepted =
+      accepted && accepted->is_string() && !accepted->as_string().empty();
+  return !isAccepted && !(attach && attach->is_null());
+}
+
 std::optional<log::Record> publishRecord(const ApiRequest &request,
                                          const log::Fold &fold,
                                          base::LastReason &reason) {
   auto name = readName(request.Captures.at(0), "configuration", reason);
   if (!name || !checkTeam(request, fold, *name, reason))
     return std::nullopt;
-  auto body = parseBody(
-      request, {"base", "content", "attach", "accepted_impact"}, reason);
+  auto body = parseBody(request, PublishKeys, reason);
   if (!body)
     return std::nullopt;
   const auto *content = body->if_contains("content");
--- a/Libraries/LibAdmin/ChangeRequest.h
+++ b/Libraries/LibAdmin/ChangeRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/ImpactCheck.h>
 #include <LibLog/Fold.h>
 #include <LibLog/Record.h>
 
@@ -11,6 +12,15 @@
 // Every request may carry ?record=ID: the client's choice of the record's id,
 // so that it can ask for the outcome when an answer was lost.
 
+/// Reads the content that a publish or a question for its impact carries, and
+/// the configuration's name from the path.
+std::optional<PlannedContent> plannedContent(const ApiRequest &request,
+                                             base::LastReason &reason);
+
+/// Tells whether a publish has to be assessed first: its impact is not accepted
+/// already, and some node is given the version.
+bool needsAssessment(const ApiRequest &request);
+
 /// Builds the record of a new version from the body {"base", "content",
 /// "attach", "accepted_impact"}. Without a "base" it is the newest version of
 /// \p fold. "attach" is {"name", "selector"} or a list of these. Without it a
--- a/Libraries/LibAdmin/FleetReport.cpp
+++ b/Libraries/LibAdmin/FleetReport.cpp
@@ -1,5 +1,6 @@
 #include <LibAdmin/FleetReport.h>
 
+#include <LibAdmin/DocumentReader.h>
 #include <LibAdmin/StatusReport.h>
 
 #include <boost/json/array.hpp>
@@ -19,19 +20,6 @@
   std::string Reason;
 };
 
-template <typename Number>
-Number numberAt(const json::object &from, std::string_view key) {
-  const auto *value = from.if_contains(key);
-  boost::system::error_code ec;
-  return value ? value->to_number<Number>(ec) : Number{};
-}
-
-std::string textAt(const json::object &from, std::string_view key) {
-  const auto *value = from.if_contains(key);
-  return value && value->is_string() ? std::string(value->as_string())
-                                     : std::string();
-}
-
 /// Returns the row of \p configuration in a node's own report, or null.
 const json::object *rowOf(const json::object &status,
                           std::string_view configuration) {
--- a/Libraries/LibAdmin/FleetStatus.cpp
+++ b/Libraries/LibAdmin/FleetStatus.cpp
@@ -1,6 +1,5 @@
 #include <LibAdmin/FleetStatus.h>
 
-#include <LibAdmin/ApiRequest.h>
 #include <LibSchema/StrictJson.h>
 
 #include <algorithm>
@@ -19,16 +18,13 @@
 namespace asio = boost::asio;
 
 constexpr size_t Concurrency = 64;
-constexpr base::Duration AskTimeout = std::chrono::seconds(1);
-constexpr base::Duration SurveyTimeout = std::chrono::seconds(6);
 
 /// The state that the workers of one survey share.
 struct Survey {
   std::vector<MemberAnswer> Answers;
   size_t Next = 0;
   size_t Working = 0;
-  std::string Target;
-  std::string Authorization;
+  FleetQuestion Question;
   Ask Send;
   std::chrono::steady_clock::time_point GivesUpAt;
   std::unique_ptr<asio::steady_timer> AllDone;
@@ -41,13 +37,14 @@
 
 asio::awaitable<void> askOne(const Survey &survey, MemberAnswer &answer) {
   namespace beast = boost::beast::http;
-  http::Request request(beast::verb::get, survey.Target, 11);
+  const auto &question = survey.Question;
+  http::Request request(beast::verb::get, question.Target, 11);
   const auto &server = answer.About.Identity.Administration;
   request.set(beast::field::host, server.text());
-  if (!survey.Authorization.empty())
-    request.set(beast::field::authorization, survey.Authorization);
-  auto got = co_await survey.Send(server, std::move(request), AskTimeout,
-                                  answer.Reason);
+  if (!question.Authorization.empty())
+    request.set(beast::field::authorization, question.Authorization);
+  auto got = co_await survey.Send(server, std::move(request),
+                                  question.AskTimeout, answer.Reason);
   if (!got)
     co_return;
   if (got->result() != beast::status::ok) {
@@ -92,17 +89,13 @@
 } // namespace
 
 asio::awaitable<std::vector<MemberAnswer>>
-askFleet(std::vector<fleet::Member> members, std::string configuration,
-         std::string authorization, Ask ask) {
+askFleet(std::vector<fleet::Member> members, FleetQuestion question, Ask ask) {
   auto executor = co_await asio::this_coro::executor;
   auto survey = std::make_shared<Survey>();
   survey->Answers = unansweredOf(std::move(members));
-  survey->Target = "/v1/status";
-  if (!configuration.empty())
-    survey->Target += "?configuration=" + percentEncode(configuration);
-  survey->Authorization = std::move(authorization);
+  survey->GivesUpAt = std::chrono::steady_clock::now() + question.GivesUpAfter;
+  survey->Question = std::move(question);
   survey->Send = std::move(ask);
-  survey->GivesUpAt = std::chrono::steady_clock::now() + SurveyTimeout;
   survey->AllDone = std::make_unique<asio::steady_timer>(
       executor, std::chrono::steady_clock::time_point::max());
   survey->Working = std::min(Concurrency, survey->Answers.size());
--- a/Libraries/LibAdmin/FleetStatus.h
+++ b/Libraries/LibAdmin/FleetStatus.h
@@ -19,12 +19,18 @@
     const base::Address &server, http::Request request, base::Duration timeout,
     base::LastReason &reason)>;
 
-/// Asks every member that is alive or suspect where it stands, a bounded number
-/// at once, and returns all but those that left, by data centre and node. Dead
-/// members are listed without being asked; a member that was not asked in time
-/// says so. \p authorization is passed on.
+/// One question to all members.
+struct FleetQuestion {
+  std::string Target; ///< Path and query of a GET.
+  std::string Authorization;
+  base::Duration AskTimeout = std::chrono::seconds(1);
+  base::Duration GivesUpAfter = std::chrono::seconds(6);
+};
+
+/// Asks every member that is alive or suspect, a bounded number at once, and
+/// returns all but those that left, by data centre and node. Dead members are
+/// listed without being asked; a member that was not asked in time says so.
 boost::asio::awaitable<std::vector<MemberAnswer>>
-askFleet(std::vector<fleet::Member> members, std::string configuration,
-         std::string authorization, Ask ask);
+askFleet(std::vector<fleet::Member> members, FleetQuestion question, Ask ask);
 
 } // namespace radishcross::admin
--- a/Tests/LibAdmin/TestApi.cpp
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -1,6 +1,9 @@
+#include <LibAdmin/ImpactCheck.h>
 #include <LibAdmin/MockNodeControl.h>
+#include <LibConfig/VersionContentCodec.h>
 
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
 using namespace radishcross;
@@ -24,10 +27,30 @@
   return std::string(from.at(key).as_string());
 }
 
-/// A node with its API.
+/// A node with its API. Other nodes answer with what Answers holds for the path
+/// asked for, or not at all.
 struct Fixture {
   MockNodeControl Node;
-  Api Served{Node, mockTokens()};
+  std::map<std::string, std::string> Answers;
+  size_t Asked = 0;
+  std::string AskedWith; ///< Authorization of the last question.
+  Api Served{Node, mockTokens(),
+             [this](const base::Address &, http::Request request,
+                    base::Duration, base::LastReason &reason) {
+               return answer(std::move(request), reason);
+             }};
+
+  boost::asio::awaitable<std::optional<http::Response>>
+  answer(http::Request request, base::LastReason &reason) {
+    ++Asked;
+    AskedWith = request[boost::beast::http::field::authorization];
+    auto it = Answers.find(std::string(request.target()));
+    if (it == Answers.end())
+      co_return reason.fail(ResultCode::NodeUnreachable, "it is not there");
+    http::Response out(boost::beast::http::status::ok, 11);
+    out.body() = it->second;
+    co_return out;
+  }
 
   http::Response get(const std::string &target, const char *token = "eye") {
     return call(Served, verb::get, target, token);
@@ -86,10 +109,11 @@
     CAPTURE(it.Target);
     for (const char *stranger : {"", "nobody"})
       CHECK(call(Served, it.Method, it.Target, stranger).result_int() == 401);
-    for (const auto &[name, role] : holders) {
-      CAPTURE(name);
-      auto status = call(Served, it.Method, it.Target, name).result_int();
-      CHECK((status == 403) == (role < it.Needs));
+    for (const auto &holder : holders) {
+      CAPTURE(holder.first);
+      auto status =
+          call(Served, it.Method, it.Target, holder.first).result_int();
+      CHECK((status == 403) == (holder.second < it.Needs));
       CHECK(status != 401);
     }
   }
@@ -253,6 +277,54 @@
   CHECK(textOf(rows[1], "reason") == "the node is dead");
 }
 
+TEST_CASE_FIXTURE(Fixture, "each node is asked once with the asker's token") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  for (int i = 0; i < 300; ++i)
+    Node.addMember("n" + std::to_string(i), "north", fleet::MemberState::Alive);
+  Answers["/v1/status?configuration=badges"] = R"({"offset": 1,
+    "configurations": [{"configuration": "badges", "version": 1}]})";
+  auto all = documentOf(get("/v1/fleet-status?configuration=badges"));
+  CHECK(Asked == 300);
+  CHECK(AskedWith == "Bearer eye-secret");
+  CHECK(all.at("current").as_int64() == 300);
+  Answers["/v1/status?configuration=badges"] = R"({"configurations": [{
+    "configuration": "badges", "version": 0, "waiting": {"reason": "tides"}}]})";
+  auto none = documentOf(get("/v1/fleet-status?configuration=badges"));
+  CHECK(textOf(none.at("rows").at(0), "standing") == "waiting");
+  CHECK(textOf(none.at("rows").at(0), "reason") == "tides");
+  for (const char *garbage : {"", "7", "{\"configurations\": [1, {}]}"}) {
+    Answers["/v1/status?configuration=badges"] = garbage;
+    CHECK(documentOf(get("/v1/fleet-status?configuration=badges"))
+              .at("current") == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a harmful publish needs its impact accepted") {
+  REQUIRE(publish("record-0001", Publish).result_int() == 200);
+  Node.addMember("north-1", "north", fleet::MemberState::Alive);
+  Answers["/v1/usage"] =
+      R"({"routes": [{"route": "badges/look", "calls_per_second": 9}]})";
+  auto harmful = boost::json::parse(Publish);
+  harmful.at("content").as_object().erase("routes");
+  auto body = boost::json::serialize(harmful);
+  auto refused = publish("record-0002", body);
+  CHECK(refused.result_int() == 409);
+  auto document = documentOf(refused);
+  CHECK(document.at("code").as_int64() == 2010);
+  CHECK(textOf(document.at("impact").at("lost_routes").at(0), "route") ==
+        "badges/look");
+  auto asked =
+      documentOf(post("/v1/configurations/badges/impact", body, "eye"));
+  CHECK(asked == document.at("impact"));
+  CHECK(Node.Appends == 1);
+  harmful.as_object()["accepted_impact"] = "the season is over";
+  CHECK(publish("record-0002", boost::json::serialize(harmful)).result_int() ==
+        200);
+  auto audit = documentOf(get("/v1/audit"));
+  CHECK(textOf(audit.at("entries").at(1), "accepted_impact") ==
+        "the season is over");
+}
+
 TEST_CASE_FIXTURE(Fixture, "a preview lists who would change") {
   REQUIRE(publish("record-0001", Publish).result_int() == 200);
   for (const char *id : {"north-1", "north-2"})
@@ -268,6 +340,74 @@
   CHECK(Node.Appends == 1);
 }
 
+TEST_CASE("the calls that a change would harm are found") {
+  log::Fold fold;
+  log::Record record{"r-1",
+                     log::RecordKind::Publish,
+                     {"permits", "ops", "127.0.0.1"},
+                     boost::json::parse(Publish)};
+  auto &body = record.Body.as_object();
+  body["configuration"] = "badges";
+  body["base"] = 0;
+  body["attach"] = boost::json::object{{"name", "badges"}};
+  REQUIRE(fold.apply({1, log::encodeRecord(record)}).Code == ResultCode::Ok);
+  config::Usage usage;
+  usage.CallsPerSecond["badges/look"] = 40;
+  auto assess = [&](const char *document) {
+    base::LastReason reason;
+    auto content =
+        config::decodeVersionContent(boost::json::parse(document), reason);
+    REQUIRE(content);
+    auto found = assessImpact(
+        fold,
+        {"badges",
+         std::make_shared<config::VersionContent>(std::move(*content))},
+        usage, reason);
+    REQUIRE(found);
+    return *found;
+  };
+  const char *withoutRoutes = R"({"services": [{"name": "lookup"}]})";
+  const char *elsewhere = R"({"services": [{"name": "lookup"}, {"name": "new"}],
+    "routes": [{"name": "look", "match": {"path_prefix": "/badges"},
+                "service": "new", "rank": "standard"}]})";
+  const char *dangling = R"({"routes": [{"name": "look", "service": "x/y",
+    "match": {"path_prefix": "/badges"}}]})";
+  auto lost = assess(withoutRoutes);
+  CHECK_FALSE(lost.Found.isHarmless());
+  CHECK(lost.Found.LostCallsPerSecond[1] == 40);
+  // The service has no targets now, so a version that keeps it harms nobody.
+  CHECK(assess(R"({"services": [{"name": "lookup"}], "routes": [{"name": "l",
+    "match": {"path_prefix": "/badges"}, "service": "lookup",
+    "rank": "standard"}]})")
+            .Found.isHarmless());
+  usage.Services["badges/lookup"].Targets = 3;
+  CHECK(assess(elsewhere).Found.WithoutTargets ==
+        std::vector<std::string>{"badges/new"});
+  CHECK_FALSE(assess(dangling).WaitsFor.empty());
+  usage.CallsPerSecond.clear();
+  CHECK(assess(withoutRoutes).Found.isHarmless());
+}
+
+TEST_CASE("usage is added up over nodes and targets counted") {
+  std::vector<MemberAnswer> answers(3);
+  auto &targets = answers[0].About.Targets;
+  targets.resize(2);
+  targets[0].Service = targets[1].Service = "badges/lookup";
+  targets[0].State = fleet::TargetState::Ready;
+  targets[1].State = fleet::TargetState::Draining;
+  for (size_t i = 0; i < 2; ++i)
+    answers[i].Status = boost::json::parse(R"({"routes": [
+      {"route": "badges/look", "calls_per_second": 2.5}, 7], "services": [
+      {"service": "badges/lookup", "queue_length": 4}]})")
+                            .as_object();
+  auto usage = sumUsage(answers);
+  CHECK(usage.Asked == 3);
+  CHECK(usage.Answered == 2);
+  CHECK(usage.Sum.CallsPerSecond.at("badges/look") == 5);
+  CHECK(usage.Sum.Services.at("badges/lookup").Targets == 1);
+  CHECK(usage.Sum.Services.at("badges/lookup").QueueLength == 4);
+}
+
 TEST_CASE_FIXTURE(Fixture, "operating a node") {
   CHECK(get("/v1/recording?seconds=30", "root").body() == "trace of 30");
   CHECK(get("/v1/recording?seconds=x", "root").result_int() == 400);
