--- a/Services/Radishcross/Change.cpp
+++ b/Services/Radishcross/Change.cpp
@@ -1,5 +1,6 @@
 #include "Change.h"
 
+#include "ImpactText.h"
 #include "NodeApi.h"
 #include "Output.h"
 
@@ -28,10 +29,13 @@
   reason.fail(answer.Code, cell(answer.Document, "reason"));
   std::fprintf(stderr, "rejected: %s: %s\n", what.c_str(),
                reason.line().c_str());
-  const auto &document = answer.Document;
-  const auto *winner = document.is_object()
-                           ? document.as_object().if_contains("winner")
-                           : nullptr;
+  const auto *document = answer.Document.if_object();
+  const auto *impact = document ? document->if_contains("impact") : nullptr;
+  if (impact) {
+    std::fputs(impactText(*impact).c_str(), stderr);
+    std::fputs("to go ahead, name the reason: --accept-impact TEXT\n", stderr);
+  }
+  const auto *winner = document ? document->if_contains("winner") : nullptr;
   if (!winner)
     return;
   std::fprintf(stderr, "won by: %s of team %s from %s, version %s, offset %s\n",
--- a/Services/Radishcross/Command.h
+++ b/Services/Radishcross/Command.h
@@ -35,6 +35,7 @@
 base::ResultCode status(const Arguments &arguments);
 base::ResultCode watch(const Arguments &arguments);
 base::ResultCode diff(const Arguments &arguments);
+base::ResultCode impact(const Arguments &arguments);
 base::ResultCode audit(const Arguments &arguments);
 base::ResultCode drain(const Arguments &arguments);
 base::ResultCode members(const Arguments &arguments);
--- a/Services/Radishcross/Versions.cpp
+++ b/Services/Radishcross/Versions.cpp
@@ -7,6 +7,7 @@
 #include <LibConfig/Difference.h>
 
 #include <absl/flags/flag.h>
+#include <boost/json/serialize.hpp>
 
 namespace radishcross::cli {
 
