--- a/Libraries/LibAdmin/Players.cpp
+++ b/Libraries/LibAdmin/Players.cpp
@@ -1,10 +1,14 @@
-#include "Players.h"
+#include <LibAdmin/Players.h>
 
+#include <LibCalls/AdmissionPlayer.h>
+#include <LibCalls/CallPlanPlayer.h>
+#include <LibCalls/IdempotencyPlayer.h>
+#include <LibCalls/LeasePlayer.h>
 #include <LibCalls/QuarantinePlayer.h>
 #include <LibLog/FoldPlayer.h>
 #include <LibLog/HeldPlayer.h>
 
-namespace radishcross::cli {
+namespace radishcross::admin {
 
 using trace::Module;
 
@@ -14,9 +18,13 @@
     auto fold = std::make_unique<log::FoldPlayer>();
     out[Module::Snapshot] = std::make_unique<log::HeldPlayer>(*fold);
     out[Module::Fold] = std::move(fold);
+    out[Module::Admission] = std::make_unique<calls::AdmissionPlayer>();
+    out[Module::TargetLease] = std::make_unique<calls::LeasePlayer>();
+    out[Module::CallPlan] = std::make_unique<calls::CallPlanPlayer>();
+    out[Module::Idempotency] = std::make_unique<calls::IdempotencyPlayer>();
     out[Module::Quarantine] = std::make_unique<calls::QuarantinePlayer>();
     return out;
   });
 }
 
-} // namespace radishcross::cli
+} // namespace radishcross::admin
--- a/Libraries/LibAdmin/Players.h
+++ b/Libraries/LibAdmin/Players.h
@@ -2,10 +2,10 @@
 
 #include <LibTrace/Replay.h>
 
-namespace radishcross::cli {
+namespace radishcross::admin {
 
 /// Returns a replay that knows the player of every decision module that has
 /// one.
 trace::Replay allPlayers();
 
-} // namespace radishcross::cli
+} // namespace radishcross::admin
--- a/Services/Radishcross/Impact.cpp
+++ b/Services/Radishcross/Impact.cpp
@@ -8,6 +8,7 @@
 #include <LibSchema/StrictJson.h>
 
 #include <absl/flags/flag.h>
+#include <absl/strings/str_format.h>
 #include <boost/json/serialize.hpp>
 
 namespace radishcross::cli {
@@ -28,7 +29,8 @@
                std::string_view key, std::string_view what) {
   for (const auto &it : listOf(impact, key))
     out += std::string(what) + cell(it, "route") + " (" + cell(it, "rank") +
-           ", " + cell(it, "calls_per_s") + " calls a second)\n";
+           absl::StrFormat(", %.2f calls a second)\n",
+                           it.at("calls_per_s").to_number<double>());
 }
 
 } // namespace
--- a/Services/Radishcross/Traces.cpp
+++ b/Services/Radishcross/Traces.cpp
@@ -2,8 +2,8 @@
 #include "Flags.h"
 #include "NodeApi.h"
 #include "Output.h"
-#include "Players.h"
 
+#include <LibAdmin/Players.h>
 #include <LibTrace/TraceText.h>
 
 #include <absl/flags/flag.h>
@@ -45,6 +45,7 @@
 /// One replayed trace, for people and for machines.
 struct Result {
   std::string Path;
+  std::vector<trace::Module> LeftOut; ///< By the recording.
   trace::ReplayReport Report;
   double Seconds = 0;
 };
@@ -60,7 +61,11 @@
   json::object notPlayed;
   for (const auto &[module, n] : result.Report.NotPlayed)
     notPlayed[base::nameOf(trace::ModuleNames, module)] = n;
+  json::array leftOut;
+  for (auto module : result.LeftOut)
+    leftOut.emplace_back(base::nameOf(trace::ModuleNames, module));
   json::object out{{"trace", result.Path},
+                   {"left_out", std::move(leftOut)},
                    {"played", result.Report.Played},
                    {"not_played", std::move(notPlayed)},
                    {"seconds", result.Seconds},
@@ -74,6 +79,9 @@
   print(result.Path + ": " + std::to_string(result.Report.Played) +
         " entries played, " + rateOf(result) + " a second, " +
         (result.Report.First ? "one differs" : "all outcomes agree") + "\n");
+  for (auto module : result.LeftOut)
+    print("  not recorded whole: " +
+          std::string(base::nameOf(trace::ModuleNames, module)) + "\n");
   for (const auto &[module, n] : result.Report.NotPlayed)
     print("  not played: " + std::to_string(n) + " entries of " +
           std::string(base::nameOf(trace::ModuleNames, module)) + "\n");
@@ -93,6 +101,7 @@
   }
   Result result;
   result.Path = path;
+  result.LeftOut = trace->LeftOut;
   auto start = std::chrono::steady_clock::now();
   result.Report = players.run(*trace);
   std::chrono::duration<double> taken =
@@ -122,7 +131,7 @@
 }
 
 ResultCode replay(const Arguments &arguments) {
-  auto players = allPlayers();
+  auto players = admin::allPlayers();
   auto worst = ResultCode::Ok;
   for (const auto &path : arguments) {
     auto code = replayOne(players, path);
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -4,6 +4,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <set>
+#include <string>
 
 using namespace radishcross;
 using base::ResultCode;
@@ -116,3 +119,45 @@
   CHECK_FALSE(admin::decodeNodeSettings(document, reason));
   CHECK(reason.code() == ResultCode::BadValue);
 }
+
+namespace {
+
+/// Adds the paths of all keys that a schema's object knows.
+void addPaths(const boost::json::value &schema, const std::string &prefix,
+              std::set<std::string> &out) {
+  if (const auto *items = schema.as_object().if_contains("items"))
+    addPaths(*items, prefix.substr(0, prefix.size() - 1) + "[].", out);
+  const auto *properties = schema.as_object().if_contains("properties");
+  if (!properties)
+    return;
+  for (const auto &[key, value] : properties->as_object()) {
+    out.insert(prefix + std::string(key));
+    addPaths(value, prefix + std::string(key) + ".", out);
+  }
+}
+
+} // namespace
+
+TEST_CASE("the page of settings holds exactly the keys of the schema") {
+  std::ifstream page(RADISHCROSS_SOURCE_DIR "/docs/SETTINGS.md");
+  REQUIRE(page);
+  std::set<std::string> found;
+  std::string example;
+  bool isExample = false;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("| `"))
+      found.insert(line.substr(3, line.find('`', 3) - 3));
+    if (line.starts_with("```"))
+      isExample = !isExample;
+    else if (isExample)
+      example += line;
+  }
+  std::set<std::string> expected;
+  addPaths(boost::json::parse(admin::nodeSettingsSchemaText()), "", expected);
+  CHECK(found == expected);
+  base::LastReason reason;
+  auto settings =
+      admin::decodeNodeSettings(boost::json::parse(example), reason);
+  CAPTURE(reason.line());
+  CHECK(settings);
+}
