--- a/Libraries/LibTrace/Ring.cpp
+++ b/Libraries/LibTrace/Ring.cpp
@@ -1,11 +1,28 @@
 #include <LibTrace/Ring.h>
 
 #include <algorithm>
-#include <array>
-#include <limits>
+#include <set>
 
 namespace radishcross::trace {
 
+namespace {
+
+/// A module whose player reads what another module's player holds, so that its
+/// entries begin after the other's.
+struct Dependency {
+  Module Reader;
+  Module Source;
+};
+
+/// Modules whose set-up entry holds all the state that they have by then.
+constexpr Module StartedAnew[] = {Module::Fold, Module::Snapshot,
+                                  Module::Recovery, Module::CallPlan,
+                                  Module::Idempotency};
+
+constexpr Dependency Dependencies[] = {{Module::Snapshot, Module::Fold}};
+
+} // namespace
+
 Ring::Ring(const RingLimits &limits) : Limits(limits) {
   // A ring that can hold nothing would have no slot to write to.
   Limits.Entries = std::max<size_t>(1, Limits.Entries);
@@ -14,16 +31,21 @@
 
 void Ring::dropOldest() {
   auto &oldest = Slots[First];
+  countDropped(oldest);
   TextBytes -= oldest.Text.size();
   oldest.Text = std::string();
   First = (First + 1) % Slots.size();
   --Count;
+}
+
+void Ring::countDropped(const Entry &entry) {
   ++Dropped;
+  ++DroppedOf[static_cast<size_t>(entry.Source)];
 }
 
 void Ring::record(Entry entry) {
   if (entry.Text.size() > Limits.TextBytes) {
-    ++Dropped;
+    countDropped(entry);
     return;
   }
   while (Count == Slots.size() ||
@@ -34,22 +56,47 @@
   ++Count;
 }
 
-std::vector<Entry> Ring::since(int64_t fromMicroseconds) const {
-  constexpr size_t None = std::numeric_limits<size_t>::max();
-  // Where the entries of each module begin.
-  std::array<size_t, std::size(ModuleNames)> begin{};
-  begin.fill(None);
+size_t Ring::findSetUp(Module source, int64_t fromMicroseconds,
+                       size_t first) const {
+  size_t found = Count;
+  for (size_t i = first; i < Count; ++i) {
+    const auto &entry = at(i);
+    if (entry.Source != source || entry.Event != SetUpEvent)
+      continue;
+    if (entry.AtMicroseconds > fromMicroseconds && found != Count)
+      break;
+    found = i;
+  }
+  return found;
+}
+
+std::array<size_t, std::size(ModuleNames)>
+Ring::begins(int64_t fromMicroseconds) const {
+  std::array<size_t, std::size(ModuleNames)> out{};
+  for (size_t i = 0; i < out.size(); ++i)
+    out[i] = DroppedOf[i] == 0 ? 0 : Count;
+  for (Module it : StartedAnew)
+    out[static_cast<size_t>(it)] = findSetUp(it, fromMicroseconds, 0);
+  for (const auto &it : Dependencies)
+    out[static_cast<size_t>(it.Reader)] =
+        findSetUp(it.Reader, fromMicroseconds,
+                  std::min(Count, out[static_cast<size_t>(it.Source)]));
+  return out;
+}
+
+Trace Ring::recording(const std::string &node, uint64_t seed,
+                      int64_t fromMicroseconds) const {
+  Trace out{node, seed, "", {}, {}};
+  auto begin = begins(fromMicroseconds);
+  std::set<Module> leftOut;
   for (size_t i = 0; i < Count; ++i) {
     const auto &entry = at(i);
-    auto &start = begin[static_cast<size_t>(entry.Source)];
-    bool isBefore = entry.AtMicroseconds <= fromMicroseconds;
-    if (entry.Event == SetUpEvent && (isBefore || start == None))
-      start = i;
+    if (begin[static_cast<size_t>(entry.Source)] <= i)
+      out.Entries.push_back(entry);
+    else if (entry.AtMicroseconds >= fromMicroseconds)
+      leftOut.insert(entry.Source);
   }
-  std::vector<Entry> out;
-  for (size_t i = 0; i < Count; ++i)
-    if (begin[static_cast<size_t>(at(i).Source)] <= i)
-      out.push_back(at(i));
+  out.LeftOut.assign(leftOut.begin(), leftOut.end());
   return out;
 }
 
