--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -1,6 +1,7 @@
 #include <LibBase/Logger.h>
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/FoldPlayer.h>
 #include <LibPeer/FleetNode.h>
 
 #include <algorithm>
@@ -68,6 +69,7 @@
       Timer(*Environment.Context) {
   Environment.Counters->counter("steps_back_total") = 0;
   recordSetUp(settings);
+  recordState();
 }
 
 FleetNode::~FleetNode() {
@@ -233,6 +235,11 @@
   Environment.Recorder->record(fleet::SpreaderPlayer::setUp(SpreadSeed, now));
 }
 
+void FleetNode::recordState() {
+  auto at = Environment.Time->now().time_since_epoch().count();
+  Environment.Recorder->record(log::traceLoad(at, Held));
+}
+
 void FleetNode::recordLook(const fleet::RecoveryView &view) {
   auto entry = fleet::RecoveryPlayer::look(view, Environment.Time->now());
   entry.Decided = fleet::RecoveryPlayer::outcomeOf(Recovering);
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -58,6 +58,7 @@
   fleet::SpreadView spreadView() const;
   void recover();
   void recordSetUp(const fleet::RecoverySettings &settings);
+  void recordState();
   void recordLook(const fleet::RecoveryView &view);
   void reportChanges();
 
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -1,6 +1,8 @@
 #include <LibBase/Logger.h>
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/FoldPlayer.h>
+#include <LibLog/SpreadForm.h>
 #include <LibPeer/FleetNode.h>
 
 #include <algorithm>
@@ -94,6 +96,9 @@
       continue;
     if (it.At != heldOffset() + 1)
       break;
+    // Parts of a snapshot are passed on empty, or each would cross every link.
+    if (auto form = log::spreadForm(it); form.size() != it.Bytes.size())
+      it.Bytes = std::string(form);
     Records.add(it);
     Waiting.push_back(std::move(it));
   }
@@ -117,6 +122,7 @@
   Waiting.clear();
   Held = std::move(*loaded);
   HeldHash = Held.hash();
+  recordState();
   heldAdvanced(source);
   if (Recovering.isServing() && Environment.FoldAdvanced)
     Environment.FoldAdvanced(Held);
@@ -135,9 +141,13 @@
     return;
   auto before = Held.offset();
   auto alone = Rule.forcedAlone();
-  auto allowed = Rule.allowed(Members.table(), Environment.Time->now());
+  auto now = Environment.Time->now();
+  auto at = now.time_since_epoch().count();
+  auto allowed = Rule.allowed(Members.table(), now);
   while (!Waiting.empty() && Waiting.front().At <= allowed) {
-    Held.apply(Waiting.front());
+    auto outcome = Held.apply(Waiting.front());
+    Environment.Recorder->record(
+        log::traceApply(at, Waiting.front(), outcome, Held));
     Waiting.pop_front();
   }
   if (Held.offset() < before)
--- a/Libraries/LibPeer/FleetSnapshots.cpp
+++ b/Libraries/LibPeer/FleetSnapshots.cpp
@@ -74,6 +74,7 @@
   Held = std::move(Candidate->State);
   Candidate.reset();
   HeldHash = Held.hash();
+  recordState();
   heldAdvanced({});
   return true;
 }
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/FoldPlayer.h>
 #include <LibLog/SnapshotParts.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MockPlatform.h>
@@ -173,13 +174,17 @@
   CHECK(newcomer.Fleet->fold().hash() == fleet.Shells[0]->Fleet->fold().hash());
 
   // What each node recorded decides the same again; altered, it does not.
-  trace::Replay replay;
-  replay.add(trace::Module::Recovery,
-             [] { return std::make_unique<fleet::RecoveryPlayer>(); });
-  replay.add(trace::Module::Spreader,
-             [] { return std::make_unique<fleet::SpreaderPlayer>(); });
+  trace::Replay replay([] {
+    trace::Replay::Players players;
+    players[trace::Module::Recovery] =
+        std::make_unique<fleet::RecoveryPlayer>();
+    players[trace::Module::Fold] = std::make_unique<log::FoldPlayer>();
+    players[trace::Module::Spreader] =
+        std::make_unique<fleet::SpreaderPlayer>();
+    return players;
+  });
   for (const auto &ring : fleet.Rings) {
-    trace::Trace recorded{"node", 0, "", ring->since(0)};
+    auto recorded = ring->recording("node", 0, 0);
     auto report = replay.run(recorded);
     CHECK(report.Played >= 6);
     CHECK_FALSE(report.First);
