LibNode: Serve recordings that begin with their modules' set-up

Measured: LibPeer's and LibNode's tests pass; the replay check on the shells' recordings is as strict as before.

--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -292,11 +292,8 @@
 
 std::string NodeProcess::recording(uint32_t seconds) const {
   auto from = Time.now() - std::chrono::seconds(seconds);
-  trace::Trace out;
-  out.Node = Self.Id;
-  out.Seed = Seed;
-  out.Entries = Decisions.since(from.time_since_epoch().count());
-  return trace::writeTrace(out);
+  return trace::writeTrace(
+      Decisions.recording(Self.Id, Seed, from.time_since_epoch().count()));
 }
 
 void NodeProcess::drainSelf() {
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -173,13 +173,14 @@
   CHECK(newcomer.Fleet->fold().hash() == fleet.Shells[0]->Fleet->fold().hash());
 
   // What each node recorded decides the same again; altered, it does not.
-  trace::Replay replay;
-  replay.add(trace::Module::Recovery,
-             [] { return std::make_unique<fleet::RecoveryPlayer>(); });
-  replay.add(trace::Module::Spreader,
-             [] { return std::make_unique<fleet::SpreaderPlayer>(); });
+  trace::Replay replay([] {
+    trace::Replay::Players out;
+    out[trace::Module::Recovery] = std::make_unique<fleet::RecoveryPlayer>();
+    out[trace::Module::Spreader] = std::make_unique<fleet::SpreaderPlayer>();
+    return out;
+  });
   for (const auto &ring : fleet.Rings) {
-    trace::Trace recorded{"node", 0, "", ring->since(0)};
+    auto recorded = ring->recording("node", 0, 0);
     auto report = replay.run(recorded);
     CHECK(report.Played >= 6);
     CHECK_FALSE(report.First);
