--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -23,6 +23,37 @@
 constexpr std::string_view RefusedBusy = "pulls_dropped_total{reason=\"busy\"}";
 constexpr std::string_view DroppedCrowded =
     "pulls_dropped_total{reason=\"crowded\"}";
+/// Counts itself for as long as it lives.
+class Counted {
+public:
+  explicit Counted(size_t &count) : Count(count) { ++Count; }
+  ~Counted() { --Count; }
+  Counted(const Counted &) = delete;
+  Counted &operator=(const Counted &) = delete;
+
+private:
+  size_t &Count;
+};
+
+/// A place at the gate for transfers, given back at the end.
+class TransferPlace {
+public:
+  TransferPlace(fleet::TransferGate &gate, bool isState)
+      : Gate(gate), IsState(isState), IsTaken(gate.begin(isState)) {}
+  ~TransferPlace() {
+    if (IsTaken)
+      Gate.end(IsState);
+  }
+  TransferPlace(const TransferPlace &) = delete;
+  TransferPlace &operator=(const TransferPlace &) = delete;
+  bool taken() const { return IsTaken; }
+
+private:
+  fleet::TransferGate &Gate;
+  bool IsState;
+  bool IsTaken;
+};
+
 } // namespace
 
 PullServer::PullServer(asio::io_context &context, MeshProof proof,
@@ -99,9 +130,8 @@
 asio::awaitable<void> PullServer::answer(tcp::socket &socket,
                                          PullRequest request) {
   PullAnswer answer;
-  bool isState = request.Kind == PullKind::State;
-  bool hasPlace = Transfers.begin(isState);
-  if (hasPlace) {
+  TransferPlace place(Transfers, request.Kind == PullKind::State);
+  if (place.taken()) {
     answer = Serve(request);
   } else {
     ++Counters.counter(RefusedBusy);
@@ -114,18 +144,15 @@
   auto frame = Proof.seal(encodePullAnswer(answer));
   *Bytes.Sent += frame.size() + FrameHeaderBytes;
   co_await writeFrame(socket, std::move(frame));
-  if (hasPlace)
-    Transfers.end(isState);
 }
 
 asio::awaitable<void> PullServer::serve(tcp::socket socket) {
   auto self = shared_from_this();
-  ++Connections;
+  Counted counted(Connections);
   FrameDeadline deadline(socket, ConnectionLifetime);
   auto request = co_await readRequest(socket);
   if (request)
     co_await answer(socket, std::move(*request));
-  --Connections;
 }
 
 } // namespace radishcross::peer
