LibFleet: Push records' news without members' updates

With 60 real nodes shortly after their start, twelve changes at 3.75 a second cost 46 KB/s a node: every push of a record's news also carried up to 1,000 bytes of members' updates that were still going round. Such pushes now carry the digest alone. Notices, which travelled on pushes alone and so missed about one node in twenty, travel on probes and answers too.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -17,6 +17,7 @@
 constexpr uint64_t DeadProbeChance = 10; ///< One link in so many.
 constexpr size_t SeedsPerJoin = 3;
 constexpr size_t MaximumPulledNews = 20;
+constexpr size_t NoticeBytes = 420;  ///< Room for one notice of any size.
 constexpr uint32_t NoticeRounds = 3; ///< Pushes that carry one notice.
 constexpr size_t MaximumFoundSeeds = 32;
 
@@ -67,10 +68,12 @@
   bool isSecondPush = SecondPush && now >= *SecondPush;
   if (isSecondPush)
     SecondPush.reset();
-  if (!isNewsDue(now) && !isSecondPush)
+  bool hasNews = isNewsDue(now);
+  if (!hasNews && !isSecondPush)
     return actions;
-  HasNews = false;
-  auto sends = push([](const Member &) { return true; }, now);
+  HasNews = HasNews && !hasNews;
+  auto sends = push([](const Member &) { return true; },
+                    hasNews ? Payload::Updates : Payload::DigestOnly);
   std::move(sends.begin(), sends.end(), std::back_inserter(actions.Sends));
   return actions;
 }
@@ -179,16 +182,17 @@
                                              const NodeId &source) {
   auto delay = Settings.SecondPushDelay.count();
   SecondPush = now + base::Duration(delay / 2 + Dice.below(delay));
-  auto sends =
-      push([&](const Member &it) { return it.HeldOffset < Own.Held; }, now);
+  auto sends = push([&](const Member &it) { return it.HeldOffset < Own.Held; },
+                    Payload::DigestOnly);
   if (const auto *it = Table.find(source))
-    sends.push_back({it->Identity.Gossip, compose(GossipKind::News)});
+    sends.push_back({it->Identity.Gossip,
+                     compose(GossipKind::News, 0, {}, Payload::DigestOnly)});
   return sends;
 }
 
 std::vector<GossipSend>
 Membership::push(const std::function<bool(const Member &)> &accept,
-                 base::TimePoint now) {
+                 Payload payload) {
   auto peers = choose(Settings.NewsFanout, [&](const Member &it) {
     return isLocal(it) && accept(it);
   });
@@ -198,19 +202,17 @@
          }))
       peers.push_back(it);
   std::vector<GossipSend> sends;
-  for (const auto *it : peers) {
-    auto message = compose(GossipKind::News);
-    message.Notices = Board.toSend(Settings.UpdateBytes / 2,
-                                   Settings.NewsFanout * NoticeRounds, now);
-    sends.push_back({it->Identity.Gossip, std::move(message)});
-  }
+  sends.reserve(peers.size());
+  for (const auto *it : peers)
+    sends.push_back(
+        {it->Identity.Gossip, compose(GossipKind::News, 0, {}, payload)});
   return sends;
 }
 
 std::vector<GossipSend> Membership::leave(base::TimePoint now) {
   setState(self(), MemberState::Left, now);
   IsLeaving = true;
-  return push([](const Member &) { return true; }, now);
+  return push([](const Member &) { return true; }, Payload::Updates);
 }
 
 void Membership::takePulled(const std::vector<Member> &records,
@@ -345,13 +347,17 @@
 std::vector<Notice> Membership::takeNewNotices() { return Board.takeNew(); }
 
 GossipMessage Membership::compose(GossipKind kind, uint64_t probe,
-                                  const NodeId &subject) {
+                                  const NodeId &subject, Payload payload) {
   GossipMessage message;
   message.Kind = kind;
   message.Probe = probe;
   message.Subject = subject;
   message.Summary = Own;
   message.Summary.MembersHash = Table.hash();
+  if (payload == Payload::DigestOnly)
+    return message;
+  message.Notices =
+      Board.toSend(NoticeBytes, Settings.NewsFanout * NoticeRounds, LastTick);
   addUpdates(message);
   return message;
 }
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -35,7 +35,7 @@
   base::Duration LongestJoinPeriod = std::chrono::seconds(30);
   base::Duration PullSpacing = std::chrono::seconds(5);
   uint32_t DifferencesBeforePull = 3;
-  size_t UpdateBytes = 1000; ///< Room for updates in one datagram.
+  size_t UpdateBytes = 800; ///< Room for updates in one datagram.
 };
 
 /// What membership wants done.
@@ -100,6 +100,9 @@
   choose(size_t count, const std::function<bool(const Member &)> &accept);
 
 private:
+  /// What a datagram carries besides the digest.
+  enum class Payload : uint8_t { DigestOnly, Updates };
+
   void mergeNews(const MemberUpdate &update, base::TimePoint now,
                  bool isPassedOn = true);
   void refute(const MemberUpdate &update);
@@ -121,14 +124,15 @@
   void compareTables(const GossipSender &sender, const Digest &theirs,
                      base::TimePoint now, MembershipActions &actions);
   GossipMessage compose(GossipKind kind, uint64_t probe = 0,
-                        const NodeId &subject = {});
+                        const NodeId &subject = {},
+                        Payload payload = Payload::Updates);
   void addUpdates(GossipMessage &message);
   MemberUpdate updateOf(const NodeId &id, bool hasContent) const;
   MemberUpdate ownUpdate() const { return updateOf(SelfId, true); }
   size_t liveCount(std::string_view dataCentre) const;
   bool drawLink();
   std::vector<GossipSend>
-  push(const std::function<bool(const Member &)> &accept, base::TimePoint now);
+  push(const std::function<bool(const Member &)> &accept, Payload payload);
   bool isLocal(const Member &member) const {
     return member.Identity.DataCentre == DataCentre;
   }
