Meta: Give each run of callers its own seed

Cause: two runs on one mesh had equal seeds, so equal request ids; the second run's refused calls were found among the first run's: history-flood reported 2,173 calls told not run but run and 36 repeated. Ruled out: retries, which the trace of the caller's node does not show for these ids.

--- a/Meta/measure_calls.py
+++ b/Meta/measure_calls.py
@@ -64,12 +64,13 @@
         return self.mesh.command("publish", path, "--configuration", CONFIGURATION)["version"]
 
     def start(self, mix, rate, *options, seconds=SECONDS, addresses=None):
-        """Starts open-loop callers with the shares of a mix."""
+        """Starts open-loop callers with the shares of a mix. Each run has its own
+        seed: request ids are made from it, and targets count runs by them."""
         nodes = addresses or [it.address("calls") for it in self.mesh.nodes]
         process = self.mesh.spawn(
             [self.mesh.build / "stand-ins", "load", "--nodes", ",".join(nodes),
              "--targets", ",".join(it.address for it in self.mesh.targets),
-             "--rate", rate, "--seconds", seconds, "--seed", SEED, "--mix", mix, *options],
+             "--rate", rate, "--seconds", seconds, "--seed", SEED + len(self.mesh.others), "--mix", mix, *options],
             f"load-{len(self.mesh.others)}", stdout=subprocess.PIPE)
         self.mesh.others.append(process)
         return process
