LibConfig: Read usage as nodes report it and add it up

Cause: nodes report their usage as lists, and an impact over many nodes needs one sum.

decodeUsage reads {"routes": [{"route", "calls_per_second"}], "services": [...]}; Usage::add sums calls and targets and keeps the largest use of a limit. Where the targets are not known, nothing is said of services without them.

--- a/Libraries/LibConfig/Impact.cpp
+++ b/Libraries/LibConfig/Impact.cpp
@@ -58,14 +58,22 @@
       std::min<double>(numberAt(from, key), UINT32_MAX));
 }
 
-/// Returns the object at \p key; an empty one where it is missing.
-const object *sectionAt(const value &document, std::string_view key) {
-  static const object empty;
+/// Returns the list at \p key, an empty one where it is missing, or null.
+const array *listAt(const value &document, std::string_view key) {
+  static const array empty;
   const auto *root = document.if_object();
   if (!root)
     return nullptr;
   const auto *found = root->if_contains(key);
-  return found ? found->if_object() : &empty;
+  return found ? found->if_array() : &empty;
+}
+
+/// Returns the text at \p key, or an empty one.
+std::string textAt(const value &from, std::string_view key) {
+  const auto *object = from.if_object();
+  const auto *found = object ? object->if_contains(key) : nullptr;
+  return found && found->is_string() ? std::string(found->get_string())
+                                     : std::string();
 }
 
 std::vector<std::string_view> methodsOf(const Route &route) {
@@ -109,6 +117,8 @@
 };
 
 bool hasTargets(const Usage &usage, const std::string &service) {
+  if (usage.Services.empty())
+    return true;
   auto it = usage.Services.find(service);
   return it != usage.Services.end() && it->second.Targets > 0;
 }
@@ -135,7 +145,7 @@
   for (const auto &it : routes)
     out.push_back(object{{"route", it.Name},
                          {"rank", base::nameOf(RankNames, it.CallRank)},
-                         {"calls_per_s", it.CallsPerSecond}});
+                         {"calls_per_second", it.CallsPerSecond}});
   return out;
 }
 
@@ -146,19 +156,30 @@
          WithoutTargets.empty() && TightenedLimits.empty();
 }
 
+void Usage::add(const Usage &other) {
+  for (const auto &[name, calls] : other.CallsPerSecond)
+    CallsPerSecond[name] += calls;
+  for (const auto &[name, used] : other.Services) {
+    auto &sum = Services[name];
+    sum.Targets += used.Targets;
+    sum.QueueLength = std::max(sum.QueueLength, used.QueueLength);
+    sum.RetryPercent = std::max(sum.RetryPercent, used.RetryPercent);
+  }
+}
+
 std::optional<Usage> decodeUsage(const value &document,
                                  base::LastReason &reason) {
-  const auto *routes = sectionAt(document, "routes");
-  const auto *services = sectionAt(document, "services");
+  const auto *routes = listAt(document, "routes");
+  const auto *services = listAt(document, "services");
   if (!routes || !services)
     return reason.fail(ResultCode::WrongType,
-                       "usage: expected objects \"routes\" and \"services\"");
+                       "usage: expected lists \"routes\" and \"services\"");
   Usage out;
   for (const auto &it : *routes)
-    out.CallsPerSecond[it.key()] = numberAt(it.value(), "calls_per_s");
+    out.CallsPerSecond[textAt(it, "route")] += numberAt(it, "calls_per_second");
   for (const auto &it : *services)
     for (const auto &row : UsageKeys)
-      out.Services[it.key()].*row.Member = countAt(it.value(), row.Key);
+      out.Services[textAt(it, "service")].*row.Member = countAt(it, row.Key);
   return out;
 }
 
@@ -221,7 +242,7 @@
                             {"proposed", it.Proposed}});
   return object{{"harmless", impact.isHarmless()},
                 {"lost_routes", encodeRoutes(impact.LostRoutes)},
-                {"lost_calls_per_s", std::move(lost)},
+                {"lost_calls_per_second", std::move(lost)},
                 {"demoted_routes", encodeRoutes(impact.DemotedRoutes)},
                 {"without_targets", std::move(without)},
                 {"tightened_limits", std::move(limits)}};
--- a/Libraries/LibConfig/Impact.h
+++ b/Libraries/LibConfig/Impact.h
@@ -26,11 +26,16 @@
   std::map<std::string, double, std::less<>>
       CallsPerSecond; ///< By "configuration/route".
   std::map<std::string, ServiceUsage, std::less<>>
-      Services; ///< By "configuration/name".
+      Services; ///< By "configuration/name"; empty where it is not known.
+
+  /// Adds what another node serves: calls and targets add up, the largest of
+  /// what is in use of a limit counts.
+  void add(const Usage &other);
 };
 
-/// Reads {"routes": {name: {"calls_per_s"}}, "services": {name: {"targets",
-/// "queue_length", "retry_percent"}}}; a key that is missing counts as 0.
+/// Reads {"routes": [{"route", "calls_per_second"}], "services": [{"service",
+/// "targets", "queue_length", "retry_percent"}]}. Other keys are passed over;
+/// a number that is missing counts as 0. Fails with WrongType.
 std::optional<Usage> decodeUsage(const boost::json::value &document,
                                  base::LastReason &reason);
 
