LibLog: Preview the impact of a version on one proxy

Cause: the impact of a planned version depends on what a proxy holds and on whether the version would have to wait there.

previewImpact plans the step as the proxy would and compares the traffic before and after. A plan keeps pointers to its candidates; a first version gave it a temporary list and crashed in the test, so such a call no longer compiles.

--- a/Libraries/LibLog/VersionPlan.h
+++ b/Libraries/LibLog/VersionPlan.h
@@ -26,8 +26,11 @@
 /// waits for the routes that still use it; others go ahead.
 class VersionPlan {
 public:
+  /// Both lists must outlive the plan.
   VersionPlan(const std::vector<config::HeldVersion> &held,
               const std::vector<Candidate> &candidates);
+  VersionPlan(const std::vector<config::HeldVersion> &held,
+              std::vector<Candidate> &&candidates) = delete;
 
   /// Returns what is held after the step.
   std::vector<config::HeldVersion> result() const;
--- a/Tests/LibLog/TestHeldVersions.cpp
+++ b/Tests/LibLog/TestHeldVersions.cpp
@@ -1,7 +1,10 @@
+#include <LibConfig/VersionContentCodec.h>
 #include <LibLog/FoldDriver.h>
 #include <LibLog/HeldVersions.h>
+#include <LibLog/ImpactPreview.h>
 
 #include <doctest/doctest.h>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -177,3 +180,27 @@
   CHECK_FALSE(again.update(proxy.Log.State));
   CHECK(again.waiting().size() == 1);
 }
+
+TEST_CASE("the impact of a version is previewed on what the proxy holds") {
+  Proxy proxy;
+  proxy.append(log::publish("1", "a", 0, log::contentOf({"s"}, {"r>s"})));
+  auto preview = [&](uint64_t number, const std::vector<std::string> &routes,
+                     base::LastReason &reason) {
+    auto content =
+        config::decodeVersionContent(log::contentOf({"s"}, routes), reason);
+    REQUIRE(content);
+    config::Usage usage;
+    usage.CallsPerSecond["a/r"] = 7;
+    return log::previewImpact(
+        proxy.Held,
+        {"a", number, std::make_shared<const config::VersionContent>(*content)},
+        usage, reason);
+  };
+  base::LastReason reason;
+  CHECK(preview(2, {"r>s", "q>s"}, reason)->isHarmless());
+  CHECK(preview(2, {"q>s"}, reason)->LostRoutes.size() == 1);
+  CHECK(preview(1, {"q>s"}, reason)->isHarmless());
+  CHECK_FALSE(preview(2, {"r>b/t"}, reason));
+  CHECK(reason.code() == ResultCode::WaitingForReference);
+  CHECK(proxy.version("a") == 1);
+}
