--- a/Tests/LibLog/TestMutations.cpp
+++ b/Tests/LibLog/TestMutations.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 #if defined(__SANITIZE_ADDRESS__)
-constexpr int Inputs = 20000;
+constexpr int Inputs = 10000;
 #else
 constexpr int Inputs = 200000;
 #endif
