--- a/Tests/LibLog/Mutator.h
+++ b/Tests/LibLog/Mutator.h
@@ -76,7 +76,7 @@
   }
 
   boost::json::value replacement() {
-    switch (Chance.below(7)) {
+    switch (Chance.below(8)) {
     case 0:
       return nullptr;
     case 1:
@@ -89,6 +89,8 @@
       return boost::json::array{};
     case 5:
       return boost::json::object{};
+    case 6:
+      return 0.5;
     default:
       return Chance.below(4);
     }
