LibCalls: Register the players and name their events

One call adds the players of all decisions about calls to a replay, and each names its events, so that the first difference can be explained. A player needs a trace from the start of its node; a recording that begins later is not played yet.

--- a/Libraries/LibCalls/AdmissionPlayer.cpp
+++ b/Libraries/LibCalls/AdmissionPlayer.cpp
@@ -1,9 +1,19 @@
 #include <LibCalls/AdmissionPlayer.h>
 
+#include <LibBase/EnumNames.h>
+
 namespace radishcross::calls {
 
 namespace {
 
+constexpr base::EnumName<AdmissionEvent::Value> EventNames[] = {
+    {AdmissionEvent::Configure, "configure"},
+    {AdmissionEvent::Arrive, "arrive"},
+    {AdmissionEvent::Ended, "ended"},
+    {AdmissionEvent::Abandoned, "abandoned"},
+    {AdmissionEvent::Tick, "tick"},
+};
+
 TargetGateSettings settingsOf(const trace::Inputs &numbers) {
   const auto number = [&numbers](size_t index) {
     return static_cast<uint32_t>(numbers[index]);
@@ -49,4 +59,8 @@
   return {};
 }
 
+std::string_view AdmissionPlayer::eventName(uint8_t event) const {
+  return base::nameOf(EventNames, static_cast<AdmissionEvent::Value>(event));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/AdmissionPlayer.h
+++ b/Libraries/LibCalls/AdmissionPlayer.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace radishcross::calls {
 
@@ -13,6 +14,7 @@
 class AdmissionPlayer final : public trace::Player {
 public:
   trace::Outcome play(const trace::Entry &entry) override;
+  std::string_view eventName(uint8_t event) const override;
 
 private:
   trace::NullRecorder Ignored;
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -1,5 +1,7 @@
 #include <LibCalls/CallPlanPlayer.h>
 
+#include <LibBase/EnumNames.h>
+
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -8,6 +10,16 @@
 
 namespace {
 
+constexpr base::EnumName<CallPlanEvent::Value> EventNames[] = {
+    {CallPlanEvent::Start, "start"},
+    {CallPlanEvent::Target, "target"},
+    {CallPlanEvent::Drained, "drained"},
+    {CallPlanEvent::Begin, "begin"},
+    {CallPlanEvent::AttemptEnded, "attempt-ended"},
+    {CallPlanEvent::End, "end"},
+    {CallPlanEvent::Tick, "tick"},
+};
+
 base::TimePoint timeOf(const trace::Entry &entry) {
   return base::TimePoint{base::Duration(entry.AtMicroseconds)};
 }
@@ -118,4 +130,8 @@
   return {};
 }
 
+std::string_view CallPlanPlayer::eventName(uint8_t event) const {
+  return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/IdempotencyPlayer.cpp
+++ b/Libraries/LibCalls/IdempotencyPlayer.cpp
@@ -1,5 +1,7 @@
 #include <LibCalls/IdempotencyPlayer.h>
 
+#include <LibBase/EnumNames.h>
+
 #include <string>
 #include <utility>
 
@@ -7,6 +9,14 @@
 
 namespace {
 
+constexpr base::EnumName<IdempotencyEvent::Value> EventNames[] = {
+    {IdempotencyEvent::Start, "start"},
+    {IdempotencyEvent::Begin, "begin"},
+    {IdempotencyEvent::Finished, "finished"},
+    {IdempotencyEvent::Left, "left"},
+    {IdempotencyEvent::Expire, "expire"},
+};
+
 base::TimePoint timeOf(const trace::Entry &entry) {
   return base::TimePoint{base::Duration(entry.AtMicroseconds)};
 }
@@ -50,4 +60,8 @@
   return {static_cast<int64_t>(waited.size())};
 }
 
+std::string_view IdempotencyPlayer::eventName(uint8_t event) const {
+  return base::nameOf(EventNames, static_cast<IdempotencyEvent::Value>(event));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/IdempotencyPlayer.h
+++ b/Libraries/LibCalls/IdempotencyPlayer.h
@@ -4,6 +4,7 @@
 #include <LibTrace/Player.h>
 
 #include <optional>
+#include <string_view>
 
 namespace radishcross::calls {
 
@@ -12,6 +13,7 @@
 class IdempotencyPlayer final : public trace::Player {
 public:
   trace::Outcome play(const trace::Entry &entry) override;
+  std::string_view eventName(uint8_t event) const override;
 
 private:
   trace::Outcome finished(const trace::Entry &entry);
--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -1,9 +1,18 @@
 #include <LibCalls/LeasePlayer.h>
 
+#include <LibBase/EnumNames.h>
+
 namespace radishcross::calls {
 
 namespace {
 
+constexpr base::EnumName<LeaseEvent::Value> EventNames[] = {
+    {LeaseEvent::Announce, "announce"},
+    {LeaseEvent::Tick, "tick"},
+    {LeaseEvent::Drain, "drain"},
+    {LeaseEvent::DrainAll, "drain-all"},
+};
+
 base::TimePoint timeOf(const trace::Entry &entry) {
   return base::TimePoint{base::Duration(entry.AtMicroseconds)};
 }
@@ -42,4 +51,8 @@
   return {static_cast<int64_t>(out->Epoch), 0};
 }
 
+std::string_view LeasePlayer::eventName(uint8_t event) const {
+  return base::nameOf(EventNames, static_cast<LeaseEvent::Value>(event));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/QuarantinePlayer.cpp
+++ b/Libraries/LibCalls/QuarantinePlayer.cpp
@@ -1,7 +1,21 @@
 #include <LibCalls/QuarantinePlayer.h>
 
+#include <LibBase/EnumNames.h>
+
 namespace radishcross::calls {
 
+namespace {
+
+constexpr base::EnumName<QuarantinePlayer::Event> EventNames[] = {
+    {QuarantinePlayer::Crashed, "crashed"},
+    {QuarantinePlayer::Cleared, "cleared"},
+    {QuarantinePlayer::Learned, "learned"},
+    {QuarantinePlayer::LearnedSuspicion, "learned-suspicion"},
+    {QuarantinePlayer::Lifted, "lifted"},
+};
+
+} // namespace
+
 trace::Outcome QuarantinePlayer::play(const trace::Entry &entry) {
   const base::TimePoint now{base::Duration(entry.AtMicroseconds)};
   const auto fingerprint = static_cast<uint64_t>(entry.Numbers[0]);
@@ -27,4 +41,8 @@
   return {out ? 1 : 0};
 }
 
+std::string_view QuarantinePlayer::eventName(uint8_t event) const {
+  return base::nameOf(EventNames, static_cast<QuarantinePlayer::Event>(event));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/QuarantinePlayer.h
+++ b/Libraries/LibCalls/QuarantinePlayer.h
@@ -3,6 +3,8 @@
 #include <LibCalls/Quarantine.h>
 #include <LibTrace/Player.h>
 
+#include <string_view>
+
 namespace radishcross::calls {
 
 /// Replays a quarantine. Numbers: the fingerprint, the lifetime in
@@ -13,6 +15,7 @@
   enum Event : uint8_t { Crashed, Cleared, Learned, LearnedSuspicion, Lifted };
 
   trace::Outcome play(const trace::Entry &entry) override;
+  std::string_view eventName(uint8_t event) const override;
 
 private:
   trace::NullRecorder Ignored;
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -1,14 +1,14 @@
 #include <LibBase/Random.h>
-#include <LibCalls/AdmissionPlayer.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/CallPlanPlayer.h>
-#include <LibCalls/IdempotencyPlayer.h>
-#include <LibCalls/LeasePlayer.h>
+#include <LibCalls/CallPlanner.h>
+#include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/Players.h>
+#include <LibCalls/TargetGate.h>
+#include <LibCalls/TargetLeases.h>
 
 #include <doctest/doctest.h>
-#include <functional>
 #include <map>
-#include <memory>
+#include <utility>
 
 using namespace radishcross;
 using namespace radishcross::calls;
@@ -104,50 +104,46 @@
   }
 }
 
-struct Row {
-  void (*Drive)(trace::Recorder &, Driver &);
-  std::function<std::unique_ptr<trace::Player>()> Player;
-};
+using Drive = void (*)(trace::Recorder &, Driver &);
+constexpr Drive Drives[] = {planCalls, admitCalls, leaseTargets, keepKeys};
 
-const Row Rows[] = {
-    {planCalls, [] { return std::make_unique<CallPlanPlayer>(); }},
-    {admitCalls, [] { return std::make_unique<AdmissionPlayer>(); }},
-    {leaseTargets, [] { return std::make_unique<LeasePlayer>(); }},
-    {keepKeys, [] { return std::make_unique<IdempotencyPlayer>(); }},
-};
+trace::Trace record(Drive drive, uint64_t seed) {
+  KeepingRecorder recorder;
+  Driver driver(seed);
+  drive(recorder, driver);
+  trace::Trace out;
+  out.Entries = std::move(recorder.Entries);
+  return out;
+}
+
+trace::ReplayReport replay(const trace::Trace &trace) {
+  trace::Replay out;
+  addPlayers(out);
+  return out.run(trace);
+}
 
 } // namespace
 
 TEST_CASE("recorded decisions replay with equal outcomes") {
-  for (const auto &row : Rows) {
+  for (const auto drive : Drives) {
     for (const uint64_t seed : {1, 2, 3, 4, 5}) {
-      KeepingRecorder recorder;
-      Driver driver(seed);
-      row.Drive(recorder, driver);
-      REQUIRE(recorder.Entries.size() > Steps);
-      const auto player = row.Player();
-      size_t differing = 0;
-      for (const auto &entry : recorder.Entries)
-        differing += player->play(entry) == entry.Decided ? 0 : 1;
-      CAPTURE(static_cast<int>(recorder.Entries.front().Source));
-      CAPTURE(seed);
-      CHECK(differing == 0);
+      const auto trace = record(drive, seed);
+      REQUIRE(trace.Entries.size() > Steps);
+      const auto report = replay(trace);
+      CHECK(report.Played == trace.Entries.size());
+      if (report.First)
+        FAIL(explain(*report.First));
     }
   }
 }
 
 TEST_CASE("a replay with events left out differs") {
-  for (const auto &row : Rows) {
-    KeepingRecorder recorder;
-    Driver driver(1);
-    row.Drive(recorder, driver);
-    const auto first = recorder.Entries.begin() + 1;
-    recorder.Entries.erase(first, first + Steps / 10);
-    const auto player = row.Player();
-    size_t differing = 0;
-    for (const auto &entry : recorder.Entries)
-      differing += player->play(entry) == entry.Decided ? 0 : 1;
-    CAPTURE(static_cast<int>(recorder.Entries.front().Source));
-    CHECK(differing > 0);
+  for (const auto drive : Drives) {
+    auto trace = record(drive, 1);
+    const auto first = trace.Entries.begin() + 1;
+    trace.Entries.erase(first, first + Steps / 10);
+    const auto report = replay(trace);
+    REQUIRE(report.First);
+    CHECK_FALSE(report.First->EventName.empty());
   }
 }
