LibCalls: Record and replay who owns an idempotency key

The verdict decides whether a payment may run and was not recorded. It now depends on recorded changes of peers, on the time from which the node knows its keys, and on whether the node was paused; a lost peer counts from when it was noticed, later than before and so on the safe side.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -59,7 +59,8 @@
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
                 recorder),
-        Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow),
+        Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
+               recorder),
         Keys(Settings.KeyWindow, recorder) {}
 
   struct OpenCall {
--- a/Libraries/LibCalls/IdempotencyPlayer.cpp
+++ b/Libraries/LibCalls/IdempotencyPlayer.cpp
@@ -17,6 +17,13 @@
     {IdempotencyEvent::Expire, "expire"},
 };
 
+constexpr base::EnumName<OwnershipEvent::Value> OwnerEventNames[] = {
+    {OwnershipEvent::OwnerStart, "owner-start"},
+    {OwnershipEvent::Peer, "peer"},
+    {OwnershipEvent::KnowsFrom, "knows-from"},
+    {OwnershipEvent::Verdict, "verdict"},
+};
+
 base::TimePoint timeOf(const trace::Entry &entry) {
   return base::TimePoint{base::Duration(entry.AtMicroseconds)};
 }
@@ -24,6 +31,8 @@
 } // namespace
 
 trace::Outcome IdempotencyPlayer::play(const trace::Entry &entry) {
+  if (entry.Event >= OwnershipEvent::OwnerStart)
+    return playOwner(entry);
   if (entry.Event == IdempotencyEvent::Start) {
     Replayed.emplace(base::Duration(entry.Numbers[0]), Ignored);
     return {};
@@ -60,7 +69,31 @@
   return {static_cast<int64_t>(waited.size())};
 }
 
+trace::Outcome IdempotencyPlayer::playOwner(const trace::Entry &entry) {
+  const auto now = timeOf(entry);
+  const auto flag = entry.Numbers[0] != 0;
+  if (entry.Event == OwnershipEvent::OwnerStart) {
+    const auto cut = entry.Text.find('\n');
+    Owners.emplace(entry.Text.substr(0, cut), entry.Text.substr(cut + 1),
+                   base::Duration(entry.Numbers[0]), Ignored);
+    return {};
+  }
+  if (!Owners)
+    return {};
+  if (entry.Event == OwnershipEvent::Peer)
+    Owners->peerChanged(entry.Text, flag, entry.Numbers[1] != 0, now);
+  if (entry.Event == OwnershipEvent::KnowsFrom)
+    Owners->setKnowsFrom(base::TimePoint{base::Duration(entry.Numbers[0])},
+                         now);
+  if (entry.Event != OwnershipEvent::Verdict)
+    return {};
+  return KeyOwnership::outcomeOf(Owners->verdictAfter(flag, entry.Text, now));
+}
+
 std::string_view IdempotencyPlayer::eventName(uint8_t event) const {
+  if (event >= OwnershipEvent::OwnerStart)
+    return base::nameOf(OwnerEventNames,
+                        static_cast<OwnershipEvent::Value>(event));
   return base::nameOf(EventNames, static_cast<IdempotencyEvent::Value>(event));
 }
 
--- a/Libraries/LibCalls/IdempotencyPlayer.h
+++ b/Libraries/LibCalls/IdempotencyPlayer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/KeyOwnership.h>
 #include <LibTrace/Player.h>
 
 #include <optional>
@@ -8,8 +9,9 @@
 
 namespace radishcross::calls {
 
-/// Replays the table of idempotency keys; see IdempotencyEvent. A kept answer
-/// is replaced by as many blanks: answers are not recorded.
+/// Replays the table of idempotency keys and their ownership; see
+/// IdempotencyEvent and OwnershipEvent. A kept answer is replaced by as many
+/// blanks: answers are not recorded.
 class IdempotencyPlayer final : public trace::Player {
 public:
   trace::Outcome play(const trace::Entry &entry) override;
@@ -17,9 +19,11 @@
 
 private:
   trace::Outcome finished(const trace::Entry &entry);
+  trace::Outcome playOwner(const trace::Entry &entry);
 
   trace::NullRecorder Ignored;
   std::optional<IdempotencyTable> Replayed;
+  std::optional<KeyOwnership> Owners;
 };
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/KeyOwnership.cpp
+++ b/Libraries/LibCalls/KeyOwnership.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Hash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace radishcross::calls {
@@ -21,36 +22,65 @@
 } // namespace
 
 KeyOwnership::KeyOwnership(fleet::NodeId self, std::string dataCentre,
-                           base::Duration window)
-    : Self(std::move(self)), DataCentre(std::move(dataCentre)), Window(window) {
+                           base::Duration window, trace::Recorder &recorder)
+    : Self(std::move(self)), DataCentre(std::move(dataCentre)), Window(window),
+      Record(&recorder) {
+  note(OwnershipEvent::OwnerStart, {window.count()}, Self + "\n" + DataCentre,
+       {}, {});
 }
 
 void KeyOwnership::membersChanged(const std::vector<fleet::Member> &members,
                                   base::TimePoint now) {
   tick(now);
-  for (auto &it : Peers)
-    it.second.Alive = false;
+  std::set<std::string_view> named;
   for (const auto &member : members) {
     const auto &identity = member.Identity;
-    if (identity.Id == Self || identity.DataCentre != DataCentre)
+    if (identity.DataCentre != DataCentre || identity.Id == Self)
       continue;
+    named.insert(identity.Id);
     const bool alive = isAlive(member.State);
-    if (!alive && !Peers.contains(identity.Id))
+    const bool left = member.State == MemberState::Left;
+    const auto it = Peers.find(identity.Id);
+    const bool known = it != Peers.end();
+    if (known)
+      it->second.Mesh = identity.Mesh;
+    if (known ? it->second.Alive == alive && it->second.LeftInOrder == left
+              : !alive)
       continue;
-    auto &peer = Peers[identity.Id];
-    peer.Mesh = identity.Mesh;
-    peer.Alive = alive;
-    peer.LeftInOrder = member.State == MemberState::Left;
-    if (alive)
-      peer.LastAlive = now;
+    peerChanged(identity.Id, alive, left, now);
+    Peers[identity.Id].Mesh = identity.Mesh;
   }
+  std::vector<fleet::NodeId> unnamed;
+  for (const auto &it : Peers)
+    if (it.second.Alive && !named.contains(it.first))
+      unnamed.push_back(it.first);
+  for (const auto &it : unnamed)
+    peerChanged(it, false, false, now);
+}
+
+void KeyOwnership::peerChanged(const fleet::NodeId &node, bool alive,
+                               bool leftInOrder, base::TimePoint now) {
+  auto &peer = Peers[node];
+  if (peer.Alive && !alive)
+    peer.LostAt = now;
+  peer.Alive = alive;
+  peer.LeftInOrder = leftInOrder;
+  note(OwnershipEvent::Peer, {alive ? 1 : 0, leftInOrder ? 1 : 0}, node, {},
+       now);
+  std::erase_if(Peers, [now](const auto &it) {
+    return !it.second.Alive && now - it.second.LostAt > LostMemory;
+  });
+  majorityChanged(now);
+}
+
+void KeyOwnership::majorityChanged(base::TimePoint now) {
   if (!hasMajority()) {
     MinoritySince = MinoritySince.value_or(now);
     return;
   }
   const auto since = std::exchange(MinoritySince, std::nullopt);
   if (since && now - *since > longestAbsence())
-    loseMemory(now);
+    setKnowsFrom(now, now);
 }
 
 bool KeyOwnership::hasMajority() const {
@@ -73,32 +103,39 @@
 }
 
 void KeyOwnership::nothingRanBefore(base::TimePoint now) {
-  KnowsFrom = now - memoryNeeded();
+  setKnowsFrom(now - memoryNeeded(), now);
 }
 
-void KeyOwnership::loseMemory(base::TimePoint now) { KnowsFrom = now; }
+void KeyOwnership::setKnowsFrom(base::TimePoint from, base::TimePoint now) {
+  KnowsFrom = from;
+  note(OwnershipEvent::KnowsFrom, {from.time_since_epoch().count()}, {}, {},
+       now);
+}
 
 void KeyOwnership::tick(base::TimePoint now) {
   if (!KnowsFrom || (LastTick && now - *LastTick > longestAbsence()))
-    loseMemory(now);
+    setKnowsFrom(now, now);
   LastTick = now;
-  for (auto &it : Peers)
-    if (it.second.Alive)
-      it.second.LastAlive = now;
-  std::erase_if(Peers, [now](const auto &it) {
-    return !it.second.Alive && now - it.second.LastAlive > LostMemory;
-  });
 }
 
 KeyOwnership::Verdict KeyOwnership::verdict(std::string_view key,
                                             base::TimePoint now) const {
+  const bool paused = !LastTick || now - *LastTick > longestAbsence();
+  auto out = verdictAfter(paused, key, now);
+  note(OwnershipEvent::Verdict, {paused ? 1 : 0}, key, outcomeOf(out), now);
+  return out;
+}
+
+KeyOwnership::Verdict KeyOwnership::verdictAfter(bool paused,
+                                                 std::string_view key,
+                                                 base::TimePoint now) const {
   const uint64_t ownWeight = base::rendezvousWeight(key, Self);
   uint64_t best = ownWeight;
   const std::pair<const fleet::NodeId, Peer> *owner = nullptr;
   std::optional<base::TimePoint> lost;
   for (const auto &it : Peers) {
     const auto &peer = it.second;
-    const bool recent = now - peer.LastAlive < memoryNeeded();
+    const bool recent = now - peer.LostAt < memoryNeeded();
     if (!peer.Alive && !recent)
       continue;
     const uint64_t weight = base::rendezvousWeight(key, it.first);
@@ -107,11 +144,10 @@
       owner = &it;
     }
     if (!peer.Alive && weight > ownWeight)
-      lost = std::max(lost.value_or(peer.LastAlive), peer.LastAlive);
+      lost = std::max(lost.value_or(peer.LostAt), peer.LostAt);
   }
   if (owner)
     return {Verdict::Kind::Other, owner->first, owner->second.Mesh, {}};
-  const bool paused = !LastTick || now - *LastTick > longestAbsence();
   if (paused || MinoritySince || !KnowsFrom)
     return {Verdict::Kind::CannotSay, {}, {}, DefaultRetryAfter};
   const auto from = std::max(*KnowsFrom, lost.value_or(*KnowsFrom));
@@ -120,4 +156,24 @@
   return {Verdict::Kind::Own, Self, {}, {}};
 }
 
+trace::Outcome KeyOwnership::outcomeOf(const Verdict &verdict) {
+  const auto node = verdict.Node.empty() ? 0 : base::hash64(verdict.Node);
+  return {static_cast<int64_t>(verdict.What), static_cast<int64_t>(node),
+          verdict.RetryAfter.count()};
+}
+
+void KeyOwnership::note(OwnershipEvent::Value event,
+                        const trace::Inputs &numbers, std::string_view text,
+                        const trace::Outcome &decided,
+                        base::TimePoint now) const {
+  trace::Entry entry;
+  entry.AtMicroseconds = now.time_since_epoch().count();
+  entry.Source = trace::Module::Idempotency;
+  entry.Event = event;
+  entry.Numbers = numbers;
+  entry.Text = text;
+  entry.Decided = decided;
+  Record->record(std::move(entry));
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/KeyOwnership.h
+++ b/Libraries/LibCalls/KeyOwnership.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibFleet/Member.h>
+#include <LibTrace/Recorder.h>
 
 #include <cstdint>
 #include <map>
@@ -13,6 +14,14 @@
 
 namespace radishcross::calls {
 
+/// Events of a trace's entries, after those of the table of keys. OwnerStart:
+/// window; text: node, data centre. Peer: alive, left in order; text: node.
+/// KnowsFrom: the time in microseconds. Verdict: whether the node was paused;
+/// text: the key; decides kind, the owner's hash, retry-after.
+struct OwnershipEvent {
+  enum Value : uint8_t { OwnerStart = 16, Peer, KnowsFrom, Verdict };
+};
+
 /// Which node of the data centre owns an idempotency key, and whether this node
 /// may act as its owner. The owner is the living member with the highest
 /// rendezvous weight. A node runs a key's call only when no other node can have
@@ -43,29 +52,46 @@
 
   /// \p window is the time for which answers are kept and resends recognised.
   KeyOwnership(fleet::NodeId self, std::string dataCentre,
-               base::Duration window);
+               base::Duration window, trace::Recorder &recorder);
 
   /// Takes the fleet's members.
   void membersChanged(const std::vector<fleet::Member> &members,
                       base::TimePoint now);
 
+  /// Takes what became of one other member of the data centre; for replay.
+  void peerChanged(const fleet::NodeId &node, bool alive, bool leftInOrder,
+                   base::TimePoint now);
+
   /// Tells that no call can have run in the fleet before now, because it had no
   /// configuration: this node knows all there is to know.
   void nothingRanBefore(base::TimePoint now);
 
+  /// Sets the time from which this node knows all calls of its keys.
+  void setKnowsFrom(base::TimePoint from, base::TimePoint now);
+
   /// Notes that this node runs; called often. A gap is a pause.
   void tick(base::TimePoint now);
 
   Verdict verdict(std::string_view key, base::TimePoint now) const;
 
+  /// As verdict(), where it is given whether the node was paused just now.
+  Verdict verdictAfter(bool paused, std::string_view key,
+                       base::TimePoint now) const;
+
+  /// Returns a verdict in the form of a trace's entry.
+  static trace::Outcome outcomeOf(const Verdict &verdict);
+
 private:
   struct Peer {
     base::Address Mesh;
     bool Alive = false;
     bool LeftInOrder = false;
-    base::TimePoint LastAlive{};
+    base::TimePoint LostAt{};
   };
-  void loseMemory(base::TimePoint now);
+  void majorityChanged(base::TimePoint now);
+  void note(OwnershipEvent::Value event, const trace::Inputs &numbers,
+            std::string_view text, const trace::Outcome &decided,
+            base::TimePoint now) const;
   bool hasMajority() const;
   base::Duration memoryNeeded() const { return Window + ViewMargin; }
   base::Duration longestAbsence() const { return Window / 2; }
@@ -73,6 +99,7 @@
   fleet::NodeId Self;
   std::string DataCentre;
   base::Duration Window;
+  trace::Recorder *Record;
   std::map<fleet::NodeId, Peer> Peers;
   std::optional<base::TimePoint> LastTick;
   /// From then on this node knows all calls of the keys that it owns.
--- a/Tests/LibCalls/TestIdempotency.cpp
+++ b/Tests/LibCalls/TestIdempotency.cpp
@@ -54,7 +54,8 @@
   Owner verdict(const std::string &key) {
     return View.verdict(key, at(Now)).What;
   }
-  KeyOwnership View{"n0", "dc1", Window};
+  KeepingRecorder Recorder;
+  KeyOwnership View{"n0", "dc1", Window, Recorder};
   fleet::MemberState First = fleet::MemberState::Alive;
   base::Duration Now = 100s;
 };
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -2,6 +2,7 @@
 #include <LibCalls/CallFixtures.h>
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/KeyOwnership.h>
 #include <LibCalls/Players.h>
 #include <LibCalls/TargetGate.h>
 #include <LibCalls/TargetLeases.h>
@@ -104,8 +105,24 @@
   }
 }
 
+void ownKeys(trace::Recorder &recorder, Driver &it) {
+  KeyOwnership owners("a", "dc1", 1s, recorder);
+  for (uint64_t n = 0; n < Steps; ++n) {
+    std::vector<fleet::Member> members;
+    for (const char *node : {"a", "b", "c", "d"})
+      if (it.Draw.below(10) > 0)
+        members.push_back(member(node));
+    it.Now += it.Draw.below(50) == 0 ? 5s : 0s;
+    owners.tick(it.now());
+    if (n % 40 == 0)
+      owners.membersChanged(members, it.now());
+    owners.verdict("k" + std::to_string(it.Draw.below(20)), it.now());
+  }
+}
+
 using Drive = void (*)(trace::Recorder &, Driver &);
-constexpr Drive Drives[] = {planCalls, admitCalls, leaseTargets, keepKeys};
+constexpr Drive Drives[] = {planCalls, admitCalls, leaseTargets, keepKeys,
+                            ownKeys};
 
 trace::Trace record(Drive drive, uint64_t seed) {
   KeepingRecorder recorder;
