LibCalls: Take an overload refusal as full load

A refusal by the own node's gate carries no pressure, so the target that refused counted as idle and was chosen again.

--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -12,6 +12,9 @@
 using base::Duration;
 using base::ResultCode;
 
+/// The load of a target that refuses calls as overloaded.
+constexpr uint32_t FullPermille = 1000;
+
 /// When a caller may come back after a refusal that named no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
@@ -209,9 +212,10 @@
     target->Path->answered(call.Fresh, now);
   else
     target->Path->unanswered(result.End == AttemptEnd::TimedOut);
-  if (heard)
-    target->Load.observed(result.PressurePermille, now);
+  if (result.Code == ResultCode::Overloaded)
+    target->Load.observed(FullPermille, now);
   if (result.End == AttemptEnd::Answered) {
+    target->Load.observed(result.PressurePermille, now);
     target->Health.succeeded();
     stateOf(call).Timer.observed(result.Latency);
   } else if (!heard && result.End != AttemptEnd::CallerGone) {
--- a/Tests/LibCalls/TestRetries.cpp
+++ b/Tests/LibCalls/TestRetries.cpp
@@ -84,21 +84,16 @@
     CHECK(spent <= std::max<uint64_t>(1, calls / 10));
   }
   CHECK(spent == 1000);
+  for (int n = 0; n < 10'000; ++n) // Savings are bounded too.
+    budget.called(10);
+  for (int64_t n = 0; n < RetryBudget::HighestSaving; ++n)
+    CHECK(budget.spend());
+  CHECK_FALSE(budget.spend());
   RetryBudget none;
   none.called(0);
   CHECK_FALSE(none.available());
 }
 
-TEST_CASE("savings of a budget are bounded") {
-  RetryBudget budget;
-  for (int n = 0; n < 10'000; ++n)
-    budget.called(10);
-  int64_t spent = 0;
-  while (budget.spend())
-    ++spent;
-  CHECK(spent == RetryBudget::HighestSaving);
-}
-
 TEST_CASE("retries do not multiply along a chain of 8 calls") {
   constexpr uint64_t Calls = 20'000;
   Chain marked(true);
--- a/Tests/LibCalls/TestTargets.cpp
+++ b/Tests/LibCalls/TestTargets.cpp
@@ -66,6 +66,21 @@
   CHECK(spread(table, 80s, locality)["a"] < 50);
 }
 
+TEST_CASE(
+    "a target that refused a call as overloaded is left alone for a time") {
+  BrokerBench it;
+  it.pass(TargetChoice::SlowStart);
+  const auto first = it.begin("/pay");
+  const auto busy = it.stepOf(first).To.Node;
+  it.end(first, AttemptEnd::RefusedNotRun, ResultCode::Overloaded);
+  it.end(first, AttemptEnd::Answered);
+  for (int n = 0; n < 20; ++n) {
+    const auto call = it.begin("/pay");
+    CHECK(it.stepOf(call).To.Node != busy);
+    it.end(call, AttemptEnd::Answered);
+  }
+}
+
 TEST_CASE("failures eject a target for a time, but never more than half") {
   TargetTable table;
   LocalityShare locality;
