--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -1,6 +1,9 @@
 #include <LibBase/Logger.h>
+#include <LibFleet/RecoveryPlayer.h>
+#include <LibFleet/SpreaderPlayer.h>
 #include <LibPeer/FleetNode.h>
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
@@ -39,21 +42,38 @@
 }
 
 void FleetNode::logAnswered(const log::ReadAnswer &answer) {
+  auto now = Environment.Time->now();
   *Bytes.Received += bytesOf(answer.Records);
   if (answer.Reached)
     watchLogEnd(answer);
   Recovering.logRead(answer.Reached, answer.First, answer.End);
-  // Records that cannot be folded yet may still name a live peer.
-  if (Recovering.needsState(heldOffset()))
-    joinThroughRecords(answer.Records);
-  bool advanced = answer.Reached && takeRecords(answer.Records, {});
-  Spreading.readDone(answer.Reached, advanced, Environment.Time->now());
+  auto entry = fleet::RecoveryPlayer::logRead(answer.Reached, answer.First,
+                                              answer.End, now);
+  entry.Decided = fleet::RecoveryPlayer::outcomeOf(Recovering);
+  if (!Recovering.isServing())
+    Environment.Recorder->record(std::move(entry));
+  scanSnapshots(answer.Records);
+  bool advanced = Recovering.needsState(heldOffset())
+                      ? readWithoutState(answer)
+                      : takeRecords(answer.Records, {});
+  Spreading.readDone(answer.Reached, advanced, now);
+  Environment.Recorder->record(
+      fleet::SpreaderPlayer::readDone(answer.Reached, advanced, now));
   spread();
 }
 
+bool FleetNode::readWithoutState(const log::ReadAnswer &answer) {
+  // Records that cannot be folded yet may still name a live peer.
+  joinThroughRecords(answer.Records);
+  if (!answer.Records.empty())
+    ScanFrom = answer.Records.back().At + 1;
+  return startFromSnapshot() || !answer.Records.empty();
+}
+
 void FleetNode::watchLogEnd(const log::ReadAnswer &answer) {
   // FIXME: Records that a shortened log takes up to the offset held here are
   // ignored; the log's service has to continue above it.
+  Window = {answer.First, answer.End};
   bool isShort = answer.End <= heldOffset();
   if (isShort == IsLogShort)
     return;
@@ -155,25 +175,29 @@
                });
 }
 
+void FleetNode::pullDone(const fleet::NodeId &peer, fleet::PullOutcome outcome,
+                         base::Duration retryAfter) {
+  auto now = Environment.Time->now();
+  Spreading.pullDone(peer, outcome, retryAfter, now);
+  Environment.Recorder->record(
+      fleet::SpreaderPlayer::pullDone(peer, outcome, retryAfter, now));
+}
+
 void FleetNode::pullAnswered(const fleet::NodeId &peer,
                              const std::optional<PullAnswer> &answer) {
-  auto now = Environment.Time->now();
   if (!answer)
-    return Spreading.pullDone(peer, fleet::PullOutcome::Failed, {}, now);
+    return pullDone(peer, fleet::PullOutcome::Failed);
   Members.noteDigest(peer, answer->Summary);
   if (answer->Code == base::ResultCode::PeerBusy)
-    return Spreading.pullDone(
-        peer, fleet::PullOutcome::Busy,
-        std::chrono::milliseconds(answer->RetryAfterMilliseconds), now);
+    return pullDone(peer, fleet::PullOutcome::Busy,
+                    std::chrono::milliseconds(answer->RetryAfterMilliseconds));
   if (answer->Code == base::ResultCode::RecordExpired)
-    return Spreading.pullDone(peer, fleet::PullOutcome::Expired, {}, now);
+    return pullDone(peer, fleet::PullOutcome::Expired);
   bool advanced = answer->Kind == PullKind::State
                       ? applyState(*answer, peer)
                       : takeRecords(answer->Records, peer);
-  Spreading.pullDone(peer,
-                     advanced ? fleet::PullOutcome::Advanced
-                              : fleet::PullOutcome::Nothing,
-                     {}, now);
+  pullDone(peer, advanced ? fleet::PullOutcome::Advanced
+                          : fleet::PullOutcome::Nothing);
 }
 
 void FleetNode::pullMembers(const fleet::NodeId &peer) {
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -1,5 +1,10 @@
+#include <LibFleet/RecoveryPlayer.h>
+#include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/SnapshotParts.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MockPlatform.h>
+#include <LibTrace/Replay.h>
+#include <LibTrace/Ring.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -24,6 +29,13 @@
   return {"127.0.0.1", socket.local_endpoint().port()};
 }
 
+/// The machine's clock, which a test can set forward.
+struct JumpingClock final : base::Clock {
+  base::TimePoint now() const override { return Machine.now() + Jump; }
+  base::SystemClock Machine;
+  base::Duration Jump{};
+};
+
 struct Shell {
   base::Metrics Counters;
   std::shared_ptr<FleetShell> Fleet;
@@ -34,8 +46,8 @@
 /// A few shells on loopback, on one loop, with one platform.
 struct LoopbackFleet {
   asio::io_context Context;
-  base::SystemClock Time;
-  trace::NullRecorder Recorder;
+  JumpingClock Time;
+  std::vector<std::unique_ptr<trace::Ring>> Rings;
   MockPlatform Platform{Context};
   std::vector<base::Address> Seeds{freeAddress<asio::ip::udp>()};
   std::vector<std::unique_ptr<Shell>> Shells;
@@ -47,7 +59,8 @@
     it.Context = &Context;
     it.Time = &Time;
     it.Counters = &shell->Counters;
-    it.Recorder = &Recorder;
+    Rings.push_back(std::make_unique<trace::Ring>(trace::RingLimits{}));
+    it.Recorder = Rings.back().get();
     it.Platform = &Platform;
     it.Self.Id = "node-" + std::to_string(Shells.size());
     it.Self.DataCentre = dataCentre;
@@ -74,8 +87,8 @@
 
   /// Runs the loop until \p holds; false when that takes over 20 s.
   template <typename Condition> bool runUntil(Condition holds) {
-    auto end = Time.now() + 20s;
-    while (!holds() && Time.now() < end)
+    auto end = Time.Machine.now() + 20s;
+    while (!holds() && Time.Machine.now() < end)
       Context.run_one_for(100ms);
     return holds();
   }
@@ -158,6 +171,21 @@
   REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
   CHECK(newcomer.Advances.front() >= 5);
   CHECK(newcomer.Fleet->fold().hash() == fleet.Shells[0]->Fleet->fold().hash());
+
+  // What each node recorded decides the same again; altered, it does not.
+  trace::Replay replay;
+  replay.add(trace::Module::Recovery,
+             [] { return std::make_unique<fleet::RecoveryPlayer>(); });
+  replay.add(trace::Module::Spreader,
+             [] { return std::make_unique<fleet::SpreaderPlayer>(); });
+  for (const auto &ring : fleet.Rings) {
+    trace::Trace recorded{"node", 0, "", ring->since(0)};
+    auto report = replay.run(recorded);
+    CHECK(report.Played >= 6);
+    CHECK_FALSE(report.First);
+    recorded.Entries.back().Decided[2] += 5;
+    CHECK(replay.run(recorded).First);
+  }
 }
 
 TEST_CASE("a state that the log has lost comes whole from a peer") {
@@ -221,3 +249,54 @@
   CHECK(shell.Fleet->ready());
   CHECK(shell.Fleet->fold().offset() >= 5);
 }
+
+TEST_CASE("a fleet that lost every state starts from the log's snapshot") {
+  LoopbackFleet fleet;
+  log::Fold fold;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  for (const auto &it : fleet.Platform.Records)
+    fold.apply(it);
+  // Two writers, as after a pause, confirm each other; one alone has to do
+  // when nobody confirms it in time.
+  bool isConfirmed = false;
+  SUBCASE("confirmed") { isConfirmed = true; }
+  SUBCASE("unconfirmed") {}
+  for (const char *writer : {"node-8", "node-9"})
+    for (const auto &it : log::makeSnapshotParts(fold, {"", writer, ""}))
+      if (isConfirmed || writer == std::string("node-8"))
+        fleet.Platform.Records.push_back(
+            {fleet.Platform.Records.size() + 1, log::encodeRecord(it)});
+  fleet.Platform.addDrain("last");
+  auto end = fleet.Platform.Records.size();
+  fleet.Platform.First = 4;
+  auto &shell = fleet.start("dc-0");
+  if (!isConfirmed) {
+    REQUIRE(fleet.runUntil([&] { return fleet.Platform.Reads > 6; }));
+    CHECK_FALSE(shell.Fleet->ready());
+    fleet.Time.Jump = 11s;
+  }
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(end); }));
+  CHECK(shell.Fleet->fold().drained().contains("vm:0"));
+  CHECK(shell.Fleet->fold().drained().contains("vm:last"));
+  CHECK(shell.Counters.counter("snapshots_unconfirmed_total") ==
+        (isConfirmed ? 0 : 1));
+}
+
+TEST_CASE("a snapshot is written to the log before records expire") {
+  LoopbackFleet fleet;
+  for (int n = 0; n < 1100; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  fleet.start("dc-0");
+  auto snapshots = [&] {
+    log::SnapshotAssembler assembler;
+    size_t count = 0;
+    base::LastReason reason;
+    for (const auto &it : fleet.Platform.Records)
+      if (auto record = log::decodeRecord(it.Bytes, reason);
+          record && record->Kind == log::RecordKind::Snapshot)
+        count += assembler.take(*record, it.At, reason) ? 1 : 0;
+    return count;
+  };
+  CHECK(fleet.runUntil([&] { return snapshots() > 0; }));
+}
