--- a/Libraries/LibCalls/Players.cpp
+++ b/Libraries/LibCalls/Players.cpp
@@ -10,21 +10,13 @@
 
 namespace radishcross::calls {
 
-namespace {
-
-template <typename Player>
-void add(trace::Replay &replay, trace::Module source) {
-  replay.add(source, [] { return std::make_unique<Player>(); });
-}
-
-} // namespace
-
-void addPlayers(trace::Replay &replay) {
-  add<AdmissionPlayer>(replay, trace::Module::Admission);
-  add<CallPlanPlayer>(replay, trace::Module::CallPlan);
-  add<IdempotencyPlayer>(replay, trace::Module::Idempotency);
-  add<LeasePlayer>(replay, trace::Module::TargetLease);
-  add<QuarantinePlayer>(replay, trace::Module::Quarantine);
+void addPlayers(trace::Replay::Players &players) {
+  using trace::Module;
+  players[Module::Admission] = std::make_unique<AdmissionPlayer>();
+  players[Module::CallPlan] = std::make_unique<CallPlanPlayer>();
+  players[Module::Idempotency] = std::make_unique<IdempotencyPlayer>();
+  players[Module::TargetLease] = std::make_unique<LeasePlayer>();
+  players[Module::Quarantine] = std::make_unique<QuarantinePlayer>();
 }
 
 } // namespace radishcross::calls
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -134,8 +134,11 @@
 }
 
 trace::ReplayReport replay(const trace::Trace &trace) {
-  trace::Replay out;
-  addPlayers(out);
+  const trace::Replay out([] {
+    trace::Replay::Players players;
+    addPlayers(players);
+    return players;
+  });
   return out.run(trace);
 }
 
