LibCalls: Set up the trace of keys before that of their owners

A recording of a module begins with its set-up entry; the entries of the owners came before it and were left out, so a replay differed at the first verdict. A test replays what a node's ring hands out.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -59,9 +59,9 @@
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
                 recorder),
+        Keys(Settings.KeyWindow, recorder),
         Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
-               recorder),
-        Keys(Settings.KeyWindow, recorder) {}
+               recorder) {}
 
   struct OpenCall {
     config::SnapshotPointer Snapshot;
@@ -90,8 +90,8 @@
   BrokerSettings Settings;
   Quarantine *Quarantined;
   CallPlanner Planner;
+  IdempotencyTable Keys; ///< Before Owners: it sets up their trace.
   KeyOwnership Owners;
-  IdempotencyTable Keys;
   std::unordered_map<CallHandle, OpenCall> Open;
   std::set<CallHandle> Waiting;
   CallHandle LastHandle = 0;
--- a/Tests/LibCalls/BrokerBench.h
+++ b/Tests/LibCalls/BrokerBench.h
@@ -14,8 +14,9 @@
 /// A broker of node "n0" in dc1, with an idempotent lookup route, a payment
 /// route and two targets.
 struct BrokerBench {
-  explicit BrokerBench(const std::string &node = "n0")
-      : Node({node, "dc1", "south", 1}, Crashers, Recorder) {
+  explicit BrokerBench(trace::Recorder *recorder = nullptr)
+      : Node({"n0", "dc1", "south", 1}, Crashers,
+             recorder ? *recorder : Recorder) {
     config::VersionContent content;
     content.Services = {{"lookup", {}}};
     config::Route lookup{"lookup", {{}, "", "/lookup"}, "lookup"};
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -1,11 +1,12 @@
 #include <LibBase/Random.h>
-#include <LibCalls/CallFixtures.h>
+#include <LibCalls/BrokerBench.h>
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/IdempotencyTable.h>
 #include <LibCalls/KeyOwnership.h>
 #include <LibCalls/Players.h>
 #include <LibCalls/TargetGate.h>
 #include <LibCalls/TargetLeases.h>
+#include <LibTrace/Ring.h>
 
 #include <doctest/doctest.h>
 #include <map>
@@ -167,3 +168,23 @@
     CHECK_FALSE(report.First->EventName.empty());
   }
 }
+
+TEST_CASE("what a node recorded of calls and keys replays whole") {
+  trace::Ring ring({});
+  BrokerBench it(&ring);
+  it.Node.nothingRanBefore(at(it.Now));
+  for (int n = 0; n < 100; ++n) {
+    it.run("/lookup", static_cast<AttemptEnd>(n % 6));
+    const auto call = it.pay("key" + std::to_string(n % 20));
+    it.end(call, static_cast<AttemptEnd>(n % 5));
+    it.Node.end(call, at(it.Now));
+    it.pass(500ms);
+  }
+  const auto trace =
+      ring.recording("n0", 1, at(it.Now).time_since_epoch().count());
+  const auto report = replay(trace);
+  CHECK(trace.LeftOut.empty());
+  CHECK(report.Played == ring.size());
+  if (report.First)
+    FAIL(explain(*report.First));
+}
