--- a/Tests/LibCalls/BrokerBench.h
+++ b/Tests/LibCalls/BrokerBench.h
@@ -94,4 +94,17 @@
   CHECK(step.Code == code);
 }
 
+inline void checkAnswered(const CallStep &step) {
+  checkFinish(step, CallOutcome::Answered, ResultCode::Ok);
+}
+
+inline void checkUnknown(const CallStep &step,
+                         ResultCode code = ResultCode::CallOutcomeUnknown) {
+  checkFinish(step, CallOutcome::Unknown, code);
+}
+
+inline void checkNotRun(const CallStep &step, ResultCode code) {
+  checkFinish(step, CallOutcome::NotRun, code);
+}
+
 } // namespace radishcross::calls::testing
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -24,8 +24,7 @@
   CHECK(step.Remaining < 5s);
   CHECK(step.Remaining > 4900ms);
   CHECK_FALSE(step.Retry);
-  checkFinish(it.end(call, AttemptEnd::Answered), CallOutcome::Answered,
-              ResultCode::Ok);
+  checkAnswered(it.end(call, AttemptEnd::Answered));
 }
 
 TEST_CASE("ends of attempts decide between a retry, not run and unknown") {
@@ -37,25 +36,19 @@
     CallOutcome Outcome;
     ResultCode Told;
   };
+  using E = AttemptEnd;
+  using O = CallOutcome;
+  using R = ResultCode;
   const Row rows[] = {
-      {"/pay", AttemptEnd::NotSent, ResultCode::Ok, 3, CallOutcome::NotRun,
-       ResultCode::NoTarget},
-      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Draining, 3,
-       CallOutcome::NotRun, ResultCode::Draining},
-      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Overloaded, 2,
-       CallOutcome::NotRun, ResultCode::Overloaded},
-      {"/pay", AttemptEnd::RefusedNotRun, ResultCode::Quarantined, 1,
-       CallOutcome::NotRun, ResultCode::Quarantined},
-      {"/pay", AttemptEnd::Broken, ResultCode::Ok, 1, CallOutcome::Unknown,
-       ResultCode::CallOutcomeUnknown},
-      {"/pay", AttemptEnd::TimedOut, ResultCode::Ok, 1, CallOutcome::Unknown,
-       ResultCode::CallOutcomeUnknown},
-      {"/lookup", AttemptEnd::Broken, ResultCode::Ok, 2, CallOutcome::Unknown,
-       ResultCode::CallOutcomeUnknown},
-      {"/lookup", AttemptEnd::TimedOut, ResultCode::Ok, 2, CallOutcome::Unknown,
-       ResultCode::CallOutcomeUnknown},
-      {"/lookup", AttemptEnd::CallerGone, ResultCode::Ok, 1,
-       CallOutcome::Unknown, ResultCode::CallerGone},
+      {"/pay", E::NotSent, R::Ok, 3, O::NotRun, R::NoTarget},
+      {"/pay", E::RefusedNotRun, R::Draining, 3, O::NotRun, R::Draining},
+      {"/pay", E::RefusedNotRun, R::Overloaded, 2, O::NotRun, R::Overloaded},
+      {"/pay", E::RefusedNotRun, R::Quarantined, 1, O::NotRun, R::Quarantined},
+      {"/pay", E::Broken, R::Ok, 1, O::Unknown, R::CallOutcomeUnknown},
+      {"/pay", E::TimedOut, R::Ok, 1, O::Unknown, R::CallOutcomeUnknown},
+      {"/lookup", E::Broken, R::Ok, 2, O::Unknown, R::CallOutcomeUnknown},
+      {"/lookup", E::TimedOut, R::Ok, 2, O::Unknown, R::CallOutcomeUnknown},
+      {"/lookup", E::CallerGone, R::Ok, 1, O::Unknown, R::CallerGone},
   };
   for (const auto &row : rows) {
     CAPTURE(row.Path);
@@ -77,7 +70,7 @@
   auto last = it.end(call, AttemptEnd::NotSent);
   while (last.What == Kind::Send)
     last = it.end(call, AttemptEnd::NotSent);
-  checkFinish(last, CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+  checkUnknown(last);
 }
 
 TEST_CASE("calls that cannot be sent are refused at once as not run") {
--- a/Tests/LibCalls/TestIdempotency.cpp
+++ b/Tests/LibCalls/TestIdempotency.cpp
@@ -132,11 +132,9 @@
   CHECK(it.stepOf(first).KeepAnswer);
   const auto second = it.pay(key);
   CHECK(it.stepOf(second).What == Kind::Wait);
-  checkFinish(it.stepOf(it.pay(key, 2)), CallOutcome::NotRun,
-              ResultCode::IdempotencyMismatch);
+  checkNotRun(it.stepOf(it.pay(key, 2)), ResultCode::IdempotencyMismatch);
   it.Node.keepAnswer(first, "paid", at(it.Now));
-  checkFinish(it.end(first, AttemptEnd::Answered), CallOutcome::Answered,
-              ResultCode::Ok);
+  checkAnswered(it.end(first, AttemptEnd::Answered));
   REQUIRE(it.Resumed.contains(second));
   CHECK(it.Resumed[second].What == Kind::Replay);
   CHECK(it.Node.keptAnswer(second) == "paid");
@@ -157,32 +155,27 @@
     const auto first = it.pay(key);
     const auto second = it.pay(key);
     it.end(first, AttemptEnd::Broken);
-    checkFinish(it.Resumed[second], CallOutcome::Unknown,
-                ResultCode::CallOutcomeUnknown);
-    checkFinish(it.stepOf(it.pay(key)), CallOutcome::Unknown,
-                ResultCode::CallOutcomeUnknown);
+    checkUnknown(it.Resumed[second]);
+    checkUnknown(it.stepOf(it.pay(key)));
   }
   SUBCASE("the shell dropped the first call, or kept no answer") {
     const auto first = it.pay(key);
     SUBCASE("dropped") { it.Node.end(first, at(it.Now)); }
     SUBCASE("not kept") { it.end(first, AttemptEnd::Answered); }
-    checkFinish(it.stepOf(it.pay(key)), CallOutcome::Unknown,
-                ResultCode::CallOutcomeUnknown);
+    checkUnknown(it.stepOf(it.pay(key)));
   }
   SUBCASE("surely not run") {
     const auto first = it.pay(key);
     const auto second = it.pay(key);
     it.end(first, AttemptEnd::RefusedNotRun, ResultCode::DeadlineExceeded);
-    checkFinish(it.Resumed[second], CallOutcome::NotRun,
-                ResultCode::DeadlineExceeded);
+    checkNotRun(it.Resumed[second], ResultCode::DeadlineExceeded);
     CHECK(it.stepOf(it.pay(key)).What == Kind::Send);
   }
   SUBCASE("a waiting call keeps its own deadline") {
     it.pay(key);
     const auto second = it.pay(key);
     it.pass(5s);
-    checkFinish(it.Resumed[second], CallOutcome::Unknown,
-                ResultCode::CallOutcomeUnknown);
+    checkUnknown(it.Resumed[second]);
   }
 }
 
@@ -199,15 +192,14 @@
       {AttemptEnd::Broken, ResultCode::IdempotencyOwnerLost},
       {AttemptEnd::TimedOut, ResultCode::IdempotencyOwnerLost}};
   for (const auto &[end, code] : ends)
-    checkFinish(it.end(it.pay(key), end), CallOutcome::Unknown, code);
-  checkFinish(it.end(it.pay(key), AttemptEnd::RefusedNotRun,
+    checkUnknown(it.end(it.pay(key), end), code);
+  checkNotRun(it.end(it.pay(key), AttemptEnd::RefusedNotRun,
                      ResultCode::IdempotencyMismatch),
-              CallOutcome::NotRun, ResultCode::IdempotencyMismatch);
-  checkFinish(it.end(call, AttemptEnd::Answered), CallOutcome::Answered,
-              ResultCode::Ok);
+              ResultCode::IdempotencyMismatch);
+  checkAnswered(it.end(call, AttemptEnd::Answered));
   // A node that is asked as the owner but is not runs nothing.
-  checkFinish(it.stepOf(it.pay(key, 1, true)), CallOutcome::Unknown,
-              ResultCode::IdempotencyOwnerLost);
+  checkUnknown(it.stepOf(it.pay(key, 1, true)),
+               ResultCode::IdempotencyOwnerLost);
 }
 
 TEST_CASE("the table is bounded in keys and bytes and forgets no key early") {
