--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
+#include <LibLog/FoldPlayer.h>
 #include <LibLog/SnapshotParts.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MockPlatform.h>
@@ -174,10 +175,13 @@
 
   // What each node recorded decides the same again; altered, it does not.
   trace::Replay replay([] {
-    trace::Replay::Players out;
-    out[trace::Module::Recovery] = std::make_unique<fleet::RecoveryPlayer>();
-    out[trace::Module::Spreader] = std::make_unique<fleet::SpreaderPlayer>();
-    return out;
+    trace::Replay::Players players;
+    players[trace::Module::Recovery] =
+        std::make_unique<fleet::RecoveryPlayer>();
+    players[trace::Module::Fold] = std::make_unique<log::FoldPlayer>();
+    players[trace::Module::Spreader] =
+        std::make_unique<fleet::SpreaderPlayer>();
+    return players;
   });
   for (const auto &ring : fleet.Rings) {
     auto recorded = ring->recording("node", 0, 0);
