LibHttp: Let calls in flight outlive their node safely

Cause: the address sanitizer found calls that were in flight when a node ended reaching for its broker, and a fetch whose address was a temporary.

The engine detaches when its proxy is destroyed: broker, gate, clock, counters and look-ups are replaced by ones that end every call. A fetch keeps its own copy of the address. A connection gives back the memory of a large answer.

Conclusion: a node may end with calls in flight; callers see a closed connection, never a crash.

--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -49,16 +49,14 @@
 /// Ends a call at the broker on every way out.
 class CallGuard {
 public:
-  CallGuard(calls::CallBroker &broker, const base::Clock &clock,
-            calls::CallHandle call)
-      : Broker(broker), Time(clock), Call(call) {}
-  ~CallGuard() { Broker.end(Call, Time.now()); }
+  CallGuard(const CallProxyEnvironment &node, calls::CallHandle call)
+      : Node(node), Call(call) {}
+  ~CallGuard() { Node.Broker->end(Call, Node.Time->now()); }
   CallGuard(const CallGuard &) = delete;
   CallGuard &operator=(const CallGuard &) = delete;
 
 private:
-  calls::CallBroker &Broker;
-  const base::Clock &Time;
+  const CallProxyEnvironment &Node;
   calls::CallHandle Call;
 };
 
@@ -75,11 +73,22 @@
       });
 }
 
-CallEngine::~CallEngine() { Environment.Broker->whenResumed({}); }
+void CallEngine::detach() {
+  Environment.Broker->whenResumed({});
+  Environment.Broker = &NoBroker;
+  Environment.Gate = &NoGate;
+  Environment.Time = &OwnClock;
+  Environment.Counters = &Discarded;
+  Environment.CurrentSnapshot = [] { return config::SnapshotPointer(); };
+  Environment.LocalTarget = [](const std::string &) {
+    return std::optional<fleet::TargetRecord>();
+  };
+  Figures = CallFigures(Discarded);
+}
 
 void CallEngine::tick() {
   Targets.tick();
-  Pool.tick(now());
+  Pool.tick(OwnClock.now());
 }
 
 std::string CallEngine::newCallId() {
@@ -173,7 +182,7 @@
   base::TimePoint started = now();
   call.Handle =
       Environment.Broker->begin(call.Request, std::move(snapshot), started);
-  CallGuard guard(*Environment.Broker, *Environment.Time, call.Handle);
+  CallGuard guard(Environment, call.Handle);
   CallStep first = Environment.Broker->step(call.Handle);
   CallStep last = co_await runSteps(call, first);
   Figures.ended(first.CallRank, last.Outcome, now() - started);
@@ -292,8 +301,8 @@
   plan.Timeout = step.AttemptTimeout;
   plan.FreshConnection = step.FreshConnection;
   plan.Lines = meshLines(request, mesh, MeshAudience::Node, Keys);
-  ExchangeResult exchanged = co_await exchange(Pool, *Environment.Time, plan,
-                                               request, call.Incoming.Watch);
+  ExchangeResult exchanged =
+      co_await exchange(Pool, plan, request, call.Incoming.Watch);
   calls::AttemptResult result;
   result.End = exchanged.End;
   result.Latency = exchanged.Latency;
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -3,6 +3,7 @@
 #include <LibBase/Random.h>
 #include <LibHttp/CallFigures.h>
 #include <LibHttp/CallProxy.h>
+#include <LibHttp/ClosedDecisions.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibHttp/GateRunner.h>
 
@@ -19,10 +20,13 @@
 class CallEngine {
 public:
   explicit CallEngine(CallProxyEnvironment environment);
-  ~CallEngine();
   CallEngine(const CallEngine &) = delete;
   CallEngine &operator=(const CallEngine &) = delete;
 
+  /// Lets go of the node, which ends before the calls that are still in flight:
+  /// they end without touching it.
+  void detach();
+
   /// Handles a request of a caller, or a deeper call of a local target.
   boost::asio::awaitable<Response> handleCaller(IncomingRequest incoming);
 
@@ -70,6 +74,10 @@
   void resume(calls::CallHandle call, const calls::CallStep &step);
   std::string newCallId();
 
+  ClosedBroker NoBroker;
+  ClosedGate NoGate;
+  base::SystemClock OwnClock;
+  base::Metrics Discarded;
   CallProxyEnvironment Environment;
   MeshKeys Keys;
   ConnectionPool Pool;
--- a/Libraries/LibHttp/CallFigures.cpp
+++ b/Libraries/LibHttp/CallFigures.cpp
@@ -2,7 +2,7 @@
 
 namespace radishcross::http {
 
-CallFigures::CallFigures(base::Metrics &metrics) : Counters(metrics) {
+CallFigures::CallFigures(base::Metrics &metrics) : Counters(&metrics) {
   for (const auto &rank : config::RankNames) {
     PerRank &row = Ranks[static_cast<size_t>(rank.Value)];
     std::string label = "{rank=\"" + std::string(rank.Name) + "\"";
@@ -18,7 +18,7 @@
                         base::Duration latency) {
   PerRank &row = Ranks[static_cast<size_t>(rank)];
   *row.Totals[static_cast<size_t>(outcome)] += 1;
-  Counters.observe(row.LatencyName, latency);
+  Counters->observe(row.LatencyName, latency);
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallFigures.h
+++ b/Libraries/LibHttp/CallFigures.h
@@ -25,7 +25,7 @@
     std::array<uint64_t *, std::size(calls::CallOutcomeNames)> Totals{};
     std::string LatencyName;
   };
-  base::Metrics &Counters;
+  base::Metrics *Counters;
   std::array<PerRank, config::RankCount> Ranks;
 };
 
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -17,6 +17,9 @@
   explicit CallProxyShell(CallProxyEnvironment environment)
       : Counters(environment.Counters),
         Engine(std::make_shared<CallEngine>(std::move(environment))) {}
+  ~CallProxyShell() override { Engine->detach(); }
+  CallProxyShell(const CallProxyShell &) = delete;
+  CallProxyShell &operator=(const CallProxyShell &) = delete;
 
   bool listen(boost::asio::io_context &context,
               const base::Address &callsListen, const base::Address &meshListen,
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -38,6 +38,9 @@
 /// The HTTP shell of the data path: callers' listener, mesh listener, and the
 /// pooled connections to other nodes and to local targets. It carries out the
 /// steps of the broker and the gate and decides nothing itself.
+///
+/// Destroy it before what its environment points at, and before the loop; calls
+/// that are then in flight end without touching any of it.
 class CallProxy {
 public:
   static std::optional<std::shared_ptr<CallProxy>>
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-asio::awaitable<std::optional<Response>> fetch(const base::Address &server,
+asio::awaitable<std::optional<Response>> fetch(base::Address server,
                                                Request request,
                                                base::Duration timeout,
                                                base::LastReason &reason) {
--- /dev/null
+++ b/Libraries/LibHttp/ClosedDecisions.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/CallBroker.h>
+
+namespace radishcross::http {
+
+/// Stands in for the broker of a node that has ended: calls that are still in
+/// flight then end as unknown without touching the node.
+class ClosedBroker final : public calls::CallBroker {
+public:
+  calls::CallHandle begin(const calls::CallRequest &, config::SnapshotPointer,
+                          base::TimePoint) override {
+    return 0;
+  }
+  calls::CallStep step(calls::CallHandle) const override {
+    return refusal(calls::CallOutcome::NotRun);
+  }
+  calls::CallStep attemptEnded(calls::CallHandle, const calls::AttemptResult &,
+                               base::TimePoint) override {
+    return refusal(calls::CallOutcome::Unknown);
+  }
+  void end(calls::CallHandle, base::TimePoint) override {}
+
+private:
+  static calls::CallStep refusal(calls::CallOutcome outcome) {
+    calls::CallStep step;
+    step.Code = base::ResultCode::Draining;
+    step.Outcome = outcome;
+    return step;
+  }
+};
+
+/// Stands in for the gate of a node that has ended: admits nothing.
+class ClosedGate final : public calls::AdmissionGate {
+public:
+  calls::GateAnswer arrive(const calls::Arrival &, base::TimePoint) override {
+    calls::GateAnswer answer;
+    answer.Code = base::ResultCode::Draining;
+    return answer;
+  }
+  std::vector<calls::GateAnswer>
+  ended(calls::Ticket, const calls::AttemptResult &, base::TimePoint) override {
+    return {};
+  }
+  void abandoned(calls::Ticket, base::TimePoint) override {}
+  std::vector<calls::GateAnswer> tick(base::TimePoint) override { return {}; }
+  uint32_t pressurePermille(const std::string &) const override { return 0; }
+  size_t inFlight() const override { return 0; }
+};
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -28,6 +28,8 @@
 constexpr int KeepaliveIdleSeconds = 5;
 constexpr int KeepaliveIntervalSeconds = 2;
 constexpr int KeepaliveProbes = 3;
+/// Memory that a connection keeps between messages.
+constexpr size_t KeptOutputBytes = 64UL << 10;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -283,6 +285,8 @@
   BytesTaken =
       co_await asio::async_write(Socket, asio::buffer(Output),
                                  asio::redirect_error(asio::use_awaitable, ec));
+  if (Output.capacity() > KeptOutputBytes)
+    std::string().swap(Output);
   co_return !ec;
 }
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -25,10 +25,10 @@
 /// One attempt's state over the connections that it tries.
 class Attempt {
 public:
-  Attempt(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
-          const Request &request, std::shared_ptr<ClientWatch> watch)
-      : Pool(pool), Time(clock), Plan(std::move(plan)), Message(request),
-        Watch(std::move(watch)), Started(clock.now()) {}
+  Attempt(ConnectionPool &pool, ExchangePlan plan, const Request &request,
+          std::shared_ptr<ClientWatch> watch)
+      : Pool(pool), Plan(std::move(plan)), Message(request),
+        Watch(std::move(watch)), Started(Time.now()) {}
 
   asio::awaitable<ExchangeResult> run() {
     ExchangeResult result;
@@ -100,7 +100,7 @@
   }
 
   ConnectionPool &Pool;
-  const base::Clock &Time;
+  base::SystemClock Time;
   ExchangePlan Plan;
   const Request &Message;
   std::shared_ptr<ClientWatch> Watch;
@@ -109,10 +109,11 @@
 
 } // namespace
 
-asio::awaitable<ExchangeResult>
-exchange(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
-         const Request &request, std::shared_ptr<ClientWatch> watch) {
-  Attempt attempt(pool, clock, std::move(plan), request, std::move(watch));
+asio::awaitable<ExchangeResult> exchange(ConnectionPool &pool,
+                                         ExchangePlan plan,
+                                         const Request &request,
+                                         std::shared_ptr<ClientWatch> watch) {
+  Attempt attempt(pool, std::move(plan), request, std::move(watch));
   co_return co_await attempt.run();
 }
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -32,7 +32,7 @@
 /// answer. NotSent is only said while no byte has gone out; a connection whose
 /// answer was abandoned is closed. \p watch may end the attempt early.
 boost::asio::awaitable<ExchangeResult>
-exchange(ConnectionPool &pool, const base::Clock &clock, ExchangePlan plan,
-         const Request &request, std::shared_ptr<ClientWatch> watch);
+exchange(ConnectionPool &pool, ExchangePlan plan, const Request &request,
+         std::shared_ptr<ClientWatch> watch);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -113,8 +113,7 @@
   plan.Server = target.Where;
   plan.Timeout = parent.Remaining;
   plan.Lines = meshLines(request, parent, MeshAudience::Target, Keys);
-  ExchangeResult result =
-      co_await exchange(Pool, *Environment.Time, plan, request, watch);
+  ExchangeResult result = co_await exchange(Pool, plan, request, watch);
   GateOutcome outcome;
   outcome.Result.End = result.End;
   outcome.Result.Latency = result.Latency;
--- a/Libraries/LibHttp/HttpPlatformClient.cpp
+++ b/Libraries/LibHttp/HttpPlatformClient.cpp
@@ -142,6 +142,8 @@
     size_t choice = (Preferred + i) % Addresses.size();
     *Sent += request.body().size();
     auto answer = co_await fetch(Addresses[choice], request, timeout, reason);
+    if (Stopped)
+      break; // The counters may be gone with the client's owner.
     if (answer) {
       Preferred = choice;
       *Received += answer->body().size();
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -109,6 +109,8 @@
 
 /// Returns whether the connection may bring another request.
 asio::awaitable<bool> Session::serveOne() {
+  if (!Link->isOpen())
+    co_return false;
   Idle = true;
   Link->expireAfter(Owner->Draining ? Owner->Limits.DrainLinger
                                     : Owner->Limits.IdleTimeout);
@@ -290,6 +292,7 @@
   if (!Draining)
     acceptBacklog();
   Draining = true;
+  Limits.Counters = nullptr;
   error_code ec;
   Acceptor.close(ec);
   for (Session *it : Sessions)
@@ -298,6 +301,7 @@
 
 void ServerState::stop() {
   Draining = true;
+  Limits.Counters = nullptr;
   error_code ec;
   Acceptor.close(ec);
   for (Session *it : Sessions)
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/Answers.h>
 
 #include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <set>
 
 using namespace radishcross;
@@ -455,3 +456,28 @@
   ask(mesh.Context, mesh.Far.Proxy->callsAddress(), deeper);
   CHECK(mesh.Far.Broker.Requests.back().Hops == 0);
 }
+
+TEST_CASE("calls in flight when the node ends do not touch it any more") {
+  for (auto kind : {GateAnswer::Kind::Run, GateAnswer::Kind::Queued}) {
+    auto mesh = std::make_unique<TwoNodes>();
+    mesh->HoldAnswers = true;
+    mesh->Far.Gate.Kind = kind;
+    bool ended = false;
+    base::LastReason reason;
+    asio::co_spawn(
+        mesh->Context,
+        http::fetch(mesh->Near.Proxy->callsAddress(), mesh->post(),
+                    std::chrono::seconds(10), reason),
+        [&](const std::exception_ptr &, std::optional<http::Response> got) {
+          ended = true;
+          CHECK_FALSE(got);
+        });
+    runUntil(mesh->Context, [&] { return !mesh->Far.Gate.Arrivals.empty(); });
+    mesh->Near.Proxy.reset();
+    mesh->Far.Proxy.reset();
+    runUntil(mesh->Context, [&] { return ended; });
+    CHECK(mesh->Near.Broker.Results.empty());
+    CHECK(mesh->Far.Gate.Results.empty());
+    CHECK(mesh->Near.Broker.Ended == 0);
+  }
+}
--- a/Tests/StandIns/Load.cpp
+++ b/Tests/StandIns/Load.cpp
@@ -256,7 +256,7 @@
       asio::co_spawn(
           Context, [this, watch] { return goAway(watch); }, asio::detached);
     http::ExchangeResult result =
-        co_await http::exchange(Pool, Time, plan, request, watch);
+        co_await http::exchange(Pool, plan, request, watch);
     co_return judge(result, request);
   }
 
@@ -352,7 +352,6 @@
 
   asio::io_context &Context;
   http::ConnectionPool Pool;
-  base::SystemClock Time;
   std::vector<base::Address> Nodes;
   std::vector<Kind> Kinds;
   base::Random Rng;
