LibHttp: Let connections wait in the kernel instead of resetting them

Cause: a burst of callers beyond the limit of connections was closed without an answer, which callers see as a cut. The load stand-in closed and opened its connections in such a burst until it had no ports left.

Conclusion: over its limit a listener refuses truthfully and cuts nothing.

--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -9,7 +9,6 @@
 /// Shorter than any server's idle timeout: this side closes first, so that no
 /// request crosses the other side's close.
 constexpr base::Duration IdleTimeout = std::chrono::seconds(10);
-constexpr size_t MaximumIdlePerServer = 120;
 
 } // namespace
 
@@ -37,7 +36,7 @@
                               ConnectionPointer link, base::TimePoint now) {
   auto &links = Idle[server];
   link->neverExpire();
-  if (links.size() >= MaximumIdlePerServer) {
+  if (links.size() >= IdlePerServer) {
     link->close();
     return;
   }
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -21,8 +21,12 @@
 /// is in the pool only between a whole answer and the next request.
 class ConnectionPool {
 public:
-  explicit ConnectionPool(boost::asio::io_context &context)
-      : Context(&context) {}
+  /// Connections to one server that are kept while idle; more are closed.
+  static constexpr size_t DefaultIdlePerServer = 120;
+
+  explicit ConnectionPool(boost::asio::io_context &context,
+                          size_t idlePerServer = DefaultIdlePerServer)
+      : Context(&context), IdlePerServer(idlePerServer) {}
 
   /// Returns the connection to \p server that was used last and is still
   /// usable, or null.
@@ -50,6 +54,7 @@
     base::TimePoint Since{};
   };
   boost::asio::io_context *Context;
+  size_t IdlePerServer;
   std::map<base::Address, std::vector<IdleLink>, AddressOrder> Idle;
 };
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -18,9 +18,11 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// Pause after a failed accept, for example without free file descriptors.
+/// Pause after a failed accept, for example without free file descriptors, and
+/// while there is no room for one.
 constexpr base::Duration AcceptPause = std::chrono::milliseconds(50);
-/// Connections over the limit that are told so at a time; more are just closed.
+/// Connections over the limit that are told so at a time; more wait in the
+/// kernel.
 constexpr size_t RefusalRoom = 256;
 constexpr base::Duration OverloadRetry = std::chrono::seconds(1);
 
@@ -247,22 +249,24 @@
 asio::awaitable<void> ServerState::acceptLoop() {
   while (Acceptor.is_open()) {
     error_code ec;
-    tcp::socket socket = co_await Acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == asio::error::operation_aborted || !Acceptor.is_open())
-      break;
-    if (ec) {
-      asio::steady_timer pause(Acceptor.get_executor(), AcceptPause);
-      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-      continue;
+    bool isFull = Sessions.size() >= Limits.Connections + RefusalRoom;
+    if (!isFull) {
+      tcp::socket socket = co_await Acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec == asio::error::operation_aborted || !Acceptor.is_open())
+        break;
+      if (!ec)
+        admit(std::move(socket));
     }
-    admit(std::move(socket));
+    if (!isFull && !ec)
+      continue;
+    // What waits in the kernel is not reset, as it would be by a close.
+    asio::steady_timer pause(Acceptor.get_executor(), AcceptPause);
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
 }
 
 void ServerState::admit(tcp::socket socket) {
-  if (Sessions.size() >= Limits.Connections + RefusalRoom)
-    return; // The socket is closed: a bound on memory and descriptors.
   bool isOver = Sessions.size() >= Limits.Connections;
   auto session =
       std::make_shared<Session>(shared_from_this(), std::move(socket));
--- a/Tests/StandIns/Load.cpp
+++ b/Tests/StandIns/Load.cpp
@@ -51,6 +51,8 @@
 constexpr std::chrono::milliseconds LongestPatience{20};
 constexpr std::chrono::milliseconds ResendPause{200};
 constexpr size_t IdsPerQuestion = 500;
+/// Closing and opening connections in a burst would measure ports, not nodes.
+constexpr size_t IdlePerNode = 1000;
 constexpr std::chrono::seconds ControlTimeout{10};
 
 /// How a call ended for its caller.
@@ -125,7 +127,7 @@
 public:
   Load(asio::io_context &context, std::vector<base::Address> nodes,
        std::vector<Kind> kinds)
-      : Context(context), Pool(context), Nodes(std::move(nodes)),
+      : Context(context), Pool(context, IdlePerNode), Nodes(std::move(nodes)),
         Kinds(std::move(kinds)), Rng(absl::GetFlag(FLAGS_seed)) {
     for (const Kind &it : Kinds)
       ShareSum += it.Share;
