--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -7,6 +7,9 @@
 #include <LibFleet/RecordStore.h>
 #include <LibFleet/Recovery.h>
 #include <LibFleet/Spreader.h>
+#include <LibLog/FoldWitness.h>
+#include <LibLog/SnapshotParts.h>
+#include <LibLog/SnapshotPolicy.h>
 #include <LibPeer/DatagramSocket.h>
 #include <LibPeer/FleetShell.h>
 #include <LibPeer/MeshProof.h>
@@ -23,7 +26,8 @@
 class FleetNode final : public FleetShell,
                         public std::enable_shared_from_this<FleetNode> {
 public:
-  FleetNode(FleetEnvironment environment, fleet::Recovery recovery,
+  FleetNode(FleetEnvironment environment,
+            const fleet::RecoverySettings &settings, fleet::Recovery recovery,
             uint64_t epoch);
   ~FleetNode() override;
 
@@ -51,11 +55,15 @@
   void run(fleet::MembershipActions actions);
   void run(const fleet::SpreadAction &action);
   void spread();
+  fleet::SpreadView spreadView() const;
   void recover();
+  void recordSetUp(const fleet::RecoverySettings &settings);
+  void recordLook(const fleet::RecoveryView &view);
   void reportChanges();
 
   void readLog(const fleet::SpreadAction &action);
   void logAnswered(const log::ReadAnswer &answer);
+  bool readWithoutState(const log::ReadAnswer &answer);
   void watchLogEnd(const log::ReadAnswer &answer);
   bool takeRecords(std::vector<log::StoredRecord> records,
                    const fleet::NodeId &source);
@@ -70,9 +78,16 @@
   void joinThroughBeacons();
   void joinThroughRecords(const std::vector<log::StoredRecord> &records);
 
+  void scanSnapshots(const std::vector<log::StoredRecord> &records);
+  bool startFromSnapshot();
+  void writeSnapshotIfDue();
+  void appendNextPart();
+
   void pull(const fleet::SpreadAction &action);
   void pullAnswered(const fleet::NodeId &peer,
                     const std::optional<PullAnswer> &answer);
+  void pullDone(const fleet::NodeId &peer, fleet::PullOutcome outcome,
+                base::Duration retryAfter = {});
   void pullMembers(const fleet::NodeId &peer);
   PullAnswer serve(const PullRequest &request);
   void serveRecords(const PullRequest &request, PullAnswer &answer);
@@ -94,8 +109,19 @@
   fleet::RecordStore Records;
   fleet::ForceRule Rule;
   fleet::Membership Members;
+  uint64_t SpreadSeed;
   fleet::Spreader Spreading;
+  bool IsSpreadRecorded = false;
   fleet::Recovery Recovering;
+  log::SnapshotPolicy Snapshots;
+  log::SnapshotAssembler Assembler;
+  log::FoldWitness Witness;
+  log::LogWindow Window;
+  std::optional<log::LogSnapshot> Candidate; ///< To start from, if believed.
+  std::deque<std::string> Unwritten; ///< Parts of the snapshot being written.
+  log::Offset ScanFrom = 1;          ///< Where a node without state reads on.
+  base::TimePoint CandidateSince{};
+  base::TimePoint NextSnapshotLook{};
   fleet::BeaconPlan Beacons;
   uint64_t BeaconsSent = 0;
   std::shared_ptr<DatagramSocket> Datagrams;
@@ -104,6 +130,7 @@
   boost::asio::steady_timer Timer;
   uint64_t ReportedGeneration = 0;
   base::TimePoint NextAlarm{};
+  trace::Entry LastLook;
   bool IsServingReported = false;
   bool IsLogShort = false;
   bool HasLeft = false;
