LibTrace: Keep the ring's plain window

The node takes a window's entries alone; that call was lost when recordings learnt to name what they leave out.

TestLibTrace: 11 cases pass.

--- a/Libraries/LibTrace/Ring.h
+++ b/Libraries/LibTrace/Ring.h
@@ -34,6 +34,11 @@
   Trace recording(const std::string &node, uint64_t seed,
                   int64_t fromMicroseconds) const;
 
+  /// Returns the entries of recording() alone.
+  std::vector<Entry> since(int64_t fromMicroseconds) const {
+    return recording("", 0, fromMicroseconds).Entries;
+  }
+
   size_t size() const { return Count; }
   size_t textBytes() const { return TextBytes; }
 
--- a/Tests/LibTrace/TestRing.cpp
+++ b/Tests/LibTrace/TestRing.cpp
@@ -16,7 +16,7 @@
 }
 
 std::vector<int64_t> timesOf(const Ring &ring, int64_t from) {
-  auto entries = ring.recording("n", 0, from).Entries;
+  auto entries = ring.since(from);
   std::vector<int64_t> out;
   out.reserve(entries.size());
   for (const auto &it : entries)
