--- a/Libraries/LibAdmin/ApiHandlers.cpp
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -11,7 +11,6 @@
 #include <LibAdmin/StatusReport.h>
 
 #include <boost/json/array.hpp>
-#include <charconv>
 
 namespace radishcross::admin {
 
@@ -134,11 +133,13 @@
 }
 
 ApiHandlers::Later ApiHandlers::publish(ApiRequest request) {
-  return answerChange(Node, std::move(request), {publishRecord, true}, Send);
+  return answerChange(Node, std::move(request), {publishRecord, true}, Send,
+                      UnderWay);
 }
 
 ApiHandlers::Later ApiHandlers::attach(ApiRequest request) {
-  return answerChange(Node, std::move(request), {attachRecord, false}, Send);
+  return answerChange(Node, std::move(request), {attachRecord, false}, Send,
+                      UnderWay);
 }
 
 http::Response ApiHandlers::previewAttach(const ApiRequest &request) {
@@ -150,11 +151,13 @@
 }
 
 ApiHandlers::Later ApiHandlers::detach(ApiRequest request) {
-  return answerChange(Node, std::move(request), {detachRecord, false}, Send);
+  return answerChange(Node, std::move(request), {detachRecord, false}, Send,
+                      UnderWay);
 }
 
 ApiHandlers::Later ApiHandlers::drain(ApiRequest request) {
-  return answerChange(Node, std::move(request), {drainRecord, false}, Send);
+  return answerChange(Node, std::move(request), {drainRecord, false}, Send,
+                      UnderWay);
 }
 
 http::Response ApiHandlers::audit(const ApiRequest &request) {
@@ -186,14 +189,12 @@
 }
 
 http::Response ApiHandlers::liftQuarantine(const ApiRequest &request) {
+  base::LastReason reason;
   const auto &text = request.Captures.at(0);
-  uint64_t fingerprint = 0;
-  const char *last = text.data() + text.size();
-  auto [end, error] = std::from_chars(text.data(), last, fingerprint, 16);
-  if (error != std::errc() || end != last)
-    return failure(ResultCode::UsageError,
-                   "fingerprint: expected hexadecimal digits");
-  if (!Node.liftQuarantine(fingerprint))
+  auto fingerprint = parseNumber(text, "fingerprint", reason);
+  if (!fingerprint)
+    return failureAnswer(reason);
+  if (!Node.liftQuarantine(*fingerprint))
     return failure(ResultCode::NotFound,
                    "no request with this fingerprint is in quarantine");
   return jsonAnswer(json::object{{"lifted", text}});
--- a/Libraries/LibAdmin/ApiHandlers.h
+++ b/Libraries/LibAdmin/ApiHandlers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmin/ApiRequest.h>
+#include <LibAdmin/ChangeAnswer.h>
 #include <LibAdmin/FleetStatus.h>
 #include <LibAdmin/NodeControl.h>
 #include <LibHttp/Message.h>
@@ -44,6 +45,7 @@
 private:
   NodeControl &Node;
   Ask Send;
+  RecordsUnderWay UnderWay;
 };
 
 } // namespace radishcross::admin
--- a/Libraries/LibAdmin/ChangeAnswer.cpp
+++ b/Libraries/LibAdmin/ChangeAnswer.cpp
@@ -16,6 +16,20 @@
 
 constexpr base::Duration ChangePatience = std::chrono::seconds(5);
 
+/// Takes a record off those under way when its request ends, however it ends.
+class Departure {
+public:
+  Departure(RecordsUnderWay &from, std::string id)
+      : From(from), Id(std::move(id)) {}
+  ~Departure() { From.erase(Id); }
+  Departure(const Departure &) = delete;
+  Departure &operator=(const Departure &) = delete;
+
+private:
+  RecordsUnderWay &From;
+  std::string Id;
+};
+
 /// Appends a record and waits until its fate is known or patience ends.
 asio::awaitable<ChangeOutcome> appendAndWait(NodeControl &node,
                                              log::Record record) {
@@ -37,8 +51,10 @@
 
 } // namespace
 
-asio::awaitable<http::Response>
-answerChange(NodeControl &node, ApiRequest request, ChangeRule rule, Ask ask) {
+asio::awaitable<http::Response> answerChange(NodeControl &node,
+                                             ApiRequest request,
+                                             ChangeRule rule, Ask ask,
+                                             RecordsUnderWay &underWay) {
   base::LastReason reason;
   if (!node.ready()) {
     reason.fail(base::ResultCode::NotRecovered,
@@ -60,6 +76,10 @@
   auto record = rule.Build(request, node.fold(), reason);
   if (!record)
     co_return failureAnswer(reason);
+  if (!underWay.insert(record->Id).second)
+    co_return changeAnswer({ChangeOutcome::Kind::Unknown, record->Id, {}},
+                           node.fold());
+  Departure departure{underWay, record->Id};
   auto outcome = co_await appendAndWait(node, std::move(*record));
   co_return changeAnswer(outcome, node.fold());
 }
--- a/Libraries/LibAdmin/ChangeAnswer.h
+++ b/Libraries/LibAdmin/ChangeAnswer.h
@@ -6,7 +6,10 @@
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace radishcross::admin {
 
@@ -17,9 +20,15 @@
   bool IsAssessed = false; ///< A harmful one is refused unless accepted.
 };
 
+/// Ids of the records whose fate requests are waiting for.
+using RecordsUnderWay = std::set<std::string, std::less<>>;
+
 /// Builds the record that a request asks for, appends it and answers with its
-/// fate. A record whose outcome is known already is not appended again.
-boost::asio::awaitable<http::Response>
-answerChange(NodeControl &node, ApiRequest request, ChangeRule rule, Ask ask);
+/// fate. A record whose outcome is known already is not appended again; one
+/// that another request waits for is unknown as yet, and the answer says so.
+boost::asio::awaitable<http::Response> answerChange(NodeControl &node,
+                                                    ApiRequest request,
+                                                    ChangeRule rule, Ask ask,
+                                                    RecordsUnderWay &underWay);
 
 } // namespace radishcross::admin
--- a/Tests/LibAdmin/MockNodeControl.cpp
+++ b/Tests/LibAdmin/MockNodeControl.cpp
@@ -38,6 +38,8 @@
 void MockNodeControl::change(log::Record record, base::Duration,
                              std::function<void(ChangeOutcome)> done) {
   ++Appends;
+  if (DuringAppend)
+    DuringAppend();
   ChangeOutcome out;
   out.RecordId = record.Id;
   out.Outcome = State.apply({State.offset() + 1, log::encodeRecord(record)});
@@ -53,7 +55,7 @@
 }
 
 boost::json::value MockNodeControl::quarantine() const {
-  return boost::json::array{boost::json::object{{"fingerprint", "abc"}}};
+  return boost::json::array{boost::json::object{{"fingerprint", "2748"}}};
 }
 
 bool MockNodeControl::liftQuarantine(uint64_t fingerprint) {
--- a/Tests/LibAdmin/MockNodeControl.h
+++ b/Tests/LibAdmin/MockNodeControl.h
@@ -41,7 +41,8 @@
   bool Ready = true;
   bool Draining = false;
   bool LosesAnswers = false; ///< The append takes effect, its answer is lost.
-  uint64_t Quarantined = 0xabc;
+  std::function<void()> DuringAppend;
+  uint64_t Quarantined = 2748;
   size_t Appends = 0;
 };
 
--- a/Tests/LibAdmin/TestApi.cpp
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -99,7 +99,7 @@
       {verb::post, "/v1/drain", Role::Publisher},
       {verb::post, "/v1/drain-self", Role::Administrator},
       {verb::get, "/v1/recording", Role::Administrator},
-      {verb::delete_, "/v1/quarantine/abc", Role::Administrator},
+      {verb::delete_, "/v1/quarantine/2748", Role::Administrator},
   };
   const std::pair<const char *, Role> holders[] = {
       {"eye", Role::Reader},
@@ -202,6 +202,16 @@
   CHECK(get("/v1/records/record-9999").result_int() == 404);
 }
 
+TEST_CASE_FIXTURE(Fixture, "a record that is under way is not appended twice") {
+  http::Response resent;
+  Node.DuringAppend = [&] { resent = publish("record-0001", Publish); };
+  CHECK(publish("record-0001", Publish).result_int() == 200);
+  CHECK(Node.Appends == 1);
+  CHECK(resent.result_int() == 504);
+  CHECK(textOf(documentOf(resent), "outcome") == "unknown");
+  CHECK(publish("record-0001", Publish).result_int() == 200);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a team cannot change another team's lines") {
   REQUIRE(publish("record-0001", Publish).result_int() == 200);
   struct Case {
@@ -412,10 +422,10 @@
   CHECK(get("/v1/recording?seconds=30", "root").body() == "trace of 30");
   CHECK(get("/v1/recording?seconds=x", "root").result_int() == 400);
   CHECK(
-      call(Served, verb::delete_, "/v1/quarantine/abc", "root").result_int() ==
+      call(Served, verb::delete_, "/v1/quarantine/2748", "root").result_int() ==
       200);
   CHECK(
-      call(Served, verb::delete_, "/v1/quarantine/abc", "root").result_int() ==
+      call(Served, verb::delete_, "/v1/quarantine/2748", "root").result_int() ==
       404);
   CHECK(post("/v1/drain-self", "", "root").result_int() == 200);
   CHECK(Node.Draining);
