--- a/Libraries/LibAdmin/Players.cpp
+++ b/Libraries/LibAdmin/Players.cpp
@@ -5,6 +5,8 @@
 #include <LibCalls/IdempotencyPlayer.h>
 #include <LibCalls/LeasePlayer.h>
 #include <LibCalls/QuarantinePlayer.h>
+#include <LibFleet/RecoveryPlayer.h>
+#include <LibFleet/SpreaderPlayer.h>
 #include <LibLog/FoldPlayer.h>
 #include <LibLog/HeldPlayer.h>
 
@@ -22,6 +24,8 @@
     out[Module::TargetLease] = std::make_unique<calls::LeasePlayer>();
     out[Module::CallPlan] = std::make_unique<calls::CallPlanPlayer>();
     out[Module::Idempotency] = std::make_unique<calls::IdempotencyPlayer>();
+    out[Module::Spreader] = std::make_unique<fleet::SpreaderPlayer>();
+    out[Module::Recovery] = std::make_unique<fleet::RecoveryPlayer>();
     out[Module::Quarantine] = std::make_unique<calls::QuarantinePlayer>();
     return out;
   });
--- a/Libraries/LibTrace/Ring.cpp
+++ b/Libraries/LibTrace/Ring.cpp
@@ -15,9 +15,9 @@
 };
 
 /// Modules whose set-up entry holds all the state that they have by then.
-constexpr Module StartedAnew[] = {Module::Fold, Module::Snapshot,
-                                  Module::Recovery, Module::CallPlan,
-                                  Module::Idempotency};
+constexpr Module StartedAnew[] = {Module::Fold,     Module::Snapshot,
+                                  Module::Spreader, Module::Recovery,
+                                  Module::CallPlan, Module::Idempotency};
 
 constexpr Dependency Dependencies[] = {{Module::Snapshot, Module::Fold}};
 
--- a/Services/Radishcross/Flags.cpp
+++ b/Services/Radishcross/Flags.cpp
@@ -35,3 +35,5 @@
 ABSL_FLAG(uint32_t, seconds, 60, "how many seconds");
 ABSL_FLAG(bool, undo, false, "let it take new work again");
 ABSL_FLAG(std::string, lift, "", "fingerprint to take out of quarantine");
+ABSL_FLAG(std::string, about, "",
+          "what was recorded and what must hold, kept in the trace");
--- a/Services/Radishcross/Flags.h
+++ b/Services/Radishcross/Flags.h
@@ -28,3 +28,4 @@
 ABSL_DECLARE_FLAG(uint32_t, seconds);
 ABSL_DECLARE_FLAG(bool, undo);
 ABSL_DECLARE_FLAG(std::string, lift);
+ABSL_DECLARE_FLAG(std::string, about);
--- a/Services/Radishcross/Traces.cpp
+++ b/Services/Radishcross/Traces.cpp
@@ -126,7 +126,11 @@
                             reason, *where);
   if (!answer)
     return printFailure(reason);
-  print(answer->Text);
+  auto trace = trace::readTrace(answer->Text, reason);
+  if (!trace)
+    return printFailure(reason);
+  trace->About = absl::GetFlag(FLAGS_about);
+  print(trace::writeTrace(*trace));
   return ResultCode::Ok;
 }
 
