LibAdmin: Say that it is the platform which cannot be reached

With the platform down a publish was refused with 6004 node-unreachable, which reads as if the asked node were down. It is 3006 platform-unavailable now, with Retry-After, and says that nothing was appended.

--- a/Libraries/LibAdmin/Answers.cpp
+++ b/Libraries/LibAdmin/Answers.cpp
@@ -127,6 +127,11 @@
   }
   auto result = outcome.Outcome;
   result.RecordId = outcome.RecordId;
+  // The one listener that a change can fail to reach is the platform's.
+  if (result.Code == ResultCode::NodeUnreachable) {
+    result.Code = ResultCode::PlatformUnavailable;
+    result.Reason = "nothing was appended: " + result.Reason;
+  }
   auto code = isAccepted(result.Code) ? ResultCode::Ok : result.Code;
   return answer(code, outcomeDocument(result, fold));
 }
--- a/Tests/LibAdmin/MockNodeControl.cpp
+++ b/Tests/LibAdmin/MockNodeControl.cpp
@@ -42,6 +42,12 @@
     DuringAppend();
   ChangeOutcome out;
   out.RecordId = record.Id;
+  if (IsCutOff) {
+    out.What = ChangeOutcome::Kind::Rejected;
+    out.Outcome.Code = base::ResultCode::NodeUnreachable;
+    done(out);
+    return;
+  }
   out.Outcome = State.apply({State.offset() + 1, log::encodeRecord(record)});
   Holds.update(State);
   bool isAccepted = out.Outcome.Code == base::ResultCode::Ok;
--- a/Tests/LibAdmin/MockNodeControl.h
+++ b/Tests/LibAdmin/MockNodeControl.h
@@ -41,6 +41,7 @@
   bool Ready = true;
   bool Draining = false;
   bool LosesAnswers = false; ///< The append takes effect, its answer is lost.
+  bool IsCutOff = false;     ///< The platform cannot be reached.
   std::function<void()> DuringAppend;
   uint64_t Quarantined = 2748;
   size_t Appends = 0;
--- a/Tests/LibAdmin/TestApi.cpp
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -202,6 +202,14 @@
   CHECK(get("/v1/records/record-9999").result_int() == 404);
 }
 
+TEST_CASE_FIXTURE(Fixture, "without the platform a change is refused at once") {
+  Node.IsCutOff = true;
+  auto answer = publish("record-0001", Publish);
+  CHECK(answer.result_int() == 503);
+  CHECK(answer[boost::beast::http::field::retry_after] == "1");
+  CHECK(documentOf(answer).at("code").as_int64() == 3006);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a record that is under way is not appended twice") {
   http::Response resent;
   Node.DuringAppend = [&] { resent = publish("record-0001", Publish); };
