Radishcross: Print the content of a version

Going back means publishing old content as a new version, and nothing printed old content. show does; its output can be published as it is.

--- a/Services/Radishcross/Command.h
+++ b/Services/Radishcross/Command.h
@@ -34,6 +34,7 @@
 base::ResultCode detach(const Arguments &arguments);
 base::ResultCode status(const Arguments &arguments);
 base::ResultCode watch(const Arguments &arguments);
+base::ResultCode show(const Arguments &arguments);
 base::ResultCode diff(const Arguments &arguments);
 base::ResultCode impact(const Arguments &arguments);
 base::ResultCode audit(const Arguments &arguments);
--- a/Services/Radishcross/Versions.cpp
+++ b/Services/Radishcross/Versions.cpp
@@ -71,6 +71,22 @@
 
 } // namespace
 
+ResultCode show(const Arguments &arguments) {
+  base::LastReason reason;
+  const auto &name = arguments.at(0);
+  auto report = getFromNode(pathOf(name), reason);
+  if (!report)
+    return printFailure(reason);
+  auto newest = static_cast<uint64_t>(numberOf(report->Document, "newest"));
+  auto version = versionFlag(absl::GetFlag(FLAGS_version_number), "--version",
+                             newest, reason);
+  auto content = version ? contentOf(name, *version, reason) : std::nullopt;
+  if (!content)
+    return printFailure(reason);
+  printDocument(*content);
+  return ResultCode::Ok;
+}
+
 ResultCode diff(const Arguments &arguments) {
   base::LastReason reason;
   const auto &name = arguments.at(0);
