--- a/Tests/LibAdmin/MockNodeControl.cpp
+++ b/Tests/LibAdmin/MockNodeControl.cpp
@@ -38,8 +38,16 @@
 void MockNodeControl::change(log::Record record, base::Duration,
                              std::function<void(ChangeOutcome)> done) {
   ++Appends;
+  if (DuringAppend)
+    DuringAppend();
   ChangeOutcome out;
   out.RecordId = record.Id;
+  if (IsCutOff) {
+    out.What = ChangeOutcome::Kind::Rejected;
+    out.Outcome.Code = base::ResultCode::NodeUnreachable;
+    done(out);
+    return;
+  }
   out.Outcome = State.apply({State.offset() + 1, log::encodeRecord(record)});
   Holds.update(State);
   bool isAccepted = out.Outcome.Code == base::ResultCode::Ok;
@@ -53,7 +61,7 @@
 }
 
 boost::json::value MockNodeControl::quarantine() const {
-  return boost::json::array{boost::json::object{{"fingerprint", "abc"}}};
+  return boost::json::array{boost::json::object{{"fingerprint", "2748"}}};
 }
 
 bool MockNodeControl::liftQuarantine(uint64_t fingerprint) {
