--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -59,8 +59,9 @@
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
                 recorder),
-        Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow),
-        Keys(Settings.KeyWindow, recorder) {}
+        Keys(Settings.KeyWindow, recorder),
+        Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
+               recorder) {}
 
   struct OpenCall {
     config::SnapshotPointer Snapshot;
@@ -89,8 +90,8 @@
   BrokerSettings Settings;
   Quarantine *Quarantined;
   CallPlanner Planner;
+  IdempotencyTable Keys; ///< Before Owners: it sets up their trace.
   KeyOwnership Owners;
-  IdempotencyTable Keys;
   std::unordered_map<CallHandle, OpenCall> Open;
   std::set<CallHandle> Waiting;
   CallHandle LastHandle = 0;
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -1,14 +1,16 @@
 #include <LibBase/Random.h>
-#include <LibCalls/AdmissionPlayer.h>
-#include <LibCalls/CallFixtures.h>
-#include <LibCalls/CallPlanPlayer.h>
-#include <LibCalls/IdempotencyPlayer.h>
-#include <LibCalls/LeasePlayer.h>
+#include <LibCalls/BrokerBench.h>
+#include <LibCalls/CallPlanner.h>
+#include <LibCalls/IdempotencyTable.h>
+#include <LibCalls/KeyOwnership.h>
+#include <LibCalls/Players.h>
+#include <LibCalls/TargetGate.h>
+#include <LibCalls/TargetLeases.h>
+#include <LibTrace/Ring.h>
 
 #include <doctest/doctest.h>
-#include <functional>
 #include <map>
-#include <memory>
+#include <utility>
 
 using namespace radishcross;
 using namespace radishcross::calls;
@@ -104,50 +106,85 @@
   }
 }
 
-struct Row {
-  void (*Drive)(trace::Recorder &, Driver &);
-  std::function<std::unique_ptr<trace::Player>()> Player;
-};
+void ownKeys(trace::Recorder &recorder, Driver &it) {
+  KeyOwnership owners("a", "dc1", 1s, recorder);
+  for (uint64_t n = 0; n < Steps; ++n) {
+    std::vector<fleet::Member> members;
+    for (const char *node : {"a", "b", "c", "d"})
+      if (it.Draw.below(10) > 0)
+        members.push_back(member(node));
+    it.Now += it.Draw.below(50) == 0 ? 5s : 0s;
+    owners.tick(it.now());
+    if (n % 40 == 0)
+      owners.membersChanged(members, it.now());
+    owners.verdict("k" + std::to_string(it.Draw.below(20)), it.now());
+  }
+}
 
-const Row Rows[] = {
-    {planCalls, [] { return std::make_unique<CallPlanPlayer>(); }},
-    {admitCalls, [] { return std::make_unique<AdmissionPlayer>(); }},
-    {leaseTargets, [] { return std::make_unique<LeasePlayer>(); }},
-    {keepKeys, [] { return std::make_unique<IdempotencyPlayer>(); }},
-};
+using Drive = void (*)(trace::Recorder &, Driver &);
+constexpr Drive Drives[] = {planCalls, admitCalls, leaseTargets, keepKeys,
+                            ownKeys};
+
+trace::Trace record(Drive drive, uint64_t seed) {
+  KeepingRecorder recorder;
+  Driver driver(seed);
+  drive(recorder, driver);
+  trace::Trace out;
+  out.Entries = std::move(recorder.Entries);
+  return out;
+}
+
+trace::ReplayReport replay(const trace::Trace &trace) {
+  const trace::Replay out([] {
+    trace::Replay::Players players;
+    addPlayers(players);
+    return players;
+  });
+  return out.run(trace);
+}
 
 } // namespace
 
 TEST_CASE("recorded decisions replay with equal outcomes") {
-  for (const auto &row : Rows) {
+  for (const auto drive : Drives) {
     for (const uint64_t seed : {1, 2, 3, 4, 5}) {
-      KeepingRecorder recorder;
-      Driver driver(seed);
-      row.Drive(recorder, driver);
-      REQUIRE(recorder.Entries.size() > Steps);
-      const auto player = row.Player();
-      size_t differing = 0;
-      for (const auto &entry : recorder.Entries)
-        differing += player->play(entry) == entry.Decided ? 0 : 1;
-      CAPTURE(static_cast<int>(recorder.Entries.front().Source));
-      CAPTURE(seed);
-      CHECK(differing == 0);
+      const auto trace = record(drive, seed);
+      REQUIRE(trace.Entries.size() > Steps);
+      const auto report = replay(trace);
+      CHECK(report.Played == trace.Entries.size());
+      if (report.First)
+        FAIL(explain(*report.First));
     }
   }
 }
 
 TEST_CASE("a replay with events left out differs") {
-  for (const auto &row : Rows) {
-    KeepingRecorder recorder;
-    Driver driver(1);
-    row.Drive(recorder, driver);
-    const auto first = recorder.Entries.begin() + 1;
-    recorder.Entries.erase(first, first + Steps / 10);
-    const auto player = row.Player();
-    size_t differing = 0;
-    for (const auto &entry : recorder.Entries)
-      differing += player->play(entry) == entry.Decided ? 0 : 1;
-    CAPTURE(static_cast<int>(recorder.Entries.front().Source));
-    CHECK(differing > 0);
+  for (const auto drive : Drives) {
+    auto trace = record(drive, 1);
+    const auto first = trace.Entries.begin() + 1;
+    trace.Entries.erase(first, first + Steps / 10);
+    const auto report = replay(trace);
+    REQUIRE(report.First);
+    CHECK_FALSE(report.First->EventName.empty());
+  }
+}
+
+TEST_CASE("what a node recorded of calls and keys replays whole") {
+  trace::Ring ring({});
+  BrokerBench it(&ring);
+  it.Node.nothingRanBefore(at(it.Now));
+  for (int n = 0; n < 100; ++n) {
+    it.run("/lookup", static_cast<AttemptEnd>(n % 6));
+    const auto call = it.pay("key" + std::to_string(n % 20));
+    it.end(call, static_cast<AttemptEnd>(n % 5));
+    it.Node.end(call, at(it.Now));
+    it.pass(500ms);
   }
+  const auto trace =
+      ring.recording("n0", 1, at(it.Now).time_since_epoch().count());
+  const auto report = replay(trace);
+  CHECK(trace.LeftOut.empty());
+  CHECK(report.Played == ring.size());
+  if (report.First)
+    FAIL(explain(*report.First));
 }
--- a/Tests/LibLog/TestSnapshotInLog.cpp
+++ b/Tests/LibLog/TestSnapshotInLog.cpp
@@ -4,6 +4,7 @@
 #include <LibLog/SpreadForm.h>
 
 #include <doctest/doctest.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -165,3 +166,39 @@
   CHECK(spread.State.hash() == whole.State.hash());
   CHECK(spread.State.save() == whole.State.save());
 }
+
+TEST_CASE("expired record: a node without state starts from the log's "
+          "snapshot") {
+  base::ManualClock time;
+  FoldDriver log;
+  fill(log, 30);
+  // What the log began with has expired, so a snapshot is due at once.
+  auto at = log.State.offset();
+  auto hash = log.State.hash();
+  SnapshotPolicy policy("n1");
+  REQUIRE(policy.shouldWrite(at, {2, at + 1}, {"n1"}, time.now()));
+  log::SnapshotAssembler assembler;
+  base::LastReason reason;
+  std::optional<log::LogSnapshot> found;
+  for (const auto &it : log::makeSnapshotParts(log.State, Writer)) {
+    REQUIRE_FALSE(found);
+    log.append(it);
+    found = assembler.take(it, log.State.offset(), reason);
+  }
+  REQUIRE(found);
+  log.append(log::publish("last", "c0", 1, log::contentOf({}, {})));
+  policy.snapshotSeen(at, found->FirstPartAt, time.now());
+  CHECK_FALSE(policy.shouldWrite(at + 1, {2, at + 2}, {"n1"}, time.now()));
+  // It cannot fold the first record it can still read, but the snapshot's state
+  // can, and ends where the writer is. A second source confirms it.
+  CHECK(log::Fold().apply(log.Log[1]).Code == ResultCode::RecordExpired);
+  log::FoldWitness witness;
+  witness.noteOther(found->Writer, at, hash);
+  CHECK(witness.judge(found->Writer, at, hash) == Belief::Unconfirmed);
+  witness.noteOther("n2", at, hash);
+  CHECK(witness.judge(found->Writer, at, hash) == Belief::Confirmed);
+  for (size_t i = at; i < log.Log.size(); ++i)
+    found->State.apply(log.Log[i]);
+  CHECK(found->State.hash() == log.State.hash());
+  CHECK(found->State.configurations().at("c0").Versions.size() == 2);
+}
