--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -52,7 +52,7 @@
   std::string Region;
   config::Labels NodeLabels;
   base::Address Gossip;         ///< UDP.
-  base::Address Peer;           ///< Cap'n Proto RPC.
+  base::Address Peer;           ///< TCP: pulls of records, states, members.
   base::Address Mesh;           ///< HTTP calls from other nodes.
   base::Address Administration; ///< HTTP for operators.
 };
