--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/Membership.h>
+#include <LibFleet/UpdateSize.h>
 
 #include <algorithm>
 #include <bit>
@@ -10,32 +11,15 @@
 
 namespace {
 
-constexpr base::Duration RelayLifetime = std::chrono::seconds(2);
 constexpr base::Duration LongestTickGap = std::chrono::seconds(1);
 constexpr base::Duration LoadNewsSpacing = std::chrono::seconds(10);
 constexpr uint32_t LoadStepPermille = 250;
-constexpr size_t MaximumRelays = 256;
 constexpr uint64_t DeadProbeChance = 10; ///< One link in so many.
 constexpr size_t SeedsPerJoin = 3;
 constexpr size_t MaximumPulledNews = 20;
+constexpr size_t NoticeBytes = 420;  ///< Room for one notice of any size.
 constexpr uint32_t NoticeRounds = 3; ///< Pushes that carry one notice.
 constexpr size_t MaximumFoundSeeds = 32;
-constexpr size_t StatusBytes = 40;
-constexpr size_t MemberBytes = 140;
-constexpr size_t TargetBytes = 60;
-constexpr size_t LabelBytes = 24;
-
-size_t estimatedBytes(const MemberUpdate &update) {
-  const auto &it = update.Record;
-  if (!update.HasContent)
-    return StatusBytes + it.Identity.Id.size();
-  size_t bytes = MemberBytes + it.Identity.Id.size();
-  for (const auto &[key, value] : it.Identity.NodeLabels)
-    bytes += key.size() + value.size() + LabelBytes;
-  for (const auto &target : it.Targets)
-    bytes += target.Service.size() + target.TargetId.size() + TargetBytes;
-  return bytes;
-}
 
 bool sameButLoad(const TargetRecord &a, const TargetRecord &b) {
   return a.Service == b.Service && a.TargetId == b.TargetId &&
@@ -84,10 +68,12 @@
   bool isSecondPush = SecondPush && now >= *SecondPush;
   if (isSecondPush)
     SecondPush.reset();
-  if (!isNewsDue(now) && !isSecondPush)
+  bool hasNews = isNewsDue(now);
+  if (!hasNews && !isSecondPush)
     return actions;
-  HasNews = false;
-  auto sends = push([](const Member &) { return true; }, now);
+  HasNews = HasNews && !hasNews;
+  auto sends = push([](const Member &) { return true; },
+                    hasNews ? Payload::Updates : Payload::DigestOnly);
   std::move(sends.begin(), sends.end(), std::back_inserter(actions.Sends));
   return actions;
 }
@@ -196,16 +182,17 @@
                                              const NodeId &source) {
   auto delay = Settings.SecondPushDelay.count();
   SecondPush = now + base::Duration(delay / 2 + Dice.below(delay));
-  auto sends =
-      push([&](const Member &it) { return it.HeldOffset < Own.Held; }, now);
+  auto sends = push([&](const Member &it) { return it.HeldOffset < Own.Held; },
+                    Payload::DigestOnly);
   if (const auto *it = Table.find(source))
-    sends.push_back({it->Identity.Gossip, compose(GossipKind::News)});
+    sends.push_back({it->Identity.Gossip,
+                     compose(GossipKind::News, 0, {}, Payload::DigestOnly)});
   return sends;
 }
 
 std::vector<GossipSend>
 Membership::push(const std::function<bool(const Member &)> &accept,
-                 base::TimePoint now) {
+                 Payload payload) {
   auto peers = choose(Settings.NewsFanout, [&](const Member &it) {
     return isLocal(it) && accept(it);
   });
@@ -215,114 +202,17 @@
          }))
       peers.push_back(it);
   std::vector<GossipSend> sends;
-  for (const auto *it : peers) {
-    auto message = compose(GossipKind::News);
-    message.Notices = Board.toSend(Settings.UpdateBytes / 2,
-                                   Settings.NewsFanout * NoticeRounds, now);
-    sends.push_back({it->Identity.Gossip, std::move(message)});
-  }
+  sends.reserve(peers.size());
+  for (const auto *it : peers)
+    sends.push_back(
+        {it->Identity.Gossip, compose(GossipKind::News, 0, {}, payload)});
   return sends;
 }
 
 std::vector<GossipSend> Membership::leave(base::TimePoint now) {
   setState(self(), MemberState::Left, now);
   IsLeaving = true;
-  return push([](const Member &) { return true; }, now);
-}
-
-MembershipActions Membership::take(const GossipSender &sender,
-                                   const GossipMessage &message,
-                                   base::TimePoint now) {
-  MembershipActions actions;
-  if (IsLeaving || sender.Id == SelfId)
-    return actions;
-  for (const auto &it : message.Updates)
-    mergeNews(it, now);
-  for (const auto &it : message.Notices)
-    Board.post(it, now);
-  Table.noteDigest(sender.Id, message.Summary);
-  answer(sender, message, now, actions);
-  compareTables(sender, message.Summary, now, actions);
-  return actions;
-}
-
-void Membership::answer(const GossipSender &sender,
-                        const GossipMessage &message, base::TimePoint now,
-                        MembershipActions &actions) {
-  if (message.Kind == GossipKind::PingRequest)
-    return relayPing(sender, message, now, actions);
-  if (message.Kind == GossipKind::Ack)
-    return takeAck(sender, message, actions);
-  const auto *known = Table.find(sender.Id);
-  if (!known) {
-    // The sender's datagram lacks its record; a Join brings back an Ack with
-    // it.
-    auto join = compose(GossipKind::Join);
-    join.Updates.insert(join.Updates.begin(), ownUpdate());
-    actions.Sends.push_back({sender.From, std::move(join)});
-    return;
-  }
-  if (message.Kind == GossipKind::News && known->State == MemberState::Alive)
-    return;
-  auto ack = compose(GossipKind::Ack, message.Probe, message.Subject);
-  if (message.Kind == GossipKind::Join)
-    ack.Updates.insert(ack.Updates.begin(), ownUpdate());
-  // Who is thought dead gets the chance to refute it.
-  if (known->State != MemberState::Alive)
-    ack.Updates.insert(ack.Updates.begin(), updateOf(sender.Id, false));
-  actions.Sends.push_back({sender.From, std::move(ack)});
-}
-
-void Membership::relayPing(const GossipSender &sender,
-                           const GossipMessage &message, base::TimePoint now,
-                           MembershipActions &actions) {
-  std::erase_if(Relays, [&](const Relay &it) { return it.Expires <= now; });
-  const auto *subject = Table.find(message.Subject);
-  if (!subject || Relays.size() >= MaximumRelays)
-    return;
-  uint64_t number = (1ULL << 63) | ++LastRelay;
-  Relays.push_back({number, message.Subject, sender.From, message.Probe,
-                    now + RelayLifetime});
-  actions.Sends.push_back({subject->Identity.Gossip,
-                           compose(GossipKind::Ping, number, message.Subject)});
-}
-
-void Membership::takeAck(const GossipSender &sender,
-                         const GossipMessage &message,
-                         MembershipActions &actions) {
-  auto relay = std::find_if(Relays.begin(), Relays.end(), [&](const auto &it) {
-    return it.Number == message.Probe && it.Subject == sender.Id;
-  });
-  if (relay != Relays.end()) {
-    actions.Sends.push_back(
-        {relay->Requester,
-         compose(GossipKind::Ack, relay->TheirNumber, relay->Subject)});
-    Relays.erase(relay);
-    return;
-  }
-  const auto &subject = message.Subject.empty() ? sender.Id : message.Subject;
-  Probes.acknowledged(subject, message.Probe);
-}
-
-void Membership::compareTables(const GossipSender &sender, const Digest &theirs,
-                               base::TimePoint now,
-                               MembershipActions &actions) {
-  if (theirs.MembersHash == Table.hash()) {
-    Differences = 0;
-    return;
-  }
-  const auto *known = Table.find(sender.Id);
-  ++Differences;
-  // A newcomer asks at once; later on, news in flight explains most
-  // differences.
-  bool isNewcomer = Table.all().size() <= 2;
-  if (!known || !isLive(*known) || now < NextPull ||
-      (!isNewcomer && Differences < Settings.DifferencesBeforePull))
-    return;
-  Differences = 0;
-  auto spacing = isNewcomer ? Settings.JoinPeriod : Settings.PullSpacing;
-  NextPull = now + spacing / 2 + base::Duration(Dice.below(spacing.count()));
-  actions.PullFrom = sender.Id;
+  return push([](const Member &) { return true; }, Payload::Updates);
 }
 
 void Membership::takePulled(const std::vector<Member> &records,
@@ -457,13 +347,17 @@
 std::vector<Notice> Membership::takeNewNotices() { return Board.takeNew(); }
 
 GossipMessage Membership::compose(GossipKind kind, uint64_t probe,
-                                  const NodeId &subject) {
+                                  const NodeId &subject, Payload payload) {
   GossipMessage message;
   message.Kind = kind;
   message.Probe = probe;
   message.Subject = subject;
   message.Summary = Own;
   message.Summary.MembersHash = Table.hash();
+  if (payload == Payload::DigestOnly)
+    return message;
+  message.Notices =
+      Board.toSend(NoticeBytes, Settings.NewsFanout * NoticeRounds, LastTick);
   addUpdates(message);
   return message;
 }
--- a/Tests/LibCalls/BrokerBench.h
+++ b/Tests/LibCalls/BrokerBench.h
@@ -14,8 +14,9 @@
 /// A broker of node "n0" in dc1, with an idempotent lookup route, a payment
 /// route and two targets.
 struct BrokerBench {
-  explicit BrokerBench(const std::string &node = "n0")
-      : Node({node, "dc1", "south", 1}, Crashers, Recorder) {
+  explicit BrokerBench(trace::Recorder *recorder = nullptr)
+      : Node({"n0", "dc1", "south", 1}, Crashers,
+             recorder ? *recorder : Recorder) {
     config::VersionContent content;
     content.Services = {{"lookup", {}}};
     config::Route lookup{"lookup", {{}, "", "/lookup"}, "lookup"};
@@ -93,4 +94,17 @@
   CHECK(step.Code == code);
 }
 
+inline void checkAnswered(const CallStep &step) {
+  checkFinish(step, CallOutcome::Answered, ResultCode::Ok);
+}
+
+inline void checkUnknown(const CallStep &step,
+                         ResultCode code = ResultCode::CallOutcomeUnknown) {
+  checkFinish(step, CallOutcome::Unknown, code);
+}
+
+inline void checkNotRun(const CallStep &step, ResultCode code) {
+  checkFinish(step, CallOutcome::NotRun, code);
+}
+
 } // namespace radishcross::calls::testing
