LibLog: Set a replay up with what waits as well

Cause: a recording that begins in the middle starts from the versions held; a version that waited with nothing held could be let in before them.

TestLibLog: the cases on recordings and restarts pass.

--- a/Libraries/LibLog/HeldPlayer.cpp
+++ b/Libraries/LibLog/HeldPlayer.cpp
@@ -70,6 +70,9 @@
   Versions floor = held.floor();
   for (const auto &it : held.snapshot()->versions())
     floor[it.Configuration] = std::max(floor[it.Configuration], it.Version);
+  // What waits with nothing held must not come in before the rest.
+  for (const auto &[name, version] : held.exceptions())
+    floor.try_emplace(name, version);
   boost::json::object labels;
   for (const auto &[key, text] : held.labels())
     labels[key] = text;
