Radishcross: Give an unfinished watch its own code

A watch that ran out of time ended with 2008 waiting-for-reference, which names a cause that it does not know. 6005 not-converged says what is so.

A watch of four nodes with one killed ended with exit 5.

--- a/Libraries/LibBase/ResultCode.cpp
+++ b/Libraries/LibBase/ResultCode.cpp
@@ -134,6 +134,8 @@
      "There is nothing by this name."},
     {ResultCode::NodeUnreachable, "node-unreachable", 502, 8,
      "The node's administration listener cannot be reached."},
+    {ResultCode::NotConverged, "not-converged", 409, 5,
+     "Not every selected node holds its version yet."},
     {ResultCode::TraceTruncated, "trace-truncated", 400, 3,
      "A trace ends before its closing line."},
     {ResultCode::TraceAltered, "trace-altered", 400, 3,
--- a/Libraries/LibBase/ResultCode.h
+++ b/Libraries/LibBase/ResultCode.h
@@ -86,6 +86,7 @@
   Forbidden = 6002,
   NotFound = 6003,
   NodeUnreachable = 6004,
+  NotConverged = 6005,
 
   // 7xxx: traces.
   TraceTruncated = 7001,
--- a/Services/Radishcross/Status.cpp
+++ b/Services/Radishcross/Status.cpp
@@ -147,8 +147,9 @@
       break;
     std::this_thread::sleep_for(WatchPeriod);
   }
-  reason.fail(ResultCode::WaitingForReference,
-              "not every selected node holds the version yet");
+  reason.fail(ResultCode::NotConverged,
+              "not every selected node holds its version after " +
+                  std::to_string(absl::GetFlag(FLAGS_seconds)) + " s");
   return printFailure(reason);
 }
 
