StandIns: Silence only the connections that were open

Cause: the target's switch counted a new connection as open from its second request on, so with a large count every keep-alive connection went silent, new ones too. Ruled out: the callers' nodes keeping silent connections in their pools; one node with one target found each silent connection within 2.0 s and the next new one worked.

--- a/Tests/StandIns/Target.cpp
+++ b/Tests/StandIns/Target.cpp
@@ -168,12 +168,18 @@
 
   /// Makes connections silent that were open when the switch was set.
   bool isSilent(const base::Address &peer) {
-    bool isOpen = !Seen.insert(peer).second;
-    if (isOpen && SilentWanted > 0 && Silent.insert(peer).second)
+    Seen.insert(peer);
+    if (SilentWanted > 0 && OpenBefore.erase(peer) > 0 &&
+        Silent.insert(peer).second)
       SilentWanted -= 1;
     return Silent.count(peer) != 0;
   }
 
+  void silence(uint32_t count) {
+    SilentWanted = count;
+    OpenBefore = Seen;
+  }
+
   uint32_t load() {
     if (absl::GetFlag(FLAGS_load_lie) >= 0)
       return static_cast<uint32_t>(absl::GetFlag(FLAGS_load_lie));
@@ -247,7 +253,7 @@
     if (ec || !wish.is_object())
       return http::makeJson(400, "{}");
     if (const json::value *it = wish.as_object().if_contains("silent"))
-      SilentWanted = it->to_number<uint32_t>();
+      silence(it->to_number<uint32_t>());
     return http::makeJson(200, "{}");
   }
 
@@ -262,6 +268,7 @@
   uint32_t SilentWanted = 0;
   std::unordered_map<std::string, uint32_t> Runs;
   std::set<base::Address, http::AddressOrder> Seen;
+  std::set<base::Address, http::AddressOrder> OpenBefore;
   std::set<base::Address, http::AddressOrder> Silent;
   std::deque<std::pair<Clock::time_point, uint32_t>> Loads;
   http::ClientWatch ClientWatchNeverGone;
