LibNode: Bring changes into the log by the resolver

Cause: the node appended a change as one record and never again, so a change above 64 KB failed and one lost answer cost a publish. The decisions for both stood unused in LibLog.

The node now carries out the resolver's steps: pieces, repeated appends with the same id, an answer at once when the platform takes nothing.

--- a/Libraries/LibNode/ChangeFlow.cpp
+++ b/Libraries/LibNode/ChangeFlow.cpp
@@ -1,11 +1,41 @@
 #include <LibNode/ChangeFlow.h>
 
+#include <LibBase/Hash.h>
+#include <LibLog/Chunks.h>
+
 #include <utility>
-#include <vector>
 
 namespace radishcross::node {
 
+namespace {
+
 using admin::ChangeOutcome;
+using log::ChangeEnd;
+using log::ChangeStep;
+
+ChangeOutcome rejected(const std::string &recordId, base::ResultCode code,
+                       std::string reason) {
+  ChangeOutcome out;
+  out.What = ChangeOutcome::Kind::Rejected;
+  out.RecordId = recordId;
+  out.Outcome.RecordId = recordId;
+  out.Outcome.Code = code;
+  out.Outcome.Reason = std::move(reason);
+  return out;
+}
+
+ChangeOutcome outcomeOf(const std::string &recordId, const ChangeStep &step) {
+  ChangeOutcome out;
+  out.RecordId = recordId;
+  out.Outcome = step.Outcome;
+  if (step.End == ChangeEnd::Accepted)
+    out.What = ChangeOutcome::Kind::Accepted;
+  if (step.End == ChangeEnd::Rejected)
+    out.What = ChangeOutcome::Kind::Rejected;
+  return out;
+}
+
+} // namespace
 
 ChangeFlow::ChangeFlow(log::PlatformClient &platform, const base::Clock &clock,
                        std::function<void()> readLogSoon)
@@ -13,66 +43,78 @@
 
 void ChangeFlow::change(const log::Record &record, base::Duration patience,
                         std::function<void(ChangeOutcome)> done) {
-  Waiting[record.Id] = {Time->now() + patience, std::move(done)};
-  Platform->append(log::encodeRecord(record),
-                   [this, id = record.Id](const log::AppendAnswer &answer) {
-                     appendEnded(id, answer);
-                   });
+  auto pieces = log::splitRecord(record);
+  if (pieces.empty())
+    return done(rejected(record.Id, base::ResultCode::RecordTooLarge,
+                         "the change is too large for the log"));
+  auto now = Time->now();
+  Pending pending{log::ChangeResolver(record.Id, pieces.size(), now,
+                                      now + patience, base::hash64(record.Id)),
+                  std::move(pieces), false, std::move(done)};
+  auto [it, isNew] = Waiting.try_emplace(record.Id, std::move(pending));
+  if (!isNew)
+    return pending.Done(rejected(record.Id, base::ResultCode::DuplicateRecord,
+                                 "a change with this id is under way"));
+  carryOut(record.Id);
 }
 
-void ChangeFlow::appendEnded(const std::string &recordId,
-                             const log::AppendAnswer &answer) {
-  if (answer.Outcome == log::AppendAnswer::Kind::Refused) {
-    ChangeOutcome out;
-    out.What = ChangeOutcome::Kind::Rejected;
-    out.RecordId = recordId;
-    out.Outcome.RecordId = recordId;
-    out.Outcome.Code = answer.Reason.code();
-    out.Outcome.Reason = answer.Reason.text();
-    finish(recordId, std::move(out));
+void ChangeFlow::carryOut(const std::string &recordId) {
+  auto it = Waiting.find(recordId);
+  if (it == Waiting.end())
     return;
-  }
-  // Accepted and Unknown are treated alike: the fold alone tells the fate.
-  ReadLogSoon();
+  auto &change = it->second;
+  if (change.Resolver.step().What == ChangeStep::Kind::Finish)
+    return finish(it);
+  if (change.Resolver.step().What == ChangeStep::Kind::Append &&
+      !change.IsAppending)
+    append(recordId, change);
+}
+
+void ChangeFlow::append(const std::string &recordId, Pending &change) {
+  change.IsAppending = true;
+  Platform->append(change.Pieces[change.Resolver.step().Piece],
+                   [this, recordId](const log::AppendAnswer &answer) {
+                     auto it = Waiting.find(recordId);
+                     if (it == Waiting.end())
+                       return;
+                     it->second.IsAppending = false;
+                     it->second.Resolver.appendEnded(answer, Time->now());
+                     ReadLogSoon();
+                     carryOut(recordId);
+                   });
+}
+
+std::vector<std::string> ChangeFlow::pendingIds() const {
+  std::vector<std::string> out;
+  out.reserve(Waiting.size());
+  for (const auto &[id, change] : Waiting)
+    out.push_back(id);
+  return out;
 }
 
 void ChangeFlow::foldAdvanced(const log::Fold &fold) {
-  std::vector<ChangeOutcome> ended;
-  for (const auto &[id, pending] : Waiting) {
-    auto outcome = fold.outcomeOf(id);
-    if (!outcome)
-      continue;
-    bool isAccepted = outcome->Code == base::ResultCode::Ok;
-    ended.push_back({isAccepted ? ChangeOutcome::Kind::Accepted
-                                : ChangeOutcome::Kind::Rejected,
-                     id, std::move(*outcome)});
-  }
-  for (auto &it : ended)
-    finish(it.RecordId, it);
+  for (auto &[id, change] : Waiting)
+    change.Resolver.foldAdvanced(fold, Time->now());
+  for (const auto &id : pendingIds())
+    carryOut(id);
 }
 
 void ChangeFlow::tick() {
-  std::vector<std::string> late;
-  for (const auto &[id, pending] : Waiting)
-    if (Time->now() >= pending.GivesUpAt)
-      late.push_back(id);
-  for (const auto &id : late) {
-    ChangeOutcome out;
-    out.RecordId = id;
-    out.Outcome.RecordId = id;
-    out.Outcome.Code = base::ResultCode::OutcomeUnknown;
-    out.Outcome.Reason = "the record has not been seen in the log yet";
-    finish(id, std::move(out));
+  auto now = Time->now();
+  for (auto &[id, change] : Waiting) {
+    const auto &step = change.Resolver.step();
+    if (step.What == ChangeStep::Kind::Wait && now >= step.WakeAt)
+      change.Resolver.wake(now);
   }
+  for (const auto &id : pendingIds())
+    carryOut(id);
 }
 
-void ChangeFlow::finish(const std::string &recordId, ChangeOutcome outcome) {
-  auto it = Waiting.find(recordId);
-  if (it == Waiting.end())
-    return;
-  auto done = std::move(it->second.Done);
-  Waiting.erase(it);
-  done(std::move(outcome));
+void ChangeFlow::finish(Changes::iterator change) {
+  auto out = outcomeOf(change->first, change->second.Resolver.step());
+  auto done = std::move(change->second.Done);
+  Waiting.erase(change);
+  done(std::move(out));
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/ChangeFlow.h
+++ b/Libraries/LibNode/ChangeFlow.h
@@ -2,46 +2,52 @@
 
 #include <LibAdmin/NodeControl.h>
 #include <LibBase/Clock.h>
+#include <LibLog/ChangeResolver.h>
 #include <LibLog/PlatformClient.h>
 
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace radishcross::node {
 
-/// Carries changes to the log and finds out what became of them: an append
-/// whose answer was lost is looked for in the fold by its record id.
+/// Carries changes to the log and finds out what became of them: it appends
+/// the pieces and wakes the resolvers, which decide.
 class ChangeFlow {
 public:
   ChangeFlow(log::PlatformClient &platform, const base::Clock &clock,
              std::function<void()> readLogSoon);
 
-  /// Appends \p record; \p done is called once, at the latest after
-  /// \p patience, with Unknown when the fate of the record is still open.
+  /// Brings \p record into the log; \p done is called once, at the latest
+  /// after \p patience, with Unknown when the fate of the record is still open.
   void change(const log::Record &record, base::Duration patience,
               std::function<void(admin::ChangeOutcome)> done);
 
   /// Resolves the changes whose records the fold has now reached.
   void foldAdvanced(const log::Fold &fold);
 
-  /// Ends the changes that have waited for their patience.
+  /// Wakes the changes whose time has come.
   void tick();
 
 private:
   struct Pending {
-    base::TimePoint GivesUpAt{};
+    log::ChangeResolver Resolver;
+    std::vector<std::string> Pieces;
+    bool IsAppending = false;
     std::function<void(admin::ChangeOutcome)> Done;
   };
+  using Changes = std::map<std::string, Pending, std::less<>>;
 
-  void appendEnded(const std::string &recordId,
-                   const log::AppendAnswer &answer);
-  void finish(const std::string &recordId, admin::ChangeOutcome outcome);
+  void carryOut(const std::string &recordId);
+  void append(const std::string &recordId, Pending &change);
+  void finish(Changes::iterator change);
+  std::vector<std::string> pendingIds() const;
 
   log::PlatformClient *Platform;
   const base::Clock *Time;
   std::function<void()> ReadLogSoon;
-  std::map<std::string, Pending, std::less<>> Waiting;
+  Changes Waiting;
 };
 
 } // namespace radishcross::node
