LibPeer: Remember for a node what its fold does not tell

Cause: a proxy that is no longer selected, or whose newer version waits, holds more than the log and its labels say. Restarted, it held less than before: a step back. Ruled out: deriving it from past attachments, since versions that wait across configurations depend on the order in which they came.

A node's record now carries these exceptions (usually none); others keep them while a new process has not yet asked, and a node asks a serving peer before it serves. Dead members are kept for 24 hours instead of 10 minutes for this.

The new test in TestWholePath narrows a selector and restarts the node left outside: without the floor it holds nothing (failed), with it version 1. The node also reports its services for impact, and records what it holds.

--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -69,6 +69,13 @@
   uint64_t FoldHash = 0;        ///< Fold's hash at ConfigOffset.
   bool IsRecovered = false;     ///< The node has recovered and serves.
   std::vector<TargetRecord> Targets;
+  /// Versions held that the fold and the labels alone do not tell, such as
+  /// those of a proxy that is no longer selected; usually empty. The others
+  /// keep them for the node, which asks for them when it restarts.
+  std::map<std::string, uint64_t> Exceptions;
+  /// The node has asked for its exceptions; until then the others keep what
+  /// they remember of its earlier process.
+  bool KnowsExceptions = false;
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/MemberTable.cpp
+++ b/Libraries/LibFleet/MemberTable.cpp
@@ -43,6 +43,9 @@
   if (update.HasContent && record.Revision > held.Revision) {
     held.Identity = record.Identity;
     held.Targets = record.Targets;
+    held.KnowsExceptions = record.KnowsExceptions;
+    if (record.KnowsExceptions)
+      held.Exceptions = record.Exceptions;
     held.Revision = record.Revision;
     changed = true;
   }
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -219,8 +219,11 @@
                             base::TimePoint now) {
   // A newcomer's first table is no news to anyone else.
   bool isPassedOn = records.size() <= MaximumPulledNews;
-  for (const auto &it : records)
+  for (const auto &it : records) {
+    if (it.Identity.Id == SelfId && !self().KnowsExceptions)
+      Former = it.Exceptions;
     mergeNews({it, true}, now, isPassedOn);
+  }
 }
 
 void Membership::mergeNews(const MemberUpdate &update, base::TimePoint now,
@@ -322,6 +325,19 @@
   ++Generation;
 }
 
+void Membership::setExceptions(std::map<std::string, uint64_t> exceptions) {
+  Member own = self();
+  if (own.KnowsExceptions && own.Exceptions == exceptions)
+    return;
+  own.Exceptions = std::move(exceptions);
+  own.KnowsExceptions = true;
+  ++own.Revision;
+  Table.merge({std::move(own), true});
+  Queue.push(SelfId, true);
+  HasNews = true;
+  ++Generation;
+}
+
 void Membership::setDigest(const Digest &digest) {
   Own = digest;
   Table.noteDigest(SelfId, digest);
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -30,7 +30,7 @@
   base::Duration LongestNewsSpacing = std::chrono::seconds(1);
   /// Members of one data centre that talk to another one in each period.
   uint32_t LinksBetweenDataCentres = 8;
-  base::Duration DeadKept = std::chrono::minutes(10);
+  base::Duration DeadKept = std::chrono::hours(24);
   base::Duration JoinPeriod = std::chrono::milliseconds(500);
   base::Duration LongestJoinPeriod = std::chrono::seconds(30);
   base::Duration PullSpacing = std::chrono::seconds(5);
@@ -68,6 +68,16 @@
   /// Replaces this node's targets. A change of load alone spreads only when it
   /// is coarse and not too frequent.
   void setTargets(std::vector<TargetRecord> targets, base::TimePoint now);
+
+  /// Replaces what the others shall remember of this node; see
+  /// Member::Exceptions. Called once the node has taken formerExceptions().
+  void setExceptions(std::map<std::string, uint64_t> exceptions);
+
+  /// Returns what a peer that was asked remembers of this node's earlier
+  /// process.
+  const std::map<std::string, uint64_t> &formerExceptions() const {
+    return Former;
+  }
   void setDigest(const Digest &digest);
 
   /// Adds addresses to join through, found in the log.
@@ -155,6 +165,7 @@
   Prober Probes;
   UpdateQueue Queue;
   NoticeBoard Board;
+  std::map<std::string, uint64_t> Former;
   Digest Own;
   std::map<NodeId, base::TimePoint> SuspectUntil;
   std::map<NodeId, base::TimePoint> DeadUntil;
--- a/Libraries/LibFleet/UpdateSize.cpp
+++ b/Libraries/LibFleet/UpdateSize.cpp
@@ -18,6 +18,8 @@
     bytes += key.size() + value.size() + LabelBytes;
   for (const auto &target : it.Targets)
     bytes += target.Service.size() + target.TargetId.size() + TargetBytes;
+  for (const auto &[name, version] : it.Exceptions)
+    bytes += name.size() + LabelBytes;
   return bytes;
 }
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -1,6 +1,8 @@
 #include <LibNode/NodeProcess.h>
 
 #include <LibBase/Logger.h>
+#include <LibFleet/MemberTable.h>
+#include <LibLog/HeldPlayer.h>
 #include <LibTrace/TraceText.h>
 
 #include <algorithm>
@@ -158,7 +160,18 @@
 }
 
 void NodeProcess::foldAdvanced(const log::Fold &fold) {
-  if (Held.update(fold))
+  if (!Fleet || !Fleet->ready())
+    return;
+  auto at = Time.now().time_since_epoch().count();
+  bool isFirst = !std::exchange(IsFloorTaken, true);
+  // What the fold alone does not tell of this node's earlier process.
+  if (isFirst)
+    Held.raiseFloor(Fleet->formerExceptions());
+  bool isChanged = Held.update(fold);
+  Decisions.record(isFirst ? log::traceStart(at, Held)
+                           : log::traceUpdate(at, isChanged, Held));
+  Fleet->setExceptions(Held.exceptions());
+  if (isChanged)
     snapshotChanged(fold);
   drainedChanged(fold);
   Changes.foldAdvanced(fold);
@@ -268,7 +281,35 @@
 }
 
 boost::json::value NodeProcess::usage() const {
-  return Usage.usage(Time.now());
+  auto out = Usage.usage(Time.now());
+  out.as_object()["services"] = servicesInUse();
+  return out;
+}
+
+/// Returns how many usable targets each service in force has.
+/// FIXME: The longest queue and the share of retries in use are not measured
+/// yet, so an impact does not warn of limits that are tightened below them.
+boost::json::array NodeProcess::servicesInUse() const {
+  std::map<std::string, uint64_t> targets;
+  for (const auto &member : Fleet->members()) {
+    if (!fleet::isLive(member))
+      continue;
+    for (const auto &it : member.Targets)
+      if (it.State == fleet::TargetState::Ready)
+        ++targets[it.Service];
+  }
+  boost::json::array out;
+  for (const auto &held : Held.snapshot()->versions())
+    for (const auto &service : held.Content->Services) {
+      std::string name = held.Configuration;
+      name += '/';
+      name += service.Name;
+      out.push_back(boost::json::object{{"service", name},
+                                        {"targets", targets[name]},
+                                        {"queue_length", 0},
+                                        {"retry_percent", 0}});
+    }
+  return out;
 }
 
 boost::json::value NodeProcess::quarantine() const {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -23,6 +23,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,7 @@
 
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
+  boost::json::array servicesInUse() const;
   void foldAdvanced(const log::Fold &fold);
   void snapshotChanged(const log::Fold &fold);
   void drainedChanged(const log::Fold &fold);
@@ -105,6 +107,7 @@
   std::vector<std::string> DrainedNames;
   bool MembersDirty = false;
   bool Recovered = false;
+  bool IsFloorTaken = false;
   bool Draining = false;
   base::TimePoint DrainStartedAt{};
   base::TimePoint LastBusyAt{};
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::chrono::milliseconds TickPeriod{50};
 constexpr std::chrono::milliseconds LeaveDelay{100};
+constexpr std::chrono::milliseconds AskPeersPeriod{250};
 
 uint64_t wallMilliseconds() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -129,7 +130,7 @@
 }
 
 fleet::Digest FleetNode::digest() const {
-  return {heldOffset(), Held.offset(), HeldHash, 0, Recovering.isServing()};
+  return {heldOffset(), Held.offset(), HeldHash, 0, IsServingReported};
 }
 
 void FleetNode::reportChanges() {
@@ -214,7 +215,7 @@
                                      Held.offset());
   Recovering.look(view, Environment.Time->now());
   recordLook(view);
-  if (!Recovering.isServing())
+  if (!Recovering.isServing() || !hasAskedPeers(view))
     return;
   IsServingReported = true;
   Members.setDigest(digest());
@@ -225,6 +226,36 @@
     Environment.FoldAdvanced(Held);
 }
 
+/// Tells whether a serving peer has said what it remembers of this node; asks
+/// one otherwise. Without any serving peer there is nobody to ask.
+bool FleetNode::hasAskedPeers(const fleet::RecoveryView &view) {
+  if (HasAskedPeers || !view.ServedAnywhere)
+    return true;
+  auto now = Environment.Time->now();
+  if (now < NextAsk)
+    return false;
+  NextAsk = now + AskPeersPeriod;
+  const auto &self = Environment.Self;
+  const fleet::Member *chosen = nullptr;
+  size_t seen = 0;
+  for (const auto &it : Members.table().all()) {
+    if (it.Identity.Id == self.Id || !isLive(it) || !it.IsRecovered)
+      continue;
+    bool isBetter = chosen && it.Identity.DataCentre == self.DataCentre &&
+                    chosen->Identity.DataCentre != self.DataCentre;
+    bool isWorse = chosen && it.Identity.DataCentre != self.DataCentre &&
+                   chosen->Identity.DataCentre == self.DataCentre;
+    if (isWorse)
+      continue;
+    seen = isBetter ? 1 : seen + 1;
+    if (isBetter || Dice.below(seen) == 0)
+      chosen = &it;
+  }
+  if (chosen)
+    pullMembers(chosen->Identity.Id);
+  return false;
+}
+
 void FleetNode::recordSetUp(const fleet::RecoverySettings &settings) {
   // FIXME: A ring that has wrapped has lost the set-up, and with it what it
   // holds of the spreader.
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -34,12 +34,18 @@
   /// Opens the listeners and starts the timer; fails with CannotListen.
   bool start(base::LastReason &reason);
 
-  bool ready() const override { return Recovering.isServing(); }
+  bool ready() const override { return IsServingReported; }
   const log::Fold &fold() const override { return Held; }
   const std::vector<fleet::Member> &members() const override {
     return Members.table().all();
   }
   void setTargets(std::vector<fleet::TargetRecord> targets) override;
+  const std::map<std::string, uint64_t> &formerExceptions() const override {
+    return Members.formerExceptions();
+  }
+  void setExceptions(std::map<std::string, uint64_t> exceptions) override {
+    Members.setExceptions(std::move(exceptions));
+  }
   void spreadNotice(std::string topic, std::string text,
                     base::Duration lifetime) override;
   void readLogSoon() override;
@@ -90,7 +96,9 @@
   void pullDone(const fleet::NodeId &peer, fleet::PullOutcome outcome,
                 base::Duration retryAfter = {});
   void pullMembers(const fleet::NodeId &peer);
+  bool hasAskedPeers(const fleet::RecoveryView &view);
   PullAnswer serve(const PullRequest &request);
+  void serveMembers(const PullRequest &request, PullAnswer &answer);
   void serveRecords(const PullRequest &request, PullAnswer &answer);
   void serveState(PullAnswer &answer);
   fleet::Digest digest() const;
@@ -132,6 +140,8 @@
   uint64_t ReportedGeneration = 0;
   base::TimePoint NextAlarm{};
   trace::Entry LastLook;
+  bool HasAskedPeers = false;
+  base::TimePoint NextAsk{};
   bool IsServingReported = false;
   bool IsLogShort = false;
   bool HasLeft = false;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -227,6 +227,7 @@
           return;
         self->Members.takePulled(answer->Members,
                                  self->Environment.Time->now());
+        self->HasAskedPeers |= answer->Summary.IsRecovered;
         self->spread();
       });
 }
@@ -235,7 +236,7 @@
   PullAnswer answer;
   answer.Summary = digest();
   if (request.Kind == PullKind::Members)
-    answer.Members = Members.table().differing(request.Buckets);
+    serveMembers(request, answer);
   if (request.Kind == PullKind::Records)
     serveRecords(request, answer);
   if (request.Kind == PullKind::State)
@@ -243,6 +244,17 @@
   return answer;
 }
 
+void FleetNode::serveMembers(const PullRequest &request, PullAnswer &answer) {
+  answer.Members = Members.table().differing(request.Buckets);
+  bool isIncluded = std::any_of(
+      answer.Members.begin(), answer.Members.end(),
+      [&](const auto &it) { return it.Identity.Id == request.Sender; });
+  // A restarted node asks what is remembered of it, which no hash covers.
+  const auto *asker = Members.table().find(request.Sender);
+  if (asker && !isIncluded)
+    answer.Members.push_back(*asker);
+}
+
 void FleetNode::serveRecords(const PullRequest &request, PullAnswer &answer) {
   if (request.From > heldOffset())
     return;
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,6 +64,14 @@
   /// Replaces this node's targets and spreads the change.
   virtual void setTargets(std::vector<fleet::TargetRecord> targets) = 0;
 
+  /// Returns what the peers remember of this node's earlier process, as it was
+  /// given to setExceptions() there. Complete once ready().
+  virtual const std::map<std::string, uint64_t> &formerExceptions() const = 0;
+
+  /// Has the peers remember the versions that a restarted node could not tell
+  /// from the fold and its labels; see HeldVersions::exceptions().
+  virtual void setExceptions(std::map<std::string, uint64_t> exceptions) = 0;
+
   /// Spreads a small text to every node for \p lifetime, for instance a
   /// quarantined fingerprint. An equal topic replaces an older text.
   virtual void spreadNotice(std::string topic, std::string text,
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -24,6 +24,11 @@
   epoch @7 :UInt64;
 }
 
+struct HeldException {
+  configuration @0 :Text;
+  version @1 :UInt64;
+}
+
 struct Content {
   dataCentre @0 :Text;
   region @1 :Text;
@@ -33,6 +38,8 @@
   mesh @5 :Address;
   administration @6 :Address;
   targets @7 :List(Target);
+  exceptions @8 :List(HeldException);
+  knowsExceptions @9 :Bool;
 }
 
 struct Member {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(8f6e87bd9239ae90);
 CAPNP_DECLARE_SCHEMA(933f402e8d37371e);
 CAPNP_DECLARE_SCHEMA(964e9280a17a48ce);
+CAPNP_DECLARE_SCHEMA(df7648f05b1a23a0);
 CAPNP_DECLARE_SCHEMA(f710d3145d7ea0be);
 CAPNP_DECLARE_SCHEMA(e420f8afdde2b9ba);
 CAPNP_DECLARE_SCHEMA(a1308b5bec05e0a0);
@@ -80,6 +81,21 @@
   };
 };
 
+struct HeldException {
+  HeldException() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df7648f05b1a23a0, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Content {
   Content() = delete;
 
@@ -88,7 +104,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f710d3145d7ea0be, 0, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(f710d3145d7ea0be, 1, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -506,6 +522,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class HeldException::Reader {
+public:
+  typedef HeldException Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Text::Reader getConfiguration() const;
+
+  inline  ::uint64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldException::Builder {
+public:
+  typedef HeldException Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration();
+  inline  ::capnp::Text::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownConfiguration();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldException::Pipeline {
+public:
+  typedef HeldException Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Content::Reader {
 public:
   typedef Content Reads;
@@ -547,6 +649,11 @@
   inline bool hasTargets() const;
   inline  ::capnp::List< ::radishcross::peer::wire::Target,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
 
+  inline bool hasExceptions() const;
+  inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Reader getExceptions() const;
+
+  inline bool getKnowsExceptions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -631,6 +738,16 @@
   inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Target,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Target,  ::capnp::Kind::STRUCT>> disownTargets();
 
+  inline bool hasExceptions();
+  inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Builder getExceptions();
+  inline void setExceptions( ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Builder initExceptions(unsigned int size);
+  inline void adoptExceptions(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>> disownExceptions();
+
+  inline bool getKnowsExceptions();
+  inline void setKnowsExceptions(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1747,6 +1864,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeldException::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldException::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeldException::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeldException::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldException::Builder::setConfiguration( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeldException::Builder::initConfiguration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeldException::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeldException::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HeldException::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldException::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldException::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Content::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2039,6 +2204,54 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Content::Reader::hasExceptions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Content::Builder::hasExceptions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Reader Content::Reader::getExceptions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Builder Content::Builder::getExceptions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Content::Builder::setExceptions( ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>::Builder Content::Builder::initExceptions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Content::Builder::adoptExceptions(
+    ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>> Content::Builder::disownExceptions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::HeldException,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool Content::Reader::getKnowsExceptions() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Content::Builder::getKnowsExceptions() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Content::Builder::setKnowsExceptions(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -67,6 +67,13 @@
   n = 0;
   for (const auto &it : member.Targets)
     writeTarget(targets[n++], it);
+  auto exceptions = builder.initExceptions(member.Exceptions.size());
+  n = 0;
+  for (const auto &[name, version] : member.Exceptions) {
+    exceptions[n].setConfiguration(name);
+    exceptions[n++].setVersion(version);
+  }
+  builder.setKnowsExceptions(member.KnowsExceptions);
 }
 
 bool readContent(wire::Content::Reader reader, fleet::Member &member) {
@@ -85,6 +92,13 @@
       return false;
     member.Targets.push_back(std::move(target));
   }
+  for (auto it : reader.getExceptions()) {
+    std::string name;
+    if (!readText(it.getConfiguration(), MaximumTextBytes, name))
+      return false;
+    member.Exceptions[name] = it.getVersion();
+  }
+  member.KnowsExceptions = reader.getKnowsExceptions();
   return readText(reader.getDataCentre(), MaximumIdBytes,
                   identity.DataCentre) &&
          readText(reader.getRegion(), MaximumIdBytes, identity.Region) &&
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -1,3 +1,4 @@
+#include <FreeAddress.h>
 #include <LibNode/MockPlatform.h>
 
 #include <LibBase/Hash.h>
@@ -7,8 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/beast/http/status.hpp>
 #include <doctest/doctest.h>
 
@@ -26,19 +25,6 @@
     "service": "lookup", "rank": "standard", "deadline_ms": 5000,
     "idempotent": true}]}})";
 
-base::Address freeAddress(boost::asio::io_context &context) {
-  namespace ip = boost::asio::ip;
-  for (;;) {
-    ip::tcp::acceptor tcp(context, {ip::make_address("127.0.0.1"), 0});
-    uint16_t port = tcp.local_endpoint().port();
-    ip::udp::socket udp(context, ip::udp::v4());
-    boost::system::error_code ec;
-    udp.bind({ip::make_address("127.0.0.1"), port}, ec);
-    if (!ec)
-      return {"127.0.0.1", port};
-  }
-}
-
 http::Request makeRequest(boost::beast::http::verb method,
                           const std::string &path, std::string body = {}) {
   http::Request out(method, path, 11);
@@ -66,12 +52,12 @@
       it.Node = std::string(dataCentre) + "-1";
       it.DataCentre = dataCentre;
       it.Region = "south";
-      it.Calls = freeAddress(Context);
-      it.Mesh = freeAddress(Context);
-      it.Gossip = freeAddress(Context);
-      it.Peer = freeAddress(Context);
-      it.Targets = freeAddress(Context);
-      it.Administration = freeAddress(Context);
+      it.Calls = test::freeAddress();
+      it.Mesh = test::freeAddress();
+      it.Gossip = test::freeAddress();
+      it.Peer = test::freeAddress();
+      it.Targets = test::freeAddress();
+      it.Administration = test::freeAddress();
       it.Platform = {Platform.address()};
       it.MeshKeys = {"0123456789abcdef0123456789abcdef"};
       it.Tokens = {{"operator", base::sha256Hex(TokenText), "permits",
@@ -212,3 +198,33 @@
   REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
   CHECK(mesh.allHold(1));
 }
+
+TEST_CASE("a restarted node keeps what it held though no longer selected") {
+  using boost::beast::http::verb;
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  mesh.ask(mesh.Settings[0].Administration,
+           makeRequest(verb::post, "/v1/configurations/badges/versions",
+                       FirstVersion));
+  REQUIRE(mesh.runUntil([&] { return mesh.allHold(1); }));
+  auto narrowed =
+      mesh.ask(mesh.Settings[0].Administration,
+               makeRequest(verb::post, "/v1/attachments",
+                           R"({"name": "badges", "configuration": "badges",
+                      "version": 1, "selector": "data_centre=mobile"})"));
+  REQUIRE(narrowed);
+  INFO(narrowed->body());
+  REQUIRE(narrowed->result_int() == 200);
+  REQUIRE(mesh.runUntil([&] {
+    return mesh.Nodes[2]->held().holdovers() ==
+               std::vector<std::string>{"badges"} &&
+           mesh.Nodes[1]->fold().offset() == mesh.Nodes[2]->fold().offset();
+  }));
+
+  mesh.Nodes.pop_back();
+  mesh.start(mesh.Settings[2]);
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  CHECK(mesh.allHold(1));
+  CHECK(mesh.Nodes[2]->held().holdovers() ==
+        std::vector<std::string>{"badges"});
+}
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -1,3 +1,4 @@
+#include <FreeAddress.h>
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/SpreaderPlayer.h>
 #include <LibLog/FoldPlayer.h>
@@ -21,15 +22,6 @@
 
 namespace asio = boost::asio;
 
-/// Returns an address whose port the system has chosen for UDP or TCP.
-template <typename Protocol> base::Address freeAddress() {
-  asio::io_context context;
-  typename Protocol::socket socket(
-      context,
-      typename Protocol::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return {"127.0.0.1", socket.local_endpoint().port()};
-}
-
 /// The machine's clock, which a test can set forward.
 struct JumpingClock final : base::Clock {
   base::TimePoint now() const override { return Machine.now() + Jump; }
@@ -50,7 +42,7 @@
   JumpingClock Time;
   std::vector<std::unique_ptr<trace::Ring>> Rings;
   MockPlatform Platform{Context};
-  std::vector<base::Address> Seeds{freeAddress<asio::ip::udp>()};
+  std::vector<base::Address> Seeds{test::freeAddress()};
   std::vector<std::unique_ptr<Shell>> Shells;
 
   Shell &start(const std::string &dataCentre,
@@ -65,8 +57,8 @@
     it.Platform = &Platform;
     it.Self.Id = "node-" + std::to_string(Shells.size());
     it.Self.DataCentre = dataCentre;
-    it.Self.Gossip = Shells.empty() ? Seeds[0] : freeAddress<asio::ip::udp>();
-    it.Self.Peer = freeAddress<asio::ip::tcp>();
+    it.Self.Gossip = Shells.empty() ? Seeds[0] : test::freeAddress();
+    it.Self.Peer = test::freeAddress();
     it.Seeds = Seeds;
     it.MeshKeys = std::move(keys);
     it.RandomSeed = Shells.size() + 1;
@@ -214,7 +206,7 @@
     return first.Fleet->ready() && first.Fleet->fold().beacons().size() == 1;
   }));
   CHECK(first.Counters.counter("platform_appends_total") == 1);
-  fleet.Seeds = {freeAddress<asio::ip::udp>()};
+  fleet.Seeds = {test::freeAddress()};
   // The first records have expired, so that only a peer has the state.
   fleet.Platform.First = 2;
   fleet.start("dc-1");
