--- a/Meta/mesh.py
+++ b/Meta/mesh.py
@@ -21,22 +21,26 @@
 STOP_SECONDS = 45
 
 
+# Below the range from which the kernel takes the ports of clients, so that no
+# client's connection holds a port between its choice and its use.
+FIRST_PORT, LAST_PORT = 12000, 32000
+next_port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+
+
 def free_ports(count):
-    """Returns TCP ports that are free for UDP too, all different."""
-    held, ports = [], []
+    """Returns ports that are free for TCP and UDP, all different."""
+    global next_port
+    ports = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((HOST, 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held += [tcp, udp]
-        try:
-            udp.bind((HOST, port))
-        except OSError:
-            continue
-        ports.append(port)
-    for it in held:
-        it.close()
+        next_port = next_port + 1 if next_port < LAST_PORT else FIRST_PORT
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind((HOST, next_port))
+                udp.bind((HOST, next_port))
+            except OSError:
+                continue
+        ports.append(next_port)
     return ports
 
 
