--- a/Meta/measure_calls.py
+++ b/Meta/measure_calls.py
@@ -194,10 +194,12 @@
 
     keeper = threading.Thread(target=keep_alive)
     keeper.start()
-    load = calls.start(*mixed(60, 120, 60), "--crash-every", 300, "--resend", 5, seconds=15)
-    report = calls.report(load)
-    stop.set()
-    keeper.join()
+    try:
+        report = calls.run(*mixed(60, 120, 60), "--crash-every", 300, "--resend", 5, seconds=15)
+    finally:
+        # Otherwise the keeper would start targets again after the mesh ended.
+        stop.set()
+        keeper.join()
     _, entries = fetch(mesh.nodes[0].address("administration"), "/v1/quarantine", token=mesh.token)
     return row("crash-request-resent", report, quarantined=entries)
 
