--- a/Libraries/LibNode/UsageMeter.cpp
+++ b/Libraries/LibNode/UsageMeter.cpp
@@ -27,9 +27,7 @@
                                     base::TimePoint now) {
   auto hit = snapshot->findRoute(request.Method, request.Host, request.Path);
   if (hit.Matched && !request.FromMesh) {
-    auto &use = Routes[qualifiedName(hit, *snapshot)];
-    use.Service = hit.ServiceName;
-    use.CallRank = hit.Matched->CallRank;
+    auto &use = useOf(hit, snapshot);
     int64_t slice = now.time_since_epoch() / SliceLength;
     size_t cell = static_cast<size_t>(slice) % SliceCount;
     if (use.Slice[cell] != slice)
@@ -40,6 +38,23 @@
   return Next->begin(request, std::move(snapshot), now);
 }
 
+UsageMeter::RouteUse &
+UsageMeter::useOf(const config::RouteHit &hit,
+                  const config::SnapshotPointer &snapshot) {
+  if (snapshot != Newest) {
+    Newest = snapshot;
+    Known.clear();
+  }
+  auto &known = Known[hit.Matched];
+  if (known)
+    return *known;
+  auto &use = Routes[qualifiedName(hit, *snapshot)];
+  use.Service = hit.ServiceName;
+  use.CallRank = hit.Matched->CallRank;
+  known = &use;
+  return use;
+}
+
 calls::CallStep UsageMeter::step(calls::CallHandle call) const {
   return Next->step(call);
 }
--- a/Libraries/LibNode/UsageMeter.h
+++ b/Libraries/LibNode/UsageMeter.h
@@ -6,6 +6,7 @@
 #include <boost/json/value.hpp>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace radishcross::node {
 
@@ -42,8 +43,15 @@
     std::array<int64_t, SliceCount> Slice{};
   };
 
+  RouteUse &useOf(const config::RouteHit &hit,
+                  const config::SnapshotPointer &snapshot);
+
   calls::CallBroker *Next;
   std::map<std::string, RouteUse, std::less<>> Routes;
+  /// The routes of the newest snapshot that were called, so that a name is
+  /// looked for once and not for each call.
+  config::SnapshotPointer Newest;
+  std::unordered_map<const config::Route *, RouteUse *> Known;
 };
 
 } // namespace radishcross::node
--- a/Meta/measure_calls.py
+++ b/Meta/measure_calls.py
@@ -38,15 +38,17 @@
 class Calls:
     """One mesh of the deployment's size on which one case runs."""
 
-    def __init__(self, mesh, *target_options, work_ms=WORK_MS, per_data_centre=1):
+    def __init__(self, mesh, *target_options, work_ms=WORK_MS, per_data_centre=1, slots=SLOTS,
+                 data_centres=DATA_CENTRES, forward=False):
         self.mesh = mesh
         mesh.start_platform()
-        for node in mesh.add_nodes(per_data_centre, DATA_CENTRES):
+        for node in mesh.add_nodes(per_data_centre, data_centres):
             mesh.start_node(node)
         mesh.wait_ready()
         for node in mesh.nodes:
-            mesh.start_target(f"target-{node.name}", f"{CONFIGURATION}/desk", node, "--slots", SLOTS,
-                              "--connections", CONNECTIONS, "--work-ms", work_ms, *target_options)
+            onward = ["--forward", node.address("calls")] if forward else []
+            mesh.start_target(f"target-{node.name}", f"{CONFIGURATION}/desk", node, "--slots", slots,
+                              "--connections", CONNECTIONS, "--work-ms", work_ms, *target_options, *onward)
         self.version = self.publish(DOCUMENT)
         wait_until(lambda: len(mesh.holding(CONFIGURATION, self.version)) == len(mesh.nodes), "every node holds the version")
         for node in mesh.nodes:
@@ -175,6 +177,27 @@
     return row("cold-herd", calls.run(*mixed(100, 200, 100)))
 
 
+def chain(mesh):
+    """Calls 8 deep, beside single calls, at 20 times a node's share of the
+    letter's rate; what the mesh adds is the difference to the work."""
+    calls = Calls(mesh, work_ms=2, forward=True)
+    single = calls.run(f"{LOOKUP}:1", 40)
+    deep = calls.run(f"{LOOKUP}:1", 40, "--chain", 7)
+    return row("chain-8-deep", deep, single_p50_ms=single["p50_ms"], single_p99_ms=single["p99_ms"])
+
+
+def single_node(mesh):
+    """Small calls through one node to its own target; processor time a call."""
+    calls = Calls(mesh, work_ms=0, slots=64, data_centres=DATA_CENTRES[:1])
+    node = mesh.nodes[0]
+    before = processor_seconds(node.process)
+    report = calls.run(f"{LOOKUP}:1", 6000)
+    used = processor_seconds(node.process) - before
+    per_call = 1e6 * used / max(1, report["answered"])
+    return row("single-node", report, processor_us_per_call=round(per_call, 1),
+               calls_per_core_second=round(1e6 / per_call), resident_mb=round(resident_megabytes(node.process), 1))
+
+
 def cancels(mesh):
     calls = Calls(mesh)
     return row("caller-cancels", calls.run(*mixed(60, 120, 60), "--cancel-share", 0.2))
@@ -206,6 +229,8 @@
 
 CASES = {
     "quiet": quiet,
+    "chain": chain,
+    "single-node": single_node,
     "history-flood": flood("history-flood", *mixed(100, 200, 10 * CAPACITY), ["background"]),
     "payment-flood": flood("payment-flood", *mixed(10 * CAPACITY, 200, 100), ["standard", "background"]),
     "crash": crash,
