StandIns: Offer each call when it is due

Cause: the callers offered call N when N + 1 periods had passed but counted its latency from N periods, so each latency was one period too long: a single call with 2 ms of work showed 28.5 ms at 40 calls/s and 30 ms of work showed 35.0 ms at 240 calls/s, with and without the mesh alike. Ruled out: delayed acknowledgements, since the direct run showed the same.

--- a/Tests/StandIns/Load.cpp
+++ b/Tests/StandIns/Load.cpp
@@ -141,7 +141,9 @@
     Calls.reserve(total);
     while (Calls.size() < total && !Interrupted) {
       std::chrono::duration<double> passed = Clock::now() - start;
-      auto due = std::min(total, static_cast<uint64_t>(passed.count() * rate));
+      // The first call is due at once: call N at N periods after the start.
+      auto due =
+          std::min(total, static_cast<uint64_t>(passed.count() * rate) + 1);
       while (Calls.size() < due) {
         auto at = start + std::chrono::duration_cast<Clock::duration>(
                               std::chrono::duration<double>(
