--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -147,6 +147,9 @@
             # A second interrupt must not leave processes behind.
             signal.signal(signal.SIGINT, signal.SIG_IGN)
             signal.signal(signal.SIGTERM, signal.SIG_IGN)
+            for it in mesh.others:
+                mesh.end(it)
+                say(f"callers until the interrupt: {it.stdout.read().decode().strip()}")
             say("draining every node")
             return 130
 
--- a/Meta/measure_spread.py
+++ b/Meta/measure_spread.py
@@ -14,6 +14,7 @@
 BOUND_SECONDS = 15
 SETTLE_SECONDS = 5
 QUIET_SECONDS = 10
+REST_SECONDS = 60
 CHANGES = 12
 SEED = 11
 
@@ -144,10 +145,19 @@
     def control(self, **switches):
         fetch(self.mesh.platform_address, "/control", method="POST", body=switches)
 
-    def quiet(self):
+    def quiet(self, case):
         before = self.totals()
         time.sleep(QUIET_SECONDS)
-        return self.row("quiet", before, [], [])
+        return self.row(case, before, [], [])
+
+    def cold_start(self):
+        """All nodes have just started and still learn of each other."""
+        return self.quiet("cold-start")
+
+    def settled(self):
+        """Nothing has changed for a minute."""
+        time.sleep(REST_SECONDS)
+        return self.quiet("settled")
 
     def healthy(self):
         before, delays, missing = self.totals(), [], []
@@ -193,7 +203,7 @@
                         worst_after_start_ms=round(published_ms + max(delays) - started_ms) if delays else None)
 
 
-CASES = ["quiet", "healthy", "lost_answers", "platform_down", "restarted"]
+CASES = ["cold_start", "healthy", "lost_answers", "platform_down", "restarted", "settled"]
 
 
 def measure(sizes, cases):
