--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -69,6 +69,7 @@
 };
 
 /// What a server's sessions share.
+/// FIXME: Bodies being read are bounded for each connection, not in sum.
 class ServerState final : public std::enable_shared_from_this<ServerState> {
 public:
   ServerState(asio::io_context &context, const ServerLimits &limits,
