LibPeer: Report the fold in one place, once the node serves

Cause: two of the three places that give the fold on still asked whether recovery had ended, though a node serves only when a peer has also said what it remembers; the node had to check again. One function now decides, and the node's own check is gone. No behaviour changes.

--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -160,8 +160,6 @@
 }
 
 void NodeProcess::foldAdvanced(const log::Fold &fold) {
-  if (!Fleet || !Fleet->ready())
-    return;
   auto at = Time.now().time_since_epoch().count();
   bool isFirst = !std::exchange(IsFloorTaken, true);
   // What the fold alone does not tell of this node's earlier process.
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -222,7 +222,12 @@
   base::log(base::LogLevel::Info, "recovered",
             {{"offset", std::to_string(Held.offset())}});
   send(Members.pushNews(Environment.Time->now()));
-  if (Environment.FoldAdvanced)
+  reportFold();
+}
+
+/// Gives the fold on, once the node serves and not before.
+void FleetNode::reportFold() {
+  if (IsServingReported && Environment.FoldAdvanced)
     Environment.FoldAdvanced(Held);
 }
 
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -96,6 +96,7 @@
   void pullDone(const fleet::NodeId &peer, fleet::PullOutcome outcome,
                 base::Duration retryAfter = {});
   void pullMembers(const fleet::NodeId &peer);
+  void reportFold();
   bool hasAskedPeers(const fleet::RecoveryView &view);
   PullAnswer serve(const PullRequest &request);
   void serveMembers(const PullRequest &request, PullAnswer &answer);
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -124,8 +124,7 @@
   HeldHash = Held.hash();
   recordState();
   heldAdvanced(source);
-  if (Recovering.isServing() && Environment.FoldAdvanced)
-    Environment.FoldAdvanced(Held);
+  reportFold();
   return true;
 }
 
@@ -159,8 +158,7 @@
   HeldHash = Held.hash();
   joinThroughBeacons();
   Members.setDigest(digest());
-  if (Recovering.isServing() && Environment.FoldAdvanced)
-    Environment.FoldAdvanced(Held);
+  reportFold();
 }
 
 void FleetNode::pull(const fleet::SpreadAction &action) {
