--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -163,6 +163,26 @@
   settings.Labels["region"] = settings.Region;
 }
 
+/// Binds the keys of "call_headers" to members.
+struct HeaderRow {
+  std::string_view Key;
+  std::string calls::CallHeaders::*Member;
+};
+
+constexpr HeaderRow HeaderRows[] = {
+    {"request_id", &calls::CallHeaders::RequestId},
+    {"deadline", &calls::CallHeaders::Deadline},
+    {"expected_target", &calls::CallHeaders::ExpectedTarget},
+    {"caller_service", &calls::CallHeaders::CallerService},
+    {"not_run", &calls::CallHeaders::NotRun},
+};
+
+void readCallHeaders(const json::object &headers, calls::CallHeaders &out) {
+  for (const auto &row : HeaderRows)
+    if (const auto *name = headers.if_contains(row.Key))
+      out.*row.Member = text(*name);
+}
+
 bool checkAgainstSchema(const json::value &document, base::LastReason &reason) {
   auto schema = schema::JsonSchema::create(embedded::NodeSettingsText, reason);
   return schema && schema->check(document, reason);
@@ -192,8 +212,20 @@
   if (const auto *seeds = root.if_contains("seeds"))
     if (!readAddresses(seeds->as_array(), "seeds", settings.Seeds, reason))
       return std::nullopt;
-  for (const auto &key : root.at("mesh_keys").as_array())
-    settings.MeshKeys.push_back(text(key));
+  if (const auto *flag = platform.if_contains("operator_configuration"))
+    settings.HasOperatorConfiguration = flag->as_bool();
+  if (const auto *service = root.if_contains("service"))
+    settings.Service = text(*service);
+  if (const auto *headers = root.if_contains("call_headers"))
+    readCallHeaders(headers->as_object(), settings.CallHeaders);
+  if (const auto *n = root.if_contains("target_lease_ms"))
+    settings.TargetLease = std::chrono::milliseconds(n->to_number<uint32_t>());
+  if (const auto *n = root.if_contains("recording_bytes"))
+    settings.RecordingBytes = n->to_number<size_t>();
+  if (const auto *keys = root.if_contains("mesh_keys"))
+    for (const auto &key : keys->as_array())
+      settings.MeshKeys.push_back(text(key));
+  settings.TrustsNetwork = settings.MeshKeys.empty();
   if (const auto *tokens = root.if_contains("tokens"))
     if (!readTokens(tokens->as_array(), settings, reason))
       return std::nullopt;
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibBase/Address.h>
+#include <LibBase/Clock.h>
 #include <LibBase/EnumNames.h>
 #include <LibBase/LastReason.h>
 #include <LibBase/Logger.h>
+#include <LibCalls/CallHeaders.h>
 #include <LibConfig/Labels.h>
 
 #include <boost/json/value.hpp>
@@ -48,8 +50,17 @@
   base::Address Targets;        ///< Announcements of this VM's targets, HTTP.
   base::Address Administration; ///< Operators, HTTP.
   std::vector<base::Address> Platform;
-  std::vector<base::Address> Seeds; ///< Gossip addresses of other nodes.
+  /// The platform's operator writes a configuration, without which the node
+  /// does not serve.
+  bool HasOperatorConfiguration = false;
+  std::string Service; ///< That of this VM's target; targets see it as caller.
+  calls::CallHeaders CallHeaders;
+  base::Duration TargetLease = std::chrono::seconds(3);
+  size_t RecordingBytes = 8UL << 20; ///< For decisions kept for replay.
+  std::vector<base::Address> Seeds;  ///< Gossip addresses of other nodes.
   std::vector<std::string> MeshKeys;
+  /// No key is given: the network between the nodes is trusted.
+  bool TrustsNetwork = false;
   std::vector<Token> Tokens;
   base::LogSettings Log;
   uint32_t TailersPerDataCentre = 2;
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -3,6 +3,7 @@
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/IdempotencyTable.h>
 #include <LibCalls/KeyOwnership.h>
+#include <LibCalls/SplitChoice.h>
 
 #include <algorithm>
 #include <optional>
@@ -61,7 +62,8 @@
                 recorder),
         Keys(Settings.KeyWindow, recorder),
         Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
-               recorder) {}
+               recorder),
+        Randomness(Settings.RandomSeed) {}
 
   struct OpenCall {
     config::SnapshotPointer Snapshot;
@@ -92,6 +94,8 @@
   CallPlanner Planner;
   IdempotencyTable Keys; ///< Before Owners: it sets up their trace.
   KeyOwnership Owners;
+  SplitChoice Splits;
+  base::Random Randomness;
   std::unordered_map<CallHandle, OpenCall> Open;
   std::set<CallHandle> Waiting;
   CallHandle LastHandle = 0;
@@ -112,12 +116,15 @@
     return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
   const auto &route = *hit.Matched;
   auto &routed = call.Route;
-  routed.ServiceName = hit.ServiceName;
+  const auto &destination = Splits.choose(hit, Randomness);
+  routed.ServiceName = *destination.ServiceName;
   routed.CallRank = config::lowerOf(route.CallRank, request.ParentRank);
   routed.Allowed = allowedTime(request, route);
   routed.Idempotent = route.Idempotent;
+  routed.MaximumAttempts = route.MaximumAttempts;
+  routed.LatencyObjective = route.LatencyObjective;
   routed.BelowRetry = request.BelowRetry;
-  routed.RetryBudgetPercent = hit.Destination->Limits.RetryBudgetPercent;
+  routed.RetryBudgetPercent = destination.To->Limits.RetryBudgetPercent;
   call.Deadline = now + routed.Allowed;
   // Idempotent calls may run twice anyway; their keys cost nothing.
   if (request.IdempotencyKey.empty() || route.Idempotent)
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -35,6 +35,14 @@
          result.Code == ResultCode::NoTarget;
 }
 
+/// Tells whether the attempt may have come to a target, which may also have
+/// refused it; the refusals of a target's node are no arrivals.
+bool hasArrived(const AttemptResult &result) {
+  return result.End != AttemptEnd::NotSent &&
+         (result.End != AttemptEnd::RefusedNotRun ||
+          result.Code == ResultCode::TargetRefused);
+}
+
 /// Refusals that hold at every target.
 bool isFinal(const AttemptResult &result) {
   return result.Code == ResultCode::Quarantined ||
@@ -88,6 +96,8 @@
   if (it == Calls.end() || it->second.Target == 0)
     return finish(CallOutcome::Unknown, ResultCode::Internal);
   learn(it->second, result, now);
+  if (hasArrived(result))
+    ++it->second.Arrivals;
   auto out = planNext(it->second, result, now);
   note(CallPlanEvent::AttemptEnded,
        {static_cast<int64_t>(handle),
@@ -120,7 +130,8 @@
                                    const AttemptResult &result,
                                    base::TimePoint now) {
   auto &service = stateOf(call);
-  const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts;
+  const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts &&
+                         call.Arrivals < call.Route.MaximumAttempts;
   if (retryable && (costsNoBudget(result) || mayRetry(call)))
     if (auto out = send(call, true, now)) {
       if (!costsNoBudget(result))
@@ -155,7 +166,8 @@
 }
 
 bool CallPlanner::mayRetry(const PlannedCall &call) {
-  return !call.Route.BelowRetry && stateOf(call).Budget.available();
+  return !call.Route.BelowRetry && call.Arrivals < call.Route.MaximumAttempts &&
+         stateOf(call).Budget.available();
 }
 
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
@@ -194,7 +206,8 @@
                                 base::TimePoint now) {
   const auto left = call.Deadline - now - HopMargin;
   const bool another = Table.usable(call.Route.ServiceName).size() > 1;
-  if (!call.Route.Idempotent || retry || !another || !mayRetry(call))
+  const bool isLast = call.Arrivals + 1 >= call.Route.MaximumAttempts;
+  if (!call.Route.Idempotent || retry || !another || isLast || !mayRetry(call))
     return left;
   return stateOf(call).Timer.firstAttempt(left);
 }
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -26,6 +26,8 @@
   bool Idempotent = false;
   bool BelowRetry = false;
   uint32_t RetryBudgetPercent = 0;
+  uint32_t MaximumAttempts = 3;      ///< Targets that it may be sent to.
+  base::Duration LatencyObjective{}; ///< 0: none is stated.
 };
 
 /// Events of a trace's entries. Start: random seed; text: data centre, region.
@@ -84,6 +86,7 @@
     uint64_t Target = 0; ///< Of the attempt in flight; 0: none.
     uint64_t LastTarget = 0;
     uint32_t Attempts = 0;
+    uint32_t Arrivals = 0; ///< Attempts that came to a target.
     bool MayHaveRun = false;
     bool Retried = false; ///< Sent again after bytes had been sent.
     bool Fresh = false;   ///< The attempt uses a new connection.
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -20,7 +20,61 @@
 
 } // namespace
 
-TargetLeases::TargetLeases(trace::Recorder &recorder) : Record(&recorder) {}
+TargetLeases::TargetLeases(trace::Recorder &recorder, base::Duration lifetime)
+    : Lifetime(lifetime), Record(&recorder) {}
+
+bool TargetLeases::heartbeat(const Heartbeat &heartbeat, base::TimePoint now,
+                             base::LastReason &reason) {
+  const auto &target = heartbeat.Target;
+  lapse(now);
+  for (const auto &[id, it] : Leases)
+    if (id != target.TargetId && it.Target.Where == target.Where &&
+        it.Incarnation > heartbeat.Incarnation) {
+      reason.fail(ResultCode::LeaseLapsed,
+                  "target \"" + id + "\" has the address by now");
+      return false;
+    }
+  const bool known = Leases.contains(target.TargetId);
+  if (!known && !makeRoom()) {
+    reason.fail(ResultCode::PeerBusy, "the node has as many targets as it may");
+    return false;
+  }
+  auto &lease = Leases[target.TargetId];
+  if (heartbeat.Incarnation < lease.Incarnation) {
+    reason.fail(ResultCode::LeaseLapsed,
+                "a later process of the target is known");
+    return false;
+  }
+  const bool isNewProcess = heartbeat.Incarnation > lease.Incarnation;
+  if (known && !isNewProcess && heartbeat.Sequence <= lease.Sequence)
+    return true;
+  // A process that is leaving does not come back.
+  auto state = target.State;
+  if (known && !isNewProcess)
+    state = std::max(state, lease.Target.State);
+  Changed = true;
+  const uint64_t epoch = lease.Target.Epoch;
+  lease.Target = target;
+  lease.Target.State = state;
+  lease.Target.Epoch = isNewProcess ? heartbeat.Incarnation : epoch;
+  lease.Incarnation = heartbeat.Incarnation;
+  lease.Sequence = heartbeat.Sequence;
+  lease.ExpiresAt = now + Lifetime;
+  lease.Lapsed = false;
+  for (auto &[id, it] : Leases)
+    if (id != target.TargetId && it.Target.Where == target.Where)
+      it.Lapsed = true;
+  return true;
+}
+
+bool TargetLeases::leave(std::string_view targetId) {
+  const auto it = Leases.find(targetId);
+  if (it == Leases.end())
+    return false;
+  it->second.Target.State = fleet::TargetState::Left;
+  Changed = true;
+  return true;
+}
 
 std::optional<LeaseAnswer>
 TargetLeases::announce(const Announcement &announcement, base::TimePoint now,
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -17,6 +17,14 @@
   fleet::TargetRecord Target; ///< Epoch: the last one granted, 0 at first.
 };
 
+/// What a target sends at intervals without holding an epoch: its process and
+/// a number that grows tell later news from earlier.
+struct Heartbeat {
+  fleet::TargetRecord Target; ///< Epoch: not used.
+  uint64_t Incarnation = 0;   ///< Of the target's process; grows.
+  uint64_t Sequence = 0;      ///< Grows within an incarnation.
+};
+
 /// What the node answers to an announcement.
 struct LeaseAnswer {
   uint64_t Epoch = 0;
@@ -35,10 +43,11 @@
 /// refused with LeaseLapsed and it must announce anew before it takes work.
 class TargetLeases {
 public:
-  static constexpr base::Duration Lifetime = std::chrono::seconds(3);
+  static constexpr base::Duration DefaultLifetime = std::chrono::seconds(3);
   static constexpr size_t MaximumTargets = 256;
 
-  explicit TargetLeases(trace::Recorder &recorder);
+  explicit TargetLeases(trace::Recorder &recorder,
+                        base::Duration lifetime = DefaultLifetime);
 
   /// Grants or renews a lease; fails with LeaseLapsed, or with PeerBusy when
   /// the node has as many targets as it may.
@@ -46,6 +55,16 @@
                                       base::TimePoint now,
                                       base::LastReason &reason);
 
+  /// Takes a heartbeat; one that is older than what is known changes nothing,
+  /// and fails with LeaseLapsed where another process of the target, or
+  /// another target, has taken the address since. Fails with PeerBusy when the
+  /// node has as many targets as it may.
+  bool heartbeat(const Heartbeat &heartbeat, base::TimePoint now,
+                 base::LastReason &reason);
+
+  /// Notes that a target has left; returns whether it was known.
+  bool leave(std::string_view targetId);
+
   /// Drops lapsed leases; returns true when the list of targets changed.
   bool tick(base::TimePoint now);
 
@@ -68,11 +87,14 @@
   struct Lease {
     fleet::TargetRecord Target;
     base::TimePoint ExpiresAt{};
+    uint64_t Incarnation = 0;
+    uint64_t Sequence = 0;
     bool Lapsed = false;
     bool DrainedByOperator = false;
   };
   std::map<std::string, Lease, std::less<>> Leases;
   bool AllDrained = false;
+  base::Duration Lifetime;
   bool Changed = false; ///< A lease lapsed since the last tick.
   trace::Recorder *Record;
 };
--- a/Libraries/LibConfig/Resources.h
+++ b/Libraries/LibConfig/Resources.h
@@ -4,6 +4,7 @@
 #include <LibConfig/Rank.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,13 +22,23 @@
 struct Service {
   std::string Name; ///< Unique within the configuration.
   ServiceLimits Limits;
+  std::string HealthPath = {};     ///< Empty: not checked.
+  uint32_t MaximumConnections = 0; ///< To one target; 0: what it announces.
 };
 
 /// Which requests a route takes.
 struct RouteMatch {
   std::vector<std::string> Methods; ///< Empty: every method.
   std::string Host;                 ///< Empty: every host.
-  std::string PathPrefix = "/";     ///< Matches whole path segments.
+  /// Matches whole path segments. One that ends with a slash takes only paths
+  /// that go on below it.
+  std::string PathPrefix = "/";
+};
+
+/// One part of a route's requests.
+struct RouteShare {
+  std::string Service; ///< "name" or "configuration/name".
+  uint32_t Weight = 1; ///< In proportion to the other shares of the route.
 };
 
 /// Sends matching requests to a service. The longest path prefix wins, then a
@@ -36,15 +47,31 @@
   std::string Name; ///< Unique within the configuration.
   RouteMatch Match;
   std::string Service; ///< "name" or "configuration/name".
+  /// Where it is not empty, requests are parted among these services instead.
+  std::vector<RouteShare> Split = {};
   Rank CallRank = Rank::Background;
   base::Duration Deadline = std::chrono::seconds(5);
   bool Idempotent = false; ///< May be retried after it was sent.
+  /// An answer within this time has its full worth; 0: the deadline.
+  base::Duration LatencyObjective{};
+  uint32_t MaximumAttempts = 3; ///< Targets that one request may be sent to.
+};
+
+/// What clients may send, and for how long a connection may be slow or idle.
+struct ClientLimits {
+  uint64_t HeaderBytes = 16UL << 10;
+  uint64_t BodyBytes = 1UL << 20;
+  base::Duration HeaderTimeout = std::chrono::seconds(10);
+  base::Duration IdleTimeout = std::chrono::seconds(75);
+
+  bool operator==(const ClientLimits &) const = default;
 };
 
 /// The content of one version of a configuration.
 struct VersionContent {
   std::vector<Service> Services;
   std::vector<Route> Routes;
+  std::optional<ClientLimits> Limits = {};
 };
 
 } // namespace radishcross::config
--- a/Libraries/LibConfig/RouteIndex.cpp
+++ b/Libraries/LibConfig/RouteIndex.cpp
@@ -64,6 +64,18 @@
   return nullptr;
 }
 
+/// Returns the entry of the prefix of \p length bytes, that with a slash at its
+/// end first, as it is the longer one.
+const RouteIndex::Entry *RouteIndex::findBelow(std::string_view path,
+                                               size_t length,
+                                               std::string_view method,
+                                               std::string_view host) const {
+  if (length < path.size() && path[length] == '/')
+    if (const auto *entry = findAt(path.substr(0, length + 1), method, host))
+      return entry;
+  return findAt(path.substr(0, length), method, host);
+}
+
 const RouteIndex::Entry *RouteIndex::findAt(std::string_view prefix,
                                             std::string_view method,
                                             std::string_view host) const {
@@ -91,11 +103,11 @@
   if (path.empty() || path[0] != '/')
     return nullptr;
   std::string name = plainHost(host);
-  path = cutTo(path, DeepestPrefix);
-  while (path.size() > 1) {
-    if (const auto *entry = findAt(path, method, name))
+  std::string_view prefix = cutTo(path, DeepestPrefix);
+  while (prefix.size() > 1) {
+    if (const auto *entry = findBelow(path, prefix.size(), method, name))
       return entry;
-    path = path.substr(0, path.rfind('/'));
+    prefix = prefix.substr(0, prefix.rfind('/'));
   }
   return findAt("/", method, name);
 }
--- a/Libraries/LibConfig/RouteIndex.h
+++ b/Libraries/LibConfig/RouteIndex.h
@@ -11,16 +11,22 @@
 
 namespace radishcross::config {
 
+/// A service that a route points at.
+struct Destination {
+  const Service *To = nullptr;
+  const std::string *ServiceName = nullptr; ///< "configuration/name".
+  uint32_t Weight = 1;
+};
+
 /// Finds the route for a request: the longest path prefix wins, then a route
 /// with a host, then one with methods. Keeps views into the routes it was
 /// given, which must outlive it.
 class RouteIndex {
 public:
-  /// One route with the service that it points at.
+  /// One route with the services that it points at.
   struct Entry {
     const Route *Matched = nullptr;
-    const Service *Destination = nullptr;
-    const std::string *ServiceName = nullptr;
+    std::vector<Destination> Shares; ///< At least one.
   };
 
   /// Adds a route. Returns the route already there that matches some request
@@ -37,6 +43,8 @@
 
   const Entry *findAt(std::string_view prefix, std::string_view method,
                       std::string_view host) const;
+  const Entry *findBelow(std::string_view path, size_t length,
+                         std::string_view method, std::string_view host) const;
 
   std::unordered_map<std::string_view, ByHost> ByPrefix;
   size_t DeepestPrefix = 0; ///< Segments of the longest prefix.
--- a/Libraries/LibConfig/Snapshot.h
+++ b/Libraries/LibConfig/Snapshot.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/LastReason.h>
 #include <LibConfig/Resources.h>
+#include <LibConfig/RouteIndex.h>
 
 #include <map>
 #include <memory>
@@ -22,8 +23,10 @@
 /// pointers live as long as the snapshot.
 struct RouteHit {
   const Route *Matched = nullptr;
-  const Service *Destination = nullptr;
+  const Service *To = nullptr;
   std::string ServiceName; ///< "configuration/name".
+  /// All services of the route by weight; the fields above name the first.
+  const std::vector<Destination> *Shares = nullptr;
 };
 
 /// All that one proxy holds at one moment, closed under references: every
@@ -47,6 +50,9 @@
   /// Returns the version held of \p configuration, or 0.
   uint64_t versionOf(std::string_view configuration) const;
 
+  /// Returns the strictest limits that a version held sets to clients.
+  ClientLimits clientLimits() const;
+
   const std::vector<HeldVersion> &versions() const { return Versions; }
 
   /// Returns the log offset up to which the snapshot reflects the log.
--- a/Libraries/LibConfig/VersionContentCodec.cpp
+++ b/Libraries/LibConfig/VersionContentCodec.cpp
@@ -129,6 +129,8 @@
     return false;
   if (text.size() == 1)
     return true;
+  if (text.back() == '/')
+    text.remove_suffix(1);
   for (char c : text)
     if (c <= ' ' || c > '~' || c == '?' || c == '#' || c == '%' || c == '\\')
       return false;
@@ -189,11 +191,51 @@
      "an absolute path without empty or dot segments, query or escapes",
      [](const Route &it) { return isPathPrefix(it.Match.PathPrefix); },
      [](const Route &it) { return it.Match.PathPrefix; }},
-    {"service", ResultCode::BadValue, "\"name\" or \"configuration/name\"",
-     [](const Route &it) { return isServiceReference(it.Service); },
-     [](const Route &it) { return it.Service; }},
+    {"deadline_ms", ResultCode::BadRoute, "a time above 0",
+     [](const Route &it) { return it.Deadline.count() > 0; },
+     [](const Route &it) { return std::to_string(it.Deadline.count()); }},
 };
 
+/// Returns the services that a route names.
+std::vector<std::string> referencesOf(const Route &route) {
+  if (route.Split.empty())
+    return {route.Service};
+  std::vector<std::string> out;
+  for (const auto &it : route.Split)
+    out.push_back(it.Service);
+  return out;
+}
+
+/// Fails unless \p name is a reference, and one of the configuration's own
+/// services where it names no other configuration.
+bool checkReference(const std::string &name, const std::string &path,
+                    const std::set<std::string_view> &services,
+                    base::LastReason &reason) {
+  if (!isServiceReference(name)) {
+    failAt(path, ResultCode::BadValue, name,
+           "\"name\" or \"configuration/name\"", reason);
+    return false;
+  }
+  bool isLocal = name.find('/') == std::string::npos;
+  if (!isLocal || services.contains(name))
+    return true;
+  failAt(path, ResultCode::DanglingReference, name,
+         "a service of this configuration", reason);
+  return false;
+}
+
+/// Fails where all parts of a split weigh nothing.
+bool checkWeights(const Route &route, const std::string &path,
+                  base::LastReason &reason) {
+  bool hasWeight = std::any_of(route.Split.begin(), route.Split.end(),
+                               [](const auto &it) { return it.Weight > 0; });
+  if (route.Split.empty() || hasWeight)
+    return true;
+  failAt(path + ".split", ResultCode::BadRoute, "0", "a weight above 0",
+         reason);
+  return false;
+}
+
 bool checkRoute(const Route &route, const std::string &path,
                 const std::set<std::string_view> &services,
                 base::LastReason &reason) {
@@ -204,12 +246,10 @@
            std::string(rule.Expected), reason);
     return false;
   }
-  bool isLocal = route.Service.find('/') == std::string::npos;
-  if (!isLocal || services.contains(route.Service))
-    return true;
-  failAt(path + ".service", ResultCode::DanglingReference, route.Service,
-         "a service of this configuration", reason);
-  return false;
+  for (const auto &it : referencesOf(route))
+    if (!checkReference(it, path + ".service", services, reason))
+      return false;
+  return checkWeights(route, path, reason);
 }
 
 /// What two routes must not share.
@@ -290,13 +330,18 @@
     out.Services.push_back(readService(it.get_object()));
   for (const auto &it : listAt(document.get_object(), "routes"))
     out.Routes.push_back(readRoute(it.get_object()));
-  std::set<std::string_view> services;
-  if (!checkServices(out.Services, services, reason) ||
-      !checkRoutes(out.Routes, services, reason))
+  if (!checkVersionContent(out, reason))
     return std::nullopt;
   return out;
 }
 
+bool checkVersionContent(const VersionContent &content,
+                         base::LastReason &reason) {
+  std::set<std::string_view> services;
+  return checkServices(content.Services, services, reason) &&
+         checkRoutes(content.Routes, services, reason);
+}
+
 value encodeVersionContent(const VersionContent &content) {
   array services;
   for (const auto &it : content.Services)
--- a/Libraries/LibConfig/VersionContentCodec.h
+++ b/Libraries/LibConfig/VersionContentCodec.h
@@ -19,6 +19,11 @@
 decodeVersionContent(const boost::json::value &document,
                      base::LastReason &reason);
 
+/// Checks content by meaning alone, however it was read; fails with a 1xxx or
+/// 2xxx code.
+bool checkVersionContent(const VersionContent &content,
+                         base::LastReason &reason);
+
 /// Returns the document of \p content with every default written out.
 boost::json::value encodeVersionContent(const VersionContent &content);
 
--- /dev/null
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -0,0 +1,66 @@
+#include <LibFleet/NodeDirectory.h>
+
+#include <LibBase/Logger.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace radishcross::fleet {
+
+namespace json = boost::json;
+
+std::string encodeDirectoryEntry(const DirectoryEntry &entry) {
+  return json::serialize(json::object{{"incarnation", entry.Incarnation},
+                                      {"gossip", entry.Gossip.text()}});
+}
+
+std::optional<DirectoryEntry> decodeDirectoryEntry(std::string_view id,
+                                                   std::string_view text,
+                                                   base::LastReason &reason) {
+  boost::system::error_code ec;
+  json::value document = json::parse(text, ec);
+  const auto *object = ec ? nullptr : document.if_object();
+  const auto *incarnation =
+      object ? object->if_contains("incarnation") : nullptr;
+  const auto *gossip = object ? object->if_contains("gossip") : nullptr;
+  if (!incarnation || !gossip || !incarnation->is_number() ||
+      !gossip->is_string())
+    return reason.fail(base::ResultCode::RecordMalformed,
+                       "the directory's entry cannot be read");
+  auto number = incarnation->to_number<uint64_t>(ec);
+  auto address = base::parseAddress(gossip->get_string(), reason);
+  if (ec || !address)
+    return reason.fail(base::ResultCode::RecordMalformed,
+                       "the directory's entry has a bad number or address");
+  return DirectoryEntry{NodeId(id), number, *address};
+}
+
+std::optional<base::Address>
+NodeDirectory::take(const log::KeyedRecord &record) {
+  if (record.Value.empty()) {
+    Entries.erase(record.Key);
+    if (record.Key == Self.Id)
+      IsWritten = false;
+    return std::nullopt;
+  }
+  base::LastReason reason;
+  auto entry = decodeDirectoryEntry(record.Key, record.Value, reason);
+  if (!entry) {
+    base::log(base::LogLevel::Warning, "directory entry ignored",
+              {{"key", record.Key}, {"reason", reason.text()}});
+    return std::nullopt;
+  }
+  if (record.Key == Self.Id) {
+    IsWritten =
+        entry->Incarnation == Self.Incarnation && entry->Gossip == Self.Gossip;
+    return std::nullopt;
+  }
+  auto &known = Entries[record.Key];
+  bool isNews =
+      known.Gossip != entry->Gossip || known.Incarnation != entry->Incarnation;
+  known = *entry;
+  return isNews ? std::optional(known.Gossip) : std::nullopt;
+}
+
+} // namespace radishcross::fleet
--- /dev/null
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+
+#include <chrono>
+#include <cstdint>
+
+namespace radishcross::fleet {
+
+/// Times of a reader of a topic.
+struct TopicFollowerSettings {
+  /// How long the store may hold a read; it allows 30 s.
+  base::Duration LongPoll = std::chrono::seconds(25);
+  base::Duration ShortestPause = std::chrono::milliseconds(200);
+  base::Duration LongestPause = std::chrono::milliseconds(1500);
+};
+
+/// What a reader of a topic does next.
+struct TopicStep {
+  enum class Kind : uint8_t {
+    List,   ///< Read the newest record of each key.
+    Follow, ///< Wait for records from From on, for For at most.
+    Pause,  ///< Do nothing for For.
+  };
+  Kind What = Kind::List;
+  uint64_t From = 0;
+  base::Duration For{};
+};
+
+/// Decides how one topic is kept up with: its keys once, then what is added;
+/// its keys again when the history has been dropped in between.
+class TopicFollower {
+public:
+  TopicFollower(TopicFollowerSettings settings, uint64_t seed)
+      : Settings(settings), Dice(seed) {}
+
+  /// Returns what is due now; to be asked again once that has ended.
+  TopicStep next();
+
+  /// Takes the end of a List.
+  void listed(bool reached, uint64_t end);
+
+  /// Takes the end of a Follow; \p next is one past the last record read.
+  void followed(bool reached, bool expired, uint64_t next);
+
+  /// Tells whether the newest records have been read at least once.
+  bool hasListed() const { return HasListed; }
+
+private:
+  void ended(bool reached);
+
+  TopicFollowerSettings Settings;
+  base::Random Dice;
+  uint64_t From = 0;
+  bool HasListed = false;
+  bool ListIsDue = true;
+  bool PauseIsDue = false;
+  uint32_t Failures = 0; ///< In a row.
+};
+
+} // namespace radishcross::fleet
--- a/Libraries/LibHttp/AnswerFields.cpp
+++ b/Libraries/LibHttp/AnswerFields.cpp
@@ -52,7 +52,7 @@
     return; // The target's answer.
   result.Code =
       static_cast<base::ResultCode>(numberOf(answer, calls::CodeHeader));
-  result.RetryAfter = std::chrono::seconds(numberOf(answer, "Retry-After"));
+  result.RetryAfter = parseRetryAfter(textOf(answer, "Retry-After"));
   bool notRun =
       outcome == base::nameOf(calls::CallOutcomeNames, CallOutcome::NotRun);
   result.End = notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Broken;
--- a/Libraries/LibHttp/Answers.cpp
+++ b/Libraries/LibHttp/Answers.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <string>
 
 namespace radishcross::http {
@@ -69,6 +70,31 @@
   return parser.release();
 }
 
+std::string retryAfterText(base::Duration time) {
+  constexpr int64_t MsPerSecond = 1000;
+  auto ms = std::chrono::ceil<std::chrono::milliseconds>(time).count();
+  std::string out = std::to_string(ms / MsPerSecond);
+  if (ms % MsPerSecond == 0)
+    return out;
+  std::string digits = std::to_string(MsPerSecond + ms % MsPerSecond);
+  return out + "." + digits.substr(1);
+}
+
+base::Duration parseRetryAfter(std::string_view text) {
+  int64_t seconds = 0;
+  auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  base::Duration out = std::chrono::seconds(ec == std::errc() ? seconds : 0);
+  text.remove_prefix(static_cast<size_t>(end - text.data()));
+  if (text.empty() || text.front() != '.')
+    return out;
+  std::string digits(text.substr(1, 3));
+  digits.resize(3, '0');
+  int64_t ms = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), ms);
+  return out + std::chrono::milliseconds(ms);
+}
+
 Response makeJson(unsigned status, std::string body) {
   Response answer;
   answer.version(11);
@@ -91,11 +117,9 @@
   Response answer = makeJson(row.HttpStatus, boost::json::serialize(body));
   answer.set(calls::CodeHeader, std::to_string(static_cast<int>(code)));
   answer.set(calls::OutcomeHeader, name);
-  if (retryAfter.count() > 0) {
-    auto seconds = std::chrono::ceil<std::chrono::seconds>(retryAfter);
+  if (retryAfter.count() > 0)
     answer.set(boost::beast::http::field::retry_after,
-               std::to_string(seconds.count()));
-  }
+               retryAfterText(retryAfter));
   return answer;
 }
 
--- a/Libraries/LibHttp/Answers.h
+++ b/Libraries/LibHttp/Answers.h
@@ -17,6 +17,12 @@
 Response makeAnswer(base::ResultCode code, calls::CallOutcome outcome,
                     std::string_view reason, base::Duration retryAfter = {});
 
+/// Returns \p time in seconds, with a fraction where it is not whole.
+std::string retryAfterText(base::Duration time);
+
+/// Reads seconds with or without a fraction; 0 where \p text is no number.
+base::Duration parseRetryAfter(std::string_view text);
+
 /// Returns an answer with a JSON text as its body.
 Response makeJson(unsigned status, std::string body);
 
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 #include <cstdio>
 #include <random>
 
@@ -32,6 +33,9 @@
 /// What the broker is told of a deadline that has passed.
 constexpr base::Duration PassedDeadline{-1};
 
+/// Deadlines beyond a day say nothing.
+constexpr int64_t LongestDeadlineMs = 86'400'000;
+
 uint64_t fingerprintOf(const Request &request) {
   uint64_t head = base::hash64(
       std::string_view(request.target().data(), request.target().size()),
@@ -46,6 +50,18 @@
   return {it->value().data(), it->value().size()};
 }
 
+/// Returns the time that a caller gives, 0 where it gives none.
+base::Duration deadlineOf(const Request &request, const std::string &name) {
+  std::string_view text = textOf(request, name);
+  int64_t ms = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (text.empty() || ec != std::errc() || end != text.data() + text.size() ||
+      ms > LongestDeadlineMs)
+    return {};
+  return ms > 0 ? base::Duration(std::chrono::milliseconds(ms))
+                : PassedDeadline;
+}
+
 /// Ends a call at the broker on every way out.
 class CallGuard {
 public:
@@ -102,8 +118,12 @@
 asio::awaitable<Response> CallEngine::handleCaller(IncomingRequest incoming) {
   OwnCall call;
   base::LastReason reason;
-  auto parent =
-      readMeshCall(incoming.Message, MeshAudience::Target, Keys, reason);
+  // Without keys nobody could prove to be a target that passes a call on.
+  auto parent = Keys.empty() ? std::nullopt
+                             : readMeshCall(incoming.Message,
+                                            MeshAudience::Target, Keys, reason);
+  call.Request.Remaining =
+      deadlineOf(incoming.Message, Environment.Headers.Deadline);
   // Deeper calls of calls in flight are still taken while draining.
   if (!parent && RefusesNewCalls)
     co_return makeAnswer(base::ResultCode::Draining, CallOutcome::NotRun, {},
@@ -119,11 +139,22 @@
   }
   stripMeshFields(incoming.Message);
   dropHopFields(incoming.Message);
+  setOwnFields(incoming.Message);
   call.Request.CallId = newCallId();
   call.Incoming = std::move(incoming);
   co_return co_await runCall(std::move(call));
 }
 
+/// Removes what a caller may not say and names the service that calls.
+void CallEngine::setOwnFields(Request &request) const {
+  const auto &names = Environment.Headers;
+  request.erase(names.Deadline);
+  request.erase(names.ExpectedTarget);
+  request.erase(names.CallerService);
+  if (!Environment.LocalService.empty())
+    request.set(names.CallerService, Environment.LocalService);
+}
+
 asio::awaitable<Response> CallEngine::handleMesh(IncomingRequest incoming) {
   base::LastReason reason;
   auto mesh = readMeshCall(incoming.Message, MeshAudience::Node, Keys, reason);
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -73,6 +73,7 @@
   void replay(OwnCall &call, calls::CallStep &step);
   void resume(calls::CallHandle call, const calls::CallStep &step);
   std::string newCallId();
+  void setOwnFields(Request &request) const;
 
   ClosedBroker NoBroker;
   ClosedGate NoGate;
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -108,7 +108,7 @@
 CallProxy::create(CallProxyEnvironment environment,
                   const base::Address &callsListen,
                   const base::Address &meshListen, base::LastReason &reason) {
-  if (environment.MeshKeys.empty())
+  if (environment.MeshKeys.empty() && !environment.TrustsNetwork)
     return reason.fail(base::ResultCode::MissingKey, "there is no mesh key");
   auto *context = environment.Context;
   auto shell = std::make_shared<CallProxyShell>(std::move(environment));
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -5,6 +5,7 @@
 #include <LibBase/Metrics.h>
 #include <LibCalls/AdmissionGate.h>
 #include <LibCalls/CallBroker.h>
+#include <LibCalls/CallHeaders.h>
 #include <LibConfig/Snapshot.h>
 #include <LibFleet/Member.h>
 #include <LibHttp/Server.h>
@@ -31,6 +32,9 @@
   std::function<std::optional<fleet::TargetRecord>(const std::string &)>
       LocalTarget;
   std::vector<std::string> MeshKeys; ///< The first signs, all verify.
+  bool TrustsNetwork = false; ///< Without keys calls need no proof.
+  calls::CallHeaders Headers;
+  std::string LocalService; ///< Told to targets as the caller; empty: none.
   std::string NodeId;
   std::string DataCentre;
 };
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -25,7 +25,10 @@
 }
 
 /// Tells whether a target says that it did not run the request.
-bool saysNotRun(const Response &answer) {
+bool saysNotRun(const Response &answer, const calls::CallHeaders &names) {
+  if (answer.result() == boost::beast::http::status::misdirected_request ||
+      answer.count(names.NotRun) != 0)
+    return true;
   auto it = answer.find(calls::OutcomeHeader);
   return it != answer.end() &&
          it->value() ==
@@ -112,12 +115,13 @@
   ExchangePlan plan;
   plan.Server = target.Where;
   plan.Timeout = parent.Remaining;
-  plan.Lines = meshLines(request, parent, MeshAudience::Target, Keys);
+  plan.Lines = targetLines(request, parent);
   ExchangeResult result = co_await exchange(Pool, plan, request, watch);
   GateOutcome outcome;
   outcome.Result.End = result.End;
   outcome.Result.Latency = result.Latency;
-  if (result.End == AttemptEnd::Answered && saysNotRun(result.Answer)) {
+  if (result.End == AttemptEnd::Answered &&
+      saysNotRun(result.Answer, Environment.Headers)) {
     outcome.Result.End = AttemptEnd::RefusedNotRun;
     outcome.Result.Code = base::ResultCode::TargetRefused;
   }
@@ -127,6 +131,22 @@
   co_return outcome;
 }
 
+/// Returns the fields that a target gets: its id and the deadline, and what
+/// proves its deeper calls where there is a key.
+std::string GateRunner::targetLines(const Request &request,
+                                    const MeshCall &call) const {
+  const auto &names = Environment.Headers;
+  std::string out;
+  if (!Keys.empty()) {
+    out = meshLines(request, call, MeshAudience::Target, Keys);
+  } else {
+    auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(call.Remaining);
+    out = names.Deadline + ": " + std::to_string(left.count()) + "\r\n";
+  }
+  return out + names.ExpectedTarget + ": " + call.TargetId + "\r\n";
+}
+
 void GateRunner::dispatch(const std::vector<GateAnswer> &answers) {
   for (const GateAnswer &answer : answers) {
     auto it = Queue.find(answer.Call);
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCalls/CallTypes.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
@@ -13,8 +14,6 @@
 
 namespace bh = boost::beast::http;
 
-constexpr std::string_view MeshPrefix = "X-Radishcross-";
-
 constexpr base::EnumName<MeshAudience> AudienceNames[] = {
     {MeshAudience::Node, "node"},
     {MeshAudience::Target, "target"},
@@ -34,6 +33,21 @@
     calls::AttemptHeader,
 };
 
+/// Further fields that only nodes set.
+constexpr std::string_view UnprovenFields[] = {
+    calls::ProofHeader, calls::CodeHeader, calls::OutcomeHeader,
+    calls::PressureHeader};
+
+bool isMeshField(boost::beast::string_view name) {
+  auto equals = [name](std::string_view it) {
+    return boost::beast::iequals(name, {it.data(), it.size()});
+  };
+  return std::any_of(std::begin(ProvenFields), std::end(ProvenFields),
+                     equals) ||
+         std::any_of(std::begin(UnprovenFields), std::end(UnprovenFields),
+                     equals);
+}
+
 using FieldValues = std::array<std::string_view, std::size(ProvenFields)>;
 
 /// Returns the bytes that a proof covers, one field a line.
@@ -63,13 +77,12 @@
 } // namespace
 
 void stripMeshFields(bh::fields &fields) {
-  for (auto it = fields.begin(); it != fields.end();) {
-    auto name = it->name_string().substr(0, MeshPrefix.size());
-    if (boost::beast::iequals(name, MeshPrefix))
+  // Names of the mesh are longer than most others: few are compared.
+  for (auto it = fields.begin(); it != fields.end();)
+    if (it->name() == bh::field::unknown && isMeshField(it->name_string()))
       it = fields.erase(it);
     else
       ++it;
-  }
 }
 
 std::string meshLines(const Request &request, const MeshCall &call,
@@ -93,7 +106,8 @@
   for (size_t i = 0; i < values.size(); ++i)
     if (!values[i].empty())
       add(ProvenFields[i], values[i]);
-  add(calls::ProofHeader, keys.sign(provenText(request, audience, values)));
+  if (!keys.empty())
+    add(calls::ProofHeader, keys.sign(provenText(request, audience, values)));
   return lines;
 }
 
@@ -106,8 +120,9 @@
   if (!proof.empty())
     for (size_t i = 0; i < values.size(); ++i)
       values[i] = fieldOf(request, ProvenFields[i]);
-  if (proof.empty() ||
-      !keys.verify(provenText(request, audience, values), proof))
+  if (!keys.empty() &&
+      (proof.empty() ||
+       !keys.verify(provenText(request, audience, values), proof)))
     return reason.fail(base::ResultCode::PeerUnauthenticated,
                        "the request carries no valid proof of the mesh key");
   MeshCall call;
--- a/Libraries/LibHttp/MeshKey.cpp
+++ b/Libraries/LibHttp/MeshKey.cpp
@@ -75,6 +75,8 @@
 }
 
 bool MeshKeys::verify(std::string_view text, std::string_view proof) const {
+  if (Keys.empty())
+    return true;
   return std::any_of(Keys.begin(), Keys.end(), [&](const MeshKey &key) {
     return base::equalInConstantTime(key.proof(text), proof);
   });
--- a/Libraries/LibHttp/MeshKey.h
+++ b/Libraries/LibHttp/MeshKey.h
@@ -24,18 +24,22 @@
   std::unique_ptr<Context> Held;
 };
 
-/// The keys of one node: the first signs, all verify.
+/// The keys of one node: the first signs, all verify. Without any key the
+/// network is trusted: proofs are empty and every message is taken.
 class MeshKeys {
 public:
   explicit MeshKeys(const std::vector<std::string> &secrets);
 
   std::string sign(std::string_view text) const {
-    return Keys.front().proof(text);
+    return Keys.empty() ? std::string() : Keys.front().proof(text);
   }
 
   /// Tells whether one of the keys made \p proof of \p text.
   bool verify(std::string_view text, std::string_view proof) const;
 
+  /// Tells whether there is no key.
+  bool empty() const { return Keys.empty(); }
+
 private:
   std::vector<MeshKey> Keys;
 };
--- /dev/null
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -0,0 +1,70 @@
+#include <LibNode/HeartbeatCodec.h>
+
+#include <LibConfig/ExternalConfiguration.h>
+#include <LibSchema/JsonSchema.h>
+#include <LibSchema/StrictJson.h>
+
+#include <boost/json/object.hpp>
+#include <string>
+
+namespace radishcross::embedded {
+extern const std::string_view HeartbeatText;
+} // namespace radishcross::embedded
+
+namespace radishcross::node {
+
+namespace {
+
+constexpr schema::DocumentLimits HeartbeatLimits{16UL << 10, 4};
+constexpr size_t LongestTargetId = 64;
+
+const schema::JsonSchema *heartbeatSchema() {
+  static base::LastReason reason;
+  static auto compiled =
+      schema::JsonSchema::create(embedded::HeartbeatText, reason);
+  return compiled ? &*compiled : nullptr;
+}
+
+uint64_t numberAt(const boost::json::object &object, std::string_view key) {
+  const auto *it = object.if_contains(key);
+  return it ? it->to_number<uint64_t>() : 0;
+}
+
+} // namespace
+
+std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
+                                                std::string_view body,
+                                                base::LastReason &reason) {
+  if (id.empty() || id.size() > LongestTargetId ||
+      id.find('/') != std::string_view::npos)
+    return reason.fail(base::ResultCode::BadValue, "the target's id is bad");
+  auto document = schema::parseStrictJson(body, HeartbeatLimits, reason);
+  if (!document)
+    return std::nullopt;
+  const auto *shape = heartbeatSchema();
+  if (!shape)
+    return reason.fail(base::ResultCode::Internal,
+                       "the heartbeat schema cannot be compiled");
+  if (!shape->check(*document, reason))
+    return std::nullopt;
+  const auto &object = document->as_object();
+  auto address = base::parseAddress(object.at("address").as_string(), reason);
+  if (!address)
+    return std::nullopt;
+  calls::Heartbeat out;
+  out.Target.Service = std::string(object.at("service").as_string());
+  if (out.Target.Service.find('/') == std::string::npos)
+    out.Target.Service =
+        std::string(config::ExternalName) + "/" + out.Target.Service;
+  out.Target.TargetId = std::string(id);
+  out.Target.Where = *address;
+  out.Target.State =
+      *base::fromName(fleet::TargetStateNames, object.at("state").as_string());
+  out.Target.Slots = static_cast<uint32_t>(numberAt(object, "slots"));
+  out.Target.Connections = out.Target.Slots;
+  out.Incarnation = numberAt(object, "born");
+  out.Sequence = numberAt(object, "sequence");
+  return out;
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/HeartbeatCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibBase/LastReason.h>
+#include <LibCalls/TargetLeases.h>
+
+#include <optional>
+#include <string_view>
+
+namespace radishcross::node {
+
+/// Decodes a heartbeat of target \p id: {"service", "address", "state",
+/// "slots", "sequence", "warm_up_ms", "born"}; unknown keys are passed over.
+/// Fails with a 1xxx code. A service without a configuration's name belongs to
+/// the external configuration.
+std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
+                                                std::string_view body,
+                                                base::LastReason &reason);
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <utility>
 
 namespace radishcross::node {
 
@@ -25,14 +26,14 @@
 
 } // namespace
 
-base::ResultCode run(const admin::NodeSettings &settings) {
+base::ResultCode run(const admin::NodeSettings &settings, PlatformPorts ports) {
   auto log = settings.Log;
   log.Node = settings.Node;
   log.DataCentre = settings.DataCentre;
   base::setUpLog(log);
   boost::asio::io_context context(1);
   base::LastReason reason;
-  auto node = NodeProcess::create(context, settings, reason);
+  auto node = NodeProcess::create(context, settings, std::move(ports), reason);
   if (!node) {
     base::log(base::LogLevel::Error, "node cannot start",
               {{"reason", reason.line()}});
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -2,12 +2,13 @@
 
 #include <LibAdmin/NodeSettings.h>
 #include <LibBase/ResultCode.h>
+#include <LibNode/PlatformPorts.h>
 
 namespace radishcross::node {
 
 /// Runs one node until SIGTERM or SIGINT has drained it. Returns Ok after a
 /// graceful shutdown, or the code of what kept it from starting; the reason is
 /// in the log.
-base::ResultCode run(const admin::NodeSettings &settings);
+base::ResultCode run(const admin::NodeSettings &settings, PlatformPorts ports);
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -26,7 +26,7 @@
 constexpr base::Duration QuietBeforeStop = 1500ms;
 
 /// What a node remembers of its decisions for \ref recording.
-constexpr trace::RingLimits DecisionLimits{65536, 8UL << 20};
+constexpr size_t MostDecisions = 65536;
 
 uint64_t randomSeed() {
   std::random_device device;
@@ -57,11 +57,19 @@
 } // namespace
 
 NodeProcess::NodeProcess(boost::asio::io_context &context,
-                         const admin::NodeSettings &settings)
+                         const admin::NodeSettings &settings,
+                         PlatformPorts ports)
     : Context(&context), Settings(settings), Self(identityOf(settings)),
-      Seed(randomSeed()), Decisions(DecisionLimits),
-      Platform(context, settings.Platform, Counters), Quarantined(Decisions),
-      News(Quarantined), Leases(Decisions),
+      Seed(randomSeed()), Decisions({MostDecisions, settings.RecordingBytes}),
+      Ports(std::move(ports)),
+      Store(Ports.OpenStore(context, settings.Platform, Counters)),
+      Platform(*Store, Seed),
+      Link(context, *Store, Ports,
+           {Self.Id, static_cast<uint64_t>(unixMilliseconds()), Self.Gossip},
+           {[this](const base::Address &it) { Fleet->addSeeds({it}); },
+            [this] { snapshotChanged(); }}),
+      Quarantined(Decisions), News(Quarantined),
+      Leases(Decisions, settings.TargetLease),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed}, Quarantined,
                   Decisions),
       CallsGate(Quarantined, Decisions), Usage(CallsBroker),
@@ -77,11 +85,13 @@
 
 std::optional<std::unique_ptr<NodeProcess>>
 NodeProcess::create(boost::asio::io_context &context,
-                    const admin::NodeSettings &settings,
+                    const admin::NodeSettings &settings, PlatformPorts ports,
                     base::LastReason &reason) {
-  std::unique_ptr<NodeProcess> node(new NodeProcess(context, settings));
+  std::unique_ptr<NodeProcess> node(
+      new NodeProcess(context, settings, std::move(ports)));
   if (!node->startFleet(reason) || !node->startListeners(reason))
     return std::nullopt;
+  node->Link.start(settings.HasOperatorConfiguration, node->Seed);
   node->armTimer();
   return node;
 }
@@ -96,6 +106,7 @@
   environment.Self = Self;
   environment.Seeds = Settings.Seeds;
   environment.MeshKeys = Settings.MeshKeys;
+  environment.TrustsNetwork = Settings.TrustsNetwork;
   environment.RandomSeed = Seed;
   environment.TailersPerDataCentre = Settings.TailersPerDataCentre;
   environment.FoldAdvanced = [this](const log::Fold &fold) {
@@ -121,7 +132,7 @@
   environment.Broker = &Usage;
   environment.Gate = &CallsGate;
   environment.CurrentSnapshot = [this]() -> config::SnapshotPointer {
-    return ready() ? Held.snapshot() : nullptr;
+    return ready() ? InForce : nullptr;
   };
   environment.LocalTarget =
       [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
@@ -131,6 +142,9 @@
     return std::nullopt;
   };
   environment.MeshKeys = Settings.MeshKeys;
+  environment.TrustsNetwork = Settings.TrustsNetwork;
+  environment.Headers = Settings.CallHeaders;
+  environment.LocalService = Settings.Service;
   environment.NodeId = Self.Id;
   environment.DataCentre = Self.DataCentre;
   auto proxy = http::CallProxy::create(std::move(environment), Settings.Calls,
@@ -169,15 +183,31 @@
   Decisions.record(isFirst ? log::traceStart(at, Held)
                            : log::traceUpdate(at, isChanged, Held));
   Fleet->setExceptions(Held.exceptions());
-  if (isChanged)
-    snapshotChanged(fold);
+  if (isChanged || !InForce)
+    snapshotChanged();
   drainedChanged(fold);
   Changes.foldAdvanced(fold);
 }
 
-void NodeProcess::snapshotChanged(const log::Fold &fold) {
-  CallsGate.limitsChanged(Held.snapshot());
-  for (const auto &held : Held.snapshot()->versions()) {
+/// Puts the versions held and the external one in force together, or leaves
+/// what is in force where they do not fit each other.
+void NodeProcess::snapshotChanged() {
+  auto versions = Held.snapshot()->versions();
+  const auto &external = Link.configuration().held();
+  if (external.Content)
+    versions.push_back(external);
+  base::LastReason reason;
+  auto next = config::Snapshot::create(std::move(versions),
+                                       Held.snapshot()->offset(), reason);
+  if (!next) {
+    base::log(base::LogLevel::Error, "versions do not fit each other",
+              {{"external", std::to_string(external.Version)},
+               {"reason", reason.line()}});
+    return;
+  }
+  InForce = std::move(*next);
+  CallsGate.limitsChanged(InForce);
+  for (const auto &held : InForce->versions()) {
     auto &since = Since[held.Configuration];
     if (since.Version == held.Version)
       continue;
@@ -185,7 +215,7 @@
     base::log(base::LogLevel::Info, "version in force",
               {{"configuration", held.Configuration},
                {"version", std::to_string(held.Version)},
-               {"offset", std::to_string(fold.offset())}});
+               {"offset", std::to_string(InForce->offset())}});
   }
 }
 
@@ -223,6 +253,7 @@
 void NodeProcess::tick() {
   if (!Recovered && ready())
     recovered();
+  Link.tick(Time.now());
   if (Leases.tick(Time.now()))
     targetsChanged();
   News.spread(
@@ -271,7 +302,11 @@
   return Counters;
 }
 
-bool NodeProcess::ready() const { return Fleet && Fleet->ready(); }
+bool NodeProcess::ready() const {
+  bool hasConfiguration =
+      !Settings.HasOperatorConfiguration || Link.configuration().version() != 0;
+  return Fleet && Fleet->ready() && InForce && hasConfiguration && !Draining;
+}
 
 void NodeProcess::change(log::Record record, base::Duration patience,
                          std::function<void(admin::ChangeOutcome)> done) {
@@ -297,7 +332,9 @@
         ++targets[it.Service];
   }
   boost::json::array out;
-  for (const auto &held : Held.snapshot()->versions())
+  if (!InForce)
+    return {};
+  for (const auto &held : InForce->versions())
     for (const auto &service : held.Content->Services) {
       std::string name = held.Configuration;
       name += '/';
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -11,10 +11,11 @@
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/TargetLeases.h>
 #include <LibHttp/CallProxy.h>
-#include <LibHttp/HttpPlatformClient.h>
 #include <LibHttp/Server.h>
 #include <LibLog/HeldVersions.h>
+#include <LibLog/KeyedLog.h>
 #include <LibNode/ChangeFlow.h>
+#include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNews.h>
 #include <LibNode/TargetListener.h>
 #include <LibNode/UsageMeter.h>
@@ -40,7 +41,7 @@
   /// Opens every listener and starts to recover; fails with CannotListen.
   static std::optional<std::unique_ptr<NodeProcess>>
   create(boost::asio::io_context &context, const admin::NodeSettings &settings,
-         base::LastReason &reason);
+         PlatformPorts ports, base::LastReason &reason);
   ~NodeProcess() override;
 
   const fleet::NodeIdentity &identity() const override { return Self; }
@@ -65,13 +66,13 @@
 
 private:
   NodeProcess(boost::asio::io_context &context,
-              const admin::NodeSettings &settings);
+              const admin::NodeSettings &settings, PlatformPorts ports);
 
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
   boost::json::array servicesInUse() const;
   void foldAdvanced(const log::Fold &fold);
-  void snapshotChanged(const log::Fold &fold);
+  void snapshotChanged();
   void drainedChanged(const log::Fold &fold);
   void membersChanged();
   void targetsChanged();
@@ -87,7 +88,10 @@
   base::Metrics Counters;
   uint64_t Seed;
   trace::Ring Decisions;
-  http::HttpPlatformClient Platform;
+  PlatformPorts Ports;
+  std::unique_ptr<log::KeyedStore> Store;
+  log::KeyedLog Platform;
+  PlatformLink Link;
   calls::Quarantine Quarantined;
   QuarantineNews News;
   calls::TargetLeases Leases;
@@ -105,6 +109,7 @@
   boost::asio::steady_timer Timer;
   std::map<std::string, admin::HoldingSince, std::less<>> Since;
   std::vector<std::string> DrainedNames;
+  config::SnapshotPointer InForce; ///< The held versions and the external one.
   bool MembersDirty = false;
   bool Recovered = false;
   bool IsFloorTaken = false;
--- /dev/null
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -0,0 +1,74 @@
+#include <LibNode/PlatformLink.h>
+
+#include <LibBase/Logger.h>
+
+#include <utility>
+
+namespace radishcross::node {
+
+namespace {
+
+/// The least time between two writes of a node's entry.
+constexpr base::Duration WriteSpacing = std::chrono::seconds(2);
+
+} // namespace
+
+PlatformLink::PlatformLink(boost::asio::io_context &context,
+                           log::KeyedStore &store, const PlatformPorts &ports,
+                           fleet::DirectoryEntry self, Events events)
+    : Context(&context), Store(&store), Ports(&ports),
+      Directory(std::move(self)), OnEvent(std::move(events)) {}
+
+void PlatformLink::start(bool hasConfiguration, uint64_t seed) {
+  Nodes = TopicReader::start(
+      *Context, *Store, log::Topic::Nodes, seed,
+      [this](const log::KeyedRecord &it) { directoryRecord(it); });
+  if (!hasConfiguration)
+    return;
+  Operator = TopicReader::start(
+      *Context, *Store, log::Topic::Operator, seed + 1,
+      [this](const log::KeyedRecord &it) { operatorRecord(it); });
+}
+
+void PlatformLink::tick(base::TimePoint now) {
+  if (!Directory.mustWrite() || now < NextWrite)
+    return;
+  NextWrite = now + WriteSpacing;
+  const auto &self = Directory.self();
+  Store->put(
+      log::Topic::Nodes, self.Id, fleet::encodeDirectoryEntry(self),
+      [weak = std::weak_ptr<bool>(Alive), this](const log::PutAnswer &answer) {
+        if (weak.expired())
+          return;
+        bool isDone = answer.Outcome == log::PutAnswer::Kind::Accepted;
+        if (isDone)
+          Directory.written();
+        else
+          base::log(base::LogLevel::Warning, "directory entry was not written",
+                    {{"reason", answer.Reason.text()}});
+      });
+}
+
+void PlatformLink::directoryRecord(const log::KeyedRecord &record) {
+  if (auto gossip = Directory.take(record))
+    OnEvent.NodeFound(*gossip);
+}
+
+void PlatformLink::operatorRecord(const log::KeyedRecord &record) {
+  if (record.Key != Ports->ConfigurationKey || record.Value.empty())
+    return;
+  base::LastReason reason;
+  auto version = Ports->DecodeOperatorRecord(record.Value, reason);
+  auto number = version ? version->Version : 0;
+  if (!version || !External.take(std::move(*version), reason)) {
+    base::log(base::LogLevel::Info, "external configuration passed over",
+              {{"version", std::to_string(number)},
+               {"held", std::to_string(External.version())},
+               {"offset", std::to_string(record.At)},
+               {"reason", reason.line()}});
+    return;
+  }
+  OnEvent.ConfigurationChanged();
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/PlatformPorts.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibBase/Address.h>
+#include <LibBase/Metrics.h>
+#include <LibConfig/ExternalConfiguration.h>
+#include <LibLog/KeyedStore.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace radishcross::node {
+
+/// What a node needs of the platform that it runs on.
+struct PlatformPorts {
+  std::function<std::unique_ptr<log::KeyedStore>(
+      boost::asio::io_context &, std::vector<base::Address>, base::Metrics &)>
+      OpenStore;
+  /// Decodes a record of the operator's topic; nothing where it is no valid
+  /// version.
+  std::function<std::optional<config::ExternalVersion>(std::string_view text,
+                                                       base::LastReason &)>
+      DecodeOperatorRecord;
+  /// The key of that record.
+  std::string_view ConfigurationKey;
+};
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -0,0 +1,79 @@
+#include <LibNode/TopicReader.h>
+
+#include <LibBase/Logger.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace radishcross::node {
+
+std::shared_ptr<TopicReader>
+TopicReader::start(boost::asio::io_context &context, log::KeyedStore &store,
+                   log::Topic topic, uint64_t seed, Taken taken) {
+  auto out = std::make_shared<TopicReader>(context, store, topic, seed,
+                                           std::move(taken));
+  out->go();
+  return out;
+}
+
+TopicReader::TopicReader(boost::asio::io_context &context,
+                         log::KeyedStore &store, log::Topic topic,
+                         uint64_t seed, Taken taken)
+    : Store(&store), Which(topic), OnTaken(std::move(taken)),
+      Follower({}, seed), Timer(context) {}
+
+void TopicReader::go() {
+  auto step = Follower.next();
+  if (step.What == fleet::TopicStep::Kind::List)
+    return list();
+  if (step.What == fleet::TopicStep::Kind::Follow)
+    return follow(step);
+  Timer.expires_after(step.For);
+  Timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+    auto self = weak.lock();
+    if (!ec && self)
+      self->go();
+  });
+}
+
+void TopicReader::list() {
+  Store->list(Which, [weak = weak_from_this()](const log::TopicAnswer &answer) {
+    auto self = weak.lock();
+    if (!self)
+      return;
+    self->answered(answer, "list");
+    self->Follower.listed(answer.Reached, answer.End);
+    self->go();
+  });
+}
+
+void TopicReader::follow(const fleet::TopicStep &step) {
+  Store->follow(Which, step.From, step.For,
+                [weak = weak_from_this(),
+                 from = step.From](const log::TopicAnswer &answer) {
+                  auto self = weak.lock();
+                  if (!self)
+                    return;
+                  self->answered(answer, "follow");
+                  uint64_t next = from;
+                  for (const auto &it : answer.Records)
+                    next = std::max(next, it.At + 1);
+                  self->Follower.followed(answer.Reached, answer.Expired, next);
+                  self->go();
+                });
+}
+
+void TopicReader::answered(const log::TopicAnswer &answer,
+                           std::string_view what) {
+  bool isReached = answer.Reached || answer.Expired;
+  if (isReached != std::exchange(Reached, isReached))
+    base::log(isReached ? base::LogLevel::Info : base::LogLevel::Warning,
+              isReached ? "store regained" : "store lost",
+              {{"topic", std::string(base::nameOf(log::TopicNames, Which))},
+               {"read", std::string(what)},
+               {"reason", answer.Reason.text()}});
+  for (const auto &it : answer.Records)
+    OnTaken(it);
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/TopicReader.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibFleet/TopicFollower.h>
+#include <LibLog/KeyedStore.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace radishcross::node {
+
+/// Keeps up with one topic of the platform's store and passes its records on.
+class TopicReader : public std::enable_shared_from_this<TopicReader> {
+public:
+  /// Called for each record read, which may be one that was seen before.
+  using Taken = std::function<void(const log::KeyedRecord &)>;
+
+  /// Starts to read; ends when the last pointer but its own is let go.
+  static std::shared_ptr<TopicReader> start(boost::asio::io_context &context,
+                                            log::KeyedStore &store,
+                                            log::Topic topic, uint64_t seed,
+                                            Taken taken);
+  TopicReader(boost::asio::io_context &context, log::KeyedStore &store,
+              log::Topic topic, uint64_t seed, Taken taken);
+
+  /// Tells whether the topic has been read whole at least once.
+  bool hasListed() const { return Follower.hasListed(); }
+
+  /// Tells whether the store answered the last read.
+  bool isReached() const { return Reached; }
+
+private:
+  void go();
+  void list();
+  void follow(const fleet::TopicStep &step);
+  void answered(const log::TopicAnswer &answer, std::string_view what);
+
+  log::KeyedStore *Store;
+  log::Topic Which;
+  Taken OnTaken;
+  fleet::TopicFollower Follower;
+  boost::asio::steady_timer Timer;
+  bool Reached = true;
+};
+
+} // namespace radishcross::node
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -55,7 +55,8 @@
 FleetNode::FleetNode(FleetEnvironment environment,
                      const fleet::RecoverySettings &settings,
                      fleet::Recovery recovery, uint64_t epoch)
-    : Environment(std::move(environment)), Proof(Environment.MeshKeys),
+    : Environment(std::move(environment)),
+      Proof(Environment.MeshKeys, Environment.TrustsNetwork),
       Dice(Environment.RandomSeed), Epoch(epoch),
       Bytes{&Environment.Counters->counter("control_bytes_sent_total"),
             &Environment.Counters->counter("control_bytes_received_total")},
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -39,6 +39,9 @@
   const std::vector<fleet::Member> &members() const override {
     return Members.table().all();
   }
+  void addSeeds(const std::vector<base::Address> &seeds) override {
+    Members.addSeeds(seeds);
+  }
   void setTargets(std::vector<fleet::TargetRecord> targets) override;
   const std::map<std::string, uint64_t> &formerExceptions() const override {
     return Members.formerExceptions();
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -31,6 +31,7 @@
   fleet::NodeIdentity Self;
   std::vector<base::Address> Seeds;  ///< Gossip addresses, any data centre.
   std::vector<std::string> MeshKeys; ///< The first signs, all verify.
+  bool TrustsNetwork = false; ///< Without keys every message is genuine.
   uint64_t RandomSeed = 0;
   /// The number of nodes of each data centre that tail the log.
   uint32_t TailersPerDataCentre = 2;
@@ -61,6 +62,9 @@
   /// Returns every known member, this node included.
   virtual const std::vector<fleet::Member> &members() const = 0;
 
+  /// Adds gossip addresses to join through, found in a directory.
+  virtual void addSeeds(const std::vector<base::Address> &seeds) = 0;
+
   /// Replaces this node's targets and spreads the change.
   virtual void setTargets(std::vector<fleet::TargetRecord> targets) = 0;
 
--- a/Libraries/LibPeer/MeshProof.cpp
+++ b/Libraries/LibPeer/MeshProof.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-MeshProof::MeshProof(std::vector<std::string> keys) : Keys(std::move(keys)) {}
+MeshProof::MeshProof(std::vector<std::string> keys, bool trustsNetwork)
+    : Keys(std::move(keys)), TrustsNetwork(trustsNetwork) {}
 
 std::string MeshProof::seal(std::string_view body) const {
   std::string tag =
@@ -28,6 +29,8 @@
                        "message without proof of the mesh key");
   auto tag = sealed.substr(0, TagBytes);
   auto body = sealed.substr(TagBytes);
+  if (TrustsNetwork && Keys.empty())
+    return body;
   for (const auto &key : Keys)
     if (base::equalInConstantTime(tag, tagOf(key, body)))
       return body;
--- a/Libraries/LibPeer/MeshProof.h
+++ b/Libraries/LibPeer/MeshProof.h
@@ -17,8 +17,8 @@
   static constexpr size_t TagBytes = 16;
 
   /// The first key signs, all of them verify. Without any key nothing is
-  /// genuine.
-  explicit MeshProof(std::vector<std::string> keys);
+  /// genuine, unless \p trustsNetwork: then every message is, and its tag is 0.
+  explicit MeshProof(std::vector<std::string> keys, bool trustsNetwork = false);
 
   /// Returns the tag followed by \p body.
   std::string seal(std::string_view body) const;
@@ -29,6 +29,7 @@
 
 private:
   std::vector<std::string> Keys;
+  bool TrustsNetwork;
 };
 
 } // namespace radishcross::peer
--- a/Services/Radishcross/RunNode.cpp
+++ b/Services/Radishcross/RunNode.cpp
@@ -6,6 +6,7 @@
 #include <LibNode/Node.h>
 
 #include <absl/flags/flag.h>
+#include <platform/Ports.h>
 
 namespace radishcross::cli {
 
@@ -18,7 +19,8 @@
     return printFailure(reason);
   }
   auto settings = admin::loadNodeSettings(path, reason);
-  return settings ? node::run(*settings) : printFailure(reason);
+  return settings ? node::run(*settings, platform::ports())
+                  : printFailure(reason);
 }
 
 } // namespace radishcross::cli
--- a/Tests/LibNode/MockPlatform.h
+++ b/Tests/LibNode/MockPlatform.h
@@ -1,30 +1,25 @@
 #pragma once
 
-#include <LibHttp/Server.h>
+#include <StandIns/StoreModel.h>
 
-#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
-#include <string>
-#include <vector>
 
 namespace radishcross::test {
 
-/// The platform's log at its HTTP interface, in the test's own process.
+/// The platform's store at its HTTP interface, in the test's own process.
 class MockPlatform {
 public:
   explicit MockPlatform(boost::asio::io_context &context);
 
   base::Address address() const { return Listener->address(); }
-  size_t size() const { return Records.size(); }
 
-  /// While true, every request is answered with 503.
-  bool Outage = false;
+  /// Returns the number of changes in the log.
+  size_t size() { return Store.endOf("keyed.radishcross-changes"); }
 
-private:
-  boost::asio::awaitable<http::Response> handle(http::IncomingRequest request);
+  standins::StoreModel Store;
 
-  std::vector<std::string> Records;
+private:
   std::shared_ptr<http::Server> Listener;
 };
 
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/status.hpp>
 #include <doctest/doctest.h>
+#include <platform/Ports.h>
 
 using namespace radishcross;
 using namespace std::chrono_literals;
@@ -76,7 +77,8 @@
 
   void start(const admin::NodeSettings &settings) {
     base::LastReason reason;
-    auto node = node::NodeProcess::create(Context, settings, reason);
+    auto node =
+        node::NodeProcess::create(Context, settings, platform::ports(), reason);
     REQUIRE_MESSAGE(node, reason.text());
     Nodes.push_back(std::move(*node));
   }
@@ -192,7 +194,7 @@
            makeRequest(boost::beast::http::verb::post,
                        "/v1/configurations/badges/versions", FirstVersion));
   REQUIRE(mesh.runUntil([&] { return mesh.allHold(1); }));
-  mesh.Platform.Outage = true;
+  mesh.Platform.Store.Outage = true;
   mesh.Nodes.pop_back();
   mesh.start(mesh.Settings[2]);
   REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
--- /dev/null
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -0,0 +1,147 @@
+#include <LibHttp/Mesh.h>
+
+#include <platform/StoreClient.h>
+#include <platform/StoreFormat.h>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using base::ResultCode;
+using Kind = log::PutAnswer::Kind;
+
+namespace {
+
+std::string answerText(const std::string &status, const std::string &body) {
+  return "HTTP/1.1 " + status +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+log::PutAnswer append(asio::io_context &context,
+                      std::vector<base::Address> addresses) {
+  base::Metrics counters;
+  platform::StoreClient client(context, std::move(addresses), counters);
+  std::optional<log::PutAnswer> got;
+  client.put(log::Topic::Nodes, "n", "{}",
+             [&](log::PutAnswer it) { got = std::move(it); });
+  runUntil(context, [&] { return got.has_value(); });
+  CHECK(counters.counter("platform_appends_total") == 1);
+  return *got;
+}
+
+} // namespace
+
+TEST_CASE("an append is refused only where the platform says so") {
+  struct Row {
+    std::string Answer;
+    Kind Outcome;
+    ResultCode Code;
+  };
+  const Row rows[] = {
+      {answerText("200 OK", R"({"offset":7})"), Kind::Accepted, ResultCode::Ok},
+      {answerText("413 Large", "{}"), Kind::Refused,
+       ResultCode::RecordTooLarge},
+      {answerText("503 Down", "{}"), Kind::Refused,
+       ResultCode::PlatformUnavailable},
+      {answerText("500 Error", "{}"), Kind::Unknown,
+       ResultCode::OutcomeUnknown},
+      {answerText("200 OK", R"({"offset":"7"})"), Kind::Unknown,
+       ResultCode::OutcomeUnknown},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", Kind::Unknown,
+       ResultCode::OutcomeUnknown},
+      {"", Kind::Unknown, ResultCode::OutcomeUnknown},
+  };
+  for (const Row &row : rows) {
+    CAPTURE(row.Answer);
+    asio::io_context context(1);
+    RawServer platform(context, row.Answer);
+    RawServer other(context, answerText("200 OK", R"({"offset":8})"));
+    auto got = append(context, {platform.address(), other.address()});
+    CHECK(got.Outcome == row.Outcome);
+    CHECK(got.Reason.code() == row.Code);
+    CHECK(got.At == (row.Outcome == Kind::Accepted ? 7 : 0));
+    CHECK(other.Accepted == 0);
+  }
+}
+
+TEST_CASE("an address that cannot be reached is passed over") {
+  asio::io_context context(1);
+  ClosedPort port(context);
+  base::Address closed = port.address();
+  CHECK(append(context, {closed}).Outcome == Kind::Refused);
+  RawServer platform(context, answerText("200 OK", R"({"offset":7})"));
+  CHECK(append(context, {closed, platform.address()}).At == 7);
+}
+
+TEST_CASE("records are read in order, and an odd answer is no answer") {
+  const std::string offsets("\0\0\0\0\0\0\0\4\0\0\0\0\0\0\0\2", 16);
+  const std::string good = offsets + std::string("\0\0\0\3\1ka", 7) +
+                           std::string("\0\0\0\4\1kb\n", 8);
+  for (const std::string &body :
+       {good, good.substr(0, good.size() - 1), offsets.substr(0, 15),
+        offsets + "\1", std::string("[]")}) {
+    CAPTURE(body);
+    asio::io_context context(1);
+    RawServer store(context, answerText("200 OK", body));
+    base::Metrics counters;
+    platform::StoreClient client(context, {store.address()}, counters);
+    std::optional<log::TopicAnswer> got;
+    client.follow(log::Topic::Nodes, 2, {},
+                  [&](log::TopicAnswer it) { got = std::move(it); });
+    runUntil(context, [&] { return got.has_value(); });
+    CHECK(got->Reached == (body == good));
+    REQUIRE(got->Records.size() == (body == good ? 2 : 0));
+    if (body != good)
+      continue;
+    CHECK(got->End == 4);
+    CHECK(got->Records[0].At == 2);
+    CHECK(got->Records[1].At == 3);
+    CHECK(got->Records[1].Value == "b\n");
+  }
+}
+
+TEST_CASE("the keys of a topic are listed, and odd pages are no answer") {
+  const std::string good =
+      R"({"items":[{"key":"k","value":"YQ==","offset":4}],"more":false,)"
+      R"("endOffset":6})";
+  for (const std::string &body :
+       {good, std::string("[]"), std::string(R"({"items":[]})"),
+        std::string(
+            R"({"items":[{"key":"k","value":"Y","offset":4}],"endOffset":6})"),
+        std::string(R"({"items":[{"key":"k"}],"endOffset":6})")}) {
+    CAPTURE(body);
+    asio::io_context context(1);
+    RawServer store(context, answerText("200 OK", body));
+    base::Metrics counters;
+    platform::StoreClient client(context, {store.address()}, counters);
+    std::optional<log::TopicAnswer> got;
+    client.list(log::Topic::Operator,
+                [&](log::TopicAnswer it) { got = std::move(it); });
+    runUntil(context, [&] { return got.has_value(); });
+    CHECK(got->Reached == (body == good));
+    REQUIRE(got->Records.size() == (body == good ? 1 : 0));
+    if (body != good)
+      continue;
+    CHECK(got->End == 6);
+    CHECK(got->Records[0].Key == "k");
+    CHECK(got->Records[0].Value == "a");
+  }
+}
+
+TEST_CASE("a history that was dropped is told apart from a failure") {
+  asio::io_context context(1);
+  RawServer store(context, answerText("410 Gone", R"({"firstOffset":9})"));
+  base::Metrics counters;
+  platform::StoreClient client(context, {store.address()}, counters);
+  std::optional<log::TopicAnswer> got;
+  client.follow(log::Topic::Operator, 2, {},
+                [&](log::TopicAnswer it) { got = std::move(it); });
+  runUntil(context, [&] { return got.has_value(); });
+  CHECK(got->Expired);
+  CHECK(!got->Reached);
+}
+
+TEST_CASE("a record is written with its key") {
+  CHECK(platform::encodeRecord("ab", "xyz") ==
+        std::string("\0\0\0\6\2abxyz", 10));
+  CHECK(platform::encodeRecord(std::string(256, 'k'), "v").empty());
+}
--- /dev/null
+++ b/Tests/StandIns/StoreModel.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibHttp/Server.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+
+namespace radishcross::standins {
+
+/// The platform's metadata store as a handler of an http::Server: appends,
+/// reads that wait, and the newest record of each key; one partition a topic.
+class StoreModel {
+public:
+  explicit StoreModel(boost::asio::io_context &context) : Context(context) {}
+
+  /// Answers one request at the store's published interface.
+  boost::asio::awaitable<http::Response> handle(http::IncomingRequest incoming);
+
+  /// Appends a record of its own, as the operator does.
+  void write(const std::string &topic, const std::string &key,
+             const std::string &value);
+
+  /// Drops the history of all topics; the newest of each key stays.
+  void forgetHistory();
+
+  /// Returns the number of records that were ever added to \p topic.
+  uint64_t endOf(const std::string &topic) { return Topics[topic].end(); }
+
+  void setOutage(bool outage);
+  bool Outage = false;      ///< Each request is answered with 503.
+  uint64_t LoseAnswers = 0; ///< So many appends are done and not answered.
+  uint64_t DelayMs = 0;     ///< Before each answer.
+  uint64_t KeptRecords = 1000000; ///< Of each topic's history.
+  uint64_t Reads = 0;
+  uint64_t Appends = 0;
+
+private:
+  struct Newest {
+    std::string Value;
+    uint64_t At = 0;
+  };
+  struct Topic {
+    std::deque<std::string> Records; ///< Content without its length.
+    uint64_t First = 0;
+    std::map<std::string, Newest> Keys;
+    uint64_t end() const { return First + Records.size(); }
+  };
+
+  boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+  boost::asio::awaitable<http::Response> read(http::IncomingRequest &incoming);
+  boost::asio::awaitable<void> awaitRecord(const std::string &topic,
+                                           uint64_t from,
+                                           std::chrono::milliseconds wait,
+                                           http::IncomingRequest &incoming);
+  http::Response append(const std::string &target, std::string_view body);
+  http::Response newest(const std::string &target);
+  void add(const std::string &topic, std::string content);
+  void wake();
+
+  boost::asio::io_context &Context;
+  std::map<std::string, Topic> Topics;
+  std::list<boost::asio::steady_timer *> Waiting;
+};
+
+} // namespace radishcross::standins
