LibTrace: Take memory for recorded decisions only as they come

Cause: the ring of recorded decisions made room for 65,536 entries at its start (8.2 MB of 8.4 MB of a node's anonymous memory at idle), also where the settings keep no recording.

The ring is a deque now, and a node's limit in bytes bounds its entries as well as their texts.

--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -56,7 +56,7 @@
   std::string Service; ///< That of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   base::Duration TargetLease = std::chrono::seconds(3);
-  size_t RecordingBytes = 8UL << 20; ///< For decisions kept for replay.
+  size_t RecordingBytes = 16UL << 20; ///< For decisions kept for replay.
   std::vector<base::Address> Seeds;  ///< Gossip addresses of other nodes.
   std::vector<std::string> MeshKeys;
   /// No key is given: the network between the nodes is trusted.
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -28,6 +28,11 @@
 /// What a node remembers of its decisions for \ref recording.
 constexpr size_t MostDecisions = 65536;
 
+/// Half of the memory is for the entries and half for their texts.
+trace::RingLimits recordingLimits(size_t bytes) {
+  return {std::min(MostDecisions, bytes / 2 / sizeof(trace::Entry)), bytes / 2};
+}
+
 uint64_t randomSeed() {
   std::random_device device;
   return (static_cast<uint64_t>(device()) << 32) | device();
@@ -60,7 +65,7 @@
                          const admin::NodeSettings &settings,
                          PlatformPorts ports)
     : Context(&context), Settings(settings), Self(identityOf(settings)),
-      Seed(randomSeed()), Decisions({MostDecisions, settings.RecordingBytes}),
+      Seed(randomSeed()), Decisions(recordingLimits(settings.RecordingBytes)),
       Ports(std::move(ports)),
       Store(Ports.OpenStore(context, settings.Platform, Counters)),
       Platform(*Store, Seed),
--- a/Libraries/LibTrace/Ring.cpp
+++ b/Libraries/LibTrace/Ring.cpp
@@ -23,19 +23,12 @@
 
 } // namespace
 
-Ring::Ring(const RingLimits &limits) : Limits(limits) {
-  // A ring that can hold nothing would have no slot to write to.
-  Limits.Entries = std::max<size_t>(1, Limits.Entries);
-  Slots.resize(Limits.Entries);
-}
+Ring::Ring(const RingLimits &limits) : Limits(limits) {}
 
 void Ring::dropOldest() {
-  auto &oldest = Slots[First];
-  countDropped(oldest);
-  TextBytes -= oldest.Text.size();
-  oldest.Text = std::string();
-  First = (First + 1) % Slots.size();
-  --Count;
+  countDropped(Slots.front());
+  TextBytes -= Slots.front().Text.size();
+  Slots.pop_front();
 }
 
 void Ring::countDropped(const Entry &entry) {
@@ -44,26 +37,25 @@
 }
 
 void Ring::record(Entry entry) {
-  if (entry.Text.size() > Limits.TextBytes) {
+  if (entry.Text.size() > Limits.TextBytes || Limits.Entries == 0) {
     countDropped(entry);
     return;
   }
-  while (Count == Slots.size() ||
+  while (Slots.size() == Limits.Entries ||
          TextBytes + entry.Text.size() > Limits.TextBytes)
     dropOldest();
   TextBytes += entry.Text.size();
-  Slots[(First + Count) % Slots.size()] = std::move(entry);
-  ++Count;
+  Slots.push_back(std::move(entry));
 }
 
 size_t Ring::findSetUp(Module source, int64_t fromMicroseconds,
                        size_t first) const {
-  size_t found = Count;
-  for (size_t i = first; i < Count; ++i) {
-    const auto &entry = at(i);
+  size_t found = Slots.size();
+  for (size_t i = first; i < Slots.size(); ++i) {
+    const auto &entry = Slots[i];
     if (entry.Source != source || entry.Event != SetUpEvent)
       continue;
-    if (entry.AtMicroseconds > fromMicroseconds && found != Count)
+    if (entry.AtMicroseconds > fromMicroseconds && found != Slots.size())
       break;
     found = i;
   }
@@ -74,13 +66,13 @@
 Ring::begins(int64_t fromMicroseconds) const {
   std::array<size_t, std::size(ModuleNames)> out{};
   for (size_t i = 0; i < out.size(); ++i)
-    out[i] = DroppedOf[i] == 0 ? 0 : Count;
+    out[i] = DroppedOf[i] == 0 ? 0 : Slots.size();
   for (Module it : StartedAnew)
     out[static_cast<size_t>(it)] = findSetUp(it, fromMicroseconds, 0);
   for (const auto &it : Dependencies)
     out[static_cast<size_t>(it.Reader)] =
         findSetUp(it.Reader, fromMicroseconds,
-                  std::min(Count, out[static_cast<size_t>(it.Source)]));
+                  std::min(Slots.size(), out[static_cast<size_t>(it.Source)]));
   return out;
 }
 
@@ -89,8 +81,8 @@
   Trace out{node, seed, "", {}, {}};
   auto begin = begins(fromMicroseconds);
   std::set<Module> leftOut;
-  for (size_t i = 0; i < Count; ++i) {
-    const auto &entry = at(i);
+  for (size_t i = 0; i < Slots.size(); ++i) {
+    const auto &entry = Slots[i];
     if (begin[static_cast<size_t>(entry.Source)] <= i)
       out.Entries.push_back(entry);
     else if (entry.AtMicroseconds >= fromMicroseconds)
--- a/Libraries/LibTrace/Ring.h
+++ b/Libraries/LibTrace/Ring.h
@@ -39,14 +39,13 @@
     return recording("", 0, fromMicroseconds).Entries;
   }
 
-  size_t size() const { return Count; }
+  size_t size() const { return Slots.size(); }
   size_t textBytes() const { return TextBytes; }
 
   /// Returns the number of entries that were dropped for the limits.
   uint64_t dropped() const { return Dropped; }
 
 private:
-  const Entry &at(size_t i) const { return Slots[(First + i) % Slots.size()]; }
   void dropOldest();
 
   /// Returns where the entries of a module begin, looking from \p first on, or
@@ -60,9 +59,8 @@
   void countDropped(const Entry &entry);
 
   RingLimits Limits;
-  std::vector<Entry> Slots; ///< Grows up to the limit, then wraps.
-  size_t First = 0;
-  size_t Count = 0;
+  std::deque<Entry>
+      Slots; ///< Oldest first; takes only the memory that it needs.
   size_t TextBytes = 0;
   uint64_t Dropped = 0;
   std::array<uint64_t, std::size(ModuleNames)> DroppedOf{};
--- a/Tests/LibTrace/TestRing.cpp
+++ b/Tests/LibTrace/TestRing.cpp
@@ -38,6 +38,14 @@
   CHECK(ring.recording("n", 0, 0).Entries.back().AtMicroseconds == 9999);
 }
 
+TEST_CASE("a ring without room keeps nothing and takes no memory ahead") {
+  Ring ring({.Entries = 0, .TextBytes = 0});
+  ring.record(entryAt(1, Module::Fold, SetUpEvent));
+  CHECK(ring.size() == 0);
+  CHECK(ring.dropped() == 1);
+  CHECK(ring.recording("n", 0, 0).Entries.empty());
+}
+
 TEST_CASE("a window begins for each module with what sets it up") {
   Ring ring({.Entries = 100, .TextBytes = 1000});
   ring.record(entryAt(1, Module::Fold, SetUpEvent));
