LibConfig: Take splits, objectives, attempts and limits in a version's document

Cause: Route::Split, LatencyObjective, MaximumAttempts, Service::HealthPath, MaximumConnections and VersionContent::Limits could be held in memory only; an operator of the product could not write them, a difference did not show limits and the impact looked at a split's first service alone.

A route has "service" or "split", not both. Defaults are written out, as for the other keys. A health path is refused where it could end a request line.

--- a/Libraries/LibConfig/Difference.cpp
+++ b/Libraries/LibConfig/Difference.cpp
@@ -81,6 +81,18 @@
   return out;
 }
 
+/// Returns {"changed": {key: [older, newer]}} for what clients may send.
+object limitsDifference(const value &older, const value &newer) {
+  static const object none;
+  auto limitsOf = [](const value &document) -> const object & {
+    const auto *object = document.if_object();
+    const auto *found = object ? object->if_contains("limits") : nullptr;
+    return found && found->is_object() ? found->get_object() : none;
+  };
+  auto keys = changedKeys(limitsOf(older), limitsOf(newer));
+  return keys.empty() ? object() : object{{"changed", std::move(keys)}};
+}
+
 size_t sizeOf(const value &of) {
   return of.is_array() ? of.get_array().size() : of.get_object().size();
 }
@@ -107,6 +119,9 @@
     if (!found.empty())
       out[part] = std::move(found);
   }
+  auto limits = limitsDifference(older, newer);
+  if (!limits.empty())
+    out["limits"] = std::move(limits);
   if (boost::json::serialize(out).size() > maximumBytes)
     return counts(out);
   return out;
--- a/Libraries/LibConfig/Impact.cpp
+++ b/Libraries/LibConfig/Impact.cpp
@@ -103,7 +103,9 @@
       if (!then.Matched)
         continue;
       IsDemoted = IsDemoted || then.Matched->CallRank > route.CallRank;
-      Services.insert(then.ServiceName);
+      for (const auto &it : *then.Shares)
+        if (it.Weight > 0)
+          Services.insert(*it.ServiceName);
     }
   }
 
--- a/Libraries/LibConfig/VersionContentCodec.cpp
+++ b/Libraries/LibConfig/VersionContentCodec.cpp
@@ -67,9 +67,58 @@
     {"retry_budget_percent", &ServiceLimits::RetryBudgetPercent},
 };
 
+std::chrono::milliseconds millisecondsOf(base::Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+/// Binds the keys of a document's "limits" to members.
+struct ClientSizeRow {
+  std::string_view Key;
+  uint64_t ClientLimits::*Member;
+};
+
+constexpr ClientSizeRow ClientSizes[] = {
+    {"header_bytes", &ClientLimits::HeaderBytes},
+    {"body_bytes", &ClientLimits::BodyBytes},
+};
+
+struct ClientTimeRow {
+  std::string_view Key;
+  base::Duration ClientLimits::*Member;
+};
+
+constexpr ClientTimeRow ClientTimes[] = {
+    {"header_timeout_ms", &ClientLimits::HeaderTimeout},
+    {"idle_timeout_ms", &ClientLimits::IdleTimeout},
+};
+
+ClientLimits readClientLimits(const object &from) {
+  ClientLimits out;
+  for (const auto &row : ClientSizes)
+    out.*row.Member = static_cast<uint64_t>(
+        numberAt(from, row.Key, static_cast<int64_t>(out.*row.Member)));
+  for (const auto &row : ClientTimes)
+    out.*row.Member = std::chrono::milliseconds(
+        numberAt(from, row.Key, millisecondsOf(out.*row.Member).count()));
+  return out;
+}
+
+object writeClientLimits(const ClientLimits &limits) {
+  object out;
+  for (const auto &row : ClientSizes)
+    out[row.Key] = static_cast<int64_t>(limits.*row.Member);
+  for (const auto &row : ClientTimes)
+    out[row.Key] =
+        static_cast<int64_t>(millisecondsOf(limits.*row.Member).count());
+  return out;
+}
+
 Service readService(const object &from) {
   Service out;
   out.Name = textAt(from, "name", "");
+  out.HealthPath = textAt(from, "health_path", "");
+  out.MaximumConnections = static_cast<uint32_t>(
+      numberAt(from, "max_connections", out.MaximumConnections));
   const auto *limits = from.if_contains("limits");
   if (!limits)
     return out;
@@ -100,6 +149,11 @@
   return out;
 }
 
+RouteShare readShare(const object &from) {
+  return {textAt(from, "service", ""),
+          static_cast<uint32_t>(numberAt(from, "weight", 1))};
+}
+
 Route readRoute(const object &from) {
   Route out;
   out.Name = textAt(from, "name", "");
@@ -108,10 +162,14 @@
   out.Service = textAt(from, "service", "");
   out.CallRank = base::fromName(RankNames, textAt(from, "rank", "background"))
                      .value_or(Rank::Background);
-  auto standard =
-      std::chrono::duration_cast<std::chrono::milliseconds>(out.Deadline);
+  for (const auto &it : listAt(from, "split"))
+    out.Split.push_back(readShare(it.get_object()));
   out.Deadline = std::chrono::milliseconds(
-      numberAt(from, "deadline_ms", standard.count()));
+      numberAt(from, "deadline_ms", millisecondsOf(out.Deadline).count()));
+  out.LatencyObjective =
+      std::chrono::milliseconds(numberAt(from, "latency_objective_ms", 0));
+  out.MaximumAttempts = static_cast<uint32_t>(
+      numberAt(from, "max_attempts", out.MaximumAttempts));
   out.Idempotent = flagAt(from, "idempotent");
   return out;
 }
@@ -151,12 +209,27 @@
                      path + ": found \"" + found + "\", expected " + expected);
 }
 
+/// Tells whether \p text is empty or can stand in a request line.
+bool isHealthPath(std::string_view text) {
+  return text.empty() ||
+         (text[0] == '/' && std::all_of(text.begin(), text.end(), [](char c) {
+            return c > ' ' && c <= '~' && c != '#';
+          }));
+}
+
 bool checkServices(const std::vector<Service> &services,
                    std::set<std::string_view> &names,
                    base::LastReason &reason) {
   for (size_t i = 0; i < services.size(); ++i) {
     const auto &name = services[i].Name;
-    std::string path = "services[" + std::to_string(i) + "].name";
+    std::string element = "services[" + std::to_string(i) + "]";
+    std::string path = element + ".name";
+    if (!isHealthPath(services[i].HealthPath)) {
+      failAt(element + ".health_path", ResultCode::BadValue,
+             services[i].HealthPath,
+             "nothing, or an absolute path of printable characters", reason);
+      return false;
+    }
     if (!isName(name)) {
       failAt(path, ResultCode::BadValue, name,
              "letters, digits, '-', '_' and '.'", reason);
@@ -196,13 +269,19 @@
      [](const Route &it) { return std::to_string(it.Deadline.count()); }},
 };
 
-/// Returns the services that a route names.
-std::vector<std::string> referencesOf(const Route &route) {
+/// A service that a route names, and the key that names it.
+struct Reference {
+  std::string Key;
+  std::string Service;
+};
+
+std::vector<Reference> referencesOf(const Route &route) {
   if (route.Split.empty())
-    return {route.Service};
-  std::vector<std::string> out;
-  for (const auto &it : route.Split)
-    out.push_back(it.Service);
+    return {{".service", route.Service}};
+  std::vector<Reference> out;
+  for (size_t i = 0; i < route.Split.size(); ++i)
+    out.push_back(
+        {".split[" + std::to_string(i) + "].service", route.Split[i].Service});
   return out;
 }
 
@@ -247,7 +326,7 @@
     return false;
   }
   for (const auto &it : referencesOf(route))
-    if (!checkReference(it, path + ".service", services, reason))
+    if (!checkReference(it.Service, path + it.Key, services, reason))
       return false;
   return checkWeights(route, path, reason);
 }
@@ -292,11 +371,41 @@
   return true;
 }
 
+/// Checks what the schema cannot: a route names a service or a split, and not
+/// both.
+bool checkDestination(const object &route, const std::string &path,
+                      base::LastReason &reason) {
+  bool hasService = route.contains("service");
+  bool hasSplit = route.contains("split");
+  if (hasService != hasSplit)
+    return true;
+  if (hasSplit)
+    failAt(path + ".split", ResultCode::BadRoute, "a split beside a service",
+           "one of them", reason);
+  else
+    reason.fail(ResultCode::MissingKey,
+                path + ".service: found nothing, expected a service or a "
+                       "split");
+  return false;
+}
+
 object writeService(const Service &service) {
   object limits;
   for (const auto &row : Limits)
     limits[row.Key] = static_cast<int64_t>(service.Limits.*row.Member);
-  return {{"name", service.Name}, {"limits", std::move(limits)}};
+  return {
+      {"name", service.Name},
+      {"limits", std::move(limits)},
+      {"health_path", service.HealthPath},
+      {"max_connections", static_cast<int64_t>(service.MaximumConnections)}};
+}
+
+array writeSplit(const std::vector<RouteShare> &split) {
+  array out;
+  for (const auto &it : split)
+    out.push_back(object{{"service", it.Service},
+                         {"weight", static_cast<int64_t>(it.Weight)}});
+  return out;
 }
 
 object writeRoute(const Route &route) {
@@ -304,14 +413,21 @@
   object match{{"methods", std::move(methods)},
                {"host", route.Match.Host},
                {"path_prefix", route.Match.PathPrefix}};
-  auto deadline =
-      std::chrono::duration_cast<std::chrono::milliseconds>(route.Deadline);
-  return {{"name", route.Name},
-          {"match", std::move(match)},
-          {"service", route.Service},
-          {"rank", base::nameOf(RankNames, route.CallRank)},
-          {"deadline_ms", static_cast<int64_t>(deadline.count())},
-          {"idempotent", route.Idempotent}};
+  object out{
+      {"name", route.Name},
+      {"match", std::move(match)},
+      {"rank", base::nameOf(RankNames, route.CallRank)},
+      {"deadline_ms",
+       static_cast<int64_t>(millisecondsOf(route.Deadline).count())},
+      {"latency_objective_ms",
+       static_cast<int64_t>(millisecondsOf(route.LatencyObjective).count())},
+      {"max_attempts", static_cast<int64_t>(route.MaximumAttempts)},
+      {"idempotent", route.Idempotent}};
+  if (route.Split.empty())
+    out["service"] = route.Service;
+  else
+    out["split"] = writeSplit(route.Split);
+  return out;
 }
 
 } // namespace
@@ -328,8 +444,14 @@
   VersionContent out;
   for (const auto &it : listAt(document.get_object(), "services"))
     out.Services.push_back(readService(it.get_object()));
-  for (const auto &it : listAt(document.get_object(), "routes"))
+  for (const auto &it : listAt(document.get_object(), "routes")) {
+    std::string path = "routes[" + std::to_string(out.Routes.size()) + "]";
+    if (!checkDestination(it.get_object(), path, reason))
+      return std::nullopt;
     out.Routes.push_back(readRoute(it.get_object()));
+  }
+  if (const auto *limits = document.get_object().if_contains("limits"))
+    out.Limits = readClientLimits(limits->get_object());
   if (!checkVersionContent(out, reason))
     return std::nullopt;
   return out;
@@ -349,8 +471,10 @@
   array routes;
   for (const auto &it : content.Routes)
     routes.emplace_back(writeRoute(it));
-  return object{{"services", std::move(services)},
-                {"routes", std::move(routes)}};
+  object out{{"services", std::move(services)}, {"routes", std::move(routes)}};
+  if (content.Limits)
+    out["limits"] = writeClientLimits(*content.Limits);
+  return out;
 }
 
 } // namespace radishcross::config
--- a/Services/Radishcross/Versions.cpp
+++ b/Services/Radishcross/Versions.cpp
@@ -53,7 +53,7 @@
   return out;
 }
 
-/// Prints one part, "services" or "routes", of a difference.
+/// Prints one part, "services", "routes" or "limits", of a difference.
 void printPart(std::string_view part, const json::value &changes) {
   if (!changes.is_object())
     return;
--- a/Tests/LibConfig/TestDocumentHistory.cpp
+++ b/Tests/LibConfig/TestDocumentHistory.cpp
@@ -89,6 +89,26 @@
   CHECK_FALSE(config::joinDocument({"[\"a\"", "[\"a\""}));
 }
 
+TEST_CASE("a difference shows limits, splits and objectives") {
+  auto older = parse(R"({"routes":[{"name":"r","service":"s"}],
+    "limits":{"body_bytes":1,"header_bytes":2000}})");
+  auto newer = parse(R"({"routes":[{"name":"r","max_attempts":2,
+    "split":[{"service":"s","weight":1},{"service":"t","weight":3}]}],
+    "limits":{"body_bytes":9,"header_bytes":2000}})");
+  auto split = R"([{"service":"s","weight":1},{"service":"t","weight":3}])";
+  CHECK(schema::canonicalJson(config::difference(older, newer, 4096)) ==
+        R"({"limits":{"changed":{"body_bytes":[1,9]}},)"
+        R"("routes":{"changed":{"r":{"max_attempts":[null,2],)"
+        R"("service":["s",null],"split":[null,)" +
+            std::string(split) + "]}}}}");
+  CHECK(schema::canonicalJson(config::difference(older, newer, 16)) ==
+        R"({"limits":{"changed":1},"routes":{"changed":1}})");
+  CHECK(schema::canonicalJson(
+            config::difference(older, parse(R"({"routes":[]})"), 4096)) ==
+        R"({"limits":{"changed":{"body_bytes":[1,null],)"
+        R"("header_bytes":[2000,null]}},"routes":{"removed":["r"]}})");
+}
+
 TEST_CASE("a difference names what was added, removed and changed") {
   auto older = parse(R"({"services":[{"name":"s"},{"name":"t"}],
     "routes":[{"name":"r","service":"s","rank":"critical"}]})");
--- a/Tests/LibConfig/TestImpact.cpp
+++ b/Tests/LibConfig/TestImpact.cpp
@@ -97,6 +97,20 @@
         std::vector<std::string>{"c/s"});
 }
 
+TEST_CASE(
+    "a split's part without targets is reported, one without weight not") {
+  auto current = snapshotOf(with(Look));
+  auto split = [](const std::string &weight) {
+    return snapshotOf(with(R"({"name":"look","rank":"standard","split":[)"
+                           R"({"service":"s","weight":9},)"
+                           R"({"service":"t","weight":)" +
+                           weight + R"(}],"match":{"path_prefix":"/look"}})"));
+  };
+  CHECK(compareImpact(*current, *split("1"), usageOf(Busy)).WithoutTargets ==
+        std::vector<std::string>{"c/t"});
+  CHECK(compareImpact(*current, *split("0"), usageOf(Busy)).isHarmless());
+}
+
 TEST_CASE("a limit set below what is in use is reported") {
   auto limits = [](std::string_view text) {
     return snapshotOf(R"({"services":[{"name":"s","limits":)" +
--- a/Tests/LibConfig/TestSnapshot.cpp
+++ b/Tests/LibConfig/TestSnapshot.cpp
@@ -1,7 +1,9 @@
+#include <LibBase/Random.h>
 #include <LibConfig/Snapshot.h>
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <set>
 #include <string>
 
 using namespace radishcross;
@@ -79,6 +81,120 @@
   }
 }
 
+TEST_CASE("a prefix that ends with a slash takes only what goes on below it") {
+  auto snapshot = make(
+      {hold("badges", {"s"},
+            {makeRoute("below", "s", "/a/"), makeRoute("deep", "s", "/a/b/c/"),
+             makeRoute("same", "s", "/d"), makeRoute("under", "s", "/d/"),
+             makeRoute("host", "s", "/d/", "city.example"),
+             makeRoute("put", "s", "/e/", "", {"PUT"}),
+             makeRoute("any", "s", "/e")})});
+  const Lookup table[] = {
+      {"GET", "x", "/a", ""},
+      {"GET", "x", "/a?q=/", ""},
+      {"GET", "x", "/a/", "below"},
+      {"GET", "x", "/a//", "below"},
+      {"GET", "x", "/a/x", "below"},
+      {"GET", "x", "/ab/x", ""},
+      {"GET", "x", "/a/b/c", "below"},
+      {"GET", "x", "/a/b/c/", "deep"},
+      {"GET", "x", "/a/b/c/d/e", "deep"},
+      {"GET", "x", "/a/b/cd", "below"},
+      {"GET", "x", "/d", "same"},
+      {"GET", "x", "/d/", "under"},
+      {"GET", "x", "/d/x", "under"},
+      {"GET", "city.example", "/d/x", "host"},
+      {"GET", "city.example", "/d", "same"},
+      {"PUT", "x", "/e/x", "put"},
+      {"GET", "x", "/e/x", "any"},
+      {"GET", "x", "/", ""},
+  };
+  for (const auto &row : table) {
+    CAPTURE(row.Path);
+    CAPTURE(row.Host);
+    auto hit = snapshot->findRoute(row.Method, row.Host, row.Path);
+    CHECK((hit.Matched ? hit.Matched->Name : "") == row.Route);
+  }
+}
+
+TEST_CASE("the longest of many prefixes wins, as a search of all finds it") {
+  base::Random random(3);
+  constexpr std::string_view Segments[] = {"/a", "/b", "/ab", "/"};
+  auto pathOf = [&] {
+    std::string out;
+    for (uint64_t i = 1 + random.below(4); i > 0; --i)
+      out += Segments[random.below(std::size(Segments))];
+    return out;
+  };
+  for (int round = 0; round < 200; ++round) {
+    std::set<std::string> prefixes;
+    for (int i = 0; i < 8; ++i) {
+      auto prefix = pathOf();
+      if (prefix.find("//") == std::string::npos && prefix != "/")
+        prefixes.insert(prefix + (prefix.back() == '/' ? "" : "/"));
+    }
+    std::vector<config::Route> routes;
+    for (const auto &it : prefixes)
+      routes.push_back(makeRoute(it, "s", it));
+    auto snapshot = make({hold("c", {"s"}, routes)});
+    for (int i = 0; i < 100; ++i) {
+      auto path = pathOf();
+      CAPTURE(path);
+      std::string longest;
+      for (const auto &it : prefixes)
+        if (path.starts_with(it) && it.size() > longest.size())
+          longest = it;
+      auto hit = snapshot->findRoute("GET", "", path);
+      REQUIRE((hit.Matched ? hit.Matched->Name : "") == longest);
+    }
+  }
+}
+
+TEST_CASE("a split route has all its shares, and none that dangles") {
+  auto split = makeRoute("r", "", "/");
+  split.Split = {{"s", 9}, {"back/t", 1}, {"u", 0}};
+  base::LastReason reason;
+  auto front = hold("front", {"s", "u"}, {split});
+  CHECK_FALSE(Snapshot::create({front}, 1, reason));
+  CHECK(reason.code() == ResultCode::DanglingReference);
+  CHECK(reason.text().find("back/t") != std::string::npos);
+  auto snapshot = make({front, hold("back", {"t"}, {})});
+  auto hit = snapshot->findRoute("GET", "", "/x");
+  REQUIRE(hit.Shares);
+  REQUIRE(hit.Shares->size() == 3);
+  const auto &shares = *hit.Shares;
+  CHECK(*shares[0].ServiceName == "front/s");
+  CHECK(*shares[1].ServiceName == "back/t");
+  CHECK(shares[1].To == snapshot->findService("back/t"));
+  CHECK(shares[0].Weight == 9);
+  CHECK(shares[2].Weight == 0);
+  CHECK(hit.ServiceName == "front/s");
+  // A route without a split is one share of the whole.
+  auto plain = make({hold("c", {"s"}, {makeRoute("r", "s", "/")})});
+  auto only = plain->findRoute("GET", "", "/");
+  REQUIRE(only.Shares->size() == 1);
+  CHECK(only.Shares->front().To == only.To);
+}
+
+TEST_CASE("of several limits for clients each one's strictest holds") {
+  auto limited = [](std::string name, config::ClientLimits limits) {
+    auto content = std::make_shared<config::VersionContent>();
+    content->Limits = limits;
+    return HeldVersion{std::move(name), 1, content};
+  };
+  using std::chrono::seconds;
+  CHECK(make({hold("c", {}, {})})->clientLimits() == config::ClientLimits());
+  auto snapshot = make({limited("a", {100, 9, seconds(5), seconds(90)}),
+                        limited("b", {200, 5, seconds(7), seconds(60)}),
+                        hold("c", {}, {})});
+  CHECK(snapshot->clientLimits() ==
+        config::ClientLimits{100, 5, seconds(5), seconds(60)});
+  // A limit above the default counts where it is the only one.
+  CHECK(make({limited("a", {1U << 20U, 9, seconds(5), seconds(90)})})
+            ->clientLimits()
+            .HeaderBytes == 1U << 20U);
+}
+
 TEST_CASE("references resolve across configurations or nothing is built") {
   auto routes = hold("front", {}, {makeRoute("r", "back/s", "/")});
   base::LastReason reason;
--- a/Tests/LibConfig/TestVersionContentCodec.cpp
+++ b/Tests/LibConfig/TestVersionContentCodec.cpp
@@ -49,6 +49,87 @@
   CHECK(config::decodeVersionContent(boost::json::parse("{}"), reason));
 }
 
+TEST_CASE("splits, objectives, attempts, health paths and limits are kept") {
+  base::LastReason reason;
+  auto document = boost::json::parse(R"({
+    "services": [{"name": "a", "health_path": "/healthz",
+                  "max_connections": 120}, {"name": "b"}],
+    "routes": [{"name": "r", "latency_objective_ms": 400, "max_attempts": 2,
+      "split": [{"service": "a", "weight": 9},
+                {"service": "b", "weight": 1},
+                {"service": "pay/c", "weight": 0}]}],
+    "limits": {"header_bytes": 8192, "body_bytes": 65536,
+               "header_timeout_ms": 2000, "idle_timeout_ms": 30000}})");
+  auto content = config::decodeVersionContent(document, reason);
+  REQUIRE_MESSAGE(content, reason.text());
+  CHECK(content->Services[0].HealthPath == "/healthz");
+  CHECK(content->Services[0].MaximumConnections == 120);
+  CHECK(content->Services[1].HealthPath.empty());
+  const auto &route = content->Routes[0];
+  REQUIRE(route.Split.size() == 3);
+  CHECK(route.Split[0].Service == "a");
+  CHECK(route.Split[0].Weight == 9);
+  CHECK(route.Split[2].Service == "pay/c");
+  CHECK(route.Split[2].Weight == 0);
+  CHECK(route.Service.empty());
+  CHECK(route.LatencyObjective == std::chrono::milliseconds(400));
+  CHECK(route.MaximumAttempts == 2);
+  const config::ClientLimits limits{8192, 65536, std::chrono::seconds(2),
+                                    std::chrono::seconds(30)};
+  CHECK(content->Limits == limits);
+  auto written = config::encodeVersionContent(*content);
+  auto again = config::decodeVersionContent(written, reason);
+  REQUIRE_MESSAGE(again, reason.text());
+  CHECK(config::encodeVersionContent(*again) == written);
+  CHECK(again->Limits == limits);
+  CHECK(again->Routes[0].Split.size() == 3);
+}
+
+TEST_CASE("limits that a document leaves out have their defaults") {
+  base::LastReason reason;
+  auto content = config::decodeVersionContent(
+      boost::json::parse(R"({"limits":{"body_bytes":9}})"), reason);
+  REQUIRE_MESSAGE(content, reason.text());
+  REQUIRE(content->Limits);
+  CHECK(content->Limits->BodyBytes == 9);
+  CHECK(content->Limits->HeaderBytes == config::ClientLimits().HeaderBytes);
+  auto none = config::decodeVersionContent(boost::json::parse("{}"), reason);
+  REQUIRE(none);
+  CHECK_FALSE(none->Limits);
+}
+
+TEST_CASE("limits and services of a wrong form are named") {
+  struct Row {
+    std::string Document;
+    ResultCode Code;
+    std::string_view Reason;
+  };
+  const Row table[] = {
+      {R"({"limits":{"header_bytes":0}})", ResultCode::NumberOutOfRange,
+       "limits.header_bytes"},
+      {R"({"limits":{"idle_timeout_ms":"5s"}})", ResultCode::WrongType,
+       "limits.idle_timeout_ms"},
+      {R"({"limits":{"bytes":1}})", ResultCode::UnknownKey, "limits.bytes"},
+      {R"({"services":[{"name":"a","health_path":"healthz"}]})",
+       ResultCode::BadValue, "services[0].health_path: found \"healthz\""},
+      {R"({"services":[{"name":"a","health_path":"/a b"}]})",
+       ResultCode::BadValue, "services[0].health_path"},
+      {R"({"services":[{"name":"a","health_path":"/a\r\nX: y"}]})",
+       ResultCode::BadValue, "services[0].health_path"},
+      {R"({"services":[{"name":"a","max_connections":-1}]})",
+       ResultCode::NumberOutOfRange, "services[0].max_connections"},
+  };
+  for (const auto &row : table) {
+    CAPTURE(row.Document);
+    base::LastReason reason;
+    CHECK_FALSE(
+        config::decodeVersionContent(boost::json::parse(row.Document), reason));
+    CAPTURE(reason.text());
+    CHECK(reason.code() == row.Code);
+    CHECK(reason.text().find(row.Reason) != std::string::npos);
+  }
+}
+
 TEST_CASE("every defect by meaning is named with its code and key") {
   const Defect table[] = {
       {R"({"name":"r","service":"gone"})", ResultCode::DanglingReference,
@@ -85,6 +166,22 @@
       {R"({"name":"r","service":"lookup","deadline_ms":18446744073709551615})",
        ResultCode::NumberOutOfRange, "routes[0].deadline_ms"},
       {R"({"name":"r"})", ResultCode::MissingKey, "routes[0].service"},
+      {R"({"name":"r","split":[]})", ResultCode::BadValue, "routes[0].split"},
+      {R"({"name":"r","split":[{"service":"lookup"}]})", ResultCode::MissingKey,
+       "routes[0].split[0].weight"},
+      {R"({"name":"r","split":[{"service":"lookup","weight":0}]})",
+       ResultCode::BadRoute, "routes[0].split"},
+      {R"({"name":"r","split":[{"service":"lookup","weight":1},)"
+       R"({"service":"gone","weight":1}]})",
+       ResultCode::DanglingReference,
+       "routes[0].split[1].service: found \"gone\""},
+      {R"({"name":"r","service":"lookup",)"
+       R"("split":[{"service":"lookup","weight":1}]})",
+       ResultCode::BadRoute, "routes[0].split"},
+      {R"({"name":"r","service":"lookup","max_attempts":0})",
+       ResultCode::NumberOutOfRange, "routes[0].max_attempts"},
+      {R"({"name":"r","service":"lookup","latency_objective_ms":-1})",
+       ResultCode::NumberOutOfRange, "routes[0].latency_objective_ms"},
       {R"({"name":"r","service":"lookup","weight":1})", ResultCode::UnknownKey,
        "routes[0].weight"},
   };
