Platform: Refuse numbers of the operator's record that no field can hold

Cause: counters were cut to 32 bits and times went unchecked into the clock's type, so 4,294,967,297 connections became 1, a time above 292 years became any other, and no attempt at all or an idle time of 0 came in force.

Numbers have a range now; one outside refuses the record whole.

Test: each kind of bad record is refused whole, 200,000 seeded mutations by bytes and as many by values, and 200,000 each of the store's reads, pages and answers.

--- /dev/null
+++ b/Tests/Platform/TestOperatorRecord.cpp
@@ -0,0 +1,241 @@
+#include <LibConfig/VersionContentCodec.h>
+#include <LibLog/Mutator.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+#include <platform/OperatorRecord.h>
+#include <platform/StoreFormat.h>
+#include <string>
+
+using namespace radishcross;
+using base::ResultCode;
+using log::Mutator;
+
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__)
+constexpr int Inputs = 10000;
+#else
+constexpr int Inputs = 200000;
+#endif
+
+constexpr std::string_view Sound = R"({
+  "version": 19,
+  "services": [
+    {"name": "a", "healthPath": "/health", "maxConnections": 120},
+    {"name": "b", "healthPath": "/up?deep=1", "maxConnections": 60}],
+  "routes": [
+    {"name": "r1", "host": "one.example", "pathPrefix": "/x/", "service": "a",
+     "priority": 0, "kind": "safe", "timeout": 1000, "targetLatency": 400,
+     "maxAttempts": 2},
+    {"name": "r2", "host": "one.example", "pathPrefix": "/x/y/",
+     "priority": 7, "kind": "unsafe", "timeout": 1200, "targetLatency": 500,
+     "maxAttempts": 1, "trafficSplit": [{"service": "a", "weight": 90},
+                                        {"service": "b", "weight": 10}]}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
+             "headerTimeout": 3000, "idleTimeout": 20000}})";
+
+/// Replaces the first \p from in the sound record.
+std::string with(std::string_view from, std::string_view to) {
+  std::string out(Sound);
+  auto at = out.find(from);
+  REQUIRE(at != std::string::npos);
+  return out.replace(at, from.size(), to);
+}
+
+bool tryRecord(std::string_view text) {
+  base::LastReason reason;
+  auto read = platform::decodeOperatorRecord(text, reason);
+  if (!read) {
+    REQUIRE(reason.code() != ResultCode::Ok);
+    return false;
+  }
+  for (const auto &it : read->Content.Routes) {
+    REQUIRE(it.Deadline.count() > 0);
+    REQUIRE(it.LatencyObjective.count() >= 0);
+    REQUIRE(it.MaximumAttempts > 0);
+  }
+  REQUIRE(read->Content.Limits);
+  REQUIRE(read->Content.Limits->IdleTimeout.count() > 0);
+  REQUIRE(config::checkVersionContent(read->Content, reason));
+  return true;
+}
+
+template <typename Try>
+void mutateBytes(uint64_t seed, const std::string &sound, const Try &attempt) {
+  Mutator mutator(seed);
+  REQUIRE(attempt(sound));
+  int taken = 0;
+  for (int i = 0; i < Inputs; ++i)
+    taken += attempt(mutator.bytes(sound)) ? 1 : 0;
+  CHECK(taken > Inputs / 1000);
+  CHECK(taken < Inputs);
+}
+
+std::string offsetBytes(char end) {
+  std::string out(16, '\0');
+  out[7] = end;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("the operator's record is read whole") {
+  base::LastReason reason;
+  auto read = platform::decodeOperatorRecord(Sound, reason);
+  REQUIRE_MESSAGE(read, reason.text());
+  CHECK(read->Version == 19);
+  REQUIRE(read->Content.Services.size() == 2);
+  CHECK(read->Content.Services[1].HealthPath == "/up?deep=1");
+  CHECK(read->Content.Services[1].MaximumConnections == 60);
+  REQUIRE(read->Content.Routes.size() == 2);
+  const auto &plain = read->Content.Routes[0];
+  CHECK(plain.Match.Host == "one.example");
+  CHECK(plain.Match.PathPrefix == "/x/");
+  CHECK(plain.Service == "a");
+  CHECK(plain.CallRank == config::Rank::Critical);
+  CHECK(plain.Idempotent);
+  CHECK(plain.Deadline == std::chrono::seconds(1));
+  CHECK(plain.LatencyObjective == std::chrono::milliseconds(400));
+  CHECK(plain.MaximumAttempts == 2);
+  const auto &split = read->Content.Routes[1];
+  CHECK(split.CallRank == config::Rank::Background);
+  CHECK_FALSE(split.Idempotent);
+  REQUIRE(split.Split.size() == 2);
+  CHECK(split.Split[1].Weight == 10);
+  const config::ClientLimits limits{16384, 1048576, std::chrono::seconds(3),
+                                    std::chrono::seconds(20)};
+  CHECK(read->Content.Limits == limits);
+}
+
+TEST_CASE(
+    "an unknown field changes nothing, an unknown kind is never repeated") {
+  base::LastReason reason;
+  CHECK(platform::decodeOperatorRecord(with("{", R"({"more": [1],)"), reason));
+  auto read =
+      platform::decodeOperatorRecord(with(R"("safe")", R"("keyed")"), reason);
+  REQUIRE(read);
+  CHECK_FALSE(read->Content.Routes[0].Idempotent);
+}
+
+TEST_CASE("a bad record is refused whole") {
+  struct Row {
+    std::string_view What;
+    std::string Text;
+  };
+  const Row table[] = {
+      {"no bytes", ""},
+      {"not JSON", "\x81\xa7version"},
+      {"cut off", std::string(Sound.substr(0, Sound.size() - 3))},
+      {"another type", "[]"},
+      {"no version", with(R"("version": 19,)", "")},
+      {"a version of text", with("19", R"("19")")},
+      {"a version below 0", with("19", "-19")},
+      {"a version of 0", with("19", "0")},
+      {"a broken version", with("19", "19.5")},
+      {"no services", with(R"("services")", R"("servers")")},
+      {"services of another type",
+       with(R"("services": [)", R"("services": 1, "s": [)")},
+      {"a service that is no object",
+       with(R"({"name": "a",)", R"(7, {"name": "a",)")},
+      {"a service without a name", with(R"("name": "a",)", "")},
+      {"two services of one name", with(R"("name": "b")", R"("name": "a")")},
+      {"no health path", with(R"("healthPath": "/health", )", "")},
+      {"a health path with a line end", with("/health", "/h\\r\\nX: y")},
+      {"a route to nowhere", with(R"("service": "a")", R"("service": "z")")},
+      {"a share to nowhere", with(R"("service": "b")", R"("service": "z")")},
+      {"a route without a service", with(R"("service": "a",)", "")},
+      {"shares without weight", with("90", R"("90")")},
+      {"all weights 0",
+       [] {
+         auto text = with("90", "0");
+         return text.replace(text.find(R"("weight": 10)"), 12,
+                             R"("weight": 0)");
+       }()},
+      {"a split that is no list",
+       with(R"([{"service": "a", "weight")",
+            R"(1, "more": [{"service": "a", "weight")")},
+      {"two routes of one name", with(R"("r2")", R"("r1")")},
+      {"two routes of one match", with("/x/y/", "/x/")},
+      {"a prefix that is no path", with("/x/", "x/")},
+      {"a prefix with dots", with("/x/y/", "/x/../")},
+      {"no priority", with(R"("priority": 0,)", "")},
+      {"no timeout", with(R"("timeout": 1000,)", "")},
+      {"a timeout of 0", with("1000", "0")},
+      {"a timeout beyond all clocks", with("1000", "18446744073709551615")},
+      {"an objective beyond all clocks", with("400", "9223372036854775807")},
+      {"no attempt", with(R"("maxAttempts": 2)", R"("maxAttempts": 0)")},
+      {"more attempts than a counter holds",
+       with(R"("maxAttempts": 2)", R"("maxAttempts": 4294967296)")},
+      {"more connections than a counter holds", with("120", "4294967297")},
+      {"a weight beyond a counter", with("90", "4294967297")},
+      {"no limits", with(R"("limits")", R"("bounds")")},
+      {"limits of another type",
+       with(R"("limits": {)", R"("limits": 7, "l": {)")},
+      {"a limit that is missing", with(R"("maxBodyBytes": 1048576,)", "")},
+      {"an idle time of 0", with("20000", "0")},
+      {"an idle time beyond all clocks", with("20000", "9223372036854775807")},
+  };
+  for (const auto &row : table) {
+    CAPTURE(row.What);
+    base::LastReason reason;
+    CHECK_FALSE(platform::decodeOperatorRecord(row.Text, reason));
+    CHECK(reason.code() != ResultCode::Ok);
+  }
+}
+
+TEST_CASE("no altered record of the operator is half used") {
+  mutateBytes(21, std::string(Sound), tryRecord);
+  Mutator mutator(22);
+  auto sound = boost::json::parse(Sound);
+  int taken = 0;
+  for (int i = 0; i < Inputs; ++i) {
+    auto document = sound;
+    mutator.value(document);
+    taken += tryRecord(boost::json::serialize(document)) ? 1 : 0;
+  }
+  CHECK(taken > Inputs / 1000);
+  CHECK(taken < Inputs);
+}
+
+TEST_CASE("no altered bytes of a read are taken past their end") {
+  std::string read = offsetBytes(3);
+  for (int i = 0; i < 3; ++i)
+    read += platform::encodeRecord("key" + std::to_string(i), "some value");
+  mutateBytes(23, read, [](const std::string &bytes) {
+    auto out = platform::decodeRead(bytes, 5);
+    if (!out)
+      return false;
+    size_t sum = 0;
+    for (const auto &it : out->Records)
+      sum += it.Key.size() + it.Value.size();
+    REQUIRE(sum <= bytes.size());
+    return true;
+  });
+}
+
+TEST_CASE("no altered page of the newest records is half read") {
+  std::string page = R"({"items":[{"key":"a","value":"eA==","offset":1},)"
+                     R"({"key":"b","value":"eHl6","offset":2}],)"
+                     R"("more":true,"endOffset":3})";
+  mutateBytes(24, page, [](const std::string &body) {
+    auto out = platform::decodeNewest(body);
+    if (!out)
+      return false;
+    for (const auto &it : out->Answer.Records)
+      REQUIRE(it.Key.size() + it.Value.size() <= body.size());
+    return true;
+  });
+}
+
+TEST_CASE("no altered answer to an append is taken for another outcome") {
+  mutateBytes(25, R"({"offset":7,"endOffset":8})", [](const std::string &body) {
+    http::Response answer(boost::beast::http::status::ok, 11);
+    answer.body() = body;
+    auto out = platform::decodeAppend(answer);
+    // What the store accepted may be unreadable; it is never a refusal.
+    REQUIRE(out.Outcome != log::PutAnswer::Kind::Refused);
+    return out.Outcome == log::PutAnswer::Kind::Accepted;
+  });
+}
