LibHttp: Say 503 exactly where a call has not run

A deadline that passed before a request was sent, and refusals whose code belongs to 502, were answered 502 or 504, after which a caller may not send an unsafe request again. An answer's status now follows its outcome: 503 for what has not run, never 503 for what may have. deadline-exceeded becomes 503 in the table and its page.

A target's silence is still told as a time-out by the far node, as deadline-exceeded with an unknown outcome.

--- a/Libraries/LibBase/ResultCode.cpp
+++ b/Libraries/LibBase/ResultCode.cpp
@@ -103,7 +103,7 @@
      "The service has no usable target; the request was not run."},
     {ResultCode::Overloaded, "overloaded", 503, 8,
      "The request was shed; it was not run."},
-    {ResultCode::DeadlineExceeded, "deadline-exceeded", 504, 8,
+    {ResultCode::DeadlineExceeded, "deadline-exceeded", 503, 8,
      "The deadline passed before the request was sent; it was not run."},
     {ResultCode::CallOutcomeUnknown, "call-outcome-unknown", 502, 9,
      "The request was sent and its outcome is not known."},
--- a/Libraries/LibHttp/AnswerFields.cpp
+++ b/Libraries/LibHttp/AnswerFields.cpp
@@ -55,15 +55,21 @@
   result.RetryAfter = parseRetryAfter(textOf(answer, "Retry-After"));
   bool notRun =
       outcome == base::nameOf(calls::CallOutcomeNames, CallOutcome::NotRun);
-  result.End = notRun ? AttemptEnd::RefusedNotRun : AttemptEnd::Broken;
+  bool timedOut = result.Code == base::ResultCode::DeadlineExceeded;
+  result.End = notRun     ? AttemptEnd::RefusedNotRun
+               : timedOut ? AttemptEnd::TimedOut
+                          : AttemptEnd::Broken;
 }
 
 Response refusalOf(const calls::AttemptResult &result) {
   bool notRun = result.End == AttemptEnd::NotSent ||
                 result.End == AttemptEnd::RefusedNotRun;
-  auto code = result.Code == base::ResultCode::Ok
-                  ? base::ResultCode::CallOutcomeUnknown
-                  : result.Code;
+  auto code = result.Code;
+  if (result.End == AttemptEnd::TimedOut)
+    code = base::ResultCode::DeadlineExceeded;
+  else if (code == base::ResultCode::Ok)
+    code = notRun ? base::ResultCode::NoTarget
+                  : base::ResultCode::CallOutcomeUnknown;
   return makeAnswer(code, notRun ? CallOutcome::NotRun : CallOutcome::Unknown,
                     {}, result.RetryAfter);
 }
--- a/Libraries/LibHttp/Answers.cpp
+++ b/Libraries/LibHttp/Answers.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Answers.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/json/object.hpp>
@@ -31,6 +32,25 @@
   }
 }
 
+/// Statuses that tell a caller that its request has not run and never will.
+constexpr unsigned NotRunStatuses[] = {408, 421, 429, 503};
+constexpr unsigned FirstServerFault = 500;
+
+/// Returns the status of \p code, but one that promises that the call has not
+/// run exactly where that is so.
+unsigned statusFor(base::ResultCode code, calls::CallOutcome outcome) {
+  unsigned status = base::describe(code).HttpStatus;
+  bool isPromise =
+      std::find(std::begin(NotRunStatuses), std::end(NotRunStatuses), status) !=
+      std::end(NotRunStatuses);
+  if (isPromise && outcome == calls::CallOutcome::Unknown)
+    return static_cast<unsigned>(bh::status::bad_gateway);
+  if (status >= FirstServerFault && !isPromise &&
+      outcome == calls::CallOutcome::NotRun)
+    return static_cast<unsigned>(bh::status::service_unavailable);
+  return status;
+}
+
 } // namespace
 
 void appendMessage(const Request &message, std::string_view lines,
@@ -114,7 +134,8 @@
   body["name"] = row.Name;
   body["outcome"] = name;
   body["reason"] = reason.empty() ? row.Meaning : reason;
-  Response answer = makeJson(row.HttpStatus, boost::json::serialize(body));
+  Response answer =
+      makeJson(statusFor(code, outcome), boost::json::serialize(body));
   answer.set(calls::CodeHeader, std::to_string(static_cast<int>(code)));
   answer.set(calls::OutcomeHeader, name);
   if (retryAfter.count() > 0)
--- a/Libraries/LibHttp/Answers.h
+++ b/Libraries/LibHttp/Answers.h
@@ -12,8 +12,10 @@
 namespace radishcross::http {
 
 /// Returns an answer of this program itself, not of a target: the status of
-/// \p code, the body {"code", "name", "outcome", "reason"}, CodeHeader,
-/// OutcomeHeader and, where \p retryAfter is not 0, Retry-After in seconds.
+/// \p code (but 503 in place of another 5xx where the call was not run, and 502
+/// in place of a status that promises so where it may have), the body {"code",
+/// "name", "outcome", "reason"}, CodeHeader, OutcomeHeader and, where \p
+/// retryAfter is not 0, Retry-After in seconds.
 Response makeAnswer(base::ResultCode code, calls::CallOutcome outcome,
                     std::string_view reason, base::Duration retryAfter = {});
 
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -33,6 +33,11 @@
 /// What the broker is told of a deadline that has passed.
 constexpr base::Duration PassedDeadline{-1};
 
+/// What another node's deadline is shorter by, at most and as a share of it:
+/// its word that a call has not run arrives before this node gives up.
+constexpr base::Duration AnswerMargin = std::chrono::milliseconds(10);
+constexpr int MarginShare = 8;
+
 /// Deadlines beyond a day say nothing.
 constexpr int64_t LongestDeadlineMs = 86'400'000;
 
@@ -320,8 +325,10 @@
     mesh.TargetId = step.To.Target.TargetId;
   bool isLocal =
       step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
-  if (!isLocal)
+  if (!isLocal) {
+    mesh.Remaining -= std::min(AnswerMargin, mesh.Remaining / MarginShare);
     co_return co_await sendToNode(call, step, mesh);
+  }
   GateOutcome outcome =
       co_await Targets.run(std::move(mesh), call.Incoming.Message,
                            call.Request.Fingerprint, call.Incoming.Watch);
