LibBase, LibHttp: Log to standard output without ever waiting for its reader

Cause: lines went to standard error through a console appender that waits while the pipe is full, which stops the node's one loop; and no line told of a call that was refused or failed.

LogWriter keeps 256 KiB, writes what the descriptor takes (at most PIPE_BUF after it is ready) and otherwise drops lines; "log lines dropped" says how many. Lines go out with the node's timer, errors at once. The logging library goes: its appenders wait, or need a thread and drop without saying so. SIGPIPE is ignored.

"call ended" is written at the end of CallEngine::runCall for each call that was refused or failed, and for one in 256 others by a hash of the id.

The former appender was not run against the full pipe: it had no way to be given a descriptor.

--- a/Libraries/LibBase/Logger.cpp
+++ b/Libraries/LibBase/Logger.cpp
@@ -1,82 +1,141 @@
+#include <LibBase/LogWriter.h>
 #include <LibBase/Logger.h>
 
 #include <boost/json.hpp>
 #include <chrono>
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <mutex>
 
 namespace radishcross::base {
 
 namespace {
 
-LogSettings Current;
+/// Lines below this many bytes wait for the next flush, so that one write
+/// takes several.
+constexpr size_t WriteBytes = 4096;
+
+/// The process's log.
+struct State {
+  State() { Settings.Descriptor = -1; }
+
+  std::mutex Lock;
+  LogSettings Settings;
+  LogWriter Writer{-1, 0};
+  uint64_t Dropped = 0; ///< Lines.
+  uint64_t Told = 0;    ///< Of them, those that a line has told of.
+};
+
+State &state() {
+  static State it;
+  return it;
+}
 
 struct LevelRow {
   LogLevel Level;
-  log4cplus::LogLevel Native;
   std::string_view Name;
 };
 
 constexpr LevelRow Levels[] = {
-    {LogLevel::Debug, log4cplus::DEBUG_LOG_LEVEL, "debug"},
-    {LogLevel::Info, log4cplus::INFO_LOG_LEVEL, "info"},
-    {LogLevel::Warning, log4cplus::WARN_LOG_LEVEL, "warning"},
-    {LogLevel::Error, log4cplus::ERROR_LOG_LEVEL, "error"},
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
 };
 
 const LevelRow &rowOf(LogLevel level) {
   return Levels[static_cast<size_t>(level)];
 }
 
-std::string jsonLine(const LevelRow &row, std::string_view event,
+std::string jsonLine(const LogSettings &settings, const LevelRow &row,
+                     std::string_view event,
                      std::initializer_list<LogField> fields) {
   auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   boost::json::object line;
   line["time_us"] = micros.count();
   line["level"] = row.Name;
-  line["node"] = Current.Node;
-  line["data_centre"] = Current.DataCentre;
+  line["node"] = settings.Node;
+  line["data_centre"] = settings.DataCentre;
   line["event"] = event;
   for (const auto &it : fields)
     line[it.Name] = it.Value;
   return boost::json::serialize(line);
 }
 
-std::string plainLine(const LevelRow &row, std::string_view event,
+std::string plainLine(const LogSettings &settings, const LevelRow &row,
+                      std::string_view event,
                       std::initializer_list<LogField> fields) {
-  std::string line = std::string(row.Name) + " " + Current.Node + "/" +
-                     Current.DataCentre + " " + std::string(event);
+  std::string line = std::string(row.Name) + " " + settings.Node + "/" +
+                     settings.DataCentre + " " + std::string(event);
   for (const auto &it : fields)
     line += " " + std::string(it.Name) + "=" + it.Value;
   return line;
 }
 
+std::string lineOf(const LogSettings &settings, LogLevel level,
+                   std::string_view event,
+                   std::initializer_list<LogField> fields) {
+  const auto &row = rowOf(level);
+  return settings.Format == LogFormat::Json
+             ? jsonLine(settings, row, event, fields)
+             : plainLine(settings, row, event, fields);
+}
+
+/// Says how many lines were dropped, once there is room to say it.
+void tellDropped(State &log) {
+  uint64_t untold = log.Dropped - log.Told;
+  if (untold == 0)
+    return;
+  auto line = lineOf(log.Settings, LogLevel::Warning, "log lines dropped",
+                     {{"lines", std::to_string(untold)}});
+  if (log.Writer.add(line))
+    log.Told = log.Dropped;
+}
+
 } // namespace
 
 void setUpLog(const LogSettings &settings) {
-  static log4cplus::Initializer initializer;
-  Current = settings;
-  auto root = log4cplus::Logger::getRoot();
-  root.removeAllAppenders();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-  root.addAppender(appender);
-  root.setLogLevel(rowOf(settings.Level).Native);
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  log.Settings = settings;
+  log.Writer = LogWriter(settings.Descriptor, LogBufferBytes);
+  log.Dropped = 0;
+  log.Told = 0;
+}
+
+bool isLogged(LogLevel level) {
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  return log.Settings.Descriptor >= 0 && level >= log.Settings.Level;
 }
 
 void log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields) {
-  if (level < Current.Level)
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  if (log.Settings.Descriptor < 0 || level < log.Settings.Level)
     return;
-  const auto &row = rowOf(level);
-  auto line = Current.Format == LogFormat::Json ? jsonLine(row, event, fields)
-                                                : plainLine(row, event, fields);
-  log4cplus::Logger::getRoot().log(row.Native, line);
+  tellDropped(log);
+  if (!log.Writer.add(lineOf(log.Settings, level, event, fields)))
+    ++log.Dropped;
+  // A full buffer is tried again by the next flushLog().
+  bool isUrgent = level == LogLevel::Error;
+  size_t kept = log.Writer.kept();
+  if (isUrgent || (kept >= WriteBytes && kept < 2 * WriteBytes))
+    log.Writer.flush();
+}
+
+void flushLog() {
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  log.Writer.flush();
+  tellDropped(log);
+  log.Writer.flush();
+}
+
+uint64_t droppedLogLines() {
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  return log.Dropped;
 }
 
 } // namespace radishcross::base
--- a/Libraries/LibBase/Logger.h
+++ b/Libraries/LibBase/Logger.h
@@ -2,9 +2,11 @@
 
 #include <LibBase/ResultCode.h>
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <unistd.h>
 
 namespace radishcross::base {
 
@@ -20,6 +22,7 @@
   LogFormat Format = LogFormat::Json;
   std::string Node;
   std::string DataCentre;
+  int Descriptor = STDOUT_FILENO;
 };
 
 /// One named value of a log line, for example {"version", "7"}.
@@ -28,9 +31,23 @@
   std::string Value;
 };
 
-/// Sets up log4cplus to write to standard error.
+/// Lines that wait for a slow reader, in bytes; what does not fit is dropped.
+constexpr size_t LogBufferBytes = 256UL << 10;
+
+/// Sets up the process's log. Nothing is written before. Writing never waits
+/// for the log's reader.
 void setUpLog(const LogSettings &settings);
 
+/// Writes the lines that are kept, as far as the reader takes them, and tells
+/// how many were dropped. Called periodically and before the end.
+void flushLog();
+
+/// Returns the lines that were dropped since setUpLog().
+uint64_t droppedLogLines();
+
+/// Tells whether lines of \p level are written at all.
+bool isLogged(LogLevel level);
+
 /// Writes one line. \p event is a fixed phrase; what varies goes into fields.
 void log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields = {});
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -4,6 +4,7 @@
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/AnswerFields.h>
 #include <LibHttp/Answers.h>
+#include <LibHttp/CallLog.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/MeshCall.h>
 
@@ -125,9 +126,13 @@
   call.Request.Remaining =
       deadlineOf(incoming.Message, Environment.Headers.Deadline);
   // Deeper calls of calls in flight are still taken while draining.
-  if (!parent && RefusesNewCalls)
-    co_return makeAnswer(base::ResultCode::Draining, CallOutcome::NotRun, {},
-                         ComeBackDelay);
+  if (!parent && RefusesNewCalls) {
+    CallStep refused;
+    refused.Code = base::ResultCode::Draining;
+    call.Incoming = std::move(incoming);
+    logEnd(call, nullptr, refused, {});
+    co_return makeAnswer(refused.Code, CallOutcome::NotRun, {}, ComeBackDelay);
+  }
   if (parent) {
     auto remaining =
         Targets.remainingOf(parent->CallId).value_or(parent->Remaining);
@@ -201,9 +206,12 @@
 
 asio::awaitable<Response> CallEngine::runCall(OwnCall call) {
   config::SnapshotPointer snapshot = Environment.CurrentSnapshot();
-  if (!snapshot)
-    co_return makeAnswer(base::ResultCode::NotRecovered, CallOutcome::NotRun,
-                         {}, ComeBackDelay);
+  if (!snapshot) {
+    CallStep refused;
+    refused.Code = base::ResultCode::NotRecovered;
+    logEnd(call, nullptr, refused, {});
+    co_return makeAnswer(refused.Code, CallOutcome::NotRun, {}, ComeBackDelay);
+  }
   const Request &request = call.Incoming.Message;
   call.Request.Method = request.method_string();
   call.Request.Host = textOf(request, "Host");
@@ -211,12 +219,12 @@
   call.Request.IdempotencyKey = textOf(request, calls::IdempotencyKeyHeader);
   call.Request.Fingerprint = fingerprintOf(request);
   base::TimePoint started = now();
-  call.Handle =
-      Environment.Broker->begin(call.Request, std::move(snapshot), started);
+  call.Handle = Environment.Broker->begin(call.Request, snapshot, started);
   CallGuard guard(Environment, call.Handle);
   CallStep first = Environment.Broker->step(call.Handle);
   CallStep last = co_await runSteps(call, first);
   Figures.ended(first.CallRank, last.Outcome, now() - started);
+  logEnd(call, snapshot.get(), last, now() - started);
   bool answered = last.Outcome == CallOutcome::Answered;
   if (!call.ParentId.empty() && (!answered || call.FailedBelow))
     Targets.failedBelow(call.ParentId);
@@ -225,6 +233,24 @@
   co_return std::move(call.Answer);
 }
 
+void CallEngine::logEnd(const OwnCall &call, const config::Snapshot *held,
+                        const CallStep &last, base::Duration took) const {
+  EndedCall line;
+  line.RequestId = textOf(call.Incoming.Message, Environment.Headers.RequestId);
+  if (line.RequestId.empty())
+    line.RequestId = call.Request.CallId;
+  line.Request = &call.Request;
+  line.Held = held;
+  line.TargetId = call.LastTarget;
+  line.Attempts = call.Attempts;
+  line.Outcome = last.Outcome;
+  line.Code = last.Code;
+  if (last.Outcome == CallOutcome::Answered)
+    line.Status = call.Answer.result_int();
+  line.Took = took;
+  logEndedCall(line);
+}
+
 /// Carries out the broker's steps until the call's last one.
 asio::awaitable<CallStep> CallEngine::runSteps(OwnCall &call, CallStep step) {
   while (step.What != CallStep::Kind::Finish) {
@@ -309,6 +335,8 @@
   mesh.ServiceName = step.ServiceName;
   if (step.What == CallStep::Kind::Send)
     mesh.TargetId = step.To.Target.TargetId;
+  call.Attempts += 1;
+  call.LastTarget = mesh.TargetId;
   bool isLocal =
       step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
   if (!isLocal)
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -51,6 +51,8 @@
     calls::CallHandle Handle = 0;
     Response Answer;
     bool FailedBelow = false;
+    uint32_t Attempts = 0;
+    std::string LastTarget; ///< Id of the target of the last attempt.
   };
   /// A call whose step is Wait, until the broker resumes it.
   struct WaitingCall {
@@ -61,6 +63,8 @@
   boost::asio::awaitable<Response> runAtGate(MeshCall call,
                                              IncomingRequest incoming);
   boost::asio::awaitable<Response> runCall(OwnCall call);
+  void logEnd(const OwnCall &call, const config::Snapshot *held,
+              const calls::CallStep &last, base::Duration took) const;
   boost::asio::awaitable<calls::CallStep> runSteps(OwnCall &call,
                                                    calls::CallStep step);
   boost::asio::awaitable<calls::CallStep> awaitEqualCall(OwnCall &call);
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -30,6 +30,8 @@
   auto log = settings.Log;
   log.Node = settings.Node;
   log.DataCentre = settings.DataCentre;
+  // A log whose reader has gone ends no call.
+  std::signal(SIGPIPE, SIG_IGN);
   base::setUpLog(log);
   boost::asio::io_context context(1);
   base::LastReason reason;
@@ -37,6 +39,7 @@
   if (!node) {
     base::log(base::LogLevel::Error, "node cannot start",
               {{"reason", reason.line()}});
+    base::flushLog();
     return reason.code();
   }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -47,6 +50,7 @@
              {"administration", settings.Administration.text()}});
   context.run();
   base::log(base::LogLevel::Info, "node stopped");
+  base::flushLog();
   return base::ResultCode::Ok;
 }
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -271,6 +271,7 @@
   CallsBroker.tick(Time.now());
   Proxy->tick();
   Changes.tick();
+  base::flushLog();
   if (Draining)
     drainTick();
 }
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -4,7 +4,7 @@
 packages=(
   build-essential cmake ninja-build ccache clang-format clang-tidy python3
   libboost1.81-dev libboost-json1.81-dev libcapnp-dev libabsl-dev
-  liblog4cplus-dev doctest-dev libvalijson-dev librapidcheck-dev
+  doctest-dev libvalijson-dev librapidcheck-dev
   libxxhash-dev libssl-dev
 )
 missing=()
--- /dev/null
+++ b/Tests/LibBase/TestLogger.cpp
@@ -0,0 +1,177 @@
+#include <LibBase/LogWriter.h>
+#include <LibBase/Logger.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+using namespace radishcross;
+using base::LogWriter;
+
+namespace {
+
+/// A pipe whose reader reads only when told to.
+class Pipe {
+public:
+  Pipe() { REQUIRE(::pipe2(Ends.data(), O_CLOEXEC) == 0); }
+  ~Pipe() {
+    closeReader();
+    ::close(Ends[1]);
+  }
+  Pipe(const Pipe &) = delete;
+  Pipe &operator=(const Pipe &) = delete;
+
+  int writer() const { return Ends[1]; }
+
+  void closeReader() {
+    if (Ends[0] >= 0)
+      ::close(Ends[0]);
+    Ends[0] = -1;
+  }
+
+  /// Returns what lies in the pipe now.
+  std::string read() const {
+    std::string out;
+    std::array<char, 65536> buf{};
+    ::fcntl(Ends[0], F_SETFL, O_NONBLOCK);
+    for (;;) {
+      ssize_t n = ::read(Ends[0], buf.data(), buf.size());
+      if (n <= 0)
+        return out;
+      out.append(buf.data(), static_cast<size_t>(n));
+    }
+  }
+
+private:
+  std::array<int, 2> Ends{-1, -1};
+};
+
+std::vector<std::string> linesOf(const std::string &text) {
+  std::vector<std::string> out;
+  for (size_t at = 0; at < text.size();) {
+    size_t end = text.find('\n', at);
+    REQUIRE(end != std::string::npos);
+    out.push_back(text.substr(at, end - at));
+    at = end + 1;
+  }
+  return out;
+}
+
+void setUp(int descriptor) {
+  base::LogSettings settings;
+  settings.Node = "n1";
+  settings.DataCentre = "mobile";
+  settings.Descriptor = descriptor;
+  base::setUpLog(settings);
+}
+
+} // namespace
+
+TEST_CASE("a reader that never reads does not stop the writer") {
+  Pipe pipe;
+  setUp(pipe.writer());
+  constexpr uint64_t Lines = 20000;
+  auto started = std::chrono::steady_clock::now();
+  for (uint64_t i = 0; i < Lines; ++i) {
+    base::log(base::LogLevel::Error, "call refused",
+              {{"request", std::to_string(i)}});
+    if (i % 100 == 0)
+      base::flushLog();
+  }
+  // Far above what it takes; a writer that waits never comes here.
+  CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(30));
+  uint64_t dropped = base::droppedLogLines();
+  CHECK(dropped > 0);
+  CHECK(dropped < Lines);
+  // Once it reads, it gets whole lines in order, and how many are missing.
+  std::string text = pipe.read();
+  for (int i = 0; i < 20; ++i) {
+    base::flushLog();
+    text += pipe.read();
+  }
+  auto lines = linesOf(text);
+  REQUIRE(lines.size() == Lines - dropped + 1);
+  CHECK(lines.front().find("\"request\":\"0\"") != std::string::npos);
+  CHECK(lines.back().find("\"event\":\"log lines dropped\"") !=
+        std::string::npos);
+  CHECK(lines.back().find("\"lines\":\"" + std::to_string(dropped) + "\"") !=
+        std::string::npos);
+  setUp(-1);
+}
+
+TEST_CASE("lines are kept until the next flush and then written whole") {
+  Pipe pipe;
+  setUp(pipe.writer());
+  base::log(base::LogLevel::Info, "node started", {{"calls", "10.0.0.1:9"}});
+  base::log(base::LogLevel::Debug, "not asked for");
+  CHECK(pipe.read().empty());
+  base::flushLog();
+  auto lines = linesOf(pipe.read());
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("\"node\":\"n1\",\"data_centre\":\"mobile\","
+                      "\"event\":\"node started\",\"calls\":"
+                      "\"10.0.0.1:9\"") != std::string::npos);
+  base::log(base::LogLevel::Error, "folds differ");
+  CHECK(linesOf(pipe.read()).size() == 1);
+  setUp(-1);
+}
+
+TEST_CASE("a writer keeps no more than its bound") {
+  Pipe pipe;
+  LogWriter writer(pipe.writer(), 10);
+  CHECK(writer.add("12345"));
+  CHECK_FALSE(writer.add(std::string(10, 'x')));
+  // What was kept has gone out to make room.
+  CHECK(pipe.read() == "12345\n");
+  CHECK(writer.add("123456789"));
+  CHECK(writer.kept() == 10);
+  writer.flush();
+  CHECK(writer.kept() == 0);
+  LogWriter nowhere(-1, 0);
+  CHECK(nowhere.add("anything"));
+  CHECK(nowhere.kept() == 0);
+}
+
+TEST_CASE("a line longer than a pipe takes at once arrives whole") {
+  Pipe pipe;
+  LogWriter writer(pipe.writer(), 1U << 20U);
+  std::string line(50000, 'y');
+  CHECK(writer.add(line));
+  CHECK(writer.add("next"));
+  std::string text;
+  for (int i = 0; i < 40 && writer.kept() > 0; ++i) {
+    writer.flush();
+    text += pipe.read();
+  }
+  CHECK(text == line + "\nnext\n");
+}
+
+TEST_CASE("lines for a reader that has gone are thrown away") {
+  auto *before = std::signal(SIGPIPE, SIG_IGN);
+  Pipe pipe;
+  LogWriter writer(pipe.writer(), 100);
+  pipe.closeReader();
+  for (int i = 0; i < 100; ++i) {
+    CHECK(writer.add("a line of some length"));
+    writer.flush();
+  }
+  CHECK(writer.kept() == 0);
+  std::signal(SIGPIPE, before);
+}
+
+TEST_CASE("a file takes every line") {
+  auto *file = std::tmpfile();
+  REQUIRE(file);
+  LogWriter writer(::fileno(file), 4096);
+  for (int i = 0; i < 1000; ++i)
+    REQUIRE(writer.add(std::string(100, 'z')));
+  writer.flush();
+  CHECK(::lseek(::fileno(file), 0, SEEK_END) == 101000);
+  std::fclose(file);
+}
