LibBase: Keep the lines that wait when the log's settings change

Cause: setUpLog() took a new writer, so settings read again at run time would lose the lines of the last period. Test fails first: 1 of 14 cases of TestLibBase; after: 14 passed.

--- a/Libraries/LibBase/Logger.cpp
+++ b/Libraries/LibBase/Logger.cpp
@@ -96,7 +96,11 @@
 void setUpLog(const LogSettings &settings) {
   auto &log = state();
   std::lock_guard guard(log.Lock);
+  bool isSame = log.Settings.Descriptor == settings.Descriptor;
   log.Settings = settings;
+  if (isSame)
+    return;
+  log.Writer.flush();
   log.Writer = LogWriter(settings.Descriptor, LogBufferBytes);
   log.Dropped = 0;
   log.Told = 0;
--- a/Libraries/LibBase/Logger.h
+++ b/Libraries/LibBase/Logger.h
@@ -34,15 +34,15 @@
 /// Lines that wait for a slow reader, in bytes; what does not fit is dropped.
 constexpr size_t LogBufferBytes = 256UL << 10;
 
-/// Sets up the process's log. Nothing is written before. Writing never waits
-/// for the log's reader.
+/// Sets up the process's log, or changes it; lines that wait stay. Nothing is
+/// written before. Writing never waits for the log's reader.
 void setUpLog(const LogSettings &settings);
 
 /// Writes the lines that are kept, as far as the reader takes them, and tells
 /// how many were dropped. Called periodically and before the end.
 void flushLog();
 
-/// Returns the lines that were dropped since setUpLog().
+/// Returns the lines that were dropped since the descriptor was set.
 uint64_t droppedLogLines();
 
 /// Tells whether lines of \p level are written at all.
--- a/Tests/LibBase/TestLogger.cpp
+++ b/Tests/LibBase/TestLogger.cpp
@@ -122,6 +122,22 @@
   setUp(-1);
 }
 
+TEST_CASE("settings that change lose no line") {
+  Pipe pipe;
+  setUp(pipe.writer());
+  base::log(base::LogLevel::Info, "first");
+  base::LogSettings changed;
+  changed.Descriptor = pipe.writer();
+  changed.Format = base::LogFormat::Plain;
+  base::setUpLog(changed);
+  base::log(base::LogLevel::Info, "second");
+  setUp(-1);
+  auto lines = linesOf(pipe.read());
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].find("\"event\":\"first\"") != std::string::npos);
+  CHECK(lines[1] == "info / second");
+}
+
 TEST_CASE("a writer keeps no more than its bound") {
   Pipe pipe;
   LogWriter writer(pipe.writer(), 10);
