--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -62,7 +62,7 @@
       *base::fromName(fleet::TargetStateNames, object.at("state").as_string());
   out.Target.Slots = static_cast<uint32_t>(numberAt(object, "slots"));
   out.Target.Connections = out.Target.Slots;
-  out.Incarnation = numberAt(object, "born");
+  out.Incarnation = numberAt(object, "started_unix_ms");
   out.Sequence = numberAt(object, "sequence");
   return out;
 }
--- a/Libraries/LibNode/HeartbeatCodec.h
+++ b/Libraries/LibNode/HeartbeatCodec.h
@@ -9,9 +9,9 @@
 namespace radishcross::node {
 
 /// Decodes a heartbeat of target \p id: {"service", "address", "state",
-/// "slots", "sequence", "warm_up_ms", "born"}; unknown keys are passed over.
-/// Fails with a 1xxx code. A service without a configuration's name belongs to
-/// the external configuration.
+/// "slots", "sequence", "warm_up_ms", "started_unix_ms"}; unknown keys are
+/// passed over. Fails with a 1xxx code. A service without a configuration's
+/// name belongs to the external configuration.
 std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
                                                 std::string_view body,
                                                 base::LastReason &reason);
--- a/Tests/Platform/TestPlatformNames.cpp
+++ b/Tests/Platform/TestPlatformNames.cpp
@@ -67,6 +67,7 @@
     "faultTolerance",
     "boot.yaml",
     "RADISHCROSS_BOOT",
+    "\"born\"",
 };
 
 /// The folder's bound, in lines of all its files.
