LibNode: Reread the settings at SIGHUP and when the file changes

Cause: SIGHUP was not handled and ended the process (code 129), and a file that changed without a signal was not noticed.

The file is read again at SIGHUP and every two seconds. SettingsWatch decides: log, drain time, names of header fields, target lease and service are applied while the node runs, and the log line "settings changed" names them and what needs a restart. A bad file leaves the old settings in force and is named once.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -246,6 +246,16 @@
   limits.MaximumBytes = MaximumSettingsBytes;
   auto document = schema::readStrictJson(path, limits, reason);
   if (!document)
+std::optional<NodeSettings> parseNodeSettings(std::string_view text,
+                                              base::LastReason &reason) {
+  schema::DocumentLimits limits;
+  limits.MaximumBytes = MaximumSettingsBytes;
+  auto document = schema::parseStrictJson(text, limits, reason);
+  if (!document)
+    return std::nullopt;
+  return decodeNodeSettings(*document, reason);
+}
+
     return std::nullopt;
   return decodeNodeSettings(*document, reason);
 }
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -31,6 +31,8 @@
   std::string Sha256; ///< 64 hexadecimal digits.
   std::string Team;
   Role Holds = Role::Reader;
+
+  bool operator==(const Token &) const = default;
 };
 
 /// Settings of one node, read from JSON:
@@ -80,6 +82,10 @@
 /// Reads and checks a settings file. Fails with a 1xxx code; the reason names
 /// the key's path, what was found and what is expected.
 std::optional<NodeSettings> loadNodeSettings(const std::string &path,
+/// The same for the text of a settings file.
+std::optional<NodeSettings> parseNodeSettings(std::string_view text,
+                                              base::LastReason &reason);
+
                                              base::LastReason &reason);
 
 } // namespace radishcross::admin
--- a/Libraries/LibBase/Logger.h
+++ b/Libraries/LibBase/Logger.h
@@ -20,6 +20,8 @@
   LogFormat Format = LogFormat::Json;
   std::string Node;
   std::string DataCentre;
+
+  bool operator==(const LogSettings &) const = default;
 };
 
 /// One named value of a log line, for example {"version", "7"}.
--- a/Libraries/LibCalls/CallHeaders.h
+++ b/Libraries/LibCalls/CallHeaders.h
@@ -18,6 +18,8 @@
   std::string CallerService = "X-Radishcross-Caller";
   /// On targets' answers: the request was not run.
   std::string NotRun = "X-Radishcross-Not-Run";
+
+  bool operator==(const CallHeaders &) const = default;
 };
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -74,6 +74,9 @@
 
   /// Returns the targets whose lease holds, with their current state.
   std::vector<fleet::TargetRecord> current() const;
+  /// Sets how long leases granted from now on last.
+  void setLifetime(base::Duration lifetime) { Lifetime = lifetime; }
+
 
 private:
   std::optional<LeaseAnswer> grant(const Announcement &announcement,
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -37,6 +37,13 @@
   /// calls in flight.
   void refuseNewCalls() { RefusesNewCalls = true; }
 
+  /// See CallProxy::namesChanged.
+  void namesChanged(const calls::CallHeaders &headers,
+                    const std::string &localService) {
+    Environment.Headers = headers;
+    Environment.LocalService = localService;
+  }
+
   void tick();
   base::TimePoint now() const { return Environment.Time->now(); }
   size_t callsAtGate() const { return Environment.Gate->inFlight(); }
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -27,6 +27,10 @@
 
   base::Address callsAddress() const override { return Callers->address(); }
   base::Address meshAddress() const override { return Mesh->address(); }
+  void namesChanged(const calls::CallHeaders &headers,
+                    const std::string &localService) override {
+    Engine->namesChanged(headers, localService);
+  }
   void drain() override;
   size_t inFlight() const override;
   void tick() override;
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -32,7 +32,7 @@
   std::function<std::optional<fleet::TargetRecord>(const std::string &)>
       LocalTarget;
   std::vector<std::string> MeshKeys; ///< The first signs, all verify.
-  bool TrustsNetwork = false; ///< Without keys calls need no proof.
+  bool TrustsNetwork = false;        ///< Without keys calls need no proof.
   calls::CallHeaders Headers;
   std::string LocalService; ///< Told to targets as the caller; empty: none.
   std::string NodeId;
@@ -55,6 +55,10 @@
   virtual base::Address callsAddress() const = 0;
   virtual base::Address meshAddress() const = 0;
 
+  /// Replaces the names of header fields and of the service on this VM.
+  virtual void namesChanged(const calls::CallHeaders &headers,
+                            const std::string &localService) = 0;
+
   /// Stops accepting calls of callers; calls in flight finish.
   virtual void drain() = 0;
 
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/LastReason.h>
 #include <LibBase/Logger.h>
 #include <LibNode/NodeProcess.h>
+#include <LibNode/SettingsFile.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -26,13 +27,16 @@
 
 } // namespace
 
-base::ResultCode run(const admin::NodeSettings &settings, PlatformPorts ports) {
+base::ResultCode run(const admin::NodeSettings &settings,
+                     const std::string &settingsPath, PlatformPorts ports) {
   auto log = settings.Log;
   log.Node = settings.Node;
   log.DataCentre = settings.DataCentre;
   base::setUpLog(log);
   boost::asio::io_context context(1);
   base::LastReason reason;
+  // Until the file is watched, a signal for it must not end the process.
+  std::signal(SIGHUP, SIG_IGN);
   auto node = NodeProcess::create(context, settings, std::move(ports), reason);
   if (!node) {
     base::log(base::LogLevel::Error, "node cannot start",
@@ -41,6 +45,10 @@
   }
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   drainOnSignal(signals, **node);
+  SettingsFile file(context, settingsPath, settings,
+                    [&](const admin::NodeSettings &changed) {
+                      (*node)->settingsChanged(changed);
+                    });
   (*node)->whenDrained([&context] { context.stop(); });
   base::log(base::LogLevel::Info, "node started",
             {{"calls", (*node)->callsAddress().text()},
--- a/Libraries/LibNode/Node.h
+++ b/Libraries/LibNode/Node.h
@@ -4,11 +4,15 @@
 #include <LibBase/ResultCode.h>
 #include <LibNode/PlatformPorts.h>
 
+#include <string>
+
 namespace radishcross::node {
 
-/// Runs one node until SIGTERM or SIGINT has drained it. Returns Ok after a
+/// Runs one node until SIGTERM or SIGINT has drained it. The file at
+/// \p settingsPath is read again when it changes. Returns Ok after a
 /// graceful shutdown, or the code of what kept it from starting; the reason is
 /// in the log.
-base::ResultCode run(const admin::NodeSettings &settings, PlatformPorts ports);
+base::ResultCode run(const admin::NodeSettings &settings,
+                     const std::string &settingsPath, PlatformPorts ports);
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -386,6 +386,16 @@
   Leases.drainAll();
   targetsChanged();
   Proxy->drain();
+void NodeProcess::settingsChanged(const admin::NodeSettings &settings) {
+  Settings = settings;
+  auto log = settings.Log;
+  log.Node = Self.Id;
+  log.DataCentre = Self.DataCentre;
+  base::setUpLog(log);
+  Leases.setLifetime(settings.TargetLease);
+  Proxy->namesChanged(settings.CallHeaders, settings.Service);
+}
+
 }
 
 void NodeProcess::drainTick() {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -60,6 +60,10 @@
   void drainSelf() override;
 
   /// Calls \p done once the graceful shutdown is complete.
+  /// Takes over what can change while the node runs; see
+  /// admin::withLiveSettings.
+  void settingsChanged(const admin::NodeSettings &settings);
+
   void whenDrained(std::function<void()> done) { Drained = std::move(done); }
 
   base::Address callsAddress() const { return Proxy->callsAddress(); }
--- /dev/null
+++ b/Libraries/LibNode/SettingsFile.cpp
@@ -0,0 +1,84 @@
+#include <LibNode/SettingsFile.h>
+
+#include <LibBase/Logger.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+namespace radishcross::node {
+
+namespace {
+
+constexpr std::chrono::seconds PollPeriod{2};
+
+std::string joined(const std::vector<std::string> &names) {
+  std::string out;
+  for (const auto &it : names)
+    out += (out.empty() ? "" : ",") + it;
+  return out;
+}
+
+} // namespace
+
+SettingsFile::SettingsFile(boost::asio::io_context &context, std::string path,
+                           admin::NodeSettings inForce, Changed changed)
+    : Path(std::move(path)), Watch(std::move(inForce)),
+      OnChanged(std::move(changed)), Signals(context, SIGHUP), Timer(context) {
+  reread();
+  awaitSignal();
+  armTimer();
+}
+
+void SettingsFile::armTimer() {
+  Timer.expires_after(PollPeriod);
+  Timer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    reread();
+    armTimer();
+  });
+}
+
+void SettingsFile::awaitSignal() {
+  Signals.async_wait([this](boost::system::error_code ec, int) {
+    if (ec)
+      return;
+    if (!reread())
+      base::log(base::LogLevel::Info, "settings reread", {{"changed", "no"}});
+    awaitSignal();
+  });
+}
+
+bool SettingsFile::reread() {
+  std::ifstream file(Path, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(file), {}};
+  bool isReadable = file && !text.empty();
+  if (isReadable != std::exchange(IsReadable, isReadable) && !isReadable)
+    base::log(base::LogLevel::Error, "settings file cannot be read",
+              {{"path", Path}});
+  if (!isReadable)
+    return false;
+  base::LastReason reason;
+  auto reading = Watch.take(text, reason);
+  if (reading.What == SettingsReading::Kind::Refused)
+    base::log(base::LogLevel::Error, "settings refused",
+              {{"path", Path}, {"reason", reason.line()}});
+  if (reading.What != SettingsReading::Kind::Taken)
+    return reading.What != SettingsReading::Kind::Same;
+  const auto &difference = reading.Difference;
+  if (difference.Live.empty() && difference.Restart.empty())
+    return false;
+  if (!difference.Live.empty())
+    OnChanged(Watch.inForce());
+  base::log(difference.Restart.empty() ? base::LogLevel::Info
+                                       : base::LogLevel::Warning,
+            "settings changed",
+            {{"applied", joined(difference.Live)},
+             {"needs_restart", joined(difference.Restart)}});
+  return true;
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/SettingsWatch.cpp
@@ -0,0 +1,21 @@
+#include <LibNode/SettingsWatch.h>
+
+#include <utility>
+
+namespace radishcross::node {
+
+SettingsReading SettingsWatch::take(std::string_view text,
+                                    base::LastReason &reason) {
+  if (text == LastText)
+    return {};
+  LastText = text;
+  auto next = admin::parseNodeSettings(text, reason);
+  if (!next)
+    return {SettingsReading::Kind::Refused, {}};
+  SettingsReading out{SettingsReading::Kind::Taken,
+                      admin::compareSettings(InForce, *next)};
+  InForce = admin::withLiveSettings(std::move(InForce), *next);
+  return out;
+}
+
+} // namespace radishcross::node
--- /dev/null
+++ b/Libraries/LibNode/SettingsWatch.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <LibAdmin/NodeSettings.h>
+#include <LibAdmin/SettingsDifference.h>
+#include <LibBase/LastReason.h>
+
+#include <string>
+#include <string_view>
+
+namespace radishcross::node {
+
+/// What became of a text of the settings file.
+struct SettingsReading {
+  enum class Kind : uint8_t {
+    Same,    ///< The text that was read last.
+    Refused, ///< Bad; the settings in force stay.
+    Taken,   ///< inForce() has what can change while the node runs.
+  };
+  Kind What = Kind::Same;
+  admin::SettingsDifference Difference; ///< To what was in force.
+};
+
+/// Decides what a changed settings file does to a node that runs.
+class SettingsWatch {
+public:
+  explicit SettingsWatch(admin::NodeSettings inForce)
+      : InForce(std::move(inForce)) {}
+
+  /// Takes the file's text, as often as it is read; \p reason is set where it
+  /// is refused, which is said once for one text.
+  SettingsReading take(std::string_view text, base::LastReason &reason);
+
+  const admin::NodeSettings &inForce() const { return InForce; }
+
+private:
+  admin::NodeSettings InForce;
+  std::string LastText;
+};
+
+} // namespace radishcross::node
--- a/Services/Radishcross/RunNode.cpp
+++ b/Services/Radishcross/RunNode.cpp
@@ -19,7 +19,7 @@
     return printFailure(reason);
   }
   auto settings = admin::loadNodeSettings(path, reason);
-  return settings ? node::run(*settings, platform::ports())
+  return settings ? node::run(*settings, path, platform::ports())
                   : printFailure(reason);
 }
 
