LibNode: Leave before the grace time ends, and serve until then

Causes: (1) the drain waited for 1.5 s of quiet after the listeners were closed and took the whole of the grace time where calls lasted. (4) Readiness came back for the moment of the leave itself.

DrainPlan decides when to leave: 0.1 s after the last connection is closed, or when an eighth of drain_seconds is left. Readiness is refused from the signal on, calls are served until they stop coming.

--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -21,10 +21,6 @@
 /// How often queue deadlines, leases and pending changes are looked at.
 constexpr base::Duration TickPeriod = 20ms;
 
-/// How long a draining node waits without any call before it ends: the others
-/// learn of it in this time, and none of their calls is refused.
-constexpr base::Duration QuietBeforeStop = 1500ms;
-
 /// What a node remembers of its decisions for \ref recording.
 constexpr size_t MostDecisions = 65536;
 
@@ -137,7 +133,7 @@
   environment.Broker = &Usage;
   environment.Gate = &CallsGate;
   environment.CurrentSnapshot = [this]() -> config::SnapshotPointer {
-    return ready() ? InForce : nullptr;
+    return isServing() ? InForce : nullptr;
   };
   environment.LocalTarget =
       [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
@@ -256,7 +252,7 @@
 }
 
 void NodeProcess::tick() {
-  if (!Recovered && ready())
+  if (!Recovered && isServing())
     recovered();
   Link.tick(Time.now());
   if (Leases.tick(Time.now()))
@@ -271,8 +267,7 @@
   CallsBroker.tick(Time.now());
   Proxy->tick();
   Changes.tick();
-  if (Draining)
-    drainTick();
+  drainTick();
 }
 
 void NodeProcess::recovered() {
@@ -307,10 +302,14 @@
   return Counters;
 }
 
-bool NodeProcess::ready() const {
+bool NodeProcess::ready() const { return isServing() && !Draining.isStarted(); }
+
+/// Tells whether calls can be handled; while the node drains it takes those
+/// that still come.
+bool NodeProcess::isServing() const {
   bool hasConfiguration =
       !Settings.HasOperatorConfiguration || Link.configuration().version() != 0;
-  return Fleet && Fleet->ready() && InForce && hasConfiguration && !Draining;
+  return Fleet && Fleet->ready() && InForce && hasConfiguration;
 }
 
 void NodeProcess::change(log::Record record, base::Duration patience,
@@ -377,15 +376,6 @@
       Decisions.recording(Self.Id, Seed, from.time_since_epoch().count()));
 }
 
-void NodeProcess::drainSelf() {
-  if (Draining)
-    return;
-  Draining = true;
-  DrainStartedAt = LastBusyAt = Time.now();
-  base::log(base::LogLevel::Info, "drain started");
-  Leases.drainAll();
-  targetsChanged();
-  Proxy->drain();
 void NodeProcess::settingsChanged(const admin::NodeSettings &settings) {
   Settings = settings;
   auto log = settings.Log;
@@ -396,19 +386,15 @@
   Proxy->namesChanged(settings.CallHeaders, settings.Service);
 }
 
-}
-
-void NodeProcess::drainTick() {
-  auto now = Time.now();
-  if (Proxy->inFlight() > 0)
-    LastBusyAt = now;
-  bool isQuiet = now - LastBusyAt >= QuietBeforeStop;
-  bool isLate =
-      now - DrainStartedAt >= std::chrono::seconds(Settings.DrainSeconds);
-  if (!isQuiet && !isLate)
+void NodeProcess::drainSelf() {
+  if (!Draining.start(std::chrono::seconds(Settings.DrainSeconds), Time.now()))
     return;
-  Draining = false;
-  base::log(isQuiet ? base::LogLevel::Info : base::LogLevel::Warning,
+  base::log(base::LogLevel::Info, "drain started");
+  Leases.drainAll();
+  targetsChanged();
+  Proxy->drain();
+  base::log(step == DrainPlan::Step::Quiet ? base::LogLevel::Info
+                                           : base::LogLevel::Warning,
             "drain ended",
             {{"calls_in_flight", std::to_string(Proxy->inFlight())}});
   Fleet->leave([this] {
@@ -418,3 +404,9 @@
 }
 
 } // namespace radishcross::node
+}
+
+void NodeProcess::drainTick() {
+  auto step = Draining.look(Proxy->inFlight(), Time.now());
+  if (step != DrainPlan::Step::Quiet && step != DrainPlan::Step::Late)
+    return;
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -15,6 +15,7 @@
 #include <LibLog/HeldVersions.h>
 #include <LibLog/KeyedLog.h>
 #include <LibNode/ChangeFlow.h>
+#include <LibNode/DrainPlan.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNews.h>
 #include <LibNode/TargetListener.h>
@@ -72,6 +73,7 @@
   NodeProcess(boost::asio::io_context &context,
               const admin::NodeSettings &settings, PlatformPorts ports);
 
+  bool isServing() const;
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
   boost::json::array servicesInUse() const;
@@ -117,9 +119,7 @@
   bool MembersDirty = false;
   bool Recovered = false;
   bool IsFloorTaken = false;
-  bool Draining = false;
-  base::TimePoint DrainStartedAt{};
-  base::TimePoint LastBusyAt{};
+  DrainPlan Draining;
   std::function<void()> Drained;
 };
 
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -184,6 +184,12 @@
   bool isDrained = false;
   mesh.Nodes[0]->whenDrained([&] { isDrained = true; });
   mesh.Nodes[0]->drainSelf();
+  CHECK_FALSE(mesh.Nodes[0]->ready());
+  // What still comes while callers learn of it is served, not refused.
+  auto late = mesh.ask(mesh.Settings[0].Calls, lookup);
+  REQUIRE(late);
+  CHECK(late->result_int() == 200);
+  CHECK_FALSE(late->keep_alive());
   CHECK(mesh.runUntil([&] { return isDrained; }));
 }
 
