LibNode: Take heartbeats of the VM's own target alone, and let leaves linger

When a target says that it drains, or leaves, the other nodes are told at once while its gate takes for 0.4 s what was on the way, then refuses as not run. Before, those calls were refused. Where only the node is drained, the gate takes its target's calls as long as they come. Heartbeats and leaves are recorded for replay; without them a replayed tick decided otherwise.

Tests: genuine and foreign heartbeats, leaves said in both ways, late and reordered heartbeats, a target that starts again under its id, an address that has passed to another target.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -216,6 +216,12 @@
     settings.HasOperatorConfiguration = flag->as_bool();
   if (const auto *service = root.if_contains("service"))
     settings.Service = text(*service);
+  if (const auto *address = root.if_contains("target_address")) {
+    settings.TargetAddress =
+        readAddress(*address, "target_address", false, reason);
+    if (!settings.TargetAddress)
+      return std::nullopt;
+  }
   if (const auto *headers = root.if_contains("call_headers"))
     readCallHeaders(headers->as_object(), settings.CallHeaders);
   if (const auto *n = root.if_contains("target_lease_ms"))
@@ -240,12 +246,6 @@
   return settings;
 }
 
-std::optional<NodeSettings> loadNodeSettings(const std::string &path,
-                                             base::LastReason &reason) {
-  schema::DocumentLimits limits;
-  limits.MaximumBytes = MaximumSettingsBytes;
-  auto document = schema::readStrictJson(path, limits, reason);
-  if (!document)
 std::optional<NodeSettings> parseNodeSettings(std::string_view text,
                                               base::LastReason &reason) {
   schema::DocumentLimits limits;
@@ -256,6 +256,12 @@
   return decodeNodeSettings(*document, reason);
 }
 
+std::optional<NodeSettings> loadNodeSettings(const std::string &path,
+                                             base::LastReason &reason) {
+  schema::DocumentLimits limits;
+  limits.MaximumBytes = MaximumSettingsBytes;
+  auto document = schema::readStrictJson(path, limits, reason);
+  if (!document)
     return std::nullopt;
   return decodeNodeSettings(*document, reason);
 }
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -55,6 +55,9 @@
   /// The platform's operator writes a configuration, without which the node
   /// does not serve.
   bool HasOperatorConfiguration = false;
+  /// Where this VM's target listens; heartbeats of others are refused. Without
+  /// it any address is taken.
+  std::optional<base::Address> TargetAddress;
   std::string Service; ///< That of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   base::Duration TargetLease = std::chrono::seconds(3);
@@ -79,13 +82,13 @@
 decodeNodeSettings(const boost::json::value &document,
                    base::LastReason &reason);
 
-/// Reads and checks a settings file. Fails with a 1xxx code; the reason names
-/// the key's path, what was found and what is expected.
-std::optional<NodeSettings> loadNodeSettings(const std::string &path,
 /// The same for the text of a settings file.
 std::optional<NodeSettings> parseNodeSettings(std::string_view text,
                                               base::LastReason &reason);
 
+/// Reads and checks a settings file. Fails with a 1xxx code; the reason names
+/// the key's path, what was found and what is expected.
+std::optional<NodeSettings> loadNodeSettings(const std::string &path,
                                              base::LastReason &reason);
 
 } // namespace radishcross::admin
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -37,6 +37,7 @@
     live<&Settings::CallHeaders>("call_headers"),
     live<&Settings::TargetLease>("target_lease_ms"),
     live<&Settings::Service>("service"),
+    live<&Settings::TargetAddress>("target_address"),
     atStart<&Settings::Node>("node"),
     atStart<&Settings::DataCentre>("data_centre"),
     atStart<&Settings::Region>("region"),
--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -7,10 +7,9 @@
 namespace {
 
 constexpr base::EnumName<LeaseEvent::Value> EventNames[] = {
-    {LeaseEvent::Announce, "announce"},
-    {LeaseEvent::Tick, "tick"},
-    {LeaseEvent::Drain, "drain"},
-    {LeaseEvent::DrainAll, "drain-all"},
+    {LeaseEvent::Announce, "announce"},   {LeaseEvent::Tick, "tick"},
+    {LeaseEvent::Drain, "drain"},         {LeaseEvent::DrainAll, "drain-all"},
+    {LeaseEvent::Heartbeat, "heartbeat"}, {LeaseEvent::Leave, "leave"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -31,6 +30,10 @@
   case LeaseEvent::DrainAll:
     Replayed.drainAll();
     return {};
+  case LeaseEvent::Heartbeat:
+    return heartbeat(entry);
+  case LeaseEvent::Leave:
+    return {Replayed.leave(entry.Text, timeOf(entry)) ? 1 : 0};
   }
   return {};
 }
@@ -51,6 +54,24 @@
   return {static_cast<int64_t>(out->Epoch), 0};
 }
 
+trace::Outcome LeasePlayer::heartbeat(const trace::Entry &entry) {
+  Heartbeat heartbeat;
+  base::LastReason reason;
+  const auto space = entry.Text.find(' ');
+  const auto where = base::parseAddress(entry.Text.substr(0, space), reason);
+  if (!where)
+    return {static_cast<int64_t>(reason.code())};
+  heartbeat.Target.Where = *where;
+  heartbeat.Target.TargetId = entry.Text.substr(space + 1);
+  heartbeat.Incarnation = static_cast<uint64_t>(entry.Numbers[0]);
+  heartbeat.Sequence = static_cast<uint64_t>(entry.Numbers[1]);
+  heartbeat.Target.State = static_cast<fleet::TargetState>(entry.Numbers[2]);
+  heartbeat.Target.Slots = static_cast<uint32_t>(entry.Numbers[3]);
+  if (Replayed.heartbeat(heartbeat, timeOf(entry), reason))
+    return {0};
+  return {static_cast<int64_t>(reason.code())};
+}
+
 std::string_view LeasePlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<LeaseEvent::Value>(event));
 }
--- a/Libraries/LibCalls/LeasePlayer.h
+++ b/Libraries/LibCalls/LeasePlayer.h
@@ -15,6 +15,7 @@
 
 private:
   trace::Outcome announce(const trace::Entry &entry);
+  trace::Outcome heartbeat(const trace::Entry &entry);
 
   trace::NullRecorder Ignored;
   TargetLeases Replayed{Ignored};
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -26,6 +26,20 @@
 bool TargetLeases::heartbeat(const Heartbeat &heartbeat, base::TimePoint now,
                              base::LastReason &reason) {
   const auto &target = heartbeat.Target;
+  const bool out = take(heartbeat, now, reason);
+  auto entry = entryOf(now, LeaseEvent::Heartbeat,
+                       target.Where.text() + " " + target.TargetId);
+  entry.Numbers = {static_cast<int64_t>(heartbeat.Incarnation),
+                   static_cast<int64_t>(heartbeat.Sequence),
+                   static_cast<int64_t>(target.State), target.Slots};
+  entry.Decided = {out ? 0 : static_cast<int64_t>(reason.code())};
+  Record->record(std::move(entry));
+  return out;
+}
+
+bool TargetLeases::take(const Heartbeat &heartbeat, base::TimePoint now,
+                        base::LastReason &reason) {
+  const auto &target = heartbeat.Target;
   lapse(now);
   for (const auto &[id, it] : Leases)
     if (id != target.TargetId && it.Target.Where == target.Where &&
@@ -54,6 +68,9 @@
     state = std::max(state, lease.Target.State);
   Changed = true;
   const uint64_t epoch = lease.Target.Epoch;
+  if (isNewProcess)
+    lease.LingersUntil.reset();
+  setState(lease, state, now);
   lease.Target = target;
   lease.Target.State = state;
   lease.Target.Epoch = isNewProcess ? heartbeat.Incarnation : epoch;
@@ -67,15 +84,28 @@
   return true;
 }
 
-bool TargetLeases::leave(std::string_view targetId) {
+bool TargetLeases::leave(std::string_view targetId, base::TimePoint now) {
   const auto it = Leases.find(targetId);
-  if (it == Leases.end())
+  const bool isKnown = it != Leases.end();
+  auto entry = entryOf(now, LeaseEvent::Leave, targetId);
+  entry.Decided = {isKnown ? 1 : 0};
+  Record->record(std::move(entry));
+  if (!isKnown)
     return false;
-  it->second.Target.State = fleet::TargetState::Left;
+  setState(it->second, fleet::TargetState::Left, now);
   Changed = true;
   return true;
 }
 
+/// Notes since when a target that took work takes none.
+void TargetLeases::setState(Lease &lease, fleet::TargetState state,
+                            base::TimePoint now) {
+  const bool wasReady = lease.Target.State == fleet::TargetState::Ready;
+  if (wasReady && state > fleet::TargetState::Ready)
+    lease.LingersUntil = now + GateLinger;
+  lease.Target.State = state;
+}
+
 std::optional<LeaseAnswer>
 TargetLeases::announce(const Announcement &announcement, base::TimePoint now,
                        base::LastReason &reason) {
@@ -108,6 +138,7 @@
     return reason.fail(ResultCode::LeaseLapsed,
                        "the lease of target \"" + target.TargetId +
                            "\" has lapsed; announce it with epoch 0");
+  setState(it->second, target.State, now);
   it->second.Target = target;
   it->second.ExpiresAt = now + Lifetime;
   return LeaseAnswer{target.Epoch, Lifetime};
@@ -149,6 +180,12 @@
 
 bool TargetLeases::tick(base::TimePoint now) {
   lapse(now);
+  for (auto &[id, it] : Leases) {
+    if (!it.LingersUntil || *it.LingersUntil > now)
+      continue;
+    it.LingersUntil.reset();
+    Changed = true;
+  }
   const bool out = Changed;
   Changed = false;
   auto entry = entryOf(now, LeaseEvent::Tick, {});
@@ -185,4 +222,21 @@
   return out;
 }
 
+std::vector<fleet::TargetRecord>
+TargetLeases::atGate(base::TimePoint now) const {
+  std::vector<fleet::TargetRecord> out;
+  for (const auto &[id, lease] : Leases) {
+    if (lease.Lapsed)
+      continue;
+    auto target = lease.Target;
+    if (lease.LingersUntil && *lease.LingersUntil > now)
+      target.State = fleet::TargetState::Ready;
+    else if (lease.DrainedByOperator &&
+             target.State < fleet::TargetState::Draining)
+      target.State = fleet::TargetState::Draining;
+    out.push_back(std::move(target));
+  }
+  return out;
+}
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -33,9 +33,11 @@
 
 /// Events of a trace's entries. Announce has the numbers epoch, state, slots,
 /// connections, load and decides the granted epoch or the code of the refusal;
-/// Tick decides 1. The text is the target.
+/// Tick decides 1. The text is the target. Heartbeat has the numbers
+/// incarnation, sequence, state, slots and the text "ADDRESS TARGET", and
+/// decides the code of the refusal; Leave decides 1 where the target is known.
 struct LeaseEvent {
-  enum Value : uint8_t { Announce, Tick, Drain, DrainAll };
+  enum Value : uint8_t { Announce, Tick, Drain, DrainAll, Heartbeat, Leave };
 };
 
 /// Leases of the announcements of the targets behind one node. A target whose
@@ -63,7 +65,7 @@
                  base::LastReason &reason);
 
   /// Notes that a target has left; returns whether it was known.
-  bool leave(std::string_view targetId);
+  bool leave(std::string_view targetId, base::TimePoint now);
 
   /// Drops lapsed leases; returns true when the list of targets changed.
   bool tick(base::TimePoint now);
@@ -72,18 +74,32 @@
   void drain(std::string_view targetId);
   void drainAll();
 
-  /// Returns the targets whose lease holds, with their current state.
-  std::vector<fleet::TargetRecord> current() const;
   /// Sets how long leases granted from now on last.
   void setLifetime(base::Duration lifetime) { Lifetime = lifetime; }
 
+  /// Returns the targets whose lease holds, with their current state.
+  std::vector<fleet::TargetRecord> current() const;
+
+  /// How long the gate still takes calls for a target that has begun to leave:
+  /// they were on the way when the other nodes were told.
+  static constexpr base::Duration GateLinger = std::chrono::milliseconds(400);
+
+  /// Returns the same as the gate in front of them shall see it: a target that
+  /// has begun to leave takes work for GateLinger, and one that is drained
+  /// for its node's sake for as long as calls come. tick() tells of the end.
+  std::vector<fleet::TargetRecord> atGate(base::TimePoint now) const;
 
 private:
+  struct Lease;
   std::optional<LeaseAnswer> grant(const Announcement &announcement,
                                    base::TimePoint now);
   std::optional<LeaseAnswer> decide(const Announcement &announcement,
                                     base::TimePoint now,
                                     base::LastReason &reason);
+  bool take(const Heartbeat &heartbeat, base::TimePoint now,
+            base::LastReason &reason);
+  static void setState(Lease &lease, fleet::TargetState state,
+                       base::TimePoint now);
   bool makeRoom();
   bool lapse(base::TimePoint now);
 
@@ -94,6 +110,8 @@
     uint64_t Sequence = 0;
     bool Lapsed = false;
     bool DrainedByOperator = false;
+    /// While set, the gate takes work although the target leaves.
+    std::optional<base::TimePoint> LingersUntil;
   };
   std::map<std::string, Lease, std::less<>> Leases;
   bool AllDrained = false;
--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+std::string fullServiceName(std::string_view name) {
+  if (name.find('/') != std::string_view::npos)
+    return std::string(name);
+  return std::string(config::ExternalName) + "/" + std::string(name);
+}
+
 std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
                                                 std::string_view body,
                                                 base::LastReason &reason) {
@@ -52,10 +58,7 @@
   if (!address)
     return std::nullopt;
   calls::Heartbeat out;
-  out.Target.Service = std::string(object.at("service").as_string());
-  if (out.Target.Service.find('/') == std::string::npos)
-    out.Target.Service =
-        std::string(config::ExternalName) + "/" + out.Target.Service;
+  out.Target.Service = fullServiceName(object.at("service").as_string());
   out.Target.TargetId = std::string(id);
   out.Target.Where = *address;
   out.Target.State =
--- a/Libraries/LibNode/HeartbeatCodec.h
+++ b/Libraries/LibNode/HeartbeatCodec.h
@@ -4,10 +4,15 @@
 #include <LibCalls/TargetLeases.h>
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace radishcross::node {
 
+/// Returns the name of a service as the fleet knows it: one without a
+/// configuration's name belongs to the external configuration.
+std::string fullServiceName(std::string_view name);
+
 /// Decodes a heartbeat of target \p id: {"service", "address", "state",
 /// "slots", "sequence", "warm_up_ms", "born"}; unknown keys are passed over.
 /// Fails with a 1xxx code. A service without a configuration's name belongs to
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Logger.h>
 #include <LibFleet/MemberTable.h>
 #include <LibLog/HeldPlayer.h>
+#include <LibNode/HeartbeatCodec.h>
 #include <LibTrace/TraceText.h>
 
 #include <algorithm>
@@ -49,6 +50,15 @@
   return out;
 }
 
+OwnTarget ownTargetOf(const admin::NodeSettings &settings) {
+  OwnTarget out;
+  out.Where = settings.TargetAddress;
+  // Without the address any service may be announced here.
+  if (out.Where && !settings.Service.empty())
+    out.Service = fullServiceName(settings.Service);
+  return out;
+}
+
 int64_t unixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -79,7 +89,8 @@
                                                 if (Fleet)
                                                   Fleet->readLogSoon();
                                               }),
-      Announcements(Leases, Time, [this] { targetsChanged(); }),
+      Announcements(Leases, Time, ownTargetOf(settings),
+                    [this] { targetsChanged(); }),
       Administration(*this, settings.Tokens), Timer(context) {}
 
 NodeProcess::~NodeProcess() = default;
@@ -236,9 +247,8 @@
 }
 
 void NodeProcess::targetsChanged() {
-  auto targets = Leases.current();
-  CallsGate.targetsChanged(targets, Time.now());
-  Fleet->setTargets(std::move(targets));
+  CallsGate.targetsChanged(Leases.atGate(Time.now()), Time.now());
+  Fleet->setTargets(Leases.current());
 }
 
 void NodeProcess::armTimer() {
@@ -383,6 +393,7 @@
   log.DataCentre = Self.DataCentre;
   base::setUpLog(log);
   Leases.setLifetime(settings.TargetLease);
+  Announcements.setOwnTarget(ownTargetOf(settings));
   Proxy->namesChanged(settings.CallHeaders, settings.Service);
 }
 
@@ -393,6 +404,12 @@
   Leases.drainAll();
   targetsChanged();
   Proxy->drain();
+}
+
+void NodeProcess::drainTick() {
+  auto step = Draining.look(Proxy->inFlight(), Time.now());
+  if (step != DrainPlan::Step::Quiet && step != DrainPlan::Step::Late)
+    return;
   base::log(step == DrainPlan::Step::Quiet ? base::LogLevel::Info
                                            : base::LogLevel::Warning,
             "drain ended",
@@ -404,9 +421,3 @@
 }
 
 } // namespace radishcross::node
-}
-
-void NodeProcess::drainTick() {
-  auto step = Draining.look(Proxy->inFlight(), Time.now());
-  if (step != DrainPlan::Step::Quiet && step != DrainPlan::Step::Late)
-    return;
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -60,11 +60,11 @@
   std::string recording(uint32_t seconds) const override;
   void drainSelf() override;
 
-  /// Calls \p done once the graceful shutdown is complete.
   /// Takes over what can change while the node runs; see
   /// admin::withLiveSettings.
   void settingsChanged(const admin::NodeSettings &settings);
 
+  /// Calls \p done once the graceful shutdown is complete.
   void whenDrained(std::function<void()> done) { Drained = std::move(done); }
 
   base::Address callsAddress() const { return Proxy->callsAddress(); }
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -93,10 +93,29 @@
 
 } // namespace
 
+bool isFromOwnTarget(const calls::Heartbeat &heartbeat, const OwnTarget &own,
+                     base::LastReason &reason) {
+  const auto &target = heartbeat.Target;
+  if (own.Where && target.Where != *own.Where) {
+    reason.fail(base::ResultCode::BadValue,
+                "address: found " + target.Where.text() + ", expected " +
+                    own.Where->text() + ", that of the target on this VM");
+    return false;
+  }
+  if (!own.Service.empty() && target.Service != own.Service) {
+    reason.fail(base::ResultCode::BadValue,
+                "service: found \"" + target.Service + "\", expected \"" +
+                    own.Service + "\", that of the target on this VM");
+    return false;
+  }
+  return true;
+}
+
 TargetListener::TargetListener(calls::TargetLeases &leases,
-                               const base::Clock &clock,
+                               const base::Clock &clock, OwnTarget own,
                                std::function<void()> changed)
-    : Leases(&leases), Time(&clock), Changed(std::move(changed)) {}
+    : Leases(&leases), Time(&clock), Own(std::move(own)),
+      Changed(std::move(changed)) {}
 
 boost::asio::awaitable<http::Response>
 TargetListener::handle(http::IncomingRequest request) {
@@ -142,7 +161,9 @@
                                          std::string_view body) {
   base::LastReason reason;
   auto heartbeat = decodeHeartbeat(id, body, reason);
-  if (!heartbeat || !Leases->heartbeat(*heartbeat, Time->now(), reason)) {
+  bool isTaken = heartbeat && isFromOwnTarget(*heartbeat, Own, reason) &&
+                 Leases->heartbeat(*heartbeat, Time->now(), reason);
+  if (!isTaken) {
     base::log(base::LogLevel::Warning, "heartbeat refused",
               {{"target", std::string(id)}, {"reason", reason.line()}});
     return refusal(reason);
@@ -153,7 +174,7 @@
 
 /// A target that is not known has nothing to leave, which is as good.
 http::Response TargetListener::leave(std::string_view id) {
-  bool isKnown = Leases->leave(id);
+  bool isKnown = Leases->leave(id, Time->now());
   base::log(base::LogLevel::Info, "target left",
             {{"target", std::string(id)}, {"known", isKnown ? "yes" : "no"}});
   Changed();
--- a/Libraries/LibNode/TargetListener.h
+++ b/Libraries/LibNode/TargetListener.h
@@ -1,15 +1,31 @@
 #pragma once
 
+#include <LibBase/Address.h>
 #include <LibBase/Clock.h>
+#include <LibBase/LastReason.h>
 #include <LibCalls/TargetLeases.h>
 #include <LibHttp/Server.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace radishcross::node {
 
+/// The target beside a node; what is empty is not checked.
+struct OwnTarget {
+  std::string Service; ///< "configuration/name".
+  std::optional<base::Address> Where;
+};
+
+/// Tells whether a heartbeat comes from the target beside the node; fails with
+/// BadValue where another writer must have sent it.
+bool isFromOwnTarget(const calls::Heartbeat &heartbeat, const OwnTarget &own,
+                     base::LastReason &reason);
+
 /// Takes the announcements of the targets on this VM:
 /// POST /v1/targets {"service", "target", "address", "state", "slots",
 /// "connections", "load_permille", "epoch"} -> {"epoch", "lease_ms"}, or
@@ -18,7 +34,9 @@
 class TargetListener {
 public:
   TargetListener(calls::TargetLeases &leases, const base::Clock &clock,
-                 std::function<void()> changed);
+                 OwnTarget own, std::function<void()> changed);
+
+  void setOwnTarget(OwnTarget own) { Own = std::move(own); }
 
   /// Answers one request; used as the handler of an http::Server.
   boost::asio::awaitable<http::Response> handle(http::IncomingRequest request);
@@ -30,6 +48,7 @@
 
   calls::TargetLeases *Leases;
   const base::Clock *Time;
+  OwnTarget Own;
   std::function<void()> Changed;
 };
 
--- a/Tests/LibCalls/TestTargetLeases.cpp
+++ b/Tests/LibCalls/TestTargetLeases.cpp
@@ -22,8 +22,31 @@
     const auto out = Leases.announce({record}, at(passed), Reason);
     return out ? out->Epoch : 0;
   }
+
+  bool heartbeat(uint64_t incarnation, uint64_t sequence, base::Duration passed,
+                 TargetState state = TargetState::Ready,
+                 const std::string &id = "t", uint16_t port = 80) {
+    Heartbeat it;
+    it.Target = target(id);
+    it.Target.State = state;
+    it.Target.Where = {"10.0.0.1", port};
+    it.Incarnation = incarnation;
+    it.Sequence = sequence;
+    return Leases.heartbeat(it, at(passed), Reason);
+  }
+
+  /// Returns the state that the others and the gate see of the only target.
+  std::pair<TargetState, TargetState> states(base::Duration passed) const {
+    const auto told = Leases.current();
+    const auto gate = Leases.atGate(at(passed));
+    REQUIRE(told.size() == 1);
+    REQUIRE(gate.size() == 1);
+    return {told[0].State, gate[0].State};
+  }
 };
 
+using States = std::pair<TargetState, TargetState>;
+
 } // namespace
 
 TEST_CASE("a lease is renewed by heartbeats and lapses without them") {
@@ -81,3 +104,70 @@
   CHECK(it.Reason.code() == ResultCode::PeerBusy);
   CHECK(it.announce(0, 4s, "more") > 0);
 }
+
+TEST_CASE("a leave is told at once while the gate takes what is on the way") {
+  for (const bool isSaid : {true, false}) {
+    LeaseBench it;
+    CHECK(it.heartbeat(7, 1, 1s));
+    if (isSaid)
+      CHECK(it.heartbeat(7, 2, 2s, TargetState::Draining));
+    else
+      CHECK(it.Leases.leave("t", at(2s)));
+    const auto said = isSaid ? TargetState::Draining : TargetState::Left;
+    CHECK(it.Leases.tick(at(2s)));
+    CHECK(it.states(2s) == States{said, TargetState::Ready});
+    CHECK_FALSE(it.Leases.tick(at(2399ms)));
+    CHECK(it.states(2399ms) == States{said, TargetState::Ready});
+    // Well before a second is over the gate is shut, and the tick says so.
+    CHECK(it.Leases.tick(at(2400ms)));
+    CHECK(it.states(2400ms) == States{said, said});
+    // A second word of the same leave opens nothing.
+    CHECK(it.Leases.leave("t", at(3s)));
+    CHECK(it.states(3s) == States{TargetState::Left, TargetState::Left});
+  }
+}
+
+TEST_CASE("a drained node's gate takes its target's calls as they come") {
+  LeaseBench it;
+  CHECK(it.heartbeat(7, 1, 1s));
+  it.Leases.drainAll();
+  CHECK(it.states(2s) == States{TargetState::Draining, TargetState::Ready});
+  CHECK(it.heartbeat(7, 2, 2s, TargetState::Draining));
+  CHECK(it.states(3s) == States{TargetState::Draining, TargetState::Draining});
+}
+
+TEST_CASE("heartbeats may come late and in any order") {
+  LeaseBench it;
+  CHECK(it.heartbeat(7, 3, 1s, TargetState::Draining));
+  // An earlier word of the same process changes nothing.
+  CHECK(it.heartbeat(7, 2, 2s));
+  CHECK(it.states(2s).first == TargetState::Draining);
+  // Nor does it keep the lease.
+  it.Leases.tick(at(4s));
+  CHECK(it.Leases.current().empty());
+  // What left does not come back without a new process.
+  CHECK(it.Leases.leave("t", at(4s)));
+  CHECK(it.heartbeat(7, 9, 5s));
+  CHECK(it.Leases.current()[0].State == TargetState::Left);
+}
+
+TEST_CASE("a target that starts again under its id begins anew") {
+  LeaseBench it;
+  CHECK(it.heartbeat(7, 90, 1s, TargetState::Draining));
+  CHECK(it.heartbeat(8, 1, 2s));
+  CHECK(it.states(2s) == States{TargetState::Ready, TargetState::Ready});
+  CHECK_FALSE(it.heartbeat(7, 91, 2s, TargetState::Draining));
+  CHECK(it.Reason.code() == ResultCode::LeaseLapsed);
+  CHECK(it.states(2s).first == TargetState::Ready);
+}
+
+TEST_CASE("a heartbeat of whoever had the address before is refused") {
+  LeaseBench it;
+  CHECK(it.heartbeat(7, 5, 1s, TargetState::Ready, "old"));
+  CHECK(it.heartbeat(8, 1, 2s, TargetState::Ready, "new"));
+  REQUIRE(it.Leases.current().size() == 1);
+  CHECK(it.Leases.current()[0].TargetId == "new");
+  CHECK_FALSE(it.heartbeat(7, 6, 2s, TargetState::Ready, "old"));
+  CHECK(it.Leases.current()[0].TargetId == "new");
+  CHECK(it.heartbeat(6, 1, 2s, TargetState::Ready, "other", 81));
+}
--- /dev/null
+++ b/Tests/LibNode/TestTargetListener.cpp
@@ -0,0 +1,106 @@
+#include <LibNode/TargetListener.h>
+
+#include <LibHttp/Client.h>
+#include <LibTrace/Recorder.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A listener of which nothing but the handler is used.
+struct Listener {
+  trace::NullRecorder Recorder;
+  calls::TargetLeases Leases{Recorder};
+  base::SystemClock Time;
+  int Changes = 0;
+  node::TargetListener Targets{
+      Leases, Time, {"external/till", base::Address{"10.1.0.8", 8301}}, [this] {
+        ++Changes;
+      }};
+
+  unsigned post(const std::string &path, std::string body) {
+    boost::asio::io_context context;
+    http::IncomingRequest request;
+    request.Message = http::Request(boost::beast::http::verb::post, path, 11);
+    request.Message.body() = std::move(body);
+    unsigned status = 0;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+          auto answer = co_await Targets.handle(std::move(request));
+          status = answer.result_int();
+        },
+        boost::asio::detached);
+    context.run();
+    return status;
+  }
+
+  unsigned beat(const std::string &body) {
+    return post("/v1/targets/i-7f/heartbeat", body);
+  }
+};
+
+constexpr const char *Genuine =
+    R"({"service":"till","address":"10.1.0.8:8301","data_centre":"north",
+    "version":"v1","slots":9,"state":"ready","warm_up_ms":0,"sequence":4,
+    "born":1764824231000})";
+
+} // namespace
+
+TEST_CASE("a genuine heartbeat and a leave are acknowledged") {
+  Listener it;
+  CHECK(it.beat(Genuine) == 200);
+  REQUIRE(it.Leases.current().size() == 1);
+  const auto target = it.Leases.current()[0];
+  CHECK(target.Service == "external/till");
+  CHECK(target.TargetId == "i-7f");
+  CHECK(target.Slots == 9);
+  CHECK(it.post("/v1/targets/i-7f/leave", "") == 200);
+  CHECK(it.Leases.current()[0].State == fleet::TargetState::Left);
+  CHECK(it.post("/v1/targets/unknown/leave", "") == 200);
+  CHECK(it.Changes == 3);
+}
+
+TEST_CASE("a heartbeat of another writer is refused and changes nothing") {
+  const char *bad[] = {
+      "",
+      "\xff\xfe",
+      "[]",
+      R"({"service":"till","address":"10.1.0.8:8301","state":"ready"})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":"9",
+          "state":"ready","sequence":4})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"resting","sequence":4})",
+      R"({"service":"other","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":4})",
+      R"({"service":"till","address":"10.1.0.9:8301","slots":9,
+          "state":"ready","sequence":4})",
+      R"({"service":"till","address":"nowhere","slots":9,
+          "state":"ready","sequence":4})",
+  };
+  Listener it;
+  CHECK(it.beat(Genuine) == 200);
+  for (const char *body : bad) {
+    INFO(body);
+    const auto status = it.beat(body);
+    CHECK(status >= 400);
+    CHECK(status < 500);
+  }
+  REQUIRE(it.Leases.current().size() == 1);
+  CHECK(it.Leases.current()[0].State == fleet::TargetState::Ready);
+  CHECK(it.Changes == 1);
+}
+
+TEST_CASE("without an address in the settings any target is taken") {
+  Listener it;
+  it.Targets.setOwnTarget({});
+  CHECK(it.beat(R"({"service":"other","address":"10.1.0.9:8301","slots":9,
+    "state":"ready","sequence":4})") == 200);
+}
