--- a/Libraries/LibBase/Logger.h
+++ b/Libraries/LibBase/Logger.h
@@ -23,6 +23,8 @@
   std::string Node;
   std::string DataCentre;
   int Descriptor = STDOUT_FILENO;
+
+  bool operator==(const LogSettings &) const = default;
 };
 
 /// One named value of a log line, for example {"version", "7"}.
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Logger.h>
 #include <LibFleet/MemberTable.h>
 #include <LibLog/HeldPlayer.h>
+#include <LibNode/HeartbeatCodec.h>
 #include <LibTrace/TraceText.h>
 
 #include <algorithm>
@@ -21,10 +22,6 @@
 /// How often queue deadlines, leases and pending changes are looked at.
 constexpr base::Duration TickPeriod = 20ms;
 
-/// How long a draining node waits without any call before it ends: the others
-/// learn of it in this time, and none of their calls is refused.
-constexpr base::Duration QuietBeforeStop = 1500ms;
-
 /// What a node remembers of its decisions for \ref recording.
 constexpr size_t MostDecisions = 65536;
 
@@ -53,6 +50,15 @@
   return out;
 }
 
+OwnTarget ownTargetOf(const admin::NodeSettings &settings) {
+  OwnTarget out;
+  out.Where = settings.TargetAddress;
+  // Without the address any service may be announced here.
+  if (out.Where && !settings.Service.empty())
+    out.Service = fullServiceName(settings.Service);
+  return out;
+}
+
 int64_t unixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -83,7 +89,8 @@
                                                 if (Fleet)
                                                   Fleet->readLogSoon();
                                               }),
-      Announcements(Leases, Time, [this] { targetsChanged(); }),
+      Announcements(Leases, Time, ownTargetOf(settings),
+                    [this] { targetsChanged(); }),
       Administration(*this, settings.Tokens), Timer(context) {}
 
 NodeProcess::~NodeProcess() = default;
@@ -137,7 +144,7 @@
   environment.Broker = &Usage;
   environment.Gate = &CallsGate;
   environment.CurrentSnapshot = [this]() -> config::SnapshotPointer {
-    return ready() ? InForce : nullptr;
+    return isServing() ? InForce : nullptr;
   };
   environment.LocalTarget =
       [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
@@ -240,9 +247,8 @@
 }
 
 void NodeProcess::targetsChanged() {
-  auto targets = Leases.current();
-  CallsGate.targetsChanged(targets, Time.now());
-  Fleet->setTargets(std::move(targets));
+  CallsGate.targetsChanged(Leases.atGate(Time.now()), Time.now());
+  Fleet->setTargets(Leases.current());
 }
 
 void NodeProcess::armTimer() {
@@ -256,7 +262,7 @@
 }
 
 void NodeProcess::tick() {
-  if (!Recovered && ready())
+  if (!Recovered && isServing())
     recovered();
   Link.tick(Time.now());
   if (Leases.tick(Time.now()))
@@ -272,8 +278,7 @@
   Proxy->tick();
   Changes.tick();
   base::flushLog();
-  if (Draining)
-    drainTick();
+  drainTick();
 }
 
 void NodeProcess::recovered() {
@@ -308,10 +313,14 @@
   return Counters;
 }
 
-bool NodeProcess::ready() const {
+bool NodeProcess::ready() const { return isServing() && !Draining.isStarted(); }
+
+/// Tells whether calls can be handled; while the node drains it takes those
+/// that still come.
+bool NodeProcess::isServing() const {
   bool hasConfiguration =
       !Settings.HasOperatorConfiguration || Link.configuration().version() != 0;
-  return Fleet && Fleet->ready() && InForce && hasConfiguration && !Draining;
+  return Fleet && Fleet->ready() && InForce && hasConfiguration;
 }
 
 void NodeProcess::change(log::Record record, base::Duration patience,
@@ -378,11 +387,20 @@
       Decisions.recording(Self.Id, Seed, from.time_since_epoch().count()));
 }
 
+void NodeProcess::settingsChanged(const admin::NodeSettings &settings) {
+  Settings = settings;
+  auto log = settings.Log;
+  log.Node = Self.Id;
+  log.DataCentre = Self.DataCentre;
+  base::setUpLog(log);
+  Leases.setLifetime(settings.TargetLease);
+  Announcements.setOwnTarget(ownTargetOf(settings));
+  Proxy->namesChanged(settings.CallHeaders, settings.Service);
+}
+
 void NodeProcess::drainSelf() {
-  if (Draining)
+  if (!Draining.start(std::chrono::seconds(Settings.DrainSeconds), Time.now()))
     return;
-  Draining = true;
-  DrainStartedAt = LastBusyAt = Time.now();
   base::log(base::LogLevel::Info, "drain started");
   Leases.drainAll();
   targetsChanged();
@@ -390,16 +408,11 @@
 }
 
 void NodeProcess::drainTick() {
-  auto now = Time.now();
-  if (Proxy->inFlight() > 0)
-    LastBusyAt = now;
-  bool isQuiet = now - LastBusyAt >= QuietBeforeStop;
-  bool isLate =
-      now - DrainStartedAt >= std::chrono::seconds(Settings.DrainSeconds);
-  if (!isQuiet && !isLate)
+  auto step = Draining.look(Proxy->inFlight(), Time.now());
+  if (step != DrainPlan::Step::Quiet && step != DrainPlan::Step::Late)
     return;
-  Draining = false;
-  base::log(isQuiet ? base::LogLevel::Info : base::LogLevel::Warning,
+  base::log(step == DrainPlan::Step::Quiet ? base::LogLevel::Info
+                                           : base::LogLevel::Warning,
             "drain ended",
             {{"calls_in_flight", std::to_string(Proxy->inFlight())}});
   Fleet->leave([this] {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -15,6 +15,7 @@
 #include <LibLog/HeldVersions.h>
 #include <LibLog/KeyedLog.h>
 #include <LibNode/ChangeFlow.h>
+#include <LibNode/DrainPlan.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNews.h>
 #include <LibNode/TargetListener.h>
@@ -59,6 +60,10 @@
   std::string recording(uint32_t seconds) const override;
   void drainSelf() override;
 
+  /// Takes over what can change while the node runs; see
+  /// admin::withLiveSettings.
+  void settingsChanged(const admin::NodeSettings &settings);
+
   /// Calls \p done once the graceful shutdown is complete.
   void whenDrained(std::function<void()> done) { Drained = std::move(done); }
 
@@ -68,6 +73,7 @@
   NodeProcess(boost::asio::io_context &context,
               const admin::NodeSettings &settings, PlatformPorts ports);
 
+  bool isServing() const;
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
   boost::json::array servicesInUse() const;
@@ -113,9 +119,7 @@
   bool MembersDirty = false;
   bool Recovered = false;
   bool IsFloorTaken = false;
-  bool Draining = false;
-  base::TimePoint DrainStartedAt{};
-  base::TimePoint LastBusyAt{};
+  DrainPlan Draining;
   std::function<void()> Drained;
 };
 
