LibHttp: Handle a connection's safe requests side by side

A connection was served one request at a time: a request behind a slow one waited for it, unread. A session now reads up to 16 requests ahead, handles safe ones at once and any other one alone, and answers in the order of the requests. The end of the client's stream reaches the handlers of all of them, also while a body is read. Nothing behind an answer that closes the connection is handled; while draining, only the last answer closes. The session has its own file.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -205,6 +205,7 @@
 
 asio::awaitable<ReadEnd> Connection::readRequest(Request &request,
                                                  const MessageLimits &limits,
+                                                 bool mayContinue,
                                                  base::LastReason &reason) {
   size_t size = 0;
   ReadEnd end = co_await readHead(limits.HeaderBytes, size, reason);
@@ -223,7 +224,8 @@
   if (!checkRequestHead(parser.get(), reason))
     co_return ReadEnd::Refused;
   if (!parser.is_done()) {
-    if (parser.get().count(bh::field::expect) != 0 && Buffer.size() == 0) {
+    if (mayContinue && parser.get().count(bh::field::expect) != 0 &&
+        Buffer.size() == 0) {
       Output.assign(ContinueLine);
       if (!co_await writeBytes())
         co_return ReadEnd::Cut;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -56,9 +56,11 @@
   /// Waits until at least one byte is buffered.
   boost::asio::awaitable<ReadEnd> awaitFirstByte();
 
-  /// Reads one request, strictly framed. Answers `Expect: 100-continue`.
+  /// Reads one request, strictly framed. Answers `Expect: 100-continue` where
+  /// \p mayContinue: while no other answer is due before it.
   boost::asio::awaitable<ReadEnd> readRequest(Request &request,
                                               const MessageLimits &limits,
+                                              bool mayContinue,
                                               base::LastReason &reason);
 
   /// Reads one answer to a request with \p method. A body without a length is
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,14 +1,11 @@
 #include <LibHttp/Server.h>
 
-#include <LibHttp/Answers.h>
-#include <LibHttp/Connection.h>
+#include <LibHttp/Session.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <exception>
-#include <unordered_set>
 
 namespace radishcross::http {
 
@@ -24,57 +21,18 @@
 /// Connections over the limit that are told so at a time; more wait in the
 /// kernel.
 constexpr size_t RefusalRoom = 256;
-constexpr base::Duration OverloadRetry = std::chrono::seconds(1);
 
-/// Returns the answer to a request that could not be read.
-Response refusalOf(ReadEnd end, const base::LastReason &reason) {
-  if (end == ReadEnd::TimedOut) {
-    Response answer =
-        makeAnswer(base::ResultCode::BadRequest, calls::CallOutcome::NotRun,
-                   "the request did not arrive in time");
-    answer.result(boost::beast::http::status::request_timeout);
-    return answer;
-  }
-  return makeAnswer(reason.code(), calls::CallOutcome::NotRun, reason.text());
-}
-
-class ServerState;
-
-/// One client's connection: reads, handles and answers one request at a time.
-class Session final : public std::enable_shared_from_this<Session> {
-public:
-  Session(std::shared_ptr<ServerState> owner, tcp::socket socket);
-
-  asio::awaitable<void> run();
-  asio::awaitable<void> runOverLimit();
-  void drain();
-  void stop();
-  bool idle() const { return Idle; }
-
-private:
-  asio::awaitable<bool> serveOne();
-  asio::awaitable<void> refuse(Response response, std::string_view reason);
-  asio::awaitable<bool> answer(Response response);
-  asio::awaitable<Response> callHandler(Request request);
-  void watchClient();
-  void clientReadable(error_code ec);
-
-  std::shared_ptr<ServerState> Owner;
-  ConnectionPointer Link;
-  base::Address Peer;
-  std::shared_ptr<ClientWatch> Watch;
-  bool Idle = true;
-  bool WaitPending = false;
-  bool KeepAlive = true;
-};
-
-/// What a server's sessions share.
+/// A listener with its sessions.
 /// FIXME: Bodies being read are bounded for each connection, not in sum.
-class ServerState final : public std::enable_shared_from_this<ServerState> {
+class ServerState final : public SessionOwner,
+                          public std::enable_shared_from_this<ServerState> {
 public:
   ServerState(asio::io_context &context, const ServerLimits &limits,
               Handler handler)
-      : Acceptor(context), Limits(limits), Handle(std::move(handler)) {}
+      : Acceptor(context) {
+    Limits = limits;
+    Handle = std::move(handler);
+  }
 
   bool listen(const base::Address &address, base::LastReason &reason);
   asio::awaitable<void> acceptLoop();
@@ -82,151 +40,14 @@
   void stop();
   size_t inFlight() const;
   size_t connections() const { return Sessions.size(); }
-  void leave(Session *session) { Sessions.erase(session); }
 
   tcp::acceptor Acceptor;
-  ServerLimits Limits;
-  Handler Handle;
-  bool Draining = false;
-  bool ClosesAfterAnswers = false;
 
 private:
   void admit(tcp::socket socket);
   void acceptBacklog();
-
-  std::unordered_set<Session *> Sessions;
 };
 
-Session::Session(std::shared_ptr<ServerState> owner, tcp::socket socket)
-    : Owner(std::move(owner)),
-      Link(std::make_shared<Connection>(std::move(socket))),
-      Peer(Link->peer()) {}
-
-asio::awaitable<void> Session::run() {
-  bool isServing = true;
-  while (isServing)
-    isServing = co_await serveOne();
-  Link->close();
-  Owner->leave(this);
-}
-
-/// Returns whether the connection may bring another request.
-asio::awaitable<bool> Session::serveOne() {
-  if (!Link->isOpen())
-    co_return false;
-  Idle = true;
-  Link->expireAfter(Owner->Draining ? Owner->Limits.DrainLinger
-                                    : Owner->Limits.IdleTimeout);
-  if (co_await Link->awaitFirstByte() != ReadEnd::Complete)
-    co_return false;
-  Idle = false;
-  Link->expireAfter(Owner->Limits.RequestTimeout);
-  Request request;
-  base::LastReason reason;
-  MessageLimits limits{Owner->Limits.HeaderBytes, Owner->Limits.BodyBytes};
-  ReadEnd end = co_await Link->readRequest(request, limits, reason);
-  if (end == ReadEnd::Closed || end == ReadEnd::Cut)
-    co_return false;
-  if (end != ReadEnd::Complete) {
-    std::string_view name = end == ReadEnd::TimedOut
-                                ? "request-timeout"
-                                : base::describe(reason.code()).Name;
-    co_await refuse(refusalOf(end, reason), name);
-    co_return false;
-  }
-  Link->neverExpire();
-  KeepAlive = request.keep_alive();
-  bool isHead = request.method() == boost::beast::http::verb::head;
-  Response response = co_await callHandler(std::move(request));
-  if (isHead)
-    response.body().clear();
-  co_return co_await answer(std::move(response));
-}
-
-asio::awaitable<Response> Session::callHandler(Request request) {
-  Watch = std::make_shared<ClientWatch>();
-  IncomingRequest incoming{std::move(request), Peer,
-                           std::shared_ptr<bool>(Watch, &Watch->Gone), Watch};
-  watchClient();
-  std::string failure;
-  try {
-    Response response = co_await Owner->Handle(std::move(incoming));
-    Watch.reset();
-    co_return response;
-  } catch (const DropConnection &) {
-    Link->close();
-    failure = "the connection is dropped";
-  } catch (const std::exception &error) {
-    failure = error.what();
-  }
-  Watch.reset();
-  co_return makeAnswer(base::ResultCode::Internal, calls::CallOutcome::Unknown,
-                       failure);
-}
-
-asio::awaitable<bool> Session::answer(Response response) {
-  bool keep = KeepAlive && !Owner->Draining && !Owner->ClosesAfterAnswers &&
-              response.keep_alive();
-  response.keep_alive(keep);
-  Link->expireAfter(Owner->Limits.RequestTimeout);
-  if (!co_await Link->write(response))
-    co_return false;
-  if (!keep)
-    co_await Link->closeGently();
-  co_return keep;
-}
-
-asio::awaitable<void> Session::refuse(Response response,
-                                      std::string_view reason) {
-  if (base::Metrics *counters = Owner->Limits.Counters)
-    counters->counter("bad_requests_total{reason=\"" + std::string(reason) +
-                      "\"}") += 1;
-  response.keep_alive(false);
-  Link->expireAfter(Owner->Limits.RequestTimeout);
-  if (co_await Link->write(response))
-    co_await Link->closeGently();
-}
-
-/// Tells a client that there are too many connections; reads nothing.
-asio::awaitable<void> Session::runOverLimit() {
-  Idle = false;
-  co_await refuse(makeAnswer(base::ResultCode::Overloaded,
-                             calls::CallOutcome::NotRun,
-                             "there are too many connections", OverloadRetry),
-                  "too-many-connections");
-  Link->close();
-  Owner->leave(this);
-}
-
-/// Watches for the client's going away while its request is handled. The wait
-/// is left pending between requests, which spares cancelling it each time.
-void Session::watchClient() {
-  if (WaitPending)
-    return;
-  WaitPending = true;
-  Link->socket().async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this()](error_code ec) { self->clientReadable(ec); });
-}
-
-void Session::clientReadable(error_code ec) {
-  WaitPending = false;
-  // Without a request in hand the bytes are the next request; otherwise they
-  // are a pipelined one, which waits its turn, unless the stream has ended.
-  if (ec || !Watch || !Link->isOpen() || !Link->atEndOfStream())
-    return;
-  Watch->Gone = true;
-  if (Watch->OnGone)
-    std::exchange(Watch->OnGone, nullptr)();
-}
-
-void Session::drain() {
-  if (Idle)
-    Link->expireAfter(Owner->Limits.DrainLinger);
-}
-
-void Session::stop() { Link->close(); }
-
 bool ServerState::listen(const base::Address &address,
                          base::LastReason &reason) {
   error_code ec;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -52,8 +52,10 @@
 using Handler =
     std::function<boost::asio::awaitable<Response>(IncomingRequest)>;
 
-/// A small HTTP/1.1 server on the node's one thread: one request at a time on
-/// a connection, strict about what it reads (ambiguous framing is refused).
+/// A small HTTP/1.1 server on the node's one thread: safe requests of one
+/// connection are handled side by side, any other one alone, answers keep the
+/// order of the requests; strict about what it reads (ambiguous framing is
+/// refused).
 class Server {
 public:
   /// Binds and starts to accept; fails with CannotListen.
--- /dev/null
+++ b/Libraries/LibHttp/Session.cpp
@@ -0,0 +1,283 @@
+#include <LibHttp/Session.h>
+
+#include <LibHttp/Answers.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <exception>
+
+namespace radishcross::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace bh = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr base::Duration OverloadRetry = std::chrono::seconds(1);
+
+/// Returns the answer to a request that could not be read.
+Response refusalOf(ReadEnd end, const base::LastReason &reason) {
+  if (end == ReadEnd::TimedOut) {
+    Response answer =
+        makeAnswer(base::ResultCode::BadRequest, calls::CallOutcome::NotRun,
+                   "the request did not arrive in time");
+    answer.result(bh::status::request_timeout);
+    return answer;
+  }
+  return makeAnswer(reason.code(), calls::CallOutcome::NotRun, reason.text());
+}
+
+/// Tells whether requests of this method may be handled before earlier ones of
+/// their connection are answered.
+bool isSafe(bh::verb method) {
+  return method == bh::verb::get || method == bh::verb::head ||
+         method == bh::verb::options;
+}
+
+} // namespace
+
+Session::Session(std::shared_ptr<SessionOwner> owner, tcp::socket socket)
+    : Owner(std::move(owner)),
+      Link(std::make_shared<Connection>(std::move(socket))), Peer(Link->peer()),
+      Changed(Link->socket().get_executor(),
+              asio::steady_timer::time_point::max()) {}
+
+asio::awaitable<void> Session::run() {
+  bool isReading = true;
+  while (isReading)
+    isReading = co_await readOne();
+  co_await awaitAnswers();
+  if (Refusal && !Closing)
+    co_await refuse(std::move(*Refusal), RefusalName);
+  else if (Closing && Link->isOpen())
+    co_await Link->closeGently();
+  Link->close();
+  Owner->Sessions.erase(this);
+}
+
+/// Returns whether the connection may bring another request.
+asio::awaitable<bool> Session::readOne() {
+  while (Waiting.size() >= MaximumPipelined && !Closing) {
+    watchClient();
+    co_await awaitChange();
+  }
+  // While draining, what comes behind a request in hand counts as unread.
+  if (Closing || !Link->isOpen() || (Owner->Draining && !Waiting.empty()))
+    co_return false;
+  armDeadline();
+  if (ReadEnd end = co_await Link->awaitFirstByte();
+      end != ReadEnd::Complete || Closing) {
+    if (end == ReadEnd::Closed && !Closing)
+      clientGone();
+    co_return false;
+  }
+  Reading = true;
+  armDeadline();
+  Request request;
+  base::LastReason reason;
+  MessageLimits limits{Owner->Limits.HeaderBytes, Owner->Limits.BodyBytes};
+  ReadEnd end =
+      co_await Link->readRequest(request, limits, Waiting.empty(), reason);
+  Reading = false;
+  if (Closing)
+    co_return false;
+  if (end == ReadEnd::Closed || end == ReadEnd::Cut) {
+    clientGone();
+    co_return false;
+  }
+  if (end != ReadEnd::Complete) {
+    RefusalName = end == ReadEnd::TimedOut ? "request-timeout"
+                                           : base::describe(reason.code()).Name;
+    Refusal = refusalOf(end, reason);
+    co_return false;
+  }
+  bool mayFollow = request.keep_alive();
+  accept(std::move(request));
+  armDeadline();
+  co_return mayFollow;
+}
+
+void Session::accept(Request request) {
+  auto pending = std::make_shared<Pending>();
+  pending->IsHead = request.method() == bh::verb::head;
+  pending->KeepAlive = request.keep_alive();
+  pending->IsSafe = isSafe(request.method());
+  pending->Message = std::move(request);
+  Waiting.push_back(std::move(pending));
+  startReady();
+}
+
+/// Starts what need not wait for the requests before it.
+void Session::startReady() {
+  for (const PendingPointer &it : Waiting) {
+    if (it != Waiting.front() && !it->IsSafe)
+      return;
+    if (!it->Started) {
+      it->Started = true;
+      it->Watch = std::make_shared<ClientWatch>();
+      asio::co_spawn(
+          Link->socket().get_executor(),
+          [self = shared_from_this(), it] { return self->handle(it); },
+          asio::detached);
+    }
+    if (!it->IsSafe)
+      return;
+  }
+}
+
+asio::awaitable<void> Session::handle(PendingPointer pending) {
+  Response answer = co_await callHandler(pending);
+  if (pending->IsHead)
+    answer.body().clear();
+  pending->Answer = std::move(answer);
+  co_await writeAnswers();
+}
+
+asio::awaitable<Response> Session::callHandler(PendingPointer pending) {
+  auto &watch = pending->Watch;
+  IncomingRequest incoming{std::move(pending->Message), Peer,
+                           std::shared_ptr<bool>(watch, &watch->Gone), watch};
+  std::string failure;
+  try {
+    Response response = co_await Owner->Handle(std::move(incoming));
+    watch->OnGone = nullptr;
+    co_return response;
+  } catch (const DropConnection &) {
+    Link->close();
+    failure = "the connection is dropped";
+  } catch (const std::exception &error) {
+    failure = error.what();
+  }
+  watch->OnGone = nullptr;
+  co_return makeAnswer(base::ResultCode::Internal, calls::CallOutcome::Unknown,
+                       failure);
+}
+
+/// Writes the answers whose turn has come.
+asio::awaitable<void> Session::writeAnswers() {
+  if (Writing || Closing)
+    co_return;
+  Writing = true;
+  while (!Waiting.empty() && Waiting.front()->Answer && Link->isOpen()) {
+    Response response = std::move(*Waiting.front()->Answer);
+    bool leaves = Owner->Draining || Owner->ClosesAfterAnswers;
+    bool keep = Waiting.front()->KeepAlive && response.keep_alive() &&
+                !(leaves && Waiting.size() == 1);
+    response.keep_alive(keep);
+    // What arrives from here on is behind an answer that closes.
+    Closing = Closing || !keep;
+    Link->expireAfter(Owner->Limits.RequestTimeout);
+    bool written = co_await Link->write(response);
+    Waiting.pop_front();
+    if (!written)
+      Link->close();
+    if (!written || !keep) {
+      closeAfterAnswer();
+      break;
+    }
+    startReady();
+  }
+  Writing = false;
+  if (!Link->isOpen())
+    clientGone();
+  else if (!Closing)
+    armDeadline();
+  Changed.cancel();
+}
+
+/// Lets go of what is behind an answer that ends the connection.
+void Session::closeAfterAnswer() {
+  Closing = true;
+  clientGone();
+  error_code ec;
+  Link->socket().cancel(ec);
+}
+
+/// Sets the time that the connection has for what it now waits for.
+void Session::armDeadline() {
+  if (Writing)
+    return;
+  if (Reading)
+    Link->expireAfter(Owner->Limits.RequestTimeout);
+  else if (Waiting.empty())
+    Link->expireAfter(Owner->Draining ? Owner->Limits.DrainLinger
+                                      : Owner->Limits.IdleTimeout);
+  else
+    Link->neverExpire();
+}
+
+asio::awaitable<void> Session::awaitChange() {
+  error_code ec;
+  co_await Changed.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+/// Waits until all that was read is answered, or the connection is over.
+asio::awaitable<void> Session::awaitAnswers() {
+  while (Link->isOpen() && (Writing || (!Closing && !Waiting.empty()))) {
+    watchClient();
+    co_await awaitChange();
+  }
+}
+
+asio::awaitable<void> Session::refuse(Response response,
+                                      std::string_view reason) {
+  if (base::Metrics *counters = Owner->Limits.Counters)
+    counters->counter("bad_requests_total{reason=\"" + std::string(reason) +
+                      "\"}") += 1;
+  response.keep_alive(false);
+  Link->expireAfter(Owner->Limits.RequestTimeout);
+  if (co_await Link->write(response))
+    co_await Link->closeGently();
+}
+
+asio::awaitable<void> Session::runOverLimit() {
+  Reading = true;
+  co_await refuse(makeAnswer(base::ResultCode::Overloaded,
+                             calls::CallOutcome::NotRun,
+                             "there are too many connections", OverloadRetry),
+                  "too-many-connections");
+  Link->close();
+  Owner->Sessions.erase(this);
+}
+
+/// Watches for the client's going away while nothing is read.
+void Session::watchClient() {
+  if (WatchPending || Closing)
+    return;
+  WatchPending = true;
+  Link->socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](error_code ec) { self->clientReadable(ec); });
+}
+
+void Session::clientReadable(error_code ec) {
+  WatchPending = false;
+  if (!ec && Link->isOpen() && Link->atEndOfStream())
+    clientGone();
+}
+
+/// Tells all handlers that nobody awaits their answers any more; what has not
+/// been started is dropped.
+void Session::clientGone() {
+  std::erase_if(Waiting, [](const auto &it) { return !it->Started; });
+  auto started = Waiting;
+  for (const PendingPointer &it : started) {
+    it->Watch->Gone = true;
+    if (it->Watch->OnGone)
+      std::exchange(it->Watch->OnGone, nullptr)();
+  }
+}
+
+void Session::drain() {
+  if (idle())
+    Link->expireAfter(Owner->Limits.DrainLinger);
+}
+
+void Session::stop() { Link->close(); }
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/Session.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <LibHttp/Connection.h>
+#include <LibHttp/Server.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <unordered_set>
+
+namespace radishcross::http {
+
+class Session;
+
+/// What the sessions of one server share.
+struct SessionOwner {
+  ServerLimits Limits;
+  Handler Handle;
+  bool Draining = false;
+  bool ClosesAfterAnswers = false;
+  std::unordered_set<Session *> Sessions;
+};
+
+/// One client's connection. Reads ahead, handles safe requests side by side and
+/// any other one alone, and answers in the order of the requests.
+class Session final : public std::enable_shared_from_this<Session> {
+public:
+  /// Requests of one connection that are read but not answered.
+  static constexpr size_t MaximumPipelined = 16;
+
+  Session(std::shared_ptr<SessionOwner> owner,
+          boost::asio::ip::tcp::socket socket);
+
+  /// Serves the connection to its end.
+  boost::asio::awaitable<void> run();
+
+  /// Tells the client that there are too many connections; reads nothing.
+  boost::asio::awaitable<void> runOverLimit();
+
+  /// Gives an idle connection the time of the drain.
+  void drain();
+  void stop();
+  bool idle() const { return Waiting.empty() && !Reading; }
+
+private:
+  /// One request from its last byte to its answer.
+  struct Pending {
+    Request Message;
+    bool IsHead = false;
+    bool KeepAlive = true;
+    bool IsSafe = false;
+    bool Started = false;
+    std::optional<Response> Answer;
+    std::shared_ptr<ClientWatch> Watch;
+  };
+  using PendingPointer = std::shared_ptr<Pending>;
+
+  boost::asio::awaitable<bool> readOne();
+  boost::asio::awaitable<void> handle(PendingPointer pending);
+  boost::asio::awaitable<Response> callHandler(PendingPointer pending);
+  boost::asio::awaitable<void> writeAnswers();
+  boost::asio::awaitable<void> refuse(Response response,
+                                      std::string_view reason);
+  boost::asio::awaitable<void> awaitChange();
+  boost::asio::awaitable<void> awaitAnswers();
+  void accept(Request request);
+  void startReady();
+  void answered();
+  void armDeadline();
+  void closeAfterAnswer();
+  void watchClient();
+  void clientReadable(boost::system::error_code ec);
+  void clientGone();
+
+  std::shared_ptr<SessionOwner> Owner;
+  ConnectionPointer Link;
+  base::Address Peer;
+  boost::asio::steady_timer Changed;
+  std::deque<PendingPointer> Waiting; ///< In the order of the requests.
+  std::optional<Response> Refusal;    ///< Of what could not be read.
+  std::string_view RefusalName;
+  bool Reading = false; ///< A request has begun to arrive.
+  bool Writing = false;
+  bool Closing = false; ///< Nothing further is read.
+  bool WatchPending = false;
+};
+
+} // namespace radishcross::http
--- /dev/null
+++ b/Tests/LibHttp/TestSession.cpp
@@ -0,0 +1,172 @@
+#include <LibHttp/Mesh.h>
+
+#include <LibHttp/Answers.h>
+#include <LibHttp/Session.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+
+namespace {
+
+/// A server whose handler holds each request until its path is released.
+struct HoldingServer {
+  HoldingServer() {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        Context, {"127.0.0.1", 0}, {},
+        [this](http::IncomingRequest in) { return handle(std::move(in)); },
+        reason);
+    REQUIRE(server);
+    Listening = *server;
+    auto address = Listening->address();
+    Client.connect({asio::ip::make_address(address.Host), address.Port});
+  }
+
+  asio::awaitable<http::Response> handle(http::IncomingRequest in) {
+    std::string path(in.Message.target());
+    Begun.push_back(path);
+    asio::steady_timer pause(Context);
+    boost::system::error_code ec;
+    while (!Released.contains(path) && !ReleaseAll && !in.Watch->Gone) {
+      pause.expires_after(std::chrono::milliseconds(1));
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    Gone += in.Watch->Gone ? 1 : 0;
+    co_return http::makeJson(200, path);
+  }
+
+  void send(std::string_view method, const std::string &path,
+            const std::string &field = {}) {
+    std::string text = std::string(method) + " " + path +
+                       " HTTP/1.1\r\nHost: a\r\n" + field + "\r\n";
+    asio::write(Client, asio::buffer(text));
+  }
+
+  /// Lets the loop run for a while in which nothing should happen.
+  void settle() {
+    Context.restart();
+    Context.run_for(std::chrono::milliseconds(20));
+  }
+
+  /// Reads until \p n answers' bodies have come; returns all bytes.
+  std::string readUntil(const std::string &end) {
+    std::string got;
+    std::string buf(4096, ' ');
+    runUntil(Context, [&] {
+      boost::system::error_code ec;
+      Client.non_blocking(true);
+      size_t n = Client.read_some(asio::buffer(buf), ec);
+      got.append(buf, 0, n);
+      return got.ends_with(end) || ec == asio::error::eof;
+    });
+    return got;
+  }
+
+  asio::io_context Context{1};
+  std::shared_ptr<http::Server> Listening;
+  asio::ip::tcp::socket Client{Context};
+  std::vector<std::string> Begun;
+  std::set<std::string> Released;
+  bool ReleaseAll = false;
+  size_t Gone = 0;
+};
+
+using Paths = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("a safe request does not wait for a slow one before it, its answer "
+          "does") {
+  HoldingServer it;
+  it.Released = {"/fast"};
+  it.send("GET", "/slow");
+  it.send("GET", "/fast");
+  runUntil(it.Context, [&] { return it.Begun == Paths{"/slow", "/fast"}; });
+  it.settle();
+  CHECK(it.Client.available() == 0);
+  it.Released.insert("/slow");
+  std::string got = it.readUntil("/fast");
+  CHECK(got.find("/slow") < got.find("/fast"));
+  runUntil(it.Context, [&] { return it.Listening->inFlight() == 0; });
+}
+
+TEST_CASE("a request that is not safe is handled alone") {
+  HoldingServer it;
+  it.send("GET", "/1");
+  it.send("POST", "/2", "Content-Length: 0\r\n");
+  it.send("GET", "/3");
+  runUntil(it.Context, [&] { return it.Begun == Paths{"/1"}; });
+  it.settle();
+  CHECK(it.Begun == Paths{"/1"});
+  it.Released = {"/1"};
+  it.readUntil("/1");
+  it.settle();
+  CHECK(it.Begun == Paths{"/1", "/2"});
+  it.ReleaseAll = true;
+  it.readUntil("/3");
+  CHECK(it.Begun == Paths{"/1", "/2", "/3"});
+}
+
+TEST_CASE("requests that are read ahead are bounded") {
+  HoldingServer it;
+  for (size_t i = 0; i < http::Session::MaximumPipelined + 4; ++i)
+    it.send("GET", "/" + std::to_string(i));
+  it.settle();
+  CHECK(it.Begun.size() == http::Session::MaximumPipelined);
+  it.ReleaseAll = true;
+  it.readUntil("/19");
+  CHECK(it.Begun.size() == http::Session::MaximumPipelined + 4);
+}
+
+TEST_CASE("a client that leaves ends all of its requests") {
+  for (bool inBody : {false, true}) {
+    CAPTURE(inBody);
+    HoldingServer it;
+    it.send("GET", "/1");
+    it.send("GET", "/2");
+    if (inBody)
+      it.send("POST", "/3", "Content-Length: 10\r\n");
+    runUntil(it.Context, [&] { return it.Begun.size() == 2; });
+    it.settle();
+    it.Client.close();
+    runUntil(it.Context, [&] { return it.Gone == 2; });
+    CHECK(it.Begun.size() == 2);
+    runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
+  }
+}
+
+TEST_CASE("nothing behind an answer that closes is handled") {
+  HoldingServer it;
+  it.send("GET", "/1");
+  it.send("GET", "/2", "Connection: close\r\n");
+  it.send("GET", "/3");
+  it.ReleaseAll = true;
+  std::string got = it.readUntil("never");
+  CHECK(it.Begun == Paths{"/1", "/2"});
+  CHECK(got.ends_with("/2"));
+  CHECK(got.find("Connection: close") > got.find("/1"));
+}
+
+TEST_CASE("a draining server answers all that it has read, the last one with a "
+          "close") {
+  HoldingServer it;
+  it.send("GET", "/1");
+  it.send("GET", "/2");
+  runUntil(it.Context, [&] { return it.Begun.size() == 2; });
+  it.Listening->drain();
+  it.send("GET", "/3");
+  it.settle();
+  it.ReleaseAll = true;
+  std::string got = it.readUntil("never");
+  size_t close = got.find("Connection: close");
+  CHECK(close > got.rfind("HTTP/1.1 200"));
+  CHECK(close < got.rfind("/"));
+  REQUIRE(it.Begun.size() >= 2);
+  for (const std::string &path : it.Begun)
+    CHECK(got.find("\r\n\r\n" + path) != std::string::npos);
+  CHECK(got.ends_with(it.Begun.back()));
+  runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
+}
