LibHttp: Follow the configuration's client limits and peers' idle times

The callers' listener had constant limits: a configuration's header and body bounds, header and idle timeouts had no effect. They now apply when they come into force, without closing a connection; an answer on a kept connection tells the idle timeout and the connection is kept for at least that time.

A kept connection to a target or node is used for four fifths of the time that its last answer gives (Keep-Alive), and not where it gives none at all. Silent connections are found within 3 s (keepalive after 1 s, two probes 1 s apart, 3 s for unacknowledged bytes), and connecting takes 1 s at most, also for this program's own requests, whose long polls had one time for both.

--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -46,6 +46,9 @@
 
   void tick();
   base::TimePoint now() const { return Environment.Time->now(); }
+  config::SnapshotPointer snapshot() const {
+    return Environment.CurrentSnapshot();
+  }
   size_t callsAtGate() const { return Environment.Gate->inFlight(); }
   size_t idleConnections() const { return Pool.idleCount(); }
 
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -1,7 +1,10 @@
 #include <LibHttp/CallProxy.h>
 
+#include <LibBase/Logger.h>
 #include <LibHttp/CallEngine.h>
 
+#include <algorithm>
+
 namespace radishcross::http {
 
 namespace {
@@ -36,8 +39,11 @@
   void tick() override;
 
 private:
+  void followLimits();
+
   base::Metrics *Counters;
   std::shared_ptr<CallEngine> Engine;
+  config::ClientLimits InForce;
   std::shared_ptr<Server> Callers;
   std::shared_ptr<Server> Mesh;
   std::optional<base::TimePoint> DrainingSince;
@@ -50,6 +56,7 @@
                             base::LastReason &reason) {
   ServerLimits limits;
   limits.Counters = Counters;
+  limits.TellsIdleTimeout = true;
   auto callers = Server::create(
       context, callsListen, limits,
       [engine = Engine](IncomingRequest it) {
@@ -58,6 +65,7 @@
       reason);
   if (!callers)
     return false;
+  limits.TellsIdleTimeout = false;
   limits.HeaderBytes = MeshHeaderBytes;
   auto mesh = Server::create(
       context, meshListen, limits,
@@ -72,6 +80,25 @@
   return true;
 }
 
+/// Takes over the callers' limits of the configuration in force. Other nodes
+/// may send what their callers sent, with the fields of the mesh.
+void CallProxyShell::followLimits() {
+  auto snapshot = Engine->snapshot();
+  if (!snapshot || snapshot->clientLimits() == InForce)
+    return;
+  InForce = snapshot->clientLimits();
+  Callers->setClientLimits(InForce.HeaderBytes, InForce.BodyBytes,
+                           InForce.HeaderTimeout, InForce.IdleTimeout);
+  ServerLimits mesh;
+  Mesh->setClientLimits(InForce.HeaderBytes + MeshHeaderBytes,
+                        std::max(mesh.BodyBytes, InForce.BodyBytes),
+                        mesh.RequestTimeout, mesh.IdleTimeout);
+  base::log(base::LogLevel::Info, "client limits in force",
+            {{"header_bytes", std::to_string(InForce.HeaderBytes)},
+             {"body_bytes", std::to_string(InForce.BodyBytes)},
+             {"idle_timeout_us", std::to_string(InForce.IdleTimeout.count())}});
+}
+
 void CallProxyShell::drain() {
   if (DrainingSince)
     return;
@@ -87,6 +114,7 @@
 
 void CallProxyShell::tick() {
   Engine->tick();
+  followLimits();
   auto gauge = [this](std::string_view name, size_t value) {
     Counters->setGauge(name, static_cast<double>(value));
   };
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Connection.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -32,10 +33,13 @@
                                                base::LastReason &reason) {
   auto executor = co_await asio::this_coro::executor;
   auto link = std::make_shared<Connection>(asio::ip::tcp::socket(executor));
-  link->expireAfter(timeout);
+  auto started = std::chrono::steady_clock::now();
+  link->expireAfter(std::min(timeout, ConnectTimeout));
   if (!co_await link->connect(server))
     co_return reason.fail(base::ResultCode::NodeUnreachable,
                           server.text() + " cannot be reached");
+  link->expireAfter(timeout - std::chrono::duration_cast<base::Duration>(
+                                  std::chrono::steady_clock::now() - started));
   request.version(11);
   if (request.count(boost::beast::http::field::host) == 0)
     request.set(boost::beast::http::field::host, server.text());
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -25,9 +25,9 @@
 constexpr size_t ReadChunkBytes = 8UL << 10;
 constexpr size_t DiscardLimitBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
-constexpr int KeepaliveIdleSeconds = 5;
-constexpr int KeepaliveIntervalSeconds = 2;
-constexpr int KeepaliveProbes = 3;
+constexpr int KeepaliveIdleSeconds = 1;
+constexpr int KeepaliveIntervalSeconds = 1;
+constexpr int KeepaliveProbes = 2;
 /// Memory that a connection keeps between messages.
 constexpr size_t KeptOutputBytes = 64UL << 10;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -140,7 +140,10 @@
 /// How long sent bytes may stay unacknowledged before a connection counts as
 /// broken.
 constexpr base::Duration IncomingUserTimeout = std::chrono::seconds(30);
-constexpr base::Duration OutgoingUserTimeout = std::chrono::seconds(5);
+constexpr base::Duration OutgoingUserTimeout = std::chrono::seconds(3);
+
+/// How long setting up a connection may take.
+constexpr base::Duration ConnectTimeout = std::chrono::seconds(1);
 
 /// Sets the options of this program's connections: no delay of small writes,
 /// keepalive probes and the user timeout, so that a silent path is found.
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -10,6 +10,9 @@
 /// request crosses the other side's close.
 constexpr base::Duration IdleTimeout = std::chrono::seconds(10);
 
+/// The part of a server's idle timeout in which a connection is used again.
+constexpr int UsableFifths = 4;
+constexpr int Fifths = 5;
 /// Servers of which the pool remembers that they repeat ids.
 constexpr size_t RememberedServers = 4096;
 
@@ -24,7 +27,7 @@
   while (!links.empty()) {
     IdleLink idle = std::move(links.back());
     links.pop_back();
-    if (now - idle.Since < IdleTimeout && !idle.Link->hasPendingInput())
+    if (now < idle.Until && !idle.Link->hasPendingInput())
       return idle.Link;
     idle.Link->close();
   }
@@ -36,14 +39,18 @@
 }
 
 void ConnectionPool::giveBack(const base::Address &server,
-                              ConnectionPointer link, base::TimePoint now) {
+                              ConnectionPointer link, base::TimePoint now,
+                              std::optional<base::Duration> idleTime) {
+  base::Duration usable = IdleTimeout;
+  if (idleTime)
+    usable = std::min(usable, *idleTime * UsableFifths / Fifths);
   auto &links = Idle[server];
   link->neverExpire();
-  if (links.size() >= IdlePerServer) {
+  if (links.size() >= IdlePerServer || usable.count() <= 0) {
     link->close();
     return;
   }
-  links.push_back({std::move(link), now});
+  links.push_back({std::move(link), now + usable});
 }
 
 void ConnectionPool::dropIdle(const base::Address &server) {
@@ -63,13 +70,12 @@
 
 void ConnectionPool::tick(base::TimePoint now) {
   for (auto &[server, links] : Idle) {
-    // The oldest are in front, as the last one given back is taken first.
-    auto fresh = std::find_if(links.begin(), links.end(), [&](IdleLink &idle) {
-      return now - idle.Since < IdleTimeout;
+    std::erase_if(links, [now](IdleLink &idle) {
+      if (now < idle.Until)
+        return false;
+      idle.Link->close();
+      return true;
     });
-    for (auto it = links.begin(); it != fresh; ++it)
-      it->Link->close();
-    links.erase(links.begin(), fresh);
   }
   std::erase_if(Idle, [](const auto &entry) { return entry.second.empty(); });
 }
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,9 +37,11 @@
   /// Returns a new connection, not yet connected.
   ConnectionPointer makeNew();
 
-  /// Takes back a connection after a whole answer.
+  /// Takes back a connection after a whole answer. It is used again only before
+  /// four fifths of \p idleTime, for which the server keeps it, have passed.
   void giveBack(const base::Address &server, ConnectionPointer link,
-                base::TimePoint now);
+                base::TimePoint now,
+                std::optional<base::Duration> idleTime = std::nullopt);
 
   /// Closes the idle connections to \p server, as what lies in between may
   /// have lost track of them all.
@@ -59,7 +62,7 @@
 private:
   struct IdleLink {
     ConnectionPointer Link;
-    base::TimePoint Since{};
+    base::TimePoint Until{};
   };
   boost::asio::io_context *Context;
   size_t IdlePerServer;
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -2,6 +2,11 @@
 
 #include <LibCalls/CallTypes.h>
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
 namespace radishcross::http {
 
 namespace {
@@ -19,6 +24,24 @@
   Missing, ///< None, though the server repeats ids.
 };
 
+/// Returns for how long the server keeps the connection idle, or nothing where
+/// its answer does not say (Keep-Alive).
+std::optional<base::Duration> idleTimeOf(const Response &answer) {
+  constexpr std::string_view Name = "timeout=";
+  auto field = answer[boost::beast::http::field::keep_alive];
+  std::string_view text(field.data(), field.size());
+  size_t at = text.find(Name);
+  uint32_t seconds = 0;
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  text.remove_prefix(at + Name.size());
+  auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 /// Ends the attempt when the client goes away, for as long as it lives.
 class GoneGuard {
 public:
@@ -65,7 +88,7 @@
 
   asio::awaitable<AttemptEnd> sendAnew(Response &answer) {
     ConnectionPointer link = Pool.makeNew();
-    link->expireAfter(left());
+    link->expireAfter(std::min(left(), ConnectTimeout));
     {
       GoneGuard guard(Watch, link);
       bool connected = co_await link->connect(Plan.Server);
@@ -126,7 +149,7 @@
                    bool inStep) {
     if (inStep && !link->isWriting() && !link->writeFailed() &&
         !link->hasBufferedInput() && answer.keep_alive() && !answer.need_eof())
-      Pool.giveBack(Plan.Server, link, Time.now());
+      Pool.giveBack(Plan.Server, link, Time.now(), idleTimeOf(answer));
     else
       link->close();
   }
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -155,6 +155,14 @@
     auto endpoint = State->Acceptor.local_endpoint(ec);
     return {endpoint.address().to_string(), endpoint.port()};
   }
+  void setClientLimits(size_t headerBytes, size_t bodyBytes,
+                       base::Duration requestTimeout,
+                       base::Duration idleTimeout) override {
+    State->Limits.HeaderBytes = headerBytes;
+    State->Limits.BodyBytes = bodyBytes;
+    State->Limits.RequestTimeout = requestTimeout;
+    State->Limits.IdleTimeout = idleTimeout;
+  }
   void closeAfterAnswers() override { State->ClosesAfterAnswers = true; }
   void drain() override { State->drain(); }
   size_t inFlight() const override { return State->inFlight(); }
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -25,6 +25,8 @@
   base::Duration IdleTimeout = std::chrono::seconds(75);
   base::Duration DrainLinger = DefaultDrainLinger;
   size_t Connections = 4096;
+  /// Whether answers on kept connections tell the idle timeout (Keep-Alive).
+  bool TellsIdleTimeout = false;
   /// Where set, refusals are counted as bad_requests_total{reason}.
   base::Metrics *Counters = nullptr;
 };
@@ -67,6 +69,12 @@
   /// Returns the bound address; its port is chosen when 0 was asked for.
   virtual base::Address address() const = 0;
 
+  /// Replaces the bounds of a request and the idle timeout, also for open
+  /// connections; an idle one keeps the time that it was told.
+  virtual void setClientLimits(size_t headerBytes, size_t bodyBytes,
+                               base::Duration requestTimeout,
+                               base::Duration idleTimeout) = 0;
+
   /// From now on every answer carries `Connection: close`; connections are
   /// still accepted.
   virtual void closeAfterAnswers() = 0;
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -169,6 +169,8 @@
     bool keep = Waiting.front()->KeepAlive && response.keep_alive() &&
                 !(leaves && Waiting.size() == 1);
     response.keep_alive(keep);
+    if (keep)
+      tellIdleTimeout(response);
     // What arrives from here on is behind an answer that closes.
     Closing = Closing || !keep;
     Link->expireAfter(Owner->Limits.RequestTimeout);
@@ -198,6 +200,16 @@
   Link->socket().cancel(ec);
 }
 
+/// Tells the client for how long the connection may stay idle.
+void Session::tellIdleTimeout(Response &answer) {
+  auto whole =
+      std::chrono::floor<std::chrono::seconds>(Owner->Limits.IdleTimeout);
+  if (!Owner->Limits.TellsIdleTimeout || whole.count() < 1)
+    return;
+  ToldIdleTimeout = whole;
+  answer.set(bh::field::keep_alive, "timeout=" + std::to_string(whole.count()));
+}
+
 /// Sets the time that the connection has for what it now waits for.
 void Session::armDeadline() {
   if (Writing)
@@ -205,8 +217,9 @@
   if (Reading)
     Link->expireAfter(Owner->Limits.RequestTimeout);
   else if (Waiting.empty())
-    Link->expireAfter(Owner->Draining ? Owner->Limits.DrainLinger
-                                      : Owner->Limits.IdleTimeout);
+    Link->expireAfter(
+        Owner->Draining ? Owner->Limits.DrainLinger
+                        : std::max(Owner->Limits.IdleTimeout, ToldIdleTimeout));
   else
     Link->neverExpire();
 }
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -69,6 +69,7 @@
   void startReady();
   void answered();
   void armDeadline();
+  void tellIdleTimeout(Response &answer);
   void closeAfterAnswer();
   void watchClient();
   void clientReadable(boost::system::error_code ec);
@@ -81,6 +82,7 @@
   std::deque<PendingPointer> Waiting; ///< In the order of the requests.
   std::optional<Response> Refusal;    ///< Of what could not be read.
   std::string_view RefusalName;
+  base::Duration ToldIdleTimeout{};
   bool Reading = false; ///< A request has begun to arrive.
   bool Writing = false;
   bool Closing = false; ///< Nothing further is read.
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -162,6 +162,42 @@
   }
 }
 
+TEST_CASE("a connection is used for four fifths of the time that it is kept") {
+  asio::io_context context(1);
+  http::ConnectionPool pool(context);
+  base::TimePoint start{};
+  ScriptedServer server(context, {""});
+  server.Stays = true;
+  auto give = [&](std::optional<base::Duration> idleTime) {
+    auto link = pool.makeNew();
+    REQUIRE(await(context, link->connect(server.address())));
+    pool.giveBack(server.address(), link, start, idleTime);
+  };
+  give(std::chrono::seconds(5));
+  CHECK(pool.takeIdle(server.address(), start + std::chrono::seconds(4)) ==
+        nullptr);
+  give(std::chrono::seconds(5));
+  CHECK(pool.takeIdle(server.address(),
+                      start + std::chrono::milliseconds(3999)) != nullptr);
+  give(std::chrono::seconds(0));
+  CHECK(pool.idleCount() == 0);
+  give(std::chrono::seconds(1));
+  give(std::nullopt);
+  pool.tick(start + std::chrono::seconds(1));
+  CHECK(pool.idleCount() == 1);
+}
+
+TEST_CASE("an answer's Keep-Alive bounds the use of its connection") {
+  for (const char *field : {"Keep-Alive: timeout=0\r\n", ""}) {
+    CAPTURE(field);
+    Sender sender({std::string("HTTP/1.1 200 OK\r\n") + field +
+                   "Content-Length: 0\r\n\r\n"});
+    sender.Server.Stays = true;
+    CHECK(sender.send("a").End == AttemptEnd::Answered);
+    CHECK(sender.Pool.idleCount() == (*field == 0 ? 1 : 0));
+  }
+}
+
 TEST_CASE("an answer is taken before the request's body has been") {
   constexpr size_t LongBodyBytes = 64UL << 20;
   Sender sender({answerTo("a", "early")});
--- a/Tests/LibHttp/TestSession.cpp
+++ b/Tests/LibHttp/TestSession.cpp
@@ -121,6 +121,43 @@
   CHECK(it.Begun.size() == http::Session::MaximumPipelined + 4);
 }
 
+TEST_CASE("limits change under open connections, which keep the time that they "
+          "were told") {
+  asio::io_context context(1);
+  base::LastReason reason;
+  http::ServerLimits limits;
+  limits.TellsIdleTimeout = true;
+  limits.IdleTimeout = std::chrono::milliseconds(1500);
+  auto server = http::Server::create(
+      context, {"127.0.0.1", 0}, limits,
+      [](http::IncomingRequest) -> asio::awaitable<http::Response> {
+        co_return http::makeJson(200, "{}");
+      },
+      reason);
+  REQUIRE(server);
+  asio::ip::tcp::socket client(context);
+  client.connect(
+      {asio::ip::make_address("127.0.0.1"), (*server)->address().Port});
+  auto exchange = [&](const std::string &field) {
+    asio::write(client,
+                asio::buffer("GET / HTTP/1.1\r\nHost: a\r\n" + field + "\r\n"));
+    std::string buf(4096, ' ');
+    size_t n = 0;
+    client.async_read_some(asio::buffer(buf), [&](boost::system::error_code,
+                                                  size_t got) { n = got; });
+    runUntil(context, [&] { return n > 0; });
+    return buf.substr(0, n);
+  };
+  CHECK(exchange("").find("Keep-Alive: timeout=1\r\n") != std::string::npos);
+  (*server)->setClientLimits(100, 100, std::chrono::seconds(1),
+                             std::chrono::milliseconds(1));
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  CHECK((*server)->connections() == 1);
+  std::string answer = exchange("X: " + std::string(200, 'x') + "\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 431"));
+}
+
 TEST_CASE("a client that leaves ends all of its requests") {
   for (bool inBody : {false, true}) {
     CAPTURE(inBody);
