LibPeer: Take the external configuration from peers where the store fails

Cause: each node had the operator's record from its own reads of the store alone. One that the store refuses, or leaves without an answer, kept its old version; one that started then had none and was not ready.

A node tells its version by a notice, whose revision is the version. Who is behind asks a peer 0.25 to 0.4 s later, when its own read would have brought it; who cannot read the store asks about every second, or every 0.3 s while it has none (VersionCatchUp). The record's bytes come whole by the pulls that exist, are decoded and checked as from the store, and a lower or bad one changes nothing.

Tests: the decision under a manual clock; three nodes of which the store refuses one or does not answer it; a node that starts while the store refuses all; a lower and a bad version, and a history that is dropped.

--- /dev/null
+++ b/Libraries/LibFleet/VersionCatchUp.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibBase/Random.h>
+
+#include <chrono>
+#include <cstdint>
+
+namespace radishcross::fleet {
+
+/// Times of a node that takes the external configuration from its peers.
+struct CatchUpSettings {
+  /// How much later than the news a peer is asked: by then this node's own
+  /// read of the store has brought the version, unless the store fails it.
+  base::Duration Delay = std::chrono::milliseconds(250);
+  /// Between two questions while nothing is held.
+  base::Duration EmptySpacing = std::chrono::milliseconds(300);
+  /// Between two questions while the store does not answer.
+  base::Duration BlindSpacing = std::chrono::seconds(1);
+};
+
+/// What a node sees when it decides whether to ask a peer.
+struct CatchUpView {
+  uint64_t Held = 0;           ///< The version in force; 0 for none.
+  bool IsStoreReached = false; ///< The store has answered the last read.
+};
+
+/// Decides when this node asks a peer for a newer version of the external
+/// configuration than it holds: the store serves some nodes and fails others.
+class VersionCatchUp {
+public:
+  VersionCatchUp(CatchUpSettings settings, uint64_t seed)
+      : Settings(settings), Dice(seed) {}
+
+  /// Takes the news that \p version is in force at another node.
+  void heard(uint64_t version, base::TimePoint now);
+
+  /// Tells whether a peer is to be asked now; at most one at a time.
+  bool isDue(const CatchUpView &view, base::TimePoint now);
+
+  /// Takes the end of a question.
+  void ended() { IsAsking = false; }
+
+private:
+  CatchUpSettings Settings;
+  base::Random Dice;
+  uint64_t Newest = 0; ///< The highest version heard of.
+  base::TimePoint NewestDue{};
+  base::TimePoint NextAsk{};
+  bool IsAsking = false;
+};
+
+} // namespace radishcross::fleet
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -78,7 +78,7 @@
       Link(context, *Store, Ports,
            {Self.Id, static_cast<uint64_t>(unixMilliseconds()), Self.Gossip},
            {[this](const base::Address &it) { Fleet->addSeeds({it}); },
-            [this] { snapshotChanged(); }}),
+            [this] { externalChanged(); }}),
       Quarantined(Decisions), News(Quarantined),
       Leases(Decisions, settings.TargetLease),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed}, Quarantined,
@@ -129,6 +129,14 @@
                                      std::string_view text) {
     News.arrived(topic, text, Time.now());
   };
+  if (Settings.HasOperatorConfiguration)
+    environment.External = {
+        [this] { return Link.configuration().version(); },
+        [this] { return Link.configurationText(); },
+        [this] { return Link.isOperatorReached(); },
+        [this](const peer::ExternalRecord &it, const fleet::NodeId &peer) {
+          Link.takeConfiguration(it.Text, peer);
+        }};
   auto shell = peer::FleetShell::create(std::move(environment), reason);
   if (!shell)
     return false;
@@ -201,6 +209,11 @@
   Changes.foldAdvanced(fold);
 }
 
+void NodeProcess::externalChanged() {
+  snapshotChanged();
+  Fleet->externalChanged(Link.configuration().version());
+}
+
 /// Puts the versions held and the external one in force together, or leaves
 /// what is in force where they do not fit each other.
 void NodeProcess::snapshotChanged() {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -79,6 +79,7 @@
   boost::json::array servicesInUse() const;
   void foldAdvanced(const log::Fold &fold);
   void snapshotChanged();
+  void externalChanged();
   void drainedChanged(const log::Fold &fold);
   void membersChanged();
   void targetsChanged();
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -55,19 +55,29 @@
 }
 
 void PlatformLink::operatorRecord(const log::KeyedRecord &record) {
-  if (record.Key != Ports->ConfigurationKey || record.Value.empty())
+  if (record.Key == Ports->ConfigurationKey && !record.Value.empty())
+    takeConfiguration(record.Value, "store");
+}
+
+void PlatformLink::takeConfiguration(std::string_view text,
+                                     std::string_view source) {
+  if (text == ExternalText)
     return;
   base::LastReason reason;
-  auto version = Ports->DecodeOperatorRecord(record.Value, reason);
+  auto version = Ports->DecodeOperatorRecord(text, reason);
   auto number = version ? version->Version : 0;
   if (!version || !External.take(std::move(*version), reason)) {
     base::log(base::LogLevel::Info, "external configuration passed over",
               {{"version", std::to_string(number)},
                {"held", std::to_string(External.version())},
-               {"offset", std::to_string(record.At)},
+               {"source", std::string(source)},
                {"reason", reason.line()}});
     return;
   }
+  ExternalText = text;
+  base::log(
+      base::LogLevel::Info, "external configuration taken",
+      {{"version", std::to_string(number)}, {"source", std::string(source)}});
   OnEvent.ConfigurationChanged();
 }
 
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -8,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace radishcross::node {
 
@@ -35,6 +37,18 @@
     return External;
   }
 
+  /// Returns the bytes of the record in force, for the peers.
+  const std::string &configurationText() const { return ExternalText; }
+
+  /// Tells whether the store answers reads of the operator's record.
+  bool isOperatorReached() const {
+    return Operator && Operator->hasListed() && Operator->isReached();
+  }
+
+  /// Takes the operator's record from \p source; one that is not above the
+  /// version in force, or not valid, changes nothing.
+  void takeConfiguration(std::string_view text, std::string_view source);
+
 private:
   void directoryRecord(const log::KeyedRecord &record);
   void operatorRecord(const log::KeyedRecord &record);
@@ -44,6 +58,7 @@
   const PlatformPorts *Ports;
   fleet::NodeDirectory Directory;
   config::ExternalConfiguration External;
+  std::string ExternalText;
   Events OnEvent;
   std::shared_ptr<TopicReader> Nodes;
   std::shared_ptr<TopicReader> Operator;
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -65,7 +65,8 @@
       Members(firstRecord(Environment.Self, epoch), Environment.Seeds,
               fleet::MembershipSettings{}, Dice.next()),
       SpreadSeed(Dice.next()), Spreading({}, SpreadSeed),
-      Recovering(std::move(recovery)), Snapshots(Environment.Self.Id),
+      CatchUp({}, Dice.next()), Recovering(std::move(recovery)),
+      Snapshots(Environment.Self.Id),
       Beacons(Environment.Self.Id, Environment.Self.DataCentre, {},
               Dice.next()),
       Timer(*Environment.Context) {
@@ -125,6 +126,7 @@
   run(Members.tick(Environment.Time->now()));
   putInForce();
   spread();
+  catchUpWithPeers();
   appendBeaconIfDue();
   writeSnapshotIfDue();
   reportChanges();
@@ -136,7 +138,7 @@
 
 void FleetNode::reportChanges() {
   for (const auto &it : Members.takeNewNotices())
-    if (Environment.NoticeArrived)
+    if (!takeExternalNotice(it) && Environment.NoticeArrived)
       Environment.NoticeArrived(it.Topic, it.Text);
   if (ReportedGeneration == Members.generation())
     return;
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -7,6 +7,7 @@
 #include <LibFleet/RecordStore.h>
 #include <LibFleet/Recovery.h>
 #include <LibFleet/Spreader.h>
+#include <LibFleet/VersionCatchUp.h>
 #include <LibLog/FoldWitness.h>
 #include <LibLog/SnapshotParts.h>
 #include <LibLog/SnapshotPolicy.h>
@@ -51,6 +52,7 @@
   }
   void spreadNotice(std::string topic, std::string text,
                     base::Duration lifetime) override;
+  void externalChanged(uint64_t version) override;
   void readLogSoon() override;
   void leave(std::function<void()> done) override;
   uint64_t controlBytes() const override;
@@ -105,6 +107,10 @@
   void serveMembers(const PullRequest &request, PullAnswer &answer);
   void serveRecords(const PullRequest &request, PullAnswer &answer);
   void serveState(PullAnswer &answer);
+  void serveExternal(const PullRequest &request, PullAnswer &answer);
+  bool takeExternalNotice(const fleet::Notice &notice);
+  void catchUpWithPeers();
+  const fleet::Member *choosePeer();
   fleet::Digest digest() const;
 
   FleetEnvironment Environment;
@@ -125,6 +131,8 @@
   uint64_t SpreadSeed;
   fleet::Spreader Spreading;
   bool IsSpreadRecorded = false;
+  fleet::VersionCatchUp CatchUp;
+  uint32_t ExternalAsks = 0;
   fleet::Recovery Recovering;
   log::SnapshotPolicy Snapshots;
   log::SnapshotAssembler Assembler;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -239,6 +239,8 @@
     serveRecords(request, answer);
   if (request.Kind == PullKind::State)
     serveState(answer);
+  if (request.Kind == PullKind::External)
+    serveExternal(request, answer);
   return answer;
 }
 
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -20,6 +20,23 @@
 
 namespace radishcross::peer {
 
+/// A record of the external configuration as the store gave it.
+struct ExternalRecord {
+  uint64_t Version = 0; ///< 0 for none.
+  std::string Text;
+};
+
+/// The node's external configuration, as the peers share it.
+struct ExternalSource {
+  /// Returns the version in force and its record's bytes.
+  std::function<uint64_t()> Version;
+  std::function<std::string()> Text;
+  /// Tells whether the store answers this node.
+  std::function<bool()> IsStoreReached;
+  /// Takes what a peer has given.
+  std::function<void(const ExternalRecord &, const fleet::NodeId &peer)> Taken;
+};
+
 /// What the shell needs of its node.
 struct FleetEnvironment {
   boost::asio::io_context *Context = nullptr;
@@ -31,13 +48,14 @@
   fleet::NodeIdentity Self;
   std::vector<base::Address> Seeds;  ///< Gossip addresses, any data centre.
   std::vector<std::string> MeshKeys; ///< The first signs, all verify.
-  bool TrustsNetwork = false; ///< Without keys every message is genuine.
+  bool TrustsNetwork = false;        ///< Without keys every message is genuine.
   uint64_t RandomSeed = 0;
   /// The number of nodes of each data centre that tail the log.
   uint32_t TailersPerDataCentre = 2;
   /// Other nodes of the data centre that must hold a record before it is in
   /// force here; 0 switches the rule off.
   uint32_t HoldersBeforeForce = 2;
+  ExternalSource External; ///< Empty where nothing is shared.
   /// Called on the node's thread, never from inside a call to the shell.
   std::function<void(const log::Fold &)> FoldAdvanced;
   std::function<void()> MembersChanged;
@@ -81,6 +99,10 @@
   virtual void spreadNotice(std::string topic, std::string text,
                             base::Duration lifetime) = 0;
 
+  /// Tells the others that a version of the external configuration is in force
+  /// here.
+  virtual void externalChanged(uint64_t version) = 0;
+
   /// Reads the log now instead of at the next turn: after an append here.
   virtual void readLogSoon() = 0;
 
--- a/Libraries/LibPeer/PullCodec.cpp
+++ b/Libraries/LibPeer/PullCodec.cpp
@@ -20,7 +20,7 @@
 }
 
 bool readRequest(wire::PullRequest::Reader reader, PullRequest &request) {
-  if (reader.getKind() > static_cast<uint8_t>(PullKind::Members) ||
+  if (reader.getKind() > static_cast<uint8_t>(PullKind::External) ||
       !readText(reader.getSender(), MaximumIdBytes, request.Sender))
     return false;
   request.Nonce = reader.getNonce();
@@ -48,7 +48,7 @@
 }
 
 bool readAnswer(wire::PullAnswer::Reader reader, PullAnswer &answer) {
-  if (reader.getKind() > static_cast<uint8_t>(PullKind::Members))
+  if (reader.getKind() > static_cast<uint8_t>(PullKind::External))
     return false;
   answer.Nonce = reader.getNonce();
   answer.Kind = static_cast<PullKind>(reader.getKind());
--- a/Libraries/LibPeer/PullCodec.h
+++ b/Libraries/LibPeer/PullCodec.h
@@ -14,15 +14,17 @@
 namespace radishcross::peer {
 
 enum class PullKind : uint8_t {
-  Records, ///< Log records from an offset on.
-  State,   ///< The fold's whole state.
-  Members, ///< Member records of the buckets that differ.
+  Records,  ///< Log records from an offset on.
+  State,    ///< The fold's whole state.
+  Members,  ///< Member records of the buckets that differ.
+  External, ///< The record of a higher version of the external configuration.
 };
 
 constexpr base::EnumName<PullKind> PullKindNames[] = {
     {PullKind::Records, "records"},
     {PullKind::State, "state"},
     {PullKind::Members, "members"},
+    {PullKind::External, "external"},
 };
 
 /// Asks a peer for what the asker lacks.
@@ -30,7 +32,8 @@
   fleet::NodeId Sender;
   uint64_t Nonce = 0; ///< Binds the answer to the request.
   PullKind Kind = PullKind::Records;
-  log::Offset From = 1;          ///< For Records: the first one wanted.
+  /// For Records the first one wanted, for External the version held.
+  log::Offset From = 1;
   fleet::BucketHashes Buckets{}; ///< For Members: the asker's hashes.
 };
 
@@ -42,7 +45,9 @@
   uint32_t RetryAfterMilliseconds = 0; ///< With PeerBusy.
   fleet::Digest Summary;
   std::vector<log::StoredRecord> Records; ///< In offset order, without gaps.
-  std::string State;                      ///< log::Fold::save() as JSON text.
+  /// log::Fold::save() as JSON text and its offset; for External the record's
+  /// bytes and its version, or nothing where the peer holds none above From.
+  std::string State;
   log::Offset StateOffset = 0;
   std::vector<fleet::Member> Members;
 };
--- /dev/null
+++ b/Tests/LibFleet/TestVersionCatchUp.cpp
@@ -0,0 +1,58 @@
+#include <LibFleet/VersionCatchUp.h>
+
+#include <chrono>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr base::TimePoint Start{1h};
+} // namespace
+
+TEST_CASE("a node that its store serves asks nobody") {
+  VersionCatchUp it({}, 1);
+  for (auto passed = 0ms; passed < 60s; passed += 50ms)
+    CHECK_FALSE(it.isDue({3, true}, Start + passed));
+}
+
+TEST_CASE("news of a higher version is asked for after the store's time") {
+  for (uint64_t seed = 1; seed < 50; ++seed) {
+    VersionCatchUp it({}, seed);
+    it.heard(3, Start);
+    CHECK_FALSE(it.isDue({3, true}, Start + 10s));
+    it.heard(4, Start + 10s);
+    it.heard(2, Start + 10s);
+    CHECK_FALSE(it.isDue({3, true}, Start + 10240ms));
+    CHECK(it.isDue({3, true}, Start + 10400ms));
+    // One question at a time, and again when it brought nothing.
+    CHECK_FALSE(it.isDue({3, true}, Start + 20s));
+    it.ended();
+    CHECK(it.isDue({3, true}, Start + 21s));
+    it.ended();
+    CHECK_FALSE(it.isDue({4, true}, Start + 30s));
+  }
+}
+
+TEST_CASE("a node that its store fails asks by itself") {
+  VersionCatchUp it({}, 7);
+  CHECK(it.isDue({0, false}, Start));
+  it.ended();
+  int asked = 0;
+  for (auto passed = 0ms; passed < 10s; passed += 10ms)
+    if (it.isDue({0, false}, Start + passed)) {
+      ++asked;
+      it.ended();
+    }
+  CHECK(asked > 20);
+  CHECK(asked < 70);
+  asked = 0;
+  for (auto passed = 10s + 0ms; passed < 20s; passed += 10ms)
+    if (it.isDue({3, false}, Start + passed)) {
+      ++asked;
+      it.ended();
+    }
+  CHECK(asked > 5);
+  CHECK(asked < 20);
+}
--- /dev/null
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -0,0 +1,150 @@
+#include <FreeAddress.h>
+#include <LibNode/FakeStore.h>
+#include <LibNode/NodeProcess.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Three nodes, each with a way of its own to one store.
+struct Mesh {
+  boost::asio::io_context Context{1};
+  test::StoreContent Content;
+  std::map<std::string, test::StoreWay> Ways;
+  std::vector<admin::NodeSettings> Settings;
+  std::map<std::string, std::unique_ptr<node::NodeProcess>> Nodes;
+
+  Mesh() {
+    for (const char *id : {"a-1", "a-2", "b-1"}) {
+      admin::NodeSettings it;
+      it.Node = id;
+      it.DataCentre = std::string(id, 1);
+      it.Region = "south";
+      it.Calls = test::freeAddress();
+      it.Mesh = test::freeAddress();
+      it.Gossip = test::freeAddress();
+      it.Peer = test::freeAddress();
+      it.Targets = test::freeAddress();
+      it.Administration = test::freeAddress();
+      it.Platform = {{"127.0.0.1", 1}};
+      it.HasOperatorConfiguration = true;
+      it.TrustsNetwork = true;
+      Settings.push_back(std::move(it));
+    }
+  }
+
+  node::PlatformPorts portsOf(const std::string &id) {
+    node::PlatformPorts out;
+    out.OpenStore = [this, id](boost::asio::io_context &context, auto,
+                               base::Metrics &) {
+      return std::make_unique<test::FakeStore>(context, Content, Ways[id]);
+    };
+    out.ConfigurationKey = "config";
+    out.DecodeOperatorRecord =
+        [](std::string_view text,
+           base::LastReason &reason) -> std::optional<config::ExternalVersion> {
+      if (text.empty() || text[0] < '0' || text[0] > '9')
+        return reason.fail(base::ResultCode::BadValue, "no number");
+      config::ExternalVersion version;
+      version.Version = std::stoull(std::string(text));
+      return version;
+    };
+    return out;
+  }
+
+  void start(const std::string &id) {
+    base::LastReason reason;
+    const auto &settings =
+        *std::find_if(Settings.begin(), Settings.end(),
+                      [&](const auto &it) { return it.Node == id; });
+    Nodes.erase(id);
+    auto node =
+        node::NodeProcess::create(Context, settings, portsOf(id), reason);
+    REQUIRE_MESSAGE(node, reason.text());
+    Nodes[id] = std::move(*node);
+  }
+
+  void startAll() {
+    for (const auto &it : Settings)
+      start(it.Node);
+    REQUIRE(runUntil([&] { return allReady(); }));
+    // Each has met the others.
+    REQUIRE(runUntil([&] {
+      return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &it) {
+        return it.second->members().size() == Settings.size();
+      });
+    }));
+  }
+
+  void publish(const std::string &text) {
+    Content.write(log::Topic::Operator, "config", text);
+  }
+
+  template <typename Condition>
+  bool runUntil(Condition condition, base::Duration patience = 10s) {
+    auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!condition() && std::chrono::steady_clock::now() < deadline)
+      Context.run_one_for(20ms);
+    return condition();
+  }
+
+  bool allReady() {
+    return std::all_of(Nodes.begin(), Nodes.end(),
+                       [](const auto &it) { return it.second->ready(); });
+  }
+
+  uint64_t versionAt(const std::string &id) {
+    for (const auto &it : Nodes.at(id)->holdingSince())
+      if (it.Configuration == config::ExternalName)
+        return it.Version;
+    return 0;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a node that the store fails takes the version from its peers") {
+  using Way = test::StoreWay;
+  for (auto way : {Way::Refuses, Way::Silent}) {
+    INFO(static_cast<int>(way));
+    Mesh mesh;
+    mesh.publish("3");
+    mesh.startAll();
+    mesh.Ways["b-1"] = way;
+    mesh.publish("4");
+    // Within the bound of two seconds that holds for the others.
+    CHECK(mesh.runUntil([&] { return mesh.versionAt("b-1") == 4; }, 2s));
+    CHECK(mesh.versionAt("a-1") == 4);
+  }
+}
+
+TEST_CASE("a node that starts while its store fails gets it from peers") {
+  Mesh mesh;
+  mesh.publish("3");
+  mesh.startAll();
+  for (const auto &it : mesh.Settings)
+    mesh.Ways[it.Node] = test::StoreWay::Refuses;
+  mesh.start("a-2");
+  CHECK_FALSE(mesh.Nodes.at("a-2")->ready());
+  CHECK(mesh.runUntil([&] { return mesh.Nodes.at("a-2")->ready(); }));
+  CHECK(mesh.versionAt("a-2") == 3);
+}
+
+TEST_CASE("a lower version and a bad one change nothing") {
+  Mesh mesh;
+  mesh.publish("9");
+  mesh.startAll();
+  mesh.publish("5");
+  mesh.publish("bad");
+  mesh.Content.forgetHistory();
+  mesh.runUntil([] { return false; }, 500ms);
+  for (const auto &it : mesh.Settings)
+    CHECK(mesh.versionAt(it.Node) == 9);
+  CHECK(mesh.allReady());
+}
