LibFleet: Tell leaves to all at once and find who starts again

Causes: a target that took no more work was told to three peers at the next push, and the others sent it calls that its gate refuses. A node that starts while the directory cannot be read knows nobody, and a member that had been declared dead was tried once in ten seconds. Each start of a node rewrote its entry of the directory, and so woke every reader of it; entries of nodes that are gone stayed for ever.

A leave goes straight to up to 32 members, three times in 0.3 s. Members gone for less than five minutes are tried again, three in each second. An entry is written where it is absent or leads elsewhere, and dropped by the first of the live nodes after five minutes. A node that stops does not drop its entry: most that stop start again, and each write wakes all readers.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -34,6 +34,18 @@
       [](const auto &x, const auto &y) { return sameButLoad(x, y); });
 }
 
+/// Tells whether a target that took work takes none any more.
+bool takesLessWork(const std::vector<TargetRecord> &before,
+                   const std::vector<TargetRecord> &after) {
+  return std::any_of(before.begin(), before.end(), [&](const auto &was) {
+    return was.State == TargetState::Ready &&
+           std::none_of(after.begin(), after.end(), [&](const auto &is) {
+             return is.TargetId == was.TargetId &&
+                    is.State == TargetState::Ready;
+           });
+  });
+}
+
 bool sameLoadSteps(const std::vector<TargetRecord> &a,
                    const std::vector<TargetRecord> &b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -65,6 +77,8 @@
   probe(now, actions);
   joinIfDue(now, actions);
   linkIfDue(now, actions);
+  auto leaves = leaveNews(now);
+  std::move(leaves.begin(), leaves.end(), std::back_inserter(actions.Sends));
   bool isSecondPush = SecondPush && now >= *SecondPush;
   if (isSecondPush)
     SecondPush.reset();
@@ -168,14 +182,32 @@
       actions.Sends.push_back(
           {it->Identity.Gossip, compose(GossipKind::Ping, 0)});
   }
-  if (DeadUntil.empty() || Dice.below(DeadProbeChance) != 0)
-    return;
-  // A member that was declared dead during a partition learns of it here.
-  auto dead = std::next(DeadUntil.begin(), Dice.below(DeadUntil.size()));
-  auto message = compose(GossipKind::Ping, 0);
-  message.Updates.insert(message.Updates.begin(), updateOf(dead->first, false));
-  actions.Sends.push_back(
-      {Table.find(dead->first)->Identity.Gossip, std::move(message)});
+  tryGone(now, actions);
+}
+
+/// A member that was declared dead during a partition learns of it here, and
+/// one that has started again finds the others.
+void Membership::tryGone(base::TimePoint now, MembershipActions &actions) {
+  std::vector<NodeId> lately;
+  for (const auto &[id, until] : DeadUntil)
+    if (until - Settings.DeadKept + Settings.GoneTried > now)
+      lately.push_back(id);
+  std::vector<NodeId> tried;
+  while (tried.size() < Settings.GoneTries && !lately.empty()) {
+    auto place =
+        lately.begin() + static_cast<ptrdiff_t>(Dice.below(lately.size()));
+    tried.push_back(*place);
+    lately.erase(place);
+  }
+  if (tried.empty() && !DeadUntil.empty() && Dice.below(DeadProbeChance) == 0)
+    tried.push_back(
+        std::next(DeadUntil.begin(), Dice.below(DeadUntil.size()))->first);
+  for (const auto &id : tried) {
+    auto message = compose(GossipKind::Ping, 0, {}, Payload::DigestOnly);
+    message.Updates.push_back(updateOf(id, false));
+    actions.Sends.push_back(
+        {Table.find(id)->Identity.Gossip, std::move(message)});
+  }
 }
 
 std::vector<GossipSend> Membership::pushNews(base::TimePoint now,
@@ -209,10 +241,27 @@
   return sends;
 }
 
+std::vector<GossipSend> Membership::leaveNews(base::TimePoint now) {
+  if (LeaveRoundsLeft == 0 || now < NextLeaveNews)
+    return {};
+  --LeaveRoundsLeft;
+  NextLeaveNews = now + Settings.SecondPushDelay;
+  std::vector<GossipSend> sends;
+  for (const auto *it :
+       choose(Settings.LeaveFanout, [](const Member &) { return true; })) {
+    auto message = compose(GossipKind::News, 0, {}, Payload::DigestOnly);
+    message.Updates.push_back(ownUpdate());
+    sends.push_back({it->Identity.Gossip, std::move(message)});
+  }
+  return sends;
+}
+
 std::vector<GossipSend> Membership::leave(base::TimePoint now) {
   setState(self(), MemberState::Left, now);
   IsLeaving = true;
-  return push([](const Member &) { return true; }, Payload::Updates);
+  LeaveRoundsLeft = 1;
+  NextLeaveNews = now;
+  return leaveNews(now);
 }
 
 void Membership::takePulled(const std::vector<Member> &records,
@@ -317,6 +366,10 @@
     return;
   if (isSame)
     NextLoadNews = now + LoadNewsSpacing;
+  if (takesLessWork(own.Targets, targets)) {
+    LeaveRoundsLeft = Settings.LeaveRounds;
+    NextLeaveNews = now;
+  }
   own.Targets = std::move(targets);
   ++own.Revision;
   Table.merge({std::move(own), true});
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -22,6 +22,15 @@
   /// number of members of its data centre.
   base::Duration SuspicionTimeout = std::chrono::seconds(3);
   uint32_t NewsFanout = 3; ///< Peers told at once of fresh news.
+  /// Members, of any data centre, that are told directly when a target stops
+  /// taking work: each call that goes to it meanwhile is refused at its gate.
+  uint32_t LeaveFanout = 32;
+  uint32_t LeaveRounds = 3; ///< Datagrams get lost.
+  /// Members that were declared dead or have left in the last time are tried
+  /// again, so many in each probe period: a node that starts again while the
+  /// directory cannot be read knows nobody.
+  base::Duration GoneTried = std::chrono::minutes(5);
+  uint32_t GoneTries = 3;
   base::Duration SecondPushDelay = std::chrono::milliseconds(150);
   uint32_t RetransmitFactor = 3; ///< Times the logarithm of the fleet's size.
   /// Between two pushes of members' news; it doubles while news keeps coming,
@@ -95,7 +104,11 @@
     Table.noteDigest(id, digest);
   }
 
-  /// Declares this node gone and tells a few peers.
+  /// Returns the datagrams that tell of a target that takes no more work;
+  /// due at once after setTargets(), and again a little later.
+  std::vector<GossipSend> leaveNews(base::TimePoint now);
+
+  /// Declares this node gone and tells its peers.
   std::vector<GossipSend> leave(base::TimePoint now);
 
   const MemberTable &table() const { return Table; }
@@ -123,6 +136,7 @@
   void askOthers(const ProbeAction &action, MembershipActions &actions);
   void joinIfDue(base::TimePoint now, MembershipActions &actions);
   void linkIfDue(base::TimePoint now, MembershipActions &actions);
+  void tryGone(base::TimePoint now, MembershipActions &actions);
   bool isNewsDue(base::TimePoint now);
   void skipPause(base::TimePoint now);
   void answer(const GossipSender &sender, const GossipMessage &message,
@@ -184,6 +198,8 @@
   base::TimePoint NextNews{};
   base::Duration NewsSpacing{};
   std::optional<base::TimePoint> SecondPush;
+  uint32_t LeaveRoundsLeft = 0;
+  base::TimePoint NextLeaveNews{};
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/NodeDirectory.cpp
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -52,8 +52,7 @@
     return std::nullopt;
   }
   if (record.Key == Self.Id) {
-    IsWritten =
-        entry->Incarnation == Self.Incarnation && entry->Gossip == Self.Gossip;
+    IsWritten = entry->Gossip == Self.Gossip;
     return std::nullopt;
   }
   auto &known = Entries[record.Key];
@@ -63,4 +62,22 @@
   return isNews ? std::optional(known.Gossip) : std::nullopt;
 }
 
+std::optional<NodeId> NodeDirectory::toDrop(const std::set<NodeId> &live,
+                                            base::TimePoint now) {
+  std::optional<NodeId> out;
+  std::erase_if(GoneSince,
+                [&](const auto &it) { return !Entries.contains(it.first); });
+  bool isFirst = live.empty() || Self.Id <= *live.begin();
+  for (const auto &[id, entry] : Entries) {
+    if (live.contains(id)) {
+      GoneSince.erase(id);
+      continue;
+    }
+    auto since = GoneSince.try_emplace(id, now).first->second;
+    if (isFirst && !out && now - since >= GoneKept)
+      out = id;
+  }
+  return out;
+}
+
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/NodeDirectory.h
+++ b/Libraries/LibFleet/NodeDirectory.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <LibBase/Address.h>
+#include <LibBase/Clock.h>
 #include <LibFleet/Member.h>
 #include <LibLog/KeyedStore.h>
 
+#include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,9 +30,14 @@
                                                    base::LastReason &reason);
 
 /// The nodes that the platform's directory names: where a node that starts
-/// finds others. Who is alive, membership decides.
+/// finds others. Who is alive, membership decides. A write wakes every reader,
+/// so an entry that still leads to its node is left as it is, also when that
+/// node has started again or stops for a while.
 class NodeDirectory {
 public:
+  /// How long a node has to be gone before its entry is dropped.
+  static constexpr base::Duration GoneKept = std::chrono::minutes(5);
+
   explicit NodeDirectory(DirectoryEntry self) : Self(std::move(self)) {}
 
   /// Takes a record of the directory; returns the address of a node that was
@@ -39,8 +47,13 @@
   /// Notes that the store has taken this node's entry.
   void written() { IsWritten = true; }
 
+  /// Returns the entry to drop: that of a node that none of \p live has been
+  /// for GoneKept. The first of the live nodes by id sees to it.
+  std::optional<NodeId> toDrop(const std::set<NodeId> &live,
+                               base::TimePoint now);
+
   /// Tells whether this node's own entry has to be written: it is absent, or
-  /// names another process.
+  /// leads elsewhere.
   bool mustWrite() const { return !IsWritten; }
 
   const DirectoryEntry &self() const { return Self; }
@@ -50,6 +63,7 @@
   DirectoryEntry Self;
   bool IsWritten = false;
   std::map<NodeId, DirectoryEntry> Entries;
+  std::map<NodeId, base::TimePoint> GoneSince;
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -277,7 +277,7 @@
 void NodeProcess::tick() {
   if (!Recovered && isServing())
     recovered();
-  Link.tick(Time.now());
+  Link.tick(Fleet->members(), Time.now());
   if (Leases.tick(Time.now()))
     targetsChanged();
   News.spread(
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -2,6 +2,8 @@
 
 #include <LibBase/Logger.h>
 
+#include <chrono>
+#include <set>
 #include <utility>
 
 namespace radishcross::node {
@@ -11,6 +13,9 @@
 /// The least time between two writes of a node's entry.
 constexpr base::Duration WriteSpacing = std::chrono::seconds(2);
 
+/// How often it is looked for entries of nodes that are gone.
+constexpr base::Duration DropLookSpacing = std::chrono::seconds(10);
+
 } // namespace
 
 PlatformLink::PlatformLink(boost::asio::io_context &context,
@@ -30,23 +35,43 @@
       [this](const log::KeyedRecord &it) { operatorRecord(it); });
 }
 
-void PlatformLink::tick(base::TimePoint now) {
-  if (!Directory.mustWrite() || now < NextWrite)
+void PlatformLink::tick(const std::vector<fleet::Member> &members,
+                        base::TimePoint now) {
+  if (Directory.mustWrite() && now >= NextWrite) {
+    NextWrite = now + WriteSpacing;
+    const auto &self = Directory.self();
+    writeEntry(self.Id, fleet::encodeDirectoryEntry(self));
+  }
+  if (now < NextDropLook)
     return;
-  NextWrite = now + WriteSpacing;
-  const auto &self = Directory.self();
-  Store->put(
-      log::Topic::Nodes, self.Id, fleet::encodeDirectoryEntry(self),
-      [weak = std::weak_ptr<bool>(Alive), this](const log::PutAnswer &answer) {
-        if (weak.expired())
-          return;
-        bool isDone = answer.Outcome == log::PutAnswer::Kind::Accepted;
-        if (isDone)
-          Directory.written();
-        else
-          base::log(base::LogLevel::Warning, "directory entry was not written",
-                    {{"reason", answer.Reason.text()}});
-      });
+  NextDropLook = now + DropLookSpacing;
+  std::set<fleet::NodeId> live;
+  for (const auto &it : members)
+    if (fleet::isLive(it))
+      live.insert(it.Identity.Id);
+  if (auto gone = Directory.toDrop(live, now)) {
+    base::log(base::LogLevel::Info, "directory entry dropped",
+              {{"gone", *gone}});
+    writeEntry(*gone, {});
+  }
+}
+
+/// An empty text drops the entry.
+void PlatformLink::writeEntry(std::string id, std::string text) {
+  bool isOwn = id == Directory.self().Id;
+  Store->put(log::Topic::Nodes, std::move(id), std::move(text),
+             [weak = std::weak_ptr<bool>(Alive), this,
+              isOwn](const log::PutAnswer &answer) {
+               if (weak.expired())
+                 return;
+               bool isDone = answer.Outcome == log::PutAnswer::Kind::Accepted;
+               if (isDone && isOwn)
+                 Directory.written();
+               if (!isDone)
+                 base::log(base::LogLevel::Warning,
+                           "directory entry was not written",
+                           {{"reason", answer.Reason.text()}});
+             });
 }
 
 void PlatformLink::directoryRecord(const log::KeyedRecord &record) {
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfig/ExternalConfiguration.h>
+#include <LibFleet/MemberTable.h>
 #include <LibFleet/NodeDirectory.h>
 #include <LibNode/PlatformPorts.h>
 #include <LibNode/TopicReader.h>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace radishcross::node {
 
@@ -30,8 +32,9 @@
   /// operator's record.
   void start(bool hasConfiguration, uint64_t seed);
 
-  /// Writes this node's entry where that is due.
-  void tick(base::TimePoint now);
+  /// Writes this node's entry where that is due, and drops that of a node that
+  /// is gone for long; \p members is who is known now.
+  void tick(const std::vector<fleet::Member> &members, base::TimePoint now);
 
   const config::ExternalConfiguration &configuration() const {
     return External;
@@ -50,6 +53,7 @@
   void takeConfiguration(std::string_view text, std::string_view source);
 
 private:
+  void writeEntry(std::string id, std::string text);
   void directoryRecord(const log::KeyedRecord &record);
   void operatorRecord(const log::KeyedRecord &record);
 
@@ -63,6 +67,7 @@
   std::shared_ptr<TopicReader> Nodes;
   std::shared_ptr<TopicReader> Operator;
   base::TimePoint NextWrite{};
+  base::TimePoint NextDropLook{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -325,7 +325,9 @@
 }
 
 void FleetNode::setTargets(std::vector<fleet::TargetRecord> targets) {
-  Members.setTargets(std::move(targets), Environment.Time->now());
+  auto now = Environment.Time->now();
+  Members.setTargets(std::move(targets), now);
+  send(Members.leaveNews(now));
 }
 
 void FleetNode::spreadNotice(std::string topic, std::string text,
--- a/Tests/LibFleet/FakeMesh.h
+++ b/Tests/LibFleet/FakeMesh.h
@@ -45,6 +45,13 @@
     Down.erase(n);
   }
 
+  /// Starts a node that has no address to join through.
+  void addAlone(size_t n, const std::string &dataCentre, uint64_t incarnation) {
+    Nodes.insert_or_assign(n, Membership(fakeMember(n, dataCentre, incarnation),
+                                         {}, {}, Seed + n));
+    Down.erase(n);
+  }
+
   /// Runs all nodes that are up for \p time.
   void run(base::Duration time) {
     for (auto end = Now + time; Now < end; Now += Step) {
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -208,3 +208,64 @@
   CHECK(forward.hash() == backward.hash());
   CHECK(forward.find("node-1")->Incarnation == 4);
 }
+
+TEST_CASE("all are told at once that a target takes no more work") {
+  FakeMesh mesh(31);
+  for (size_t n = 0; n < 11; ++n)
+    mesh.add(n, n < 4 ? "a" : n < 8 ? "b" : "c");
+  mesh.run(20s);
+  TargetRecord target;
+  target.Service = "badges/lookup";
+  target.TargetId = "t";
+  target.State = TargetState::Ready;
+  mesh.Nodes.at(0).setTargets({target}, mesh.Now);
+  mesh.run(10s);
+  auto seen = [&](TargetState state) {
+    size_t count = 0;
+    for (const auto &[n, node] : mesh.Nodes) {
+      const auto *it = node.table().find("node-0");
+      count += it && it->Targets.size() == 1 && it->Targets[0].State == state;
+    }
+    return count;
+  };
+  REQUIRE(seen(TargetState::Ready) == 11);
+  mesh.LossPercent = 20;
+  for (auto state : {TargetState::Draining, TargetState::Left}) {
+    target.State = TargetState::Ready;
+    mesh.Nodes.at(0).setTargets({target}, mesh.Now);
+    mesh.run(10s);
+    target.State = state;
+    mesh.Nodes.at(0).setTargets({target}, mesh.Now);
+    mesh.run(30ms);
+    CHECK(seen(state) >= 8);
+    mesh.run(370ms);
+    CHECK(seen(state) >= 10);
+    mesh.run(1s);
+    CHECK(seen(state) == 11);
+  }
+}
+
+TEST_CASE("nodes that start again and know nobody are found by who is left") {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    FakeMesh mesh(seed);
+    for (size_t n = 0; n < 11; ++n)
+      mesh.add(n, n < 4 ? "a" : n < 8 ? "b" : "c");
+    mesh.run(20s);
+    // All but one die and are declared dead where that can be seen.
+    for (size_t n = 1; n < 11; ++n)
+      mesh.Down.insert(n);
+    mesh.run(30s);
+    for (size_t n = 1; n < 11; ++n)
+      mesh.addAlone(n, n < 4 ? "a" : n < 8 ? "b" : "c", 2000);
+    auto time = mesh.runUntil(
+        [&] {
+          return std::all_of(mesh.Nodes.begin(), mesh.Nodes.end(),
+                             [](const auto &it) {
+                               return it.second.table().all().size() == 11;
+                             });
+        },
+        30s);
+    INFO(seed);
+    CHECK(time < 8s);
+  }
+}
--- /dev/null
+++ b/Tests/LibFleet/TestNodeDirectory.cpp
@@ -0,0 +1,82 @@
+#include <LibFleet/NodeDirectory.h>
+
+#include <chrono>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::TimePoint Start{1h};
+
+DirectoryEntry entryOf(const std::string &id, uint64_t incarnation = 1) {
+  return {id, incarnation, {"10.0.0.1", 7620}};
+}
+
+log::KeyedRecord recordOf(const DirectoryEntry &entry) {
+  return {0, entry.Id, encodeDirectoryEntry(entry)};
+}
+
+} // namespace
+
+TEST_CASE("an entry that leads to this node is written once") {
+  NodeDirectory first(entryOf("a", 1));
+  CHECK(first.mustWrite());
+  first.written();
+  CHECK_FALSE(first.mustWrite());
+  // The next process finds it and leaves it as it is.
+  NodeDirectory second(entryOf("a", 2));
+  CHECK_FALSE(second.take(recordOf(entryOf("a", 1))));
+  CHECK_FALSE(second.mustWrite());
+  // Another address, or a drop by somebody else, calls for a write.
+  auto moved = entryOf("a", 1);
+  moved.Gossip.Port = 7700;
+  second.take(recordOf(moved));
+  CHECK(second.mustWrite());
+  second.written();
+  second.take({5, "a", ""});
+  CHECK(second.mustWrite());
+}
+
+TEST_CASE("a node's address is news once, and again when it changes") {
+  NodeDirectory it(entryOf("a"));
+  CHECK(it.take(recordOf(entryOf("b"))) == entryOf("b").Gossip);
+  CHECK_FALSE(it.take(recordOf(entryOf("b"))));
+  auto moved = entryOf("b");
+  moved.Gossip.Port = 7700;
+  CHECK(it.take(recordOf(moved)) == moved.Gossip);
+}
+
+TEST_CASE("what is no entry is ignored") {
+  NodeDirectory it(entryOf("a"));
+  for (const char *text : {"{", "[]", "7", R"({"incarnation": 1})",
+                           R"({"incarnation": "1", "gossip": "10.0.0.1:1"})",
+                           R"({"incarnation": 1, "gossip": "nowhere"})"}) {
+    INFO(text);
+    CHECK_FALSE(it.take({0, "b", text}));
+  }
+  CHECK(it.entries().empty());
+}
+
+TEST_CASE("the first of the live drops the entry of who is gone for long") {
+  NodeDirectory first(entryOf("a"));
+  NodeDirectory second(entryOf("b"));
+  for (auto *it : {&first, &second})
+    for (const char *id : {"a", "b", "c"})
+      it->take(recordOf(entryOf(id)));
+  const std::set<NodeId> live{"a", "b"};
+  const std::set<NodeId> all{"a", "b", "c"};
+  CHECK_FALSE(first.toDrop(live, Start));
+  CHECK_FALSE(first.toDrop(live, Start + 4min));
+  // Who came back in between counts anew.
+  CHECK_FALSE(first.toDrop(all, Start + 4min + 30s));
+  CHECK_FALSE(first.toDrop(live, Start + 5min));
+  CHECK_FALSE(first.toDrop(live, Start + 9min));
+  CHECK(first.toDrop(live, Start + 10min) == "c");
+  CHECK_FALSE(second.toDrop(live, Start));
+  CHECK_FALSE(second.toDrop(live, Start + 10min));
+  first.take({9, "c", ""});
+  CHECK_FALSE(first.toDrop(live, Start + 20min));
+}
