--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConfig/ExternalConfiguration.h>
+#include <LibFleet/MemberTable.h>
 #include <LibFleet/NodeDirectory.h>
 #include <LibNode/PlatformPorts.h>
 #include <LibNode/TopicReader.h>
@@ -8,6 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace radishcross::node {
 
@@ -28,14 +32,28 @@
   /// operator's record.
   void start(bool hasConfiguration, uint64_t seed);
 
-  /// Writes this node's entry where that is due.
-  void tick(base::TimePoint now);
+  /// Writes this node's entry where that is due, and drops that of a node that
+  /// is gone for long; \p members is who is known now.
+  void tick(const std::vector<fleet::Member> &members, base::TimePoint now);
 
   const config::ExternalConfiguration &configuration() const {
     return External;
   }
 
+  /// Returns the bytes of the record in force, for the peers.
+  const std::string &configurationText() const { return ExternalText; }
+
+  /// Tells whether the store answers reads of the operator's record.
+  bool isOperatorReached() const {
+    return Operator && Operator->hasListed() && Operator->isReached();
+  }
+
+  /// Takes the operator's record from \p source; one that is not above the
+  /// version in force, or not valid, changes nothing.
+  void takeConfiguration(std::string_view text, std::string_view source);
+
 private:
+  void writeEntry(std::string id, std::string text);
   void directoryRecord(const log::KeyedRecord &record);
   void operatorRecord(const log::KeyedRecord &record);
 
@@ -44,10 +62,12 @@
   const PlatformPorts *Ports;
   fleet::NodeDirectory Directory;
   config::ExternalConfiguration External;
+  std::string ExternalText;
   Events OnEvent;
   std::shared_ptr<TopicReader> Nodes;
   std::shared_ptr<TopicReader> Operator;
   base::TimePoint NextWrite{};
+  base::TimePoint NextDropLook{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
