LibCalls: Admit by what still earns its latency objective

The gate knew of no objective, took 10 ms for a first call, kept a slot free for more urgent ranks, and narrowed its slots by latencies that hold the time of calls below.

The gate now takes the objective of the request's route, keeps the slot time of each kind of call, and queues a call only where its objective still holds with the work before it; else it refuses at once, with a time to come back of at most a third of what is left. Of one rank the call with the least time to spare goes first, so calls made by targets pass new work. Calls with an objective leave no slot free and don't narrow the slots. A refusal of the gate is no arrival and costs no retry budget: TestBroker's row of an overloaded target has 3 sends instead of 2, up to the bound of attempts. A first attempt is cut only where a second has time left.

--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -18,6 +18,7 @@
   config::Rank CallRank = config::Rank::Background;
   base::Duration Remaining{};
   uint64_t Fingerprint = 0;
+  base::Duration LatencyObjective{}; ///< Of its route; 0: none is stated.
 };
 
 /// Identifies an admitted or queued call at one node.
--- a/Libraries/LibCalls/AttemptTimer.cpp
+++ b/Libraries/LibCalls/AttemptTimer.cpp
@@ -16,7 +16,7 @@
 
 base::Duration AttemptTimer::firstAttempt(base::Duration remaining) const {
   const auto wanted = std::max(Least, Slowest * SlowestFactor);
-  return std::min(wanted, remaining * 3 / 4);
+  return wanted <= remaining * 3 / 4 ? wanted : remaining;
 }
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/AttemptTimer.h
+++ b/Libraries/LibCalls/AttemptTimer.h
@@ -6,7 +6,8 @@
 
 /// How long the first of two attempts may take at one service. It follows the
 /// slowest answers, so that a slow service is not mistaken for a silent one,
-/// and leaves time for the second attempt.
+/// and leaves time for the second attempt. Where that much time isn't left, the
+/// first attempt has it all: cutting work that runs would waste its slot.
 class AttemptTimer {
 public:
   static constexpr base::Duration Least = std::chrono::seconds(1);
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -15,6 +15,10 @@
 /// The load of a target that refuses calls as overloaded.
 constexpr uint32_t FullPermille = 1000;
 
+/// A caller that is told to come back has this part of what is left of its
+/// deadline for it; a later time would be of no use to it.
+constexpr int64_t RetryAfterDivisor = 3;
+
 /// When a caller may come back after a refusal that named no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
@@ -32,7 +36,8 @@
 bool costsNoBudget(const AttemptResult &result) {
   return result.End == AttemptEnd::NotSent ||
          result.Code == ResultCode::Draining ||
-         result.Code == ResultCode::NoTarget;
+         result.Code == ResultCode::NoTarget ||
+         result.Code == ResultCode::Overloaded;
 }
 
 /// Tells whether the attempt may have come to a target, which may also have
@@ -81,7 +86,8 @@
   const auto rank = call.Route.CallRank;
   if (service.Shed.shed(rank, now, Randomness))
     return finish(CallOutcome::NotRun, ResultCode::Overloaded,
-                  EarlyShed::retryAfter(rank));
+                  std::min(EarlyShed::retryAfter(rank),
+                           call.Route.Allowed / RetryAfterDivisor));
   service.Budget.called(call.Route.RetryBudgetPercent);
   auto out = send(call, false, now);
   return out ? *out
@@ -146,7 +152,8 @@
   const auto code =
       result.Code == ResultCode::Ok ? ResultCode::NoTarget : result.Code;
   return finish(CallOutcome::NotRun, code,
-                std::max(result.RetryAfter, DefaultRetryAfter));
+                result.RetryAfter > Duration::zero() ? result.RetryAfter
+                                                     : DefaultRetryAfter);
 }
 
 /// The attempt may have run: only an idempotent call is sent once more.
--- a/Libraries/LibCalls/Gate.cpp
+++ b/Libraries/LibCalls/Gate.cpp
@@ -95,7 +95,8 @@
             UnknownTargetRetryAfter};
   auto &guarded = it->second;
   const auto out = guarded.Admission->arrive(
-      call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now);
+      call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
+      arrival.LatencyObjective);
   if (out.What != GateAnswer::Kind::Refuse)
     Held->Calls[call] = &guarded;
   return out;
--- a/Libraries/LibCalls/RankQueue.cpp
+++ b/Libraries/LibCalls/RankQueue.cpp
@@ -46,6 +46,17 @@
   auto &line = lineOf(rank);
   if (line.Calls.empty())
     return std::nullopt;
+  if (line.Calls.front().LatencyObjective > base::Duration::zero()) {
+    const auto it =
+        std::min_element(line.Calls.begin(), line.Calls.end(),
+                         [](const WaitingCall &a, const WaitingCall &b) {
+                           return a.LatestStart < b.LatestStart;
+                         });
+    const auto out = *it;
+    line.Calls.erase(it);
+    --Count;
+    return out;
+  }
   const bool newestFirst = overloaded(line, now);
   const auto out = newestFirst ? line.Calls.back() : line.Calls.front();
   if (newestFirst)
@@ -80,8 +91,10 @@
     auto &line = Lines[rank];
     const bool impatient = overloaded(line, now);
     std::erase_if(line.Calls, [&](const WaitingCall &it) {
-      const bool given = now >= it.LatestStart ||
-                         (impatient && now - it.ArrivedAt >= patience[rank]);
+      const bool bounded = it.LatencyObjective > base::Duration::zero();
+      const bool given =
+          now >= it.LatestStart ||
+          (impatient && !bounded && now - it.ArrivedAt >= patience[rank]);
       if (given)
         out.push_back(it);
       return given;
@@ -108,6 +121,15 @@
   return out;
 }
 
+base::Duration RankQueue::workBefore(const WaitingCall &call) const {
+  base::Duration out{};
+  for (size_t rank = 0; rank <= static_cast<size_t>(call.CallRank); ++rank)
+    for (const auto &it : Lines[rank].Calls)
+      if (it.CallRank < call.CallRank || it.LatestStart <= call.LatestStart)
+        out += it.Expected;
+  return out;
+}
+
 bool RankQueue::overloaded(const Line &line, base::TimePoint now) const {
   return !line.Calls.empty() && now - line.BusySince >= OverloadAfter;
 }
--- a/Libraries/LibCalls/RankQueue.h
+++ b/Libraries/LibCalls/RankQueue.h
@@ -20,6 +20,8 @@
   base::TimePoint ArrivedAt{};
   base::TimePoint LatestStart{}; ///< Later its deadline could not be met.
   uint64_t Fingerprint = 0;
+  base::Duration LatencyObjective{}; ///< 0: none is stated.
+  base::Duration Expected{};         ///< Slot time.
 };
 
 /// The bounded queue of one target. When it is full the lowest rank is shed
@@ -27,7 +29,8 @@
 /// which it could not use its floor. A rank whose calls have waited without a
 /// pause for OverloadAfter is overloaded: its newest call is served first and
 /// those that waited too long are given up at once, because their callers are
-/// the least likely to still want an answer.
+/// the least likely to still want an answer. Calls with a latency objective are
+/// served in the order of their latest starts instead.
 class RankQueue {
 public:
   static constexpr base::Duration OverloadAfter =
@@ -55,6 +58,9 @@
   std::vector<WaitingCall> clear();
 
   RankFlags waiting() const;
+
+  /// Returns the slot time of the calls that will be served before \p call.
+  base::Duration workBefore(const WaitingCall &call) const;
   size_t size() const { return Count; }
   uint32_t capacity() const { return Limits.QueueLength; }
 
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -14,8 +14,11 @@
 
 /// Slot time assumed for a rank before its first call has ended.
 constexpr Duration InitialExpectedTime = std::chrono::milliseconds(10);
-/// A new sample enters the expected slot time with one eighth.
-constexpr int64_t ExpectedTimeDivisor = 8;
+/// Part of a latency objective that a call is taken to need before its kind has
+/// been seen to end.
+constexpr int64_t ObjectiveInCalls = 3;
+/// Kinds of call whose slot time is kept apart.
+constexpr size_t MostKinds = 64;
 
 /// A rank is in demand for this time after a call of it arrived. Ranks in
 /// demand earn their floors; lower ranks leave a slot free for them, so that an
@@ -31,6 +34,10 @@
 
 constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
 constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
+/// Of a call with a latency objective: the least wait, and the part of what is
+/// left of its deadline that may be spent on it.
+constexpr Duration LeastObjectiveRetryAfter = std::chrono::milliseconds(50);
+constexpr int64_t RetryAfterDivisor = 3;
 
 /// Parts of the pressure: slots in use, then the queue.
 constexpr uint32_t SlotsPressurePermille = 800;
@@ -46,9 +53,7 @@
 } // namespace
 
 TargetGate::TargetGate(std::string targetId, trace::Recorder &recorder)
-    : TargetId(std::move(targetId)), Record(&recorder) {
-  ExpectedTime.fill(InitialExpectedTime);
-}
+    : TargetId(std::move(targetId)), Record(&recorder) {}
 
 void TargetGate::configure(const TargetGateSettings &settings,
                            base::TimePoint now) {
@@ -68,38 +73,64 @@
 }
 
 GateAnswer TargetGate::arrive(Ticket call, Rank rank, Duration remaining,
-                              uint64_t fingerprint, base::TimePoint now) {
-  const auto out = decideArrival(call, rank, remaining, fingerprint, now);
+                              uint64_t fingerprint, base::TimePoint now,
+                              Duration objective) {
+  WaitingCall arrived{call, rank, now, {}, fingerprint, objective, {}};
+  const auto out = decideArrival(arrived, remaining, now);
   note(AdmissionEvent::Arrive,
        {static_cast<int64_t>(call), static_cast<int64_t>(rank),
-        remaining.count()},
+        remaining.count(), objective.count()},
        {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
         out.RetryAfter.count()},
        now);
   return out;
 }
 
-GateAnswer TargetGate::decideArrival(Ticket call, Rank rank, Duration remaining,
-                                     uint64_t fingerprint,
+GateAnswer TargetGate::decideArrival(WaitingCall call, Duration remaining,
                                      base::TimePoint now) {
+  const auto rank = call.CallRank;
   LastArrival[indexOf(rank)] = now;
   Arrived[indexOf(rank)] = true;
+  Stated[indexOf(rank)] = call.LatencyObjective > Duration::zero();
   if (Settings.State != TargetState::Ready)
-    return refusal(call, refusalOf(Settings.State));
+    return refusal(call.Call, refusalOf(Settings.State));
   if (remaining <= Duration::zero())
-    return refusal(call, ResultCode::DeadlineExceeded);
-  if (mayStart(rank, now)) {
-    start(call, rank, fingerprint, now);
-    return {GateAnswer::Kind::Run, call, ResultCode::Ok, {}};
+    return refusal(call.Call, ResultCode::DeadlineExceeded);
+  call.Expected = expectedOf(rank, call.LatencyObjective);
+  if (mayStart(rank, now) && !Queue.waiting()[indexOf(rank)]) {
+    start(call, now);
+    return {GateAnswer::Kind::Run, call.Call, ResultCode::Ok, {}};
   }
-  const auto latest =
-      now + remaining - std::min(ExpectedTime[indexOf(rank)], remaining / 2);
-  const auto shed = Queue.push({call, rank, now, latest, fingerprint});
-  if (shed && shed->Call == call)
-    return refusal(call, ResultCode::Overloaded);
+  if (call.LatencyObjective > Duration::zero())
+    return decideWait(call, remaining, now);
+  call.LatestStart = now + remaining - std::min(call.Expected, remaining / 2);
+  return enqueue(call);
+}
+
+/// A call with a latency objective waits where it will be answered within that,
+/// and is refused at once where it won't.
+GateAnswer TargetGate::decideWait(WaitingCall call, Duration remaining,
+                                  base::TimePoint now) {
+  const auto useful = std::min(call.LatencyObjective, remaining);
+  const auto patience = useful - std::min(call.Expected, useful / 2);
+  call.LatestStart = now + patience;
+  const auto work = Queue.workBefore(call) + call.Expected;
+  const auto wait = work / static_cast<int64_t>(limit());
+  if (wait < patience)
+    return enqueue(call);
+  const auto most =
+      std::max(remaining / RetryAfterDivisor, LeastObjectiveRetryAfter);
+  return {GateAnswer::Kind::Refuse, call.Call, ResultCode::Overloaded,
+          std::clamp(wait - patience, LeastObjectiveRetryAfter, most)};
+}
+
+GateAnswer TargetGate::enqueue(const WaitingCall &call) {
+  const auto shed = Queue.push(call);
+  if (shed && shed->Call == call.Call)
+    return refusal(call.Call, ResultCode::Overloaded);
   if (shed)
     Answers.push_back(refusal(shed->Call, ResultCode::Overloaded));
-  return {GateAnswer::Kind::Queued, call, ResultCode::Ok, {}};
+  return {GateAnswer::Kind::Queued, call.Call, ResultCode::Ok, {}};
 }
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
@@ -127,9 +158,14 @@
     Adaptive.refused();
   if (end != AttemptEnd::Answered)
     return;
-  Adaptive.answered(call.CallRank, taken, call.Saturated);
-  auto &expected = ExpectedTime[indexOf(call.CallRank)];
-  expected += (taken - expected) / ExpectedTimeDivisor;
+  // The time of calls with an objective holds that of calls below them, which
+  // says nothing of this target.
+  const bool stated = call.LatencyObjective > Duration::zero();
+  Adaptive.answered(call.CallRank, taken, call.Saturated && !stated);
+  ExpectedTime[indexOf(call.CallRank)].observed(taken);
+  const Kind kind{call.CallRank, call.LatencyObjective};
+  if (stated && (KindTime.size() < MostKinds || KindTime.contains(kind)))
+    KindTime[kind].observed(taken);
 }
 
 void TargetGate::abandoned(Ticket call, base::TimePoint now) {
@@ -156,7 +192,7 @@
       continue;
     }
     const auto call = Queue.pop(*rank, now);
-    start(call->Call, *rank, call->Fingerprint, now);
+    start(*call, now);
     Answers.push_back({GateAnswer::Kind::Run, call->Call, ResultCode::Ok, {}});
     eligible = Queue.waiting();
   }
@@ -173,8 +209,11 @@
   if (limit() < LeastSlotsForReserve)
     return 0;
   const auto wanted = demand(now);
-  const auto higher = wanted.begin() + static_cast<ptrdiff_t>(indexOf(rank));
-  return std::find(wanted.begin(), higher, true) == higher ? 0 : 1;
+  // A call with an objective can wait for the next slot.
+  for (size_t it = 0; it < indexOf(rank); ++it)
+    if (wanted[it] && !Stated[it])
+      return 1;
+  return 0;
 }
 
 RankFlags TargetGate::demand(base::TimePoint now) const {
@@ -184,12 +223,22 @@
   return out;
 }
 
-void TargetGate::start(Ticket call, Rank rank, uint64_t fingerprint,
-                       base::TimePoint now) {
-  const auto expected = ExpectedTime[indexOf(rank)];
-  Share.started(rank, expected, demand(now));
+void TargetGate::start(const WaitingCall &call, base::TimePoint now) {
+  const auto rank = call.CallRank;
+  Share.started(rank, call.Expected, demand(now));
   const bool saturated = Running.size() + 1 + reserveFrom(rank, now) >= limit();
-  Running[call] = {rank, fingerprint, now, expected, saturated};
+  Running[call.Call] = {rank, call.LatencyObjective, call.Fingerprint,
+                        now,  call.Expected,         saturated};
+}
+
+Duration TargetGate::expectedOf(Rank rank, Duration objective) const {
+  const auto &byRank = ExpectedTime[indexOf(rank)];
+  if (objective <= Duration::zero())
+    return byRank.expected().value_or(InitialExpectedTime);
+  const auto it = KindTime.find({rank, objective});
+  if (it == KindTime.end())
+    return objective / ObjectiveInCalls;
+  return it->second.expected().value_or(objective / ObjectiveInCalls);
 }
 
 void TargetGate::refuseExpired(base::TimePoint now) {
@@ -197,7 +246,8 @@
   for (size_t it = 0; it < patience.size(); ++it)
     patience[it] = patienceOf(static_cast<Rank>(it));
   for (const auto &it : Queue.expire(patience, now)) {
-    const bool late = now >= it.LatestStart;
+    const bool late =
+        now >= it.LatestStart && it.LatencyObjective <= Duration::zero();
     Answers.push_back(refusal(it.Call, late ? ResultCode::DeadlineExceeded
                                             : ResultCode::Overloaded));
   }
@@ -206,7 +256,7 @@
 /// Returns how long a call may wait under overload: a few calls' time, and for
 /// a rank that is served by its floor a few turns of that.
 Duration TargetGate::patienceOf(Rank rank) const {
-  const auto expected = ExpectedTime[indexOf(rank)];
+  const auto expected = expectedOf(rank, {});
   const auto out = std::max(LeastPatience, expected * PatienceInCalls);
   const auto &limits = Settings.Limits;
   const uint32_t floors[] = {0, limits.StandardFloorPercent,
@@ -227,7 +277,7 @@
 Duration TargetGate::retryAfter() const {
   Duration longest{};
   for (const auto it : ExpectedTime)
-    longest = std::max(longest, it);
+    longest = std::max(longest, it.expected().value_or(InitialExpectedTime));
   const auto wait = longest * static_cast<int64_t>(inFlight()) / limit();
   return std::clamp(std::chrono::ceil<std::chrono::seconds>(wait) + Duration{},
                     LeastRetryAfter, LongestRetryAfter);
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -5,13 +5,16 @@
 #include <LibCalls/AdmissionGate.h>
 #include <LibCalls/RankQueue.h>
 #include <LibCalls/RankShare.h>
+#include <LibCalls/SlotTime.h>
 #include <LibConfig/Resources.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
 #include <array>
+#include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace radishcross::calls {
@@ -26,9 +29,9 @@
 
 /// Events of a trace's entries; the text is the target. Configure: slots,
 /// connections, state, queue length, floors of standard and background.
-/// Arrive: ticket, rank, remaining microseconds; decides kind, code,
-/// retry-after. Ended: ticket, end. Abandoned: ticket. Ended and Tick decide
-/// the number of answers, the sum of their tickets and the limit.
+/// Arrive: ticket, rank, remaining microseconds, latency objective; decides
+/// kind, code, retry-after. Ended: ticket, end. Abandoned: ticket. Ended and
+/// Tick decide the number of answers, the sum of their tickets and the limit.
 struct AdmissionEvent {
   enum Value : uint8_t { Configure, Arrive, Ended, Abandoned, Tick };
 };
@@ -44,7 +47,8 @@
   void configure(const TargetGateSettings &settings, base::TimePoint now);
 
   GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
-                    uint64_t fingerprint, base::TimePoint now);
+                    uint64_t fingerprint, base::TimePoint now,
+                    base::Duration objective = {});
   std::vector<GateAnswer> ended(Ticket call, AttemptEnd end,
                                 base::TimePoint now);
   void abandoned(Ticket call, base::TimePoint now);
@@ -62,26 +66,31 @@
   uint64_t fingerprintOf(Ticket call) const;
 
 private:
+  /// Slot time by kind of call: calls of one rank and latency objective.
+  using Kind = std::pair<config::Rank, base::Duration>;
   struct RunningCall {
     config::Rank CallRank = config::Rank::Background;
+    base::Duration LatencyObjective{};
     uint64_t Fingerprint = 0;
     base::TimePoint StartedAt{};
     base::Duration Charged{};
     bool Saturated = false;
   };
-  GateAnswer decideArrival(Ticket call, config::Rank rank,
-                           base::Duration remaining, uint64_t fingerprint,
+  GateAnswer decideArrival(WaitingCall call, base::Duration remaining,
                            base::TimePoint now);
+  GateAnswer decideWait(WaitingCall call, base::Duration remaining,
+                        base::TimePoint now);
   bool mayStart(config::Rank rank, base::TimePoint now) const;
   uint32_t reserveFrom(config::Rank rank, base::TimePoint now) const;
   RankFlags demand(base::TimePoint now) const;
-  void start(Ticket call, config::Rank rank, uint64_t fingerprint,
-             base::TimePoint now);
+  GateAnswer enqueue(const WaitingCall &call);
+  void start(const WaitingCall &call, base::TimePoint now);
   void finish(const RunningCall &call, AttemptEnd end, base::TimePoint now);
   void fillSlots(base::TimePoint now);
   void refuseExpired(base::TimePoint now);
   GateAnswer refusal(Ticket call, base::ResultCode code) const;
   base::Duration retryAfter() const;
+  base::Duration expectedOf(config::Rank rank, base::Duration objective) const;
   base::Duration patienceOf(config::Rank rank) const;
   std::vector<GateAnswer> takeAnswers();
   void note(AdmissionEvent::Value event, const trace::Inputs &numbers,
@@ -95,7 +104,10 @@
   RankQueue Queue;
   std::unordered_map<Ticket, RunningCall> Running;
   std::vector<GateAnswer> Answers; ///< For queued calls, not yet returned.
-  std::array<base::Duration, config::RankCount> ExpectedTime;
+  std::array<SlotTime, config::RankCount> ExpectedTime; ///< By rank.
+  std::map<Kind, SlotTime> KindTime; ///< Where an objective is stated.
+  /// Whether the last call of a rank came with a latency objective.
+  std::array<bool, config::RankCount> Stated{};
   std::array<base::TimePoint, config::RankCount> LastArrival{};
   std::array<bool, config::RankCount> Arrived{};
 };
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -42,7 +42,7 @@
   const Row rows[] = {
       {"/pay", E::NotSent, R::Ok, 3, O::NotRun, R::NoTarget},
       {"/pay", E::RefusedNotRun, R::Draining, 3, O::NotRun, R::Draining},
-      {"/pay", E::RefusedNotRun, R::Overloaded, 2, O::NotRun, R::Overloaded},
+      {"/pay", E::RefusedNotRun, R::Overloaded, 3, O::NotRun, R::Overloaded},
       {"/pay", E::RefusedNotRun, R::Quarantined, 1, O::NotRun, R::Quarantined},
       {"/pay", E::Broken, R::Ok, 1, O::Unknown, R::CallOutcomeUnknown},
       {"/pay", E::TimedOut, R::Ok, 1, O::Unknown, R::CallOutcomeUnknown},
--- /dev/null
+++ b/Tests/LibCalls/TestObjectives.cpp
@@ -0,0 +1,110 @@
+#include <LibCalls/CallFixtures.h>
+#include <LibCalls/TargetGate.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Kind = GateAnswer::Kind;
+
+/// One target whose calls state latency objectives.
+struct ObjectiveBench {
+  explicit ObjectiveBench(uint32_t slots) {
+    TargetGateSettings settings;
+    settings.State = TargetState::Ready;
+    settings.Slots = slots;
+    settings.Connections = 120;
+    Gate.configure(settings, at(0s));
+  }
+  GateAnswer arrive(Rank rank, base::Duration objective,
+                    base::Duration passed = 0s, base::Duration remaining = 1s) {
+    return Gate.arrive(++Last, rank, remaining, 0, at(passed), objective);
+  }
+  std::vector<GateAnswer> end(Ticket call, base::Duration passed) {
+    return Gate.ended(call, AttemptEnd::Answered, at(passed));
+  }
+  /// Lets one call of a kind end after \p taken, so that its time is known.
+  void learn(Rank rank, base::Duration objective, base::Duration taken) {
+    const auto call = arrive(rank, objective);
+    end(call.Call, taken);
+  }
+
+  trace::NullRecorder Recorder;
+  TargetGate Gate{"t", Recorder};
+  Ticket Last = 0;
+};
+
+} // namespace
+
+TEST_CASE("a call waits where its objective holds, else it is told at once") {
+  ObjectiveBench it(2);
+  it.learn(Rank::Critical, 400ms, 100ms);
+  for (int n = 0; n < 2; ++n)
+    CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
+  // Two slots free one call's time each 50 ms; 300 ms may be waited.
+  for (int n = 0; n < 5; ++n)
+    CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Queued);
+  const auto refused = it.arrive(Rank::Critical, 400ms);
+  CHECK(refused.What == Kind::Refuse);
+  CHECK(refused.Code == ResultCode::Overloaded);
+  CHECK(refused.RetryAfter >= 50ms);
+  CHECK(refused.RetryAfter <= 334ms);
+}
+
+TEST_CASE("less urgent calls wait behind the others, and are told so") {
+  ObjectiveBench it(1);
+  it.learn(Rank::Critical, 400ms, 100ms);
+  it.learn(Rank::Background, 400ms, 100ms);
+  CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
+  for (int n = 0; n < 2; ++n)
+    CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Queued);
+  CHECK(it.arrive(Rank::Background, 400ms).What == Kind::Refuse);
+}
+
+TEST_CASE("a call that misses its objective in the queue is not run") {
+  ObjectiveBench it(1);
+  it.learn(Rank::Critical, 400ms, 100ms);
+  CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
+  const auto waiting = it.arrive(Rank::Critical, 400ms);
+  CHECK(it.Gate.tick(at(299ms)).empty());
+  const auto refused = it.Gate.tick(at(301ms));
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].Call == waiting.Call);
+  CHECK(refused[0].Code == ResultCode::Overloaded);
+}
+
+TEST_CASE("of one rank the call with the least time to spare goes first") {
+  ObjectiveBench it(1);
+  const auto running = it.arrive(Rank::Critical, 400ms);
+  const auto wide = it.arrive(Rank::Critical, 800ms);
+  const auto narrow = it.arrive(Rank::Critical, 120ms, 1ms);
+  CHECK(wide.What == Kind::Queued);
+  CHECK(narrow.What == Kind::Queued);
+  const auto next = it.end(running.Call, 20ms);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].Call == narrow.Call);
+}
+
+TEST_CASE("calls with objectives take all slots") {
+  ObjectiveBench it(6);
+  it.arrive(Rank::Critical, 400ms);
+  for (int n = 0; n < 5; ++n)
+    CHECK(it.arrive(Rank::Background, 2s).What == Kind::Run);
+}
+
+TEST_CASE("the time of calls with objectives does not narrow the slots") {
+  ObjectiveBench it(2);
+  base::Duration passed = 0s;
+  for (int n = 0; n < 400; ++n) {
+    const auto first = it.arrive(Rank::Critical, 400ms, passed);
+    const auto second = it.arrive(Rank::Critical, 400ms, passed);
+    passed += n < 100 ? 20ms : 200ms;
+    it.end(first.Call, passed);
+    it.end(second.Call, passed);
+  }
+  CHECK(it.Gate.limit() == 2);
+}
