LibCalls: Bound retries over a sliding window for all nodes together

It is now counted over a sliding window: a node spends the ratio of its own calls and the slack divided by the largest number of nodes seen in 30 s. Less urgent ranks leave a part to the others. The settings retry_budget {ratio, window_seconds, slack} state the bound; without them the service's own percent holds, as before.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/json/value.hpp>
+#include <cmath>
 #include <set>
 
 namespace radishcross::embedded {
@@ -188,6 +189,15 @@
   return schema && schema->check(document, reason);
 }
 
+void readRetryBudget(const json::object &from, calls::RetryLimits &to) {
+  constexpr double Permille = 1000;
+  to.RatioPermille =
+      std::llround(from.at("ratio").to_number<double>() * Permille);
+  to.Window =
+      std::chrono::seconds(from.at("window_seconds").to_number<int64_t>());
+  to.Slack = from.at("slack").to_number<int64_t>();
+}
+
 } // namespace
 
 std::string_view nodeSettingsSchemaText() { return embedded::NodeSettingsText; }
@@ -224,6 +234,8 @@
   }
   if (const auto *headers = root.if_contains("call_headers"))
     readCallHeaders(headers->as_object(), settings.CallHeaders);
+  if (const auto *budget = root.if_contains("retry_budget"))
+    readRetryBudget(budget->as_object(), settings.Retries);
   if (const auto *n = root.if_contains("target_lease_ms"))
     settings.TargetLease = std::chrono::milliseconds(n->to_number<uint32_t>());
   if (const auto *n = root.if_contains("recording_bytes"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -6,6 +6,7 @@
 #include <LibBase/LastReason.h>
 #include <LibBase/Logger.h>
 #include <LibCalls/CallHeaders.h>
+#include <LibCalls/RetryBudget.h>
 #include <LibConfig/Labels.h>
 
 #include <boost/json/value.hpp>
@@ -60,9 +61,10 @@
   std::optional<base::Address> TargetAddress;
   std::string Service; ///< That of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
+  calls::RetryLimits Retries;
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL << 20; ///< For decisions kept for replay.
-  std::vector<base::Address> Seeds;  ///< Gossip addresses of other nodes.
+  std::vector<base::Address> Seeds;   ///< Gossip addresses of other nodes.
   std::vector<std::string> MeshKeys;
   /// No key is given: the network between the nodes is trusted.
   bool TrustsNetwork = false;
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -59,7 +59,7 @@
         trace::Recorder &recorder)
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
-                recorder),
+                recorder, Settings.Retries),
         Keys(Settings.KeyWindow, recorder),
         Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
                recorder),
@@ -336,6 +336,13 @@
 
 void Broker::membersChanged(const std::vector<fleet::Member> &members,
                             base::TimePoint now) {
+  Held->Planner.nodesChanged(
+      std::count_if(members.begin(), members.end(),
+                    [](const fleet::Member &it) {
+                      return it.State == fleet::MemberState::Alive ||
+                             it.State == fleet::MemberState::Suspect;
+                    }),
+      now);
   Held->Planner.membersChanged(members, now);
   Held->Owners.membersChanged(members, now);
 }
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -3,6 +3,7 @@
 #include <LibBase/Random.h>
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/Quarantine.h>
+#include <LibCalls/RetryBudget.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
@@ -20,6 +21,7 @@
   uint64_t RandomSeed = 0;
   /// How long the answers of idempotency keys are kept and resends recognised.
   base::Duration KeyWindow = std::chrono::minutes(1);
+  RetryLimits Retries = {};
 };
 
 /// The broker of one node; see CallBroker.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -18,6 +18,7 @@
     {CallPlanEvent::AttemptEnded, "attempt-ended"},
     {CallPlanEvent::End, "end"},
     {CallPlanEvent::Tick, "tick"},
+    {CallPlanEvent::Nodes, "nodes"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -42,7 +43,7 @@
     &CallPlanPlayer::start,        &CallPlanPlayer::target,
     &CallPlanPlayer::drained,      &CallPlanPlayer::begin,
     &CallPlanPlayer::attemptEnded, &CallPlanPlayer::end,
-    &CallPlanPlayer::tick};
+    &CallPlanPlayer::tick,         &CallPlanPlayer::nodes};
 
 trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
   if (entry.Event >= std::size(Handlers))
@@ -56,9 +57,16 @@
   auto lines = linesOf(entry.Text);
   lines.resize(2);
   Members.clear();
+  RetryLimits retries;
+  if (entry.Numbers[2] > 0) { // Older traces state no limits.
+    if (entry.Numbers[1] >= 0)
+      retries.RatioPermille = entry.Numbers[1];
+    retries.Window = base::Duration(entry.Numbers[2]);
+    retries.Slack = entry.Numbers[3];
+  }
   Replayed = std::make_unique<CallPlanner>(
       Place{lines[0], lines[1]}, static_cast<uint64_t>(entry.Numbers[0]),
-      Ignored);
+      Ignored, retries);
   return {};
 }
 
@@ -130,6 +138,11 @@
   return {};
 }
 
+trace::Outcome CallPlanPlayer::nodes(const trace::Entry &entry) {
+  Replayed->nodesChanged(entry.Numbers[0], timeOf(entry));
+  return {};
+}
+
 std::string_view CallPlanPlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
 }
--- a/Libraries/LibCalls/CallPlanPlayer.h
+++ b/Libraries/LibCalls/CallPlanPlayer.h
@@ -23,6 +23,7 @@
   trace::Outcome begin(const trace::Entry &entry);
   trace::Outcome attemptEnded(const trace::Entry &entry);
   trace::Outcome end(const trace::Entry &entry);
+  trace::Outcome nodes(const trace::Entry &entry);
   trace::Outcome tick(const trace::Entry &entry);
 
   using Handler = trace::Outcome (CallPlanPlayer::*)(const trace::Entry &);
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -22,6 +22,12 @@
 /// When a caller may come back after a refusal that named no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
+/// How long nodes count that are no longer seen.
+constexpr Duration NodesMemory = std::chrono::seconds(30);
+constexpr int64_t PermilleOfPercent = 10;
+/// Stands in a trace for a ratio that isn't stated.
+constexpr int64_t NoRatio = -1;
+
 CallStep finish(CallOutcome outcome, ResultCode code,
                 Duration retryAfter = {}) {
   CallStep out;
@@ -59,9 +65,13 @@
 } // namespace
 
 CallPlanner::CallPlanner(const Place &here, uint64_t randomSeed,
-                         trace::Recorder &recorder)
-    : Choice(here), Randomness(randomSeed), Record(&recorder) {
-  note(CallPlanEvent::Start, {static_cast<int64_t>(randomSeed)},
+                         trace::Recorder &recorder, const RetryLimits &retries)
+    : Choice(here), Randomness(randomSeed), Record(&recorder),
+      Retries(retries) {
+  note(CallPlanEvent::Start,
+       {static_cast<int64_t>(randomSeed),
+        retries.RatioPermille.value_or(NoRatio), retries.Window.count(),
+        retries.Slack},
        here.DataCentre + "\n" + here.Region, {}, {});
 }
 
@@ -88,7 +98,9 @@
     return finish(CallOutcome::NotRun, ResultCode::Overloaded,
                   std::min(EarlyShed::retryAfter(rank),
                            call.Route.Allowed / RetryAfterDivisor));
-  service.Budget.called(call.Route.RetryBudgetPercent);
+  service.Budget.called(Retries.RatioPermille.value_or(
+                            call.Route.RetryBudgetPercent * PermilleOfPercent),
+                        Retries.Window, now);
   auto out = send(call, false, now);
   return out ? *out
              : finish(CallOutcome::NotRun, ResultCode::NoTarget,
@@ -138,10 +150,10 @@
   auto &service = stateOf(call);
   const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts &&
                          call.Arrivals < call.Route.MaximumAttempts;
-  if (retryable && (costsNoBudget(result) || mayRetry(call)))
+  if (retryable && (costsNoBudget(result) || mayRetry(call, now)))
     if (auto out = send(call, true, now)) {
       if (!costsNoBudget(result))
-        service.Budget.spend();
+        service.Budget.spend(Retries, now);
       return *out;
     }
   if (result.Code == ResultCode::Overloaded)
@@ -162,9 +174,9 @@
   call.MayHaveRun = true;
   const bool retryable =
       call.Route.Idempotent && !result.FailedBelow && !call.Retried;
-  if (retryable && mayRetry(call)) {
+  if (retryable && mayRetry(call, now)) {
     if (auto out = send(call, true, now)) {
-      stateOf(call).Budget.spend();
+      stateOf(call).Budget.spend(Retries, now);
       call.Retried = true;
       return *out;
     }
@@ -172,9 +184,16 @@
   return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
 }
 
-bool CallPlanner::mayRetry(const PlannedCall &call) {
+bool CallPlanner::mayRetry(const PlannedCall &call, base::TimePoint now) {
   return !call.Route.BelowRetry && call.Arrivals < call.Route.MaximumAttempts &&
-         stateOf(call).Budget.available();
+         stateOf(call).Budget.available(call.Route.CallRank, Retries,
+                                        nodesLately(now), now);
+}
+
+int64_t CallPlanner::nodesLately(base::TimePoint now) {
+  if (Nodes < MostNodes && now - MostNodesAt > NodesMemory)
+    MostNodes = Nodes;
+  return MostNodes;
 }
 
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
@@ -214,7 +233,8 @@
   const auto left = call.Deadline - now - HopMargin;
   const bool another = Table.usable(call.Route.ServiceName).size() > 1;
   const bool isLast = call.Arrivals + 1 >= call.Route.MaximumAttempts;
-  if (!call.Route.Idempotent || retry || !another || isLast || !mayRetry(call))
+  if (!call.Route.Idempotent || retry || !another || isLast ||
+      !mayRetry(call, now))
     return left;
   return stateOf(call).Timer.firstAttempt(left);
 }
@@ -264,6 +284,16 @@
     noteTarget(*it, now);
 }
 
+void CallPlanner::nodesChanged(int64_t nodes, base::TimePoint now) {
+  if (nodes == Nodes)
+    return;
+  if (Nodes == MostNodes)
+    MostNodesAt = now; // It held until now.
+  Nodes = nodes;
+  MostNodes = std::max(MostNodes, nodes);
+  note(CallPlanEvent::Nodes, {nodes}, {}, {}, now);
+}
+
 void CallPlanner::drainedChanged(const std::vector<std::string> &drained,
                                  base::TimePoint now) {
   Table.drainedChanged(drained);
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -30,7 +30,8 @@
   base::Duration LatencyObjective{}; ///< 0: none is stated.
 };
 
-/// Events of a trace's entries. Start: random seed; text: data centre, region.
+/// Events of a trace's entries. Start: random seed, permille, window and slack
+/// of retries; text: data centre, region. Nodes: their number.
 /// Target: state, slots, load, epoch, whether its node is suspected, whether it
 /// is listed; text: node, data centre, region, service, target. Drained: text:
 /// the names. Begin: handle, rank, allowed time, flags (1 idempotent, 2 below a
@@ -47,6 +48,7 @@
     AttemptEnded,
     End,
     Tick,
+    Nodes,
   };
 };
 
@@ -60,8 +62,8 @@
   /// Attempts of one call, of which at most one retry after bytes were sent.
   static constexpr uint32_t MaximumAttempts = 3;
 
-  CallPlanner(const Place &here, uint64_t randomSeed,
-              trace::Recorder &recorder);
+  CallPlanner(const Place &here, uint64_t randomSeed, trace::Recorder &recorder,
+              const RetryLimits &retries = {});
 
   /// Plans the first attempt of call \p handle.
   CallStep begin(CallHandle handle, const RoutedCall &call,
@@ -72,6 +74,10 @@
 
   void membersChanged(const std::vector<fleet::Member> &members,
                       base::TimePoint now);
+
+  /// Takes the number of nodes that share the slack of retries. The largest
+  /// number lately counts, so that a part cut off doesn't spend it all.
+  void nodesChanged(int64_t nodes, base::TimePoint now);
   void drainedChanged(const std::vector<std::string> &drained,
                       base::TimePoint now);
   void tick(base::TimePoint now);
@@ -106,7 +112,8 @@
                         base::TimePoint now);
   CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
                      base::TimePoint now);
-  bool mayRetry(const PlannedCall &call);
+  bool mayRetry(const PlannedCall &call, base::TimePoint now);
+  int64_t nodesLately(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
   base::Duration timeoutOf(const PlannedCall &call, bool retry,
@@ -125,6 +132,10 @@
   trace::Recorder *Record;
   std::unordered_map<CallHandle, PlannedCall> Calls;
   std::map<std::string, ServiceState, std::less<>> Services;
+  RetryLimits Retries;
+  int64_t Nodes = 0;
+  int64_t MostNodes = 0; ///< Lately.
+  base::TimePoint MostNodesAt{};
 };
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/RetryBudget.cpp
+++ b/Libraries/LibCalls/RetryBudget.cpp
@@ -4,21 +4,53 @@
 
 namespace radishcross::calls {
 
-void RetryBudget::called(uint32_t percent) {
-  Balance = std::min(Balance + percent, HighestSaving * OneRetry);
+namespace {
+
+constexpr int64_t OneRetry = 1000; ///< In permille of a call.
+
+/// The part of the budget that a rank may use up, in permille.
+constexpr int64_t RankPermille[config::RankCount] = {1000, 750, 500};
+
+} // namespace
+
+RetryBudget::Part &RetryBudget::partAt(base::Duration window,
+                                       base::TimePoint now) {
+  const auto length = std::max<int64_t>(window.count() / Parts, 1);
+  const int64_t number = now.time_since_epoch().count() / length;
+  auto &out = Recent[static_cast<size_t>(number) % Recent.size()];
+  if (out.Number != number)
+    out = {number, 0, 0};
+  return out;
+}
+
+void RetryBudget::called(int64_t permille, base::Duration window,
+                         base::TimePoint now) {
+  partAt(window, now).Earned += permille;
 }
 
-bool RetryBudget::available() const {
-  // The first retry is lent, so that a service with few calls has one too.
-  return Balance >= OneRetry || (!Spent && Balance > 0);
+bool RetryBudget::available(config::Rank rank, const RetryLimits &limits,
+                            int64_t nodes, base::TimePoint now) {
+  const int64_t newest = partAt(limits.Window, now).Number;
+  int64_t earned = 0;
+  int64_t spent = 0;
+  for (const auto &it : Recent) {
+    if (it.Number < newest - Parts || it.Number > newest)
+      continue;
+    spent += it.Spent;
+    // Of the oldest part some lies before the window.
+    if (it.Number > newest - Parts)
+      earned += it.Earned;
+  }
+  if (limits.Slack == 0 && spent == 0)
+    return earned > 0;
+  if (nodes > 0)
+    earned += limits.Slack * OneRetry / nodes;
+  const auto share = RankPermille[static_cast<size_t>(rank)];
+  return (spent + 1) * OneRetry <= earned * share / OneRetry;
 }
 
-bool RetryBudget::spend() {
-  if (!available())
-    return false;
-  Balance -= OneRetry;
-  Spent = true;
-  return true;
+void RetryBudget::spend(const RetryLimits &limits, base::TimePoint now) {
+  ++partAt(limits.Window, now).Spent;
 }
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/RetryBudget.h
+++ b/Libraries/LibCalls/RetryBudget.h
@@ -1,29 +1,49 @@
 #pragma once
 
+#include <LibBase/Clock.h>
+#include <LibConfig/Rank.h>
+
+#include <array>
 #include <cstdint>
+#include <optional>
 
 namespace radishcross::calls {
 
-/// Bounds the retries of one service to a share of its calls. After any number
-/// of calls it has allowed at most that share of them, or one retry.
+/// What all nodes together may spend on retries of one service in any window.
+struct RetryLimits {
+  /// Retries for each 1000 calls; without one the service's own limit holds.
+  std::optional<int64_t> RatioPermille;
+  base::Duration Window = std::chrono::seconds(10);
+  int64_t Slack = 0; ///< Retries beyond the ratio.
+};
+
+/// One node's part of a service's retries over a sliding window: the ratio of
+/// the calls that began here, and the slack divided by the nodes. Without a
+/// slack the first retry of a window is lent. Less urgent ranks leave a part to
+/// the more urgent ones.
 class RetryBudget {
 public:
-  /// Retries that may be saved up for a burst.
-  static constexpr int64_t HighestSaving = 20;
-
-  /// Counts one call, which earns \p percent of a retry.
-  void called(uint32_t percent);
+  /// Counts one call, which earns \p permille of a retry.
+  void called(int64_t permille, base::Duration window, base::TimePoint now);
 
-  /// Tells whether a retry may be made now.
-  bool available() const;
+  /// Tells whether a call of \p rank may be retried now; \p nodes share the
+  /// slack, 0: their number is unknown.
+  bool available(config::Rank rank, const RetryLimits &limits, int64_t nodes,
+                 base::TimePoint now);
 
-  /// Takes one retry out; returns false when none is left.
-  bool spend();
+  /// Takes one retry out.
+  void spend(const RetryLimits &limits, base::TimePoint now);
 
 private:
-  static constexpr int64_t OneRetry = 100; ///< In percents of a call.
-  int64_t Balance = 0;
-  bool Spent = false;
+  static constexpr int64_t Parts = 10; ///< Of a window.
+  struct Part {
+    int64_t Number = -1; ///< Of the part, counted from the clock's start.
+    int64_t Earned = 0;  ///< Permille of a retry.
+    int64_t Spent = 0;
+  };
+  Part &partAt(base::Duration window, base::TimePoint now);
+
+  std::array<Part, Parts + 1> Recent{}; ///< By number, in turn.
 };
 
 } // namespace radishcross::calls
