--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -15,9 +15,19 @@
 /// The load of a target that refuses calls as overloaded.
 constexpr uint32_t FullPermille = 1000;
 
+/// A caller that is told to come back has this part of what is left of its
+/// deadline for it; a later time would be of no use to it.
+constexpr int64_t RetryAfterDivisor = 3;
+
 /// When a caller may come back after a refusal that named no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
+/// How long nodes count that are no longer seen.
+constexpr Duration NodesMemory = std::chrono::seconds(30);
+constexpr int64_t PermilleOfPercent = 10;
+/// Stands in a trace for a ratio that isn't stated.
+constexpr int64_t NoRatio = -1;
+
 CallStep finish(CallOutcome outcome, ResultCode code,
                 Duration retryAfter = {}) {
   CallStep out;
@@ -32,7 +42,8 @@
 bool costsNoBudget(const AttemptResult &result) {
   return result.End == AttemptEnd::NotSent ||
          result.Code == ResultCode::Draining ||
-         result.Code == ResultCode::NoTarget;
+         result.Code == ResultCode::NoTarget ||
+         result.Code == ResultCode::Overloaded;
 }
 
 /// Tells whether the attempt may have come to a target, which may also have
@@ -54,9 +65,13 @@
 } // namespace
 
 CallPlanner::CallPlanner(const Place &here, uint64_t randomSeed,
-                         trace::Recorder &recorder)
-    : Choice(here), Randomness(randomSeed), Record(&recorder) {
-  note(CallPlanEvent::Start, {static_cast<int64_t>(randomSeed)},
+                         trace::Recorder &recorder, const RetryLimits &retries)
+    : Choice(here), Randomness(randomSeed), Record(&recorder),
+      Retries(retries) {
+  note(CallPlanEvent::Start,
+       {static_cast<int64_t>(randomSeed),
+        retries.RatioPermille.value_or(NoRatio), retries.Window.count(),
+        retries.Slack},
        here.DataCentre + "\n" + here.Region, {}, {});
 }
 
@@ -81,8 +96,11 @@
   const auto rank = call.Route.CallRank;
   if (service.Shed.shed(rank, now, Randomness))
     return finish(CallOutcome::NotRun, ResultCode::Overloaded,
-                  EarlyShed::retryAfter(rank));
-  service.Budget.called(call.Route.RetryBudgetPercent);
+                  std::min(EarlyShed::retryAfter(rank),
+                           call.Route.Allowed / RetryAfterDivisor));
+  service.Budget.called(Retries.RatioPermille.value_or(
+                            call.Route.RetryBudgetPercent * PermilleOfPercent),
+                        Retries.Window, now);
   auto out = send(call, false, now);
   return out ? *out
              : finish(CallOutcome::NotRun, ResultCode::NoTarget,
@@ -132,10 +150,10 @@
   auto &service = stateOf(call);
   const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts &&
                          call.Arrivals < call.Route.MaximumAttempts;
-  if (retryable && (costsNoBudget(result) || mayRetry(call)))
+  if (retryable && (costsNoBudget(result) || mayRetry(call, now)))
     if (auto out = send(call, true, now)) {
       if (!costsNoBudget(result))
-        service.Budget.spend();
+        service.Budget.spend(Retries, now);
       return *out;
     }
   if (result.Code == ResultCode::Overloaded)
@@ -146,7 +164,8 @@
   const auto code =
       result.Code == ResultCode::Ok ? ResultCode::NoTarget : result.Code;
   return finish(CallOutcome::NotRun, code,
-                std::max(result.RetryAfter, DefaultRetryAfter));
+                result.RetryAfter > Duration::zero() ? result.RetryAfter
+                                                     : DefaultRetryAfter);
 }
 
 /// The attempt may have run: only an idempotent call is sent once more.
@@ -155,9 +174,9 @@
   call.MayHaveRun = true;
   const bool retryable =
       call.Route.Idempotent && !result.FailedBelow && !call.Retried;
-  if (retryable && mayRetry(call)) {
+  if (retryable && mayRetry(call, now)) {
     if (auto out = send(call, true, now)) {
-      stateOf(call).Budget.spend();
+      stateOf(call).Budget.spend(Retries, now);
       call.Retried = true;
       return *out;
     }
@@ -165,9 +184,16 @@
   return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
 }
 
-bool CallPlanner::mayRetry(const PlannedCall &call) {
+bool CallPlanner::mayRetry(const PlannedCall &call, base::TimePoint now) {
   return !call.Route.BelowRetry && call.Arrivals < call.Route.MaximumAttempts &&
-         stateOf(call).Budget.available();
+         stateOf(call).Budget.available(call.Route.CallRank, Retries,
+                                        nodesLately(now), now);
+}
+
+int64_t CallPlanner::nodesLately(base::TimePoint now) {
+  if (Nodes < MostNodes && now - MostNodesAt > NodesMemory)
+    MostNodes = Nodes;
+  return MostNodes;
 }
 
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
@@ -207,7 +233,8 @@
   const auto left = call.Deadline - now - HopMargin;
   const bool another = Table.usable(call.Route.ServiceName).size() > 1;
   const bool isLast = call.Arrivals + 1 >= call.Route.MaximumAttempts;
-  if (!call.Route.Idempotent || retry || !another || isLast || !mayRetry(call))
+  if (!call.Route.Idempotent || retry || !another || isLast ||
+      !mayRetry(call, now))
     return left;
   return stateOf(call).Timer.firstAttempt(left);
 }
@@ -257,6 +284,16 @@
     noteTarget(*it, now);
 }
 
+void CallPlanner::nodesChanged(int64_t nodes, base::TimePoint now) {
+  if (nodes == Nodes)
+    return;
+  if (Nodes == MostNodes)
+    MostNodesAt = now; // It held until now.
+  Nodes = nodes;
+  MostNodes = std::max(MostNodes, nodes);
+  note(CallPlanEvent::Nodes, {nodes}, {}, {}, now);
+}
+
 void CallPlanner::drainedChanged(const std::vector<std::string> &drained,
                                  base::TimePoint now) {
   Table.drainedChanged(drained);
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -25,9 +25,9 @@
 constexpr size_t ReadChunkBytes = 8UL << 10;
 constexpr size_t DiscardLimitBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
-constexpr int KeepaliveIdleSeconds = 5;
-constexpr int KeepaliveIntervalSeconds = 2;
-constexpr int KeepaliveProbes = 3;
+constexpr int KeepaliveIdleSeconds = 1;
+constexpr int KeepaliveIntervalSeconds = 1;
+constexpr int KeepaliveProbes = 2;
 /// Memory that a connection keeps between messages.
 constexpr size_t KeptOutputBytes = 64UL << 10;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
@@ -205,6 +205,7 @@
 
 asio::awaitable<ReadEnd> Connection::readRequest(Request &request,
                                                  const MessageLimits &limits,
+                                                 bool mayContinue,
                                                  base::LastReason &reason) {
   size_t size = 0;
   ReadEnd end = co_await readHead(limits.HeaderBytes, size, reason);
@@ -223,7 +224,8 @@
   if (!checkRequestHead(parser.get(), reason))
     co_return ReadEnd::Refused;
   if (!parser.is_done()) {
-    if (parser.get().count(bh::field::expect) != 0 && Buffer.size() == 0) {
+    if (mayContinue && parser.get().count(bh::field::expect) != 0 &&
+        Buffer.size() == 0) {
       Output.assign(ContinueLine);
       if (!co_await writeBytes())
         co_return ReadEnd::Cut;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -25,6 +25,8 @@
   base::Duration IdleTimeout = std::chrono::seconds(75);
   base::Duration DrainLinger = DefaultDrainLinger;
   size_t Connections = 4096;
+  /// Whether answers on kept connections tell the idle timeout (Keep-Alive).
+  bool TellsIdleTimeout = false;
   /// Where set, refusals are counted as bad_requests_total{reason}.
   base::Metrics *Counters = nullptr;
 };
@@ -52,8 +54,10 @@
 using Handler =
     std::function<boost::asio::awaitable<Response>(IncomingRequest)>;
 
-/// A small HTTP/1.1 server on the node's one thread: one request at a time on
-/// a connection, strict about what it reads (ambiguous framing is refused).
+/// A small HTTP/1.1 server on the node's one thread: safe requests of one
+/// connection are handled side by side, any other one alone, answers keep the
+/// order of the requests; strict about what it reads (ambiguous framing is
+/// refused).
 class Server {
 public:
   /// Binds and starts to accept; fails with CannotListen.
@@ -65,6 +69,12 @@
   /// Returns the bound address; its port is chosen when 0 was asked for.
   virtual base::Address address() const = 0;
 
+  /// Replaces the bounds of a request and the idle timeout, also for open
+  /// connections; an idle one keeps the time that it was told.
+  virtual void setClientLimits(size_t headerBytes, size_t bodyBytes,
+                               base::Duration requestTimeout,
+                               base::Duration idleTimeout) = 0;
+
   /// From now on every answer carries `Connection: close`; connections are
   /// still accepted.
   virtual void closeAfterAnswers() = 0;
