LibHttp: Put a call between nodes into one short line

Bytes between zones are priced: a call carried eight fields with long names and a refusal between nodes a JSON body that nobody reads. The proof and its values now stand in one line (X-Radishcross-Mesh); the proof covers what it covered. Towards targets, on the same machine, the fields stay. A refusal between nodes has no body; its Retry-After keeps fractions as before.

--- a/Libraries/LibCalls/CallTypes.h
+++ b/Libraries/LibCalls/CallTypes.h
@@ -35,6 +35,8 @@
 constexpr std::string_view TargetHeader = "X-Radishcross-Target";
 constexpr std::string_view ProofHeader = "X-Radishcross-Proof";
 constexpr std::string_view AttemptHeader = "X-Radishcross-Attempt";
+/// Between nodes, in place of all the above: their values in one line.
+constexpr std::string_view MeshHeader = "X-Radishcross-Mesh";
 /// On answers: the numbered code, the outcome and the node's pressure.
 constexpr std::string_view CodeHeader = "X-Radishcross-Code";
 constexpr std::string_view OutcomeHeader = "X-Radishcross-Outcome";
--- a/Libraries/LibHttp/AnswerFields.cpp
+++ b/Libraries/LibHttp/AnswerFields.cpp
@@ -70,8 +70,14 @@
   else if (code == base::ResultCode::Ok)
     code = notRun ? base::ResultCode::NoTarget
                   : base::ResultCode::CallOutcomeUnknown;
-  return makeAnswer(code, notRun ? CallOutcome::NotRun : CallOutcome::Unknown,
-                    {}, result.RetryAfter);
+  Response answer =
+      makeAnswer(code, notRun ? CallOutcome::NotRun : CallOutcome::Unknown, {},
+                 result.RetryAfter);
+  // The caller's node makes the body that its caller gets.
+  answer.erase(bh::field::content_type);
+  answer.body().clear();
+  answer.content_length(0);
+  return answer;
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -36,7 +36,7 @@
 /// Further fields that only nodes set.
 constexpr std::string_view UnprovenFields[] = {
     calls::ProofHeader, calls::CodeHeader, calls::OutcomeHeader,
-    calls::PressureHeader};
+    calls::PressureHeader, calls::MeshHeader};
 
 bool isMeshField(boost::beast::string_view name) {
   auto equals = [name](std::string_view it) {
@@ -48,8 +48,54 @@
                      equals);
 }
 
+/// Places of the values of ProvenFields.
+enum FieldPlace : uint8_t {
+  CallIdPlace,
+  RankPlace,
+  DeadlinePlace,
+  HopsPlace,
+  ServicePlace,
+  TargetPlace,
+  AttemptPlace
+};
+
+/// The order of the values in a line between nodes.
+constexpr std::array<size_t, std::size(ProvenFields)> NodeOrder = {
+    CallIdPlace,  RankPlace,    DeadlinePlace, HopsPlace,
+    AttemptPlace, ServicePlace, TargetPlace};
+
 using FieldValues = std::array<std::string_view, std::size(ProvenFields)>;
 
+/// In place of a proof where there is no key.
+constexpr std::string_view NoProof = "-";
+
+/// Returns the next word of \p text and removes it with its space.
+std::string_view takeWord(std::string_view &text) {
+  size_t n = std::min(text.find(' '), text.size());
+  std::string_view word = text.substr(0, n);
+  text.remove_prefix(std::min(n + 1, text.size()));
+  return word;
+}
+
+/// Returns the one line of a call between nodes: the proof and the proven
+/// values, of which only the last two may be empty and only the last one may
+/// have spaces.
+std::string nodeLine(const FieldValues &values, std::string_view proof) {
+  std::string line(calls::MeshHeader);
+  line.append(": ").append(proof);
+  for (size_t it : NodeOrder)
+    line.append(" ").append(values[it]);
+  return line.append("\r\n");
+}
+
+/// Reads back what nodeLine() wrote; returns the proof.
+std::string_view readNodeLine(std::string_view line, FieldValues &values) {
+  std::string_view proof = takeWord(line);
+  for (size_t it : NodeOrder)
+    values[it] = it == NodeOrder.back() ? line : takeWord(line);
+  return proof == NoProof ? std::string_view() : proof;
+}
+
 /// Returns the bytes that a proof covers, one field a line.
 std::string provenText(const Request &request, MeshAudience audience,
                        const FieldValues &values) {
@@ -98,6 +144,11 @@
       call.ServiceName, call.TargetId,
       attempt};
   constexpr size_t UsualSize = 512;
+  std::string proof;
+  if (!keys.empty())
+    proof = keys.sign(provenText(request, audience, values));
+  if (audience == MeshAudience::Node)
+    return nodeLine(values, proof.empty() ? NoProof : proof);
   std::string lines;
   lines.reserve(UsualSize);
   auto add = [&](std::string_view name, std::string_view value) {
@@ -106,8 +157,8 @@
   for (size_t i = 0; i < values.size(); ++i)
     if (!values[i].empty())
       add(ProvenFields[i], values[i]);
-  if (!keys.empty())
-    add(calls::ProofHeader, keys.sign(provenText(request, audience, values)));
+  if (!proof.empty())
+    add(calls::ProofHeader, proof);
   return lines;
 }
 
@@ -115,27 +166,30 @@
                                      MeshAudience audience,
                                      const MeshKeys &keys,
                                      base::LastReason &reason) {
-  std::string_view proof = fieldOf(request, calls::ProofHeader);
   FieldValues values;
-  if (!proof.empty())
+  std::string_view proof;
+  if (audience == MeshAudience::Node) {
+    proof = readNodeLine(fieldOf(request, calls::MeshHeader), values);
+  } else {
+    proof = fieldOf(request, calls::ProofHeader);
     for (size_t i = 0; i < values.size(); ++i)
       values[i] = fieldOf(request, ProvenFields[i]);
+  }
   if (!keys.empty() &&
       (proof.empty() ||
        !keys.verify(provenText(request, audience, values), proof)))
     return reason.fail(base::ResultCode::PeerUnauthenticated,
                        "the request carries no valid proof of the mesh key");
   MeshCall call;
-  call.CallId = fieldOf(request, calls::CallIdHeader);
-  call.ServiceName = fieldOf(request, calls::ServiceHeader);
-  call.TargetId = fieldOf(request, calls::TargetHeader);
-  auto rank =
-      base::fromName(config::RankNames, fieldOf(request, calls::RankHeader));
+  call.CallId = values[CallIdPlace];
+  call.ServiceName = values[ServicePlace];
+  call.TargetId = values[TargetPlace];
+  auto rank = base::fromName(config::RankNames, values[RankPlace]);
   uint32_t remainingMs = 0;
   if (!rank || call.CallId.empty() ||
-      !parseNumber(fieldOf(request, calls::DeadlineHeader), remainingMs) ||
-      !parseNumber(fieldOf(request, calls::HopsHeader), call.Hops) ||
-      !parseNumber(fieldOf(request, calls::AttemptHeader), call.Attempt))
+      !parseNumber(values[DeadlinePlace], remainingMs) ||
+      !parseNumber(values[HopsPlace], call.Hops) ||
+      !parseNumber(values[AttemptPlace], call.Attempt))
     return reason.fail(base::ResultCode::BadRequest,
                        "a field of the mesh is malformed");
   call.CallRank = *rank;
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -188,8 +188,8 @@
   CHECK(codeOf(*early) == "4005");
   CHECK((*early)["Retry-After"] == "1");
   http::Request forged = mesh.post();
-  forged.set(calls::TargetHeader, "t1");
-  forged.set(calls::ProofHeader, std::string(64, '0'));
+  forged.set(calls::MeshHeader,
+             std::string(64, '0') + " id standard 1000 0 1 badges/pay t1");
   auto answer = ask(mesh.Context, mesh.Far.Proxy->meshAddress(), forged);
   REQUIRE(answer);
   CHECK(answer->result_int() == 403);
--- /dev/null
+++ b/Tests/LibHttp/TestMeshCall.cpp
@@ -0,0 +1,82 @@
+#include <LibHttp/MeshCall.h>
+
+#include <LibCalls/CallTypes.h>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+
+namespace {
+
+http::MeshCall someCall() {
+  http::MeshCall call;
+  call.CallId = "0123456789abcdef";
+  call.CallRank = config::Rank::Critical;
+  call.Remaining = std::chrono::milliseconds(750);
+  call.Hops = 3;
+  call.Attempt = 2;
+  call.ServiceName = "badges/pay";
+  call.TargetId = "t1";
+  return call;
+}
+
+/// Returns a request with the lines of \p call as its head has them.
+http::Request requestWith(const std::string &lines) {
+  http::Request request(boost::beast::http::verb::get, "/pay", 11);
+  size_t colon = lines.find(": ");
+  request.set(lines.substr(0, colon),
+              lines.substr(colon + 2, lines.size() - colon - 4));
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("a call travels between nodes in one line that its proof covers") {
+  http::Request bare(boost::beast::http::verb::get, "/pay", 11);
+  for (bool hasKey : {true, false})
+    for (const char *target : {"t1", "", "a target"}) {
+      CAPTURE(hasKey);
+      CAPTURE(target);
+      http::MeshKeys keys(hasKey ? std::vector<std::string>{"the key"}
+                                 : std::vector<std::string>());
+      http::MeshCall call = someCall();
+      call.TargetId = target;
+      std::string lines = meshLines(bare, call, http::MeshAudience::Node, keys);
+      CHECK(std::count(lines.begin(), lines.end(), '\n') == 1);
+      base::LastReason reason;
+      auto read = readMeshCall(requestWith(lines), http::MeshAudience::Node,
+                               keys, reason);
+      REQUIRE(read);
+      CHECK(read->CallId == call.CallId);
+      CHECK(read->CallRank == call.CallRank);
+      CHECK(read->Remaining == call.Remaining);
+      CHECK(read->Hops == call.Hops);
+      CHECK(read->Attempt == call.Attempt);
+      CHECK(read->ServiceName == call.ServiceName);
+      CHECK(read->TargetId == call.TargetId);
+    }
+}
+
+TEST_CASE("no value of a call between nodes can be changed") {
+  http::Request bare(boost::beast::http::verb::get, "/pay", 11);
+  http::MeshKeys keys({"the key"});
+  std::string lines =
+      meshLines(bare, someCall(), http::MeshAudience::Node, keys);
+  for (const char *value : {"0123456789abcdef", "critical", "750", " 3 ", " 2 ",
+                            "badges/pay", "t1"}) {
+    CAPTURE(value);
+    std::string changed = lines;
+    size_t at = changed.rfind(value);
+    REQUIRE(at != std::string::npos);
+    changed[at + 1] = changed[at + 1] == '9' ? '8' : '9';
+    base::LastReason reason;
+    CHECK_FALSE(readMeshCall(requestWith(changed), http::MeshAudience::Node,
+                             keys, reason));
+    CHECK(reason.code() == base::ResultCode::PeerUnauthenticated);
+  }
+  http::Request other = requestWith(lines);
+  other.target("/other");
+  base::LastReason reason;
+  CHECK_FALSE(readMeshCall(other, http::MeshAudience::Node, keys, reason));
+}
