LibCalls: Let a call wait for half of what its objective leaves

Slot times spread, and the way there and calls below take their part. A call now keeps half more than its mean slot time, and may wait for half of the rest; above that it is refused at once.

--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -33,6 +33,13 @@
 constexpr int64_t PatienceInFloorTurns = 3;
 
 constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
+/// Of a call with a latency objective: what it needs of its slot time's mean,
+/// at most of its objective, and the part of the rest that it may wait. The
+/// other part is for calls slower than the mean and for the way.
+constexpr int64_t NeededPercent = 150;
+constexpr int64_t MostNeededPercent = 75;
+constexpr int64_t PatiencePercent = 50;
+
 constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
 /// Of a call with a latency objective: the least wait, and the part of what is
 /// left of its deadline that may be spent on it.
@@ -112,7 +119,9 @@
 GateAnswer TargetGate::decideWait(WaitingCall call, Duration remaining,
                                   base::TimePoint now) {
   const auto useful = std::min(call.LatencyObjective, remaining);
-  const auto patience = useful - std::min(call.Expected, useful / 2);
+  const auto needed = std::min(call.Expected * NeededPercent / 100,
+                               useful * MostNeededPercent / 100);
+  const auto patience = (useful - needed) * PatiencePercent / 100;
   call.LatestStart = now + patience;
   const auto work = Queue.workBefore(call) + call.Expected;
   const auto wait = work / static_cast<int64_t>(limit());
--- a/Tests/LibCalls/TestObjectives.cpp
+++ b/Tests/LibCalls/TestObjectives.cpp
@@ -45,8 +45,9 @@
   it.learn(Rank::Critical, 400ms, 100ms);
   for (int n = 0; n < 2; ++n)
     CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
-  // Two slots free one call's time each 50 ms; 300 ms may be waited.
-  for (int n = 0; n < 5; ++n)
+  // Two slots free one call's time each 50 ms. Of the objective 150 ms are
+  // kept for the call itself; half of the rest, 125 ms, may be waited.
+  for (int n = 0; n < 2; ++n)
     CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Queued);
   const auto refused = it.arrive(Rank::Critical, 400ms);
   CHECK(refused.What == Kind::Refuse);
@@ -60,8 +61,7 @@
   it.learn(Rank::Critical, 400ms, 100ms);
   it.learn(Rank::Background, 400ms, 100ms);
   CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
-  for (int n = 0; n < 2; ++n)
-    CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Queued);
+  CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Queued);
   CHECK(it.arrive(Rank::Background, 400ms).What == Kind::Refuse);
 }
 
@@ -70,8 +70,8 @@
   it.learn(Rank::Critical, 400ms, 100ms);
   CHECK(it.arrive(Rank::Critical, 400ms).What == Kind::Run);
   const auto waiting = it.arrive(Rank::Critical, 400ms);
-  CHECK(it.Gate.tick(at(299ms)).empty());
-  const auto refused = it.Gate.tick(at(301ms));
+  CHECK(it.Gate.tick(at(124ms)).empty());
+  const auto refused = it.Gate.tick(at(126ms));
   REQUIRE(refused.size() == 1);
   CHECK(refused[0].Call == waiting.Call);
   CHECK(refused[0].Code == ResultCode::Overloaded);
@@ -79,6 +79,8 @@
 
 TEST_CASE("of one rank the call with the least time to spare goes first") {
   ObjectiveBench it(1);
+  it.learn(Rank::Critical, 800ms, 10ms);
+  it.learn(Rank::Critical, 120ms, 10ms);
   const auto running = it.arrive(Rank::Critical, 400ms);
   const auto wide = it.arrive(Rank::Critical, 800ms);
   const auto narrow = it.arrive(Rank::Critical, 120ms, 1ms);
