--- a/Tests/LibConfig/TestSnapshot.cpp
+++ b/Tests/LibConfig/TestSnapshot.cpp
@@ -134,6 +134,7 @@
         prefixes.insert(prefix + (prefix.back() == '/' ? "" : "/"));
     }
     std::vector<config::Route> routes;
+    routes.reserve(prefixes.size());
     for (const auto &it : prefixes)
       routes.push_back(makeRoute(it, "s", it));
     auto snapshot = make({hold("c", {"s"}, routes)});
