Tests: Search for two of the platform's names as texts

"idleTimeout" and "headerTimeout" are also what this style calls a function, as http::Server now has one.

--- a/Tests/Platform/TestPlatformNames.cpp
+++ b/Tests/Platform/TestPlatformNames.cpp
@@ -47,8 +47,8 @@
     "healthPath",
     "maxHeaderBytes",
     "maxBodyBytes",
-    "headerTimeout",
-    "idleTimeout",
+    "\"headerTimeout", // A function may be named so.
+    "\"idleTimeout",   // The same.
     "resourceType",
     "endOffset",
     "firstOffset",
