LibHttp: Leave half a second of the grace time to the node's leaving

The mesh listener now stops after 2.5 s. A trial with 2 s failed the test that asks a draining proxy for its word after 2 s, so it is not taken.

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -12,7 +12,7 @@
 /// Room for the fields that nodes add to a caller's head.
 constexpr size_t MeshHeaderBytes = 32UL << 10;
 /// For how long other nodes may still send to a draining one.
-constexpr base::Duration MeshDrainDelay = std::chrono::seconds(3);
+constexpr base::Duration MeshDrainDelay = std::chrono::milliseconds(2500);
 
 /// The two listeners and their graceful shutdown.
 class CallProxyShell final : public CallProxy {
