LibCalls: Wait for a quarter of what an objective leaves, and 40 ms

Shorter waits keep calls within their objectives; short calls, mostly below others that fail with them, may wait for 40 ms or a third of their objective.

--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -38,7 +38,10 @@
 /// other part is for calls slower than the mean and for the way.
 constexpr int64_t NeededPercent = 150;
 constexpr int64_t MostNeededPercent = 75;
-constexpr int64_t PatiencePercent = 50;
+constexpr int64_t PatiencePercent = 25;
+/// What a call may wait in any case, up to a third of its objective: short
+/// calls are mostly below others, which fail with them.
+constexpr Duration ShortPatience = std::chrono::milliseconds(40);
 
 constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
 /// Of a call with a latency objective: the least wait, and the part of what is
@@ -121,7 +124,8 @@
   const auto useful = std::min(call.LatencyObjective, remaining);
   const auto needed = std::min(call.Expected * NeededPercent / 100,
                                useful * MostNeededPercent / 100);
-  const auto patience = (useful - needed) * PatiencePercent / 100;
+  const auto patience = std::max((useful - needed) * PatiencePercent / 100,
+                                 std::min(ShortPatience, useful / 3));
   call.LatestStart = now + patience;
   const auto work = Queue.workBefore(call) + call.Expected;
   const auto wait = work / static_cast<int64_t>(limit());
