--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -145,3 +145,24 @@
         std::string("\0\0\0\6\2abxyz", 10));
   CHECK(platform::encodeRecord(std::string(256, 'k'), "v").empty());
 }
+
+TEST_CASE("a client that has ended touches nothing of its owner") {
+  asio::io_context context;
+  base::Metrics counters;
+  int answers = 0;
+  {
+    platform::StoreClient client(context, {{"127.0.0.1", 1}}, counters);
+    client.put(log::Topic::Nodes, "n", "{}",
+               [&](const log::PutAnswer &) { ++answers; });
+    client.list(log::Topic::Nodes,
+                [&](const log::TopicAnswer &) { ++answers; });
+    client.follow(log::Topic::Nodes, 0, std::chrono::seconds(1),
+                  [&](const log::TopicAnswer &) { ++answers; });
+  }
+  // What was asked for begins in the loop, when the owner may be gone.
+  context.run_for(std::chrono::seconds(5));
+  CHECK(counters.counter("platform_appends_total") == 0);
+  CHECK(counters.counter("platform_reads_total") == 0);
+  CHECK(counters.counter("platform_failures_total") == 0);
+  CHECK(answers == 0);
+}
