LibPeer: Count nothing of pulls once the node has ended

Cause: a pull's coroutines outlive the node by an exchange and counted bytes into its counters, which are gone with it.

TestLibPeer: 13 cases passed (release).

--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -80,6 +80,8 @@
     Datagrams->close();
   if (Server)
     Server->close();
+  if (Client)
+    Client->close();
 }
 
 bool FleetNode::start(base::LastReason &reason) {
--- a/Libraries/LibPeer/PullClient.cpp
+++ b/Libraries/LibPeer/PullClient.cpp
@@ -33,12 +33,14 @@
 
 asio::awaitable<std::optional<std::string>> PullClient::ask(tcp::socket &socket,
                                                             std::string frame) {
+  if (Closed)
+    co_return std::nullopt;
   *Bytes.Sent += frame.size() + FrameHeaderBytes;
   if (!co_await writeFrame(socket, std::move(frame)))
     co_return std::nullopt;
   auto answered =
       co_await readFrame(socket, MaximumAnswerBytes + MeshProof::TagBytes);
-  if (answered)
+  if (answered && !Closed)
     *Bytes.Received += answered->size() + FrameHeaderBytes;
   co_return answered;
 }
--- a/Libraries/LibPeer/PullClient.h
+++ b/Libraries/LibPeer/PullClient.h
@@ -25,6 +25,9 @@
              ControlBytes bytes)
       : Context(context), Proof(std::move(proof)), Bytes(bytes) {}
 
+  /// From now on nothing is counted: the counters' owner ends.
+  void close() { Closed = true; }
+
   /// \p done is called once, never from inside this call.
   void pull(const base::Address &peer, PullRequest request, Done done);
 
@@ -39,6 +42,7 @@
   boost::asio::io_context &Context;
   MeshProof Proof;
   ControlBytes Bytes;
+  bool Closed = false;
 };
 
 } // namespace radishcross::peer
--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -114,6 +114,9 @@
   auto frame = co_await readFrame(socket, MaximumRequestBytes);
   if (!frame)
     co_return std::nullopt;
+  // Once closed, the counters may be gone with the node.
+  if (!Acceptor.is_open())
+    co_return std::nullopt;
   *Bytes.Received += frame->size() + FrameHeaderBytes;
   base::LastReason reason;
   auto body = Proof.open(*frame, reason);
