LibNode: Keep at the store what a node holds before it is in force

Cause: a node left outside by a narrowed selector knew what it held from its peers alone.

A version comes in force once the store keeps, under the node's id, that it is held, or after a second without an answer. The next process recalls it before it takes the fold; while the store is down the peers' memory counts as before.

--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -15,12 +15,14 @@
 enum class Topic : uint8_t {
   Changes,  ///< Operators' changes, in order; a key of its own each.
   Nodes,    ///< The nodes of the mesh, by node id.
+  Holdings, ///< The versions that each node holds, by node id.
   Operator, ///< What the platform's operator writes; read only.
 };
 
 constexpr base::EnumName<Topic> TopicNames[] = {
     {Topic::Changes, "changes"},
     {Topic::Nodes, "nodes"},
+    {Topic::Holdings, "holdings"},
     {Topic::Operator, "operator"},
 };
 
--- /dev/null
+++ b/Libraries/LibNode/Holdings.cpp
@@ -0,0 +1,102 @@
+#include <LibNode/Holdings.h>
+
+#include <LibBase/Logger.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+namespace radishcross::node {
+
+namespace json = boost::json;
+
+namespace {
+
+/// The least time between a write that failed and the next one.
+constexpr base::Duration RetrySpacing = std::chrono::seconds(1);
+
+} // namespace
+
+std::string encodeHoldings(const HeldNumbers &versions) {
+  json::object out;
+  for (const auto &[name, version] : versions)
+    out[name] = version;
+  return json::serialize(out);
+}
+
+std::optional<HeldNumbers> decodeHoldings(std::string_view text,
+                                          base::LastReason &reason) {
+  boost::system::error_code ec;
+  json::value document = json::parse(text, ec);
+  if (ec || !document.is_object())
+    return reason.fail(base::ResultCode::RecordMalformed,
+                       "the record of holdings is no object");
+  HeldNumbers out;
+  for (const auto &it : document.get_object()) {
+    const auto &number = it.value();
+    auto version = number.is_number() ? number.to_number<uint64_t>(ec) : 0;
+    if (!number.is_number() || ec)
+      return reason.fail(base::ResultCode::RecordMalformed,
+                         "the record of holdings has a bad number");
+    out.emplace(it.key(), version);
+  }
+  return out;
+}
+
+Holdings::Holdings(log::KeyedStore &store, std::string node,
+                   std::function<void()> kept)
+    : Store(&store), Node(std::move(node)), OnKept(std::move(kept)) {}
+
+void Holdings::recall(std::function<void(const HeldNumbers &)> done) {
+  Store->list(log::Topic::Holdings, [weak = std::weak_ptr<bool>(Alive), this,
+                                     done = std::move(done)](
+                                        const log::TopicAnswer &answer) {
+    if (weak.expired())
+      return;
+    base::LastReason reason = answer.Reason;
+    HeldNumbers found;
+    for (const auto &it : answer.Records) {
+      if (it.Key != Node || it.Value.empty())
+        continue;
+      if (auto versions = decodeHoldings(it.Value, reason))
+        found = std::move(*versions);
+    }
+    Kept = found;
+    base::log(answer.Reached ? base::LogLevel::Info : base::LogLevel::Warning,
+              "holdings recalled",
+              {{"reached", answer.Reached ? "yes" : "no"},
+               {"versions", encodeHoldings(found)},
+               {"reason", reason.text()}});
+    done(found);
+  });
+}
+
+void Holdings::tick(base::TimePoint now) {
+  if (IsWriting || Wanted == Kept || now < NextWrite)
+    return;
+  IsWriting = true;
+  NextWrite = now + RetrySpacing;
+  Store->put(log::Topic::Holdings, Node, encodeHoldings(Wanted),
+             [weak = std::weak_ptr<bool>(Alive), this,
+              versions = Wanted](const log::PutAnswer &answer) {
+               if (!weak.expired())
+                 written(versions, answer);
+             });
+}
+
+void Holdings::written(const HeldNumbers &versions,
+                       const log::PutAnswer &answer) {
+  IsWriting = false;
+  if (answer.Outcome == log::PutAnswer::Kind::Accepted) {
+    Kept = versions;
+    NextWrite = {};
+    OnKept();
+    return;
+  }
+  base::log(base::LogLevel::Warning, "holdings were not written",
+            {{"versions", encodeHoldings(versions)},
+             {"reason", answer.Reason.text()}});
+}
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -59,6 +59,16 @@
   return out;
 }
 
+/// How long a change waits for the store to keep that it is held.
+constexpr base::Duration LongestKeeping = std::chrono::seconds(1);
+
+HeldNumbers numbersOf(const log::HeldVersions &held) {
+  HeldNumbers out;
+  for (const auto &it : held.snapshot()->versions())
+    out.emplace(it.Configuration, it.Version);
+  return out;
+}
+
 int64_t unixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -79,8 +89,8 @@
            {Self.Id, static_cast<uint64_t>(unixMilliseconds()), Self.Gossip},
            {[this](const base::Address &it) { Fleet->addSeeds({it}); },
             [this] { externalChanged(); }}),
-      Quarantined(Decisions), News(Quarantined),
-      Leases(Decisions, settings.TargetLease),
+      Kept(*Store, Self.Id, [this] { putInForce(); }), Quarantined(Decisions),
+      News(Quarantined), Leases(Decisions, settings.TargetLease),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
                    std::chrono::minutes(1), settings.Retries},
                   Quarantined, Decisions),
@@ -194,20 +204,55 @@
   return true;
 }
 
+/// Takes what the fold alone does not tell of this node's earlier process.
+void NodeProcess::takeFloor(const HeldNumbers &kept) {
+  IsFloorTaken = true;
+  std::map<std::string, uint64_t> floor(kept.begin(), kept.end());
+  Held.raiseFloor(floor);
+  Held.raiseFloor(Fleet->formerExceptions());
+  foldAdvanced(Fleet->fold());
+}
+
 void NodeProcess::foldAdvanced(const log::Fold &fold) {
-  auto at = Time.now().time_since_epoch().count();
-  bool isFirst = !std::exchange(IsFloorTaken, true);
-  // What the fold alone does not tell of this node's earlier process.
-  if (isFirst)
-    Held.raiseFloor(Fleet->formerExceptions());
-  bool isChanged = Held.update(fold);
+  if (!IsFloorTaken) {
+    // Without any change in the log nothing can have been held.
+    if (fold.offset() == 0)
+      return takeFloor({});
+    if (!std::exchange(IsRecalling, true))
+      Kept.recall([this](const HeldNumbers &kept) { takeFloor(kept); });
+    return;
+  }
+  putInForce();
+  drainedChanged(fold);
+  Changes.foldAdvanced(fold);
+}
+
+/// Puts what the fold selects in force, once the store keeps that this node
+/// holds it: a later process steps back from nothing then. A store that does
+/// not answer holds a change back for a bounded time.
+void NodeProcess::putInForce() {
+  auto now = Time.now();
+  auto next = Held;
+  bool isChanged = next.update(Fleet->fold());
+  auto numbers = numbersOf(next);
+  bool isKept = numbers.empty() || Kept.covers(numbers);
+  if (isChanged && !isKept) {
+    Kept.note(numbers);
+    Kept.tick(now);
+    if (!KeepingSince)
+      KeepingSince = now;
+    if (now - *KeepingSince < LongestKeeping)
+      return;
+  }
+  KeepingSince.reset();
+  Held = std::move(next);
+  auto at = now.time_since_epoch().count();
+  bool isFirst = !std::exchange(IsStartRecorded, true);
   Decisions.record(isFirst ? log::traceStart(at, Held)
                            : log::traceUpdate(at, isChanged, Held));
   Fleet->setExceptions(Held.exceptions());
   if (isChanged || !InForce)
     snapshotChanged();
-  drainedChanged(fold);
-  Changes.foldAdvanced(fold);
 }
 
 void NodeProcess::externalChanged() {
@@ -278,6 +323,9 @@
 void NodeProcess::tick() {
   if (!Recovered && isServing())
     recovered();
+  Kept.tick(Time.now());
+  if (KeepingSince && IsFloorTaken)
+    putInForce();
   Link.tick(Fleet->members(), Time.now());
   if (Leases.tick(Time.now()))
     targetsChanged();
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -16,6 +16,7 @@
 #include <LibLog/KeyedLog.h>
 #include <LibNode/ChangeFlow.h>
 #include <LibNode/DrainPlan.h>
+#include <LibNode/Holdings.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNews.h>
 #include <LibNode/TargetListener.h>
@@ -78,7 +79,9 @@
   bool startListeners(base::LastReason &reason);
   boost::json::array servicesInUse() const;
   void foldAdvanced(const log::Fold &fold);
+  void takeFloor(const HeldNumbers &kept);
   void snapshotChanged();
+  void putInForce();
   void externalChanged();
   void drainedChanged(const log::Fold &fold);
   void membersChanged();
@@ -99,6 +102,7 @@
   std::unique_ptr<log::KeyedStore> Store;
   log::KeyedLog Platform;
   PlatformLink Link;
+  Holdings Kept;
   calls::Quarantine Quarantined;
   QuarantineNews News;
   calls::TargetLeases Leases;
@@ -119,7 +123,10 @@
   config::SnapshotPointer InForce; ///< The held versions and the external one.
   bool MembersDirty = false;
   bool Recovered = false;
+  bool IsRecalling = false; ///< The earlier process's holdings are asked for.
   bool IsFloorTaken = false;
+  bool IsStartRecorded = false;
+  std::optional<base::TimePoint> KeepingSince; ///< A change waits for Kept.
   DrainPlan Draining;
   std::function<void()> Drained;
 };
--- a/Libraries/LibTrace/Ring.h
+++ b/Libraries/LibTrace/Ring.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <string>
 #include <vector>
 
--- /dev/null
+++ b/Tests/LibNode/TestHoldings.cpp
@@ -0,0 +1,118 @@
+#include <LibNode/Holdings.h>
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+using node::HeldNumbers;
+
+namespace {
+
+/// A store that notes what is asked of it; the test gives the answers.
+class MockStore final : public log::KeyedStore {
+public:
+  struct Put {
+    std::string Key;
+    std::string Value;
+    std::function<void(log::PutAnswer)> Done;
+  };
+  void put(log::Topic topic, std::string key, std::string value,
+           std::function<void(log::PutAnswer)> done) override {
+    CHECK(topic == log::Topic::Holdings);
+    Puts.push_back({std::move(key), std::move(value), std::move(done)});
+  }
+  void list(log::Topic topic,
+            std::function<void(log::TopicAnswer)> done) override {
+    CHECK(topic == log::Topic::Holdings);
+    Lists.push_back(std::move(done));
+  }
+  void follow(log::Topic, uint64_t, base::Duration,
+              std::function<void(log::TopicAnswer)>) override {
+    FAIL("holdings are not followed");
+  }
+
+  std::vector<Put> Puts;
+  std::vector<std::function<void(log::TopicAnswer)>> Lists;
+};
+
+base::TimePoint at(base::Duration time) { return base::TimePoint{} + time; }
+
+log::PutAnswer putAnswer(log::PutAnswer::Kind outcome) {
+  log::PutAnswer out;
+  out.Outcome = outcome;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("what a node holds is written once, and again when it changes") {
+  MockStore store;
+  node::Holdings kept(store, "n1", [] {});
+  kept.tick(at(1s));
+  CHECK(store.Puts.empty());
+  kept.note({{"badges", 1}});
+  kept.tick(at(1s));
+  kept.note({{"badges", 2}});
+  kept.tick(at(2s)); // One write at a time.
+  REQUIRE(store.Puts.size() == 1);
+  CHECK(store.Puts[0].Key == "n1");
+  CHECK(store.Puts[0].Value == R"({"badges":1})");
+  CHECK_FALSE(kept.covers({{"badges", 1}}));
+  store.Puts[0].Done(putAnswer(log::PutAnswer::Kind::Accepted));
+  kept.tick(at(2s));
+  REQUIRE(store.Puts.size() == 2);
+  CHECK(store.Puts[1].Value == R"({"badges":2})");
+  store.Puts[1].Done(putAnswer(log::PutAnswer::Kind::Accepted));
+  CHECK(kept.covers({{"badges", 2}}));
+  kept.tick(at(9s));
+  CHECK(store.Puts.size() == 2);
+}
+
+TEST_CASE("a write that was refused or lost is made again, a second later") {
+  for (auto outcome :
+       {log::PutAnswer::Kind::Refused, log::PutAnswer::Kind::Unknown}) {
+    MockStore store;
+    node::Holdings kept(store, "n1", [] {});
+    kept.note({{"badges", 1}});
+    kept.tick(at(1s));
+    REQUIRE(store.Puts.size() == 1);
+    store.Puts[0].Done(putAnswer(outcome));
+    kept.tick(at(1500ms));
+    CHECK(store.Puts.size() == 1);
+    kept.tick(at(2s));
+    CHECK(store.Puts.size() == 2);
+  }
+}
+
+TEST_CASE("the earlier process's versions are recalled by the node's own key") {
+  MockStore store;
+  node::Holdings kept(store, "n1", [] {});
+  std::vector<HeldNumbers> found;
+  kept.recall([&](const HeldNumbers &it) { found.push_back(it); });
+  REQUIRE(store.Lists.size() == 1);
+  log::TopicAnswer answer;
+  answer.Reached = true;
+  answer.Records = {{0, "n0", R"({"badges":9})"}, {1, "n1", R"({"badges":3})"}};
+  store.Lists[0](answer);
+  REQUIRE(found.size() == 1);
+  CHECK(found[0] == HeldNumbers{{"badges", 3}});
+  kept.note({{"badges", 3}});
+  kept.tick(at(1s)); // The store has it already.
+  CHECK(store.Puts.empty());
+}
+
+TEST_CASE("without an answer, or with a bad record, nothing is recalled") {
+  for (const char *text : {"", "[]", R"({"badges":"3"})", R"({"badges":-1})"}) {
+    MockStore store;
+    node::Holdings kept(store, "n1", [] {});
+    std::vector<HeldNumbers> found;
+    kept.recall([&](const HeldNumbers &it) { found.push_back(it); });
+    log::TopicAnswer answer;
+    answer.Reached = *text != 0;
+    if (answer.Reached)
+      answer.Records = {{0, "n1", text}};
+    store.Lists[0](answer);
+    CHECK(found == std::vector<HeldNumbers>{{}});
+  }
+}
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -255,6 +255,6 @@
   restartDeselected(false);
 }
 
-TEST_CASE("known red: the same when it restarts before its peers know") {
+TEST_CASE("a node that restarts before its peers know keeps what it held") {
   restartDeselected(true);
 }
