--- a/Tests/LibHttp/TestSession.cpp
+++ b/Tests/LibHttp/TestSession.cpp
@@ -200,7 +200,7 @@
   std::string got = it.readUntil("never");
   size_t close = got.find("Connection: close");
   CHECK(close > got.rfind("HTTP/1.1 200"));
-  CHECK(close < got.rfind("/"));
+  CHECK(close < got.rfind('/'));
   REQUIRE(it.Begun.size() >= 2);
   for (const std::string &path : it.Begun)
     CHECK(got.find("\r\n\r\n" + path) != std::string::npos);
--- a/Tests/LibPeer/TestPullServer.cpp
+++ b/Tests/LibPeer/TestPullServer.cpp
@@ -4,6 +4,7 @@
 #include <LibPeer/PullClient.h>
 #include <LibPeer/PullServer.h>
 
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <optional>
 
