LibFleet: List the directory of nodes now and then instead of following it

A reader may now list a topic's keys alone, after 5 s and then at intervals up to 30 s, half of them drawn. A node lists once at its start, and again when its own entry is taken: of two nodes the one that writes later sees the other. Membership carries the rest, as before.

--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -14,6 +14,11 @@
   base::Duration LongPoll = std::chrono::seconds(25);
   base::Duration ShortestPause = std::chrono::milliseconds(200);
   base::Duration LongestPause = std::chrono::milliseconds(1500);
+  /// Only list the keys, now and then, instead of waiting for what is added:
+  /// for a topic that many write and that wakes every reader each time.
+  bool ListsOnly = false;
+  base::Duration FirstRelist = std::chrono::seconds(5);
+  base::Duration LongestRelist = std::chrono::seconds(30);
 };
 
 /// What a reader of a topic does next.
@@ -29,7 +34,8 @@
 };
 
 /// Decides how one topic is kept up with: its keys once, then what is added;
-/// its keys again when the history has been dropped in between.
+/// its keys again when the history has been dropped in between. Or its keys
+/// alone, at intervals that grow.
 class TopicFollower {
 public:
   TopicFollower(TopicFollowerSettings settings, uint64_t seed)
@@ -38,6 +44,9 @@
   /// Returns what is due now; to be asked again once that has ended.
   TopicStep next();
 
+  /// Has the next pause passed over, so that the keys are listed at once.
+  void listSoon() { SkipsPause = true; }
+
   /// Takes the end of a List.
   void listed(bool reached, uint64_t end);
 
@@ -49,6 +58,7 @@
 
 private:
   void ended(bool reached);
+  base::Duration nextPause();
 
   TopicFollowerSettings Settings;
   base::Random Dice;
@@ -56,7 +66,9 @@
   bool HasListed = false;
   bool ListIsDue = true;
   bool PauseIsDue = false;
-  uint32_t Failures = 0; ///< In a row.
+  bool SkipsPause = false;
+  base::Duration Relist{}; ///< The last pause between two lists.
+  uint32_t Failures = 0;   ///< In a row.
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -25,9 +25,11 @@
       Directory(std::move(self)), OnEvent(std::move(events)) {}
 
 void PlatformLink::start(bool hasConfiguration, uint64_t seed) {
+  fleet::TopicFollowerSettings listing;
+  listing.ListsOnly = true;
   Nodes = TopicReader::start(
       *Context, *Store, log::Topic::Nodes, seed,
-      [this](const log::KeyedRecord &it) { directoryRecord(it); });
+      [this](const log::KeyedRecord &it) { directoryRecord(it); }, listing);
   if (!hasConfiguration)
     return;
   Operator = TopicReader::start(
@@ -37,7 +39,7 @@
 
 void PlatformLink::tick(const std::vector<fleet::Member> &members,
                         base::TimePoint now) {
-  if (Directory.mustWrite() && now >= NextWrite) {
+  if (Directory.mustWrite() && Nodes->hasListed() && now >= NextWrite) {
     NextWrite = now + WriteSpacing;
     const auto &self = Directory.self();
     writeEntry(self.Id, fleet::encodeDirectoryEntry(self));
@@ -65,8 +67,11 @@
                if (weak.expired())
                  return;
                bool isDone = answer.Outcome == log::PutAnswer::Kind::Accepted;
-               if (isDone && isOwn)
+               if (isDone && isOwn) {
                  Directory.written();
+                 // Of two nodes the one that writes later sees the other.
+                 Nodes->listSoon();
+               }
                if (!isDone)
                  base::log(base::LogLevel::Warning,
                            "directory entry was not written",
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -9,18 +9,20 @@
 
 std::shared_ptr<TopicReader>
 TopicReader::start(boost::asio::io_context &context, log::KeyedStore &store,
-                   log::Topic topic, uint64_t seed, Taken taken) {
+                   log::Topic topic, uint64_t seed, Taken taken,
+                   fleet::TopicFollowerSettings how) {
   auto out = std::make_shared<TopicReader>(context, store, topic, seed,
-                                           std::move(taken));
+                                           std::move(taken), how);
   out->go();
   return out;
 }
 
 TopicReader::TopicReader(boost::asio::io_context &context,
                          log::KeyedStore &store, log::Topic topic,
-                         uint64_t seed, Taken taken)
+                         uint64_t seed, Taken taken,
+                         fleet::TopicFollowerSettings how)
     : Store(&store), Which(topic), OnTaken(std::move(taken)),
-      Follower({}, seed), Timer(context) {}
+      Follower(how, seed), Timer(context) {}
 
 void TopicReader::go() {
   auto step = Follower.next();
@@ -28,14 +30,24 @@
     return list();
   if (step.What == fleet::TopicStep::Kind::Follow)
     return follow(step);
+  IsPausing = true;
   Timer.expires_after(step.For);
   Timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
     auto self = weak.lock();
-    if (!ec && self)
-      self->go();
+    if (ec || !self || !self->IsPausing)
+      return;
+    self->IsPausing = false;
+    self->go();
   });
 }
 
+void TopicReader::listSoon() {
+  if (!std::exchange(IsPausing, false))
+    return Follower.listSoon();
+  Timer.cancel();
+  go();
+}
+
 void TopicReader::list() {
   Store->list(Which, [weak = weak_from_this()](const log::TopicAnswer &answer) {
     auto self = weak.lock();
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -17,12 +17,17 @@
   using Taken = std::function<void(const log::KeyedRecord &)>;
 
   /// Starts to read; ends when the last pointer but its own is let go.
-  static std::shared_ptr<TopicReader> start(boost::asio::io_context &context,
-                                            log::KeyedStore &store,
-                                            log::Topic topic, uint64_t seed,
-                                            Taken taken);
+  static std::shared_ptr<TopicReader>
+  start(boost::asio::io_context &context, log::KeyedStore &store,
+        log::Topic topic, uint64_t seed, Taken taken,
+        fleet::TopicFollowerSettings how = {});
   TopicReader(boost::asio::io_context &context, log::KeyedStore &store,
-              log::Topic topic, uint64_t seed, Taken taken);
+              log::Topic topic, uint64_t seed, Taken taken,
+              fleet::TopicFollowerSettings how);
+
+  /// Has the keys listed now instead of after the pause, for a reader that only
+  /// lists them.
+  void listSoon();
 
   /// Tells whether the topic has been read whole at least once.
   bool hasListed() const { return Follower.hasListed(); }
@@ -42,6 +47,7 @@
   fleet::TopicFollower Follower;
   boost::asio::steady_timer Timer;
   bool Reached = true;
+  bool IsPausing = false;
 };
 
 } // namespace radishcross::node
