--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -4,11 +4,8 @@
 #include <LibFleet/MemberTable.h>
 #include <LibLog/HeldPlayer.h>
 #include <LibNode/HeartbeatCodec.h>
-#include <LibTrace/TraceText.h>
 
 #include <algorithm>
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -353,28 +350,6 @@
             {{"offset", std::to_string(fold().offset())}});
 }
 
-std::vector<admin::HoldingSince> NodeProcess::holdingSince() const {
-  std::vector<admin::HoldingSince> out;
-  out.reserve(Since.size());
-  for (const auto &[name, since] : Since)
-    out.push_back(since);
-  return out;
-}
-
-std::vector<fleet::Member> NodeProcess::members() const {
-  return Fleet->members();
-}
-
-base::Metrics &NodeProcess::metrics() {
-  Counters.setGauge("control_bytes",
-                    static_cast<double>(Fleet->controlBytes()));
-  Counters.setGauge("calls_in_flight", static_cast<double>(Proxy->inFlight()));
-  Counters.setGauge("configuration_offset",
-                    static_cast<double>(Fleet->fold().offset()));
-  Counters.setGauge("members", static_cast<double>(Fleet->members().size()));
-  return Counters;
-}
-
 bool NodeProcess::ready() const { return isServing() && !Draining.isStarted(); }
 
 /// Tells whether calls can be handled; while the node drains it takes those
@@ -390,65 +365,6 @@
   Changes.change(record, patience, std::move(done));
 }
 
-boost::json::value NodeProcess::usage() const {
-  auto out = Usage.usage(Time.now());
-  out.as_object()["services"] = servicesInUse();
-  return out;
-}
-
-/// Returns how many usable targets each service in force has.
-/// FIXME: The longest queue and the share of retries in use are not measured
-/// yet, so an impact does not warn of limits that are tightened below them.
-boost::json::array NodeProcess::servicesInUse() const {
-  std::map<std::string, uint64_t> targets;
-  for (const auto &member : Fleet->members()) {
-    if (!fleet::isLive(member))
-      continue;
-    for (const auto &it : member.Targets)
-      if (it.State == fleet::TargetState::Ready)
-        ++targets[it.Service];
-  }
-  boost::json::array out;
-  if (!InForce)
-    return {};
-  for (const auto &held : InForce->versions())
-    for (const auto &service : held.Content->Services) {
-      std::string name = held.Configuration;
-      name += '/';
-      name += service.Name;
-      out.push_back(boost::json::object{{"service", name},
-                                        {"targets", targets[name]},
-                                        {"queue_length", 0},
-                                        {"retry_percent", 0}});
-    }
-  return out;
-}
-
-boost::json::value NodeProcess::quarantine() const {
-  boost::json::array out;
-  auto now = Time.now();
-  for (const auto &it : Quarantined.entries(now)) {
-    auto left =
-        std::chrono::duration_cast<std::chrono::seconds>(it.Until - now);
-    out.push_back(
-        boost::json::object{{"fingerprint", std::to_string(it.Fingerprint)},
-                            {"service", it.ServiceName},
-                            {"crashes", it.Crashes},
-                            {"seconds_left", left.count()}});
-  }
-  return out;
-}
-
-bool NodeProcess::liftQuarantine(uint64_t fingerprint) {
-  return Quarantined.lift(fingerprint);
-}
-
-std::string NodeProcess::recording(uint32_t seconds) const {
-  auto from = Time.now() - std::chrono::seconds(seconds);
-  return trace::writeTrace(
-      Decisions.recording(Self.Id, Seed, from.time_since_epoch().count()));
-}
-
 void NodeProcess::settingsChanged(const admin::NodeSettings &settings) {
   Settings = settings;
   auto log = settings.Log;
--- /dev/null
+++ b/Libraries/LibNode/NodeReports.cpp
@@ -0,0 +1,94 @@
+#include <LibNode/NodeProcess.h>
+
+#include <LibTrace/TraceText.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <chrono>
+
+// The part of NodeProcess that tells operators of the node.
+
+namespace radishcross::node {
+
+std::vector<admin::HoldingSince> NodeProcess::holdingSince() const {
+  std::vector<admin::HoldingSince> out;
+  out.reserve(Since.size());
+  for (const auto &[name, since] : Since)
+    out.push_back(since);
+  return out;
+}
+
+std::vector<fleet::Member> NodeProcess::members() const {
+  return Fleet->members();
+}
+
+base::Metrics &NodeProcess::metrics() {
+  Counters.setGauge("control_bytes",
+                    static_cast<double>(Fleet->controlBytes()));
+  Counters.setGauge("calls_in_flight", static_cast<double>(Proxy->inFlight()));
+  Counters.setGauge("configuration_offset",
+                    static_cast<double>(Fleet->fold().offset()));
+  Counters.setGauge("members", static_cast<double>(Fleet->members().size()));
+  return Counters;
+}
+
+boost::json::value NodeProcess::usage() const {
+  auto out = Usage.usage(Time.now());
+  out.as_object()["services"] = servicesInUse();
+  return out;
+}
+
+/// Returns how many usable targets each service in force has.
+/// FIXME: The longest queue and the share of retries in use are not measured
+/// yet, so an impact does not warn of limits that are tightened below them.
+boost::json::array NodeProcess::servicesInUse() const {
+  std::map<std::string, uint64_t> targets;
+  for (const auto &member : Fleet->members()) {
+    if (!fleet::isLive(member))
+      continue;
+    for (const auto &it : member.Targets)
+      if (it.State == fleet::TargetState::Ready)
+        ++targets[it.Service];
+  }
+  boost::json::array out;
+  if (!InForce)
+    return {};
+  for (const auto &held : InForce->versions())
+    for (const auto &service : held.Content->Services) {
+      std::string name = held.Configuration;
+      name += '/';
+      name += service.Name;
+      out.push_back(boost::json::object{{"service", name},
+                                        {"targets", targets[name]},
+                                        {"queue_length", 0},
+                                        {"retry_percent", 0}});
+    }
+  return out;
+}
+
+boost::json::value NodeProcess::quarantine() const {
+  boost::json::array out;
+  auto now = Time.now();
+  for (const auto &it : Quarantined.entries(now)) {
+    auto left =
+        std::chrono::duration_cast<std::chrono::seconds>(it.Until - now);
+    out.push_back(
+        boost::json::object{{"fingerprint", std::to_string(it.Fingerprint)},
+                            {"service", it.ServiceName},
+                            {"crashes", it.Crashes},
+                            {"seconds_left", left.count()}});
+  }
+  return out;
+}
+
+bool NodeProcess::liftQuarantine(uint64_t fingerprint) {
+  return Quarantined.lift(fingerprint);
+}
+
+std::string NodeProcess::recording(uint32_t seconds) const {
+  auto from = Time.now() - std::chrono::seconds(seconds);
+  return trace::writeTrace(
+      Decisions.recording(Self.Id, Seed, from.time_since_epoch().count()));
+}
+
+} // namespace radishcross::node
