LibNode: Leave recalled holdings as they are at the store

Found on reading the change once more: after a node had recalled what its earlier process held, its next tick wrote an empty record over it, since nothing had been noted yet. A second restart could then step back. What is recalled counts as wanted as well now.

The case of TestHoldings asks for it; by reading, the code before wrote at the first tick after a recall (not run there). TestLibNode: the five cases that recall or write passed in release; the whole suite, the linter and the sanitizers were not run again on this commit.

--- a/Libraries/LibNode/Holdings.cpp
+++ b/Libraries/LibNode/Holdings.cpp
@@ -62,7 +62,7 @@
       if (auto versions = decodeHoldings(it.Value, reason))
         found = std::move(*versions);
     }
-    Kept = found;
+    Kept = Wanted = found;
     base::log(answer.Reached ? base::LogLevel::Info : base::LogLevel::Warning,
               "holdings recalled",
               {{"reached", answer.Reached ? "yes" : "no"},
--- a/Tests/LibNode/TestHoldings.cpp
+++ b/Tests/LibNode/TestHoldings.cpp
@@ -97,6 +97,8 @@
   store.Lists[0](answer);
   REQUIRE(found.size() == 1);
   CHECK(found[0] == HeldNumbers{{"badges", 3}});
+  kept.tick(at(500ms)); // What was recalled is not written over.
+  CHECK(store.Puts.empty());
   kept.note({{"badges", 3}});
   kept.tick(at(1s)); // The store has it already.
   CHECK(store.Puts.empty());
