--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -27,6 +27,27 @@
   checkAnswered(it.end(call, AttemptEnd::Answered));
 }
 
+TEST_CASE("a call has the shorter of its caller's and its route's deadline") {
+  struct Row {
+    base::Duration Asked;
+    base::Duration Left;
+  };
+  // The route states none, so its default of 5 s holds.
+  const Row rows[] = {{0s, 5s}, {800ms, 800ms}, {60s, 5s}};
+  for (const auto &row : rows) {
+    CAPTURE(row.Asked.count());
+    BrokerBench it;
+    CallRequest request;
+    request.Remaining = row.Asked;
+    const auto call = it.begin("/pay", std::move(request));
+    const auto step = it.Node.step(call);
+    REQUIRE(step.What == Kind::Send);
+    CHECK(step.Remaining <= row.Left);
+    CHECK(step.Remaining > row.Left - 100ms);
+    CHECK(step.AttemptTimeout <= step.Remaining);
+  }
+}
+
 TEST_CASE("ends of attempts decide between a retry, not run and unknown") {
   struct Row {
     std::string Path;
--- /dev/null
+++ b/Tests/LibHttp/TwoNodes.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibHttp/Mesh.h>
+
+#include <LibCalls/CallTypes.h>
+#include <LibHttp/Answers.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishcross::tests {
+
+/// Two nodes; a target that echoes is behind the second.
+struct TwoNodes {
+  TwoNodes() { startTarget({"127.0.0.1", 0}); }
+
+  void startTarget(const base::Address &listen) {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        Context, listen, {},
+        [this](http::IncomingRequest in) { return echo(std::move(in)); },
+        reason);
+    REQUIRE(server);
+    Target = *server;
+    route(Target->address());
+  }
+
+  asio::awaitable<http::Response> echo(http::IncomingRequest in) {
+    SeenByTarget.push_back(in.Message);
+    asio::steady_timer never(Context, std::chrono::hours(1));
+    in.Watch->OnGone = [&never] { never.cancel(); };
+    boost::system::error_code ec;
+    while (HoldAnswers && !Release && !in.Watch->Gone) {
+      never.expires_after(std::chrono::milliseconds(1));
+      co_await never.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    in.Watch->OnGone = nullptr;
+    GoneAtTarget += in.Watch->Gone ? 1 : 0;
+    http::Response answer = http::makeJson(200, "echo " + in.Message.body());
+    answer.set(calls::RankHeader, "forged by the target");
+    co_return answer;
+  }
+
+  void route(const base::Address &target) {
+    fleet::TargetRecord record;
+    record.Service = "badges/pay";
+    record.TargetId = "t1";
+    record.Where = target;
+    Far.Local = record;
+    Near.sendTo(Far, "far", record);
+  }
+
+  http::Request post() const {
+    http::Request request(bh::verb::post, "/pay?x=1", 11);
+    request.body() = "body";
+    request.set(calls::RankHeader, "critical");
+    request.set("Connection", "close, X-Hop");
+    request.set("X-Hop", "dropped");
+    return request;
+  }
+
+  asio::io_context Context{1};
+  base::ManualClock Clock;
+  ProxyNode Near{Context, Clock, "near"};
+  ProxyNode Far{Context, Clock, "far"};
+  std::shared_ptr<http::Server> Target;
+  std::vector<http::Request> SeenByTarget;
+  size_t GoneAtTarget = 0;
+  bool HoldAnswers = false;
+  bool Release = false;
+};
+
+/// Returns the number of the result code that an answer states.
+inline std::string codeOf(const http::Response &answer) {
+  return std::string(answer[calls::CodeHeader]);
+}
+
+} // namespace radishcross::tests
