--- a/Services/Radishcross/RunNode.cpp
+++ b/Services/Radishcross/RunNode.cpp
@@ -6,8 +6,6 @@
 #include <LibNode/Node.h>
 
 #include <absl/flags/flag.h>
-#include <cstdio>
-#include <cstdlib>
 #include <platform/Ports.h>
 
 namespace radishcross::cli {
@@ -23,11 +21,7 @@
   auto settings = admin::loadNodeSettings(path, reason);
   if (!settings)
     return printFailure(reason);
-  auto code = node::run(*settings, path, platform::ports());
-  // The node has ended by now. A normal exit would wait for the idle threads of
-  // the log's library, past the end of the grace time where threads are slow.
-  std::fflush(nullptr);
-  std::_Exit(base::describe(code).ExitCode);
+  return node::run(*settings, path, platform::ports());
 }
 
 } // namespace radishcross::cli
