LibFleet: Go on asking the directory once somebody is found

Tables logged on a scratch copy showed two groups that never met. A node asked three addresses of the directory at a time while it was alone, and one in 15 to 45 s as soon as it knew anybody; nodes that start at the same moment meet in pairs before the others listen.

Change: the addresses that lead to no live member are asked first, three at a time, with pauses that double from 0.5 s to 30 s whether or not somebody has been found.

Ruled out: the table of targets (it held what the members' table held), a target that was not announced (its node had it), cut links.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -148,17 +148,28 @@
   if (now < NextJoin || Seeds.empty())
     return;
   bool isAlone = choose(1, [](const Member &) { return true; }).empty();
+  // Nodes that start together may meet in groups that know nothing of each
+  // other: the seeds that lead to no live member are asked first.
+  auto asked = seedsWithoutMember();
+  bool isSearching = !asked.empty();
   // Seeds are asked now and then also later: that heals two halves of a fleet
   // that have declared each other dead.
-  auto period = isAlone ? Settings.JoinPeriod * (1U << std::min(JoinsSent, 4U))
-                        : Settings.LongestJoinPeriod;
+  constexpr uint32_t MostDoublingsAlone = 4;
+  constexpr uint32_t MostDoublings = 6;
+  auto doublings =
+      std::min(JoinsSent, isAlone ? MostDoublingsAlone : MostDoublings);
+  auto period = isSearching ? std::min(Settings.JoinPeriod * (1U << doublings),
+                                       Settings.LongestJoinPeriod)
+                            : Settings.LongestJoinPeriod;
   auto jitter = base::Duration(Dice.below(period.count() / 2 + 1));
   NextJoin = now + period / 2 + jitter;
   ++JoinsSent;
-  size_t count = isAlone ? SeedsPerJoin : 1;
-  size_t first = Dice.below(Seeds.size());
-  for (size_t n = 0; n < std::min(count, Seeds.size()); ++n) {
-    const auto &seed = Seeds[(first + n) % Seeds.size()];
+  if (!isSearching)
+    asked = Seeds;
+  size_t count = isSearching ? SeedsPerJoin : 1;
+  size_t first = Dice.below(asked.size());
+  for (size_t n = 0; n < std::min(count, asked.size()); ++n) {
+    const auto &seed = asked[(first + n) % asked.size()];
     if (seed == self().Identity.Gossip)
       continue;
     auto message = compose(GossipKind::Join);
@@ -167,6 +178,14 @@
   }
 }
 
+std::vector<base::Address> Membership::seedsWithoutMember() const {
+  auto out = Seeds;
+  for (const auto &it : Table.all())
+    if (isLive(it))
+      std::erase(out, it.Identity.Gossip);
+  return out;
+}
+
 bool Membership::drawLink() {
   size_t local = std::max<size_t>(liveCount(DataCentre), 1);
   return Dice.below(local) < Settings.LinksBetweenDataCentres;
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -155,6 +155,7 @@
   MemberUpdate ownUpdate() const { return updateOf(SelfId, true); }
   size_t liveCount(std::string_view dataCentre) const;
   bool drawLink();
+  std::vector<base::Address> seedsWithoutMember() const;
   std::vector<GossipSend>
   push(const std::function<bool(const Member &)> &accept, Payload payload);
   bool isLocal(const Member &member) const {
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -269,3 +269,25 @@
     CHECK(time < 8s);
   }
 }
+
+TEST_CASE("nodes that start together out of one directory are one fleet") {
+  // The directory still names five nodes that are gone.
+  std::vector<base::Address> directory;
+  for (size_t n = 0; n < 11 + 5; ++n)
+    directory.push_back(fakeAddress(n));
+  auto isOneFleet = [](const FakeMesh &mesh) {
+    return std::all_of(
+        mesh.Nodes.begin(), mesh.Nodes.end(),
+        [](const auto &it) { return it.second.table().all().size() == 11; });
+  };
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    FakeMesh mesh(seed);
+    for (size_t n = 0; n < 11; ++n) {
+      mesh.addAlone(n, n < 4 ? "a" : n < 8 ? "b" : "c", 1000);
+      mesh.Nodes.at(n).addSeeds(directory);
+      mesh.run(20ms);
+    }
+    INFO(seed);
+    CHECK(mesh.runUntil([&] { return isOneFleet(mesh); }, 60s) < 4s);
+  }
+}
