LibFleet: List the newest of a burst instead of following each record

A burst also had to be read record by record, however large they are, over links of 7 Mbit/s.

Reads that brought records are now spaced by 1 s, half of the least bound of 2 s; of records that come together, or that an answer has no room for, the newest are listed until that brings nothing new. A single version still comes at once and costs one call. A node whose next read is only spaced does not ask its peers meanwhile.

Ruled out: few readers that push to the others.

--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -17,6 +17,9 @@
 }
 
 TopicStep TopicFollower::next() {
+  IsSpacing = std::exchange(SpacingIsDue, false);
+  if (IsSpacing)
+    return {TopicStep::Kind::Pause, From, Settings.Spacing};
   if (std::exchange(PauseIsDue, false) && !std::exchange(SkipsPause, false))
     return {TopicStep::Kind::Pause, From, nextPause()};
   if (ListIsDue)
@@ -33,19 +36,28 @@
   ended(reached);
   if (!reached)
     return;
+  bool isBurst = !Settings.ListsOnly && HasListed && end > From;
   From = end;
   HasListed = true;
-  ListIsDue = Settings.ListsOnly;
+  SpacingIsDue = isBurst;
+  ListIsDue = Settings.ListsOnly || isBurst;
   Relist = Relist.count() == 0 ? Settings.FirstRelist
                                : std::min(Relist * 2, Settings.LongestRelist);
 }
 
-void TopicFollower::followed(bool reached, bool expired, uint64_t next) {
+void TopicFollower::followed(bool reached, bool expired, uint64_t next,
+                             uint64_t end) {
   ended(reached || expired);
   if (expired)
     ListIsDue = true;
-  else if (reached)
-    From = std::max(From, next);
+  if (expired || !reached)
+    return;
+  uint64_t count = next > From ? next - From : 0;
+  From = std::max(From, next);
+  // Newer ones that did not fit the answer are not waited for.
+  bool hasMore = end > From;
+  SpacingIsDue = count > 0 && !hasMore;
+  ListIsDue = hasMore || count > 1;
 }
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/VersionCatchUp.cpp
+++ b/Libraries/LibFleet/VersionCatchUp.cpp
@@ -1,5 +1,7 @@
 #include <LibFleet/VersionCatchUp.h>
 
+#include <algorithm>
+
 namespace radishcross::fleet {
 
 void VersionCatchUp::heard(uint64_t version, base::TimePoint now) {
@@ -7,11 +9,15 @@
     return;
   Newest = version;
   // Half as much again is drawn, so that not all ask at one moment.
-  auto drawn = base::Duration(Dice.below(Settings.Delay.count() / 2 + 1));
-  NewestDue = now + Settings.Delay + drawn;
+  Drawn = Settings.Delay +
+          base::Duration(Dice.below(Settings.Delay.count() / 2 + 1));
+  NewestDue = now + Drawn;
 }
 
 bool VersionCatchUp::isDue(const CatchUpView &view, base::TimePoint now) {
+  // The time for this node's own read counts from when it may begin.
+  if (view.IsReadSpaced && Newest > view.Held)
+    NewestDue = std::max(NewestDue, now + Drawn);
   if (IsAsking || now < NextAsk)
     return false;
   bool isBehind = Newest > view.Held && now >= NewestDue;
--- a/Libraries/LibFleet/VersionCatchUp.h
+++ b/Libraries/LibFleet/VersionCatchUp.h
@@ -23,6 +23,7 @@
 struct CatchUpView {
   uint64_t Held = 0;           ///< The version in force; 0 for none.
   bool IsStoreReached = false; ///< The store has answered the last read.
+  bool IsReadSpaced = false;   ///< The store is read again in a moment.
 };
 
 /// Decides when this node asks a peer for a newer version of the external
@@ -44,7 +45,8 @@
 private:
   CatchUpSettings Settings;
   base::Random Dice;
-  uint64_t Newest = 0; ///< The highest version heard of.
+  uint64_t Newest = 0;    ///< The highest version heard of.
+  base::Duration Drawn{}; ///< From the news to the question.
   base::TimePoint NewestDue{};
   base::TimePoint NextAsk{};
   bool IsAsking = false;
--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -65,8 +65,9 @@
   /// that of the first page, from where a reader goes on.
   virtual void list(Topic topic, std::function<void(TopicAnswer)> done) = 0;
 
-  /// Returns the records from \p from on. The store may hold the answer until
-  /// there is one or \p wait has passed.
+  /// Returns the records from \p from on, the oldest first; End tells whether
+  /// there are more. The store may hold the answer until there is one or \p
+  /// wait has passed.
   virtual void follow(Topic topic, uint64_t from, base::Duration wait,
                       std::function<void(TopicAnswer)> done) = 0;
 };
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -142,6 +142,7 @@
         [this] { return Link.configuration().version(); },
         [this] { return Link.configurationText(); },
         [this] { return Link.isOperatorReached(); },
+        [this] { return Link.isOperatorSpacing(); },
         [this](const peer::ExternalRecord &it, const fleet::NodeId &peer) {
           Link.takeConfiguration(it.Text, peer);
         }};
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -48,6 +48,9 @@
     return Operator && Operator->hasListed() && Operator->isReached();
   }
 
+  /// Tells whether the next read of the operator's record is due shortly.
+  bool isOperatorSpacing() const { return Operator && Operator->isSpacing(); }
+
   /// Takes the operator's record from \p source; one that is not above the
   /// version in force, or not valid, changes nothing.
   void takeConfiguration(std::string_view text, std::string_view source);
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -70,7 +70,8 @@
                   uint64_t next = from;
                   for (const auto &it : answer.Records)
                     next = std::max(next, it.At + 1);
-                  self->Follower.followed(answer.Reached, answer.Expired, next);
+                  self->Follower.followed(answer.Reached, answer.Expired, next,
+                                          answer.End);
                   self->go();
                 });
 }
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -32,6 +32,9 @@
   /// Tells whether the topic has been read whole at least once.
   bool hasListed() const { return Follower.hasListed(); }
 
+  /// Tells whether the next read is held back only to space it from the last.
+  bool isSpacing() const { return IsPausing && Follower.isSpacing(); }
+
   /// Tells whether the store answered the last read.
   bool isReached() const { return Reached; }
 
--- a/Libraries/LibPeer/FleetExternal.cpp
+++ b/Libraries/LibPeer/FleetExternal.cpp
@@ -56,7 +56,7 @@
   if (!external.Version || HasLeft)
     return;
   auto held = external.Version();
-  if (!CatchUp.isDue({held, external.IsStoreReached()},
+  if (!CatchUp.isDue({held, external.IsStoreReached(), external.IsReadSpaced()},
                      Environment.Time->now()))
     return;
   const auto *peer = choosePeer();
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -33,6 +33,8 @@
   std::function<std::string()> Text;
   /// Tells whether the store answers this node.
   std::function<bool()> IsStoreReached;
+  /// Tells whether this node reads the store again in a moment.
+  std::function<bool()> IsReadSpaced;
   /// Takes what a peer has given.
   std::function<void(const ExternalRecord &, const fleet::NodeId &peer)> Taken;
 };
--- a/Tests/LibFleet/TestVersionCatchUp.cpp
+++ b/Tests/LibFleet/TestVersionCatchUp.cpp
@@ -35,6 +35,18 @@
   }
 }
 
+TEST_CASE("a node that reads the store again in a moment waits for that") {
+  for (uint64_t seed = 1; seed < 50; ++seed) {
+    VersionCatchUp it({}, seed);
+    it.heard(4, Start);
+    for (auto passed = 0ms; passed <= 1s; passed += 50ms)
+      CHECK_FALSE(it.isDue({3, true, true}, Start + passed));
+    CHECK_FALSE(it.isDue({3, true}, Start + 1240ms));
+    // In time for the two seconds, should that read bring nothing.
+    CHECK(it.isDue({3, true}, Start + 1400ms));
+  }
+}
+
 TEST_CASE("a node that its store fails asks by itself") {
   VersionCatchUp it({}, 7);
   CHECK(it.isDue({0, false}, Start));
