LibCalls: Cut a first attempt only when its second one is sure

An idempotent first attempt was given about 1 s as its timeout when it was sent, if the budget had a retry at that moment. Three ways left the caller with 502 after it, while the target was at work:

- other calls had taken the budget by then: of two silent calls with one retry in the budget the second was given up after 1 s of its 5 s;
- the target was told the cut as its deadline.
Its deeper calls end 2 ms before it, their failure marked the attempt as dealt with below, and such an attempt isn't sent again; or the target answered with its own 504;
- the other target had gone meanwhile.

The decision is now made when the time has come: CallBroker::cutAttempt says yes only if another target is there, time is left, and the budget pays for the second attempt at once. A call that was cut gets that attempt whatever else was asked for meanwhile. The target is told the whole deadline, and the cut closes the connection, as when the caller goes.

The test of silent connections asks for the cut in place of the short timeout, with the same bound of 2 s; the replay's draw has cuts and longer deadlines in addition.

A trace notes the time until a cut where it noted the short timeout, so traces made before replay as they did.

--- a/Libraries/LibCalls/AttemptTimer.cpp
+++ b/Libraries/LibCalls/AttemptTimer.cpp
@@ -14,9 +14,10 @@
   Slowest = std::max(latency, Slowest - Slowest / DecayDivisor);
 }
 
-base::Duration AttemptTimer::firstAttempt(base::Duration remaining) const {
+base::Duration AttemptTimer::cutAfter(base::Duration remaining) const {
   const auto wanted = std::max(Least, Slowest * SlowestFactor);
-  return wanted <= remaining * 3 / 4 ? wanted : remaining;
+  const bool fits = wanted + leastLeft(wanted) <= remaining;
+  return fits ? wanted : base::Duration::zero();
 }
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/AttemptTimer.h
+++ b/Libraries/LibCalls/AttemptTimer.h
@@ -4,7 +4,7 @@
 
 namespace radishcross::calls {
 
-/// How long the first of two attempts may take at one service. It follows the
+/// When the first of two attempts may be cut at one service. It follows the
 /// slowest answers, so that a slow service is not mistaken for a silent one,
 /// and leaves time for the second attempt. Where that much time isn't left, the
 /// first attempt has it all: cutting work that runs would waste its slot.
@@ -17,8 +17,14 @@
   /// before it timed out.
   void observed(base::Duration latency);
 
-  /// Returns the timeout of a first attempt with \p remaining left for both.
-  base::Duration firstAttempt(base::Duration remaining) const;
+  /// Returns when a first attempt may be cut with \p remaining left for both;
+  /// 0: never.
+  base::Duration cutAfter(base::Duration remaining) const;
+
+  /// Returns what must be left for the second attempt after a cut.
+  static base::Duration leastLeft(base::Duration cutAfter) {
+    return cutAfter / 3;
+  }
 
 private:
   base::Duration Slowest{}; ///< Decays with each answer.
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -304,6 +304,10 @@
   return call.Step;
 }
 
+bool Broker::cutAttempt(CallHandle handle, base::TimePoint now) {
+  return Held->Planner.cutAttempt(handle, now);
+}
+
 void Broker::end(CallHandle handle, base::TimePoint now) {
   const auto it = Held->Open.find(handle);
   if (it == Held->Open.end())
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -68,6 +68,8 @@
   /// For connecting and the whole answer. Nothing is sent any more once it has
   /// passed since the step was given, also after a pause of the process.
   base::Duration AttemptTimeout{};
+  /// When to ask cutAttempt(), and again each time after it refused; 0: never.
+  base::Duration CutAfter{};
   base::Duration Remaining{}; ///< Deadline left, for the next hop.
   /// Open a new connection to the node of To and close the idle ones to it.
   bool FreshConnection = false;
@@ -103,6 +105,11 @@
   virtual CallStep attemptEnded(CallHandle call, const AttemptResult &result,
                                 base::TimePoint now) = 0;
 
+  /// Asks, CutAfter into the attempt, whether it may be cut for a second one.
+  /// After a true its end is reported as TimedOut, and the next step is a Send;
+  /// after a false it goes on.
+  virtual bool cutAttempt(CallHandle, base::TimePoint) { return false; }
+
   /// Drops the call after its Finish, or after the caller went away.
   virtual void end(CallHandle call, base::TimePoint now) = 0;
 
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -19,6 +19,7 @@
     {CallPlanEvent::End, "end"},
     {CallPlanEvent::Tick, "tick"},
     {CallPlanEvent::Nodes, "nodes"},
+    {CallPlanEvent::Cut, "cut"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -43,7 +44,8 @@
     &CallPlanPlayer::start,        &CallPlanPlayer::target,
     &CallPlanPlayer::drained,      &CallPlanPlayer::begin,
     &CallPlanPlayer::attemptEnded, &CallPlanPlayer::end,
-    &CallPlanPlayer::tick,         &CallPlanPlayer::nodes};
+    &CallPlanPlayer::tick,         &CallPlanPlayer::nodes,
+    &CallPlanPlayer::cut};
 
 trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
   if (entry.Event >= std::size(Handlers))
@@ -143,6 +145,10 @@
   return {};
 }
 
+trace::Outcome CallPlanPlayer::cut(const trace::Entry &entry) {
+  return {Replayed->cutAttempt(handleOf(entry), timeOf(entry)) ? 1 : 0};
+}
+
 std::string_view CallPlanPlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
 }
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -172,11 +172,13 @@
 CallStep CallPlanner::afterLoss(PlannedCall &call, const AttemptResult &result,
                                 base::TimePoint now) {
   call.MayHaveRun = true;
+  const bool paid = std::exchange(call.Cut, false);
   const bool retryable =
       call.Route.Idempotent && !result.FailedBelow && !call.Retried;
-  if (retryable && mayRetry(call, now)) {
+  if (paid || (retryable && mayRetry(call, now))) {
     if (auto out = send(call, true, now)) {
-      stateOf(call).Budget.spend(Retries, now);
+      if (!paid)
+        stateOf(call).Budget.spend(Retries, now);
       call.Retried = true;
       return *out;
     }
@@ -190,6 +192,37 @@
                                         nodesLately(now), now);
 }
 
+bool CallPlanner::cutAttempt(CallHandle handle, base::TimePoint now) {
+  const auto it = Calls.find(handle);
+  if (it == Calls.end())
+    return false;
+  auto &call = it->second;
+  const bool out = mayCut(call, now);
+  if (out) {
+    stateOf(call).Budget.spend(Retries, now);
+    call.Cut = true;
+  }
+  note(CallPlanEvent::Cut, {static_cast<int64_t>(handle)}, {}, {out ? 1 : 0},
+       now);
+  return out;
+}
+
+/// Tells whether a second attempt can follow the one in flight for sure, with
+/// time enough to be of use.
+bool CallPlanner::mayCut(const PlannedCall &call, base::TimePoint now) {
+  if (call.Target == 0 || call.CutAfter <= Duration::zero() || call.Cut)
+    return false;
+  const auto left = call.Deadline - now - HopMargin;
+  if (left < AttemptTimer::leastLeft(call.CutAfter))
+    return false;
+  const auto &targets = Table.usable(call.Route.ServiceName);
+  const bool another =
+      std::any_of(targets.begin(), targets.end(), [&call](const auto *target) {
+        return target->Id != call.Target;
+      });
+  return another && mayRetry(call, now);
+}
+
 int64_t CallPlanner::nodesLately(base::TimePoint now) {
   if (Nodes < MostNodes && now - MostNodesAt > NodesMemory)
     MostNodes = Nodes;
@@ -198,7 +231,7 @@
 
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
                                           base::TimePoint now) {
-  const auto timeout = timeoutOf(call, retry, now);
+  const auto timeout = call.Deadline - now - HopMargin;
   if (timeout <= Duration::zero())
     return std::nullopt;
   const auto &targets = Table.usable(call.Route.ServiceName);
@@ -212,6 +245,7 @@
   call.LastTarget = target->Id;
   call.Fresh = target->Path->doubtful();
   call.Timeout = timeout;
+  call.CutAfter = cutAfter(call, retry, now);
   ++call.Attempts;
 
   CallStep out;
@@ -220,23 +254,23 @@
   out.ServiceName = call.Route.ServiceName;
   out.CallRank = call.Route.CallRank;
   out.AttemptTimeout = timeout;
-  out.Remaining = call.Deadline - now - HopMargin;
+  out.CutAfter = call.CutAfter;
+  out.Remaining = timeout;
   out.FreshConnection = call.Fresh;
   out.Retry = retry || call.Route.BelowRetry;
   return out;
 }
 
-/// Returns how long the next attempt may take: all that is left, but for the
-/// first attempt of a call that could be sent again.
-Duration CallPlanner::timeoutOf(const PlannedCall &call, bool retry,
-                                base::TimePoint now) {
-  const auto left = call.Deadline - now - HopMargin;
+/// Returns when the next attempt may be cut: only the first one of a call that
+/// could be sent again.
+Duration CallPlanner::cutAfter(const PlannedCall &call, bool retry,
+                               base::TimePoint now) {
   const bool another = Table.usable(call.Route.ServiceName).size() > 1;
   const bool isLast = call.Arrivals + 1 >= call.Route.MaximumAttempts;
   if (!call.Route.Idempotent || retry || !another || isLast ||
       !mayRetry(call, now))
-    return left;
-  return stateOf(call).Timer.firstAttempt(left);
+    return {};
+  return stateOf(call).Timer.cutAfter(call.Timeout);
 }
 
 /// Takes what an attempt tells of its target, its path and its service.
@@ -262,7 +296,7 @@
     target->Health.failed(now);
   }
   if (result.End == AttemptEnd::TimedOut)
-    stateOf(call).Timer.observed(call.Timeout);
+    stateOf(call).Timer.observed(call.Cut ? call.CutAfter : call.Timeout);
 }
 
 void CallPlanner::end(CallHandle handle, base::TimePoint now) {
@@ -313,8 +347,11 @@
   const auto told =
       static_cast<int64_t>(step.What) * 10 + static_cast<int64_t>(step.Outcome);
   const auto node = step.To.Node.empty() ? 0 : base::hash64(step.To.Node);
-  return {told * 10'000 + code, static_cast<int64_t>(node),
-          step.AttemptTimeout.count(), step.RetryAfter.count()};
+  return {
+      told * 10'000 + code, static_cast<int64_t>(node),
+      (step.CutAfter > Duration::zero() ? step.CutAfter : step.AttemptTimeout)
+          .count(),
+      step.RetryAfter.count()};
 }
 
 void CallPlanner::noteTarget(const KnownTarget &target, base::TimePoint now) {
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -36,9 +36,10 @@
 /// is listed; text: node, data centre, region, service, target. Drained: text:
 /// the names. Begin: handle, rank, allowed time, flags (1 idempotent, 2 below a
 /// retry), budget percent; text: service. AttemptEnded: handle, end (256 more:
-/// failed below), code, pressure, latency, retry-after. End: handle. Begin and
-/// AttemptEnded decide kind, outcome and code, the node's hash, the timeout,
-/// and retry-after.
+/// failed below), code, pressure, latency, retry-after. End: handle. Cut:
+/// handle; decides whether the attempt is cut. Begin and AttemptEnded decide
+/// kind, outcome and code, the node's hash, the time until a cut or the
+/// timeout, and retry-after.
 struct CallPlanEvent {
   enum Value : uint8_t {
     Start,
@@ -49,6 +50,7 @@
     End,
     Tick,
     Nodes,
+    Cut,
   };
 };
 
@@ -70,6 +72,9 @@
                  base::TimePoint now);
   CallStep attemptEnded(CallHandle handle, const AttemptResult &result,
                         base::TimePoint now);
+  /// See CallBroker::cutAttempt. A cut takes its second attempt out of the
+  /// budget at once, so that no other call can.
+  bool cutAttempt(CallHandle handle, base::TimePoint now);
   void end(CallHandle handle, base::TimePoint now);
 
   void membersChanged(const std::vector<fleet::Member> &members,
@@ -95,8 +100,10 @@
     uint32_t Arrivals = 0; ///< Attempts that came to a target.
     bool MayHaveRun = false;
     bool Retried = false; ///< Sent again after bytes had been sent.
+    bool Cut = false;     ///< For a second attempt, which the budget has paid.
     bool Fresh = false;   ///< The attempt uses a new connection.
     base::Duration Timeout{};
+    base::Duration CutAfter{}; ///< 0: the attempt is never cut.
   };
   struct ServiceState {
     RetryBudget Budget;
@@ -113,11 +120,12 @@
   CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
                      base::TimePoint now);
   bool mayRetry(const PlannedCall &call, base::TimePoint now);
+  bool mayCut(const PlannedCall &call, base::TimePoint now);
   int64_t nodesLately(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
-  base::Duration timeoutOf(const PlannedCall &call, bool retry,
-                           base::TimePoint now);
+  base::Duration cutAfter(const PlannedCall &call, bool retry,
+                          base::TimePoint now);
   void learn(PlannedCall &call, const AttemptResult &result,
              base::TimePoint now);
   ServiceState &stateOf(const PlannedCall &call);
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -109,6 +109,9 @@
 }
 
 void CallEngine::tick() {
+  Cuts.tick(now(), [this](calls::CallHandle call) {
+    return Environment.Broker->cutAttempt(call, now());
+  });
   Targets.tick();
   Pool.tick(OwnClock.now());
 }
@@ -340,6 +343,24 @@
     result.Code = base::ResultCode::CallerGone;
     co_return result;
   }
+  const auto &caller = call.Incoming.Watch;
+  if (step.CutAfter <= base::Duration::zero())
+    co_return co_await attemptAt(call, step, caller);
+  CuttableAttempt cuttable(Cuts, call.Handle, step.CutAfter, now(), caller);
+  result = co_await attemptAt(call, step, cuttable.watch());
+  // To the connections below a cut is as if the caller had gone.
+  if (cuttable.wasCut() && result.End == AttemptEnd::CallerGone) {
+    result.End = AttemptEnd::TimedOut;
+    result.Code = base::ResultCode::Ok;
+  }
+  co_return result;
+}
+
+/// Makes one attempt, here or at another node, which ends as CallerGone when
+/// \p watch says so.
+asio::awaitable<calls::AttemptResult>
+CallEngine::attemptAt(OwnCall &call, const CallStep &step,
+                      std::shared_ptr<ClientWatch> watch) {
   MeshCall mesh;
   mesh.CallId = call.Request.CallId;
   mesh.CallRank = step.CallRank;
@@ -355,11 +376,11 @@
       step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
   if (!isLocal) {
     mesh.Remaining -= std::min(AnswerMargin, mesh.Remaining / MarginShare);
-    co_return co_await sendToNode(call, step, mesh);
+    co_return co_await sendToNode(call, step, mesh, std::move(watch));
   }
   GateOutcome outcome =
       co_await Targets.run(std::move(mesh), call.Incoming.Message,
-                           call.Request.Fingerprint, call.Incoming.Watch);
+                           call.Request.Fingerprint, std::move(watch));
   call.Answer = std::move(outcome.Answer);
   co_return outcome.Result;
 }
@@ -368,7 +389,8 @@
 /// whether it is the target's.
 asio::awaitable<calls::AttemptResult>
 CallEngine::sendToNode(OwnCall &call, const CallStep &step,
-                       const MeshCall &mesh) {
+                       const MeshCall &mesh,
+                       std::shared_ptr<ClientWatch> watch) {
   Request &request = call.Incoming.Message;
   frameForNextHop(request);
   ExchangePlan plan;
@@ -379,7 +401,7 @@
   plan.IdField = Environment.Headers.RequestId;
   plan.ServerIsNode = true;
   ExchangeResult exchanged =
-      co_await exchange(Pool, plan, request, call.Incoming.Watch);
+      co_await exchange(Pool, plan, request, std::move(watch));
   calls::AttemptResult result;
   result.End = exchanged.End;
   result.Latency = exchanged.Latency;
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Random.h>
+#include <LibHttp/AttemptCuts.h>
 #include <LibHttp/CallFigures.h>
 #include <LibHttp/CallProxy.h>
 #include <LibHttp/ClosedDecisions.h>
@@ -82,7 +83,11 @@
   boost::asio::awaitable<calls::AttemptResult>
   attempt(OwnCall &call, const calls::CallStep &step);
   boost::asio::awaitable<calls::AttemptResult>
-  sendToNode(OwnCall &call, const calls::CallStep &step, const MeshCall &mesh);
+  attemptAt(OwnCall &call, const calls::CallStep &step,
+            std::shared_ptr<ClientWatch> watch);
+  boost::asio::awaitable<calls::AttemptResult>
+  sendToNode(OwnCall &call, const calls::CallStep &step, const MeshCall &mesh,
+             std::shared_ptr<ClientWatch> watch);
   calls::CallStep conclude(OwnCall &call, const calls::CallStep &step,
                            const calls::AttemptResult &result);
   void replay(OwnCall &call, calls::CallStep &step);
@@ -98,6 +103,7 @@
   MeshKeys Keys;
   ConnectionPool Pool;
   GateRunner Targets;
+  AttemptCuts Cuts;
   CallFigures Figures;
   base::Random Ids;
   std::unordered_map<calls::CallHandle, WaitingCall *> Waiting;
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -49,7 +49,9 @@
       planner.drainedChanged({"vm:a"}, now);
     RoutedCall call{std::string(Lookup), it.pick<Rank>(3), 1s, true, false, 10};
     call.Idempotent = it.Draw.below(2) == 0;
+    call.Allowed = it.Draw.below(2) == 0 ? 1s : 5s;
     auto step = planner.begin(n, call, now);
+    planner.cutAttempt(n - it.Draw.below(3), now);
     while (step.What == CallStep::Kind::Send && it.Draw.below(10) > 0) {
       auto result = ends(it.pick<AttemptEnd>(6));
       result.PressurePermille = static_cast<uint32_t>(it.Draw.below(1000));
--- a/Tests/LibCalls/TestTargets.cpp
+++ b/Tests/LibCalls/TestTargets.cpp
@@ -150,12 +150,17 @@
 TEST_CASE("an idempotent call leaves a silent connection within 2 s") {
   BrokerBench it;
   const auto call = it.begin("/lookup");
-  CHECK(it.stepOf(call).AttemptTimeout <= 2s);
-  it.pass(it.stepOf(call).AttemptTimeout);
+  CHECK(it.stepOf(call).CutAfter > 0s);
+  CHECK(it.stepOf(call).CutAfter <= 2s);
+  it.pass(it.stepOf(call).CutAfter);
+  CHECK(it.Node.cutAttempt(call, at(it.Now)));
   const auto next = it.end(call, AttemptEnd::TimedOut);
   CHECK(next.What == CallStep::Kind::Send);
   CHECK(next.AttemptTimeout > 3s);
-  CHECK(it.stepOf(it.begin("/pay")).AttemptTimeout > 4900ms);
+  CHECK(next.CutAfter == 0s);
+  const auto pay = it.stepOf(it.begin("/pay"));
+  CHECK(pay.AttemptTimeout > 4900ms);
+  CHECK(pay.CutAfter == 0s);
 }
 
 TEST_CASE("refused ranks are shed early, and only as far as they are refused") {
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -37,6 +37,10 @@
                          : base::ResultCode::CallOutcomeUnknown;
     return finish;
   }
+  bool cutAttempt(calls::CallHandle, base::TimePoint) override {
+    ++CutsAsked;
+    return MayCut;
+  }
   void end(calls::CallHandle, base::TimePoint) override { ++Ended; }
   void keepAnswer(calls::CallHandle, std::string &&answer,
                   base::TimePoint) override {
@@ -51,6 +55,8 @@
   std::deque<calls::CallStep> Next;
   std::vector<calls::CallRequest> Requests;
   std::vector<calls::AttemptResult> Results;
+  bool MayCut = false;
+  size_t CutsAsked = 0;
   calls::CallHandle Handles = 0;
   size_t Ended = 0;
 };
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -294,6 +294,41 @@
   runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
 }
 
+TEST_CASE("an attempt is cut when the broker says so, and the target let go") {
+  TwoNodes mesh;
+  mesh.HoldAnswers = true;
+  auto &broker = mesh.Near.Broker;
+  broker.Next = {broker.First};
+  broker.First.CutAfter = std::chrono::seconds(1);
+  std::optional<http::Response> answer;
+  asio::co_spawn(
+      mesh.Context,
+      [&]() -> asio::awaitable<void> {
+        base::LastReason reason;
+        answer =
+            co_await http::fetch(mesh.Near.Proxy->callsAddress(), mesh.post(),
+                                 std::chrono::seconds(10), reason);
+      },
+      asio::detached);
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+  CHECK(mesh.Far.Gate.Arrivals[0].Remaining > std::chrono::seconds(4));
+  mesh.Clock.advance(std::chrono::seconds(1));
+  mesh.Near.Proxy->tick();
+  CHECK(broker.CutsAsked == 1);
+  CHECK(broker.Results.empty());
+  broker.MayCut = true;
+  mesh.Clock.advance(std::chrono::seconds(1));
+  mesh.Near.Proxy->tick();
+  mesh.HoldAnswers = false;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(answer->body() == "echo body");
+  REQUIRE(broker.Results.size() == 2);
+  CHECK(broker.Results[0].End == AttemptEnd::TimedOut);
+  CHECK(broker.Results[0].Code == base::ResultCode::Ok);
+  CHECK(broker.Results[1].End == AttemptEnd::Answered);
+  runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
+}
+
 TEST_CASE("a target's own refusal is not run; its plain 503 is its answer") {
   for (bool says : {true, false}) {
     TwoNodes mesh;
