LibCalls: Tell a crash from a target that breaks calls and lives on

Each broken call of a target counted as a crash of it, so that a request whose calls a living target reset twice, a second apart, was quarantined for 10 minutes.

A broken call now accuses the requests that ran only when the target's process is gone next: it takes no connection before a later call was answered, its lease lapses, or another process has its place (CrashEvidence, at the target's node, which alone connects to it). A process crashes once, whatever breaks on its connections, so the second crash of a request is that of a second process. A target that leaves in order doesn't crash. Several calls that break at once were weighed as evidence and left out: what resets one connection may reset all of them.

The fingerprint was looked at: method, path and body, the same at both nodes and for a resend with another id, deadline or framing; a test holds that.

TestGate's case of two crashes has the sign of the target's end after each, as a broken call alone is none any more.

--- a/Libraries/LibCalls/Gate.cpp
+++ b/Libraries/LibCalls/Gate.cpp
@@ -1,5 +1,6 @@
 #include <LibCalls/Gate.h>
 
+#include <LibCalls/CrashEvidence.h>
 #include <LibCalls/TargetGate.h>
 
 #include <map>
@@ -21,6 +22,7 @@
   fleet::TargetRecord Target;
   TargetGateSettings Settings;
   std::unique_ptr<TargetGate> Admission;
+  CrashEvidence Crashes;
   bool Listed = true; ///< Announced; else only its calls in flight remain.
 };
 
@@ -67,6 +69,41 @@
     guarded.Admission->configure(settings, LastTime);
   }
 
+  /// Takes what the end of a call tells of its target's process.
+  void learn(GuardedTarget &guarded, Ticket call, AttemptEnd end) {
+    auto &crashes = guarded.Crashes;
+    if (end == AttemptEnd::Broken) {
+      accuse(guarded, crashes.broken(guarded.Admission->runningFingerprints(),
+                                     LastTicket, LastTime));
+    } else if (end == AttemptEnd::NotSent) {
+      accuse(guarded, crashes.unreachable(LastTicket, LastTime));
+    } else if (end == AttemptEnd::Answered) {
+      crashes.answered(call);
+      Quarantined->answered(guarded.Admission->fingerprintOf(call), LastTime);
+    }
+  }
+
+  /// Takes what a list of targets tells of a target's process; \p next is its
+  /// new record, null where it is not listed any more.
+  void learn(GuardedTarget &guarded, const fleet::TargetRecord *next) {
+    if (next && next->Epoch == guarded.Target.Epoch) {
+      if (next->State != TargetState::Ready)
+        guarded.Crashes.begunAnew();
+      return;
+    }
+    accuse(guarded, guarded.Crashes.processGone(LastTime));
+    if (next)
+      guarded.Crashes.begunAnew();
+  }
+
+  void accuse(const GuardedTarget &guarded,
+              const std::vector<uint64_t> &fingerprints) {
+    if (!fingerprints.empty())
+      Quarantined->targetCrashed(guarded.Target.TargetId,
+                                 guarded.Target.Service, fingerprints,
+                                 LastTime);
+  }
+
   void forgetRefused(const std::vector<GateAnswer> &answers) {
     for (const auto &it : answers)
       if (it.What == GateAnswer::Kind::Refuse)
@@ -110,12 +147,7 @@
     return {};
   auto &guarded = *it->second;
   Held->Calls.erase(it);
-  if (result.End == AttemptEnd::Broken)
-    Held->Quarantined->targetCrashed(
-        guarded.Target.TargetId, guarded.Target.Service,
-        guarded.Admission->runningFingerprints(), now);
-  if (result.End == AttemptEnd::Answered)
-    Held->Quarantined->answered(guarded.Admission->fingerprintOf(call), now);
+  Held->learn(guarded, call, result.End);
   auto out = guarded.Admission->ended(call, result.End, now);
   Held->forgetRefused(out);
   return out;
@@ -159,11 +191,15 @@
     it.second.Listed = false;
   for (const auto &it : targets) {
     auto &guarded = Held->Targets[it.TargetId];
+    Held->learn(guarded, &it);
     guarded.Target = it;
     guarded.Listed = true;
   }
-  for (auto &it : Held->Targets)
+  for (auto &it : Held->Targets) {
+    if (!it.second.Listed)
+      Held->learn(it.second, nullptr);
     Held->configure(it.second);
+  }
 }
 
 void Gate::limitsChanged(config::SnapshotPointer snapshot) {
--- /dev/null
+++ b/Tests/LibCalls/TestCrashEvidence.cpp
@@ -0,0 +1,132 @@
+#include <LibCalls/CrashEvidence.h>
+
+#include <LibCalls/CallFixtures.h>
+#include <LibCalls/Gate.h>
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+namespace {
+
+using Fingerprints = std::vector<uint64_t>;
+
+/// A gate in front of a target that breaks the calls of one request.
+struct CrashBench {
+  CrashBench() { list(); }
+  void list(TargetState state = TargetState::Ready) {
+    auto record = target("t", 2, state);
+    record.Epoch = Epoch;
+    Node.targetsChanged({record}, at(Now));
+  }
+  void restart() {
+    ++Epoch;
+    list();
+  }
+  void call(AttemptEnd how, uint64_t fingerprint) {
+    Now += 100ms;
+    Arrival it;
+    it.ServiceName = Lookup;
+    it.TargetId = "t";
+    it.Remaining = 1s;
+    it.Fingerprint = fingerprint;
+    Node.ended(Node.arrive(it, at(Now)).Call, ends(how), at(Now));
+  }
+  void breakOne() { call(AttemptEnd::Broken, 66); }
+  bool isBlocked() { return Crashers.blocks(66, at(Now)); }
+
+  uint64_t Epoch = 1;
+  base::Duration Now = 1min;
+  trace::NullRecorder Recorder;
+  Quarantine Crashers{Recorder};
+  Gate Node{Crashers, Recorder};
+};
+
+} // namespace
+
+TEST_CASE("calls that break at a target that lives on accuse no request") {
+  for (const bool answersOthers : {true, false}) {
+    CrashBench it;
+    for (int n = 0; n < 100; ++n) {
+      it.breakOne();
+      it.Now += answersOthers ? 0s : 2s;
+      if (answersOthers)
+        it.call(AttemptEnd::Answered, 1);
+    }
+    CHECK_FALSE(it.isBlocked());
+    CHECK(it.Crashers.takeNews().empty());
+  }
+}
+
+TEST_CASE("calls that break while their target leaves accuse no request") {
+  CrashBench it;
+  for (int n = 0; n < 3; ++n) {
+    it.breakOne();
+    it.list(TargetState::Draining);
+    it.call(AttemptEnd::NotSent, 1);
+    it.Now += 2s;
+    it.restart();
+  }
+  CHECK_FALSE(it.isBlocked());
+}
+
+TEST_CASE("the second process that a request crashes quarantines it") {
+  using Sign = void (*)(CrashBench &);
+  const Sign signs[] = {[](CrashBench &it) {
+                          it.call(AttemptEnd::NotSent, 1);
+                          it.call(AttemptEnd::NotSent, 1);
+                        },
+                        [](CrashBench &it) {
+                          it.Now += 3s; // Its lease lapses.
+                          it.Node.targetsChanged({}, at(it.Now));
+                        },
+                        [](CrashBench &it) { it.restart(); }};
+  for (const auto sign : signs) {
+    CrashBench it;
+    it.breakOne();
+    sign(it);
+    it.Now += 2s;
+    it.restart();
+    CHECK_FALSE(it.isBlocked());
+    it.breakOne();
+    sign(it);
+    CHECK(it.isBlocked());
+  }
+}
+
+TEST_CASE("one process crashes once, whatever breaks on its connections") {
+  CrashEvidence it;
+  CHECK(it.broken({66, 7}, 2, at(0s)).empty());
+  CHECK(it.broken({7}, 3, at(1ms)).empty());
+  CHECK(it.unreachable(4, at(2ms)) == Fingerprints{66, 7});
+  CHECK(it.broken({7}, 5, at(3ms)).empty());
+  CHECK(it.unreachable(6, at(2s)).empty());
+  CHECK(it.broken({7}, 7, at(2s)).empty());
+  CHECK(it.processGone(at(3s)).empty());
+  // An answer that was under way, then one of a target that is back.
+  it.answered(2);
+  CHECK(it.broken({7}, 8, at(4s)).empty());
+  CHECK(it.unreachable(9, at(4s)).empty());
+  it.answered(10);
+  CHECK(it.broken({7}, 11, at(5s)).empty());
+  CHECK(it.unreachable(12, at(5s)) == Fingerprints{7});
+}
+
+TEST_CASE("a refused connection may be seen before the call that broke") {
+  CrashEvidence it;
+  CHECK(it.unreachable(2, at(0s)).empty());
+  CHECK(it.broken({66}, 2, at(1ms)) == Fingerprints{66});
+  it.begunAnew();
+  CHECK(it.unreachable(3, at(5s)).empty());
+  CHECK(it.broken({66}, 4, at(7s)).empty());
+}
+
+TEST_CASE("a break that nothing was learnt of is forgotten") {
+  CrashEvidence it;
+  CHECK(it.broken({66}, 1, at(0s)).empty());
+  CHECK(it.processGone(at(CrashEvidence::Lifetime)).empty());
+  CHECK(it.broken({7}, 2, at(20s)).empty());
+  CHECK(it.broken({8}, 3, at(21s)).empty());
+  CHECK(it.processGone(at(21s)) == Fingerprints{8});
+}
--- a/Tests/LibCalls/TestGate.cpp
+++ b/Tests/LibCalls/TestGate.cpp
@@ -31,6 +31,14 @@
     return Node.ended(call, ends(how), at(passed));
   }
 
+  /// Lists the target with another process.
+  void restart(base::Duration passed) {
+    auto record = target("t", 2);
+    record.Epoch = ++Epoch;
+    Node.targetsChanged({record}, at(passed));
+  }
+
+  uint64_t Epoch = 0;
   trace::NullRecorder Recorder;
   Quarantine Crashers{Recorder};
   Gate Node{Crashers, Recorder};
@@ -115,6 +123,9 @@
                                  static_cast<uint64_t>(passed.count() + 1));
     it.end(poison.Call, passed + 1s, AttemptEnd::Broken);
     it.end(other.Call, passed + 1s, AttemptEnd::Broken);
+    const auto next = it.arrive(Rank::Standard, passed + 2s);
+    it.end(next.Call, passed + 2s, AttemptEnd::NotSent);
+    it.restart(passed + 4s);
   }
   CHECK(it.arrive(Rank::Standard, 10s, 1s, 66).Code == ResultCode::Quarantined);
   CHECK(it.arrive(Rank::Standard, 10s, 1s, 1).What == Kind::Run);
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -114,6 +114,28 @@
   CHECK(mesh.Far.Gate.Arrivals.empty());
 }
 
+TEST_CASE("a request has one fingerprint at both nodes and when it is resent") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  auto resent = mesh.post();
+  resent.set("X-Request-Id", "another");
+  resent.set(calls::DeadlineHeader, "700");
+  resent.chunked(true);
+  auto other = mesh.post();
+  other.body() = "another body";
+  for (const auto &request : {mesh.post(), resent, other})
+    REQUIRE(ask(mesh.Context, callers, request)->result_int() == 200);
+  const auto &near = mesh.Near.Broker.Requests;
+  const auto &far = mesh.Far.Gate.Arrivals;
+  REQUIRE(near.size() == 3);
+  REQUIRE(far.size() == 3);
+  for (size_t n = 0; n < far.size(); ++n)
+    CHECK(far[n].Fingerprint == near[n].Fingerprint);
+  CHECK(near[0].Fingerprint != 0);
+  CHECK(near[1].Fingerprint == near[0].Fingerprint);
+  CHECK(near[2].Fingerprint != near[0].Fingerprint);
+}
+
 TEST_CASE("a refusal of the gate reaches the broker as not run") {
   TwoNodes mesh;
   mesh.Far.Gate.Kind = GateAnswer::Kind::Refuse;
