--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -43,6 +43,28 @@
   CHECK(mesh.Far.Gate.Arrivals.empty());
 }
 
+TEST_CASE("a request has one fingerprint at both nodes and when it is resent") {
+  TwoNodes mesh;
+  auto callers = mesh.Near.Proxy->callsAddress();
+  auto resent = mesh.post();
+  resent.set("X-Request-Id", "another");
+  resent.set(calls::DeadlineHeader, "700");
+  resent.chunked(true);
+  auto other = mesh.post();
+  other.body() = "another body";
+  for (const auto &request : {mesh.post(), resent, other})
+    REQUIRE(ask(mesh.Context, callers, request)->result_int() == 200);
+  const auto &near = mesh.Near.Broker.Requests;
+  const auto &far = mesh.Far.Gate.Arrivals;
+  REQUIRE(near.size() == 3);
+  REQUIRE(far.size() == 3);
+  for (size_t n = 0; n < far.size(); ++n)
+    CHECK(far[n].Fingerprint == near[n].Fingerprint);
+  CHECK(near[0].Fingerprint != 0);
+  CHECK(near[1].Fingerprint == near[0].Fingerprint);
+  CHECK(near[2].Fingerprint != near[0].Fingerprint);
+}
+
 TEST_CASE("a refusal of the gate reaches the broker as not run") {
   TwoNodes mesh;
   mesh.Far.Gate.Kind = GateAnswer::Kind::Refuse;
@@ -223,6 +245,41 @@
   runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
 }
 
+TEST_CASE("an attempt is cut when the broker says so, and the target let go") {
+  TwoNodes mesh;
+  mesh.HoldAnswers = true;
+  auto &broker = mesh.Near.Broker;
+  broker.Next = {broker.First};
+  broker.First.CutAfter = std::chrono::seconds(1);
+  std::optional<http::Response> answer;
+  asio::co_spawn(
+      mesh.Context,
+      [&]() -> asio::awaitable<void> {
+        base::LastReason reason;
+        answer =
+            co_await http::fetch(mesh.Near.Proxy->callsAddress(), mesh.post(),
+                                 std::chrono::seconds(10), reason);
+      },
+      asio::detached);
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+  CHECK(mesh.Far.Gate.Arrivals[0].Remaining > std::chrono::seconds(4));
+  mesh.Clock.advance(std::chrono::seconds(1));
+  mesh.Near.Proxy->tick();
+  CHECK(broker.CutsAsked == 1);
+  CHECK(broker.Results.empty());
+  broker.MayCut = true;
+  mesh.Clock.advance(std::chrono::seconds(1));
+  mesh.Near.Proxy->tick();
+  mesh.HoldAnswers = false;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(answer->body() == "echo body");
+  REQUIRE(broker.Results.size() == 2);
+  CHECK(broker.Results[0].End == AttemptEnd::TimedOut);
+  CHECK(broker.Results[0].Code == base::ResultCode::Ok);
+  CHECK(broker.Results[1].End == AttemptEnd::Answered);
+  runUntil(mesh.Context, [&] { return mesh.GoneAtTarget == 1; });
+}
+
 TEST_CASE("a target's own refusal is not run; its plain 503 is its answer") {
   for (bool says : {true, false}) {
     TwoNodes mesh;
