Tests: Recover all nodes from the store's record

The rule of recovery named no test with the store's own record. The case passes on the code as it is.

--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -148,3 +148,18 @@
     CHECK(mesh.versionAt(it.Node) == 9);
   CHECK(mesh.allReady());
 }
+
+TEST_CASE("nodes that were all lost together serve what the store keeps") {
+  Mesh mesh;
+  mesh.publish("3");
+  mesh.startAll();
+  mesh.Nodes.clear();
+  mesh.publish("4");
+  mesh.Content.forgetHistory();
+  for (const auto &it : mesh.Settings)
+    mesh.start(it.Node);
+  // Within the bound of 15 s for a recovery.
+  CHECK(mesh.runUntil([&] { return mesh.allReady(); }, 15s));
+  for (const auto &it : mesh.Settings)
+    CHECK(mesh.versionAt(it.Node) == 4);
+}
