LibCalls: Let a setting switch ranks and the choice of target off

A trace notes the choice, so a recording of such a node replays; older ones replay as they did. Tests: TestTargets, TestBroker and TestNodeSettings hold both switches and that they are off by default. Not measured yet.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -189,6 +189,13 @@
   return schema && schema->check(document, reason);
 }
 
+void readComparison(const json::object &from, calls::Comparison &to) {
+  if (const auto *flag = from.if_contains("ranks"))
+    to.HasRanks = flag->as_bool();
+  if (const auto *flag = from.if_contains("choice_by_headroom"))
+    to.ChoosesByHeadroom = flag->as_bool();
+}
+
 void readRetryBudget(const json::object &from, calls::RetryLimits &to) {
   constexpr double Permille = 1000;
   to.RatioPermille =
@@ -236,6 +243,8 @@
     readCallHeaders(headers->as_object(), settings.CallHeaders);
   if (const auto *budget = root.if_contains("retry_budget"))
     readRetryBudget(budget->as_object(), settings.Retries);
+  if (const auto *comparison = root.if_contains("comparison"))
+    readComparison(comparison->as_object(), settings.Compared);
   if (const auto *n = root.if_contains("target_lease_ms"))
     settings.TargetLease = std::chrono::milliseconds(n->to_number<uint32_t>());
   if (const auto *n = root.if_contains("recording_bytes"))
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -59,7 +59,7 @@
         trace::Recorder &recorder)
       : Settings(std::move(settings)), Quarantined(&quarantine),
         Planner({Settings.DataCentre, Settings.Region}, Settings.RandomSeed,
-                recorder, Settings.Retries),
+                recorder, Settings.Retries, Settings.Compared),
         Keys(Settings.KeyWindow, recorder),
         Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
                recorder),
@@ -119,6 +119,8 @@
   const auto &destination = Splits.choose(hit, Randomness);
   routed.ServiceName = *destination.ServiceName;
   routed.CallRank = config::lowerOf(route.CallRank, request.ParentRank);
+  if (!Settings.Compared.HasRanks)
+    routed.CallRank = config::Rank::Standard;
   routed.Allowed = allowedTime(request, route);
   routed.Idempotent = route.Idempotent;
   routed.MaximumAttempts = route.MaximumAttempts;
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Random.h>
 #include <LibCalls/CallBroker.h>
+#include <LibCalls/Comparison.h>
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibFleet/Member.h>
@@ -22,6 +23,7 @@
   /// How long the answers of idempotency keys are kept and resends recognised.
   base::Duration KeyWindow = std::chrono::minutes(1);
   RetryLimits Retries = {};
+  Comparison Compared = {};
 };
 
 /// The broker of one node; see CallBroker.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -66,9 +66,11 @@
     retries.Window = base::Duration(entry.Numbers[2]);
     retries.Slack = entry.Numbers[3];
   }
+  Comparison compared;
+  compared.ChoosesByHeadroom = entry.Numbers[4] == 0;
   Replayed = std::make_unique<CallPlanner>(
       Place{lines[0], lines[1]}, static_cast<uint64_t>(entry.Numbers[0]),
-      Ignored, retries);
+      Ignored, retries, compared);
   return {};
 }
 
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -65,13 +65,14 @@
 } // namespace
 
 CallPlanner::CallPlanner(const Place &here, uint64_t randomSeed,
-                         trace::Recorder &recorder, const RetryLimits &retries)
-    : Choice(here), Randomness(randomSeed), Record(&recorder),
+                         trace::Recorder &recorder, const RetryLimits &retries,
+                         const Comparison &compared)
+    : Choice(here, compared), Randomness(randomSeed), Record(&recorder),
       Retries(retries) {
   note(CallPlanEvent::Start,
        {static_cast<int64_t>(randomSeed),
         retries.RatioPermille.value_or(NoRatio), retries.Window.count(),
-        retries.Slack},
+        retries.Slack, compared.ChoosesByHeadroom ? 0 : 1},
        here.DataCentre + "\n" + here.Region, {}, {});
 }
 
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -65,7 +65,7 @@
   static constexpr uint32_t MaximumAttempts = 3;
 
   CallPlanner(const Place &here, uint64_t randomSeed, trace::Recorder &recorder,
-              const RetryLimits &retries = {});
+              const RetryLimits &retries = {}, const Comparison &compared = {});
 
   /// Plans the first attempt of call \p handle.
   CallStep begin(CallHandle handle, const RoutedCall &call,
--- a/Libraries/LibCalls/TargetChoice.cpp
+++ b/Libraries/LibCalls/TargetChoice.cpp
@@ -35,6 +35,14 @@
   return static_cast<uint32_t>(sum / targets.size());
 }
 
+KnownTarget *anyOf(const Targets &targets, uint64_t excluded,
+                   base::Random &random) {
+  auto left = targets;
+  std::erase_if(left,
+                [excluded](const auto *it) { return it->Id == excluded; });
+  return left.empty() ? nullptr : left[random.below(left.size())];
+}
+
 KnownTarget *leastOfTwo(const Targets &targets, base::TimePoint now,
                         base::Random &random) {
   if (targets.empty())
@@ -108,6 +116,8 @@
 KnownTarget *TargetChoice::choose(const Targets &targets, uint64_t excluded,
                                   LocalityShare &locality, base::TimePoint now,
                                   base::Random &random) const {
+  if (!Compared.ChoosesByHeadroom)
+    return anyOf(targets, excluded, random);
   const auto healthy = withoutEjected(targets);
   if (excluded == 0)
     return leastOfTwo(tierFor(tiersOf(healthy), locality, now, random), now,
--- a/Libraries/LibCalls/TargetChoice.h
+++ b/Libraries/LibCalls/TargetChoice.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/Random.h>
+#include <LibCalls/Comparison.h>
 #include <LibCalls/KnownTarget.h>
 #include <LibCalls/LocalityShare.h>
 #include <LibCalls/TargetTable.h>
@@ -26,7 +27,8 @@
   /// A target that became ready takes its full share after this time.
   static constexpr base::Duration SlowStart = std::chrono::seconds(10);
 
-  explicit TargetChoice(Place here) : Here(std::move(here)) {}
+  explicit TargetChoice(Place here, const Comparison &comparison = {})
+      : Here(std::move(here)), Compared(comparison) {}
 
   /// Returns null when no target is left besides \p excluded (0: none).
   KnownTarget *choose(const TargetTable::Targets &targets, uint64_t excluded,
@@ -48,6 +50,7 @@
                                 base::TimePoint now, base::Random &random);
 
   Place Here;
+  Comparison Compared;
 };
 
 } // namespace radishcross::calls
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -75,6 +75,19 @@
   CHECK(settings->DrainSeconds == 20);
 }
 
+TEST_CASE("a plainer design is taken only where the settings say so") {
+  base::LastReason reason;
+  auto plain = goodSettings();
+  auto settings = admin::decodeNodeSettings(plain, reason);
+  REQUIRE(settings);
+  CHECK(settings->Compared == calls::Comparison());
+  change(plain, "/comparison",
+         R"({"ranks": false, "choice_by_headroom": false})");
+  settings = admin::decodeNodeSettings(plain, reason);
+  REQUIRE(settings);
+  CHECK(settings->Compared == calls::Comparison{false, false});
+}
+
 TEST_CASE("each fault in settings is named with its key and its code") {
   const Case cases[] = {
       {"/colour", "1", ResultCode::UnknownKey, "colour"},
--- a/Tests/LibCalls/BrokerBench.h
+++ b/Tests/LibCalls/BrokerBench.h
@@ -14,8 +14,9 @@
 /// A broker of node "n0" in dc1, with an idempotent lookup route, a payment
 /// route and two targets.
 struct BrokerBench {
-  explicit BrokerBench(trace::Recorder *recorder = nullptr)
-      : Node({"n0", "dc1", "south", 1}, Crashers,
+  explicit BrokerBench(trace::Recorder *recorder = nullptr,
+                       const Comparison &compared = {})
+      : Node({"n0", "dc1", "south", 1, 1min, {}, compared}, Crashers,
              recorder ? *recorder : Recorder) {
     config::VersionContent content;
     content.Services = {{"lookup", {}}};
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -48,6 +48,12 @@
   }
 }
 
+TEST_CASE("for comparison all calls have one rank") {
+  BrokerBench it(nullptr, {.HasRanks = false, .ChoosesByHeadroom = true});
+  for (const char *path : {"/pay", "/lookup"})
+    CHECK(it.stepOf(it.begin(path)).CallRank == Rank::Standard);
+}
+
 TEST_CASE("ends of attempts decide between a retry, not run and unknown") {
   struct Row {
     std::string Path;
--- a/Tests/LibCalls/TestTargets.cpp
+++ b/Tests/LibCalls/TestTargets.cpp
@@ -18,8 +18,9 @@
 
 /// Returns how many of 1,000 choices fell on each node.
 std::map<std::string, int> spread(TargetTable &table, base::Duration now,
-                                  LocalityShare &locality) {
-  const TargetChoice choice({"dc1", "south"});
+                                  LocalityShare &locality,
+                                  const Comparison &comparison = {}) {
+  const TargetChoice choice({"dc1", "south"}, comparison);
   base::Random random(1);
   std::map<std::string, int> out;
   for (int n = 0; n < 1000; ++n)
@@ -131,6 +132,19 @@
   CHECK(last == 0);
 }
 
+TEST_CASE(
+    "for comparison targets are taken at random, near or far, full or not") {
+  TargetTable table;
+  LocalityShare locality;
+  table.membersChanged({loaded("own", "dc1", 0), loaded("far", "dc2", 1000)},
+                       at(0s));
+  const Comparison plain{.HasRanks = true, .ChoosesByHeadroom = false};
+  CHECK(spread(table, 60s, locality)["far"] == 0);
+  auto out = spread(table, 60s, locality, plain);
+  CHECK(out["far"] > 400);
+  CHECK(out["own"] > 400);
+}
+
 TEST_CASE("silence puts doubt on a path until a new connection answers") {
   BrokerBench it;
   it.members({member("n1")});
