LibPeer: Write no beacons, the directory names who lives

Cause: beacons (two nodes of each data centre, one each twenty minutes and node) and the store's directory of nodes named the same thing. Each beacon was a record of a key of its own in the log of changes, which nothing drops, so they were kept for ever.

The promise: a newcomer finds a live peer when every seed of its settings is gone. Kept before by BeaconPlan and FleetBeacons through the log, now by NodeDirectory and PlatformLink through the topic of nodes. Both need the store to be read, so nothing is lost while it is down; then the seeds and the tries of members that went serve as before.

Old logs: the kind "beacon" still decodes as RecordKind::Retired and moves the offset and nothing else; its number in the enumeration and in the state's hash stays taken. A saved state with "beacons" loads without them. While nodes of both programs run, their folds' hashes differ wherever the older holds a beacon (the alarm, no refusal), and an older node refuses a newer one's state and reads the log instead.

--- a/Libraries/LibLog/Fold.cpp
+++ b/Libraries/LibLog/Fold.cpp
@@ -78,10 +78,6 @@
   return Held->attachments();
 }
 
-const std::map<std::string, BeaconEntry, std::less<>> &Fold::beacons() const {
-  return Held->beacons();
-}
-
 const std::deque<AuditEntry> &Fold::audit() const { return Held->audit(); }
 
 const std::map<std::string, Offset, std::less<>> &Fold::drained() const {
--- a/Libraries/LibLog/Fold.h
+++ b/Libraries/LibLog/Fold.h
@@ -65,16 +65,6 @@
   Offset ChangedAt = 0;          ///< The last record accepted for it.
 };
 
-/// A live node found through the log.
-struct BeaconEntry {
-  std::string NodeId;
-  std::string DataCentre;
-  std::string GossipAddress;
-  std::string PeerAddress;
-  int64_t ExpiresAtUnixSeconds = 0;
-  Offset At = 0;
-};
-
 /// The state that all nodes derive from the log: a pure function of its
 /// records, so equal offsets mean equal states on every node.
 class Fold {
@@ -112,7 +102,6 @@
   const std::map<std::string, Configuration, std::less<>> &
   configurations() const;
   const std::map<std::string, Attachment, std::less<>> &attachments() const;
-  const std::map<std::string, BeaconEntry, std::less<>> &beacons() const;
   const std::deque<AuditEntry> &audit() const;
 
   /// Returns what is drained: names of VMs ("vm:ID") and services
--- a/Libraries/LibLog/FoldCodec.cpp
+++ b/Libraries/LibLog/FoldCodec.cpp
@@ -29,15 +29,6 @@
                 {"at", it.At}};
 }
 
-value saveBeacon(const BeaconEntry &it) {
-  return object{{"node", it.NodeId},
-                {"data_centre", it.DataCentre},
-                {"gossip", it.GossipAddress},
-                {"peer", it.PeerAddress},
-                {"expires_at_unix_s", it.ExpiresAtUnixSeconds},
-                {"at", it.At}};
-}
-
 value saveAudit(const AuditEntry &it) {
   return object{{"outcome", saveOutcome(it.Outcome)},
                 {"kind", base::nameOf(RecordKindNames, it.Kind)},
@@ -80,22 +71,6 @@
   return true;
 }
 
-bool loadBeacon(const value &from, FoldState &state, base::LastReason &reason) {
-  BodyReader reader(from);
-  BeaconEntry out;
-  out.NodeId = reader.text("node", MaximumTextBytes);
-  out.DataCentre = reader.text("data_centre", MaximumTextBytes);
-  out.GossipAddress = reader.text("gossip", MaximumTextBytes);
-  out.PeerAddress = reader.text("peer", MaximumTextBytes);
-  out.ExpiresAtUnixSeconds =
-      static_cast<int64_t>(reader.number("expires_at_unix_s", INT64_MAX));
-  out.At = reader.number("at");
-  if (!reader.finish(reason))
-    return false;
-  state.setBeacon(std::move(out));
-  return true;
-}
-
 bool loadDrained(const value &from, FoldState &state,
                  base::LastReason &reason) {
   BodyReader reader(from);
@@ -173,7 +148,6 @@
       {"offset", state.At},
       {"configurations", saveEach(state.Lines, valueOf(line))},
       {"attachments", saveEach(state.Bound, valueOf(saveAttachment))},
-      {"beacons", saveEach(state.Lights, valueOf(saveBeacon))},
       {"drained",
        saveEach(state.Stopped,
                 [](const auto &it) {
@@ -270,7 +244,9 @@
   state.At = reader.number("offset");
   const auto &lines = reader.list("configurations");
   const auto &attachments = reader.list("attachments");
-  const auto &beacons = reader.list("beacons");
+  // States of older programs hold the retired kind's entries.
+  if (reader.optional("beacons"))
+    reader.list("beacons");
   const auto &drained = reader.list("drained");
   const auto &audit = reader.list("audit");
   const auto &outcomes = reader.any("outcomes");
@@ -281,7 +257,6 @@
                 reason) ||
       !loadEach(attachments, MaximumAttachments, loadAttachment, state,
                 reason) ||
-      !loadEach(beacons, MaximumBeacons, loadBeacon, state, reason) ||
       !loadEach(drained, MaximumDrained, loadDrained, state, reason) ||
       !loadEach(audit, MaximumAuditEntries, loadAudit, state, reason))
     return false;
--- a/Libraries/LibLog/FoldLimits.h
+++ b/Libraries/LibLog/FoldLimits.h
@@ -12,7 +12,6 @@
 constexpr size_t MaximumConfigurations = 1000;
 constexpr size_t MaximumAttachments = 4000;
 constexpr size_t MaximumDrained = 4000;
-constexpr size_t MaximumBeacons = 256;
 
 /// Entries of the audit trail, and bytes of one entry's difference.
 constexpr size_t MaximumAuditEntries = 3000;
--- a/Libraries/LibLog/FoldRules.cpp
+++ b/Libraries/LibLog/FoldRules.cpp
@@ -62,7 +62,7 @@
     {RecordKind::Attach, &FoldRules::attach, true},
     {RecordKind::Detach, &FoldRules::detach, true},
     {RecordKind::Drain, &FoldRules::drain, true},
-    {RecordKind::Beacon, &FoldRules::beacon, false},
+    {RecordKind::Retired, &FoldRules::skip, false},
     {RecordKind::Snapshot, &FoldRules::snapshot, false},
 };
 
@@ -326,15 +326,7 @@
   return true;
 }
 
-bool FoldRules::beacon(Decision &decision) {
-  auto body = decodeBeacon(decision.From.Body, decision.Reason);
-  if (!body)
-    return false;
-  State.setBeacon({std::move(body->Node), std::move(body->DataCentre),
-                   std::move(body->Gossip), std::move(body->Peer),
-                   body->ExpiresAtUnixSeconds, decision.Outcome.At});
-  return true;
-}
+bool FoldRules::skip(Decision &) { return true; }
 
 bool FoldRules::snapshot(Decision &decision) {
   return decodeSnapshot(decision.From.Body, decision.Reason).has_value();
--- a/Libraries/LibLog/FoldRules.h
+++ b/Libraries/LibLog/FoldRules.h
@@ -38,7 +38,7 @@
   bool attach(Decision &decision);
   bool detach(Decision &decision);
   bool drain(Decision &decision);
-  bool beacon(Decision &decision);
+  bool skip(Decision &decision);
   bool snapshot(Decision &decision);
 
   FoldState &State;
--- a/Libraries/LibLog/FoldState.cpp
+++ b/Libraries/LibLog/FoldState.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace radishcross::log {
@@ -18,7 +17,7 @@
   Line,
   Version,
   Attachment,
-  Beacon,
+  Retired, ///< Keeps the numbers of those below.
   Drained,
   Audit,
 };
@@ -54,17 +53,6 @@
       .value();
 }
 
-uint64_t hashOfBeacon(const BeaconEntry &it) {
-  return start(ElementKind::Beacon)
-      .text(it.NodeId)
-      .text(it.DataCentre)
-      .text(it.GossipAddress)
-      .text(it.PeerAddress)
-      .number(static_cast<uint64_t>(it.ExpiresAtUnixSeconds))
-      .number(it.At)
-      .value();
-}
-
 uint64_t hashOfDrained(std::string_view what, Offset at) {
   return start(ElementKind::Drained).text(what).number(at).value();
 }
@@ -82,12 +70,6 @@
       .value();
 }
 
-/// Orders beacons by which is to be forgotten first.
-bool expiresBefore(const BeaconEntry &a, const BeaconEntry &b) {
-  return std::tie(a.ExpiresAtUnixSeconds, a.NodeId) <
-         std::tie(b.ExpiresAtUnixSeconds, b.NodeId);
-}
-
 } // namespace
 
 const Configuration *FoldState::find(std::string_view configuration) const {
@@ -159,27 +141,6 @@
   Elements.add(hashOfDrained(what, at));
 }
 
-void FoldState::setBeacon(BeaconEntry beacon) {
-  auto it = Lights.find(beacon.NodeId);
-  if (it != Lights.end()) {
-    if (it->second.ExpiresAtUnixSeconds > beacon.ExpiresAtUnixSeconds)
-      return;
-    Elements.remove(hashOfBeacon(it->second));
-    Lights.erase(it);
-  }
-  Elements.add(hashOfBeacon(beacon));
-  auto node = beacon.NodeId;
-  Lights.emplace(std::move(node), std::move(beacon));
-  if (Lights.size() <= MaximumBeacons)
-    return;
-  auto first = std::min_element(Lights.begin(), Lights.end(),
-                                [](const auto &a, const auto &b) {
-                                  return expiresBefore(a.second, b.second);
-                                });
-  Elements.remove(hashOfBeacon(first->second));
-  Lights.erase(first);
-}
-
 void FoldState::addAudit(AuditEntry entry) {
   Elements.add(hashOfAudit(entry));
   Trail.push_back(std::move(entry));
--- a/Libraries/LibLog/FoldState.h
+++ b/Libraries/LibLog/FoldState.h
@@ -23,7 +23,6 @@
 
   const ByName<Configuration> &configurations() const { return Lines; }
   const ByName<Attachment> &attachments() const { return Bound; }
-  const ByName<BeaconEntry> &beacons() const { return Lights; }
   const ByName<Offset> &drained() const { return Stopped; }
   const std::deque<AuditEntry> &audit() const { return Trail; }
 
@@ -48,9 +47,6 @@
 
   void setDrained(const std::string &what, bool on, Offset at);
 
-  /// Keeps the beacon with the later expiry for each node.
-  void setBeacon(BeaconEntry beacon);
-
   void addAudit(AuditEntry entry);
 
   /// Drops what versions not in use need not hold, makes available what
@@ -79,7 +75,6 @@
   ByName<Configuration> Lines;
   ByName<config::DocumentHistory> Histories;
   ByName<Attachment> Bound;
-  ByName<BeaconEntry> Lights;
   ByName<Offset> Stopped;
   std::deque<AuditEntry> Trail;
   StateHash Elements;
--- a/Libraries/LibLog/Record.h
+++ b/Libraries/LibLog/Record.h
@@ -26,7 +26,7 @@
   Attach,   ///< A version is bound to a selector.
   Detach,   ///< An attachment ends; nobody moves back.
   Chunk,    ///< A piece of a record that is larger than the platform takes.
-  Beacon,   ///< A live node's addresses, with a lifetime.
+  Retired,  ///< Was a live node's address; skipped, its number stays taken.
   Snapshot, ///< The fold's state at an offset.
   Drain,    ///< A VM or a service stops taking new work, or takes it again.
 };
@@ -34,7 +34,7 @@
 constexpr base::EnumName<RecordKind> RecordKindNames[] = {
     {RecordKind::Publish, "publish"}, {RecordKind::Attach, "attach"},
     {RecordKind::Detach, "detach"},   {RecordKind::Chunk, "chunk"},
-    {RecordKind::Beacon, "beacon"},   {RecordKind::Snapshot, "snapshot"},
+    {RecordKind::Retired, "beacon"},  {RecordKind::Snapshot, "snapshot"},
     {RecordKind::Drain, "drain"},
 };
 
--- a/Libraries/LibLog/RecordBodies.h
+++ b/Libraries/LibLog/RecordBodies.h
@@ -47,16 +47,6 @@
   bool On = true;
 };
 
-/// Body of a beacon: {"node", "data_centre", "gossip", "peer",
-/// "expires_at_unix_s"}.
-struct BeaconBody {
-  std::string Node;
-  std::string DataCentre;
-  std::string Gossip; ///< "IP:PORT".
-  std::string Peer;   ///< "IP:PORT".
-  int64_t ExpiresAtUnixSeconds = 0;
-};
-
 /// Body of one part of a snapshot: {"offset", "hash", "part", "parts",
 /// "document"}. The parts' texts, joined, are the saved fold as JSON.
 struct SnapshotBody {
@@ -84,8 +74,6 @@
                                        base::LastReason &reason);
 std::optional<DrainBody> decodeDrain(const boost::json::value &body,
                                      base::LastReason &reason);
-std::optional<BeaconBody> decodeBeacon(const boost::json::value &body,
-                                       base::LastReason &reason);
 std::optional<SnapshotBody> decodeSnapshot(const boost::json::value &body,
                                            base::LastReason &reason);
 std::optional<ChunkBody> decodeChunk(const boost::json::value &body,
@@ -96,7 +84,6 @@
 Record makeAttach(std::string id, Author by, const AttachBody &body);
 Record makeDetach(std::string id, Author by, const DetachBody &body);
 Record makeDrain(std::string id, Author by, const DrainBody &body);
-Record makeBeacon(std::string id, Author by, const BeaconBody &body);
 Record makeSnapshot(std::string id, Author by, const SnapshotBody &body);
 Record makeChunk(std::string id, Author by, const ChunkBody &body);
 
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -66,10 +66,7 @@
               fleet::MembershipSettings{}, Dice.next()),
       SpreadSeed(Dice.next()), Spreading({}, SpreadSeed),
       CatchUp({}, Dice.next()), Recovering(std::move(recovery)),
-      Snapshots(Environment.Self.Id),
-      Beacons(Environment.Self.Id, Environment.Self.DataCentre, {},
-              Dice.next()),
-      Timer(*Environment.Context) {
+      Snapshots(Environment.Self.Id), Timer(*Environment.Context) {
   Environment.Counters->counter("steps_back_total") = 0;
   recordSetUp(settings);
   recordState();
@@ -129,7 +126,6 @@
   putInForce();
   spread();
   catchUpWithPeers();
-  appendBeaconIfDue();
   writeSnapshotIfDue();
   reportChanges();
 }
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibBase/Random.h>
-#include <LibFleet/BeaconPlan.h>
 #include <LibFleet/ForceRule.h>
 #include <LibFleet/Membership.h>
 #include <LibFleet/RecordStore.h>
@@ -86,10 +85,6 @@
   log::Offset heldOffset() const { return Held.offset() + Waiting.size(); }
   void compareFold(const fleet::NodeId &sender, const fleet::Digest &digest);
 
-  void appendBeaconIfDue();
-  void joinThroughBeacons();
-  void joinThroughRecords(const std::vector<log::StoredRecord> &records);
-
   void scanSnapshots(const std::vector<log::StoredRecord> &records);
   bool startFromSnapshot();
   void writeSnapshotIfDue();
@@ -143,8 +138,6 @@
   log::Offset ScanFrom = 1;          ///< Where a node without state reads on.
   base::TimePoint CandidateSince{};
   base::TimePoint NextSnapshotLook{};
-  fleet::BeaconPlan Beacons;
-  uint64_t BeaconsSent = 0;
   std::shared_ptr<DatagramSocket> Datagrams;
   std::shared_ptr<PullServer> Server;
   std::shared_ptr<PullClient> Client;
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -65,8 +65,6 @@
 }
 
 bool FleetNode::readWithoutState(const log::ReadAnswer &answer) {
-  // Records that cannot be folded yet may still name a live peer.
-  joinThroughRecords(answer.Records);
   if (!answer.Records.empty())
     ScanFrom = answer.Records.back().At + 1;
   return startFromSnapshot() || !answer.Records.empty();
@@ -156,7 +154,6 @@
   if (Held.offset() == before)
     return;
   HeldHash = Held.hash();
-  joinThroughBeacons();
   Members.setDigest(digest());
   reportFold();
 }
--- a/Tests/LibLog/FoldDriver.h
+++ b/Tests/LibLog/FoldDriver.h
@@ -78,6 +78,18 @@
                     {name, configuration, version, selectorOf(selector)});
 }
 
+/// A record of the kind that is no longer written.
+inline Record retired(std::string id) {
+  return {std::move(id),
+          RecordKind::Retired,
+          {},
+          boost::json::object{{"node", "n1"},
+                              {"data_centre", "dc"},
+                              {"gossip", "127.0.0.1:1"},
+                              {"peer", "127.0.0.1:2"},
+                              {"expires_at_unix_s", 60}}};
+}
+
 /// Checks that saving and loading gives an equal state.
 inline void checkRoundTrip(const Fold &fold) {
   base::LastReason reason;
--- a/Tests/LibLog/TestChunks.cpp
+++ b/Tests/LibLog/TestChunks.cpp
@@ -56,9 +56,9 @@
   FoldDriver log;
   log.append(pieces[0]);
   while (log.Log.size() <= log::ChunkLifetimeOffsets)
-    log.append(log::makeBeacon("b", {}, {"n", "dc", "g", "p", 1}));
+    log.append(log::retired("b"));
   CHECK_FALSE(log.State.outcomeOf("big"));
-  log.append(log::makeBeacon("b", {}, {"n", "dc", "g", "p", 1}));
+  log.append(log::retired("b"));
   CHECK(log.State.outcomeOf("big")->Code == ResultCode::ChunksIncomplete);
   CHECK(log.append(pieces[1]).Code == ResultCode::DuplicateRecord);
   CHECK(log.State.configurations().empty());
--- a/Tests/LibLog/TestFoldBounds.cpp
+++ b/Tests/LibLog/TestFoldBounds.cpp
@@ -82,7 +82,7 @@
       {"\"removed\":1", "\"removed\":7"},
       {"s1", "s!"},
       {"\"outcomes\":[", "\"outcomes\":[{},"},
-      {"\"beacons\":[]", "\"beacons\":[{}]"},
+      {"\"chunks\":[]", "\"beacons\":{},\"chunks\":[]"},
       {"\"drained\":[]", "\"drained\":{}"},
       {"\"chunks\":[]", "\"chunks\":[{\"of\":1}]"},
       {"\"kind\":\"publish\"", "\"kind\":\"x\""},
--- a/Tests/LibLog/TestMutations.cpp
+++ b/Tests/LibLog/TestMutations.cpp
@@ -129,7 +129,7 @@
   log::FoldDriver log;
   log.append(log::publish("1", "a", 0, Content));
   log.append(log::publish("2", "a", 1, log::contentOf({"s"}, {}), "tier"));
-  log.append(log::makeBeacon("3", {}, {"n1", "dc", "g", "p", 9}));
+  log.append(log::retired("3"));
   log.append(log::makeDrain("4", log::Badges, {"vm:n1", true}));
   log.append(log::makeChunk("5", {}, {"big", 0, 2, "{"}));
   mutateValues(5, log.State.save(), tryState);
--- a/Tests/LibLog/TestRecord.cpp
+++ b/Tests/LibLog/TestRecord.cpp
@@ -14,7 +14,7 @@
       log::attach("a-1", "east", "badges", 2, "tier=edge, 20%"),
       log::makeDetach("d-1", log::Surf, {"east"}),
       log::makeDrain("x-1", log::Surf, {"service:badges/s", false}),
-      log::makeBeacon("b-1", {}, {"n1", "dc1", "127.0.0.1:1", "[::1]:2", 99}),
+      log::retired("b-1"),
       log::makeSnapshot("s-1", {}, {7, UINT64_MAX, 1, 2, "{\"é\":1"}),
       log::makeChunk("c-1", {}, {"p-1", 0, 2, "\\\"x\n"}),
   };
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -136,6 +136,25 @@
   CHECK(mesh.versionAt("a-2") == 3);
 }
 
+TEST_CASE("nodes whose seeds are all gone find each other in the directory") {
+  Mesh mesh;
+  mesh.publish("3");
+  for (auto &it : mesh.Settings)
+    it.Seeds = {test::freeAddress()};
+  mesh.startAll();
+  // Who comes later finds them too, and nobody had to write for it.
+  auto written = mesh.Content.Topics[log::Topic::Nodes].Records.size();
+  CHECK(written == mesh.Settings.size());
+  mesh.start("b-1");
+  CHECK(mesh.runUntil([&] {
+    return mesh.Nodes.at("b-1")->ready() &&
+           mesh.Nodes.at("b-1")->members().size() == mesh.Settings.size();
+  }));
+  CHECK(mesh.Content.Topics[log::Topic::Nodes].Records.size() == written);
+  // The log of changes says nothing of who lives.
+  CHECK(mesh.Content.Topics[log::Topic::Changes].Records.empty());
+}
+
 TEST_CASE("a lower version and a bad one change nothing") {
   Mesh mesh;
   mesh.publish("9");
