LibAdmin: Test that a trace with entries of a retired kind replays

States in older recordings may hold beacons; they load without them and later records decide alike. The hash of a state that really held some differs from the recorded one, so such a recording replays with other hashes (none is committed).

--- a/Tests/LibAdmin/TestTraces.cpp
+++ b/Tests/LibAdmin/TestTraces.cpp
@@ -115,6 +115,13 @@
   CHECK(traces > 0);
 }
 
+TEST_CASE("a trace whose state holds entries of a retired kind replays alike") {
+  auto trace = racingOperators();
+  auto &state = trace.Entries.front().Text;
+  state.insert(1, R"("beacons":[{"node":"n1","gossip":"127.0.0.1:1"}],)");
+  CHECK_FALSE(admin::allPlayers().run(trace).First);
+}
+
 TEST_CASE("the scripted race decides as its committed trace says") {
   CHECK(trace::writeTrace(racingOperators()) ==
         readWhole(Folder / "racing-operators.trace"));
