LibFleet: Call who asked for a relayed probe its origin

`Requester` is the platform's word for a client; here it named the node on whose behalf another one is probed, which the field calls the origin of an indirect probe. Its probe's number is OriginNumber. Run: LibFleet, LibPeer, LibNode pass.

--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -164,8 +164,8 @@
   struct Relay {
     uint64_t Number = 0;
     NodeId Subject;
-    base::Address Requester;
-    uint64_t TheirNumber = 0;
+    base::Address Origin; ///< Who asked for the probe.
+    uint64_t OriginNumber = 0;
     base::TimePoint Expires{};
   };
 
--- a/Libraries/LibFleet/MembershipAnswers.cpp
+++ b/Libraries/LibFleet/MembershipAnswers.cpp
@@ -77,8 +77,8 @@
   });
   if (relay != Relays.end()) {
     actions.Sends.push_back(
-        {relay->Requester,
-         compose(GossipKind::Ack, relay->TheirNumber, relay->Subject)});
+        {relay->Origin,
+         compose(GossipKind::Ack, relay->OriginNumber, relay->Subject)});
     Relays.erase(relay);
     return;
   }
