LibCalls: Record the lifetime that a lease was granted with

Cause: LeasePlayer replays with the default of 3 s, though a node may run with another (the template's target_lease_ms is 8 s) and changes it while it runs. Its ticks then decide otherwise than recorded.

An entry at the trace's start was ruled out: the ring may have lost it when it has wrapped, and it would miss a change of the settings. Each entry that grants a lease (announcement, heartbeat) now says the lifetime in a number that was unused; 0, as in older traces, leaves the default.

Test: TestReplay "leases replay with the lifetimes that the node granted" failed on the old code (entry 6, a tick: decided 0, recorded 1); "a trace that does not say the leases' lifetime replays with the default" holds the tolerance. The committed traces, which do not say it, replay as before. Run: LibCalls, LibAdmin, LibNode pass.

--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -38,7 +38,15 @@
   return {};
 }
 
+/// An older trace does not say it; its node ran with the default, as far as is
+/// known.
+void LeasePlayer::setLifetime(int64_t microseconds) {
+  if (microseconds > 0)
+    Replayed.setLifetime(base::Duration(microseconds));
+}
+
 trace::Outcome LeasePlayer::announce(const trace::Entry &entry) {
+  setLifetime(entry.Numbers[5]);
   Announcement announcement;
   auto &target = announcement.Target;
   target.TargetId = entry.Text;
@@ -55,6 +63,7 @@
 }
 
 trace::Outcome LeasePlayer::heartbeat(const trace::Entry &entry) {
+  setLifetime(entry.Numbers[4]);
   Heartbeat heartbeat;
   base::LastReason reason;
   const auto space = entry.Text.find(' ');
--- a/Libraries/LibCalls/LeasePlayer.h
+++ b/Libraries/LibCalls/LeasePlayer.h
@@ -16,6 +16,7 @@
 private:
   trace::Outcome announce(const trace::Entry &entry);
   trace::Outcome heartbeat(const trace::Entry &entry);
+  void setLifetime(int64_t microseconds);
 
   trace::NullRecorder Ignored;
   TargetLeases Replayed{Ignored};
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -31,7 +31,8 @@
                        target.Where.text() + " " + target.TargetId);
   entry.Numbers = {static_cast<int64_t>(heartbeat.Incarnation),
                    static_cast<int64_t>(heartbeat.Sequence),
-                   static_cast<int64_t>(target.State), target.Slots};
+                   static_cast<int64_t>(target.State), target.Slots,
+                   Lifetime.count()};
   entry.Decided = {out ? 0 : static_cast<int64_t>(reason.code())};
   Record->record(std::move(entry));
   return out;
@@ -113,8 +114,11 @@
   const auto out = decide(announcement, now, reason);
   auto entry = entryOf(now, LeaseEvent::Announce, target.TargetId);
   entry.Numbers = {static_cast<int64_t>(target.Epoch),
-                   static_cast<int64_t>(target.State), target.Slots,
-                   target.Connections, target.LoadPermille};
+                   static_cast<int64_t>(target.State),
+                   target.Slots,
+                   target.Connections,
+                   target.LoadPermille,
+                   Lifetime.count()};
   entry.Decided = {out ? static_cast<int64_t>(out->Epoch) : 0,
                    out ? 0 : static_cast<int64_t>(reason.code())};
   Record->record(std::move(entry));
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -32,10 +32,12 @@
 };
 
 /// Events of a trace's entries. Announce has the numbers epoch, state, slots,
-/// connections, load and decides the granted epoch or the code of the refusal;
-/// Tick decides 1. The text is the target. Heartbeat has the numbers
-/// incarnation, sequence, state, slots and the text "ADDRESS TARGET", and
-/// decides the code of the refusal; Leave decides 1 where the target is known.
+/// connections, load, lifetime and decides the granted epoch or the code of the
+/// refusal; Tick decides 1. The text is the target. Heartbeat has the numbers
+/// incarnation, sequence, state, slots, lifetime and the text "ADDRESS TARGET",
+/// and decides the code of the refusal. The lifetime is that of the leases
+/// granted then, in microseconds; 0 where an older program did not say it.
+/// Leave decides 1 where the target is known.
 struct LeaseEvent {
   enum Value : uint8_t { Announce, Tick, Drain, DrainAll, Heartbeat, Leave };
 };
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -125,6 +125,12 @@
 constexpr Drive Drives[] = {planCalls, admitCalls, leaseTargets, keepKeys,
                             ownKeys};
 
+Heartbeat heartbeat(uint64_t sequence) {
+  auto record = target("t1");
+  record.Where = {"10.0.0.1", 80};
+  return {std::move(record), 1, sequence};
+}
+
 trace::Trace record(Drive drive, uint64_t seed) {
   KeepingRecorder recorder;
   Driver driver(seed);
@@ -158,6 +164,41 @@
   }
 }
 
+TEST_CASE("leases replay with the lifetimes that the node granted") {
+  KeepingRecorder recorder;
+  TargetLeases leases(recorder, 8s);
+  base::LastReason reason;
+  CHECK(leases.heartbeat(heartbeat(1), at(0s), reason));
+  CHECK(leases.announce({target("t2")}, at(0s), reason));
+  leases.tick(at(1s));
+  // After the default lifetime both still hold.
+  CHECK_FALSE(leases.tick(at(4s)));
+  CHECK(leases.current().size() == 2);
+  leases.setLifetime(1s);
+  CHECK(leases.heartbeat(heartbeat(2), at(5s), reason));
+  leases.tick(at(5s));
+  CHECK(leases.tick(at(7s)));
+  trace::Trace trace;
+  trace.Entries = recorder.Entries;
+  const auto report = replay(trace);
+  if (report.First)
+    FAIL_CHECK(explain(*report.First));
+}
+
+TEST_CASE("a trace that does not say the leases' lifetime replays with the "
+          "default") {
+  KeepingRecorder recorder;
+  TargetLeases leases(recorder);
+  base::LastReason reason;
+  CHECK(leases.heartbeat(heartbeat(1), at(0s), reason));
+  leases.tick(at(1s));
+  CHECK(leases.tick(at(4s)));
+  trace::Trace trace;
+  trace.Entries = recorder.Entries;
+  trace.Entries[0].Numbers[4] = 0;
+  CHECK_FALSE(replay(trace).First);
+}
+
 TEST_CASE("a replay with events left out differs") {
   for (const auto drive : Drives) {
     auto trace = record(drive, 1);
