--- a/Libraries/LibBase/Logger.cpp
+++ b/Libraries/LibBase/Logger.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/json.hpp>
 #include <chrono>
+#include <functional>
+#include <map>
 #include <mutex>
 
 namespace radishcross::base {
@@ -12,6 +14,8 @@
 /// Lines below this many bytes wait for the next flush, so that one write
 /// takes several.
 constexpr size_t WriteBytes = 4096;
+/// Of a line that tells what was dropped, for the events.
+constexpr size_t MostEventsBytes = 512;
 
 /// The process's log.
 struct State {
@@ -21,7 +25,9 @@
   LogSettings Settings;
   LogWriter Writer{-1, 0};
   uint64_t Dropped = 0; ///< Lines.
-  uint64_t Told = 0;    ///< Of them, those that a line has told of.
+  std::map<std::string, uint64_t, std::less<>> DroppedByEvent;
+  std::map<std::string, uint64_t, std::less<>> Untold; ///< Of them.
+  uint64_t Told = 0; ///< Of them, those that a line has told of.
 };
 
 State &state() {
@@ -80,15 +86,40 @@
              : plainLine(settings, row, event, fields);
 }
 
+/// Returns "event: lines" of what was dropped, as far as it fits.
+std::string eventsText(const State &log) {
+  std::string out;
+  for (const auto &[event, lines] : log.Untold) {
+    auto next = event + ": " + std::to_string(lines);
+    if (out.size() + next.size() > MostEventsBytes)
+      return out + ", ...";
+    out += (out.empty() ? "" : ", ") + next;
+  }
+  return out;
+}
+
 /// Says how many lines were dropped, once there is room to say it.
 void tellDropped(State &log) {
   uint64_t untold = log.Dropped - log.Told;
   if (untold == 0)
     return;
-  auto line = lineOf(log.Settings, LogLevel::Warning, "log lines dropped",
-                     {{"lines", std::to_string(untold)}});
-  if (log.Writer.add(line))
-    log.Told = log.Dropped;
+  auto line =
+      lineOf(log.Settings, LogLevel::Warning, "log lines dropped",
+             {{"lines", std::to_string(untold)}, {"events", eventsText(log)}});
+  if (!log.Writer.add(line))
+    return;
+  log.Told = log.Dropped;
+  log.Untold.clear();
+}
+
+void drop(State &log, std::string_view event) {
+  ++log.Dropped;
+  for (auto *counts : {&log.DroppedByEvent, &log.Untold}) {
+    auto it = counts->find(event);
+    if (it == counts->end())
+      it = counts->emplace(event, 0).first;
+    ++it->second;
+  }
 }
 
 } // namespace
@@ -104,6 +135,8 @@
   log.Writer = LogWriter(settings.Descriptor, LogBufferBytes);
   log.Dropped = 0;
   log.Told = 0;
+  log.DroppedByEvent.clear();
+  log.Untold.clear();
 }
 
 bool isLogged(LogLevel level) {
@@ -120,7 +153,7 @@
     return;
   tellDropped(log);
   if (!log.Writer.add(lineOf(log.Settings, level, event, fields)))
-    ++log.Dropped;
+    drop(log, event);
   // A full buffer is tried again by the next flushLog().
   bool isUrgent = level == LogLevel::Error;
   size_t kept = log.Writer.kept();
@@ -142,4 +175,10 @@
   return log.Dropped;
 }
 
+std::map<std::string, uint64_t> droppedLogLinesByEvent() {
+  auto &log = state();
+  std::lock_guard guard(log.Lock);
+  return {log.DroppedByEvent.begin(), log.DroppedByEvent.end()};
+}
+
 } // namespace radishcross::base
--- a/Libraries/LibBase/Logger.h
+++ b/Libraries/LibBase/Logger.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unistd.h>
@@ -47,6 +48,9 @@
 /// Returns the lines that were dropped since the descriptor was set.
 uint64_t droppedLogLines();
 
+/// The same by event. Events are fixed phrases, so there are few.
+std::map<std::string, uint64_t> droppedLogLinesByEvent();
+
 /// Tells whether lines of \p level are written at all.
 bool isLogged(LogLevel level);
 
--- a/Libraries/LibBase/Metrics.cpp
+++ b/Libraries/LibBase/Metrics.cpp
@@ -62,6 +62,13 @@
   it->second = value;
 }
 
+void Metrics::dropGauges(std::string_view stem) {
+  std::erase_if(Gauges, [stem](const auto &it) {
+    std::string_view name = it.first;
+    return name.substr(0, name.find('{')) == stem;
+  });
+}
+
 void Metrics::observe(std::string_view name, Duration latency) {
   auto it = Histograms.find(name);
   if (it == Histograms.end())
--- a/Libraries/LibBase/Metrics.h
+++ b/Libraries/LibBase/Metrics.h
@@ -27,6 +27,10 @@
   /// Sets a gauge.
   void setGauge(std::string_view name, double value);
 
+  /// Drops the gauges named \p stem, whatever their labels are, so that what is
+  /// gone is not told any more.
+  void dropGauges(std::string_view stem);
+
   /// Adds one latency to the named histogram.
   void observe(std::string_view name, Duration latency);
 
--- a/Libraries/LibBase/ResultCode.cpp
+++ b/Libraries/LibBase/ResultCode.cpp
@@ -126,6 +126,8 @@
      "The node or target is leaving; the request was not run."},
     {ResultCode::TargetRefused, "target-refused", 503, 8,
      "The target refused the request before running it; it was not run."},
+    {ResultCode::TargetFailed, "target-failed", 502, 9,
+     "The target answered that it failed."},
     {ResultCode::Unauthorised, "unauthorised", 401, 7,
      "The request carries no known token."},
     {ResultCode::Forbidden, "forbidden", 403, 7,
--- a/Libraries/LibBase/ResultCode.h
+++ b/Libraries/LibBase/ResultCode.h
@@ -80,6 +80,7 @@
   CallerGone = 5013,
   Draining = 5014,
   TargetRefused = 5015,
+  TargetFailed = 5016,
 
   // 6xxx: administration.
   Unauthorised = 6001,
--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -24,6 +24,14 @@
 /// Identifies an admitted or queued call at one node.
 using Ticket = uint64_t;
 
+/// What a call found at its target's gate, for the log.
+struct GateView {
+  uint32_t Running = 0;
+  uint32_t Limit = 0; ///< Calls that may run, as narrowed now.
+  uint32_t Waiting = 0;
+  uint32_t QueueLength = 0; ///< Calls that may wait.
+};
+
 /// What the gate decided for one call.
 struct GateAnswer {
   enum class Kind : uint8_t { Run, Queued, Refuse };
@@ -31,6 +39,7 @@
   Ticket Call = 0;
   base::ResultCode Code = base::ResultCode::Ok;
   base::Duration RetryAfter{};
+  GateView Found; ///< Of arrive() alone.
 };
 
 /// The decisions of the target's node: which call takes a slot, which waits,
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -278,6 +278,11 @@
   auto &call = Held->Open[handle];
   call.Snapshot = std::move(snapshot);
   call.Step = Held->plan(handle, call, request, now);
+  // Also a call that ends here is counted and logged under its service.
+  if (call.Step.ServiceName.empty() && !call.Route.ServiceName.empty()) {
+    call.Step.ServiceName = call.Route.ServiceName;
+    call.Step.CallRank = call.Route.CallRank;
+  }
   return handle;
 }
 
@@ -356,6 +361,11 @@
   Held->Owners.nothingRanBefore(now);
 }
 
+std::vector<std::pair<std::string, int64_t>>
+Broker::retriesLeft(base::TimePoint now) {
+  return Held->Planner.retriesLeft(now);
+}
+
 void Broker::tick(base::TimePoint now) {
   Held->Planner.tick(now);
   Held->Owners.tick(now);
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace radishcross::calls {
@@ -55,6 +57,10 @@
   /// idempotency key that it owns as unknown until the window has passed.
   void nothingRanBefore(base::TimePoint now);
 
+  /// Returns the retries of each service called here that a critical call has
+  /// left now.
+  std::vector<std::pair<std::string, int64_t>> retriesLeft(base::TimePoint now);
+
   /// Runs the periodic work: ageing of reports, readmission of targets, calls
   /// that waited too long. Must be called at least once in a second.
   void tick(base::TimePoint now);
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibCalls/CallTypes.h>
+#include <LibCalls/ChoiceBasis.h>
 #include <LibCalls/TargetCandidate.h>
 #include <LibConfig/Snapshot.h>
 
@@ -40,6 +41,15 @@
   CallerGone,    ///< The caller went away; the attempt was abandoned.
 };
 
+constexpr base::EnumName<AttemptEnd> AttemptEndNames[] = {
+    {AttemptEnd::Answered, "answered"},
+    {AttemptEnd::NotSent, "not-sent"},
+    {AttemptEnd::RefusedNotRun, "refused"},
+    {AttemptEnd::Broken, "broken"},
+    {AttemptEnd::TimedOut, "timed-out"},
+    {AttemptEnd::CallerGone, "client-gone"},
+};
+
 struct AttemptResult {
   AttemptEnd End = AttemptEnd::NotSent;
   base::ResultCode Code = base::ResultCode::Ok;
@@ -79,6 +89,11 @@
   CallOutcome Outcome = CallOutcome::NotRun;
   base::ResultCode Code = base::ResultCode::Ok;
   base::Duration RetryAfter{}; ///< When a refused caller may come back.
+  /// For the log: what Send was decided on; why Finish is no further attempt,
+  /// and how many retries the service's calls of this rank had left then.
+  ChoiceBasis Basis;
+  StopReason Stop = StopReason::None;
+  int64_t RetriesLeft = 0;
 };
 
 /// Identifies a call inside one broker.
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -38,6 +38,11 @@
   return out;
 }
 
+CallStep stopped(CallStep step, StopReason why) {
+  step.Stop = why;
+  return step;
+}
+
 /// Refusals that another target may not share and that cost next to nothing.
 bool costsNoBudget(const AttemptResult &result) {
   return result.End == AttemptEnd::NotSent ||
@@ -91,20 +96,23 @@
 
 CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
   if (call.Route.Allowed <= HopMargin)
-    return finish(CallOutcome::NotRun, ResultCode::DeadlineExceeded);
+    return stopped(finish(CallOutcome::NotRun, ResultCode::DeadlineExceeded),
+                   StopReason::NoTime);
   auto &service = stateOf(call);
   const auto rank = call.Route.CallRank;
   if (service.Shed.shed(rank, now, Randomness))
-    return finish(CallOutcome::NotRun, ResultCode::Overloaded,
-                  std::min(EarlyShed::retryAfter(rank),
-                           call.Route.Allowed / RetryAfterDivisor));
+    return stopped(finish(CallOutcome::NotRun, ResultCode::Overloaded,
+                          std::min(EarlyShed::retryAfter(rank),
+                                   call.Route.Allowed / RetryAfterDivisor)),
+                   StopReason::Shed);
   service.Budget.called(Retries.RatioPermille.value_or(
                             call.Route.RetryBudgetPercent * PermilleOfPercent),
                         Retries.Window, now);
   auto out = send(call, false, now);
   return out ? *out
-             : finish(CallOutcome::NotRun, ResultCode::NoTarget,
-                      DefaultRetryAfter);
+             : stopped(finish(CallOutcome::NotRun, ResultCode::NoTarget,
+                              DefaultRetryAfter),
+                       StopReason::NoTarget);
 }
 
 CallStep CallPlanner::attemptEnded(CallHandle handle,
@@ -116,7 +124,11 @@
   learn(it->second, result, now);
   if (hasArrived(result))
     ++it->second.Arrivals;
-  auto out = planNext(it->second, result, now);
+  auto &call = it->second;
+  auto out = planNext(call, result, now);
+  if (out.What == CallStep::Kind::Finish && result.End != AttemptEnd::Answered)
+    out.RetriesLeft = stateOf(call).Budget.left(call.Route.CallRank, Retries,
+                                                nodesLately(now), now);
   note(CallPlanEvent::AttemptEnded,
        {static_cast<int64_t>(handle),
         static_cast<int64_t>(result.End) + (result.FailedBelow ? 256 : 0),
@@ -130,7 +142,8 @@
                                base::TimePoint now) {
   switch (result.End) {
   case AttemptEnd::Answered:
-    return finish(CallOutcome::Answered, ResultCode::Ok);
+    return stopped(finish(CallOutcome::Answered, ResultCode::Ok),
+                   StopReason::Answered);
   case AttemptEnd::NotSent:
   case AttemptEnd::RefusedNotRun:
     return afterRefusal(call, result, now);
@@ -140,7 +153,8 @@
   case AttemptEnd::CallerGone:
     break;
   }
-  return finish(CallOutcome::Unknown, ResultCode::CallerGone);
+  return stopped(finish(CallOutcome::Unknown, ResultCode::CallerGone),
+                 StopReason::ClientGone);
 }
 
 /// The attempt was surely not run: any call may be sent to another target.
@@ -148,46 +162,66 @@
                                    const AttemptResult &result,
                                    base::TimePoint now) {
   auto &service = stateOf(call);
-  const bool retryable = !isFinal(result) && call.Attempts < MaximumAttempts &&
-                         call.Arrivals < call.Route.MaximumAttempts;
-  if (retryable && (costsNoBudget(result) || mayRetry(call, now)))
+  const bool isFree = costsNoBudget(result);
+  const bool used = call.Attempts >= MaximumAttempts ||
+                    call.Arrivals >= call.Route.MaximumAttempts;
+  auto stop = isFinal(result) ? StopReason::Final
+              : used          ? StopReason::AttemptsUsed
+              : isFree        ? StopReason::None
+                              : retryStop(call, now);
+  if (stop == StopReason::None) {
     if (auto out = send(call, true, now)) {
-      if (!costsNoBudget(result))
+      if (!isFree)
         service.Budget.spend(Retries, now);
       return *out;
     }
+    stop = call.Stop;
+  }
   if (result.Code == ResultCode::Overloaded)
     service.Shed.refused(call.Route.CallRank);
   // An earlier attempt of this call may have run although this one did not.
   if (call.MayHaveRun)
-    return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+    return stopped(finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown),
+                   stop);
   const auto code =
       result.Code == ResultCode::Ok ? ResultCode::NoTarget : result.Code;
-  return finish(CallOutcome::NotRun, code,
-                result.RetryAfter > Duration::zero() ? result.RetryAfter
-                                                     : DefaultRetryAfter);
+  return stopped(finish(CallOutcome::NotRun, code,
+                        result.RetryAfter > Duration::zero()
+                            ? result.RetryAfter
+                            : DefaultRetryAfter),
+                 stop);
 }
 
 /// The attempt may have run: only an idempotent call is sent once more.
 CallStep CallPlanner::afterLoss(PlannedCall &call, const AttemptResult &result,
                                 base::TimePoint now) {
   call.MayHaveRun = true;
-  const bool retryable =
-      call.Route.Idempotent && !result.FailedBelow && !call.Retried;
-  if (retryable && mayRetry(call, now)) {
+  auto stop = !call.Route.Idempotent ? StopReason::NotRepeatable
+              : result.FailedBelow   ? StopReason::FailedBelow
+              : call.Retried         ? StopReason::AttemptsUsed
+                                     : retryStop(call, now);
+  if (stop == StopReason::None) {
     if (auto out = send(call, true, now)) {
       stateOf(call).Budget.spend(Retries, now);
       call.Retried = true;
       return *out;
     }
+    stop = call.Stop;
   }
-  return finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown);
+  return stopped(finish(CallOutcome::Unknown, ResultCode::CallOutcomeUnknown),
+                 stop);
 }
 
-bool CallPlanner::mayRetry(const PlannedCall &call, base::TimePoint now) {
-  return !call.Route.BelowRetry && call.Arrivals < call.Route.MaximumAttempts &&
-         stateOf(call).Budget.available(call.Route.CallRank, Retries,
-                                        nodesLately(now), now);
+/// Returns what keeps a call from a retry that costs the budget, or None.
+StopReason CallPlanner::retryStop(const PlannedCall &call,
+                                  base::TimePoint now) {
+  if (call.Route.BelowRetry)
+    return StopReason::BelowRetry;
+  if (call.Arrivals >= call.Route.MaximumAttempts)
+    return StopReason::AttemptsUsed;
+  const bool available = stateOf(call).Budget.available(
+      call.Route.CallRank, Retries, nodesLately(now), now);
+  return available ? StopReason::None : StopReason::NoBudget;
 }
 
 int64_t CallPlanner::nodesLately(base::TimePoint now) {
@@ -199,13 +233,16 @@
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
                                           base::TimePoint now) {
   const auto timeout = timeoutOf(call, retry, now);
+  call.Stop = StopReason::NoTime;
   if (timeout <= Duration::zero())
     return std::nullopt;
   const auto &targets = Table.usable(call.Route.ServiceName);
   auto *target = Choice.choose(targets, call.LastTarget, stateOf(call).Locality,
                                now, Randomness);
+  call.Stop = StopReason::NoOtherTarget;
   if (!target)
     return std::nullopt;
+  const auto basis = basisOf(targets, *target, now);
   ++target->InFlight;
   target->Path->sent(now);
   call.Target = target->Id;
@@ -223,6 +260,21 @@
   out.Remaining = call.Deadline - now - HopMargin;
   out.FreshConnection = call.Fresh;
   out.Retry = retry || call.Route.BelowRetry;
+  out.Basis = basis;
+  return out;
+}
+
+ChoiceBasis CallPlanner::basisOf(const TargetTable::Targets &targets,
+                                 const KnownTarget &chosen,
+                                 base::TimePoint now) {
+  ChoiceBasis out;
+  out.Candidates = static_cast<uint32_t>(targets.size());
+  for (const auto *it : targets)
+    out.LeftOut += it->Health.ejected() ? 1 : 0;
+  out.InFlight = chosen.InFlight;
+  out.LoadPermille = chosen.Load.current(now);
+  out.Suspect = chosen.Suspect;
+  out.KnownAge = chosen.Load.age(now);
   return out;
 }
 
@@ -234,7 +286,7 @@
   const bool another = Table.usable(call.Route.ServiceName).size() > 1;
   const bool isLast = call.Arrivals + 1 >= call.Route.MaximumAttempts;
   if (!call.Route.Idempotent || retry || !another || isLast ||
-      !mayRetry(call, now))
+      retryStop(call, now) != StopReason::None)
     return left;
   return stateOf(call).Timer.firstAttempt(left);
 }
@@ -308,6 +360,15 @@
     note(CallPlanEvent::Tick, {}, {}, {}, now);
 }
 
+std::vector<std::pair<std::string, int64_t>>
+CallPlanner::retriesLeft(base::TimePoint now) {
+  std::vector<std::pair<std::string, int64_t>> out;
+  for (auto &[name, service] : Services)
+    out.emplace_back(name, service.Budget.left(config::Rank::Critical, Retries,
+                                               nodesLately(now), now));
+  return out;
+}
+
 trace::Outcome CallPlanner::outcomeOf(const CallStep &step) {
   const auto code = static_cast<int64_t>(step.Code);
   const auto told =
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace radishcross::calls {
@@ -82,6 +83,9 @@
                       base::TimePoint now);
   void tick(base::TimePoint now);
 
+  /// Returns the retries of each service that a critical call has left now.
+  std::vector<std::pair<std::string, int64_t>> retriesLeft(base::TimePoint now);
+
   /// Returns a step in the form of a trace's entry.
   static trace::Outcome outcomeOf(const CallStep &step);
 
@@ -97,6 +101,7 @@
     bool Retried = false; ///< Sent again after bytes had been sent.
     bool Fresh = false;   ///< The attempt uses a new connection.
     base::Duration Timeout{};
+    StopReason Stop = StopReason::None; ///< Why the last send() gave nothing.
   };
   struct ServiceState {
     RetryBudget Budget;
@@ -112,10 +117,12 @@
                         base::TimePoint now);
   CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
                      base::TimePoint now);
-  bool mayRetry(const PlannedCall &call, base::TimePoint now);
+  StopReason retryStop(const PlannedCall &call, base::TimePoint now);
   int64_t nodesLately(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
+  static ChoiceBasis basisOf(const TargetTable::Targets &targets,
+                             const KnownTarget &chosen, base::TimePoint now);
   base::Duration timeoutOf(const PlannedCall &call, bool retry,
                            base::TimePoint now);
   void learn(PlannedCall &call, const AttemptResult &result,
--- a/Libraries/LibCalls/Gate.cpp
+++ b/Libraries/LibCalls/Gate.cpp
@@ -86,13 +86,19 @@
   Held->LastTime = now;
   const Ticket call = ++Held->LastTicket;
   if (Held->Quarantined->blocks(arrival.Fingerprint, now))
-    return {GateAnswer::Kind::Refuse, call, ResultCode::Quarantined,
-            Quarantine::QuarantineLifetime};
+    return {GateAnswer::Kind::Refuse,
+            call,
+            ResultCode::Quarantined,
+            Quarantine::QuarantineLifetime,
+            {}};
   const auto it = Held->Targets.find(arrival.TargetId);
   if (it == Held->Targets.end() ||
       it->second.Target.Service != arrival.ServiceName)
-    return {GateAnswer::Kind::Refuse, call, ResultCode::NoTarget,
-            UnknownTargetRetryAfter};
+    return {GateAnswer::Kind::Refuse,
+            call,
+            ResultCode::NoTarget,
+            UnknownTargetRetryAfter,
+            {}};
   auto &guarded = it->second;
   const auto out = guarded.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
@@ -150,6 +156,19 @@
                                    : it->second.Admission->pressurePermille();
 }
 
+std::map<std::string, GateView> Gate::viewsByService() const {
+  std::map<std::string, GateView> out;
+  for (const auto &[id, it] : Held->Targets) {
+    const auto view = it.Admission->view();
+    auto &sum = out[it.Target.Service];
+    sum.Running += view.Running;
+    sum.Limit += view.Limit;
+    sum.Waiting += view.Waiting;
+    sum.QueueLength += view.QueueLength;
+  }
+  return out;
+}
+
 size_t Gate::inFlight() const { return Held->Calls.size(); }
 
 void Gate::targetsChanged(const std::vector<fleet::TargetRecord> &targets,
--- a/Libraries/LibCalls/Gate.h
+++ b/Libraries/LibCalls/Gate.h
@@ -6,6 +6,7 @@
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +27,9 @@
   uint32_t pressurePermille(const std::string &targetId) const override;
   size_t inFlight() const override;
 
+  /// Returns how full the gates are, summed up over a service's targets.
+  std::map<std::string, GateView> viewsByService() const;
+
   /// Takes the targets behind this node.
   void targetsChanged(const std::vector<fleet::TargetRecord> &targets,
                       base::TimePoint now);
--- a/Libraries/LibCalls/LoadEstimate.cpp
+++ b/Libraries/LibCalls/LoadEstimate.cpp
@@ -24,6 +24,15 @@
   Disagreement += (gap - Disagreement) / DisagreementDivisor;
 }
 
+base::Duration LoadEstimate::age(base::TimePoint now) const {
+  if (!Report && !Observation)
+    return {};
+  base::TimePoint last = Report ? Report->At : Observation->At;
+  if (Observation)
+    last = std::max(last, Observation->At);
+  return now - last;
+}
+
 uint32_t LoadEstimate::current(base::TimePoint now) const {
   if (Observation && now - Observation->At < ObservedLifetime)
     return static_cast<uint32_t>(Observation->Permille);
--- a/Libraries/LibCalls/LoadEstimate.h
+++ b/Libraries/LibCalls/LoadEstimate.h
@@ -28,6 +28,9 @@
 
   uint32_t current(base::TimePoint now) const;
 
+  /// Returns for how long nothing was told of it; 0 if nothing ever was.
+  base::Duration age(base::TimePoint now) const;
+
 private:
   struct Sample {
     int64_t Permille = 0;
--- a/Libraries/LibCalls/RetryBudget.cpp
+++ b/Libraries/LibCalls/RetryBudget.cpp
@@ -30,6 +30,11 @@
 
 bool RetryBudget::available(config::Rank rank, const RetryLimits &limits,
                             int64_t nodes, base::TimePoint now) {
+  return left(rank, limits, nodes, now) > 0;
+}
+
+int64_t RetryBudget::left(config::Rank rank, const RetryLimits &limits,
+                          int64_t nodes, base::TimePoint now) {
   const int64_t newest = partAt(limits.Window, now).Number;
   int64_t earned = 0;
   int64_t spent = 0;
@@ -41,12 +46,13 @@
     if (it.Number > newest - Parts)
       earned += it.Earned;
   }
-  if (limits.Slack == 0 && spent == 0)
-    return earned > 0;
+  const bool isLent = limits.Slack == 0 && spent == 0;
   if (nodes > 0)
     earned += limits.Slack * OneRetry / nodes;
   const auto share = RankPermille[static_cast<size_t>(rank)];
-  return (spent + 1) * OneRetry <= earned * share / OneRetry;
+  const auto out =
+      std::max<int64_t>(earned * share / OneRetry / OneRetry - spent, 0);
+  return isLent ? std::max<int64_t>(out, earned > 0 ? 1 : 0) : out;
 }
 
 void RetryBudget::spend(const RetryLimits &limits, base::TimePoint now) {
--- a/Libraries/LibCalls/RetryBudget.h
+++ b/Libraries/LibCalls/RetryBudget.h
@@ -31,6 +31,10 @@
   bool available(config::Rank rank, const RetryLimits &limits, int64_t nodes,
                  base::TimePoint now);
 
+  /// Returns how many calls of \p rank may be retried now.
+  int64_t left(config::Rank rank, const RetryLimits &limits, int64_t nodes,
+               base::TimePoint now);
+
   /// Takes one retry out.
   void spend(const RetryLimits &limits, base::TimePoint now);
 
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -86,7 +86,9 @@
                               uint64_t fingerprint, base::TimePoint now,
                               Duration objective) {
   WaitingCall arrived{call, rank, now, {}, fingerprint, objective, {}};
-  const auto out = decideArrival(arrived, remaining, now);
+  const auto found = view();
+  auto out = decideArrival(arrived, remaining, now);
+  out.Found = found;
   note(AdmissionEvent::Arrive,
        {static_cast<int64_t>(call), static_cast<int64_t>(rank),
         remaining.count(), objective.count()},
@@ -109,7 +111,7 @@
   call.Expected = expectedOf(rank, call.LatencyObjective);
   if (mayStart(rank, now) && !Queue.waiting()[indexOf(rank)]) {
     start(call, now);
-    return {GateAnswer::Kind::Run, call.Call, ResultCode::Ok, {}};
+    return {GateAnswer::Kind::Run, call.Call, ResultCode::Ok, {}, {}};
   }
   if (call.LatencyObjective > Duration::zero())
     return decideWait(call, remaining, now);
@@ -133,8 +135,11 @@
     return enqueue(call);
   const auto most =
       std::max(remaining / RetryAfterDivisor, LeastObjectiveRetryAfter);
-  return {GateAnswer::Kind::Refuse, call.Call, ResultCode::Overloaded,
-          std::clamp(wait - patience, LeastObjectiveRetryAfter, most)};
+  return {GateAnswer::Kind::Refuse,
+          call.Call,
+          ResultCode::Overloaded,
+          std::clamp(wait - patience, LeastObjectiveRetryAfter, most),
+          {}};
 }
 
 GateAnswer TargetGate::enqueue(const WaitingCall &call) {
@@ -143,7 +148,7 @@
     return refusal(call.Call, ResultCode::Overloaded);
   if (shed)
     Answers.push_back(refusal(shed->Call, ResultCode::Overloaded));
-  return {GateAnswer::Kind::Queued, call.Call, ResultCode::Ok, {}};
+  return {GateAnswer::Kind::Queued, call.Call, ResultCode::Ok, {}, {}};
 }
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
@@ -206,7 +211,8 @@
     }
     const auto call = Queue.pop(*rank, now);
     start(*call, now);
-    Answers.push_back({GateAnswer::Kind::Run, call->Call, ResultCode::Ok, {}});
+    Answers.push_back(
+        {GateAnswer::Kind::Run, call->Call, ResultCode::Ok, {}, {}});
     eligible = Queue.waiting();
   }
 }
@@ -282,7 +288,7 @@
 }
 
 GateAnswer TargetGate::refusal(Ticket call, ResultCode code) const {
-  return {GateAnswer::Kind::Refuse, call, code, retryAfter()};
+  return {GateAnswer::Kind::Refuse, call, code, retryAfter(), {}};
 }
 
 /// Returns when a refused caller may come back: once what is in flight now
@@ -298,6 +304,12 @@
 
 uint32_t TargetGate::limit() const { return Adaptive.current(); }
 
+GateView TargetGate::view() const {
+  return {static_cast<uint32_t>(Running.size()), limit(),
+          static_cast<uint32_t>(Queue.size()),
+          static_cast<uint32_t>(Queue.capacity())};
+}
+
 uint32_t TargetGate::pressurePermille() const {
   const size_t slots = limit();
   const size_t queue = std::max<size_t>(Queue.capacity(), 1);
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -59,6 +59,8 @@
 
   uint32_t pressurePermille() const;
   uint32_t limit() const;
+  /// Returns how full the gate is now.
+  GateView view() const;
   size_t running() const { return Running.size(); }
   size_t inFlight() const { return Running.size() + Queue.size(); }
   std::vector<uint64_t> runningFingerprints() const;
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -4,7 +4,6 @@
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/AnswerFields.h>
 #include <LibHttp/Answers.h>
-#include <LibHttp/CallLog.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/MeshCall.h>
 
@@ -86,7 +85,7 @@
 
 CallEngine::CallEngine(CallProxyEnvironment environment)
     : Environment(std::move(environment)), Keys(Environment.MeshKeys),
-      Pool(*Environment.Context), Targets(Environment, Pool, Keys),
+      Pool(*Environment.Context), Targets(Environment, Pool, Keys, Figures),
       Figures(*Environment.Counters),
       Ids(std::random_device()() ^ base::hash64(Environment.NodeId)) {
   Environment.Broker->whenResumed(
@@ -135,7 +134,7 @@
     CallStep refused;
     refused.Code = base::ResultCode::Draining;
     call.Incoming = std::move(incoming);
-    logEnd(call, nullptr, refused, {});
+    ended(call, nullptr, refused, {});
     co_return makeAnswer(refused.Code, CallOutcome::NotRun, {}, ComeBackDelay);
   }
   if (parent) {
@@ -223,7 +222,7 @@
   if (!snapshot) {
     CallStep refused;
     refused.Code = base::ResultCode::NotRecovered;
-    logEnd(call, nullptr, refused, {});
+    ended(call, nullptr, refused, {});
     co_return makeAnswer(refused.Code, CallOutcome::NotRun, {}, ComeBackDelay);
   }
   const Request &request = call.Incoming.Message;
@@ -236,9 +235,10 @@
   call.Handle = Environment.Broker->begin(call.Request, snapshot, started);
   CallGuard guard(Environment, call.Handle);
   CallStep first = Environment.Broker->step(call.Handle);
+  call.ServiceName = first.ServiceName;
+  call.CallRank = first.CallRank;
   CallStep last = co_await runSteps(call, first);
-  Figures.ended(first.CallRank, last.Outcome, now() - started);
-  logEnd(call, snapshot.get(), last, now() - started);
+  ended(call, snapshot.get(), last, now() - started);
   bool answered = last.Outcome == CallOutcome::Answered;
   if (!call.ParentId.empty() && (!answered || call.FailedBelow))
     Targets.failedBelow(call.ParentId);
@@ -247,18 +247,27 @@
   co_return std::move(call.Answer);
 }
 
-void CallEngine::logEnd(const OwnCall &call, const config::Snapshot *held,
-                        const CallStep &last, base::Duration took) const {
+/// Counts and logs a call that has ended.
+void CallEngine::ended(const OwnCall &call, const config::Snapshot *held,
+                       const CallStep &last, base::Duration took) {
+  Figures.ended(call.ServiceName, call.CallRank, last.Outcome, last.Code, took);
   EndedCall line;
   line.RequestId = textOf(call.Incoming.Message, Environment.Headers.RequestId);
   if (line.RequestId.empty())
     line.RequestId = call.Request.CallId;
   line.Request = &call.Request;
   line.Held = held;
-  line.TargetId = call.LastTarget;
+  line.ServiceName = call.ServiceName;
+  line.CallRank = call.CallRank;
+  if (!call.Tried.empty())
+    line.TargetId = call.Tried.back().TargetId;
+  line.Tried = &call.Tried;
   line.Attempts = call.Attempts;
   line.Outcome = last.Outcome;
   line.Code = last.Code;
+  line.Stop = last.Stop;
+  line.RetriesLeft = last.RetriesLeft;
+  line.RetryAfter = last.RetryAfter;
   if (last.Outcome == CallOutcome::Answered)
     line.Status = call.Answer.result_int();
   line.Took = took;
@@ -273,7 +282,9 @@
     } else if (step.What == CallStep::Kind::Wait) {
       step = co_await awaitEqualCall(call);
     } else {
+      base::TimePoint sent = now();
       calls::AttemptResult result = co_await attempt(call, step);
+      noteAttempt(call, step, result, now() - sent);
       step = conclude(call, step, result);
     }
   }
@@ -332,6 +343,30 @@
   it->second->Wake.cancel();
 }
 
+/// Keeps what the log says of an attempt; the newest of too many take the place
+/// of the last.
+void CallEngine::noteAttempt(OwnCall &call, const CallStep &step,
+                             const calls::AttemptResult &result,
+                             base::Duration took) const {
+  ++call.Attempts;
+  EndedAttempt it;
+  it.Number = call.Attempts;
+  it.Node = step.To.Node;
+  it.IsForward = step.What == CallStep::Kind::Forward;
+  if (!it.IsForward)
+    it.TargetId = step.To.Target.TargetId;
+  it.Remaining = step.Remaining;
+  it.Timeout = step.AttemptTimeout;
+  it.Basis = step.Basis;
+  it.Result = result;
+  it.Took = took;
+  if (result.End == AttemptEnd::Answered)
+    it.Status = call.Answer.result_int();
+  if (call.Tried.size() == MostAttemptLines)
+    call.Tried.pop_back();
+  call.Tried.push_back(std::move(it));
+}
+
 asio::awaitable<calls::AttemptResult>
 CallEngine::attempt(OwnCall &call, const CallStep &step) {
   calls::AttemptResult result;
@@ -349,8 +384,6 @@
   mesh.ServiceName = step.ServiceName;
   if (step.What == CallStep::Kind::Send)
     mesh.TargetId = step.To.Target.TargetId;
-  call.Attempts += 1;
-  call.LastTarget = mesh.TargetId;
   bool isLocal =
       step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
   if (!isLocal) {
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Random.h>
 #include <LibHttp/CallFigures.h>
+#include <LibHttp/CallLog.h>
 #include <LibHttp/CallProxy.h>
 #include <LibHttp/ClosedDecisions.h>
 #include <LibHttp/ConnectionPool.h>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace radishcross::http {
 
@@ -61,8 +63,10 @@
     calls::CallHandle Handle = 0;
     Response Answer;
     bool FailedBelow = false;
+    std::string ServiceName;
+    config::Rank CallRank = config::Rank::Background;
     uint32_t Attempts = 0;
-    std::string LastTarget; ///< Id of the target of the last attempt.
+    std::vector<EndedAttempt> Tried; ///< Up to MostAttemptLines.
   };
   /// A call whose step is Wait, until the broker resumes it.
   struct WaitingCall {
@@ -74,13 +78,16 @@
   boost::asio::awaitable<Response> runAtGate(MeshCall call,
                                              IncomingRequest incoming);
   boost::asio::awaitable<Response> runCall(OwnCall call);
-  void logEnd(const OwnCall &call, const config::Snapshot *held,
-              const calls::CallStep &last, base::Duration took) const;
+  void ended(const OwnCall &call, const config::Snapshot *held,
+             const calls::CallStep &last, base::Duration took);
   boost::asio::awaitable<calls::CallStep> runSteps(OwnCall &call,
                                                    calls::CallStep step);
   boost::asio::awaitable<calls::CallStep> awaitEqualCall(OwnCall &call);
   boost::asio::awaitable<calls::AttemptResult>
   attempt(OwnCall &call, const calls::CallStep &step);
+  void noteAttempt(OwnCall &call, const calls::CallStep &step,
+                   const calls::AttemptResult &result,
+                   base::Duration took) const;
   boost::asio::awaitable<calls::AttemptResult>
   sendToNode(OwnCall &call, const calls::CallStep &step, const MeshCall &mesh);
   calls::CallStep conclude(OwnCall &call, const calls::CallStep &step,
--- a/Libraries/LibHttp/CallFigures.cpp
+++ b/Libraries/LibHttp/CallFigures.cpp
@@ -1,12 +1,37 @@
 #include <LibHttp/CallFigures.h>
 
+#include <LibBase/EnumNames.h>
+#include <LibHttp/GateRunner.h>
+
 namespace radishcross::http {
 
+namespace {
+
+/// Stand in for services without a label of their own.
+constexpr std::string_view NoService = "none";
+constexpr std::string_view OtherService = "other";
+
+/// Returns a name as the value of a label.
+std::string labelText(std::string_view name) {
+  std::string out;
+  for (char c : name) {
+    if (c == '"' || c == '\\' || c < ' ')
+      out += '_';
+    else
+      out += c;
+  }
+  return out;
+}
+
+} // namespace
+
 CallFigures::CallFigures(base::Metrics &metrics) : Counters(&metrics) {
   for (const auto &rank : config::RankNames) {
     PerRank &row = Ranks[static_cast<size_t>(rank.Value)];
     std::string label = "{rank=\"" + std::string(rank.Name) + "\"";
     row.LatencyName = "call_latency_ms" + label + "}";
+    row.QueueName = "gate_queue_ms" + label + "}";
+    row.TargetName = "target_latency_ms" + label + "}";
     for (const auto &outcome : calls::CallOutcomeNames)
       row.Totals[static_cast<size_t>(outcome.Value)] =
           &metrics.counter("calls_total" + label + ",outcome=\"" +
@@ -14,11 +39,47 @@
   }
 }
 
-void CallFigures::ended(config::Rank rank, calls::CallOutcome outcome,
+void CallFigures::ended(std::string_view service, config::Rank rank,
+                        calls::CallOutcome outcome, base::ResultCode code,
                         base::Duration latency) {
   PerRank &row = Ranks[static_cast<size_t>(rank)];
   *row.Totals[static_cast<size_t>(outcome)] += 1;
+  totalOf(service.empty() ? NoService : service, rank, outcome, code) += 1;
   Counters->observe(row.LatencyName, latency);
 }
 
+uint64_t &CallFigures::totalOf(std::string_view service, config::Rank rank,
+                               calls::CallOutcome outcome,
+                               base::ResultCode code) {
+  std::string name(service);
+  if (Services.size() >= MostServices && !Services.contains(name))
+    name = OtherService;
+  Reasons &reasons = Services[name];
+  for (const auto &it : reasons)
+    if (it.CallRank == rank && it.Outcome == outcome && it.Code == code)
+      return *it.Total;
+  std::string labels =
+      "{service=\"" + labelText(name) + "\",rank=\"" +
+      std::string(base::nameOf(config::RankNames, rank)) + "\",outcome=\"" +
+      std::string(base::nameOf(calls::CallOutcomeNames, outcome)) +
+      "\",reason=\"" + std::string(base::describe(code).Name) + "\"}";
+  uint64_t &total = Counters->counter("calls_by_service_total" + labels);
+  reasons.push_back({rank, outcome, code, &total});
+  return total;
+}
+
+void CallFigures::atGate(const MeshCall &call, const GateOutcome &outcome) {
+  const PerRank &row = Ranks[static_cast<size_t>(call.CallRank)];
+  Counters->observe(row.QueueName, outcome.Waited);
+  if (outcome.HasRun) {
+    Counters->observe(row.TargetName, outcome.Ran);
+    return;
+  }
+  std::string labels =
+      "{rank=\"" + std::string(base::nameOf(config::RankNames, call.CallRank)) +
+      "\",reason=\"" + std::string(base::describe(outcome.Result.Code).Name) +
+      "\"}";
+  Counters->counter("gate_refused_total" + labels) += 1;
+}
+
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallFigures.h
+++ b/Libraries/LibHttp/CallFigures.h
@@ -1,32 +1,64 @@
 #pragma once
 
 #include <LibBase/Metrics.h>
+#include <LibBase/ResultCode.h>
 #include <LibCalls/CallTypes.h>
 #include <LibConfig/Rank.h>
 
 #include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
 
 namespace radishcross::http {
 
-/// The metrics of calls by rank and outcome, looked up once:
-/// calls_total{rank,outcome} and call_latency_ms{rank}.
+struct GateOutcome;
+struct MeshCall;
+
+/// The metrics of calls, looked up once.
+/// At the client's node: calls_total{rank,outcome}, call_latency_ms{rank},
+/// calls_by_service_total{service,rank,outcome,reason}. At the target's node:
+/// gate_queue_ms{rank}, target_latency_ms{rank},
+/// gate_refused_total{rank,reason}.
 class CallFigures {
 public:
+  /// Services with a label of their own; further ones are "other", so that a
+  /// configuration that changes often makes no endless list.
+  static constexpr size_t MostServices = 64;
+
   explicit CallFigures(base::Metrics &metrics);
 
-  /// Counts a call that has ended.
-  void ended(config::Rank rank, calls::CallOutcome outcome,
+  /// Counts a call that has ended; \p service is empty where it has none.
+  void ended(std::string_view service, config::Rank rank,
+             calls::CallOutcome outcome, base::ResultCode code,
              base::Duration latency);
 
+  /// Counts a call that has left the gate of its target's node.
+  void atGate(const MeshCall &call, const GateOutcome &outcome);
+
 private:
   struct PerRank {
     std::array<uint64_t *, std::size(calls::CallOutcomeNames)> Totals{};
     std::string LatencyName;
+    std::string QueueName;
+    std::string TargetName;
   };
+  struct PerReason {
+    config::Rank CallRank;
+    calls::CallOutcome Outcome;
+    base::ResultCode Code;
+    uint64_t *Total;
+  };
+  using Reasons = std::vector<PerReason>;
+
+  uint64_t &totalOf(std::string_view service, config::Rank rank,
+                    calls::CallOutcome outcome, base::ResultCode code);
+
   base::Metrics *Counters;
   std::array<PerRank, config::RankCount> Ranks;
+  std::unordered_map<std::string, Reasons> Services;
 };
 
 } // namespace radishcross::http
--- /dev/null
+++ b/Libraries/LibHttp/GateLog.cpp
@@ -0,0 +1,54 @@
+#include <LibBase/Logger.h>
+#include <LibHttp/CallLog.h>
+#include <LibHttp/GateLog.h>
+#include <LibHttp/GateRunner.h>
+
+#include <string>
+
+namespace radishcross::http {
+
+namespace {
+
+bool mustLog(std::string_view requestId, const GateOutcome &outcome) {
+  return outcome.Result.End != calls::AttemptEnd::Answered ||
+         isFailure(outcome.Answer.result_int()) || isSampled(requestId);
+}
+
+} // namespace
+
+void logAtGate(const MeshCall &call, std::string_view requestId,
+               const GateOutcome &outcome) {
+  if (!base::isLogged(base::LogLevel::Info) || !mustLog(requestId, outcome))
+    return;
+  const auto &result = outcome.Result;
+  const auto &found = outcome.Found;
+  bool isAnswered = result.End == calls::AttemptEnd::Answered;
+  unsigned status = isAnswered ? outcome.Answer.result_int() : 0;
+  std::string decided = outcome.HasWaited ? "queued" : "";
+  if (outcome.HasRun)
+    decided += outcome.HasWaited ? ", run" : "run";
+  else
+    decided += outcome.HasWaited ? ", refused" : "refused";
+  base::log(
+      base::LogLevel::Info, "call at gate",
+      {{"request", plainId(requestId)},
+       {"target", call.TargetId},
+       {"service", call.ServiceName},
+       {"rank", std::string(base::nameOf(config::RankNames, call.CallRank))},
+       {"retry", call.Attempt >= RetryAttempt ? "yes" : "no"},
+       {"left_ms", millisecondsText(call.Remaining)},
+       {"running", std::to_string(found.Running)},
+       {"limit", std::to_string(found.Limit)},
+       {"waiting", std::to_string(found.Waiting)},
+       {"queue_length", std::to_string(found.QueueLength)},
+       {"decided", std::move(decided)},
+       {"waited_ms", millisecondsText(outcome.Waited)},
+       {"ran_ms", millisecondsText(outcome.Ran)},
+       {"end", std::string(base::nameOf(calls::AttemptEndNames, result.End))},
+       {"code", std::to_string(static_cast<unsigned>(result.Code))},
+       {"status", std::to_string(status)},
+       {"told_by",
+        std::string(base::nameOf(TellerNames, tellerOf(result, false)))}});
+}
+
+} // namespace radishcross::http
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/Framing.h>
+#include <LibHttp/GateLog.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -42,8 +43,8 @@
 } // namespace
 
 GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
-                       const MeshKeys &keys)
-    : Environment(environment), Pool(pool), Keys(keys) {}
+                       const MeshKeys &keys, CallFigures &figures)
+    : Environment(environment), Pool(pool), Keys(keys), Figures(figures) {}
 
 asio::awaitable<GateOutcome>
 GateRunner::run(MeshCall call, Request &request, uint64_t fingerprint,
@@ -51,6 +52,8 @@
   Open[call.CallId].Deadline = Environment.Time->now() + call.Remaining;
   GateOutcome outcome =
       co_await passGate(call, request, fingerprint, std::move(watch));
+  Figures.atGate(call, outcome);
+  logAtGate(call, requestIdOf(call, request), outcome);
   outcome.Result.PressurePermille =
       Environment.Gate->pressurePermille(call.TargetId);
   auto it = Open.find(call.CallId);
@@ -73,12 +76,26 @@
                          objectiveOf(request)};
   GateAnswer answer = Environment.Gate->arrive(arrival, now);
   calls::Ticket ticket = answer.Call;
-  if (answer.What == GateAnswer::Kind::Queued)
+  calls::GateView found = answer.Found;
+  bool hasWaited = answer.What == GateAnswer::Kind::Queued;
+  if (hasWaited)
     answer = co_await awaitTurn(ticket, call.Remaining, watch);
-  if (answer.What != GateAnswer::Kind::Run)
-    co_return refusal(answer.Code, answer.RetryAfter);
-  GateOutcome outcome =
-      co_await runAtTarget(call, *target, request, now + call.Remaining, watch);
+  base::TimePoint turn = Environment.Time->now();
+  bool hasRun = answer.What == GateAnswer::Kind::Run;
+  GateOutcome outcome;
+  // g++ 12 miscompiles an await inside a conditional expression.
+  if (hasRun)
+    outcome = co_await runAtTarget(call, *target, request, now + call.Remaining,
+                                   watch);
+  else
+    outcome = refusal(answer.Code, answer.RetryAfter);
+  outcome.HasRun = hasRun;
+  outcome.Found = found;
+  outcome.HasWaited = hasWaited;
+  outcome.Waited = turn - now;
+  if (!hasRun)
+    co_return outcome;
+  outcome.Ran = Environment.Time->now() - turn;
   dispatch(
       Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
   co_return outcome;
@@ -139,6 +156,15 @@
   co_return outcome;
 }
 
+/// Returns the id by which the client knows the request, else the call's own.
+std::string_view GateRunner::requestIdOf(const MeshCall &call,
+                                         const Request &request) const {
+  auto it = request.find(Environment.Headers.RequestId);
+  if (it == request.end() || it->value().empty())
+    return call.CallId;
+  return {it->value().data(), it->value().size()};
+}
+
 /// Returns the latency objective of the request's route; 0: none is known.
 base::Duration GateRunner::objectiveOf(const Request &request) const {
   const auto snapshot = Environment.CurrentSnapshot();
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/CallFigures.h>
 #include <LibHttp/CallProxy.h>
 #include <LibHttp/Exchange.h>
 #include <LibHttp/MeshCall.h>
@@ -13,6 +14,12 @@
 struct GateOutcome {
   calls::AttemptResult Result;
   Response Answer; ///< The target's answer where Result.End is Answered.
+  // For the log and the metrics:
+  calls::GateView Found; ///< How full the gate was when the call arrived.
+  bool HasWaited = false;
+  bool HasRun = false;
+  base::Duration Waited{}; ///< At the gate.
+  base::Duration Ran{};    ///< From the gate to the end of the exchange.
 };
 
 /// The target's node: carries out the gate's decisions for calls of other nodes
@@ -20,7 +27,7 @@
 class GateRunner {
 public:
   GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
-             const MeshKeys &keys);
+             const MeshKeys &keys, CallFigures &figures);
 
   /// Runs one call at a target behind this node.
   boost::asio::awaitable<GateOutcome> run(MeshCall call, Request &request,
@@ -57,6 +64,8 @@
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
+  std::string_view requestIdOf(const MeshCall &call,
+                               const Request &request) const;
   base::Duration objectiveOf(const Request &request) const;
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &answers);
@@ -64,6 +73,7 @@
   CallProxyEnvironment &Environment;
   ConnectionPool &Pool;
   const MeshKeys &Keys;
+  CallFigures &Figures;
   std::unordered_map<calls::Ticket, QueuedCall *> Queue;
   std::unordered_map<std::string, OpenCall> Open;
 };
--- a/Tests/LibBase/TestLogger.cpp
+++ b/Tests/LibBase/TestLogger.cpp
@@ -79,7 +79,7 @@
   constexpr uint64_t Lines = 20000;
   auto started = std::chrono::steady_clock::now();
   for (uint64_t i = 0; i < Lines; ++i) {
-    base::log(base::LogLevel::Error, "call refused",
+    base::log(base::LogLevel::Error, i % 2 == 0 ? "call refused" : "call lost",
               {{"request", std::to_string(i)}});
     if (i % 100 == 0)
       base::flushLog();
@@ -89,6 +89,9 @@
   uint64_t dropped = base::droppedLogLines();
   CHECK(dropped > 0);
   CHECK(dropped < Lines);
+  auto byEvent = base::droppedLogLinesByEvent();
+  CHECK(byEvent.size() == 2);
+  CHECK(byEvent["call refused"] + byEvent["call lost"] == dropped);
   // Once it reads, it gets whole lines in order, and how many are missing.
   std::string text = pipe.read();
   for (int i = 0; i < 20; ++i) {
@@ -102,6 +105,9 @@
         std::string::npos);
   CHECK(lines.back().find("\"lines\":\"" + std::to_string(dropped) + "\"") !=
         std::string::npos);
+  CHECK(
+      lines.back().find("call lost: " + std::to_string(byEvent["call lost"])) !=
+      std::string::npos);
   setUp(-1);
 }
 
--- a/Tests/LibBase/TestMetrics.cpp
+++ b/Tests/LibBase/TestMetrics.cpp
@@ -25,3 +25,13 @@
   CHECK(metrics.prometheusText().find("latency_ms_bucket{le=\"+Inf\"} 100") !=
         std::string::npos);
 }
+
+TEST_CASE("gauges are dropped by their name, with all their labels") {
+  Metrics metrics;
+  metrics.setGauge("limit{service=\"a\"}", 1);
+  metrics.setGauge("limit{service=\"b\"}", 2);
+  metrics.setGauge("limits", 3);
+  metrics.setGauge("limit", 4);
+  metrics.dropGauges("limit");
+  CHECK(metrics.prometheusText() == "limits 3\n");
+}
--- a/Tests/LibCalls/TestRetries.cpp
+++ b/Tests/LibCalls/TestRetries.cpp
@@ -152,3 +152,65 @@
   // Without the marks each level spends its own budget.
   CHECK(factor(unmarked) > 1.1);
 }
+
+TEST_CASE("a call's last step says why there is no further attempt") {
+  struct Row {
+    AttemptResult Result;
+    bool Idempotent;
+    uint32_t BudgetPercent;
+    StopReason Stop;
+  };
+  auto failedBelow = ends(AttemptEnd::Broken);
+  failedBelow.FailedBelow = true;
+  const Row rows[] = {
+      {ends(AttemptEnd::Answered), false, 10, StopReason::Answered},
+      {ends(AttemptEnd::Broken), false, 10, StopReason::NotRepeatable},
+      {ends(AttemptEnd::Broken), true, 0, StopReason::NoBudget},
+      {failedBelow, true, 10, StopReason::FailedBelow},
+      {ends(AttemptEnd::RefusedNotRun, ResultCode::TargetRefused), true, 0,
+       StopReason::NoBudget},
+      {ends(AttemptEnd::RefusedNotRun, ResultCode::Quarantined), true, 10,
+       StopReason::Final},
+      {ends(AttemptEnd::CallerGone), true, 10, StopReason::ClientGone},
+  };
+  trace::NullRecorder recorder;
+  CallHandle handle = 0;
+  for (const auto &row : rows) {
+    CAPTURE(static_cast<int>(row.Stop));
+    CallPlanner planner({"dc1", "south"}, 5, recorder);
+    planner.membersChanged({member("a"), member("b"), member("c")}, at(0s));
+    RoutedCall call;
+    call.ServiceName = Lookup;
+    call.Allowed = 5s;
+    call.Idempotent = row.Idempotent;
+    call.RetryBudgetPercent = row.BudgetPercent;
+    const auto first = planner.begin(++handle, call, at(3s));
+    REQUIRE(first.What == CallStep::Kind::Send);
+    CHECK(first.Basis.Candidates == 3);
+    CHECK(first.Basis.LeftOut == 0);
+    CHECK(first.Basis.KnownAge == 3s);
+    const auto last = planner.attemptEnded(handle, row.Result, at(4s));
+    CHECK(last.What == CallStep::Kind::Finish);
+    CHECK(last.Stop == row.Stop);
+    if (row.Stop == StopReason::NoBudget)
+      CHECK(last.RetriesLeft == 0);
+  }
+}
+
+TEST_CASE("a call without a target, or with one alone, says so") {
+  trace::NullRecorder recorder;
+  CallPlanner planner({"dc1", "south"}, 5, recorder);
+  RoutedCall call;
+  call.ServiceName = Lookup;
+  call.Allowed = 5s;
+  call.Idempotent = true;
+  call.RetryBudgetPercent = 10;
+  CHECK(planner.begin(1, call, at(0s)).Stop == StopReason::NoTarget);
+  planner.membersChanged({member("a")}, at(0s));
+  planner.begin(2, call, at(0s));
+  auto last = planner.attemptEnded(2, ends(AttemptEnd::Broken), at(1s));
+  CHECK(last.Stop == StopReason::NoOtherTarget);
+  CHECK(last.RetriesLeft == 1);
+  call.Allowed = 1ms;
+  CHECK(planner.begin(3, call, at(2s)).Stop == StopReason::NoTime);
+}
--- a/Tests/LibHttp/TestCallLog.cpp
+++ b/Tests/LibHttp/TestCallLog.cpp
@@ -1,53 +1,20 @@
 #include <LibBase/Logger.h>
 #include <LibHttp/CallLog.h>
+#include <LogFile.h>
 
-#include <array>
-#include <boost/json/parse.hpp>
-#include <cstdio>
 #include <doctest/doctest.h>
 #include <memory>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 using namespace radishcross;
 using calls::CallOutcome;
 using http::EndedCall;
+using tests::LogFile;
+using tests::textAt;
 
 namespace {
 
-/// The process's log in a file, for as long as it lives.
-class LogFile {
-public:
-  LogFile() : File(std::tmpfile()) {
-    REQUIRE(File);
-    base::LogSettings settings;
-    settings.Descriptor = ::fileno(File);
-    base::setUpLog(settings);
-  }
-  ~LogFile() {
-    base::LogSettings none;
-    none.Descriptor = -1;
-    base::setUpLog(none);
-    std::fclose(File);
-  }
-  LogFile(const LogFile &) = delete;
-  LogFile &operator=(const LogFile &) = delete;
-
-  std::vector<boost::json::object> lines() {
-    base::flushLog();
-    std::rewind(File);
-    std::vector<boost::json::object> out;
-    std::array<char, 4096> buf{};
-    while (std::fgets(buf.data(), buf.size(), File))
-      out.push_back(boost::json::parse(buf.data()).as_object());
-    return out;
-  }
-
-private:
-  std::FILE *File;
-};
-
 config::SnapshotPointer makeSnapshot() {
   auto content = std::make_shared<config::VersionContent>();
   content->Services.push_back({"s", {}});
@@ -74,10 +41,6 @@
   return out;
 }
 
-std::string textAt(const boost::json::object &line, std::string_view key) {
-  return std::string(line.at(key).get_string());
-}
-
 void endAnswered(const calls::CallRequest &request, int id, unsigned status) {
   std::string text = std::to_string(id);
   http::logEndedCall(callOf(request, text, CallOutcome::Answered, status));
@@ -111,6 +74,67 @@
   CHECK(textAt(line, "code") == std::to_string(static_cast<unsigned>(
                                     base::ResultCode::CallOutcomeUnknown)));
   CHECK(textAt(line, "took_ms") == "431");
+  CHECK(textAt(line, "from") == "client");
+  CHECK(textAt(line, "held") == "a:2,permits:7");
+}
+
+TEST_CASE("each attempt has a line before that of the call's end") {
+  LogFile log;
+  calls::CallRequest request;
+  std::vector<http::EndedAttempt> tried(2);
+  tried[0].Number = 1;
+  tried[0].Node = "savannah-1";
+  tried[0].TargetId = "i-7";
+  tried[0].Remaining = std::chrono::milliseconds(700);
+  tried[0].Basis.Candidates = 5;
+  tried[0].Basis.LeftOut = 1;
+  tried[0].Basis.KnownAge = std::chrono::milliseconds(120);
+  tried[0].Result.End = calls::AttemptEnd::RefusedNotRun;
+  tried[0].Result.Code = base::ResultCode::Overloaded;
+  tried[1].Number = 2;
+  tried[1].Result.End = calls::AttemptEnd::Broken;
+  auto call = callOf(request, "r", CallOutcome::Unknown);
+  call.Tried = &tried;
+  call.Stop = calls::StopReason::NoBudget;
+  call.ServiceName = "permits/s";
+  http::logEndedCall(call);
+  auto lines = log.lines();
+  REQUIRE(lines.size() == 3);
+  CHECK(textAt(lines[0], "event") == "call attempt ended");
+  CHECK(textAt(lines[0], "request") == "r");
+  CHECK(textAt(lines[0], "to") == "savannah-1");
+  CHECK(textAt(lines[0], "target") == "i-7");
+  CHECK(textAt(lines[0], "candidates") == "5");
+  CHECK(textAt(lines[0], "left_out") == "1");
+  CHECK(textAt(lines[0], "known_ms") == "120");
+  CHECK(textAt(lines[0], "left_ms") == "700");
+  CHECK(textAt(lines[0], "end") == "refused");
+  CHECK(textAt(lines[0], "code") == "5003");
+  CHECK(textAt(lines[0], "told_by") == "target-node");
+  CHECK(textAt(lines[1], "attempt") == "2");
+  CHECK(textAt(lines[1], "told_by") == "connection");
+  CHECK(textAt(lines[2], "event") == "call ended");
+  CHECK(textAt(lines[2], "stop") == "no-budget");
+  CHECK(textAt(lines[2], "service") == "permits/s");
+  CHECK(textAt(lines[2], "told_by") == "connection");
+}
+
+TEST_CASE("what a line says of the versions in force is bounded") {
+  LogFile log;
+  std::vector<config::HeldVersion> versions;
+  for (int i = 0; i < 100; ++i)
+    versions.push_back({"configuration-" + std::to_string(i), 7,
+                        std::make_shared<config::VersionContent>()});
+  base::LastReason reason;
+  auto snapshot = config::Snapshot::create(std::move(versions), 1, reason);
+  REQUIRE(snapshot);
+  calls::CallRequest request;
+  auto call = callOf(request, "r", CallOutcome::NotRun);
+  call.Held = snapshot->get();
+  http::logEndedCall(call);
+  auto lines = log.lines();
+  REQUIRE(lines.size() == 1);
+  CHECK(textAt(lines[0], "held").size() < 140);
 }
 
 TEST_CASE("a call without a route, or before any configuration, has a line") {
