LibExplain: Explain one request from the logs of several nodes

Cause: a request's lines stood in as many files as it had hops, and their order by time is wrong where clocks differ.

`radishcross explain ID FILE...` reads the JSON lines, also behind what a collector put before them, keeps those of one request and prints them in the order of the path: the client's node, each attempt with the gate that it came to, the answer. Cut and garbled lines are counted. A node that the lines name and of which there is none is named as missing; one that has lines but not this is named as a gap. Versions in force at the time, also other nodes', and what happened to the path's nodes in the 30 s before stand beside it. The last line is the cause as a result code.

--- /dev/null
+++ b/Libraries/LibExplain/Explanation.cpp
@@ -0,0 +1,256 @@
+#include <LibExplain/Explanation.h>
+
+#include <LibExplain/HopText.h>
+#include <LibExplain/Path.h>
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace radishcross::explain {
+
+namespace {
+
+using base::ResultCode;
+
+/// A version that came into force this shortly before counts as just changed;
+/// twice the two seconds in which every node has to have it.
+constexpr int64_t JustChangedUs = 4'000'000;
+/// What happened to nodes and targets of the path this long before is told.
+constexpr int64_t LifeBeforeUs = 30'000'000;
+constexpr size_t MostBeliefs = 16;
+constexpr int64_t FirstFailure = 500;
+constexpr int64_t UsPerMs = 1000;
+
+/// Builds one explanation.
+class Builder {
+public:
+  explicit Builder(const LogCollection &lines)
+      : Lines(lines), Parts(partsOf(lines.ofRequest())) {}
+
+  Explanation build();
+
+private:
+  void place(TakenCall &call);
+  void placeAttempt(const LogLine &attempt, int64_t &atUs);
+  void addHop(const LogLine &line, int64_t atUs, std::string what);
+  void nameGap(const LogLine &attempt);
+  void addVersions(const LogLine &end);
+  void addLife();
+  void addBelief(std::string text);
+  void judge();
+  void judgeEnd(const LogLine &end);
+  void judgeGate(const LogLine &gate);
+  bool isOfPath(const LogLine &line) const;
+
+  const LogCollection &Lines;
+  PathParts Parts;
+  Explanation Out;
+  std::set<std::string> Named;   ///< Nodes of the path.
+  std::set<std::string> Targets; ///< That were tried.
+};
+
+void Builder::addHop(const LogLine &line, int64_t atUs, std::string what) {
+  Named.insert(line.Node);
+  Out.Hops.push_back({line.Node, atUs, std::move(what)});
+}
+
+void Builder::addBelief(std::string text) {
+  if (Out.Beliefs.size() < MostBeliefs)
+    Out.Beliefs.push_back(std::move(text));
+}
+
+void Builder::nameGap(const LogLine &attempt) {
+  const auto &node = attempt.field("to");
+  auto it = Lines.nodes().find(node);
+  if (node.empty() || it == Lines.nodes().end())
+    return;
+  if (attempt.field("end") == "not-sent")
+    return;
+  std::string text = node + " has no line of attempt " +
+                     attempt.field("attempt") +
+                     ": it did not arrive there, or it went well there and is "
+                     "not of the sample, or its line was lost";
+  if (it->second.Dropped > 0)
+    text += " (" + std::to_string(it->second.Dropped) + " lines were dropped)";
+  Out.Gaps.push_back(std::move(text));
+}
+
+/// Places an attempt that began at \p atUs, and moves that on to its end: the
+/// lines of attempts are written when the call has ended.
+void Builder::placeAttempt(const LogLine &attempt, int64_t &atUs) {
+  addHop(attempt, atUs, attemptText(attempt));
+  atUs += attempt.number("took_ms") * UsPerMs;
+  const auto &node = attempt.field("to");
+  const auto &target = attempt.field("target");
+  if (!node.empty())
+    Named.insert(node);
+  if (!target.empty())
+    Targets.insert(target);
+  if (attempt.field("as") == "owner") {
+    if (auto *owner = Parts.ownerCallOf(node))
+      place(*owner);
+    else
+      nameGap(attempt);
+  } else if (auto *gate = Parts.gateOf(node, target)) {
+    gate->IsPlaced = true;
+    addHop(*gate->Line, gate->Line->TimeUs, gateText(*gate->Line));
+  } else {
+    nameGap(attempt);
+  }
+  addHop(attempt, atUs, attemptEndText(attempt));
+}
+
+void Builder::place(TakenCall &call) {
+  call.IsPlaced = true;
+  const auto &any = call.End ? *call.End : *call.Attempts.front();
+  int64_t at = any.TimeUs - any.number("took_ms") * UsPerMs;
+  if (call.End)
+    addHop(*call.End, at, takenText(*call.End));
+  for (const auto *it : call.Attempts)
+    placeAttempt(*it, at);
+  if (call.End)
+    addHop(*call.End, call.End->TimeUs, endText(*call.End));
+  else
+    Out.Gaps.push_back(call.Node + " has no line of the call's end");
+}
+
+/// Tells for how long the node's version was in force, and who had another.
+void Builder::addVersions(const LogLine &end) {
+  auto held = end.field("held");
+  size_t colon = held.find(':');
+  if (colon == std::string::npos)
+    return;
+  const auto &route = end.field("route");
+  auto name =
+      route.empty() ? held.substr(0, colon) : route.substr(0, route.find('/'));
+  int64_t began = end.TimeUs - end.number("took_ms") * UsPerMs;
+  const auto *own = Lines.versionAt(end.Node, name, began);
+  if (!own)
+    return;
+  int64_t age = began - own->SinceUs;
+  addBelief(end.Node + " had version " + own->Version + " of " + name +
+            " in force for " + std::to_string(age / UsPerMs) + " ms");
+  for (const auto &[node, kept] : Lines.nodes()) {
+    const auto *other = Lines.versionAt(node, name, began);
+    if (node != end.Node && other && other->Version != own->Version)
+      addBelief(node + " had version " + other->Version + " of " + name +
+                " in force");
+  }
+  bool isOfRouting =
+      Out.Cause == ResultCode::NoRoute || Out.Cause == ResultCode::NoTarget;
+  if (isOfRouting && age < JustChangedUs)
+    Out.CauseText += "; version " + own->Version + " of " + name +
+                     " had been in force at " + end.Node + " for " +
+                     std::to_string(age / UsPerMs) + " ms";
+}
+
+bool Builder::isOfPath(const LogLine &line) const {
+  if (line.Event == "target left")
+    return Targets.contains(line.field("target"));
+  return Named.contains(line.Node);
+}
+
+void Builder::addLife() {
+  if (Out.Hops.empty())
+    return;
+  int64_t last = Out.Hops.front().AtUs;
+  for (const auto &it : Out.Hops)
+    last = std::max(last, it.AtUs);
+  for (const auto &[name, node] : Lines.nodes())
+    for (const auto &it : node.Life) {
+      if (!isOfPath(it) || it.TimeUs > last || it.TimeUs < last - LifeBeforeUs)
+        continue;
+      std::string what = name + ": " + it.Event;
+      if (it.Event == "target left")
+        what += " (" + it.field("target") + ")";
+      if (!it.field("topic").empty())
+        what += " (" + it.field("topic") + ")";
+      addBelief(what + ", " + std::to_string((last - it.TimeUs) / UsPerMs) +
+                " ms before the end");
+    }
+}
+
+void Builder::judgeEnd(const LogLine &end) {
+  int64_t status = end.number("status");
+  bool isAnswered = end.field("outcome") == "answered";
+  int64_t code = end.number("code");
+  if (isAnswered && status >= FirstFailure)
+    code = static_cast<int64_t>(ResultCode::TargetFailed);
+  Out.Cause = static_cast<ResultCode>(code);
+  Out.CauseText =
+      codeText(code) + ": " + std::string(base::describe(Out.Cause).Meaning);
+  if (isAnswered)
+    Out.CauseText += " Status " + std::to_string(status) + " of target " +
+                     end.field("target");
+  else
+    Out.CauseText += " Told by " + end.field("told_by");
+  auto stop = stopText(end);
+  if (!stop.empty())
+    Out.CauseText += "; " + stop;
+  addVersions(end);
+}
+
+void Builder::judgeGate(const LogLine &gate) {
+  Out.Cause = static_cast<ResultCode>(gate.number("code"));
+  Out.CauseText = codeText(gate.number("code")) + ": " +
+                  std::string(base::describe(Out.Cause).Meaning) +
+                  " At the gate of " + gate.field("target") +
+                  "; the client's node has no line of it here, so it may have "
+                  "been answered by another target";
+}
+
+void Builder::judge() {
+  const LogLine *end = nullptr;
+  for (const auto &it : Parts.Calls)
+    if (it.End && it.isFromClient())
+      end = it.End;
+  for (const auto &it : Parts.Calls)
+    if (it.End && !end)
+      end = it.End;
+  if (end)
+    return judgeEnd(*end);
+  if (!Parts.Gates.empty())
+    return judgeGate(*Parts.Gates.back().Line);
+  auto notFound = static_cast<int64_t>(ResultCode::NotFound);
+  if (Parts.Calls.empty()) {
+    Out.CauseText = codeText(notFound) +
+                    ": no line is of this request; it went well and is not of "
+                    "the sample, or its node's lines are not here";
+    return;
+  }
+  Out.CauseText =
+      codeText(notFound) + ": the line of the call's end is not here";
+}
+
+Explanation Builder::build() {
+  Out.RequestId = Lines.requestId();
+  Out.Lines = Lines.lines();
+  Out.Garbled = Lines.garbled();
+  Out.Omitted = Lines.omitted();
+  for (auto &it : Parts.Calls)
+    if (!it.IsPlaced && it.isFromClient())
+      place(it);
+  for (auto &it : Parts.Calls)
+    if (!it.IsPlaced)
+      place(it);
+  for (auto &it : Parts.Gates)
+    if (!it.IsPlaced)
+      addHop(*it.Line, it.Line->TimeUs,
+             gateText(*it.Line) + " (by no attempt that is here)");
+  judge();
+  addLife();
+  for (const auto &it : Named)
+    if (!Lines.nodes().contains(it))
+      Out.Missing.push_back(it);
+  return std::move(Out);
+}
+
+} // namespace
+
+Explanation explain(const LogCollection &lines) {
+  return Builder(lines).build();
+}
+
+} // namespace radishcross::explain
--- a/Services/Radishcross/Command.h
+++ b/Services/Radishcross/Command.h
@@ -45,5 +45,6 @@
 base::ResultCode schema(const Arguments &arguments);
 base::ResultCode record(const Arguments &arguments);
 base::ResultCode replay(const Arguments &arguments);
+base::ResultCode explainRequest(const Arguments &arguments);
 
 } // namespace radishcross::cli
--- a/Services/Radishcross/CommandLine.cpp
+++ b/Services/Radishcross/CommandLine.cpp
@@ -18,7 +18,7 @@
 
 /// Commands that talk to no node take no address and no token.
 constexpr std::string_view OfflineCommands[] = {"node", "check", "schema",
-                                                "replay"};
+                                                "replay", "explain"};
 
 std::vector<std::string> flagsOf(const Command &command) {
   std::vector<std::string> out(command.Flags.begin(), command.Flags.end());
--- a/Services/Radishcross/Commands.cpp
+++ b/Services/Radishcross/Commands.cpp
@@ -146,6 +146,16 @@
        1,
        64,
        replay},
+      {"explain",
+       "ID FILE...",
+       "Prints one request's path from the logs of several nodes, and the "
+       "cause "
+       "of its end.",
+       "radishcross explain 9c41d07be2a35f68 north-*.log",
+       {},
+       2,
+       4096,
+       explainRequest},
   };
   return table;
 }
