LibNode: Serve more metrics, at an address of their own

New: members_by_state, targets{state}, configuration_version{configuration}, retries_left{service}, gate_limit, gate_running and gate_waiting{service}, store_calls_total{call,result}, store_told_age_seconds{topic}, log_lines_dropped_total{event}, ready.

Two faults mended. platform_reads_total and platform_appends_total were counted by FleetNode and by StoreClient: now where the call is made, so that the figure is the store's own (test: "a call to the store is counted once", which fails on the old code). "recovered" was logged by FleetNode and by NodeProcess: now by NodeProcess alone, once it serves ("each node says once that it has recovered": 6 lines of 3 nodes on the old code).

--- a/Libraries/LibAdmin/Answers.h
+++ b/Libraries/LibAdmin/Answers.h
@@ -12,6 +12,9 @@
 /// Returns an answer with status 200 and a JSON body.
 http::Response jsonAnswer(const boost::json::value &value);
 
+/// Type of the Prometheus text form.
+constexpr std::string_view PrometheusType = "text/plain; version=0.0.4";
+
 /// Returns an answer with status 200 and a text body.
 http::Response textAnswer(std::string text, std::string_view contentType);
 
--- a/Libraries/LibAdmin/ApiHandlers.cpp
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -22,7 +22,6 @@
 
 constexpr uint64_t DefaultRecordingSeconds = 60;
 constexpr uint64_t MaximumRecordingSeconds = 3600;
-constexpr std::string_view PrometheusType = "text/plain; version=0.0.4";
 constexpr std::string_view TraceType = "application/x-ndjson";
 
 http::Response failure(ResultCode code, std::string text) {
--- /dev/null
+++ b/Libraries/LibAdmin/MetricsPage.cpp
@@ -0,0 +1,25 @@
+#include <LibAdmin/MetricsPage.h>
+
+#include <LibAdmin/Answers.h>
+#include <LibBase/LastReason.h>
+
+#include <boost/beast/http/verb.hpp>
+
+namespace radishcross::admin {
+
+// g++ 12 takes the frames' operator new, when it is inlined, for another one
+// than that of their operator delete.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+boost::asio::awaitable<http::Response>
+MetricsPage::handle(http::IncomingRequest incoming) {
+  const auto &request = incoming.Message;
+  if (request.method() == boost::beast::http::verb::get &&
+      request.target() == "/metrics")
+    co_return textAnswer(Node.metrics().prometheusText(), PrometheusType);
+  base::LastReason reason;
+  reason.fail(base::ResultCode::NotFound, "here are only GET /metrics");
+  co_return failureAnswer(reason);
+}
+
+} // namespace radishcross::admin
--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -40,6 +40,7 @@
   bool IsAnnounced; ///< Other nodes learn the address and connect to it.
   bool IsStream;    ///< TCP; gossip alone is UDP.
   bool MayChoosePort;
+  bool IsOptional = false;
 };
 
 constexpr Listener Listeners[] = {
@@ -49,6 +50,7 @@
     {"peer", &NodeSettings::Peer, true, true, false},
     {"targets", &NodeSettings::Targets, false, true, true},
     {"administration", &NodeSettings::Administration, true, true, true},
+    {"metrics", &NodeSettings::Metrics, false, true, true, true},
 };
 
 std::string text(const json::value &value) {
@@ -77,6 +79,8 @@
 bool readListeners(const json::object &listen, NodeSettings &settings,
                    base::LastReason &reason) {
   for (const auto &it : Listeners) {
+    if (it.IsOptional && !listen.contains(it.Key))
+      continue;
     std::string path = "listen." + std::string(it.Key);
     auto address =
         readAddress(listen.at(it.Key), path, it.MayChoosePort, reason);
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -38,7 +38,8 @@
 
 /// Settings of one node, read from JSON:
 /// {"node", "data_centre", "region", "labels",
-///  "listen": {"calls", "mesh", "gossip", "peer", "targets", "administration"},
+///  "listen": {"calls", "mesh", "gossip", "peer", "targets", "administration",
+///  "metrics"},
 ///  "platform": {"addresses": []}, "seeds": [], "mesh_keys": [], "tokens": [],
 ///  "log": {"level", "format"}, "tailers_per_data_centre", "drain_seconds"}
 struct NodeSettings {
@@ -52,6 +53,7 @@
   base::Address Peer;           ///< Cap'n Proto RPC.
   base::Address Targets;        ///< Announcements of this VM's targets, HTTP.
   base::Address Administration; ///< Operators, HTTP.
+  base::Address Metrics;        ///< Metrics alone, HTTP; no host: none.
   std::vector<base::Address> Platform;
   /// The platform's operator writes a configuration, without which the node
   /// does not serve.
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -48,6 +48,7 @@
     atStart<&Settings::Peer>("listen.peer"),
     atStart<&Settings::Targets>("listen.targets"),
     atStart<&Settings::Administration>("listen.administration"),
+    atStart<&Settings::Metrics>("listen.metrics"),
     atStart<&Settings::Platform>("platform.addresses"),
     atStart<&Settings::HasOperatorConfiguration>(
         "platform.operator_configuration"),
--- /dev/null
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -0,0 +1,116 @@
+#include <LibNode/NodeProcess.h>
+
+#include <LibBase/Logger.h>
+
+#include <array>
+#include <chrono>
+
+// The part of NodeProcess that sets the metrics that are read, not counted.
+
+namespace radishcross::node {
+
+namespace {
+
+/// Configurations and services with a label of their own.
+constexpr size_t MostLabels = 64;
+
+std::string labelled(std::string_view name, std::string_view label,
+                     std::string_view value) {
+  std::string out(name);
+  out += "{";
+  out += label;
+  out += "=\"";
+  out += value;
+  return out + "\"}";
+}
+
+double secondsOf(base::Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+base::Metrics &NodeProcess::metrics() {
+  auto set = [this](std::string_view name, auto value) {
+    Counters.setGauge(name, static_cast<double>(value));
+  };
+  set("control_bytes", Fleet->controlBytes());
+  set("calls_in_flight", Proxy->inFlight());
+  set("configuration_offset", Fleet->fold().offset());
+  set("ready", ready() ? 1 : 0);
+  for (const auto &[event, lines] : base::droppedLogLinesByEvent())
+    set(labelled("log_lines_dropped_total", "event", event), lines);
+  memberMetrics();
+  versionMetrics();
+  callMetrics();
+  storeMetrics();
+  return Counters;
+}
+
+/// Nodes and targets by state.
+void NodeProcess::memberMetrics() {
+  std::array<uint64_t, std::size(fleet::MemberStateNames)> members{};
+  std::array<uint64_t, std::size(fleet::TargetStateNames)> targets{};
+  const auto all = Fleet->members();
+  for (const auto &it : all) {
+    ++members[static_cast<size_t>(it.State)];
+    if (!fleet::isLive(it))
+      continue;
+    for (const auto &target : it.Targets)
+      ++targets[static_cast<size_t>(target.State)];
+  }
+  Counters.setGauge("members", static_cast<double>(all.size()));
+  for (const auto &it : fleet::MemberStateNames)
+    Counters.setGauge(
+        labelled("members_by_state", "state", it.Name),
+        static_cast<double>(members[static_cast<size_t>(it.Value)]));
+  for (const auto &it : fleet::TargetStateNames)
+    Counters.setGauge(
+        labelled("targets", "state", it.Name),
+        static_cast<double>(targets[static_cast<size_t>(it.Value)]));
+}
+
+void NodeProcess::versionMetrics() {
+  Counters.dropGauges("configuration_version");
+  size_t n = 0;
+  if (InForce)
+    for (const auto &it : InForce->versions())
+      if (++n <= MostLabels)
+        Counters.setGauge(labelled("configuration_version", "configuration",
+                                   it.Configuration),
+                          static_cast<double>(it.Version));
+}
+
+/// What is left of the retry budgets, and how full the gates are.
+void NodeProcess::callMetrics() {
+  for (const auto *it :
+       {"retries_left", "gate_limit", "gate_running", "gate_waiting"})
+    Counters.dropGauges(it);
+  size_t n = 0;
+  for (const auto &[service, left] : CallsBroker.retriesLeft(Time.now()))
+    if (++n <= MostLabels)
+      Counters.setGauge(labelled("retries_left", "service", service),
+                        static_cast<double>(left));
+  n = 0;
+  for (const auto &[service, view] : CallsGate.viewsByService()) {
+    if (++n > MostLabels)
+      break;
+    auto set = [&, &name = service](std::string_view stem, uint32_t value) {
+      Counters.setGauge(labelled(stem, "service", name), value);
+    };
+    set("gate_limit", view.Limit);
+    set("gate_running", view.Running);
+    set("gate_waiting", view.Waiting);
+  }
+}
+
+/// How long ago the store last told anything; none before it first did.
+void NodeProcess::storeMetrics() {
+  auto now = Time.now();
+  for (const auto &[topic, at] : Link.toldAt())
+    Counters.setGauge(labelled("store_told_age_seconds", "topic",
+                               base::nameOf(log::TopicNames, topic)),
+                      secondsOf(now - at));
+}
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -99,7 +99,8 @@
                                               }),
       Announcements(Leases, Time, ownTargetOf(settings),
                     [this] { targetsChanged(); }),
-      Administration(*this, settings.Tokens), Timer(context) {}
+      Administration(*this, settings.Tokens), MetricsText(*this),
+      Timer(context) {}
 
 NodeProcess::~NodeProcess() = default;
 
@@ -198,6 +199,19 @@
   if (!targets)
     return false;
   TargetServer = std::move(*targets);
+  return Settings.Metrics.Host.empty() || startMetrics(reason);
+}
+
+bool NodeProcess::startMetrics(base::LastReason &reason) {
+  auto server = http::Server::create(
+      *Context, Settings.Metrics, {},
+      [this](http::IncomingRequest request) {
+        return MetricsText.handle(std::move(request));
+      },
+      reason);
+  if (!server)
+    return false;
+  MetricsServer = std::move(*server);
   return true;
 }
 
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAdmin/Api.h>
+#include <LibAdmin/MetricsPage.h>
 #include <LibAdmin/NodeControl.h>
 #include <LibAdmin/NodeSettings.h>
 #include <LibBase/Clock.h>
@@ -77,7 +78,12 @@
   bool isServing() const;
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
+  bool startMetrics(base::LastReason &reason);
   boost::json::array servicesInUse() const;
+  void memberMetrics();
+  void versionMetrics();
+  void callMetrics();
+  void storeMetrics();
   void foldAdvanced(const log::Fold &fold);
   void takeFloor(const HeldNumbers &kept);
   void snapshotChanged();
@@ -113,10 +119,12 @@
   ChangeFlow Changes;
   TargetListener Announcements;
   admin::Api Administration;
+  admin::MetricsPage MetricsText;
   std::shared_ptr<peer::FleetShell> Fleet;
   std::shared_ptr<http::CallProxy> Proxy;
   std::shared_ptr<http::Server> AdministrationServer;
   std::shared_ptr<http::Server> TargetServer;
+  std::shared_ptr<http::Server> MetricsServer; ///< Null: none is asked for.
   boost::asio::steady_timer Timer;
   std::map<std::string, admin::HoldingSince, std::less<>> Since;
   std::vector<std::string> DrainedNames;
--- a/Libraries/LibNode/NodeReports.cpp
+++ b/Libraries/LibNode/NodeReports.cpp
@@ -22,16 +22,6 @@
   return Fleet->members();
 }
 
-base::Metrics &NodeProcess::metrics() {
-  Counters.setGauge("control_bytes",
-                    static_cast<double>(Fleet->controlBytes()));
-  Counters.setGauge("calls_in_flight", static_cast<double>(Proxy->inFlight()));
-  Counters.setGauge("configuration_offset",
-                    static_cast<double>(Fleet->fold().offset()));
-  Counters.setGauge("members", static_cast<double>(Fleet->members().size()));
-  return Counters;
-}
-
 boost::json::value NodeProcess::usage() const {
   auto out = Usage.usage(Time.now());
   out.as_object()["services"] = servicesInUse();
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -37,6 +37,16 @@
       [this](const log::KeyedRecord &it) { operatorRecord(it); });
 }
 
+std::vector<std::pair<log::Topic, base::TimePoint>>
+PlatformLink::toldAt() const {
+  std::vector<std::pair<log::Topic, base::TimePoint>> out;
+  if (Nodes && Nodes->toldAt())
+    out.emplace_back(log::Topic::Nodes, *Nodes->toldAt());
+  if (Operator && Operator->toldAt())
+    out.emplace_back(log::Topic::Operator, *Operator->toldAt());
+  return out;
+}
+
 void PlatformLink::tick(const std::vector<fleet::Member> &members,
                         base::TimePoint now) {
   if (Directory.mustWrite() && Nodes->hasListed() && now >= NextWrite) {
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace radishcross::node {
@@ -43,6 +44,9 @@
   /// Returns the bytes of the record in force, for the peers.
   const std::string &configurationText() const { return ExternalText; }
 
+  /// Returns when the store last answered reads of each topic followed.
+  std::vector<std::pair<log::Topic, base::TimePoint>> toldAt() const;
+
   /// Tells whether the store answers reads of the operator's record.
   bool isOperatorReached() const {
     return Operator && Operator->hasListed() && Operator->isReached();
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -78,6 +78,8 @@
 void TopicReader::answered(const log::TopicAnswer &answer,
                            std::string_view what) {
   bool isReached = answer.Reached || answer.Expired;
+  if (isReached)
+    ToldAt = base::SystemClock().now();
   if (isReached != std::exchange(Reached, isReached))
     base::log(isReached ? base::LogLevel::Info : base::LogLevel::Warning,
               isReached ? "store regained" : "store lost",
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace radishcross::node {
 
@@ -32,6 +33,9 @@
   /// Tells whether the topic has been read whole at least once.
   bool hasListed() const { return Follower.hasListed(); }
 
+  /// Returns when the store last answered a read; nothing before it first did.
+  std::optional<base::TimePoint> toldAt() const { return ToldAt; }
+
   /// Tells whether the store answered the last read.
   bool isReached() const { return Reached; }
 
@@ -47,6 +51,7 @@
   fleet::TopicFollower Follower;
   boost::asio::steady_timer Timer;
   bool Reached = true;
+  std::optional<base::TimePoint> ToldAt;
   bool IsPausing = false;
 };
 
--- a/Libraries/LibPeer/FleetBeacons.cpp
+++ b/Libraries/LibPeer/FleetBeacons.cpp
@@ -33,7 +33,6 @@
             std::to_string(++BeaconsSent);
   auto bytes = log::encodeRecord(
       log::makeBeacon(id, {"", "node", self.Gossip.Host}, body));
-  ++Environment.Counters->counter("platform_appends_total");
   *Bytes.Sent += bytes.size() + RecordOverheadBytes;
   Environment.Platform->append(
       std::move(bytes), [weak = weak_from_this()](const log::AppendAnswer &it) {
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -224,8 +224,6 @@
     return;
   IsServingReported = true;
   Members.setDigest(digest());
-  base::log(base::LogLevel::Info, "recovered",
-            {{"offset", std::to_string(Held.offset())}});
   send(Members.pushNews(Environment.Time->now()));
   reportFold();
 }
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -32,7 +32,6 @@
 } // namespace
 
 void FleetNode::readLog(const fleet::SpreadAction &action) {
-  ++Environment.Counters->counter("platform_reads_total");
   *Bytes.Sent += ReadRequestBytes;
   Environment.Platform->read(
       action.From, RecordsPerRead, action.Wait,
--- a/Libraries/LibPeer/FleetSnapshots.cpp
+++ b/Libraries/LibPeer/FleetSnapshots.cpp
@@ -104,7 +104,6 @@
     return;
   auto bytes = std::move(Unwritten.front());
   Unwritten.pop_front();
-  ++Environment.Counters->counter("platform_appends_total");
   *Bytes.Sent += bytes.size() + RecordOverheadBytes;
   Environment.Platform->append(
       std::move(bytes), [weak = weak_from_this()](const log::AppendAnswer &it) {
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Hash.h>
 #include <LibHttp/Client.h>
 #include <LibNode/NodeProcess.h>
+#include <LogFile.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -59,6 +60,7 @@
       it.Peer = test::freeAddress();
       it.Targets = test::freeAddress();
       it.Administration = test::freeAddress();
+      it.Metrics = test::freeAddress();
       it.Platform = {Platform.address()};
       it.MeshKeys = {"0123456789abcdef0123456789abcdef"};
       it.Tokens = {{"operator", base::sha256Hex(TokenText), "permits",
@@ -258,3 +260,62 @@
 TEST_CASE("a node that restarts before its peers know keeps what it held") {
   restartDeselected(true);
 }
+
+TEST_CASE("each node says once that it has recovered") {
+  tests::LogFile log;
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  auto recovered = [&] {
+    size_t out = 0;
+    for (const auto &it : log.lines())
+      out += tests::textAt(it, "event") == "recovered" ? 1 : 0;
+    return out;
+  };
+  REQUIRE(mesh.runUntil([&] { return recovered() >= mesh.Nodes.size(); }));
+  // Another line would come within the nodes' next timer.
+  mesh.Context.run_for(300ms);
+  CHECK(recovered() == mesh.Nodes.size());
+}
+
+TEST_CASE("a call to the store is counted once") {
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  auto sum = [&](const char *name) {
+    uint64_t out = 0;
+    for (const auto &it : mesh.Nodes)
+      out += it->metrics().counter(name);
+    return out;
+  };
+  // Those under way are counted by the nodes first.
+  CHECK(mesh.runUntil([&] {
+    return sum("platform_reads_total") == mesh.Platform.Store.Reads &&
+           sum("platform_appends_total") == mesh.Platform.Store.Appends;
+  }));
+  CHECK(mesh.Platform.Store.Reads > 0);
+  CHECK(mesh.Platform.Store.Appends > 0);
+}
+
+TEST_CASE("the metrics address serves the metrics and nothing else") {
+  Mesh mesh;
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  mesh.announceTarget();
+  auto get = [&](const std::string &path) {
+    return mesh.ask(mesh.Settings[0].Metrics,
+                    makeRequest(boost::beast::http::verb::get, path));
+  };
+  auto page = get("/metrics");
+  REQUIRE(page);
+  CHECK(page->result_int() == 200);
+  for (const char *name :
+       {"calls_total{rank=\"critical\",outcome=\"answered\"} 0",
+        "targets{state=\"ready\"} 1", "members_by_state{state=\"alive\"} 3",
+        "store_calls_total{call=\"list\",result=\"answered\"} ",
+        "store_told_age_seconds{topic=\"nodes\"} ", "ready 1",
+        "gate_limit{service=\"badges/lookup\"} 9"}) {
+    CAPTURE(name);
+    CHECK(page->body().find(name) != std::string::npos);
+  }
+  auto other = get("/v1/members");
+  REQUIRE(other);
+  CHECK(other->result_int() == 404);
+}
