--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace radishcross::calls {
@@ -87,6 +88,9 @@
                       base::TimePoint now);
   void tick(base::TimePoint now);
 
+  /// Returns the retries of each service that a critical call has left now.
+  std::vector<std::pair<std::string, int64_t>> retriesLeft(base::TimePoint now);
+
   /// Returns a step in the form of a trace's entry.
   static trace::Outcome outcomeOf(const CallStep &step);
 
@@ -104,6 +108,7 @@
     bool Fresh = false;   ///< The attempt uses a new connection.
     base::Duration Timeout{};
     base::Duration CutAfter{}; ///< 0: the attempt is never cut.
+    StopReason Stop = StopReason::None; ///< Why the last send() gave nothing.
   };
   struct ServiceState {
     RetryBudget Budget;
@@ -119,11 +124,13 @@
                         base::TimePoint now);
   CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
                      base::TimePoint now);
-  bool mayRetry(const PlannedCall &call, base::TimePoint now);
+  StopReason retryStop(const PlannedCall &call, base::TimePoint now);
   bool mayCut(const PlannedCall &call, base::TimePoint now);
   int64_t nodesLately(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
+  static ChoiceBasis basisOf(const TargetTable::Targets &targets,
+                             const KnownTarget &chosen, base::TimePoint now);
   base::Duration cutAfter(const PlannedCall &call, bool retry,
                           base::TimePoint now);
   void learn(PlannedCall &call, const AttemptResult &result,
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace radishcross::node {
 
@@ -35,6 +36,9 @@
   /// Tells whether the next read is held back only to space it from the last.
   bool isSpacing() const { return IsPausing && Follower.isSpacing(); }
 
+  /// Returns when the store last answered a read; nothing before it first did.
+  std::optional<base::TimePoint> toldAt() const { return ToldAt; }
+
   /// Tells whether the store answered the last read.
   bool isReached() const { return Reached; }
 
@@ -50,6 +54,7 @@
   fleet::TopicFollower Follower;
   boost::asio::steady_timer Timer;
   bool Reached = true;
+  std::optional<base::TimePoint> ToldAt;
   bool IsPausing = false;
 };
 
