LibNode: Ask the hosts that the settings name for a new node's peers

Cause: a node that was new to the fleet started 1 s after the store went down and knew nobody: the directory is kept in the store alone, and no live node can know of a newcomer. It stayed without a configuration, not ready, until the store was back (8.5 s), and its target got nothing. A restarted node is not hit: its peers remember it and ask it.

Change: setting `seed_hosts` (addresses of which the host counts, with the node's own gossip port), applied live.

Ruled out: handing the hosts over as `seeds`.

Test: a fourth node, unknown to the three that run, starts while every way to the store fails; without the line that hands the hosts over it is not ready after 4 s.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -129,6 +129,16 @@
   return true;
 }
 
+bool readSeedHosts(const json::array &values, NodeSettings &settings,
+                   base::LastReason &reason) {
+  if (!readAddresses(values, "seed_hosts", settings.SeedHosts, reason))
+    return false;
+  for (auto &it : settings.SeedHosts)
+    it.Port = settings.Gossip.Port;
+  std::erase(settings.SeedHosts, settings.Gossip);
+  return true;
+}
+
 bool readTokens(const json::array &values, NodeSettings &settings,
                 base::LastReason &reason) {
   std::set<std::string> hashes;
@@ -222,6 +232,9 @@
   if (const auto *seeds = root.if_contains("seeds"))
     if (!readAddresses(seeds->as_array(), "seeds", settings.Seeds, reason))
       return std::nullopt;
+  if (const auto *hosts = root.if_contains("seed_hosts"))
+    if (!readSeedHosts(hosts->as_array(), settings, reason))
+      return std::nullopt;
   if (const auto *flag = platform.if_contains("operator_configuration"))
     settings.HasOperatorConfiguration = flag->as_bool();
   if (const auto *service = root.if_contains("service"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -39,7 +39,8 @@
 /// Settings of one node, read from JSON:
 /// {"node", "data_centre", "region", "labels",
 ///  "listen": {"calls", "mesh", "gossip", "peer", "targets", "administration"},
-///  "platform": {"addresses": []}, "seeds": [], "mesh_keys": [], "tokens": [],
+///  "platform": {"addresses": []}, "seeds": [], "seed_hosts": [],
+///  "mesh_keys": [], "tokens": [],
 ///  "log": {"level", "format"}, "tailers_per_data_centre", "drain_seconds"}
 struct NodeSettings {
   std::string Node;
@@ -65,6 +66,8 @@
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL << 20; ///< For decisions kept for replay.
   std::vector<base::Address> Seeds;   ///< Gossip addresses of other nodes.
+  /// Hosts where other nodes may run, with this node's own gossip port.
+  std::vector<base::Address> SeedHosts;
   std::vector<std::string> MeshKeys;
   /// No key is given: the network between the nodes is trusted.
   bool TrustsNetwork = false;
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -38,6 +38,7 @@
     live<&Settings::TargetLease>("target_lease_ms"),
     live<&Settings::Service>("service"),
     live<&Settings::TargetAddress>("target_address"),
+    live<&Settings::SeedHosts>("seed_hosts"),
     atStart<&Settings::Node>("node"),
     atStart<&Settings::DataCentre>("data_centre"),
     atStart<&Settings::Region>("region"),
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -112,6 +112,8 @@
   if (!node->startFleet(reason) || !node->startListeners(reason))
     return std::nullopt;
   node->Link.start(settings.HasOperatorConfiguration, node->Seed);
+  // Unlike seeds they are no sign that others run: nothing waits for them.
+  node->Fleet->addSeeds(settings.SeedHosts);
   node->armTimer();
   return node;
 }
@@ -374,6 +376,7 @@
   Leases.setLifetime(settings.TargetLease);
   Announcements.setOwnTarget(ownTargetOf(settings));
   Proxy->namesChanged(settings.CallHeaders, settings.Service);
+  Fleet->addSeeds(settings.SeedHosts);
 }
 
 void NodeProcess::drainSelf() {
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -75,6 +75,19 @@
   CHECK(settings->DrainSeconds == 20);
 }
 
+TEST_CASE("of a seed host the host alone counts, and one's own is none") {
+  auto document = goodSettings();
+  change(document, "/seed_hosts", R"(["127.0.0.7:8306", "127.0.0.1:8306"])");
+  base::LastReason reason;
+  auto settings = admin::decodeNodeSettings(document, reason);
+  REQUIRE_MESSAGE(settings, reason.line());
+  CHECK(settings->SeedHosts ==
+        std::vector<base::Address>{{"127.0.0.7", settings->Gossip.Port}});
+  change(document, "/seed_hosts", R"(["host"])");
+  CHECK_FALSE(admin::decodeNodeSettings(document, reason));
+  CHECK(reason.code() == ResultCode::BadAddress);
+}
+
 TEST_CASE("each fault in settings is named with its key and its code") {
   const Case cases[] = {
       {"/colour", "1", ResultCode::UnknownKey, "colour"},
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -21,22 +21,25 @@
   std::map<std::string, std::unique_ptr<node::NodeProcess>> Nodes;
 
   Mesh() {
-    for (const char *id : {"a-1", "a-2", "b-1"}) {
-      admin::NodeSettings it;
-      it.Node = id;
-      it.DataCentre = std::string(id, 1);
-      it.Region = "south";
-      it.Calls = test::freeAddress();
-      it.Mesh = test::freeAddress();
-      it.Gossip = test::freeAddress();
-      it.Peer = test::freeAddress();
-      it.Targets = test::freeAddress();
-      it.Administration = test::freeAddress();
-      it.Platform = {{"127.0.0.1", 1}};
-      it.HasOperatorConfiguration = true;
-      it.TrustsNetwork = true;
-      Settings.push_back(std::move(it));
-    }
+    for (const char *id : {"a-1", "a-2", "b-1"})
+      addSettings(id);
+  }
+
+  void addSettings(const std::string &id) {
+    admin::NodeSettings it;
+    it.Node = id;
+    it.DataCentre = id.substr(0, 1);
+    it.Region = "south";
+    it.Calls = test::freeAddress();
+    it.Mesh = test::freeAddress();
+    it.Gossip = test::freeAddress();
+    it.Peer = test::freeAddress();
+    it.Targets = test::freeAddress();
+    it.Administration = test::freeAddress();
+    it.Platform = {{"127.0.0.1", 1}};
+    it.HasOperatorConfiguration = true;
+    it.TrustsNetwork = true;
+    Settings.push_back(std::move(it));
   }
 
   node::PlatformPorts portsOf(const std::string &id) {
@@ -136,6 +139,22 @@
   CHECK(mesh.versionAt("a-2") == 3);
 }
 
+TEST_CASE("a new node that starts while its store fails asks the hosts that it "
+          "is given") {
+  Mesh mesh;
+  mesh.publish("3");
+  mesh.startAll();
+  for (const auto &it : mesh.Settings)
+    mesh.Ways[it.Node] = test::StoreWay::Refuses;
+  // Nobody knows of it, and the directory cannot be read.
+  mesh.addSettings("c-1");
+  mesh.Settings.back().SeedHosts = {mesh.Settings.front().Gossip};
+  mesh.Ways["c-1"] = test::StoreWay::Refuses;
+  mesh.start("c-1");
+  CHECK(mesh.runUntil([&] { return mesh.Nodes.at("c-1")->ready(); }, 4s));
+  CHECK(mesh.versionAt("c-1") == 3);
+}
+
 TEST_CASE("a lower version and a bad one change nothing") {
   Mesh mesh;
   mesh.publish("9");
