--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -39,6 +39,7 @@
     live<&Settings::Service>("service"),
     live<&Settings::TargetAddress>("target_address"),
     atStart<&Settings::Compared>("comparison"),
+    live<&Settings::SeedHosts>("seed_hosts"),
     atStart<&Settings::Node>("node"),
     atStart<&Settings::DataCentre>("data_centre"),
     atStart<&Settings::Region>("region"),
