LibFleet: Read the newest first after the store was lost

After a failed read the keys are listed, so that the newest comes first, and where no connection came about the pause is at most 0.4 s (was 1.5 s): the attempt itself has taken its second, and costs no store call. Large records are spaced by 0.2 s instead of 1 s, since their transfer adds to the bound.

A question to a peer behind a cut hung for 5 s and kept from asking others; after 0.6 s another one is asked.

Tests changed: after a failed Follow a List is due, not a Follow; a second question is due after 0.6 s without an answer, not never. TestVersionCatchUp 'a question that gets no answer...' fails on the former code.

--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -9,17 +9,20 @@
 base::Duration TopicFollower::nextPause() {
   constexpr uint32_t MostDoublings = 8;
   auto pause = Relist;
+  // An attempt that reaches nobody has taken its time, and costs no call.
+  auto longest =
+      WasUnreachable ? Settings.LongestUnreachablePause : Settings.LongestPause;
   if (Failures > 0)
     pause = std::min(Settings.ShortestPause *
                          (1U << std::min(Failures, MostDoublings)),
-                     Settings.LongestPause);
+                     longest);
   return pause / 2 + base::Duration(Dice.below(pause.count() / 2 + 1));
 }
 
 TopicStep TopicFollower::next() {
   IsSpacing = std::exchange(SpacingIsDue, false);
   if (IsSpacing)
-    return {TopicStep::Kind::Pause, From, Settings.Spacing};
+    return {TopicStep::Kind::Pause, From, NextSpacing};
   if (std::exchange(PauseIsDue, false) && !std::exchange(SkipsPause, false))
     return {TopicStep::Kind::Pause, From, nextPause()};
   if (ListIsDue)
@@ -27,37 +30,37 @@
   return {TopicStep::Kind::Follow, From, Settings.LongPoll};
 }
 
-void TopicFollower::ended(bool reached) {
-  PauseIsDue = !reached || Settings.ListsOnly;
-  Failures = reached ? 0 : Failures + 1;
+void TopicFollower::ended(const TopicRead &read) {
+  bool isAnswered = read.Reached || read.Expired;
+  PauseIsDue = !isAnswered || Settings.ListsOnly;
+  Failures = isAnswered ? 0 : Failures + 1;
+  WasUnreachable = read.Unreachable;
+  if (!read.Reached)
+    ListIsDue = true;
+  bool isLarge = read.Bytes > Settings.LargeBytes;
+  NextSpacing = isLarge ? Settings.LargeSpacing : Settings.Spacing;
 }
 
-void TopicFollower::listed(bool reached, uint64_t end) {
-  ended(reached);
-  if (!reached)
+void TopicFollower::listed(const TopicRead &read) {
+  ended(read);
+  if (!read.Reached)
     return;
-  bool isBurst = !Settings.ListsOnly && HasListed && end > From;
-  From = end;
+  SpacingIsDue = !Settings.ListsOnly && HasListed && read.End > From;
+  From = read.End;
   HasListed = true;
-  SpacingIsDue = isBurst;
-  ListIsDue = Settings.ListsOnly || isBurst;
+  ListIsDue = Settings.ListsOnly;
   Relist = Relist.count() == 0 ? Settings.FirstRelist
                                : std::min(Relist * 2, Settings.LongestRelist);
 }
 
-void TopicFollower::followed(bool reached, bool expired, uint64_t next,
-                             uint64_t end) {
-  ended(reached || expired);
-  if (expired)
-    ListIsDue = true;
-  if (expired || !reached)
+void TopicFollower::followed(const TopicRead &read) {
+  ended(read);
+  if (!read.Reached)
     return;
-  uint64_t count = next > From ? next - From : 0;
-  From = std::max(From, next);
-  // Newer ones that did not fit the answer are not waited for.
-  bool hasMore = end > From;
-  SpacingIsDue = count > 0 && !hasMore;
-  ListIsDue = hasMore || count > 1;
+  bool isNew = read.Next > From;
+  From = std::max(From, read.Next);
+  ListIsDue = read.End > From;
+  SpacingIsDue = isNew && !ListIsDue;
 }
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -4,6 +4,7 @@
 #include <LibBase/Random.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace radishcross::fleet {
@@ -14,9 +15,17 @@
   base::Duration LongPoll = std::chrono::seconds(25);
   base::Duration ShortestPause = std::chrono::milliseconds(200);
   base::Duration LongestPause = std::chrono::milliseconds(1500);
+  /// The same where no connection came about. After a cut of a zone 3 s are
+  /// left for an attempt that began within it, a pause and a large record.
+  base::Duration LongestUnreachablePause = std::chrono::milliseconds(400);
   /// From an answer that brought records to the next read: half of the 2 s in
   /// which a version is to be in force everywhere.
   base::Duration Spacing = std::chrono::seconds(1);
+  /// The same after records that are large: they take that long to arrive, and
+  /// so will the next ones.
+  base::Duration LargeSpacing = std::chrono::milliseconds(200);
+  /// What a link of 7 Mbit/s, the least stated, carries in a tenth of a second.
+  size_t LargeBytes = 85UL << 10;
   /// Only list the keys, now and then, instead of waiting for what is added:
   /// for a topic that many write and that wakes every reader each time.
   bool ListsOnly = false;
@@ -24,6 +33,16 @@
   base::Duration LongestRelist = std::chrono::seconds(30);
 };
 
+/// How one read of a topic ended.
+struct TopicRead {
+  bool Reached = false;     ///< The store answered with what it was asked for.
+  bool Expired = false;     ///< It no longer keeps the records asked for.
+  bool Unreachable = false; ///< No connection came about: no call to the store.
+  uint64_t Next = 0;        ///< One past the last record read.
+  uint64_t End = 0; ///< One past the newest, which an answer need not bring.
+  size_t Bytes = 0; ///< Of the records read.
+};
+
 /// What a reader of a topic does next.
 struct TopicStep {
   enum class Kind : uint8_t {
@@ -40,10 +59,11 @@
 /// its keys again when the history has been dropped in between. Or its keys
 /// alone, at intervals that grow.
 ///
-/// Records that follow each other closely are a burst, of which only the newest
-/// of each key counts: its keys are listed, spaced, until that brings nothing
-/// new. So a burst costs each reader one read a spacing, however many and
-/// however large its records are.
+/// Records that follow each other closely are a burst, of which the newest of
+/// each key counts. Reads that brought any are spaced, so that a burst costs a
+/// reader at most two reads a spacing; where an answer had no room for the
+/// newest, and after the store was lost, the keys are listed instead of reading
+/// on from the oldest.
 class TopicFollower {
 public:
   TopicFollower(TopicFollowerSettings settings, uint64_t seed)
@@ -55,12 +75,11 @@
   /// Has the next pause passed over, so that the keys are listed at once.
   void listSoon() { SkipsPause = true; }
 
-  /// Takes the end of a List.
-  void listed(bool reached, uint64_t end);
+  /// Takes the end of a List, of which Next does not count.
+  void listed(const TopicRead &read);
 
-  /// Takes the end of a Follow; \p next is one past the last record read and
-  /// \p end one past the newest, which an answer need not bring.
-  void followed(bool reached, bool expired, uint64_t next, uint64_t end);
+  /// Takes the end of a Follow.
+  void followed(const TopicRead &read);
 
   /// Tells whether the pause returned last only spaces two reads.
   bool isSpacing() const { return IsSpacing; }
@@ -69,7 +88,7 @@
   bool hasListed() const { return HasListed; }
 
 private:
-  void ended(bool reached);
+  void ended(const TopicRead &read);
   base::Duration nextPause();
 
   TopicFollowerSettings Settings;
@@ -81,6 +100,8 @@
   bool SkipsPause = false;
   bool SpacingIsDue = false;
   bool IsSpacing = false;
+  bool WasUnreachable = false;
+  base::Duration NextSpacing{};
   base::Duration Relist{}; ///< The last pause between two lists.
   uint32_t Failures = 0;   ///< In a row.
 };
--- a/Libraries/LibFleet/VersionCatchUp.cpp
+++ b/Libraries/LibFleet/VersionCatchUp.cpp
@@ -18,7 +18,7 @@
   // The time for this node's own read counts from when it may begin.
   if (view.IsReadSpaced && Newest > view.Held)
     NewestDue = std::max(NewestDue, now + Drawn);
-  if (IsAsking || now < NextAsk)
+  if (now < AskedUntil || now < NextAsk)
     return false;
   bool isBehind = Newest > view.Held && now >= NewestDue;
   if (!isBehind && view.IsStoreReached)
@@ -26,7 +26,7 @@
   auto spacing = isBehind || view.Held == 0 ? Settings.EmptySpacing
                                             : Settings.BlindSpacing;
   NextAsk = now + spacing / 2 + base::Duration(Dice.below(spacing.count()));
-  IsAsking = true;
+  AskedUntil = now + Settings.Patience;
   return true;
 }
 
--- a/Libraries/LibFleet/VersionCatchUp.h
+++ b/Libraries/LibFleet/VersionCatchUp.h
@@ -13,6 +13,9 @@
   /// How much later than the news a peer is asked: by then this node's own
   /// read of the store has brought the version, unless the store fails it.
   base::Duration Delay = std::chrono::milliseconds(250);
+  /// How long a question without an answer keeps from the next: a peer behind
+  /// a cut does not answer at all.
+  base::Duration Patience = std::chrono::milliseconds(600);
   /// Between two questions while nothing is held.
   base::Duration EmptySpacing = std::chrono::milliseconds(300);
   /// Between two questions while the store does not answer.
@@ -36,11 +39,11 @@
   /// Takes the news that \p version is in force at another node.
   void heard(uint64_t version, base::TimePoint now);
 
-  /// Tells whether a peer is to be asked now; at most one at a time.
+  /// Tells whether a peer is to be asked now; one at a time while they answer.
   bool isDue(const CatchUpView &view, base::TimePoint now);
 
   /// Takes the end of a question.
-  void ended() { IsAsking = false; }
+  void ended() { AskedUntil = {}; }
 
 private:
   CatchUpSettings Settings;
@@ -49,7 +52,7 @@
   base::Duration Drawn{}; ///< From the news to the question.
   base::TimePoint NewestDue{};
   base::TimePoint NextAsk{};
-  bool IsAsking = false;
+  base::TimePoint AskedUntil{}; ///< No answer is waited for later.
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -7,6 +7,25 @@
 
 namespace radishcross::node {
 
+namespace {
+
+fleet::TopicRead readOf(const log::TopicAnswer &answer, uint64_t from) {
+  fleet::TopicRead out;
+  out.Reached = answer.Reached;
+  out.Expired = answer.Expired;
+  out.Unreachable = !answer.Reached &&
+                    answer.Reason.code() == base::ResultCode::NodeUnreachable;
+  out.Next = from;
+  out.End = answer.End;
+  for (const auto &it : answer.Records) {
+    out.Next = std::max(out.Next, it.At + 1);
+    out.Bytes += it.Value.size();
+  }
+  return out;
+}
+
+} // namespace
+
 std::shared_ptr<TopicReader>
 TopicReader::start(boost::asio::io_context &context, log::KeyedStore &store,
                    log::Topic topic, uint64_t seed, Taken taken,
@@ -54,7 +73,7 @@
     if (!self)
       return;
     self->answered(answer, "list");
-    self->Follower.listed(answer.Reached, answer.End);
+    self->Follower.listed(readOf(answer, 0));
     self->go();
   });
 }
@@ -67,11 +86,7 @@
                   if (!self)
                     return;
                   self->answered(answer, "follow");
-                  uint64_t next = from;
-                  for (const auto &it : answer.Records)
-                    next = std::max(next, it.At + 1);
-                  self->Follower.followed(answer.Reached, answer.Expired, next,
-                                          answer.End);
+                  self->Follower.followed(readOf(answer, from));
                   self->go();
                 });
 }
