LibHttp: Keep little memory for connections that wait

The first read of a message takes 2 KiB, more only where the message is larger, and what a large one took is given back once it has been read.

Test: TestConnection 'a connection keeps little memory between its messages'.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -22,14 +22,16 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+/// Most messages have no more; a connection that waits keeps no more than this.
+constexpr size_t FirstReadBytes = 2UL << 10;
 constexpr size_t ReadChunkBytes = 8UL << 10;
 constexpr size_t DiscardLimitBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
 constexpr int KeepaliveIdleSeconds = 1;
 constexpr int KeepaliveIntervalSeconds = 1;
 constexpr int KeepaliveProbes = 2;
-/// Memory that a connection keeps between messages.
-constexpr size_t KeptOutputBytes = 64UL << 10;
+/// What a connection keeps of its output between messages: most have less.
+constexpr size_t KeptOutputBytes = 4UL << 10;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -126,13 +128,18 @@
   return {static_cast<const char *>(data.data()), data.size()};
 }
 
-asio::awaitable<ReadEnd> Connection::fill() {
+/// Gives back what a large message took, once nothing of it is left.
+void Connection::releaseSpare() {
+  if (Buffer.size() == 0 && Buffer.capacity() > FirstReadBytes)
+    Buffer.shrink_to_fit();
+}
+
+asio::awaitable<ReadEnd> Connection::fill(size_t chunk) {
   if (Expired)
     co_return ReadEnd::TimedOut;
   error_code ec;
   size_t n = co_await Socket.async_read_some(
-      Buffer.prepare(ReadChunkBytes),
-      asio::redirect_error(asio::use_awaitable, ec));
+      Buffer.prepare(chunk), asio::redirect_error(asio::use_awaitable, ec));
   Buffer.commit(n);
   AtEnd = ec == asio::error::eof;
   if (!ec)
@@ -143,7 +150,7 @@
 asio::awaitable<ReadEnd> Connection::awaitFirstByte() {
   if (Buffer.size() > 0)
     co_return ReadEnd::Complete;
-  ReadEnd end = co_await fill();
+  ReadEnd end = co_await fill(FirstReadBytes);
   co_return end == ReadEnd::Cut ? ReadEnd::Closed : end;
 }
 
@@ -170,7 +177,8 @@
     if (end != std::string_view::npos)
       break;
     scanned = data.size();
-    ReadEnd got = co_await fill();
+    ReadEnd got =
+        co_await fill(Buffer.size() == 0 ? FirstReadBytes : ReadChunkBytes);
     if (got != ReadEnd::Complete)
       co_return got == ReadEnd::Cut &&scanned == 0 ? ReadEnd::Closed : got;
   }
@@ -194,7 +202,7 @@
       break;
     if (!ec && Buffer.size() > 0)
       continue;
-    ReadEnd got = co_await fill();
+    ReadEnd got = co_await fill(ReadChunkBytes);
     if (got == ReadEnd::Cut && AtEnd && parser.need_eof())
       parser.put_eof(ec);
     else if (got != ReadEnd::Complete)
@@ -240,6 +248,7 @@
     }
   }
   request = parser.release();
+  releaseSpare();
   co_return ReadEnd::Complete;
 }
 
@@ -278,6 +287,7 @@
       end = co_await readBody(parser, reason);
     if (end == ReadEnd::Complete)
       response = parser.release();
+    releaseSpare();
     co_return end;
   }
 }
@@ -351,7 +361,7 @@
     size_t discarded = 0;
     while (discarded < DiscardLimitBytes) {
       Buffer.clear();
-      if (co_await fill() != ReadEnd::Complete)
+      if (co_await fill(ReadChunkBytes) != ReadEnd::Complete)
         break;
       discarded += Buffer.size();
     }
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -94,6 +94,9 @@
   /// Tells whether bytes beyond the last message have been read.
   bool hasBufferedInput() const { return Buffer.size() > 0; }
 
+  /// Returns the bytes of the buffers that the connection holds now.
+  size_t keptBytes() const { return Buffer.capacity() + Output.capacity(); }
+
   /// Tells whether bytes that were not asked for, or the end of the stream,
   /// have arrived; never blocks.
   bool hasPendingInput();
@@ -111,7 +114,8 @@
 
   void arm(Clock::time_point at);
   void timerFired();
-  boost::asio::awaitable<ReadEnd> fill();
+  boost::asio::awaitable<ReadEnd> fill(size_t chunk);
+  void releaseSpare();
   boost::asio::awaitable<ReadEnd> readHead(size_t maximum, size_t &size,
                                            base::LastReason &reason);
   boost::asio::awaitable<bool> writeBytes();
--- /dev/null
+++ b/Tests/LibHttp/TestConnection.cpp
@@ -0,0 +1,88 @@
+#include <LibHttp/Connection.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Two ends of one connection.
+struct Ends {
+  Ends() {
+    tcp::acceptor acceptor(Context, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket near(Context);
+    near.connect(acceptor.local_endpoint());
+    Server = std::make_shared<http::Connection>(acceptor.accept());
+    Client = std::make_shared<http::Connection>(std::move(near));
+  }
+
+  /// Sends one request and its answer, each with a body of \p bytes.
+  void exchange(size_t bytes) {
+    http::Request request(boost::beast::http::verb::post, "/a", 11);
+    request.set(boost::beast::http::field::host, "a");
+    request.body() = std::string(bytes, 'x');
+    request.prepare_payload();
+    Server->expireAfter(5s);
+    Client->expireAfter(5s);
+    int running = 2;
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          http::Response response;
+          base::LastReason reason;
+          REQUIRE(co_await Client->write(request));
+          auto end = co_await Client->readResponse(
+              response, request.method(), http::MessageLimits{}, reason);
+          CHECK(end == http::ReadEnd::Complete);
+          CHECK(response.body().size() == bytes);
+          --running;
+        },
+        asio::detached);
+    asio::co_spawn(
+        Context,
+        [&]() -> asio::awaitable<void> {
+          http::Request taken;
+          base::LastReason reason;
+          CHECK(co_await Server->awaitFirstByte() == http::ReadEnd::Complete);
+          auto end = co_await Server->readRequest(taken, http::MessageLimits{},
+                                                  true, reason);
+          CHECK(end == http::ReadEnd::Complete);
+          http::Response answer(boost::beast::http::status::ok, 11);
+          answer.body() = taken.body();
+          answer.prepare_payload();
+          CHECK(co_await Server->write(answer));
+          --running;
+        },
+        asio::detached);
+    while (running > 0)
+      Context.run_one();
+  }
+
+  asio::io_context Context{1};
+  std::shared_ptr<http::Connection> Server;
+  std::shared_ptr<http::Connection> Client;
+};
+
+} // namespace
+
+TEST_CASE("a connection keeps little memory between its messages") {
+  // A node has hundreds of connections, of which most wait.
+  constexpr size_t Most = 6UL << 10;
+  for (size_t bytes : {10UL, 3000UL, 200'000UL, 10UL}) {
+    INFO(bytes);
+    Ends ends;
+    for (int n = 0; n < 3; ++n) {
+      ends.exchange(bytes);
+      CHECK(ends.Server->keptBytes() <= Most);
+      CHECK(ends.Client->keptBytes() <= Most);
+    }
+  }
+}
