LibHttp: Let a call's latency objective travel with it

The target's node looked the route up again for each call, only to know the latency objective that the caller's node had just found; and it found none where it had no configuration, or another version of it.

The objective now goes from the route through CallStep and MeshCall to the gate. Between nodes it follows the id in the mesh header's line, covered by the line's proof: a node that doesn't know of it takes an id as it is, so that nodes of both versions understand each other during an upgrade; a line without one, or with another text there, means that none is stated.

TestCallProxy's new case fails with a shell that doesn't pass the objective on.

--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -70,7 +70,8 @@
   base::Duration AttemptTimeout{};
   /// When to ask cutAttempt(), and again each time after it refused; 0: never.
   base::Duration CutAfter{};
-  base::Duration Remaining{}; ///< Deadline left, for the next hop.
+  base::Duration Remaining{};        ///< Deadline left, for the next hop.
+  base::Duration LatencyObjective{}; ///< Of the route; 0: none is stated.
   /// Open a new connection to the node of To and close the idle ones to it.
   bool FreshConnection = false;
   /// The attempt is a retry, or below one: AttemptHeader is above 0.
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -256,6 +256,7 @@
   out.AttemptTimeout = timeout;
   out.CutAfter = call.CutAfter;
   out.Remaining = timeout;
+  out.LatencyObjective = call.Route.LatencyObjective;
   out.FreshConnection = call.Fresh;
   out.Retry = retry || call.Route.BelowRetry;
   return out;
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -365,6 +365,7 @@
   mesh.CallId = call.Request.CallId;
   mesh.CallRank = step.CallRank;
   mesh.Remaining = std::min(step.Remaining, step.AttemptTimeout);
+  mesh.LatencyObjective = step.LatencyObjective;
   mesh.Hops = call.Request.Hops;
   mesh.Attempt = step.Retry || call.Request.BelowRetry ? RetryAttempt : 1;
   mesh.ServiceName = step.ServiceName;
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -68,9 +68,9 @@
   if (!target)
     co_return refusal(base::ResultCode::NoTarget);
   base::TimePoint now = Environment.Time->now();
-  calls::Arrival arrival{call.CallId,         call.ServiceName, call.TargetId,
-                         call.CallRank,       call.Remaining,   fingerprint,
-                         objectiveOf(request)};
+  calls::Arrival arrival{call.CallId,          call.ServiceName, call.TargetId,
+                         call.CallRank,        call.Remaining,   fingerprint,
+                         call.LatencyObjective};
   GateAnswer answer = Environment.Gate->arrive(arrival, now);
   calls::Ticket ticket = answer.Call;
   if (answer.What == GateAnswer::Kind::Queued)
@@ -139,17 +139,6 @@
   co_return outcome;
 }
 
-/// Returns the latency objective of the request's route; 0: none is known.
-base::Duration GateRunner::objectiveOf(const Request &request) const {
-  const auto snapshot = Environment.CurrentSnapshot();
-  if (!snapshot)
-    return {};
-  const auto hit = snapshot->findRoute(request.method_string(),
-                                       request[boost::beast::http::field::host],
-                                       request.target());
-  return hit.Matched ? hit.Matched->LatencyObjective : base::Duration{};
-}
-
 /// Returns the fields that a target gets: its id and the deadline, and what
 /// proves its deeper calls where there is a key.
 std::string GateRunner::targetLines(const Request &request,
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -57,7 +57,6 @@
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
-  base::Duration objectiveOf(const Request &request) const;
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &answers);
 
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -66,6 +66,10 @@
 
 using FieldValues = std::array<std::string_view, std::size(ProvenFields)>;
 
+/// Between nodes a latency objective follows the id after this sign, because
+/// nodes that don't know of it take an id as it is.
+constexpr char ObjectiveSign = ';';
+
 /// In place of a proof where there is no key.
 constexpr std::string_view NoProof = "-";
 
@@ -120,6 +124,25 @@
   return ec == std::errc() && end == text.data() + text.size();
 }
 
+std::string idWord(const MeshCall &call, MeshAudience audience) {
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.LatencyObjective);
+  if (audience != MeshAudience::Node || ms.count() <= 0)
+    return call.CallId;
+  return call.CallId + ObjectiveSign + std::to_string(ms.count());
+}
+
+/// Reads back what idWord() wrote; what isn't an objective is part of the id.
+void readIdWord(std::string_view word, MeshCall &call) {
+  size_t at = word.rfind(ObjectiveSign);
+  uint32_t ms = 0;
+  if (at != std::string_view::npos && parseNumber(word.substr(at + 1), ms)) {
+    call.LatencyObjective = std::chrono::milliseconds(ms);
+    word = word.substr(0, at);
+  }
+  call.CallId = word;
+}
+
 } // namespace
 
 void stripMeshFields(bh::fields &fields) {
@@ -138,11 +161,14 @@
   std::string deadline = std::to_string(remaining.count());
   std::string hops = std::to_string(call.Hops);
   std::string attempt = std::to_string(call.Attempt);
-  const FieldValues values = {
-      call.CallId,      base::nameOf(config::RankNames, call.CallRank),
-      deadline,         hops,
-      call.ServiceName, call.TargetId,
-      attempt};
+  std::string id = idWord(call, audience);
+  const FieldValues values = {id,
+                              base::nameOf(config::RankNames, call.CallRank),
+                              deadline,
+                              hops,
+                              call.ServiceName,
+                              call.TargetId,
+                              attempt};
   constexpr size_t UsualSize = 512;
   std::string proof;
   if (!keys.empty())
@@ -181,7 +207,10 @@
     return reason.fail(base::ResultCode::PeerUnauthenticated,
                        "the request carries no valid proof of the mesh key");
   MeshCall call;
-  call.CallId = values[CallIdPlace];
+  if (audience == MeshAudience::Node)
+    readIdWord(values[CallIdPlace], call);
+  else
+    call.CallId = values[CallIdPlace];
   call.ServiceName = values[ServicePlace];
   call.TargetId = values[TargetPlace];
   auto rank = base::fromName(config::RankNames, values[RankPlace]);
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -19,6 +19,9 @@
   config::Rank CallRank = config::Rank::Background;
   /// Deadline left; travels in milliseconds; 0 means that it has passed.
   base::Duration Remaining{};
+  /// Of the call's route; 0: none is stated, or an older node sent the call.
+  /// Travels between nodes only, in milliseconds.
+  base::Duration LatencyObjective{};
   uint32_t Hops = 0;       ///< Calls above this one in the chain.
   uint32_t Attempt = 1;    ///< 2 for a retry.
   std::string ServiceName; ///< "configuration/name".
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -103,6 +103,23 @@
             R"(calls_total{rank="standard",outcome="answered"})") == 1);
 }
 
+TEST_CASE("a call's latency objective comes to the gate with it") {
+  for (bool isLocal : {false, true}) {
+    TwoNodes mesh;
+    auto &node = isLocal ? mesh.Near : mesh.Far;
+    node.Local = mesh.Far.Local;
+    mesh.Near.sendTo(node, isLocal ? "near" : "far", *node.Local);
+    auto callers = mesh.Near.Proxy->callsAddress();
+    ask(mesh.Context, callers, mesh.post());
+    mesh.Near.Broker.First.LatencyObjective = std::chrono::milliseconds(400);
+    ask(mesh.Context, callers, mesh.post());
+    REQUIRE(node.Gate.Arrivals.size() == 2);
+    CHECK(node.Gate.Arrivals[0].LatencyObjective.count() == 0);
+    CHECK(node.Gate.Arrivals[1].LatencyObjective ==
+          std::chrono::milliseconds(400));
+  }
+}
+
 TEST_CASE("a target behind the caller's own node is reached through its gate") {
   TwoNodes mesh;
   mesh.Near.Local = mesh.Far.Local;
--- a/Tests/LibHttp/TestMeshCall.cpp
+++ b/Tests/LibHttp/TestMeshCall.cpp
@@ -58,6 +58,38 @@
     }
 }
 
+TEST_CASE("a latency objective travels between nodes, and may be missing") {
+  http::Request bare(boost::beast::http::verb::get, "/pay", 11);
+  http::MeshKeys keys({"the key"});
+  struct Row {
+    std::string Id; ///< As the line has it.
+    std::string CallId;
+    int64_t Milliseconds;
+  };
+  const Row rows[] = {{"0123", "0123", 0},
+                      {"0123;250", "0123", 250},
+                      {"0123;", "0123;", 0},
+                      {"0123;soon", "0123;soon", 0}};
+  for (const auto &row : rows) {
+    CAPTURE(row.Id);
+    http::MeshCall call = someCall();
+    call.CallId = row.Id;
+    base::LastReason reason;
+    auto read = readMeshCall(
+        requestWith(meshLines(bare, call, http::MeshAudience::Node, keys)),
+        http::MeshAudience::Node, keys, reason);
+    REQUIRE(read);
+    CHECK(read->CallId == row.CallId);
+    CHECK(read->LatencyObjective ==
+          std::chrono::milliseconds(row.Milliseconds));
+    std::string again = meshLines(bare, *read, http::MeshAudience::Node, keys);
+    CHECK(again.find(" " + row.Id + " ") != std::string::npos);
+    // A target gets the id alone.
+    std::string told = meshLines(bare, *read, http::MeshAudience::Target, keys);
+    CHECK(told.find(": " + row.CallId + "\r\n") != std::string::npos);
+  }
+}
+
 TEST_CASE("no value of a call between nodes can be changed") {
   http::Request bare(boost::beast::http::verb::get, "/pay", 11);
   http::MeshKeys keys({"the key"});
