--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -71,9 +71,9 @@
   if (!target)
     co_return refusal(base::ResultCode::NoTarget);
   base::TimePoint now = Environment.Time->now();
-  calls::Arrival arrival{call.CallId,         call.ServiceName, call.TargetId,
-                         call.CallRank,       call.Remaining,   fingerprint,
-                         objectiveOf(request)};
+  calls::Arrival arrival{call.CallId,          call.ServiceName, call.TargetId,
+                         call.CallRank,        call.Remaining,   fingerprint,
+                         call.LatencyObjective};
   GateAnswer answer = Environment.Gate->arrive(arrival, now);
   calls::Ticket ticket = answer.Call;
   calls::GateView found = answer.Found;
@@ -165,17 +165,6 @@
   return {it->value().data(), it->value().size()};
 }
 
-/// Returns the latency objective of the request's route; 0: none is known.
-base::Duration GateRunner::objectiveOf(const Request &request) const {
-  const auto snapshot = Environment.CurrentSnapshot();
-  if (!snapshot)
-    return {};
-  const auto hit = snapshot->findRoute(request.method_string(),
-                                       request[boost::beast::http::field::host],
-                                       request.target());
-  return hit.Matched ? hit.Matched->LatencyObjective : base::Duration{};
-}
-
 /// Returns the fields that a target gets: its id and the deadline, and what
 /// proves its deeper calls where there is a key.
 std::string GateRunner::targetLines(const Request &request,
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -66,7 +66,6 @@
               std::shared_ptr<ClientWatch> watch);
   std::string_view requestIdOf(const MeshCall &call,
                                const Request &request) const;
-  base::Duration objectiveOf(const Request &request) const;
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &answers);
 
