LibNode: Let no timer reach a node that has gone

Cause: the node's timer handler takes the node by address. A handler that is due already when the node is destroyed is no longer cancelled and runs on freed memory.

--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -309,12 +309,14 @@
 
 void NodeProcess::armTimer() {
   Timer.expires_after(TickPeriod);
-  Timer.async_wait([this](boost::system::error_code ec) {
-    if (ec)
-      return;
-    tick();
-    armTimer();
-  });
+  // A handler that is due already runs also after the timer has gone.
+  Timer.async_wait(
+      [this, weak = std::weak_ptr<bool>(Alive)](boost::system::error_code ec) {
+        if (ec || weak.expired())
+          return;
+        tick();
+        armTimer();
+      });
 }
 
 void NodeProcess::tick() {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -129,6 +129,7 @@
   std::optional<base::TimePoint> KeepingSince; ///< A change waits for Kept.
   DrainPlan Draining;
   std::function<void()> Drained;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace radishcross::node
