--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -61,6 +61,10 @@
   virtual void put(Topic topic, std::string key, std::string value,
                    std::function<void(PutAnswer)> done) = 0;
 
+  /// Drops keys, all in one step; \p done is called exactly once.
+  virtual void drop(Topic topic, std::vector<std::string> keys,
+                    std::function<void(PutAnswer)> done) = 0;
+
   /// Returns the newest record of each key. Its pages are no snapshot: End is
   /// that of the first page, from where a reader goes on.
   virtual void list(Topic topic, std::function<void(TopicAnswer)> done) = 0;
--- a/Libraries/LibLog/PlatformClient.h
+++ b/Libraries/LibLog/PlatformClient.h
@@ -40,6 +40,14 @@
   /// hold the answer until a record arrives or \p wait has passed.
   virtual void read(Offset from, uint32_t maximumRecords, base::Duration wait,
                     std::function<void(ReadAnswer)> done) = 0;
+
+  /// Says that a whole snapshot stands in the log behind \p upTo and covers
+  /// what stands up to there, which may be dropped.
+  virtual void cover(Offset upTo) = 0;
+
+  /// Takes the next step of dropping what is covered, one call at most. To be
+  /// called at short intervals.
+  virtual void dropNext() = 0;
 };
 
 } // namespace radishcross::log
--- a/Libraries/LibLog/SnapshotPolicy.cpp
+++ b/Libraries/LibLog/SnapshotPolicy.cpp
@@ -21,29 +21,25 @@
 
 } // namespace
 
-void SnapshotPolicy::snapshotSeen(Offset at, Offset firstPartAt,
-                                  base::TimePoint now) {
+void SnapshotPolicy::snapshotSeen(Offset at, base::TimePoint now) {
   // One of an older state, from a writer that was paused, replaces nothing.
   if (at <= LastAt)
     return;
   LastAt = at;
-  LastFirstPartAt = firstPartAt;
   LastSeen = now;
   SilentUntil.reset();
   DueSince.reset();
 }
 
-bool SnapshotPolicy::isDue(Offset offset, const LogWindow &window,
-                           base::TimePoint now) const {
+bool SnapshotPolicy::isDue(Offset offset, base::TimePoint now) const {
   if (offset <= LastAt)
     return false;
-  bool isFirst = LastFirstPartAt == 0;
-  if (offset - LastAt >= (isFirst ? FirstIntervalRecords : IntervalRecords) ||
-      now - *LastSeen >= (isFirst ? FirstIntervalTime : IntervalTime))
-    return true;
-  // Every snapshot is behind what the platform still keeps, or soon will be.
-  return window.First > 1 &&
-         LastFirstPartAt < window.First + (window.End - window.First) / 2;
+  // FIXME: The parts and drops of the last snapshot count as growth, so a log
+  // that is quiet by now still gets one each IntervalTime.
+  bool isFirst = LastAt == 0;
+  return offset - LastAt >=
+             (isFirst ? FirstIntervalRecords : IntervalRecords) ||
+         now - *LastSeen >= (isFirst ? FirstIntervalTime : IntervalTime);
 }
 
 size_t SnapshotPolicy::rank(const std::vector<std::string> &candidates) const {
@@ -56,12 +52,12 @@
                        });
 }
 
-bool SnapshotPolicy::shouldWrite(Offset offset, const LogWindow &window,
+bool SnapshotPolicy::shouldWrite(Offset offset,
                                  const std::vector<std::string> &candidates,
                                  base::TimePoint now) {
   if (!LastSeen)
     LastSeen = now;
-  if (!isDue(offset, window, now) || (SilentUntil && now < *SilentUntil)) {
+  if (!isDue(offset, now) || (SilentUntil && now < *SilentUntil)) {
     DueSince.reset();
     return false;
   }
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -127,6 +127,7 @@
   spread();
   catchUpWithPeers();
   writeSnapshotIfDue();
+  Environment.Platform->dropNext();
   reportChanges();
 }
 
@@ -177,6 +178,7 @@
                             const fleet::Digest &digest) {
   if (digest.InForce != Held.offset() || digest.FoldHash == HeldHash)
     return;
+  IsFoldDisputed = true;
   ++Environment.Counters->counter("fold_hash_differences_total");
   auto now = Environment.Time->now();
   if (now < NextAlarm)
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -89,6 +89,8 @@
   bool startFromSnapshot();
   void writeSnapshotIfDue();
   void appendNextPart();
+  void partAppended(const log::AppendAnswer &answer);
+  void snapshotWritten(log::Offset at);
 
   void pull(const fleet::SpreadAction &action);
   void pullAnswered(const fleet::NodeId &peer,
@@ -132,9 +134,10 @@
   log::SnapshotPolicy Snapshots;
   log::SnapshotAssembler Assembler;
   log::FoldWitness Witness;
-  log::LogWindow Window;
   std::optional<log::LogSnapshot> Candidate; ///< To start from, if believed.
   std::deque<std::string> Unwritten; ///< Parts of the snapshot being written.
+  log::Offset WritingAt = 0;         ///< Whose state it holds.
+  bool AreWritten = false;           ///< All parts so far were acknowledged.
   log::Offset ScanFrom = 1;          ///< Where a node without state reads on.
   base::TimePoint CandidateSince{};
   base::TimePoint NextSnapshotLook{};
@@ -149,6 +152,7 @@
   base::TimePoint NextAsk{};
   bool IsServingReported = false;
   bool IsLogShort = false;
+  bool IsFoldDisputed = false; ///< A peer had another state at one offset.
   bool HasLeft = false;
 };
 
--- a/Libraries/LibPeer/FleetRecords.cpp
+++ b/Libraries/LibPeer/FleetRecords.cpp
@@ -34,8 +34,12 @@
 void FleetNode::readLog(const fleet::SpreadAction &action) {
   ++Environment.Counters->counter("platform_reads_total");
   *Bytes.Sent += ReadRequestBytes;
+  // Who lacks what comes next looks for a snapshot, from where it has looked.
+  auto from = Recovering.needsState(heldOffset())
+                  ? std::max(action.From, ScanFrom)
+                  : action.From;
   Environment.Platform->read(
-      action.From, RecordsPerRead, action.Wait,
+      from, RecordsPerRead, action.Wait,
       [weak = weak_from_this()](const log::ReadAnswer &answer) {
         auto self = weak.lock();
         if (self && !self->HasLeft)
@@ -67,13 +71,14 @@
 bool FleetNode::readWithoutState(const log::ReadAnswer &answer) {
   if (!answer.Records.empty())
     ScanFrom = answer.Records.back().At + 1;
+  else if (!Candidate)
+    ScanFrom = 1; // It was replaced while it was read.
   return startFromSnapshot() || !answer.Records.empty();
 }
 
 void FleetNode::watchLogEnd(const log::ReadAnswer &answer) {
   // FIXME: Records that a shortened log takes up to the offset held here are
   // ignored; the log's service has to continue above it.
-  Window = {answer.First, answer.End};
   bool isShort = answer.End <= heldOffset();
   if (isShort == IsLogShort)
     return;
--- /dev/null
+++ b/Tests/LibLog/ModelStore.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibLog/KeyedStore.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace radishcross::log {
+
+/// One topic of a platform's store without time: what is asked of it happens
+/// step by step in an order drawn from a seed, answers get lost, calls are
+/// refused or happen late, and pages of a listing are no snapshot.
+class ModelStore final : public KeyedStore {
+public:
+  explicit ModelStore(uint64_t seed) : Dice(seed) {}
+
+  void put(Topic, std::string key, std::string value,
+           std::function<void(PutAnswer)> done) override {
+    write({{std::move(key), std::move(value)}}, std::move(done));
+  }
+
+  void drop(Topic, std::vector<std::string> keys,
+            std::function<void(PutAnswer)> done) override {
+    Pairs pairs;
+    for (auto &it : keys)
+      pairs.emplace_back(std::move(it), "");
+    write(std::move(pairs), std::move(done));
+  }
+
+  void list(Topic, std::function<void(TopicAnswer)> done) override {
+    later([this, done = std::move(done)] {
+      TopicAnswer answer;
+      answer.Reached = !isLost();
+      answer.End = Records.size();
+      if (!answer.Reached)
+        return done(answer);
+      page(std::move(answer), "", done);
+    });
+  }
+
+  void follow(Topic, uint64_t from, base::Duration,
+              std::function<void(TopicAnswer)> done) override {
+    later([this, from, done = std::move(done)] {
+      TopicAnswer answer;
+      bool isLost = this->isLost();
+      answer.Expired = !isLost && from < First;
+      answer.Reached = !isLost && !answer.Expired;
+      answer.End = Records.size();
+      for (auto at = from; answer.Reached && at < Records.size(); ++at) {
+        if (answer.Records.size() >= MostAtOnce)
+          break;
+        answer.Records.push_back(Records[at]);
+      }
+      done(answer);
+    });
+  }
+
+  /// Does one thing that was asked for.
+  void step() {
+    if (Pending.empty())
+      return;
+    auto n = Dice.below(Pending.size());
+    std::swap(Pending[n], Pending.back());
+    auto it = std::move(Pending.back());
+    Pending.pop_back();
+    it();
+  }
+
+  /// Drops the history up to an offset; the newest of each key stays.
+  void forgetHistory(uint64_t before) { First = std::max(First, before); }
+
+  size_t pending() const { return Pending.size(); }
+
+  /// Writes at once.
+  void append(const std::string &key, const std::string &value) {
+    Records.push_back({Records.size(), key, value});
+    if (value.empty())
+      Newest.erase(key);
+    else
+      Newest[key] = Records.back().At;
+  }
+
+  std::vector<KeyedRecord> Records; ///< All there ever were.
+  std::map<std::string, uint64_t> Newest;
+  uint64_t First = 0;
+  size_t KeysPerPage = 40;
+  uint32_t LossPercent = 0; ///< Of calls that are refused or not answered.
+
+private:
+  using Pairs = std::vector<std::pair<std::string, std::string>>;
+
+  static constexpr size_t MostAtOnce = 300;
+
+  void later(std::function<void()> action) {
+    Pending.push_back(std::move(action));
+  }
+
+  bool isLost() { return Dice.below(100) < LossPercent; }
+
+  void append(const Pairs &pairs) {
+    for (const auto &[key, value] : pairs)
+      append(key, value);
+  }
+
+  void write(Pairs pairs, std::function<void(PutAnswer)> done) {
+    later([this, pairs = std::move(pairs), done = std::move(done)] {
+      PutAnswer answer;
+      if (!isLost()) {
+        answer.Outcome = PutAnswer::Kind::Accepted;
+        answer.At = Records.size();
+        append(pairs);
+        return done(answer);
+      }
+      // Refused, done without an answer, or done after all only later.
+      auto way = Dice.below(3);
+      if (way == 0)
+        answer.Outcome = PutAnswer::Kind::Refused;
+      if (way == 1)
+        append(pairs);
+      if (way == 2)
+        later([this, pairs] { append(pairs); });
+      done(answer);
+    });
+  }
+
+  void page(TopicAnswer answer, const std::string &after,
+            const std::function<void(TopicAnswer)> &done) {
+    auto it = Newest.upper_bound(after);
+    std::string last;
+    for (size_t n = 0; it != Newest.end() && n < KeysPerPage; ++n, ++it) {
+      answer.Records.push_back(Records[it->second]);
+      last = it->first;
+    }
+    if (it == Newest.end())
+      return done(answer);
+    later([this, answer = std::move(answer), last, done] {
+      page(answer, last, done);
+    });
+  }
+
+  base::Random Dice;
+  std::vector<std::function<void()>> Pending;
+};
+
+} // namespace radishcross::log
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -57,6 +57,19 @@
                       [done = std::move(done), answer] { done(answer); });
   }
 
+  void drop(log::Topic topic, std::vector<std::string> keys,
+            std::function<void(log::PutAnswer)> done) override {
+    log::PutAnswer answer;
+    answer.Outcome = log::PutAnswer::Kind::Refused;
+    for (auto &it : keys)
+      if (Way == StoreWay::Serves) {
+        answer.At = Content.write(topic, std::move(it), {});
+        answer.Outcome = log::PutAnswer::Kind::Accepted;
+      }
+    boost::asio::post(Context,
+                      [done = std::move(done), answer] { done(answer); });
+  }
+
   void list(log::Topic topic,
             std::function<void(log::TopicAnswer)> done) override {
     later([this, topic, done = std::move(done)] {
--- a/Tests/LibNode/TestHoldings.cpp
+++ b/Tests/LibNode/TestHoldings.cpp
@@ -22,6 +22,10 @@
     CHECK(topic == log::Topic::Holdings);
     Puts.push_back({std::move(key), std::move(value), std::move(done)});
   }
+  void drop(log::Topic, std::vector<std::string>,
+            std::function<void(log::PutAnswer)>) override {
+    FAIL("holdings are not dropped");
+  }
   void list(log::Topic topic,
             std::function<void(log::TopicAnswer)> done) override {
     CHECK(topic == log::Topic::Holdings);
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -1,4 +1,5 @@
 #include <FreeAddress.h>
+#include <LibLog/RecordBodies.h>
 #include <LibNode/FakeStore.h>
 #include <LibNode/NodeProcess.h>
 
@@ -155,6 +156,42 @@
   CHECK(mesh.Content.Topics[log::Topic::Changes].Records.empty());
 }
 
+TEST_CASE(
+    "changes that a snapshot covers leave the store, and who starts after "
+    "that has them") {
+  Mesh mesh;
+  mesh.publish("3");
+  constexpr int Changes = 1100;
+  for (int n = 0; n < Changes; ++n) {
+    auto id = std::to_string(n);
+    auto record = log::makeDrain(id, {"team", "actor", ""}, {"vm:" + id, true});
+    mesh.Content.write(log::Topic::Changes, id, log::encodeRecord(record));
+  }
+  mesh.startAll();
+  auto &changes = mesh.Content.Topics[log::Topic::Changes];
+  auto kept = [&] {
+    std::map<std::string, bool> newest;
+    for (const auto &it : changes.Records)
+      newest[it.Key] = !it.Value.empty();
+    return std::count_if(newest.begin(), newest.end(),
+                         [](const auto &it) { return it.second; });
+  };
+  REQUIRE(mesh.runUntil([&] { return kept() < 100; }, 30s));
+  mesh.Content.forgetHistory();
+  auto hasAll = [&](const std::string &id) {
+    const auto &node = *mesh.Nodes.at(id);
+    return node.ready() && node.fold().drained().size() == Changes;
+  };
+  mesh.start("b-1");
+  CHECK(mesh.runUntil([&] { return hasAll("b-1"); }));
+  // All of them anew: there is only the snapshot, and nobody to confirm it.
+  mesh.Nodes.clear();
+  for (const auto &it : mesh.Settings)
+    mesh.start(it.Node);
+  CHECK(mesh.runUntil(
+      [&] { return hasAll("a-1") && hasAll("a-2") && hasAll("b-1"); }, 30s));
+}
+
 TEST_CASE("a lower version and a bad one change nothing") {
   Mesh mesh;
   mesh.publish("9");
--- a/Tests/LibPeer/MockPlatform.h
+++ b/Tests/LibPeer/MockPlatform.h
@@ -38,11 +38,15 @@
     for (const auto &it : Records)
       if (IsUp && it.At >= std::max(from, First) &&
           answer.Records.size() < maximumRecords)
-        answer.Records.push_back(it);
+        answer.Records.push_back(isHidden(it) ? log::StoredRecord{it.At, {}}
+                                              : it);
     boost::asio::post(Context, [answer = std::move(answer),
                                 done = std::move(done)] { done(answer); });
   }
 
+  void cover(log::Offset upTo) override { Covered = upTo; }
+  void dropNext() override {}
+
   /// Appends a drain of one VM: the smallest record that changes the fold.
   void addDrain(const std::string &id) {
     auto record =
@@ -53,9 +57,15 @@
   std::vector<log::StoredRecord> Records;
   log::Offset First = 1;
   bool IsUp = true;
+  bool HidesSnapshots = false; ///< As peers do, who pass their parts on empty.
   uint64_t Reads = 0;
+  log::Offset Covered = 0; ///< By the last snapshot said to be whole.
 
 private:
+  bool isHidden(const log::StoredRecord &it) const {
+    return HidesSnapshots && it.Bytes.find("\"snapshot\"") != std::string::npos;
+  }
+
   boost::asio::io_context &Context;
 };
 
--- a/Tests/LibPeer/TestFleetShell.cpp
+++ b/Tests/LibPeer/TestFleetShell.cpp
@@ -282,8 +282,44 @@
         (isConfirmed ? 0 : 1));
 }
 
-TEST_CASE("a snapshot is written to the log before records expire") {
+TEST_CASE(
+    "a serving node that fell behind what the log has dropped starts from "
+    "its snapshot") {
   LoopbackFleet fleet;
+  for (int n = 0; n < 5; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  auto &shell = fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] { return fleet.allServe(5); }));
+  fleet.Platform.IsUp = false;
+  for (int n = 5; n < 8; ++n)
+    fleet.Platform.addDrain(std::to_string(n));
+  log::Fold fold;
+  for (const auto &it : fleet.Platform.Records)
+    fold.apply(it);
+  for (const char *writer : {"node-8", "node-9"})
+    for (const auto &it : log::makeSnapshotParts(fold, {"", writer, ""}))
+      fleet.Platform.Records.push_back(
+          {fleet.Platform.Records.size() + 1, log::encodeRecord(it)});
+  fleet.Platform.addDrain("last");
+  for (const auto &it : fleet.Platform.Records)
+    fold.apply(it);
+  fleet.Platform.First = 9;
+  fleet.Platform.IsUp = true;
+  auto end = fleet.Platform.Records.size();
+  CHECK(fleet.runUntil([&] { return fleet.allServe(end); }));
+  CHECK(shell.Fleet->fold().hash() == fold.hash());
+  CHECK(shell.Counters.counter("steps_back_total") == 0);
+  // Who wrote the snapshot drops what it covers, and nobody else.
+  CHECK(fleet.Platform.Covered == 0);
+}
+
+TEST_CASE("a snapshot is written to the log, and what it covers is given up") {
+  LoopbackFleet fleet;
+  SUBCASE("its writer reads it back") {}
+  // The parts may reach it from a peer first, and are empty then.
+  SUBCASE("its writer knows it by the answers") {
+    fleet.Platform.HidesSnapshots = true;
+  }
   for (int n = 0; n < 1100; ++n)
     fleet.Platform.addDrain(std::to_string(n));
   fleet.start("dc-0");
@@ -298,4 +334,11 @@
     return count;
   };
   CHECK(fleet.runUntil([&] { return snapshots() > 0; }));
+  CHECK(fleet.runUntil([&] {
+    // Never before all of it stands there.
+    CHECK((fleet.Platform.Covered == 0 || snapshots() > 0));
+    return fleet.Platform.Covered > 0;
+  }));
+  CHECK(fleet.Platform.Covered >= 1000);
+  CHECK(fleet.Platform.Covered <= 1100);
 }
