--- a/Libraries/LibExplain/HopText.cpp
+++ b/Libraries/LibExplain/HopText.cpp
@@ -128,7 +128,9 @@
          orNone(end.field("attempts")) + " attempts";
   auto stop = stopText(end);
   if (!stop.empty())
-    out += "; " + stop + ", " + orNone(end.field("retries_left")) +
+    out += "; " + stop;
+  if (!stop.empty() && end.number("attempts") > 0)
+    out += ", " + orNone(end.field("retries_left")) +
            " retries left in the budget";
   out += also(end, "retry_after_ms", "; the client may come back in ", " ms");
   return out + toldText(end);
--- a/Tests/LibExplain/TestExplanation.cpp
+++ b/Tests/LibExplain/TestExplanation.cpp
@@ -115,6 +115,7 @@
   CHECK(got.Cause == ResultCode::Overloaded);
   CHECK(has(got.CauseText, "5003 overloaded"));
   CHECK(has(got.CauseText, "the service's retry budget is spent"));
+  CHECK(has(got.Hops[7].What, "0 retries left in the budget"));
   CHECK(has(got.Hops[0].What, "route operator/a of version 17"));
   CHECK(has(got.Hops[1].What, "chosen of 5, 1 left out"));
   CHECK(has(got.Hops[1].What, "120 ms old"));
@@ -219,3 +220,13 @@
   CHECK(got.Beliefs[0] == "x: drain started, 2000 ms before the end");
   CHECK(got.Beliefs[1] == "y: target left (t1), 2000 ms before the end");
 }
+
+TEST_CASE("a call that was shed before any attempt says nothing of retries") {
+  auto line = ended(1, {{"code", "5003"}, {"stop", "shed"}});
+  auto at = line.find("\"attempts\":\"2\"");
+  line.replace(at, 14, "\"attempts\":\"0\"");
+  auto got = explained({line});
+  REQUIRE(got.Hops.size() == 2);
+  CHECK(has(got.Hops[1].What, "it was shed before any attempt"));
+  CHECK_FALSE(has(got.Hops[1].What, "retries left"));
+}
