LibFleet: Give a large version time to arrive before a peer is asked

A node that heard of a version asked a peer after 0.25 to 0.38 s, while its own read of the same bytes was still under way over its link of 7 Mbit/s; each question loads the peer's link as well.

A question now waits three transfers longer, by the size of the version in force, and so does the next one after a question without an answer.

TestVersionCatchUp 'a large version has time to arrive before a peer is asked'.

--- a/Libraries/LibFleet/VersionCatchUp.h
+++ b/Libraries/LibFleet/VersionCatchUp.h
@@ -20,6 +20,12 @@
   base::Duration EmptySpacing = std::chrono::milliseconds(300);
   /// Between two questions while the store does not answer.
   base::Duration BlindSpacing = std::chrono::seconds(1);
+  /// The thinnest link stated for a node carries 7 Mbit/s.
+  uint64_t LeastBytesPerSecond = 875'000;
+  /// How many times the transfer of a version over that link is waited for: the
+  /// link carries calls as well. A second transfer beside the first one delays
+  /// both, at this node and at the peer that is asked.
+  uint32_t Transfers = 3;
 };
 
 /// What a node sees when it decides whether to ask a peer.
@@ -27,6 +33,7 @@
   uint64_t Held = 0;           ///< The version in force; 0 for none.
   bool IsStoreReached = false; ///< The store has answered the last read.
   bool IsReadSpaced = false;   ///< The store is read again in a moment.
+  uint64_t Bytes = 0;          ///< Of the version in force, as of the next one.
 };
 
 /// Decides when this node asks a peer for a newer version of the external
@@ -46,6 +53,8 @@
   void ended() { AskedUntil = {}; }
 
 private:
+  base::Duration transferTime(const CatchUpView &view) const;
+
   CatchUpSettings Settings;
   base::Random Dice;
   uint64_t Newest = 0;    ///< The highest version heard of.
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -141,6 +141,7 @@
     environment.External = {
         [this] { return Link.configuration().version(); },
         [this] { return Link.configurationText(); },
+        [this] { return Link.configurationText().size(); },
         [this] { return Link.isOperatorReached(); },
         [this] { return Link.isOperatorSpacing(); },
         [this](const peer::ExternalRecord &it, const fleet::NodeId &peer) {
--- a/Libraries/LibPeer/FleetExternal.cpp
+++ b/Libraries/LibPeer/FleetExternal.cpp
@@ -56,8 +56,9 @@
   if (!external.Version || HasLeft)
     return;
   auto held = external.Version();
-  if (!CatchUp.isDue({held, external.IsStoreReached(), external.IsReadSpaced()},
-                     Environment.Time->now()))
+  fleet::CatchUpView view{held, external.IsStoreReached(),
+                          external.IsReadSpaced(), external.TextBytes()};
+  if (!CatchUp.isDue(view, Environment.Time->now()))
     return;
   const auto *peer = choosePeer();
   if (!peer)
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -31,6 +31,8 @@
   /// Returns the version in force and its record's bytes.
   std::function<uint64_t()> Version;
   std::function<std::string()> Text;
+  /// Returns the number of those bytes.
+  std::function<size_t()> TextBytes;
   /// Tells whether the store answers this node.
   std::function<bool()> IsStoreReached;
   /// Tells whether this node reads the store again in a moment.
--- a/Tests/LibFleet/TestVersionCatchUp.cpp
+++ b/Tests/LibFleet/TestVersionCatchUp.cpp
@@ -58,6 +58,22 @@
   }
 }
 
+TEST_CASE("a large version has time to arrive before a peer is asked") {
+  // 250 KB take 0.29 s over a link of 7 Mbit/s, which carries calls as well.
+  constexpr uint64_t Bytes = 250'000;
+  for (uint64_t seed = 1; seed < 50; ++seed) {
+    VersionCatchUp it({}, seed);
+    it.heard(4, Start);
+    for (auto passed = 0ms; passed <= 1100ms; passed += 50ms)
+      CHECK_FALSE(it.isDue({3, true, false, Bytes}, Start + passed));
+    // In time for the bound of 2.5 s that goes with such links.
+    CHECK(it.isDue({3, true, false, Bytes}, Start + 1250ms));
+    for (auto passed = 1300ms; passed <= 2600ms; passed += 50ms)
+      CHECK_FALSE(it.isDue({3, true, false, Bytes}, Start + passed));
+    CHECK(it.isDue({3, true, false, Bytes}, Start + 2750ms));
+  }
+}
+
 TEST_CASE("a node that its store fails asks by itself") {
   VersionCatchUp it({}, 7);
   CHECK(it.isDue({0, false}, Start));
