LibCalls: Leave targets alone that refuse what they are sent

Narrowing the slots at each refusal (AdaptiveLimit) isn't the cause: it only moved the refusals from the target to its gate.

A caller's node now leaves a target alone after two refusals of its own in a row, for 250 ms, doubled up to 2 s, as long as another target takes calls. It doesn't count as lost for the data centre's share, which would otherwise jump to the others and come back slowly; and no second attempt goes to it, as that would only be another arrival, which the retry budget pays for. cutAttempt looks at the same, so that a cut's second attempt stays sure.

TestRefusals: of 1,000 calls to four targets, three of which refuse, 534 attempts went to those three with the code before; now at most 36.

--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -217,8 +217,8 @@
     return false;
   const auto &targets = Table.usable(call.Route.ServiceName);
   const bool another =
-      std::any_of(targets.begin(), targets.end(), [&call](const auto *target) {
-        return target->Id != call.Target;
+      std::any_of(targets.begin(), targets.end(), [&](const auto *target) {
+        return target->Id != call.Target && !target->Refusals.pauses(now);
       });
   return another && mayRetry(call, now);
 }
@@ -292,10 +292,13 @@
   if (result.End == AttemptEnd::Answered) {
     target->Load.observed(result.PressurePermille, now);
     target->Health.succeeded();
+    target->Refusals.answered();
     stateOf(call).Timer.observed(result.Latency);
   } else if (!heard && result.End != AttemptEnd::CallerGone) {
     target->Health.failed(now);
   }
+  if (result.Code == ResultCode::TargetRefused)
+    target->Refusals.refused(now);
   if (result.End == AttemptEnd::TimedOut)
     stateOf(call).Timer.observed(call.Cut ? call.CutAfter : call.Timeout);
 }
--- a/Libraries/LibCalls/KnownTarget.h
+++ b/Libraries/LibCalls/KnownTarget.h
@@ -3,6 +3,7 @@
 #include <LibBase/Clock.h>
 #include <LibCalls/LoadEstimate.h>
 #include <LibCalls/PathDoubt.h>
+#include <LibCalls/RefusalStreak.h>
 #include <LibCalls/TargetCandidate.h>
 #include <LibCalls/TargetHealth.h>
 
@@ -24,6 +25,7 @@
   base::TimePoint ReadySince{};
   LoadEstimate Load;
   TargetHealth Health;
+  RefusalStreak Refusals;
   std::shared_ptr<PathDoubt> Path; ///< Shared by the targets of its node.
 };
 
--- a/Libraries/LibCalls/TargetChoice.cpp
+++ b/Libraries/LibCalls/TargetChoice.cpp
@@ -71,6 +71,21 @@
   return out.size() * 2 >= targets.size() ? out : targets;
 }
 
+bool TargetChoice::allRefuse(const Targets &targets, base::TimePoint now) {
+  return std::all_of(targets.begin(), targets.end(), [now](const auto *it) {
+    return it->Refusals.pauses(now);
+  });
+}
+
+/// Unlike a failure a refusal is the target's own word: one that runs calls is
+/// better than any number that don't.
+Targets TargetChoice::withoutRefusing(Targets targets, base::TimePoint now) {
+  if (!allRefuse(targets, now))
+    std::erase_if(targets,
+                  [now](const auto *it) { return it->Refusals.pauses(now); });
+  return targets;
+}
+
 TargetChoice::Tiers TargetChoice::tiersOf(const Targets &targets) const {
   Tiers out;
   Targets others;
@@ -109,15 +124,22 @@
                                   LocalityShare &locality, base::TimePoint now,
                                   base::Random &random) const {
   const auto healthy = withoutEjected(targets);
-  if (excluded == 0)
-    return leastOfTwo(tierFor(tiersOf(healthy), locality, now, random), now,
-                      random);
+  if (excluded == 0) {
+    const auto tiers = tiersOf(healthy);
+    const auto &tier = tierFor(tiers, locality, now, random);
+    // Refusals don't last: they leave the data centre's share as it is.
+    return leastOfTwo(
+        withoutRefusing(allRefuse(tier, now) ? healthy : tier, now), now,
+        random);
+  }
   // A second attempt says nothing of the data centre's load: it leaves the
-  // share as it is and takes what is nearest.
+  // share as it is and takes what is nearest; one that refuses would only be
+  // another arrival there.
   for (const auto *list : {&healthy, &targets}) {
     auto left = *list;
-    std::erase_if(left,
-                  [excluded](const auto *it) { return it->Id == excluded; });
+    std::erase_if(left, [&](const auto *it) {
+      return it->Id == excluded || it->Refusals.pauses(now);
+    });
     const auto tiers = tiersOf(left);
     auto *out =
         leastOfTwo(tiers.Own.empty() ? tiers.Away : tiers.Own, now, random);
--- a/Libraries/LibCalls/TargetChoice.h
+++ b/Libraries/LibCalls/TargetChoice.h
@@ -20,7 +20,8 @@
 
 /// Chooses one of a service's usable targets: the own data centre first, then
 /// by headroom those of the region, then all others; ejected targets are left
-/// out while at least half remain; of two random ones the less loaded.
+/// out while at least half remain, those that refuse what they are sent while
+/// one remains; of two random ones the less loaded.
 class TargetChoice {
 public:
   /// A target that became ready takes its full share after this time.
@@ -28,7 +29,9 @@
 
   explicit TargetChoice(Place here) : Here(std::move(here)) {}
 
-  /// Returns null when no target is left besides \p excluded (0: none).
+  /// Returns null when no target is left; for a second attempt, where \p
+  /// excluded is the target of the first (0: none), when none is left besides
+  /// that and those that refuse.
   KnownTarget *choose(const TargetTable::Targets &targets, uint64_t excluded,
                       LocalityShare &locality, base::TimePoint now,
                       base::Random &random) const;
@@ -39,6 +42,8 @@
 private:
   using Targets = TargetTable::Targets;
   static Targets withoutEjected(const Targets &targets);
+  static bool allRefuse(const Targets &targets, base::TimePoint now);
+  static Targets withoutRefusing(Targets targets, base::TimePoint now);
   struct Tiers {
     Targets Own;
     Targets Away;
--- /dev/null
+++ b/Tests/LibCalls/TestRefusals.cpp
@@ -0,0 +1,85 @@
+#include <LibCalls/BrokerBench.h>
+#include <LibCalls/RefusalStreak.h>
+#include <LibCalls/TargetChoice.h>
+
+#include <doctest/doctest.h>
+#include <set>
+
+using namespace radishcross;
+using namespace radishcross::calls;
+using namespace radishcross::calls::testing;
+
+TEST_CASE("a target that refuses in a row pauses, and longer each time") {
+  RefusalStreak it;
+  it.refused(at(1s));
+  CHECK_FALSE(it.pauses(at(1s)));
+  it.refused(at(1s));
+  CHECK(it.pauses(at(1s)));
+  it.refused(at(1s)); // It was under way.
+  CHECK_FALSE(it.pauses(at(1s + RefusalStreak::FirstPause)));
+  base::Duration now = 2s;
+  for (int n = 0; n < 10; ++n, now += 10s)
+    it.refused(at(now));
+  it.refused(at(now));
+  CHECK(it.pauses(at(now + RefusalStreak::LongestPause - 1us)));
+  CHECK_FALSE(it.pauses(at(now + RefusalStreak::LongestPause)));
+  it.answered();
+  CHECK_FALSE(it.pauses(at(now)));
+  it.refused(at(now));
+  CHECK_FALSE(it.pauses(at(now)));
+}
+
+TEST_CASE("calls go to the one target that doesn't refuse what it is sent") {
+  BrokerBench it;
+  const std::set<std::string> refusing = {"n1", "n2", "n3"};
+  it.members({member("n1"), member("n2"), member("n3"), member("n4")});
+  it.pass(TargetChoice::SlowStart);
+  int refusals = 0;
+  for (int n = 0; n < 1000; ++n) {
+    it.Now += 10ms;
+    const auto call = it.begin("/lookup");
+    auto step = it.stepOf(call);
+    while (step.What == CallStep::Kind::Send) {
+      const bool refuses = refusing.contains(step.To.Node);
+      refusals += refuses ? 1 : 0;
+      step = refuses ? it.end(call, AttemptEnd::RefusedNotRun,
+                              ResultCode::TargetRefused)
+                     : it.end(call, AttemptEnd::Answered);
+    }
+    it.Node.end(call, at(it.Now));
+  }
+  // In 10 s each is asked again each 2 s at most, after the first second.
+  CHECK(refusals <= 36);
+}
+
+TEST_CASE("a second attempt isn't sent to a target that refuses") {
+  BrokerBench it;
+  const auto refuse = [&it](CallHandle call) {
+    return it.end(call, AttemptEnd::RefusedNotRun, ResultCode::TargetRefused);
+  };
+  it.members({member("n1")});
+  for (uint32_t n = 0; n < RefusalStreak::Least; ++n)
+    refuse(it.begin("/pay"));
+  it.members({member("n1"), member("n2")});
+  const auto first = it.begin("/lookup");
+  CHECK(it.stepOf(first).To.Node == "n2");
+  CHECK_FALSE(it.Node.cutAttempt(first, at(it.Now)));
+  const auto end =
+      it.end(first, AttemptEnd::RefusedNotRun, ResultCode::Overloaded);
+  checkNotRun(end, ResultCode::Overloaded);
+  it.pass(RefusalStreak::LongestPause);
+  const auto later = it.begin("/lookup");
+  CHECK(it.end(later, AttemptEnd::NotSent).What == CallStep::Kind::Send);
+}
+
+TEST_CASE("when all targets refuse all of them are asked") {
+  BrokerBench it;
+  std::set<std::string> asked;
+  for (int n = 0; n < 50; ++n) {
+    const auto call = it.begin("/lookup");
+    asked.insert(it.stepOf(call).To.Node);
+    it.end(call, AttemptEnd::RefusedNotRun, ResultCode::TargetRefused);
+    it.Node.end(call, at(it.Now));
+  }
+  CHECK(asked.size() == 2);
+}
