--- a/Libraries/LibLog/KeyedLog.cpp
+++ b/Libraries/LibLog/KeyedLog.cpp
@@ -98,7 +98,8 @@
 /// Reads the keys, and then what was written meanwhile: a record that went
 /// between two pages went after its cover was written, which is in one or the
 /// other.
-void KeyedLog::readList(Offset from, uint32_t maximumRecords, Done done) {
+void KeyedLog::readList(Offset from, uint32_t maximumRecords,
+                        const Done &done) {
   Store->list(Topic::Changes, [weak = std::weak_ptr<bool>(Alive), this, from,
                                maximumRecords, done](TopicAnswer listed) {
     if (weak.expired())
--- a/Libraries/LibLog/KeyedLog.h
+++ b/Libraries/LibLog/KeyedLog.h
@@ -39,7 +39,7 @@
 private:
   using Done = std::function<void(ReadAnswer)>;
 
-  void readList(Offset from, uint32_t maximumRecords, Done done);
+  void readList(Offset from, uint32_t maximumRecords, const Done &done);
   ReadAnswer fromHistory(TopicAnswer answer, Offset from,
                          uint32_t maximumRecords);
   ReadAnswer fromList(TopicAnswer answer, Offset from, uint32_t maximumRecords);
