--- a/Libraries/LibExplain/Explanation.cpp
+++ b/Libraries/LibExplain/Explanation.cpp
@@ -134,9 +134,12 @@
             " in force for " + std::to_string(age / UsPerMs) + " ms");
   for (const auto &[node, kept] : Lines.nodes()) {
     const auto *other = Lines.versionAt(node, name, began);
-    if (node != end.Node && other && other->Version != own->Version)
-      addBelief(node + " had version " + other->Version + " of " + name +
-                " in force");
+    if (node == end.Node || !other || other->Version == own->Version)
+      continue;
+    std::string text = node;
+    text.append(" had version ").append(other->Version);
+    text.append(" of ").append(name).append(" in force");
+    addBelief(std::move(text));
   }
   bool isOfRouting =
       Out.Cause == ResultCode::NoRoute || Out.Cause == ResultCode::NoTarget;
--- a/Libraries/LibExplain/LogLine.cpp
+++ b/Libraries/LibExplain/LogLine.cpp
@@ -32,9 +32,9 @@
 } // namespace
 
 const std::string &LogLine::field(std::string_view name) const {
-  static const std::string None;
+  static const std::string none;
   auto it = Fields.find(name);
-  return it == Fields.end() ? None : it->second;
+  return it == Fields.end() ? none : it->second;
 }
 
 int64_t LogLine::number(std::string_view name) const {
