--- a/Tests/LibHttp/TestCallLog.cpp
+++ b/Tests/LibHttp/TestCallLog.cpp
@@ -122,7 +122,9 @@
 TEST_CASE("what a line says of the versions in force is bounded") {
   LogFile log;
   std::vector<config::HeldVersion> versions;
-  for (int i = 0; i < 100; ++i)
+  constexpr int Versions = 100;
+  versions.reserve(Versions);
+  for (int i = 0; i < Versions; ++i)
     versions.push_back({"configuration-" + std::to_string(i), 7,
                         std::make_shared<config::VersionContent>()});
   base::LastReason reason;
