--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -107,7 +107,7 @@
     bool Cut = false;     ///< For a second attempt, which the budget has paid.
     bool Fresh = false;   ///< The attempt uses a new connection.
     base::Duration Timeout{};
-    base::Duration CutAfter{}; ///< 0: the attempt is never cut.
+    base::Duration CutAfter{};          ///< 0: the attempt is never cut.
     StopReason Stop = StopReason::None; ///< Why the last send() gave nothing.
   };
   struct ServiceState {
