LibHttp: Look fields, ids and routes up in one place

Found on reading the change as a whole; nothing is decided otherwise. - The text of a header field was found by the same function in three files and by hand in a fourth: fieldOf() of Message.h now. - Two places chose between the client's id and the call's own: requestIdOf(). - Two places told a handler that its client has gone: ClientWatch::clientGone(). - The line of a call that was refused or failed looked its route up once more, which a flood pays for each call. The broker, which has found it, says it with the first step. TestCallLog sets what the broker would; its checks stand.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -68,6 +68,7 @@
   struct OpenCall {
     config::SnapshotPointer Snapshot;
     CallStep Step;
+    const config::Route *Matched = nullptr; ///< Of Snapshot.
     RoutedCall Route;
     base::TimePoint Deadline{};
     std::string Key;    ///< Service and idempotency key, when it has one.
@@ -104,12 +105,15 @@
 
 CallStep Broker::State::plan(CallHandle handle, OpenCall &call,
                              const CallRequest &request, base::TimePoint now) {
+  const auto hit =
+      call.Snapshot
+          ? call.Snapshot->findRoute(request.Method, request.Host, request.Path)
+          : config::RouteHit{};
+  call.Matched = hit.Matched;
   if (request.Hops >= MaximumHops)
     return refuse(ResultCode::TooManyHops);
   if (!call.Snapshot)
     return refuse(ResultCode::NotRecovered, DefaultRetryAfter);
-  const auto hit =
-      call.Snapshot->findRoute(request.Method, request.Host, request.Path);
   if (!hit.Matched)
     return refuse(ResultCode::NoRoute);
   if (Quarantined->blocks(request.Fingerprint, now))
@@ -280,6 +284,7 @@
   auto &call = Held->Open[handle];
   call.Snapshot = std::move(snapshot);
   call.Step = Held->plan(handle, call, request, now);
+  call.Step.Matched = call.Matched;
   // Also a call that ends here is counted and logged under its service.
   if (call.Step.ServiceName.empty() && !call.Route.ServiceName.empty()) {
     call.Step.ServiceName = call.Route.ServiceName;
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -95,6 +95,8 @@
   /// For the log: what Send was decided on; why Finish is no further attempt,
   /// and how many retries the service's calls of this rank had left then.
   ChoiceBasis Basis;
+  const config::Route *Matched =
+      nullptr; ///< The first step's; of the snapshot.
   StopReason Stop = StopReason::None;
   int64_t RetriesLeft = 0;
 };
--- a/Libraries/LibHttp/AnswerFields.cpp
+++ b/Libraries/LibHttp/AnswerFields.cpp
@@ -16,15 +16,8 @@
 using calls::AttemptEnd;
 using calls::CallOutcome;
 
-std::string_view textOf(const bh::fields &fields, std::string_view name) {
-  auto it = fields.find(name);
-  if (it == fields.end())
-    return {};
-  return {it->value().data(), it->value().size()};
-}
-
 uint32_t numberOf(const bh::fields &fields, std::string_view name) {
-  std::string_view text = textOf(fields, name);
+  std::string_view text = fieldOf(fields, name);
   uint32_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
   return number;
@@ -46,13 +39,13 @@
 
 void readResult(const Response &answer, calls::AttemptResult &result) {
   result.PressurePermille = numberOf(answer, calls::PressureHeader);
-  result.FailedBelow = textOf(answer, calls::AttemptHeader) == FailedBelowMark;
-  std::string_view outcome = textOf(answer, calls::OutcomeHeader);
+  result.FailedBelow = fieldOf(answer, calls::AttemptHeader) == FailedBelowMark;
+  std::string_view outcome = fieldOf(answer, calls::OutcomeHeader);
   if (outcome.empty())
     return; // The target's answer.
   result.Code =
       static_cast<base::ResultCode>(numberOf(answer, calls::CodeHeader));
-  result.RetryAfter = parseRetryAfter(textOf(answer, "Retry-After"));
+  result.RetryAfter = parseRetryAfter(fieldOf(answer, "Retry-After"));
   bool notRun =
       outcome == base::nameOf(calls::CallOutcomeNames, CallOutcome::NotRun);
   bool timedOut = result.Code == base::ResultCode::DeadlineExceeded;
--- a/Libraries/LibHttp/AttemptCuts.cpp
+++ b/Libraries/LibHttp/AttemptCuts.cpp
@@ -4,16 +4,6 @@
 
 namespace radishcross::http {
 
-namespace {
-
-void endAttempt(ClientWatch &watch) {
-  watch.Gone = true;
-  if (watch.OnGone)
-    std::exchange(watch.OnGone, nullptr)();
-}
-
-} // namespace
-
 void AttemptCuts::tick(base::TimePoint now, const MayCut &mayCut) {
   while (!Due.empty() && Due.begin()->first <= now) {
     auto &attempt = *Due.begin()->second;
@@ -29,7 +19,7 @@
                                  base::Duration after, base::TimePoint now,
                                  std::shared_ptr<ClientWatch> caller)
     : Cuts(cuts), Call(call), After(after), Caller(std::move(caller)) {
-  Caller->OnGone = [own = Own] { endAttempt(*own); };
+  Caller->OnGone = [own = Own] { own->clientGone(); };
   listAt(now + After);
 }
 
@@ -51,7 +41,7 @@
 /// The attempt itself ends later, from the loop.
 void CuttableAttempt::cut() {
   Cut = true;
-  endAttempt(*Own);
+  Own->clientGone();
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -48,16 +48,9 @@
   return base::hash64(request.body(), head);
 }
 
-std::string_view textOf(const Request &request, std::string_view name) {
-  auto it = request.find(name);
-  if (it == request.end())
-    return {};
-  return {it->value().data(), it->value().size()};
-}
-
 /// Returns the time that a caller gives, 0 where it gives none.
 base::Duration deadlineOf(const Request &request, const std::string &name) {
-  std::string_view text = textOf(request, name);
+  std::string_view text = fieldOf(request, name);
   int64_t ms = 0;
   auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
   if (text.empty() || ec != std::errc() || end != text.data() + text.size() ||
@@ -169,7 +162,7 @@
 
 /// Answers with the request's id, by which the other node knows its answer.
 asio::awaitable<Response> CallEngine::handleMesh(IncomingRequest incoming) {
-  std::string id(textOf(incoming.Message, Environment.Headers.RequestId));
+  std::string id(fieldOf(incoming.Message, Environment.Headers.RequestId));
   Response answer = co_await answerNode(std::move(incoming));
   if (!id.empty())
     answer.set(Environment.Headers.RequestId, id);
@@ -230,14 +223,15 @@
   }
   const Request &request = call.Incoming.Message;
   call.Request.Method = request.method_string();
-  call.Request.Host = textOf(request, "Host");
+  call.Request.Host = fieldOf(request, "Host");
   call.Request.Path = request.target();
-  call.Request.IdempotencyKey = textOf(request, calls::IdempotencyKeyHeader);
+  call.Request.IdempotencyKey = fieldOf(request, calls::IdempotencyKeyHeader);
   call.Request.Fingerprint = fingerprintOf(request);
   base::TimePoint started = now();
   call.Handle = Environment.Broker->begin(call.Request, snapshot, started);
   CallGuard guard(Environment, call.Handle);
   CallStep first = Environment.Broker->step(call.Handle);
+  call.Matched = first.Matched;
   call.ServiceName = first.ServiceName;
   call.CallRank = first.CallRank;
   CallStep last = co_await runSteps(call, first);
@@ -255,11 +249,11 @@
                        const CallStep &last, base::Duration took) {
   Figures.ended(call.ServiceName, call.CallRank, last.Outcome, last.Code, took);
   EndedCall line;
-  line.RequestId = textOf(call.Incoming.Message, Environment.Headers.RequestId);
-  if (line.RequestId.empty())
-    line.RequestId = call.Request.CallId;
+  line.RequestId = requestIdOf(call.Incoming.Message, Environment.Headers,
+                               call.Request.CallId);
   line.Request = &call.Request;
   line.Held = held;
+  line.Matched = call.Matched;
   line.ServiceName = call.ServiceName;
   line.CallRank = call.CallRank;
   if (!call.Tried.empty())
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -64,6 +64,7 @@
     calls::CallHandle Handle = 0;
     Response Answer;
     bool FailedBelow = false;
+    const config::Route *Matched = nullptr; ///< Null: none was found.
     std::string ServiceName;
     config::Rank CallRank = config::Rank::Background;
     uint32_t Attempts = 0;
--- a/Libraries/LibHttp/CallLog.cpp
+++ b/Libraries/LibHttp/CallLog.cpp
@@ -42,15 +42,11 @@
 };
 
 RouteName routeOf(const EndedCall &call) {
-  if (!call.Held || !call.Request)
-    return {};
-  const auto &request = *call.Request;
-  auto hit = call.Held->findRoute(request.Method, request.Host, request.Path);
   const auto *version =
-      hit.Matched ? versionOf(*call.Held, hit.Matched) : nullptr;
+      call.Held && call.Matched ? versionOf(*call.Held, call.Matched) : nullptr;
   if (!version)
     return {};
-  return {version->Configuration + "/" + hit.Matched->Name,
+  return {version->Configuration + "/" + call.Matched->Name,
           std::to_string(version->Version)};
 }
 
@@ -129,6 +125,13 @@
   return Teller::Client;
 }
 
+std::string_view requestIdOf(const Request &request,
+                             const calls::CallHeaders &names,
+                             std::string_view callId) {
+  std::string_view out = fieldOf(request, names.RequestId);
+  return out.empty() ? callId : out;
+}
+
 std::string plainId(std::string_view id) {
   std::string out(id.substr(0, LongestId));
   for (char &c : out)
--- a/Libraries/LibHttp/CallLog.h
+++ b/Libraries/LibHttp/CallLog.h
@@ -4,8 +4,10 @@
 #include <LibBase/EnumNames.h>
 #include <LibBase/ResultCode.h>
 #include <LibCalls/CallBroker.h>
+#include <LibCalls/CallHeaders.h>
 #include <LibCalls/CallTypes.h>
 #include <LibConfig/Snapshot.h>
+#include <LibHttp/Message.h>
 
 #include <cstdint>
 #include <string>
@@ -61,6 +63,7 @@
   std::string_view RequestId; ///< As the client gave it, else the call's own.
   const calls::CallRequest *Request = nullptr;
   const config::Snapshot *Held = nullptr; ///< Null: none yet.
+  const config::Route *Matched = nullptr; ///< Of Held; null: none was found.
   std::string_view ServiceName;           ///< Empty: none was found.
   config::Rank CallRank = config::Rank::Background;
   std::string_view TargetId; ///< Of the last attempt; may be empty.
@@ -75,6 +78,12 @@
   base::Duration Took{};
 };
 
+/// Returns the id by which the client knows the request, else the call's own;
+/// a view into one of both.
+std::string_view requestIdOf(const Request &request,
+                             const calls::CallHeaders &names,
+                             std::string_view callId);
+
 /// Returns an id as printable ASCII of bounded length, as a client may send
 /// any bytes.
 std::string plainId(std::string_view id);
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/GateRunner.h>
 
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/CallLog.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/GateLog.h>
 
@@ -34,10 +35,8 @@
   if (answer.result() == boost::beast::http::status::misdirected_request ||
       answer.count(names.NotRun) != 0)
     return true;
-  auto it = answer.find(calls::OutcomeHeader);
-  return it != answer.end() &&
-         it->value() ==
-             base::nameOf(calls::CallOutcomeNames, calls::CallOutcome::NotRun);
+  return fieldOf(answer, calls::OutcomeHeader) ==
+         base::nameOf(calls::CallOutcomeNames, calls::CallOutcome::NotRun);
 }
 
 } // namespace
@@ -53,7 +52,8 @@
   GateOutcome outcome =
       co_await passGate(call, request, fingerprint, std::move(watch));
   Figures.atGate(call, outcome);
-  logAtGate(call, requestIdOf(call, request), outcome);
+  logAtGate(call, requestIdOf(request, Environment.Headers, call.CallId),
+            outcome);
   outcome.Result.PressurePermille =
       Environment.Gate->pressurePermille(call.TargetId);
   auto it = Open.find(call.CallId);
@@ -156,15 +156,6 @@
   co_return outcome;
 }
 
-/// Returns the id by which the client knows the request, else the call's own.
-std::string_view GateRunner::requestIdOf(const MeshCall &call,
-                                         const Request &request) const {
-  auto it = request.find(Environment.Headers.RequestId);
-  if (it == request.end() || it->value().empty())
-    return call.CallId;
-  return {it->value().data(), it->value().size()};
-}
-
 /// Returns the fields that a target gets: its id and the deadline, and what
 /// proves its deeper calls where there is a key.
 std::string GateRunner::targetLines(const Request &request,
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -64,8 +64,6 @@
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
-  std::string_view requestIdOf(const MeshCall &call,
-                               const Request &request) const;
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &answers);
 
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -19,13 +19,6 @@
     {MeshAudience::Target, "target"},
 };
 
-std::string_view fieldOf(const Request &request, std::string_view name) {
-  auto it = request.find(name);
-  if (it == request.end())
-    return {};
-  return {it->value().data(), it->value().size()};
-}
-
 /// The proven fields, in the order that a proof covers them.
 constexpr std::string_view ProvenFields[] = {
     calls::CallIdHeader,  calls::RankHeader,    calls::DeadlineHeader,
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -35,6 +36,13 @@
 struct ClientWatch {
   bool Gone = false;
   std::function<void()> OnGone; ///< Called once, unless empty.
+
+  /// Tells the handler.
+  void clientGone() {
+    Gone = true;
+    if (OnGone)
+      std::exchange(OnGone, nullptr)();
+  }
 };
 
 /// One request with where it came from.
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -279,11 +279,8 @@
 void Session::clientGone() {
   std::erase_if(Waiting, [](const auto &it) { return !it->Started; });
   auto started = Waiting;
-  for (const PendingPointer &it : started) {
-    it->Watch->Gone = true;
-    if (it->Watch->OnGone)
-      std::exchange(it->Watch->OnGone, nullptr)();
-  }
+  for (const PendingPointer &it : started)
+    it->Watch->clientGone();
 }
 
 void Session::drain() {
--- a/Tests/LibHttp/TestCallLog.cpp
+++ b/Tests/LibHttp/TestCallLog.cpp
@@ -56,6 +56,8 @@
   request.Path = "/pay/1?x";
   auto call = callOf(request, "9c41d07be2a35f68", CallOutcome::Unknown);
   call.Held = snapshot.get();
+  call.Matched =
+      snapshot->findRoute(request.Method, request.Host, request.Path).Matched;
   call.TargetId = "i-7";
   call.Attempts = 2;
   call.Code = base::ResultCode::CallOutcomeUnknown;
