LibCalls: Ask one rule which targets a second attempt may have

Found on reading the change as a whole; nothing is decided otherwise. Whether a cut's second attempt finds a target was asked by a copy of the condition by which TargetChoice takes one; both ask isSecond() now, so that they can't come apart. The part of a deadline that is left for coming back was defined twice. Answers of the gate were written out with empty members in seven places: GateAnswer::refuse() and take().

--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -35,6 +35,15 @@
 /// What the gate decided for one call.
 struct GateAnswer {
   enum class Kind : uint8_t { Run, Queued, Refuse };
+
+  static GateAnswer refuse(Ticket call, base::ResultCode code,
+                           base::Duration retryAfter) {
+    return {Kind::Refuse, call, code, retryAfter, {}};
+  }
+  static GateAnswer take(Kind what, Ticket call) {
+    return {what, call, base::ResultCode::Ok, {}, {}};
+  }
+
   Kind What = Kind::Refuse;
   Ticket Call = 0;
   base::ResultCode Code = base::ResultCode::Ok;
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -15,10 +15,6 @@
 /// The load of a target that refuses calls as overloaded.
 constexpr uint32_t FullPermille = 1000;
 
-/// A caller that is told to come back has this part of what is left of its
-/// deadline for it; a later time would be of no use to it.
-constexpr int64_t RetryAfterDivisor = 3;
-
 /// When a caller may come back after a refusal that named no time.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
@@ -252,11 +248,8 @@
   if (left < AttemptTimer::leastLeft(call.CutAfter))
     return false;
   const auto &targets = Table.usable(call.Route.ServiceName);
-  const bool another =
-      std::any_of(targets.begin(), targets.end(), [&](const auto *target) {
-        return target->Id != call.Target && !target->Refusals.pauses(now);
-      });
-  return another && retryStop(call, now) == StopReason::None;
+  return TargetChoice::hasSecond(targets, call.Target, now) &&
+         retryStop(call, now) == StopReason::None;
 }
 
 int64_t CallPlanner::nodesLately(base::TimePoint now) {
--- a/Libraries/LibCalls/CallTypes.h
+++ b/Libraries/LibCalls/CallTypes.h
@@ -24,6 +24,10 @@
     {CallOutcome::Unknown, "unknown"},
 };
 
+/// A caller that is told to come back has this part of what is left of its
+/// deadline for it; a later time would be of no use to it.
+constexpr int64_t RetryAfterDivisor = 3;
+
 /// Header names between nodes and towards callers. Nodes strip the first group
 /// from requests of callers at the edge, except where the caller's node and
 /// the parent call's token prove the parent.
--- a/Libraries/LibCalls/Gate.cpp
+++ b/Libraries/LibCalls/Gate.cpp
@@ -123,19 +123,13 @@
   Held->LastTime = now;
   const Ticket call = ++Held->LastTicket;
   if (Held->Quarantined->blocks(arrival.Fingerprint, now))
-    return {GateAnswer::Kind::Refuse,
-            call,
-            ResultCode::Quarantined,
-            Quarantine::QuarantineLifetime,
-            {}};
+    return GateAnswer::refuse(call, ResultCode::Quarantined,
+                              Quarantine::QuarantineLifetime);
   const auto it = Held->Targets.find(arrival.TargetId);
   if (it == Held->Targets.end() ||
       it->second.Target.Service != arrival.ServiceName)
-    return {GateAnswer::Kind::Refuse,
-            call,
-            ResultCode::NoTarget,
-            UnknownTargetRetryAfter,
-            {}};
+    return GateAnswer::refuse(call, ResultCode::NoTarget,
+                              UnknownTargetRetryAfter);
   auto &guarded = it->second;
   const auto out = guarded.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
--- a/Libraries/LibCalls/TargetChoice.cpp
+++ b/Libraries/LibCalls/TargetChoice.cpp
@@ -128,6 +128,19 @@
   return returning || headroom ? tiers.Away : tiers.Own;
 }
 
+/// At a target that refuses a second attempt would only be another arrival.
+bool TargetChoice::isSecond(const KnownTarget &target, uint64_t excluded,
+                            base::TimePoint now) {
+  return target.Id != excluded && !target.Refusals.pauses(now);
+}
+
+bool TargetChoice::hasSecond(const Targets &targets, uint64_t excluded,
+                             base::TimePoint now) {
+  return std::any_of(targets.begin(), targets.end(), [&](const auto *it) {
+    return isSecond(*it, excluded, now);
+  });
+}
+
 KnownTarget *TargetChoice::choose(const Targets &targets, uint64_t excluded,
                                   LocalityShare &locality, base::TimePoint now,
                                   base::Random &random) const {
@@ -143,13 +156,11 @@
         random);
   }
   // A second attempt says nothing of the data centre's load: it leaves the
-  // share as it is and takes what is nearest; one that refuses would only be
-  // another arrival there.
+  // share as it is and takes what is nearest.
   for (const auto *list : {&healthy, &targets}) {
     auto left = *list;
-    std::erase_if(left, [&](const auto *it) {
-      return it->Id == excluded || it->Refusals.pauses(now);
-    });
+    std::erase_if(
+        left, [&](const auto *it) { return !isSecond(*it, excluded, now); });
     const auto tiers = tiersOf(left);
     auto *out =
         leastOfTwo(tiers.Own.empty() ? tiers.Away : tiers.Own, now, random);
--- a/Libraries/LibCalls/TargetChoice.h
+++ b/Libraries/LibCalls/TargetChoice.h
@@ -38,12 +38,19 @@
                       LocalityShare &locality, base::TimePoint now,
                       base::Random &random) const;
 
+  /// Tells whether a second attempt finds one now, where \p excluded is the
+  /// target of the first.
+  static bool hasSecond(const TargetTable::Targets &targets, uint64_t excluded,
+                        base::TimePoint now);
+
   /// Returns the target's score; the lower one is preferred.
   static uint64_t score(const KnownTarget &target, base::TimePoint now);
 
 private:
   using Targets = TargetTable::Targets;
   static Targets withoutEjected(const Targets &targets);
+  static bool isSecond(const KnownTarget &target, uint64_t excluded,
+                       base::TimePoint now);
   static bool allRefuse(const Targets &targets, base::TimePoint now);
   static Targets withoutRefusing(Targets targets, base::TimePoint now);
   struct Tiers {
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -44,10 +44,8 @@
 constexpr Duration ShortPatience = std::chrono::milliseconds(40);
 
 constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
-/// Of a call with a latency objective: the least wait, and the part of what is
-/// left of its deadline that may be spent on it.
+/// The least wait of a call with a latency objective.
 constexpr Duration LeastObjectiveRetryAfter = std::chrono::milliseconds(50);
-constexpr int64_t RetryAfterDivisor = 3;
 
 /// Parts of the pressure: slots in use, then the queue.
 constexpr uint32_t SlotsPressurePermille = 800;
@@ -111,7 +109,7 @@
   call.Expected = expectedOf(rank, call.LatencyObjective);
   if (mayStart(rank, now) && !Queue.waiting()[indexOf(rank)]) {
     start(call, now);
-    return {GateAnswer::Kind::Run, call.Call, ResultCode::Ok, {}, {}};
+    return GateAnswer::take(GateAnswer::Kind::Run, call.Call);
   }
   if (call.LatencyObjective > Duration::zero())
     return decideWait(call, remaining, now);
@@ -135,11 +133,9 @@
     return enqueue(call);
   const auto most =
       std::max(remaining / RetryAfterDivisor, LeastObjectiveRetryAfter);
-  return {GateAnswer::Kind::Refuse,
-          call.Call,
-          ResultCode::Overloaded,
-          std::clamp(wait - patience, LeastObjectiveRetryAfter, most),
-          {}};
+  return GateAnswer::refuse(
+      call.Call, ResultCode::Overloaded,
+      std::clamp(wait - patience, LeastObjectiveRetryAfter, most));
 }
 
 GateAnswer TargetGate::enqueue(const WaitingCall &call) {
@@ -148,7 +144,7 @@
     return refusal(call.Call, ResultCode::Overloaded);
   if (shed)
     Answers.push_back(refusal(shed->Call, ResultCode::Overloaded));
-  return {GateAnswer::Kind::Queued, call.Call, ResultCode::Ok, {}, {}};
+  return GateAnswer::take(GateAnswer::Kind::Queued, call.Call);
 }
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
@@ -211,8 +207,7 @@
     }
     const auto call = Queue.pop(*rank, now);
     start(*call, now);
-    Answers.push_back(
-        {GateAnswer::Kind::Run, call->Call, ResultCode::Ok, {}, {}});
+    Answers.push_back(GateAnswer::take(GateAnswer::Kind::Run, call->Call));
     eligible = Queue.waiting();
   }
 }
@@ -288,7 +283,7 @@
 }
 
 GateAnswer TargetGate::refusal(Ticket call, ResultCode code) const {
-  return {GateAnswer::Kind::Refuse, call, code, retryAfter(), {}};
+  return GateAnswer::refuse(call, code, retryAfter());
 }
 
 /// Returns when a refused caller may come back: once what is in flight now
