--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -1,8 +1,7 @@
 #include <LibNode/HeartbeatCodec.h>
 
 #include <LibConfig/ExternalConfiguration.h>
-#include <LibSchema/JsonSchema.h>
-#include <LibSchema/StrictJson.h>
+#include <LibSchema/EmbeddedSchema.h>
 
 #include <boost/json/object.hpp>
 #include <string>
@@ -18,13 +17,6 @@
 constexpr schema::DocumentLimits HeartbeatLimits{16UL << 10, 4};
 constexpr size_t LongestTargetId = 64;
 
-const schema::JsonSchema *heartbeatSchema() {
-  static base::LastReason reason;
-  static auto compiled =
-      schema::JsonSchema::create(embedded::HeartbeatText, reason);
-  return compiled ? &*compiled : nullptr;
-}
-
 uint64_t numberAt(const boost::json::object &object, std::string_view key) {
   const auto *it = object.if_contains(key);
   return it ? it->to_number<uint64_t>() : 0;
@@ -44,15 +36,10 @@
   if (id.empty() || id.size() > LongestTargetId ||
       id.find('/') != std::string_view::npos)
     return reason.fail(base::ResultCode::BadValue, "the target's id is bad");
-  auto document = schema::parseStrictJson(body, HeartbeatLimits, reason);
+  static const schema::EmbeddedSchema shape(embedded::HeartbeatText);
+  auto document = shape.parse(body, HeartbeatLimits, reason);
   if (!document)
     return std::nullopt;
-  const auto *shape = heartbeatSchema();
-  if (!shape)
-    return reason.fail(base::ResultCode::Internal,
-                       "the heartbeat schema cannot be compiled");
-  if (!shape->check(*document, reason))
-    return std::nullopt;
   const auto &object = document->as_object();
   auto address = base::parseAddress(object.at("address").as_string(), reason);
   if (!address)
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -29,12 +29,9 @@
 
 base::ResultCode run(const admin::NodeSettings &settings,
                      const std::string &settingsPath, PlatformPorts ports) {
-  auto log = settings.Log;
-  log.Node = settings.Node;
-  log.DataCentre = settings.DataCentre;
   // A log whose reader has gone ends no call.
   std::signal(SIGPIPE, SIG_IGN);
-  base::setUpLog(log);
+  base::setUpLog(settings.Log);
   boost::asio::io_context context(1);
   base::LastReason reason;
   // Until the file is watched, a signal for it must not end the process.
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -186,37 +186,35 @@
   if (!proxy)
     return false;
   Proxy = std::move(*proxy);
-  auto administration = http::Server::create(
-      *Context, Settings.Administration, {},
-      [this](http::IncomingRequest request) {
-        return Administration.handle(std::move(request));
-      },
-      reason);
-  if (!administration)
-    return false;
-  AdministrationServer = std::move(*administration);
-  auto targets = http::Server::create(
-      *Context, Settings.Targets, {},
-      [this](http::IncomingRequest request) {
-        return Announcements.handle(std::move(request));
-      },
-      reason);
-  if (!targets)
-    return false;
-  TargetServer = std::move(*targets);
-  return Settings.Metrics.Host.empty() || startMetrics(reason);
+  return listen(
+             AdministrationServer, Settings.Administration,
+             [this](http::IncomingRequest request) {
+               return Administration.handle(std::move(request));
+             },
+             reason) &&
+         listen(
+             TargetServer, Settings.Targets,
+             [this](http::IncomingRequest request) {
+               return Announcements.handle(std::move(request));
+             },
+             reason) &&
+         (Settings.Metrics.Host.empty() ||
+          listen(
+              MetricsServer, Settings.Metrics,
+              [this](http::IncomingRequest request) {
+                return MetricsText.handle(std::move(request));
+              },
+              reason));
 }
 
-bool NodeProcess::startMetrics(base::LastReason &reason) {
-  auto server = http::Server::create(
-      *Context, Settings.Metrics, {},
-      [this](http::IncomingRequest request) {
-        return MetricsText.handle(std::move(request));
-      },
-      reason);
-  if (!server)
+bool NodeProcess::listen(std::shared_ptr<http::Server> &server,
+                         const base::Address &address, http::Handler handler,
+                         base::LastReason &reason) {
+  auto made =
+      http::Server::create(*Context, address, {}, std::move(handler), reason);
+  if (!made)
     return false;
-  MetricsServer = std::move(*server);
+  server = std::move(*made);
   return true;
 }
 
@@ -342,7 +340,7 @@
   if (!Recovered && isServing())
     recovered();
   Kept.tick(Time.now());
-  if (KeepingSince && IsFloorTaken)
+  if (KeepingSince && Time.now() - *KeepingSince >= LongestKeeping)
     putInForce();
   Link.tick(Fleet->members(), Time.now());
   if (Leases.tick(Time.now()))
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -78,7 +78,9 @@
   bool isServing() const;
   bool startFleet(base::LastReason &reason);
   bool startListeners(base::LastReason &reason);
-  bool startMetrics(base::LastReason &reason);
+  bool listen(std::shared_ptr<http::Server> &server,
+              const base::Address &address, http::Handler handler,
+              base::LastReason &reason);
   boost::json::array servicesInUse() const;
   void memberMetrics();
   void versionMetrics();
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -3,8 +3,7 @@
 #include <LibBase/LastReason.h>
 #include <LibBase/Logger.h>
 #include <LibNode/HeartbeatCodec.h>
-#include <LibSchema/JsonSchema.h>
-#include <LibSchema/StrictJson.h>
+#include <LibSchema/EmbeddedSchema.h>
 
 #include <boost/beast/http/status.hpp>
 #include <boost/json/object.hpp>
@@ -24,13 +23,6 @@
 
 constexpr schema::DocumentLimits AnnouncementLimits{16UL << 10, 4};
 
-const schema::JsonSchema *announcementSchema() {
-  static base::LastReason reason;
-  static auto compiled =
-      schema::JsonSchema::create(embedded::AnnouncementText, reason);
-  return compiled ? &*compiled : nullptr;
-}
-
 uint64_t numberAt(const boost::json::object &object, std::string_view key,
                   uint64_t otherwise) {
   const auto *it = object.if_contains(key);
@@ -44,15 +36,10 @@
 
 std::optional<calls::Announcement> decode(std::string_view body,
                                           base::LastReason &reason) {
-  auto document = schema::parseStrictJson(body, AnnouncementLimits, reason);
+  static const schema::EmbeddedSchema shape(embedded::AnnouncementText);
+  auto document = shape.parse(body, AnnouncementLimits, reason);
   if (!document)
     return std::nullopt;
-  const auto *shape = announcementSchema();
-  if (!shape)
-    return reason.fail(base::ResultCode::Internal,
-                       "the announcement schema cannot be compiled");
-  if (!shape->check(*document, reason))
-    return std::nullopt;
   const auto &object = document->as_object();
   auto address = base::parseAddress(textAt(object, "address"), reason);
   if (!address)
