--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -20,6 +20,7 @@
 using base::ResultCode;
 
 constexpr size_t MaximumSettingsBytes = 1UL << 20;
+constexpr uint64_t BytesPerKilobit = 125;
 
 constexpr base::EnumName<base::LogLevel> LogLevelNames[] = {
     {base::LogLevel::Debug, "debug"},
@@ -248,6 +249,11 @@
       return std::nullopt;
   if (const auto *flag = platform.if_contains("operator_configuration"))
     settings.HasOperatorConfiguration = flag->as_bool();
+  if (const auto *n = platform.if_contains("in_force_ms"))
+    settings.InForceBound = std::chrono::milliseconds(n->to_number<uint32_t>());
+  if (const auto *n = root.if_contains("least_link_kbit_per_s"))
+    settings.LeastLinkBytesPerSecond =
+        n->to_number<uint64_t>() * BytesPerKilobit;
   if (const auto *service = root.if_contains("service"))
     settings.Service = text(*service);
   if (const auto *address = root.if_contains("target_address")) {
@@ -266,6 +272,8 @@
     settings.TargetLease = std::chrono::milliseconds(n->to_number<uint32_t>());
   if (const auto *n = root.if_contains("recording_bytes"))
     settings.RecordingBytes = n->to_number<size_t>();
+  if (const auto *flag = root.if_contains("first_start"))
+    settings.IsFirstStart = flag->as_bool();
   if (const auto *keys = root.if_contains("mesh_keys"))
     for (const auto &key : keys->as_array())
       settings.MeshKeys.push_back(text(key));
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -11,6 +11,7 @@
 #include <LibConfig/Labels.h>
 
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -63,6 +64,11 @@
   /// Where this VM's target listens; heartbeats of others are refused. Without
   /// it any address is taken.
   std::optional<base::Address> TargetAddress;
+  /// From the store's acknowledgement of the operator's configuration to its
+  /// being in force here.
+  base::Duration InForceBound = std::chrono::seconds(2);
+  /// What the thinnest link of a node carries.
+  uint64_t LeastLinkBytesPerSecond = 875'000;
   std::string Service; ///< That of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
@@ -72,6 +78,9 @@
   std::vector<base::Address> Seeds;   ///< Gossip addresses of other nodes.
   /// Hosts where other nodes may run, with this node's own gossip port.
   std::vector<base::Address> SeedHosts;
+  /// All nodes start now, for the first time: nobody serves yet, so they take
+  /// their time to meet before they ask the store.
+  bool IsFirstStart = false;
   std::vector<std::string> MeshKeys;
   /// No key is given: the network between the nodes is trusted.
   bool TrustsNetwork = false;
--- a/Libraries/LibBase/Clock.h
+++ b/Libraries/LibBase/Clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace radishcross::base {
 
@@ -26,6 +27,19 @@
   }
 };
 
+/// The machine's clock that also counts the time of a suspension, which the
+/// monotonic one leaves out.
+class BootClock final : public Clock {
+public:
+  TimePoint now() const override {
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(at.tv_sec) +
+        std::chrono::nanoseconds(at.tv_nsec)));
+  }
+};
+
 /// A clock that tests move by hand.
 class ManualClock final : public Clock {
 public:
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -75,11 +75,11 @@
   linkIfDue(now, actions);
   auto leaves = leaveNews(now);
   std::move(leaves.begin(), leaves.end(), std::back_inserter(actions.Sends));
-  bool isSecondPush = SecondPush && now >= *SecondPush;
-  if (isSecondPush)
-    SecondPush.reset();
+  bool isLaterPush = LaterPush && now >= *LaterPush;
+  if (isLaterPush)
+    planLaterPush(now);
   bool hasNews = isNewsDue(now);
-  if (!hasNews && !isSecondPush)
+  if (!hasNews && !isLaterPush)
     return actions;
   HasNews = HasNews && !hasNews;
   auto sends = push([](const Member &) { return true; },
@@ -140,10 +140,19 @@
          compose(GossipKind::PingRequest, action.Number, action.Subject)});
 }
 
+void Membership::planLaterPush(base::TimePoint now) {
+  LaterPush.reset();
+  if (LaterPushesLeft == 0)
+    return;
+  --LaterPushesLeft;
+  auto delay = Settings.SecondPushDelay.count();
+  LaterPush = now + base::Duration(delay / 2 + Dice.below(delay));
+}
+
 std::vector<GossipSend> Membership::pushNews(base::TimePoint now,
                                              const NodeId &source) {
-  auto delay = Settings.SecondPushDelay.count();
-  SecondPush = now + base::Duration(delay / 2 + Dice.below(delay));
+  LaterPushesLeft = Settings.LaterPushes;
+  planLaterPush(now);
   auto sends = push([&](const Member &it) { return it.HeldOffset < Own.Held; },
                     Payload::DigestOnly);
   if (const auto *it = Table.find(source))
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -31,7 +31,10 @@
   /// directory cannot be read knows nobody.
   base::Duration GoneTried = std::chrono::minutes(5);
   uint32_t GoneTries = 3;
+  /// News of records is pushed again: of 60 nodes one push of three peers each
+  /// misses three, two miss one in seven times and three one in a hundred.
   base::Duration SecondPushDelay = std::chrono::milliseconds(150);
+  uint32_t LaterPushes = 2;
   uint32_t RetransmitFactor = 3; ///< Times the logarithm of the fleet's size.
   /// Between two pushes of members' news; it doubles while news keeps coming,
   /// so that a herd of newcomers costs a bounded number of bytes.
@@ -94,11 +97,16 @@
   void post(const Notice &notice, base::TimePoint now);
 
   /// Tells peers that lack them at once that this node holds new records, and
-  /// \p source, from which they came, that they are held here. A second push to
-  /// any peers follows, since one alone misses some.
+  /// \p source, from which they came, that they are held here. Later pushes to
+  /// any peers follow, since one alone misses some.
   std::vector<GossipSend> pushNews(base::TimePoint now,
                                    const NodeId &source = {});
 
+  /// Tells a few peers what this node holds now.
+  std::vector<GossipSend> pushDigest() {
+    return push([](const Member &) { return true; }, Payload::DigestOnly);
+  }
+
   /// Takes a digest that came with a pull's answer.
   void noteDigest(const NodeId &id, const Digest &digest) {
     Table.noteDigest(id, digest);
@@ -139,6 +147,7 @@
   void tryGone(base::TimePoint now, MembershipActions &actions);
   bool isNewsDue(base::TimePoint now);
   void skipPause(base::TimePoint now);
+  void planLaterPush(base::TimePoint now);
   void answer(const GossipSender &sender, const GossipMessage &message,
               base::TimePoint now, MembershipActions &actions);
   void relayPing(const GossipSender &sender, const GossipMessage &message,
@@ -198,7 +207,8 @@
   base::TimePoint NextLoadNews{};
   base::TimePoint NextNews{};
   base::Duration NewsSpacing{};
-  std::optional<base::TimePoint> SecondPush;
+  std::optional<base::TimePoint> LaterPush; ///< Of LaterPushesLeft.
+  uint32_t LaterPushesLeft = 0;
   uint32_t LeaveRoundsLeft = 0;
   base::TimePoint NextLeaveNews{};
 };
--- a/Libraries/LibFleet/NodeDirectory.cpp
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -63,11 +63,10 @@
 }
 
 std::optional<NodeId> NodeDirectory::toDrop(const std::set<NodeId> &live,
-                                            base::TimePoint now) {
+                                            bool isFirst, base::TimePoint now) {
   std::optional<NodeId> out;
   std::erase_if(GoneSince,
                 [&](const auto &it) { return !Entries.contains(it.first); });
-  bool isFirst = live.empty() || Self.Id <= *live.begin();
   for (const auto &[id, entry] : Entries) {
     if (live.contains(id)) {
       GoneSince.erase(id);
--- a/Libraries/LibFleet/NodeDirectory.h
+++ b/Libraries/LibFleet/NodeDirectory.h
@@ -48,8 +48,9 @@
   void written() { IsWritten = true; }
 
   /// Returns the entry to drop: that of a node that none of \p live has been
-  /// for GoneKept. The first of the live nodes by id sees to it.
-  std::optional<NodeId> toDrop(const std::set<NodeId> &live,
+  /// for GoneKept. The first by id of those that keep entries sees to it; \p
+  /// isFirst tells whether that is this node.
+  std::optional<NodeId> toDrop(const std::set<NodeId> &live, bool isFirst,
                                base::TimePoint now);
 
   /// Tells whether this node's own entry has to be written: it is absent, or
--- a/Libraries/LibFleet/Spreader.cpp
+++ b/Libraries/LibFleet/Spreader.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Hash.h>
+#include <LibFleet/Rendezvous.h>
 #include <LibFleet/Spreader.h>
 
 #include <algorithm>
@@ -30,21 +31,10 @@
 
 bool Spreader::isTailer(const MemberTable &table, const std::string &dataCentre,
                         const NodeId &id, uint32_t count) {
-  uint64_t own = base::rendezvousWeight(dataCentre, id);
-  uint32_t ahead = 0;
-  for (const auto &it : table.all()) {
-    if (!isLive(it) || it.Identity.DataCentre != dataCentre)
-      continue;
-    if (it.Identity.Id == id)
-      continue;
-    uint64_t weight = base::rendezvousWeight(dataCentre, it.Identity.Id);
-    if (weight > own || (weight == own && it.Identity.Id > id))
-      ++ahead;
-  }
-  return ahead < count;
+  return placeOf(table.all(), dataCentre, id).Rank < count;
 }
 
-std::vector<NodeId> Spreader::tailers(const MemberTable &table,
+std::vector<NodeId> Spreader::tailers(const std::vector<Member> &members,
                                       uint32_t count) {
   struct Weighed {
     uint64_t Weight;
@@ -54,7 +44,7 @@
     }
   };
   std::map<std::string, std::vector<Weighed>> byDataCentre;
-  for (const auto &it : table.all()) {
+  for (const auto &it : members) {
     const auto &identity = it.Identity;
     if (isLive(it))
       byDataCentre[identity.DataCentre].push_back(
@@ -82,25 +72,31 @@
   return actions;
 }
 
-void Spreader::planSafetyRead(const SpreadView &view, base::TimePoint now) {
-  auto period = Settings.SafetyReadPeriod * view.LocalSize;
-  NextSafetyRead =
-      now + period / 2 + base::Duration(Dice.below(period.count()));
+void Spreader::planSafetyRead(base::TimePoint now) {
+  LastSafetyRead = now;
+  SafetyPercent = 50 + static_cast<uint32_t>(Dice.below(100));
+}
+
+/// The data centre's size counts as it is known now: a node that has just
+/// started knows few.
+base::TimePoint Spreader::nextSafetyRead(const SpreadView &view) const {
+  return LastSafetyRead +
+         Settings.SafetyReadPeriod * view.LocalSize * SafetyPercent / 100;
 }
 
 std::optional<SpreadAction> Spreader::nextRead(const SpreadView &view,
                                                base::TimePoint now) {
   if (ReadRunning)
     return std::nullopt;
-  if (NextSafetyRead == base::TimePoint{})
-    planSafetyRead(view, now);
-  bool isSafety = now >= NextSafetyRead;
+  if (SafetyPercent == 0)
+    planSafetyRead(now);
+  bool isSafety = now >= nextSafetyRead(view);
   bool isFallback = PullBackoff.failures() >= Settings.FailedPullsBeforeRead;
   bool isWanted = view.Tails || view.ReadsToEnd || isSafety || isFallback;
   if (!ReadRequested && (!isWanted || now < NextRead))
     return std::nullopt;
   if (isSafety)
-    planSafetyRead(view, now);
+    planSafetyRead(now);
   ReadRunning = true;
   SpreadAction action{SpreadAction::Kind::ReadLog, {}, view.Held + 1, {}};
   if (view.Tails && !ReadRequested && !view.ReadsToEnd)
--- a/Libraries/LibFleet/Spreader.h
+++ b/Libraries/LibFleet/Spreader.h
@@ -88,7 +88,8 @@
                        const NodeId &id, uint32_t count);
 
   /// Returns the ids of the tailers of all data centres.
-  static std::vector<NodeId> tailers(const MemberTable &table, uint32_t count);
+  static std::vector<NodeId> tailers(const std::vector<Member> &members,
+                                     uint32_t count);
 
 private:
   std::optional<SpreadAction> nextRead(const SpreadView &view,
@@ -96,7 +97,8 @@
   std::optional<SpreadAction> nextPull(const SpreadView &view,
                                        base::TimePoint now);
   const SpreadSource *chooseSource(const SpreadView &view, base::TimePoint now);
-  void planSafetyRead(const SpreadView &view, base::TimePoint now);
+  void planSafetyRead(base::TimePoint now);
+  base::TimePoint nextSafetyRead(const SpreadView &view) const;
 
   SpreaderSettings Settings;
   base::Random Dice;
@@ -109,7 +111,8 @@
   bool StateWanted = false;
   base::TimePoint NextRead{};
   base::TimePoint NextPull{};
-  base::TimePoint NextSafetyRead{};
+  base::TimePoint LastSafetyRead{};
+  uint32_t SafetyPercent = 0; ///< Of the period until the next one, drawn.
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/TopicFollower.cpp
+++ b/Libraries/LibFleet/TopicFollower.cpp
@@ -19,6 +19,14 @@
   return pause / 2 + base::Duration(Dice.below(pause.count() / 2 + 1));
 }
 
+void TopicFollower::setPace(base::Duration longPoll, base::Duration spacing,
+                            base::Duration longestPause) {
+  Settings.LongPoll = longPoll;
+  Settings.Spacing = spacing;
+  Settings.LargeSpacing = std::min(Settings.LargeSpacing, spacing);
+  Settings.LongestPause = longestPause;
+}
+
 TopicStep TopicFollower::next() {
   IsSpacing = std::exchange(SpacingIsDue, false);
   if (IsSpacing)
--- a/Libraries/LibFleet/TopicFollower.h
+++ b/Libraries/LibFleet/TopicFollower.h
@@ -72,6 +72,14 @@
   /// Returns what is due now; to be asked again once that has ended.
   TopicStep next();
 
+  /// Changes how long the store may hold a read, what spaces two reads and the
+  /// longest pause between two that fail.
+  void setPace(base::Duration longPoll, base::Duration spacing,
+               base::Duration longestPause);
+
+  /// Notes that reading ends for a while: the keys are listed when it goes on.
+  void rest() { ListIsDue = true; }
+
   /// Has the next pause passed over, so that the keys are listed at once.
   void listSoon() { SkipsPause = true; }
 
--- a/Libraries/LibFleet/TransferGate.h
+++ b/Libraries/LibFleet/TransferGate.h
@@ -3,34 +3,41 @@
 #include <LibBase/Clock.h>
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <iterator>
 
 namespace radishcross::fleet {
 
+/// What a node gives to a peer: a large answer, the external configuration, or
+/// anything else.
+enum class TransferKind : uint8_t { State, External, Other };
+
 /// Bounds the transfers that a node serves at once, so that a herd of
 /// newcomers costs it a known amount. Who is refused is told when to come back;
 /// the more were refused lately, the later.
 class TransferGate {
 public:
-  static constexpr uint32_t MaximumStates = 4;
-  static constexpr uint32_t MaximumOthers = 32;
+  /// By TransferKind. Versions pass from holder to holder: who has just got one
+  /// serves the next, so few at a time are faster than many.
+  static constexpr uint32_t Maximum[] = {4, 6, 32};
   static constexpr std::chrono::milliseconds ShortestRetry{50};
   static constexpr uint32_t LongestRetryFactor = 40;
 
   /// Takes a place; false when all are taken.
-  bool begin(bool isState) {
-    auto &running = isState ? States : Others;
-    if (running >= (isState ? MaximumStates : MaximumOthers)) {
+  bool begin(TransferKind kind) {
+    auto place = static_cast<size_t>(kind);
+    if (Running[place] >= Maximum[place]) {
       ++Refused;
       return false;
     }
-    ++running;
+    ++Running[place];
     return true;
   }
 
-  void end(bool isState) {
-    auto &running = isState ? States : Others;
-    --running;
+  void end(TransferKind kind) {
+    --Running[static_cast<size_t>(kind)];
     Refused = Refused > 1 ? Refused - 2 : 0;
   }
 
@@ -40,8 +47,7 @@
   }
 
 private:
-  uint32_t States = 0;
-  uint32_t Others = 0;
+  std::array<uint32_t, std::size(Maximum)> Running{};
   uint32_t Refused = 0;
 };
 
--- a/Libraries/LibFleet/VersionCatchUp.cpp
+++ b/Libraries/LibFleet/VersionCatchUp.cpp
@@ -1,17 +1,30 @@
 #include <LibFleet/VersionCatchUp.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace radishcross::fleet {
 
-void VersionCatchUp::heard(uint64_t version, base::TimePoint now) {
-  if (version <= Newest)
+namespace {
+/// Holders remembered: enough for the busy and the unreachable among them.
+constexpr size_t MaximumHolders = 8;
+} // namespace
+
+void VersionCatchUp::heard(uint64_t version, const NodeId &holder,
+                           base::TimePoint now) {
+  if (version < Newest || version == 0)
     return;
-  Newest = version;
-  // Half as much again is drawn, so that not all ask at one moment.
-  Drawn = Settings.Delay +
-          base::Duration(Dice.below(Settings.Delay.count() / 2 + 1));
-  NewestDue = now + Drawn;
+  if (version > Newest) {
+    Newest = version;
+    Holders.clear();
+    Drawn = Settings.Delay +
+            base::Duration(Dice.below(Settings.Delay.count() / 2 + 1));
+    NewestDue = now + Drawn;
+  }
+  bool isKnown =
+      std::find(Holders.begin(), Holders.end(), holder) != Holders.end();
+  if (!isKnown && Holders.size() < MaximumHolders)
+    Holders.push_front(holder);
 }
 
 base::Duration VersionCatchUp::transferTime(const CatchUpView &view) const {
@@ -20,19 +33,34 @@
 }
 
 bool VersionCatchUp::isDue(const CatchUpView &view, base::TimePoint now) {
+  if (Newest <= view.Held || now < AskedUntil || now < NextAsk)
+    return false;
   // The time for this node's own read counts from when it may begin.
-  if (view.IsReadSpaced && Newest > view.Held)
+  if (view.IsReadSpaced)
     NewestDue = std::max(NewestDue, now + Drawn);
-  if (now < AskedUntil || now < NextAsk)
+  if (view.IsReading && now < NewestDue + transferTime(view))
     return false;
-  bool isBehind = Newest > view.Held && now >= NewestDue + transferTime(view);
-  if (!isBehind && view.IsStoreReached)
-    return false;
-  auto spacing = isBehind || view.Held == 0 ? Settings.EmptySpacing
-                                            : Settings.BlindSpacing;
-  NextAsk = now + spacing / 2 + base::Duration(Dice.below(spacing.count()));
+  NextAsk = now + Settings.Spacing / 2 +
+            base::Duration(Dice.below(Settings.Spacing.count()));
   AskedUntil = now + Settings.Patience + transferTime(view);
   return true;
 }
 
+std::optional<NodeId> VersionCatchUp::nextHolder() {
+  if (Holders.empty())
+    return std::nullopt;
+  auto out = std::move(Holders.front());
+  Holders.pop_front();
+  Holders.push_back(out);
+  return out;
+}
+
+void VersionCatchUp::ended(base::TimePoint now, base::Duration retryAfter) {
+  AskedUntil = {};
+  if (retryAfter.count() > 0)
+    NextAsk = std::max(NextAsk,
+                       now + retryAfter / 2 +
+                           base::Duration(Dice.below(retryAfter.count() + 1)));
+}
+
 } // namespace radishcross::fleet
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -111,6 +111,8 @@
     Counters.setGauge(labelled("store_told_age_seconds", "topic",
                                base::nameOf(log::TopicNames, topic)),
                       secondsOf(now - at));
+  if (auto age = Fleet->externalAge())
+    Counters.setGauge("external_confirmed_age_seconds", secondsOf(*age));
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -56,6 +56,9 @@
   return out;
 }
 
+/// How long nodes that start together take to meet.
+constexpr base::Duration FirstMeeting = std::chrono::milliseconds(1500);
+
 /// How long a change waits for the store to keep that it is held.
 constexpr base::Duration LongestKeeping = std::chrono::seconds(1);
 
@@ -85,7 +88,9 @@
       Link(context, *Store, Ports,
            {Self.Id, static_cast<uint64_t>(unixMilliseconds()), Self.Gossip},
            {[this](const base::Address &it) { Fleet->addSeeds({it}); },
-            [this] { externalChanged(); }}),
+            [this] { externalChanged(); },
+            [this] { return Fleet->externalDuty(); },
+            [this](base::TimePoint since) { Fleet->externalRead(since); }}),
       Kept(*Store, Self.Id, [this] { putInForce(); }), Quarantined(Decisions),
       News(Quarantined), Leases(Decisions, settings.TargetLease),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
@@ -144,13 +149,19 @@
   if (Settings.HasOperatorConfiguration)
     environment.External = {
         [this] { return Link.configuration().version(); },
-        [this] { return Link.configurationText(); },
-        [this] { return Link.configurationText().size(); },
-        [this] { return Link.isOperatorReached(); },
+        [this]() -> const std::string & { return Link.packedConfiguration(); },
+        [this] { return Link.isOperatorRead() && Link.isOperatorReached(); },
         [this] { return Link.isOperatorSpacing(); },
-        [this](const peer::ExternalRecord &it, const fleet::NodeId &peer) {
-          Link.takeConfiguration(it.Text, peer);
+        [this](peer::ExternalRecord it, const fleet::NodeId &peer) {
+          Link.takePacked(std::move(it.Packed), peer);
         }};
+  environment.HasSeedHosts = !Settings.SeedHosts.empty();
+  environment.Freshness.Bound = Settings.InForceBound;
+  environment.LeastLinkBytesPerSecond = Settings.LeastLinkBytesPerSecond;
+  environment.Elapsed = &Elapsed;
+  if (Settings.IsFirstStart)
+    environment.Meeting = FirstMeeting;
+  environment.Freshness.Quiet = environment.Meeting;
   auto shell = peer::FleetShell::create(std::move(environment), reason);
   if (!shell)
     return false;
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -103,6 +103,7 @@
   admin::NodeSettings Settings;
   fleet::NodeIdentity Self;
   base::SystemClock Time;
+  base::BootClock Elapsed;
   base::Metrics Counters;
   uint64_t Seed;
   trace::Ring Decisions;
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -23,6 +23,10 @@
   struct Events {
     std::function<void(const base::Address &gossip)> NodeFound;
     std::function<void()> ConfigurationChanged;
+    /// Tells how the operator's record is to be read now.
+    std::function<fleet::ReadDuty()> ReadDuty;
+    /// Called after a read, begun at \p since, that showed the newest version.
+    std::function<void(base::TimePoint since)> ConfigurationRead;
   };
 
   PlatformLink(boost::asio::io_context &context, log::KeyedStore &store,
@@ -41,8 +45,8 @@
     return External;
   }
 
-  /// Returns the bytes of the record in force, for the peers.
-  const std::string &configurationText() const { return ExternalText; }
+  /// Returns the bytes of the record in force, compressed, for the peers.
+  const std::string &packedConfiguration() const { return Packed; }
 
   /// Returns when the store last answered reads of each topic followed.
   std::vector<std::pair<log::Topic, base::TimePoint>> toldAt() const;
@@ -52,27 +56,39 @@
     return Operator && Operator->hasListed() && Operator->isReached();
   }
 
+  /// Tells whether this node reads the operator's record for itself.
+  bool isOperatorRead() const { return Operator && Operator->isReading(); }
+
   /// Tells whether the next read of the operator's record is due shortly.
   bool isOperatorSpacing() const { return Operator && Operator->isSpacing(); }
 
-  /// Takes the operator's record from \p source; one that is not above the
-  /// version in force, or not valid, changes nothing.
-  void takeConfiguration(std::string_view text, std::string_view source);
+  /// Takes the operator's record, compressed, from a peer; one that is not
+  /// above the version in force, or not valid, changes nothing.
+  void takePacked(std::string packed, std::string_view peer);
 
 private:
   void writeEntry(std::string id, std::string text);
   void directoryRecord(const log::KeyedRecord &record);
   void operatorRecord(const log::KeyedRecord &record);
+  bool takeConfiguration(std::string_view text, std::string_view source);
+  void look(const std::vector<fleet::Member> &members);
+  fleet::ReadDuty directoryDuty() const;
 
   boost::asio::io_context *Context;
   log::KeyedStore *Store;
   const PlatformPorts *Ports;
   fleet::NodeDirectory Directory;
   config::ExternalConfiguration External;
-  std::string ExternalText;
+  std::string Packed;    ///< The record in force, compressed.
+  uint64_t TextHash = 0; ///< Of the record taken last.
   Events OnEvent;
   std::shared_ptr<TopicReader> Nodes;
   std::shared_ptr<TopicReader> Operator;
+  base::TimePoint Started{};
+  bool IsAlone = true;  ///< No other live node is known.
+  bool IsKeeper = true; ///< One of those that the directory names.
+  base::TimePoint QuietUntil{};
+  base::TimePoint NextLook{};
   base::TimePoint NextWrite{};
   base::TimePoint NextDropLook{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -28,22 +28,41 @@
 
 std::shared_ptr<TopicReader>
 TopicReader::start(boost::asio::io_context &context, log::KeyedStore &store,
-                   log::Topic topic, uint64_t seed, Taken taken,
+                   log::Topic topic, uint64_t seed, Events events,
                    fleet::TopicFollowerSettings how) {
   auto out = std::make_shared<TopicReader>(context, store, topic, seed,
-                                           std::move(taken), how);
+                                           std::move(events), how);
   out->go();
   return out;
 }
 
 TopicReader::TopicReader(boost::asio::io_context &context,
                          log::KeyedStore &store, log::Topic topic,
-                         uint64_t seed, Taken taken,
+                         uint64_t seed, Events events,
                          fleet::TopicFollowerSettings how)
-    : Store(&store), Which(topic), OnTaken(std::move(taken)),
+    : Store(&store), Which(topic), OnEvent(std::move(events)),
       Follower(how, seed), Timer(context) {}
 
+bool TopicReader::takeDuty() {
+  if (!OnEvent.Duty)
+    return true;
+  auto duty = OnEvent.Duty();
+  IsResting = duty.What == fleet::ReadDuty::Kind::None;
+  if (IsResting)
+    Follower.rest();
+  else
+    Follower.setPace(duty.Hold, duty.Spacing, duty.LongestPause);
+  return !IsResting;
+}
+
+void TopicReader::wake() {
+  if (IsResting)
+    go();
+}
+
 void TopicReader::go() {
+  if (!takeDuty())
+    return;
   auto step = Follower.next();
   if (step.What == fleet::TopicStep::Kind::List)
     return list();
@@ -68,31 +87,36 @@
 }
 
 void TopicReader::list() {
-  Store->list(Which, [weak = weak_from_this()](const log::TopicAnswer &answer) {
+  Store->list(Which, [weak = weak_from_this(), since = base::BootClock().now()](
+                         const log::TopicAnswer &answer) {
     auto self = weak.lock();
     if (!self)
       return;
-    self->answered(answer, "list");
-    self->Follower.listed(readOf(answer, 0));
+    auto read = readOf(answer, 0);
+    self->answered(answer, "list", read, since);
+    self->Follower.listed(read);
     self->go();
   });
 }
 
 void TopicReader::follow(const fleet::TopicStep &step) {
-  Store->follow(Which, step.From, step.For,
-                [weak = weak_from_this(),
-                 from = step.From](const log::TopicAnswer &answer) {
-                  auto self = weak.lock();
-                  if (!self)
-                    return;
-                  self->answered(answer, "follow");
-                  self->Follower.followed(readOf(answer, from));
-                  self->go();
-                });
+  Store->follow(
+      Which, step.From, step.For,
+      [weak = weak_from_this(), from = step.From,
+       since = base::BootClock().now()](const log::TopicAnswer &answer) {
+        auto self = weak.lock();
+        if (!self)
+          return;
+        auto read = readOf(answer, from);
+        self->answered(answer, "follow", read, since);
+        self->Follower.followed(read);
+        self->go();
+      });
 }
 
 void TopicReader::answered(const log::TopicAnswer &answer,
-                           std::string_view what) {
+                           std::string_view what, const fleet::TopicRead &read,
+                           base::TimePoint since) {
   bool isReached = answer.Reached || answer.Expired;
   if (isReached)
     ToldAt = base::SystemClock().now();
@@ -103,7 +127,10 @@
                {"read", std::string(what)},
                {"reason", answer.Reason.text()}});
   for (const auto &it : answer.Records)
-    OnTaken(it);
+    OnEvent.Taken(it);
+  bool isWhole = answer.Reached && (what == "list" || read.Next >= answer.End);
+  if (isWhole && OnEvent.Whole)
+    OnEvent.Whole(since);
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibFleet/RecordFreshness.h>
 #include <LibFleet/TopicFollower.h>
 #include <LibLog/KeyedStore.h>
 
@@ -14,18 +15,27 @@
 /// Keeps up with one topic of the platform's store and passes its records on.
 class TopicReader : public std::enable_shared_from_this<TopicReader> {
 public:
-  /// Called for each record read, which may be one that was seen before.
-  using Taken = std::function<void(const log::KeyedRecord &)>;
+  struct Events {
+    /// Called for each record read, which may be one that was seen before.
+    std::function<void(const log::KeyedRecord &)> Taken;
+    /// Tells how the topic is to be read now; empty: it is always followed.
+    std::function<fleet::ReadDuty()> Duty;
+    /// Called after a read that brought all there was; it began at \p since.
+    std::function<void(base::TimePoint since)> Whole;
+  };
 
   /// Starts to read; ends when the last pointer but its own is let go.
   static std::shared_ptr<TopicReader>
   start(boost::asio::io_context &context, log::KeyedStore &store,
-        log::Topic topic, uint64_t seed, Taken taken,
+        log::Topic topic, uint64_t seed, Events events,
         fleet::TopicFollowerSettings how = {});
   TopicReader(boost::asio::io_context &context, log::KeyedStore &store,
-              log::Topic topic, uint64_t seed, Taken taken,
+              log::Topic topic, uint64_t seed, Events events,
               fleet::TopicFollowerSettings how);
 
+  /// Reads again where it rests and its duty asks for it.
+  void wake();
+
   /// Has the keys listed now instead of after the pause, for a reader that only
   /// lists them.
   void listSoon();
@@ -33,6 +43,9 @@
   /// Tells whether the topic has been read whole at least once.
   bool hasListed() const { return Follower.hasListed(); }
 
+  /// Tells whether it reads, and does not rest.
+  bool isReading() const { return !IsResting; }
+
   /// Tells whether the next read is held back only to space it from the last.
   bool isSpacing() const { return IsPausing && Follower.isSpacing(); }
 
@@ -43,19 +56,22 @@
   bool isReached() const { return Reached; }
 
 private:
+  bool takeDuty();
   void go();
   void list();
   void follow(const fleet::TopicStep &step);
-  void answered(const log::TopicAnswer &answer, std::string_view what);
+  void answered(const log::TopicAnswer &answer, std::string_view what,
+                const fleet::TopicRead &read, base::TimePoint since);
 
   log::KeyedStore *Store;
   log::Topic Which;
-  Taken OnTaken;
+  Events OnEvent;
   fleet::TopicFollower Follower;
   boost::asio::steady_timer Timer;
   bool Reached = true;
   std::optional<base::TimePoint> ToldAt;
   bool IsPausing = false;
+  bool IsResting = false;
 };
 
 } // namespace radishcross::node
--- a/Libraries/LibPeer/FleetExternal.cpp
+++ b/Libraries/LibPeer/FleetExternal.cpp
@@ -1,6 +1,8 @@
 #include <LibBase/Logger.h>
+#include <LibFleet/Rendezvous.h>
 #include <LibPeer/FleetNode.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -10,75 +12,115 @@
 
 namespace {
 
-constexpr std::string_view ExternalTopic = "external-version";
-/// Who was away for longer learns of the version from the store, or asks.
-constexpr std::chrono::seconds NoticeLifetime{60};
-/// One question in so many goes to any data centre.
-constexpr uint32_t AnywhereEvery = 3;
+constexpr int64_t MicrosecondsPerMs = 1000;
+/// A longer time between two turns of the loop is one in which the process did
+/// not run: what arrived in it waited.
+constexpr base::Duration LongestTurn = std::chrono::milliseconds(150);
 
 } // namespace
 
 void FleetNode::externalChanged(uint64_t version) {
-  auto lifetime = std::chrono::milliseconds(NoticeLifetime).count();
-  // The version is the revision, so that an older one never replaces it.
-  Members.post({std::string(ExternalTopic), std::to_string(version), version,
-                static_cast<uint32_t>(lifetime)},
-               Environment.Time->now());
+  Freshness.hold(version);
+  pushFreshness();
 }
 
-bool FleetNode::takeExternalNotice(const fleet::Notice &notice) {
-  if (notice.Topic != ExternalTopic)
-    return false;
-  CatchUp.heard(notice.Revision, Environment.Time->now());
-  return true;
+void FleetNode::externalRead(base::TimePoint since) {
+  // An answer that was there at the last tick would have been taken then.
+  Freshness.read(std::max(since, LastElapsed));
+  pushFreshness();
+}
+
+fleet::ReadDuty FleetNode::externalDuty() {
+  auto now = elapsedClock().now();
+  auto duty = Freshness.duty(ownPlace(), now);
+  if (duty.What == std::exchange(LastDuty, duty.What))
+    return duty;
+  auto word = Freshness.word(now);
+  auto age = word.Age ? std::to_string(word.Age->count() / MicrosecondsPerMs)
+                      : std::string();
+  base::log(
+      base::LogLevel::Info, "record duty changed",
+      {{"duty", std::string(base::nameOf(fleet::ReadDutyNames, duty.What))},
+       {"rank", std::to_string(Place.Rank)},
+       {"live", std::to_string(Place.Count)},
+       {"version", std::to_string(word.Version)},
+       {"age_ms", age}});
+  return duty;
+}
+
+const fleet::ReaderPlace &FleetNode::ownPlace() {
+  if (PlaceGeneration == Members.generation())
+    return Place;
+  PlaceGeneration = Members.generation();
+  const auto &self = Environment.Self;
+  Place = fleet::placeOf(Members.table().all(), self.DataCentre, self.Id);
+  return Place;
+}
+
+void FleetNode::heardExternal(const fleet::NodeId &sender,
+                              const fleet::FreshnessWord &word) {
+  if (!Environment.External.Version)
+    return;
+  auto now = elapsedClock().now();
+  auto told = word;
+  if (auto turn = now - LastElapsed; told.Age && turn > LongestTurn)
+    *told.Age += turn;
+  Freshness.heard(told, now);
+  CatchUp.heard(word.Version, sender, Environment.Time->now());
+  catchUpWithPeers();
+}
+
+/// Passes a version or a fresher word on to a few peers.
+void FleetNode::pushFreshness() {
+  if (HasLeft || !Freshness.takePush())
+    return;
+  Members.setDigest(digest());
+  send(Members.pushDigest());
 }
 
 void FleetNode::serveExternal(const PullRequest &request, PullAnswer &answer) {
   const auto &external = Environment.External;
   if (!external.Version || external.Version() <= request.From)
     return;
-  answer.State = external.Text();
+  answer.State = external.Packed();
   answer.StateOffset = external.Version();
 }
 
-const fleet::Member *FleetNode::choosePeer() {
-  bool isAnywhere = ExternalAsks++ % AnywhereEvery == AnywhereEvery - 1;
-  auto chosen = Members.choose(1, [&](const fleet::Member &it) {
-    return isAnywhere || it.Identity.DataCentre == Environment.Self.DataCentre;
-  });
-  if (chosen.empty())
-    chosen = Members.choose(1, [](const fleet::Member &) { return true; });
-  return chosen.empty() ? nullptr : chosen.front();
-}
-
 void FleetNode::catchUpWithPeers() {
   const auto &external = Environment.External;
   if (!external.Version || HasLeft)
     return;
-  auto held = external.Version();
-  fleet::CatchUpView view{held, external.IsStoreReached(),
-                          external.IsReadSpaced(), external.TextBytes()};
-  if (!CatchUp.isDue(view, Environment.Time->now()))
+  fleet::CatchUpView view{external.Version(), external.IsReading(),
+                          external.IsReadSpaced(), external.Packed().size()};
+  auto now = Environment.Time->now();
+  if (!CatchUp.isDue(view, now))
     return;
-  const auto *peer = choosePeer();
+  auto holder = CatchUp.nextHolder();
+  const auto *peer = holder ? Members.table().find(*holder) : nullptr;
   if (!peer)
-    return CatchUp.ended();
+    return CatchUp.ended(now);
   PullRequest request;
   request.Sender = Environment.Self.Id;
   request.Nonce = Dice.next();
   request.Kind = PullKind::External;
-  request.From = held;
+  request.From = view.Held;
   Client->pull(peer->Identity.Peer, request,
-               [weak = weak_from_this(), id = peer->Identity.Id](
-                   const std::optional<PullAnswer> &answer) {
-                 auto self = weak.lock();
-                 if (!self)
-                   return;
-                 self->CatchUp.ended();
-                 if (answer && !answer->State.empty() && !self->HasLeft)
-                   self->Environment.External.Taken(
-                       {answer->StateOffset, answer->State}, id);
+               [weak = weak_from_this(),
+                id = *holder](std::optional<PullAnswer> answer) {
+                 if (auto self = weak.lock())
+                   self->externalAnswered(id, std::move(answer));
                });
 }
 
+void FleetNode::externalAnswered(const fleet::NodeId &peer,
+                                 std::optional<PullAnswer> answer) {
+  bool isBusy = answer && answer->Code == base::ResultCode::PeerBusy;
+  CatchUp.ended(
+      Environment.Time->now(),
+      std::chrono::milliseconds(isBusy ? answer->RetryAfterMilliseconds : 0));
+  if (answer && !answer->State.empty() && !HasLeft)
+    Environment.External.Taken({answer->StateOffset, std::move(answer->State)},
+                               peer);
+}
+
 } // namespace radishcross::peer
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds TickPeriod{50};
 constexpr std::chrono::milliseconds LeaveDelay{100};
 constexpr std::chrono::milliseconds AskPeersPeriod{250};
+/// For so many times the time to meet the tailers alone read the log after a
+/// start, as their word may still come.
+constexpr int TailersFirst = 4;
 
 uint64_t wallMilliseconds() {
   auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -40,6 +43,10 @@
 FleetShell::create(FleetEnvironment environment, base::LastReason &reason) {
   fleet::RecoverySettings settings;
   settings.HasSeeds = !environment.Seeds.empty();
+  if (!settings.HasSeeds && environment.HasSeedHosts) {
+    settings.HasSeeds = true;
+    settings.JoinGrace = environment.Meeting;
+  }
   auto recovery =
       fleet::Recovery::create(settings, environment.Time->now(), reason);
   if (!recovery)
@@ -65,9 +72,13 @@
       Members(firstRecord(Environment.Self, epoch), Environment.Seeds,
               fleet::MembershipSettings{}, Dice.next()),
       SpreadSeed(Dice.next()), Spreading({}, SpreadSeed),
-      CatchUp({}, Dice.next()), Recovering(std::move(recovery)),
+      CatchUp({.LeastBytesPerSecond = Environment.LeastLinkBytesPerSecond},
+              Dice.next()),
+      Freshness(Environment.Freshness, Dice.next(), elapsedClock().now()),
+      LastElapsed(elapsedClock().now()), Recovering(std::move(recovery)),
       Snapshots(Environment.Self.Id), Timer(*Environment.Context) {
   Environment.Counters->counter("steps_back_total") = 0;
+  Started = Environment.Time->now();
   recordSetUp(settings);
   recordState();
 }
@@ -121,10 +132,12 @@
 }
 
 void FleetNode::tick() {
+  LastElapsed = elapsedClock().now();
   Members.setDigest(digest());
   run(Members.tick(Environment.Time->now()));
   putInForce();
   spread();
+  pushFreshness();
   catchUpWithPeers();
   writeSnapshotIfDue();
   Environment.Platform->dropNext();
@@ -132,12 +145,16 @@
 }
 
 fleet::Digest FleetNode::digest() const {
-  return {heldOffset(), Held.offset(), HeldHash, 0, IsServingReported};
+  auto word = Freshness.word(LastElapsed);
+  // It is sent up to a tick later.
+  if (word.Age)
+    *word.Age += TickPeriod;
+  return {heldOffset(), Held.offset(), HeldHash, 0, IsServingReported, word};
 }
 
 void FleetNode::reportChanges() {
   for (const auto &it : Members.takeNewNotices())
-    if (!takeExternalNotice(it) && Environment.NoticeArrived)
+    if (Environment.NoticeArrived)
       Environment.NoticeArrived(it.Topic, it.Text);
   if (ReportedGeneration == Members.generation())
     return;
@@ -170,6 +187,7 @@
   run(Members.take({datagram->Sender, from}, datagram->Message,
                    Environment.Time->now()));
   compareFold(datagram->Sender, datagram->Message.Summary);
+  heardExternal(datagram->Sender, datagram->Message.Summary.External);
   putInForce();
   spread();
 }
@@ -223,6 +241,7 @@
   IsServingReported = true;
   Members.setDigest(digest());
   send(Members.pushNews(Environment.Time->now()));
+  send(Members.pushDigest());
   reportFold();
 }
 
@@ -291,12 +310,15 @@
   const auto &self = Environment.Self;
   auto view = fleet::viewForSpreading(Members.table(), self.Id, self.DataCentre,
                                       heldOffset());
-  view.ReadsToEnd = Recovering.readsLog();
-  view.NeedsState = Recovering.needsState(heldOffset());
-  view.Tails =
-      (Recovering.isServing() || view.ReadsToEnd) &&
+  bool isTailer =
       fleet::Spreader::isTailer(Members.table(), self.DataCentre, self.Id,
                                 Environment.TailersPerDataCentre);
+  bool mayWait =
+      Environment.HasSeedHosts &&
+      Environment.Time->now() < Started + Environment.Meeting * TailersFirst;
+  view.ReadsToEnd = Recovering.readsLog() && (isTailer || !mayWait);
+  view.NeedsState = Recovering.needsState(heldOffset());
+  view.Tails = (Recovering.isServing() || view.ReadsToEnd) && isTailer;
   return view;
 }
 
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -3,6 +3,7 @@
 #include <LibBase/Random.h>
 #include <LibFleet/ForceRule.h>
 #include <LibFleet/Membership.h>
+#include <LibFleet/RecordFreshness.h>
 #include <LibFleet/RecordStore.h>
 #include <LibFleet/Recovery.h>
 #include <LibFleet/Spreader.h>
@@ -52,6 +53,11 @@
   void spreadNotice(std::string topic, std::string text,
                     base::Duration lifetime) override;
   void externalChanged(uint64_t version) override;
+  void externalRead(base::TimePoint since) override;
+  std::optional<base::Duration> externalAge() const override {
+    return Freshness.word(elapsedClock().now()).Age;
+  }
+  fleet::ReadDuty externalDuty() override;
   void readLogSoon() override;
   void leave(std::function<void()> done) override;
   uint64_t controlBytes() const override;
@@ -105,9 +111,16 @@
   void serveRecords(const PullRequest &request, PullAnswer &answer);
   void serveState(PullAnswer &answer);
   void serveExternal(const PullRequest &request, PullAnswer &answer);
-  bool takeExternalNotice(const fleet::Notice &notice);
+  void heardExternal(const fleet::NodeId &sender,
+                     const fleet::FreshnessWord &word);
+  void pushFreshness();
   void catchUpWithPeers();
-  const fleet::Member *choosePeer();
+  void externalAnswered(const fleet::NodeId &peer,
+                        std::optional<PullAnswer> answer);
+  const fleet::ReaderPlace &ownPlace();
+  const base::Clock &elapsedClock() const {
+    return Environment.Elapsed ? *Environment.Elapsed : *Environment.Time;
+  }
   fleet::Digest digest() const;
 
   FleetEnvironment Environment;
@@ -129,7 +142,11 @@
   fleet::Spreader Spreading;
   bool IsSpreadRecorded = false;
   fleet::VersionCatchUp CatchUp;
-  uint32_t ExternalAsks = 0;
+  fleet::RecordFreshness Freshness;
+  base::TimePoint LastElapsed{}; ///< Of the last tick, by elapsedClock().
+  fleet::ReadDuty::Kind LastDuty = fleet::ReadDuty::Kind::None;
+  fleet::ReaderPlace Place;
+  uint64_t PlaceGeneration = UINT64_MAX; ///< Of the members, for Place.
   fleet::Recovery Recovering;
   log::SnapshotPolicy Snapshots;
   log::SnapshotAssembler Assembler;
@@ -151,6 +168,7 @@
   bool HasAskedPeers = false;
   base::TimePoint NextAsk{};
   bool IsServingReported = false;
+  base::TimePoint Started{};
   bool IsLogShort = false;
   bool IsFoldDisputed = false; ///< A peer had another state at one offset.
   bool HasLeft = false;
--- a/Libraries/LibPeer/FleetShell.h
+++ b/Libraries/LibPeer/FleetShell.h
@@ -5,6 +5,8 @@
 #include <LibBase/LastReason.h>
 #include <LibBase/Metrics.h>
 #include <LibFleet/Member.h>
+#include <LibFleet/RecordFreshness.h>
+#include <LibFleet/VersionCatchUp.h>
 #include <LibLog/Fold.h>
 #include <LibLog/PlatformClient.h>
 #include <LibTrace/Recorder.h>
@@ -20,25 +22,23 @@
 
 namespace radishcross::peer {
 
-/// A record of the external configuration as the store gave it.
+/// A record of the external configuration, compressed.
 struct ExternalRecord {
   uint64_t Version = 0; ///< 0 for none.
-  std::string Text;
+  std::string Packed;
 };
 
 /// The node's external configuration, as the peers share it.
 struct ExternalSource {
-  /// Returns the version in force and its record's bytes.
+  /// Returns the version in force and its record's bytes, compressed.
   std::function<uint64_t()> Version;
-  std::function<std::string()> Text;
-  /// Returns the number of those bytes.
-  std::function<size_t()> TextBytes;
-  /// Tells whether the store answers this node.
-  std::function<bool()> IsStoreReached;
+  std::function<const std::string &()> Packed;
+  /// Tells whether this node reads the record itself and the store answers.
+  std::function<bool()> IsReading;
   /// Tells whether this node reads the store again in a moment.
   std::function<bool()> IsReadSpaced;
   /// Takes what a peer has given.
-  std::function<void(const ExternalRecord &, const fleet::NodeId &peer)> Taken;
+  std::function<void(ExternalRecord, const fleet::NodeId &peer)> Taken;
 };
 
 /// What the shell needs of its node.
@@ -60,6 +60,16 @@
   /// force here; 0 switches the rule off.
   uint32_t HoldersBeforeForce = 2;
   ExternalSource External; ///< Empty where nothing is shared.
+  /// Hosts that may run other nodes are known: they are asked before the store.
+  bool HasSeedHosts = false;
+  /// How long they have to answer before; they may be stale.
+  base::Duration Meeting = std::chrono::milliseconds(250);
+  fleet::FreshnessSettings Freshness;
+  /// What a link of a node carries at the least, bytes a second.
+  uint64_t LeastLinkBytesPerSecond =
+      fleet::CatchUpSettings{}.LeastBytesPerSecond;
+  /// A clock that counts suspension; null: Time does.
+  const base::Clock *Elapsed = nullptr;
   /// Called on the node's thread, never from inside a call to the shell.
   std::function<void(const log::Fold &)> FoldAdvanced;
   std::function<void()> MembersChanged;
@@ -107,6 +117,17 @@
   /// here.
   virtual void externalChanged(uint64_t version) = 0;
 
+  /// Takes that a read of the external configuration, begun at \p since by the
+  /// clock that counts suspension, showed nothing newer than what is held.
+  virtual void externalRead(base::TimePoint since) = 0;
+
+  /// Returns how long ago the store is known to have held nothing newer than
+  /// what this node holds; nothing where that is not known.
+  virtual std::optional<base::Duration> externalAge() const = 0;
+
+  /// Tells how this node reads the external configuration now.
+  virtual fleet::ReadDuty externalDuty() = 0;
+
   /// Reads the log now instead of at the next turn: after an append here.
   virtual void readLogSoon() = 0;
 
--- a/Libraries/LibPeer/FleetSnapshots.cpp
+++ b/Libraries/LibPeer/FleetSnapshots.cpp
@@ -89,7 +89,7 @@
   if (!Recovering.isServing() || now < NextSnapshotLook || !Unwritten.empty())
     return;
   NextSnapshotLook = now + LookPeriod;
-  auto candidates = fleet::Spreader::tailers(Members.table(),
+  auto candidates = fleet::Spreader::tailers(Members.table().all(),
                                              Environment.TailersPerDataCentre);
   const auto &self = Environment.Self;
   bool isCandidate = std::find(candidates.begin(), candidates.end(), self.Id) !=
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -66,6 +66,8 @@
   membersHash @2 :UInt64;
   isRecovered @3 :Bool;
   inForce @4 :UInt64;
+  external @5 :UInt64;
+  externalAge @6 :UInt32;
 }
 
 struct Datagram {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f0f9d86e8880fddc, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f0f9d86e8880fddc, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1028,6 +1028,10 @@
 
   inline  ::uint64_t getInForce() const;
 
+  inline  ::uint64_t getExternal() const;
+
+  inline  ::uint32_t getExternalAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1071,6 +1075,12 @@
   inline  ::uint64_t getInForce();
   inline void setInForce( ::uint64_t value);
 
+  inline  ::uint64_t getExternal();
+  inline void setExternal( ::uint64_t value);
+
+  inline  ::uint32_t getExternalAge();
+  inline void setExternalAge( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2575,6 +2585,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Digest::Reader::getExternal() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Digest::Builder::getExternal() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setExternal( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Digest::Reader::getExternalAge() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Digest::Builder::getExternalAge() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Digest::Builder::setExternalAge( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Datagram::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -38,11 +38,11 @@
 /// A place at the gate for transfers, given back at the end.
 class TransferPlace {
 public:
-  TransferPlace(fleet::TransferGate &gate, bool isState)
-      : Gate(gate), IsState(isState), IsTaken(gate.begin(isState)) {}
+  TransferPlace(fleet::TransferGate &gate, fleet::TransferKind kind)
+      : Gate(gate), Kind(kind), IsTaken(gate.begin(kind)) {}
   ~TransferPlace() {
     if (IsTaken)
-      Gate.end(IsState);
+      Gate.end(Kind);
   }
   TransferPlace(const TransferPlace &) = delete;
   TransferPlace &operator=(const TransferPlace &) = delete;
@@ -50,10 +50,17 @@
 
 private:
   fleet::TransferGate &Gate;
-  bool IsState;
+  fleet::TransferKind Kind;
   bool IsTaken;
 };
 
+fleet::TransferKind transferOf(PullKind kind) {
+  if (kind == PullKind::State)
+    return fleet::TransferKind::State;
+  return kind == PullKind::External ? fleet::TransferKind::External
+                                    : fleet::TransferKind::Other;
+}
+
 } // namespace
 
 PullServer::PullServer(asio::io_context &context, MeshProof proof,
@@ -133,7 +140,7 @@
 asio::awaitable<void> PullServer::answer(tcp::socket &socket,
                                          PullRequest request) {
   PullAnswer answer;
-  TransferPlace place(Transfers, request.Kind == PullKind::State);
+  TransferPlace place(Transfers, transferOf(request.Kind));
   if (place.taken()) {
     answer = Serve(request);
   } else {
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <capnp/serialize-packed.h>
+#include <chrono>
 #include <kj/exception.h>
 #include <kj/io.h>
 
@@ -108,6 +109,24 @@
          readAddress(reader.getAdministration(), identity.Administration);
 }
 
+/// An age in milliseconds and one more; 0 is none. Older ones are of no use.
+constexpr int64_t LongestAgeMilliseconds = 60'000;
+
+uint32_t encodeAge(const std::optional<base::Duration> &age) {
+  if (!age)
+    return 0;
+  auto ms = std::chrono::ceil<std::chrono::milliseconds>(*age).count();
+  return ms > LongestAgeMilliseconds
+             ? 0
+             : static_cast<uint32_t>(std::max<int64_t>(ms, 0) + 1);
+}
+
+std::optional<base::Duration> decodeAge(uint32_t coded) {
+  if (coded == 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(coded - 1);
+}
+
 } // namespace
 
 std::string packMessage(capnp::MessageBuilder &message) {
@@ -176,11 +195,17 @@
   builder.setFoldHash(digest.FoldHash);
   builder.setMembersHash(digest.MembersHash);
   builder.setIsRecovered(digest.IsRecovered);
+  builder.setExternal(digest.External.Version);
+  builder.setExternalAge(encodeAge(digest.External.Age));
 }
 
 fleet::Digest readDigest(wire::Digest::Reader reader) {
-  return {reader.getHeld(), reader.getInForce(), reader.getFoldHash(),
-          reader.getMembersHash(), reader.getIsRecovered()};
+  return {reader.getHeld(),
+          reader.getInForce(),
+          reader.getFoldHash(),
+          reader.getMembersHash(),
+          reader.getIsRecovered(),
+          {reader.getExternal(), decodeAge(reader.getExternalAge())}};
 }
 
 } // namespace radishcross::peer
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -5,7 +5,7 @@
   build-essential cmake ninja-build ccache clang-format clang-tidy python3
   libboost1.81-dev libboost-json1.81-dev libcapnp-dev libabsl-dev
   doctest-dev libvalijson-dev librapidcheck-dev
-  libxxhash-dev libssl-dev
+  libxxhash-dev libssl-dev zlib1g-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Tests/LibFleet/FakeFleet.h
+++ b/Tests/LibFleet/FakeFleet.h
@@ -94,7 +94,7 @@
         viewForRecovery(node.table(), self.Id, self.DataCentre, it.InForce),
         Now);
     bool serves = it.Recovering.isServing();
-    node.setDigest({it.Held, it.InForce, it.InForce, 0, serves});
+    node.setDigest({it.Held, it.InForce, it.InForce, 0, serves, {}});
     if (!serves)
       return;
     auto &ever = EverServed[n];
@@ -152,6 +152,7 @@
   void pull(size_t n, const SpreadAction &action) {
     size_t peer = std::stoul(action.Peer.substr(5));
     bool isState = action.What == SpreadAction::Kind::PullState;
+    auto kind = isState ? TransferKind::State : TransferKind::Other;
     auto finish = [=, this](PullOutcome outcome, base::Duration retry) {
       later(std::chrono::milliseconds(10), [=, this] {
         Held.at(n).Spreading.pullDone(action.Peer, outcome, retry, Now);
@@ -160,7 +161,7 @@
     if (!passes(n, peer) || !passes(peer, n))
       return finish(PullOutcome::Failed, {});
     auto &source = Held.at(peer);
-    if (!source.Gate.begin(isState)) {
+    if (!source.Gate.begin(kind)) {
       ++BusyAnswers;
       return finish(PullOutcome::Busy, source.Gate.retryAfter());
     }
@@ -173,7 +174,7 @@
              const std::function<void(PullOutcome, base::Duration)> &finish) {
     auto &source = Held.at(peer);
     bool isState = action.What == SpreadAction::Kind::PullState;
-    source.Gate.end(isState);
+    source.Gate.end(isState ? TransferKind::State : TransferKind::Other);
     if (Down.contains(n) || Down.contains(peer))
       return finish(PullOutcome::Failed, {});
     if (!isState && !source.Records.covers(action.From))
--- a/Tests/LibFleet/FakeMesh.h
+++ b/Tests/LibFleet/FakeMesh.h
@@ -116,6 +116,10 @@
   /// Sees each datagram before it is lost or arrives.
   virtual void sent(const GossipMessage & /*message*/) {}
 
+  /// Sees each datagram that arrives.
+  virtual void arrived(size_t /*from*/, size_t /*to*/,
+                       const GossipMessage & /*message*/) {}
+
   bool passes(size_t from, size_t to) const {
     return !Down.contains(to) && !Down.contains(from) &&
            !Cut.contains({from, to});
@@ -139,6 +143,7 @@
       const auto &sender = Nodes.at(it.From).self().Identity;
       post(to,
            Nodes.at(to).take({sender.Id, sender.Gossip}, it.Sent.Message, Now));
+      arrived(it.From, to, it.Sent.Message);
     }
   }
 
--- /dev/null
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -0,0 +1,351 @@
+#include <LibFleet/FakeMesh.h>
+#include <LibFleet/RecordFreshness.h>
+#include <LibFleet/Rendezvous.h>
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace radishcross;
+using namespace radishcross::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration Bound = 2s;
+
+/// How the store behaves towards a node.
+enum class Store : uint8_t { Serves, Refuses };
+
+/// Nodes that read the operator's record as RecordFreshness has them do, take
+/// versions from who told of them, and count what the store is asked.
+class ReadingFleet : public FakeMesh {
+public:
+  explicit ReadingFleet(uint64_t seed) : FakeMesh(seed) {}
+
+  struct Reader {
+    RecordFreshness Fresh;
+    uint64_t Held = 0;
+    bool IsListed = false;
+    base::TimePoint ReadEnds{}; ///< Of the read under way.
+    base::TimePoint NextRead{}; ///< After a pause.
+    base::TimePoint BeganAt{};
+    bool IsReading = false;
+    bool IsFollowing = false;
+    uint64_t Pulled = 0; ///< The version on its way from a peer.
+    base::TimePoint PullEnds{};
+    uint32_t Failures = 0;
+    ReadDuty Duty{};
+  };
+
+  void start(size_t n, const std::string &dataCentre,
+             uint64_t incarnation = 1000) {
+    add(n, dataCentre, incarnation);
+    Readers.erase(n);
+    Readers.emplace(n, Reader{RecordFreshness({Bound}, n + incarnation, Now)});
+    Ways.try_emplace(n, Store::Serves);
+  }
+
+  void publish() { PublishedAt[++Version] = Now; }
+
+  /// Returns the longest that any node which is up took to hold a version, for
+  /// the versions up to now, and counts those that lack the newest.
+  base::Duration latest() const { return Latest; }
+  size_t behind() const {
+    return std::count_if(Readers.begin(), Readers.end(), [&](const auto &it) {
+      return !Down.contains(it.first) && it.second.Held < Version;
+    });
+  }
+
+  /// Returns the node that follows the record for its data centre.
+  size_t readerOf(const std::string &dataCentre) const {
+    for (const auto &[n, node] : Nodes)
+      if (node.self().Identity.DataCentre == dataCentre && !Down.contains(n) &&
+          placeAt(n).Rank == 0)
+        return n;
+    return 0;
+  }
+
+  std::map<size_t, Reader> Readers;
+  std::map<size_t, Store> Ways;
+  std::set<size_t> Frozen;
+  uint64_t Version = 0;
+  uint64_t Calls = 0;
+  bool IsMeasured = true;
+
+protected:
+  void step() override {
+    for (auto &[n, it] : Readers)
+      if (!Down.contains(n) && !Frozen.contains(n))
+        turn(n, it);
+  }
+
+  void arrived(size_t from, size_t to, const GossipMessage &message) override {
+    auto &it = Readers.at(to);
+    const auto &word = message.Summary.External;
+    if (Frozen.contains(to) || Frozen.contains(from))
+      return;
+    it.Fresh.heard(word, Now);
+    if (word.Version > std::max(it.Held, it.Pulled)) {
+      it.Pulled = word.Version;
+      it.PullEnds = Now + PullTime;
+    }
+  }
+
+private:
+  static constexpr base::Duration PullTime = 40ms;
+  static constexpr base::Duration CallTime = 10ms;
+
+  ReaderPlace placeAt(size_t n) const {
+    const auto &node = Nodes.at(n);
+    const auto &self = node.self().Identity;
+    return placeOf(node.table().all(), self.DataCentre, self.Id);
+  }
+
+  void turn(size_t n, Reader &it) {
+    if (it.Pulled > it.Held && Now >= it.PullEnds)
+      hold(n, it, it.Pulled);
+    if (it.IsReading)
+      endRead(n, it);
+    else if (Now >= it.NextRead)
+      beginRead(n, it);
+    auto word = it.Fresh.word(Now);
+    Nodes.at(n).setDigest({0, 0, 0, 0, true, word});
+    if (it.Fresh.takePush())
+      post(n, {Nodes.at(n).pushDigest(), {}});
+  }
+
+  void beginRead(size_t n, Reader &it) {
+    it.Duty = it.Fresh.duty(placeAt(n), Now);
+    if (it.Duty.What == ReadDuty::Kind::None) {
+      it.IsListed = false;
+      return;
+    }
+    ++Calls;
+    it.IsReading = true;
+    it.BeganAt = Now;
+    it.IsFollowing = it.IsListed;
+    it.ReadEnds = Now + CallTime + (it.IsFollowing ? it.Duty.Hold : 0s);
+  }
+
+  void endRead(size_t n, Reader &it) {
+    bool isRefused = Ways.at(n) == Store::Refuses;
+    bool hasNews =
+        it.IsFollowing && Version > it.Held && Now >= it.BeganAt + CallTime;
+    if (Now < it.ReadEnds && !isRefused && !hasNews)
+      return;
+    it.IsReading = false;
+    if (isRefused) {
+      it.IsListed = false;
+      it.NextRead = Now + std::min<base::Duration>(
+                              200ms * (1U << std::min(it.Failures++, 8U)),
+                              it.Duty.LongestPause);
+      return;
+    }
+    it.Failures = 0;
+    it.IsListed = true;
+    if (Version > it.Held) {
+      hold(n, it, Version);
+      it.NextRead = Now + it.Duty.Spacing;
+    }
+    it.Fresh.read(Now - CallTime);
+  }
+
+  void hold(size_t n, Reader &it, uint64_t version) {
+    if (IsMeasured && Ways.at(n) == Store::Serves)
+      for (auto missed = it.Held + 1; missed <= version; ++missed)
+        Latest = std::max(Latest, Now - PublishedAt.at(missed));
+    it.Held = version;
+    it.Fresh.hold(version);
+  }
+
+  std::map<uint64_t, base::TimePoint> PublishedAt;
+  base::Duration Latest{};
+};
+
+constexpr size_t DataCentres = 3;
+
+std::string nameOf(size_t n) { return "dc-" + std::to_string(n % DataCentres); }
+
+/// Starts \p count nodes and lets them meet.
+void startAll(ReadingFleet &fleet, size_t count) {
+  for (size_t n = 0; n < count; ++n)
+    fleet.start(n, nameOf(n));
+  fleet.publish();
+  fleet.IsMeasured = false;
+  fleet.run(15s);
+  REQUIRE(fleet.behind() == 0);
+  fleet.IsMeasured = true;
+}
+
+} // namespace
+
+TEST_CASE("calls to the store follow data centres and time, not nodes") {
+  uint64_t calls[2]{};
+  constexpr size_t Sizes[] = {30, 120};
+  for (int n = 0; n < 2; ++n) {
+    ReadingFleet fleet(3);
+    startAll(fleet, Sizes[n]);
+    auto before = fleet.Calls;
+    for (int versions = 0; versions < 20; ++versions) {
+      fleet.publish();
+      fleet.run(1s);
+    }
+    calls[n] = fleet.Calls - before;
+    CHECK(fleet.behind() == 0);
+    CHECK(fleet.latest() < Bound);
+    // Each of three readers: held reads, and two for each version.
+    CHECK(calls[n] < 3 * (20 * 10 / 6 + 20 * 2));
+  }
+  CHECK(calls[1] < calls[0] * 13 / 10);
+}
+
+TEST_CASE("a cold start asks little more than its readers need") {
+  ReadingFleet fleet(5);
+  for (size_t n = 0; n < 120; ++n)
+    fleet.start(n, nameOf(n));
+  fleet.run(1s);
+  fleet.publish();
+  fleet.run(9s);
+  CHECK(fleet.behind() == 0);
+  CHECK(fleet.Calls < 240);
+}
+
+TEST_CASE("no version comes late, whatever happens to its reader") {
+  enum class What : uint8_t { Killed, Frozen, Refused, Cut };
+  for (auto what : {What::Killed, What::Frozen, What::Refused, What::Cut})
+    for (uint64_t seed : {1, 2, 3, 4}) {
+      INFO(static_cast<int>(what), " ", seed);
+      ReadingFleet fleet(seed);
+      startAll(fleet, 60);
+      auto reader = fleet.readerOf("dc-1");
+      fleet.run(std::chrono::milliseconds(seed * 130));
+      if (what == What::Killed)
+        fleet.Down.insert(reader);
+      if (what == What::Frozen)
+        fleet.Frozen.insert(reader);
+      if (what == What::Refused)
+        fleet.Ways[reader] = Store::Refuses;
+      if (what == What::Cut)
+        fleet.partition([&](size_t n) { return n == reader; });
+      fleet.publish();
+      auto before = fleet.Calls;
+      fleet.run(Bound);
+      // Frozen it lacks the version, as it would by any design.
+      CHECK(fleet.behind() == (what == What::Frozen ? 1 : 0));
+      CHECK(fleet.latest() < Bound);
+      CHECK(fleet.Calls - before < 90);
+    }
+}
+
+TEST_CASE("all readers lost at the moment of a version delay it by a read") {
+  for (uint64_t seed : {1, 2, 3}) {
+    ReadingFleet fleet(seed);
+    startAll(fleet, 60);
+    for (size_t n = 0; n < DataCentres; ++n)
+      fleet.Down.insert(fleet.readerOf(nameOf(n)));
+    fleet.publish();
+    fleet.run(Bound);
+    CHECK(fleet.behind() == 0);
+    CHECK(fleet.latest() < Bound);
+  }
+}
+
+TEST_CASE("a store that refuses a third of the nodes delays no version") {
+  for (uint64_t seed : {1, 2, 3}) {
+    ReadingFleet fleet(seed);
+    startAll(fleet, 60);
+    base::Random dice(seed);
+    for (auto &[n, way] : fleet.Ways)
+      way = dice.below(3) == 0 ? Store::Refuses : Store::Serves;
+    for (size_t n = 0; n < DataCentres; ++n)
+      fleet.Ways[fleet.readerOf(nameOf(n))] = Store::Refuses;
+    auto before = fleet.Calls;
+    for (int n = 0; n < 9; ++n) {
+      fleet.publish();
+      fleet.run(1s);
+    }
+    fleet.run(Bound - 1s);
+    CHECK(fleet.behind() == 0);
+    CHECK(fleet.latest() < Bound);
+    CHECK(fleet.Calls - before < 500);
+  }
+}
+
+TEST_CASE("a data centre that is cut off reads for itself") {
+  ReadingFleet fleet(7);
+  startAll(fleet, 60);
+  fleet.partition([](size_t n) { return n % DataCentres == 1; });
+  for (int n = 0; n < 5; ++n) {
+    fleet.publish();
+    fleet.run(1s);
+  }
+  fleet.run(Bound - 1s);
+  CHECK(fleet.behind() == 0);
+  CHECK(fleet.latest() < Bound);
+}
+
+TEST_CASE("a store that is down costs each node a bounded number of calls") {
+  ReadingFleet fleet(7);
+  startAll(fleet, 60);
+  for (auto &[n, way] : fleet.Ways)
+    way = Store::Refuses;
+  auto before = fleet.Calls;
+  fleet.run(10s);
+  CHECK(fleet.Calls - before < 60 * 7);
+  for (auto &[n, way] : fleet.Ways)
+    way = Store::Serves;
+  fleet.publish();
+  // A store that comes back has four seconds, and its readers try sooner.
+  fleet.run(3s);
+  CHECK(fleet.behind() == 0);
+}
+
+TEST_CASE("few nodes follow for themselves, and word of others counts less") {
+  RecordFreshness it({Bound}, 1, base::TimePoint{1h});
+  auto now = base::TimePoint{1h};
+  CHECK(it.duty({0, 3}, now).What == ReadDuty::Kind::None);
+  now += 1s;
+  CHECK(it.duty({0, 3}, now).What == ReadDuty::Kind::Follow);
+  CHECK(it.duty({2, 3}, now).What == ReadDuty::Kind::None);
+  now += 3s;
+  auto duty = it.duty({2, 3}, now);
+  CHECK(duty.What == ReadDuty::Kind::Follow);
+  CHECK(duty.Hold >= 20s);
+}
+
+TEST_CASE("a version from a peer that named no time makes nobody read") {
+  auto now = base::TimePoint{1h};
+  RecordFreshness it({Bound}, 1, now);
+  now += 1min;
+  it.hold(5);
+  it.read(now);
+  it.heard({6, std::nullopt}, now + 100ms);
+  it.hold(6);
+  CHECK_FALSE(it.word(now + 200ms).Age);
+  CHECK(it.duty({7, 20}, now + 200ms).What == ReadDuty::Kind::None);
+  CHECK(it.duty({7, 20}, now + 2s).What == ReadDuty::Kind::Once);
+}
+
+TEST_CASE("word of an older version, or of a newer one, proves nothing") {
+  auto now = base::TimePoint{1h};
+  RecordFreshness it({Bound}, 1, now);
+  it.hold(5);
+  it.read(now);
+  CHECK(it.word(now + 100ms).Age == 100ms);
+  it.heard({4, 0s}, now + 1s);
+  CHECK(it.word(now + 1s).Age == 1s);
+  // Version 6 is there: what was known of 5 is no word any more.
+  it.heard({6, 0s}, now + 1s);
+  CHECK_FALSE(it.word(now + 1s).Age);
+  CHECK(it.duty({7, 20}, now + 2s).What == ReadDuty::Kind::Once);
+  it.read(now + 1s); // A stale read of its own does not show 6.
+  CHECK_FALSE(it.word(now + 1s).Age);
+  // From whom it may have come without word of when: 5 was known to be the
+  // newest a while ago, and nothing but 6 has come since.
+  auto bare = it;
+  CHECK(bare.duty({7, 20}, now + 1s).What == ReadDuty::Kind::None);
+  it.hold(6);
+  CHECK(it.word(now + 1500ms).Age == 500ms);
+  CHECK(it.duty({7, 20}, now + 2s).What == ReadDuty::Kind::None);
+}
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -42,7 +42,7 @@
   message.Kind = fleet::GossipKind::PingRequest;
   message.Probe = 12;
   message.Subject = "node-2";
-  message.Summary = {5, 4, 3, 2, true};
+  message.Summary = {5, 4, 3, 2, true, {9, std::chrono::milliseconds(1500)}};
   message.Updates = {{exampleMember(), true}, {exampleMember(), false}};
   message.Notices = {{"topic", "text", 8, 1000}};
   return datagram;
