LibHttp: Give up a connection to another node after 250 ms

An opening packet that is dropped comes again after a second, so 250 ms tell as much; the call goes elsewhere as not sent, and the target is ejected at once.

--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -341,6 +341,8 @@
     target->Health.succeeded();
     target->Refusals.answered();
     stateOf(call).Timer.observed(result.Latency);
+  } else if (result.End == AttemptEnd::NotSent) {
+    target->Health.unreachable(now);
   } else if (!heard && result.End != AttemptEnd::CallerGone) {
     target->Health.failed(now);
   }
--- a/Libraries/LibCalls/TargetHealth.cpp
+++ b/Libraries/LibCalls/TargetHealth.cpp
@@ -68,6 +68,12 @@
     Machine.take(*this, "limit");
 }
 
+void TargetHealth::unreachable(base::TimePoint now) {
+  Now = now;
+  Machine.take(*this, "failure");
+  Machine.take(*this, "limit");
+}
+
 bool TargetHealth::tick(base::TimePoint now) {
   return ejected() && now >= EjectedUntil && Machine.take(*this, "expired");
 }
--- a/Libraries/LibCalls/TargetHealth.h
+++ b/Libraries/LibCalls/TargetHealth.h
@@ -22,6 +22,8 @@
 
   void succeeded();
   void failed(base::TimePoint now);
+  /// Takes that no connection to its node came about: it is ejected at once.
+  void unreachable(base::TimePoint now);
   /// Ends an ejection whose time is over; returns whether it did.
   bool tick(base::TimePoint now);
 
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -14,6 +14,11 @@
 namespace asio = boost::asio;
 using calls::AttemptEnd;
 
+/// Within a region a connection takes a few times the way. An opening packet
+/// that was dropped comes again after a second: another server is tried sooner.
+constexpr base::Duration ExchangeConnectTimeout =
+    std::chrono::milliseconds(250);
+
 /// Answers to other requests that an attempt skips before it gives up.
 constexpr size_t SkippedAnswers = 2;
 
@@ -88,7 +93,7 @@
 
   asio::awaitable<AttemptEnd> sendAnew(Response &answer) {
     ConnectionPointer link = Pool.makeNew();
-    link->expireAfter(std::min(left(), ConnectTimeout));
+    link->expireAfter(std::min(left(), ExchangeConnectTimeout));
     {
       GoneGuard guard(Watch, link);
       bool connected = co_await link->connect(Plan.Server);
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -108,6 +108,35 @@
 
 } // namespace
 
+TEST_CASE("a server that takes no connection is given up soon, as not sent") {
+  asio::io_context context(1);
+  asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(asio::ip::tcp::v4());
+  acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+  acceptor.listen(0);
+  // Its queue of new connections is full: opening packets are dropped.
+  std::vector<asio::ip::tcp::socket> waiting;
+  for (int n = 0; n < 4; ++n) {
+    waiting.emplace_back(context);
+    boost::system::error_code ec;
+    waiting.back().open(asio::ip::tcp::v4());
+    waiting.back().non_blocking(true);
+    waiting.back().connect(acceptor.local_endpoint(), ec);
+  }
+  http::ConnectionPool pool(context);
+  http::Request request(bh::verb::get, "/", 11);
+  http::ExchangePlan plan;
+  plan.Server = {"127.0.0.1", acceptor.local_endpoint().port()};
+  plan.Timeout = std::chrono::seconds(5);
+  auto result =
+      await(context, http::exchange(pool, plan, request,
+                                    std::make_shared<http::ClientWatch>()));
+  CHECK(result.End == AttemptEnd::NotSent);
+  // Time is left to ask another one within most objectives.
+  CHECK(result.Latency >= std::chrono::milliseconds(200));
+  CHECK(result.Latency < std::chrono::milliseconds(500));
+}
+
 TEST_CASE(
     "an extra answer to an earlier request is never taken for one's own") {
   // The extra one comes late: with the bytes that answer the next request.
