LibHttp: Bound a line within a chunked body

Cause: a chunk's length, its extension or a trailer that never ends was read on until the call's deadline, all of it kept: from a target on loopback 134 to 268 MB in 2 s, more than a node has. The head, the body and the chunks had limits.

What the parser leaves unread for want of more is now bounded by the limit of the head, for answers and requests alike. The new test plays twelve kinds of bytes without end, at full speed and one byte each 20 ms; the three kinds failed before, the others show the limits that were there.

The test of a server that takes no connection connected in a way that could block for two minutes by itself; it no longer does.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -191,7 +191,7 @@
 }
 
 template <typename Parser>
-asio::awaitable<ReadEnd> Connection::readBody(Parser &parser,
+asio::awaitable<ReadEnd> Connection::readBody(Parser &parser, size_t lineBytes,
                                               base::LastReason &reason) {
   parser.eager(true);
   while (!parser.is_done()) {
@@ -206,6 +206,13 @@
       break;
     if (!ec && Buffer.size() > 0)
       continue;
+    // The parser leaves what it needs more of: a chunk's line, or trailers.
+    if (Buffer.size() > lineBytes) {
+      reason.fail(base::ResultCode::HeadersTooLarge,
+                  "a line within the body is over " +
+                      std::to_string(lineBytes) + " bytes");
+      co_return ReadEnd::Refused;
+    }
     ReadEnd got = co_await fill(ReadChunkBytes);
     if (got == ReadEnd::Cut && AtEnd && parser.need_eof())
       parser.put_eof(ec);
@@ -243,7 +250,7 @@
         co_return ReadEnd::Cut;
     }
     size_t fields = countFields(parser.get());
-    end = co_await readBody(parser, reason);
+    end = co_await readBody(parser, limits.HeaderBytes, reason);
     if (end != ReadEnd::Complete)
       co_return end;
     if (countFields(parser.get()) != fields) {
@@ -288,7 +295,7 @@
       co_return ReadEnd::Refused;
     }
     if (!parser.is_done())
-      end = co_await readBody(parser, reason);
+      end = co_await readBody(parser, limits.HeaderBytes, reason);
     if (end == ReadEnd::Complete)
       response = parser.release();
     releaseSpare();
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -122,7 +122,7 @@
   void writeOn();
   void endWrite(bool failed);
   template <typename Parser>
-  boost::asio::awaitable<ReadEnd> readBody(Parser &parser,
+  boost::asio::awaitable<ReadEnd> readBody(Parser &parser, size_t lineBytes,
                                            base::LastReason &reason);
   std::string_view buffered() const;
 
--- /dev/null
+++ b/Tests/LibHttp/TestEndlessBytes.cpp
@@ -0,0 +1,149 @@
+#include <LibHttp/Mesh.h>
+
+#include <LibHttp/ConnectionPool.h>
+#include <LibHttp/Exchange.h>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using calls::AttemptEnd;
+
+namespace {
+
+/// What a server sends after it got a request: a beginning, then the same bytes
+/// again and again until the other side closes.
+struct Endless {
+  const char *Name;
+  std::string Begin;
+  std::string Again;
+};
+
+const std::vector<Endless> &kinds() {
+  static const std::vector<Endless> out = {
+      {"no head at all", "", std::string(4096, 'x')},
+      {"a status line", "HTTP/1.1 200 ", std::string(4096, 'x')},
+      {"a line of the head", "HTTP/1.1 200 OK\r\nA: ", std::string(4096, 'x')},
+      {"lines of the head", "HTTP/1.1 200 OK\r\n", "A: b\r\nC: d\r\n"},
+      {"informational answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n",
+       std::string(65536, 'x')},
+      {"a body of a great length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+       std::string(65536, 'x')},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "4\r\nabcd\r\n"},
+      {"a chunk's length",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       std::string(4096, '0')},
+      {"a chunk's extension",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+       std::string(4096, 'x')},
+      {"a trailer's line",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+       std::string(4096, 'x')},
+      {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "A: b\r\nC: d\r\n"},
+  };
+  return out;
+}
+
+/// Sends one kind to whoever asks, and counts what was taken of it.
+class EndlessServer {
+public:
+  EndlessServer(asio::io_context &context, const Endless &kind,
+                base::Duration pause = {})
+      : Acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}), Kind(kind),
+        Pause(pause) {
+    asio::co_spawn(context, serve(), asio::detached);
+  }
+  base::Address address() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+  size_t Sent = 0;
+  bool Ended = false; ///< The other side closed.
+
+private:
+  asio::awaitable<void> serve() {
+    boost::system::error_code ec;
+    auto done = asio::redirect_error(asio::use_awaitable, ec);
+    auto socket = co_await Acceptor.async_accept(done);
+    // Little is under way, so that what is counted is what was taken.
+    socket.set_option(asio::socket_base::send_buffer_size(16 << 10), ec);
+    std::string buf(4096, ' ');
+    co_await socket.async_read_some(asio::buffer(buf), done);
+    co_await asio::async_write(socket, asio::buffer(Kind.Begin), done);
+    asio::steady_timer timer(socket.get_executor());
+    while (!ec) {
+      Sent +=
+          co_await asio::async_write(socket, asio::buffer(Kind.Again), done);
+      if (ec || Pause.count() == 0)
+        continue;
+      timer.expires_after(Pause);
+      co_await timer.async_wait(done);
+    }
+    Ended = true;
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  Endless Kind;
+  base::Duration Pause;
+};
+
+struct Asked {
+  http::ExchangeResult Result;
+  size_t Sent = 0;
+  bool IsKept = false;
+};
+
+Asked ask(const Endless &kind, base::Duration timeout,
+          base::Duration pause = {}) {
+  asio::io_context context(1);
+  EndlessServer server(context, kind, pause);
+  http::ConnectionPool pool(context);
+  http::Request request(bh::verb::get, "/", 11);
+  http::ExchangePlan plan;
+  plan.Server = server.address();
+  plan.Timeout = timeout;
+  Asked out;
+  out.Result =
+      await(context, http::exchange(pool, plan, request,
+                                    std::make_shared<http::ClientWatch>()));
+  out.Sent = server.Sent;
+  out.IsKept = pool.idleCount() > 0;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("bytes that are no answer end the attempt within its bounds") {
+  const http::ExchangePlan usual;
+  // A body up to its limit, a head, and what is under way in two sockets.
+  constexpr size_t UnderWay = 4UL << 20;
+  const auto most =
+      usual.AnswerLimits.BodyBytes + usual.AnswerLimits.HeaderBytes + UnderWay;
+  for (const auto &kind : kinds()) {
+    INFO(kind.Name);
+    auto asked = ask(kind, std::chrono::seconds(2));
+    // It may have run, and it is not said to have been answered.
+    CHECK((asked.Result.End == AttemptEnd::Broken ||
+           asked.Result.End == AttemptEnd::TimedOut));
+    CHECK(asked.Result.Latency <= std::chrono::milliseconds(2500));
+    CHECK_FALSE(asked.IsKept);
+    // An informational answer is no body: those may come until the deadline,
+    // and none of them is kept.
+    if (kind.Name != std::string("informational answers"))
+      CHECK(asked.Sent <= most);
+  }
+}
+
+TEST_CASE("a byte now and then does not put off the deadline") {
+  for (const auto &kind : kinds()) {
+    INFO(kind.Name);
+    Endless slow{kind.Name, kind.Begin, "x"};
+    auto asked = ask(slow, std::chrono::milliseconds(400),
+                     std::chrono::milliseconds(20));
+    CHECK(asked.Result.End != AttemptEnd::Answered);
+    CHECK(asked.Result.Latency <= std::chrono::milliseconds(900));
+    CHECK_FALSE(asked.IsKept);
+  }
+}
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -118,10 +118,8 @@
   std::vector<asio::ip::tcp::socket> waiting;
   for (int n = 0; n < 4; ++n) {
     waiting.emplace_back(context);
-    boost::system::error_code ec;
-    waiting.back().open(asio::ip::tcp::v4());
-    waiting.back().non_blocking(true);
-    waiting.back().connect(acceptor.local_endpoint(), ec);
+    waiting.back().async_connect(acceptor.local_endpoint(),
+                                 [](boost::system::error_code) {});
   }
   http::ConnectionPool pool(context);
   http::Request request(bh::verb::get, "/", 11);
