--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -73,7 +73,6 @@
   probe(now, actions);
   joinIfDue(now, actions);
   linkIfDue(now, actions);
-  compareIfYoung(now, actions);
   auto leaves = leaveNews(now);
   std::move(leaves.begin(), leaves.end(), std::back_inserter(actions.Sends));
   bool isLaterPush = LaterPush && now >= *LaterPush;
@@ -103,8 +102,6 @@
   auto gap = now - LastTick;
   bool isFirst = LastTick == base::TimePoint{};
   LastTick = now;
-  if (isFirst)
-    FirstTick = now;
   if (isFirst || gap < LongestTickGap)
     return;
   Probes.shift(gap);
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -47,13 +47,6 @@
   base::Duration LongestJoinPeriod = std::chrono::seconds(30);
   base::Duration PullSpacing = std::chrono::seconds(5);
   uint32_t DifferencesBeforePull = 3;
-  /// A node that has just started compares tables sooner: where all start at
-  /// once, hundreds of records change in the second in which targets come back,
-  /// and a datagram has room for a few.
-  base::Duration Young = std::chrono::seconds(6);
-  base::Duration YoungPullSpacing = std::chrono::milliseconds(250);
-  /// It grows with the fleet from this size on: a table is that much longer.
-  size_t YoungPullMembers = 300;
   size_t UpdateBytes = 800; ///< Room for updates in one datagram.
 };
 
@@ -161,7 +154,6 @@
                  base::TimePoint now, MembershipActions &actions);
   void takeAck(const GossipSender &sender, const GossipMessage &message,
                MembershipActions &actions);
-  void compareIfYoung(base::TimePoint now, MembershipActions &actions);
   void compareTables(const GossipSender &sender, const Digest &theirs,
                      base::TimePoint now, MembershipActions &actions);
   GossipMessage compose(GossipKind kind, uint64_t probe = 0,
@@ -208,13 +200,10 @@
   uint64_t LastRelay = 0;
   uint32_t JoinsSent = 0;
   uint32_t Differences = 0;
-  base::TimePoint FirstTick{};
   base::TimePoint LastTick{};
   base::TimePoint NextJoin{};
   base::TimePoint NextLink{};
   base::TimePoint NextPull{};
-  base::TimePoint NextYoungPull{};
-  bool HasDiffered = false; ///< The table heard of last from this one.
   base::TimePoint NextLoadNews{};
   base::TimePoint NextNews{};
   base::Duration NewsSpacing{};
--- a/Libraries/LibFleet/MembershipAnswers.cpp
+++ b/Libraries/LibFleet/MembershipAnswers.cpp
@@ -89,8 +89,7 @@
 void Membership::compareTables(const GossipSender &sender, const Digest &theirs,
                                base::TimePoint now,
                                MembershipActions &actions) {
-  HasDiffered = theirs.MembersHash != Table.hash();
-  if (!HasDiffered) {
+  if (theirs.MembersHash == Table.hash()) {
     Differences = 0;
     return;
   }
@@ -108,23 +107,4 @@
   actions.PullFrom = sender.Id;
 }
 
-/// A node that has just started compares its table with one peer after another,
-/// as long as those that it hears from have others.
-void Membership::compareIfYoung(base::TimePoint now,
-                                MembershipActions &actions) {
-  bool isYoung = now < FirstTick + Settings.Young;
-  if (!isYoung || !HasDiffered || now < NextYoungPull)
-    return;
-  bool isFar = drawLink();
-  auto peers =
-      choose(1, [&](const Member &it) { return isLocal(it) != isFar; });
-  if (peers.empty())
-    return;
-  auto sizes = 1 + Table.all().size() / Settings.YoungPullMembers;
-  auto spacing = Settings.YoungPullSpacing * sizes;
-  NextYoungPull =
-      now + spacing / 2 + base::Duration(Dice.below(spacing.count()));
-  actions.PullFrom = peers.front()->Identity.Id;
-}
-
 } // namespace radishcross::fleet
