--- a/Libraries/LibFleet/RecordFreshness.cpp
+++ b/Libraries/LibFleet/RecordFreshness.cpp
@@ -38,27 +38,29 @@
     return;
   Held = version;
   // An older word said nothing of this version.
-  ConfirmedAt = version == Newest ? NewestAt : std::nullopt;
-  CurrentAt = later(CurrentAt, ConfirmedAt);
+  ConfirmedAt.reset();
+  if (version == Newest)
+    confirm(NewestAt);
 }
 
-void RecordFreshness::read(base::TimePoint asOf) {
-  if (Held < Newest)
-    return;
+void RecordFreshness::confirm(std::optional<base::TimePoint> asOf) {
   ConfirmedAt = later(ConfirmedAt, asOf);
   CurrentAt = later(CurrentAt, ConfirmedAt);
 }
 
+void RecordFreshness::read(base::TimePoint asOf) {
+  if (Held >= Newest)
+    confirm(asOf);
+}
+
 void RecordFreshness::heard(const FreshnessWord &word, base::TimePoint now) {
   if (word.Version < Held || word.Version < Newest)
     return;
   std::optional<base::TimePoint> asOf;
   if (word.Age)
     asOf = now - *word.Age;
-  if (word.Version == Held) {
-    ConfirmedAt = later(ConfirmedAt, asOf);
-    CurrentAt = later(CurrentAt, ConfirmedAt);
-  }
+  if (word.Version == Held)
+    confirm(asOf);
   NewestAt = word.Version > Newest ? asOf : later(NewestAt, asOf);
   Newest = word.Version;
 }
--- a/Libraries/LibFleet/RecordFreshness.h
+++ b/Libraries/LibFleet/RecordFreshness.h
@@ -91,6 +91,8 @@
     return Settings.Bound * percent / 100;
   }
   base::Duration patience(const ReaderPlace &place) const;
+  /// Notes that nothing newer than the version held was there at \p asOf.
+  void confirm(std::optional<base::TimePoint> asOf);
 
   FreshnessSettings Settings;
   base::TimePoint Started;
