Tests: Show work at a target given up for an attempt that is refused

The first of two attempts of an idempotent call is cut once it was silent for four times the slowest answer, 1 s at least. CallPlanner::cutAttempt makes sure of the budget and of another target, not of that target's taking the call: where its gate refuses, and the next one's, the call ends as unknown.

The test has the real broker, three nodes and a manual clock; on this code it fails with BrokenOff 1 and 502.

--- /dev/null
+++ b/Tests/LibHttp/TestSecondAttempts.cpp
@@ -0,0 +1,176 @@
+#include <LibHttp/Mesh.h>
+
+#include <LibCalls/Broker.h>
+#include <LibHttp/Answers.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using namespace std::chrono_literals;
+using calls::GateAnswer;
+
+namespace {
+
+/// A node whose target answers once it is told to.
+struct SlowNode {
+  SlowNode(asio::io_context &context, const base::Clock &clock,
+           const std::string &id)
+      : Node(context, clock, id), Id(id), Context(&context) {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        context, {"127.0.0.1", 0}, {},
+        [this](http::IncomingRequest in) { return serve(std::move(in)); },
+        reason);
+    REQUIRE(server);
+    Target = *server;
+    Node.Local = fleet::TargetRecord();
+    Node.Local->Service = "badges/lookup";
+    Node.Local->TargetId = "at-" + id;
+    Node.Local->Where = Target->address();
+    Node.Local->State = fleet::TargetState::Ready;
+    Node.Local->Slots = 4;
+  }
+
+  asio::awaitable<http::Response> serve(http::IncomingRequest in) {
+    ++Begun;
+    asio::steady_timer wake(*Context);
+    boost::system::error_code ec;
+    while (!MayAnswer && !in.Watch->Gone) {
+      wake.expires_after(1ms);
+      co_await wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    BrokenOff += in.Watch->Gone ? 1 : 0;
+    co_return http::makeJson(200, "from " + Id);
+  }
+
+  fleet::Member member() const {
+    fleet::Member out;
+    out.Identity.Id = Id;
+    out.Identity.DataCentre = "dc1";
+    out.Identity.Region = "south";
+    out.Identity.Mesh = Node.Proxy->meshAddress();
+    out.Targets = {*Node.Local};
+    return out;
+  }
+
+  ProxyNode Node;
+  std::string Id;
+  asio::io_context *Context;
+  std::shared_ptr<http::Server> Target;
+  bool MayAnswer = false;
+  int Begun = 0;
+  int BrokenOff = 0;
+};
+
+/// A client's node with the real broker, and three nodes with a target each.
+struct LookupMesh {
+  LookupMesh() {
+    config::VersionContent content;
+    content.Services = {{"lookup", {}}};
+    config::Route route{"lookup", {{}, "", "/lookup"}, "lookup"};
+    route.CallRank = config::Rank::Standard;
+    route.Idempotent = true;
+    content.Routes = {route};
+    base::LastReason reason;
+    auto held = config::Snapshot::create(
+        {{"badges", 1,
+          std::make_shared<const config::VersionContent>(content)}},
+        1, reason);
+    REQUIRE(held);
+    http::CallProxyEnvironment environment;
+    environment.Context = &Context;
+    environment.Time = &Clock;
+    environment.Counters = &Counters;
+    environment.Broker = &Broker;
+    environment.Gate = &NoGate;
+    environment.CurrentSnapshot = [snapshot = *held] { return snapshot; };
+    environment.LocalTarget = [](const std::string &) {
+      return std::optional<fleet::TargetRecord>();
+    };
+    environment.MeshKeys = {"the mesh key"};
+    environment.NodeId = "client-node";
+    environment.DataCentre = "dc1";
+    auto proxy = http::CallProxy::create(environment, {"127.0.0.1", 0},
+                                         {"127.0.0.1", 0}, reason);
+    REQUIRE(proxy);
+    Proxy = *proxy;
+  }
+
+  /// Begins a call and returns the node whose target has it.
+  SlowNode &beginAtAnyNode() {
+    std::vector<fleet::Member> members;
+    for (const auto &it : Nodes)
+      members.push_back(it.member());
+    Broker.membersChanged(members, Clock.now());
+    begin();
+    auto hasBegun = [](const SlowNode &it) { return it.Begun > 0; };
+    auto first = Nodes.end();
+    runUntil(Context, [&] {
+      first = std::find_if(Nodes.begin(), Nodes.end(), hasBegun);
+      return first != Nodes.end();
+    });
+    return *first;
+  }
+
+  void begin() {
+    asio::co_spawn(
+        Context,
+        [this]() -> asio::awaitable<std::optional<http::Response>> {
+          base::LastReason reason;
+          http::Request request(bh::verb::get, "/lookup", 11);
+          request.set(bh::field::host, "badges.example");
+          co_return co_await http::fetch(Proxy->callsAddress(),
+                                         std::move(request), 10s, reason);
+        },
+        [this](const std::exception_ptr &, std::optional<http::Response> got) {
+          Answer = std::move(got);
+        });
+  }
+
+  /// Lets time pass with the client's node running, and what follows happen.
+  void pass(base::Duration time) {
+    Clock.advance(time);
+    Proxy->tick();
+    for (int n = 0; n < 20; ++n) {
+      Context.restart();
+      Context.run_for(1ms);
+    }
+  }
+
+  asio::io_context Context{1};
+  base::ManualClock Clock;
+  trace::NullRecorder Recorder;
+  base::Metrics Counters;
+  calls::Quarantine Crashers{Recorder};
+  calls::Broker Broker{
+      {"client-node", "dc1", "south", 1, 1min, {}, {}}, Crashers, Recorder};
+  MockGate NoGate;
+  std::shared_ptr<http::CallProxy> Proxy;
+  std::array<SlowNode, 3> Nodes = {SlowNode{Context, Clock, "a"},
+                                   SlowNode{Context, Clock, "b"},
+                                   SlowNode{Context, Clock, "c"}};
+  std::optional<http::Response> Answer;
+};
+
+} // namespace
+
+TEST_CASE("known red: work at a target is given up for an attempt that is "
+          "refused") {
+  LookupMesh mesh;
+  SlowNode &first = mesh.beginAtAnyNode();
+  for (auto &it : mesh.Nodes)
+    it.Node.Gate.Kind = GateAnswer::Kind::Refuse;
+  mesh.pass(1s);
+  mesh.pass(1s);
+  first.MayAnswer = true;
+  runUntil(mesh.Context, [&] { return mesh.Answer.has_value(); });
+  CHECK(first.BrokenOff == 0);
+  CHECK(mesh.Answer->result_int() == 200);
+  CHECK(mesh.Answer->body() == "from " + first.Id);
+}
