--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -309,11 +309,11 @@
     return false;
   auto lane = AttemptRace::Lane::Second;
   race.started(lane);
-  asio::co_spawn(*Environment.Context,
-                 runLane(call, std::move(*step), race, lane),
-                 [&race, lane](const std::exception_ptr &, CallStep last) {
-                   race.ended(lane, last);
-                 });
+  asio::co_spawn(
+      *Environment.Context, runLane(call, std::move(*step), race, lane),
+      [&race, lane](const std::exception_ptr &, const CallStep &last) {
+        race.ended(lane, last);
+      });
   return true;
 }
 
