LibHttp: Take a call while draining where it ends before the node leaves

Cause, one in two places: what a draining node takes depended on when a call came and not on when it ends. From 1 s on each client's call was refused; without a mesh key a target's deeper calls are such calls, and they failed the work that the drain was waiting for. At the gate each call of another node was taken until the process ended, also one that could outlast it: 103 at one node in its last 1.5 s, from peers that had not heard of the drain. Class of fault: a bound at the one end of a call alone.

Evidence: 'call ended' with 5014 for ids below a target's call at draining nodes, to 5.31 s after the SIGTERM; 'drain ended' with calls_in_flight 2, 3, 3, 5, 7, 8 and 17 at 5.25 s; 'call at gate' with decided=run up to that moment.

Now the node knows when it leaves. The gate takes what ends before that, and says Draining, not run, to the rest, which costs its caller no retry budget; after the first second a client's call is taken where its stated deadline ends before that.

--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -126,8 +126,11 @@
                                             MeshAudience::Target, Keys, reason);
   call.Request.Remaining =
       deadlineOf(incoming.Message, Environment.Headers.Deadline);
-  // Deeper calls of calls in flight are still taken while draining.
-  if (!parent && RefusesNewCalls) {
+  // Without a proof a target's deeper calls look like any other; they are
+  // short.
+  auto remaining = call.Request.Remaining;
+  bool isShort = remaining.count() > 0 && Targets.canEnd(remaining);
+  if (!parent && RefusesLongCalls && !isShort) {
     CallStep refused;
     refused.Code = base::ResultCode::Draining;
     call.Incoming = std::move(incoming);
@@ -135,8 +138,7 @@
     co_return makeAnswer(refused.Code, CallOutcome::NotRun, {}, ComeBackDelay);
   }
   if (parent) {
-    auto remaining =
-        Targets.remainingOf(parent->CallId).value_or(parent->Remaining);
+    remaining = Targets.remainingOf(parent->CallId).value_or(parent->Remaining);
     call.Request.ParentRank = parent->CallRank;
     call.Request.Hops = parent->Hops + 1;
     call.Request.Remaining = remaining.count() > 0 ? remaining : PassedDeadline;
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -37,9 +37,13 @@
   /// Handles a request of another node.
   boost::asio::awaitable<Response> handleMesh(IncomingRequest incoming);
 
-  /// From now on calls are refused as Draining, but for the deeper calls of
-  /// calls in flight.
-  void refuseNewCalls() { RefusesNewCalls = true; }
+  /// From now on a call that may not have ended at \p time is refused at the
+  /// gate as Draining.
+  void leaveAt(base::TimePoint time) { Targets.leaveAt(time); }
+
+  /// From now on clients' calls are refused as Draining where they may outlast
+  /// the node or state no deadline, but for proven calls of targets.
+  void refuseLongCalls() { RefusesLongCalls = true; }
 
   /// See CallProxy::namesChanged.
   void namesChanged(const calls::CallHeaders &headers,
@@ -124,7 +128,7 @@
   CallFigures Figures;
   base::Random Ids;
   std::unordered_map<calls::CallHandle, WaitingCall *> Waiting;
-  bool RefusesNewCalls = false;
+  bool RefusesLongCalls = false;
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -34,7 +34,7 @@
                     const std::string &localService) override {
     Engine->namesChanged(headers, localService);
   }
-  void drain() override;
+  void drain(base::Duration longest) override;
   size_t inFlight() const override;
   void tick() override;
 
@@ -99,10 +99,11 @@
              {"idle_timeout_us", std::to_string(InForce.IdleTimeout.count())}});
 }
 
-void CallProxyShell::drain() {
+void CallProxyShell::drain(base::Duration longest) {
   if (DrainingSince)
     return;
   DrainingSince = Engine->now();
+  Engine->leaveAt(*DrainingSince + longest);
   Callers->closeAfterAnswers();
   Mesh->closeAfterAnswers();
 }
@@ -125,7 +126,7 @@
     return;
   base::Duration draining = Engine->now() - *DrainingSince;
   if (draining > DefaultDrainLinger)
-    Engine->refuseNewCalls();
+    Engine->refuseLongCalls();
   // Deeper calls of calls in flight still come to the callers' listener.
   if (draining < MeshDrainDelay || Engine->callsAtGate() > 0)
     return;
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -59,8 +59,9 @@
   virtual void namesChanged(const calls::CallHeaders &headers,
                             const std::string &localService) = 0;
 
-  /// Stops accepting calls of callers; calls in flight finish.
-  virtual void drain() = 0;
+  /// Stops accepting calls of callers; calls in flight finish. What could last
+  /// beyond \p longest from now is refused.
+  virtual void drain(base::Duration longest) = 0;
 
   /// Returns the calls in flight in either role.
   virtual size_t inFlight() const = 0;
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -70,6 +70,8 @@
   auto target = Environment.LocalTarget(call.TargetId);
   if (!target)
     co_return refusal(base::ResultCode::NoTarget);
+  if (!canEnd(call.Remaining))
+    co_return refusal(base::ResultCode::Draining);
   base::TimePoint now = Environment.Time->now();
   calls::Arrival arrival{call.CallId,          call.ServiceName, call.TargetId,
                          call.CallRank,        call.Remaining,   fingerprint,
@@ -196,6 +198,10 @@
     it->second.FailedBelow = true;
 }
 
+bool GateRunner::canEnd(base::Duration remaining) const {
+  return !LeavesAt || Environment.Time->now() + remaining <= *LeavesAt;
+}
+
 void GateRunner::tick() {
   dispatch(Environment.Gate->tick(Environment.Time->now()));
 }
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -34,6 +34,12 @@
                                           uint64_t fingerprint,
                                           std::shared_ptr<ClientWatch> watch);
 
+  /// From now on refuses what may not have ended at \p time.
+  void leaveAt(base::TimePoint time) { LeavesAt = time; }
+
+  /// Tells whether a call with this deadline left ends before the node leaves.
+  bool canEnd(base::Duration remaining) const;
+
   /// Refuses queued calls whose deadline has passed.
   void tick();
 
@@ -73,6 +79,7 @@
   CallFigures &Figures;
   std::unordered_map<calls::Ticket, QueuedCall *> Queue;
   std::unordered_map<std::string, OpenCall> Open;
+  std::optional<base::TimePoint> LeavesAt; ///< Set once the node drains.
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibNode/DrainPlan.cpp
+++ b/Libraries/LibNode/DrainPlan.cpp
@@ -25,6 +25,10 @@
   return true;
 }
 
+base::Duration DrainPlan::longest() const {
+  return Grace - Grace / MarginDivisor - QuietBeforeStop;
+}
+
 DrainPlan::Step DrainPlan::look(size_t inFlight, base::TimePoint now) {
   if (!StartedAt)
     return Step::Serve;
@@ -33,7 +37,7 @@
   if (inFlight > 0)
     LastBusyAt = now;
   bool isQuiet = now - LastBusyAt >= QuietBeforeStop;
-  bool isLate = now - *StartedAt >= Grace - Grace / MarginDivisor;
+  bool isLate = now - *StartedAt >= longest() + QuietBeforeStop;
   HasLeft = isQuiet || isLate;
   if (isQuiet)
     return Step::Quiet;
--- a/Libraries/LibNode/DrainPlan.h
+++ b/Libraries/LibNode/DrainPlan.h
@@ -26,6 +26,9 @@
   /// Tells whether the node drains or has left.
   bool isStarted() const { return StartedAt.has_value(); }
 
+  /// Returns how long after the start calls may be in flight at most.
+  base::Duration longest() const;
+
   /// Returns what is due; Quiet or Late once at most.
   Step look(size_t inFlight, base::TimePoint now);
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -413,7 +413,7 @@
   base::log(base::LogLevel::Info, "drain started");
   Leases.drainAll();
   targetsChanged();
-  Proxy->drain();
+  Proxy->drain(Draining.longest());
 }
 
 void NodeProcess::drainTick() {
--- a/Tests/LibHttp/TestCallLife.cpp
+++ b/Tests/LibHttp/TestCallLife.cpp
@@ -13,8 +13,8 @@
   std::optional<http::Response> answer;
   mesh.begin(answer);
   runUntil(mesh.Context, [&] { return !mesh.SeenByTarget.empty(); });
-  mesh.Near.Proxy->drain();
-  mesh.Far.Proxy->drain();
+  mesh.Near.Proxy->drain(std::chrono::seconds(5));
+  mesh.Far.Proxy->drain(std::chrono::seconds(5));
   mesh.Clock.advance(std::chrono::seconds(4));
   mesh.Near.Proxy->tick();
   mesh.Far.Proxy->tick();
@@ -34,7 +34,7 @@
   auto callers = mesh.Near.Proxy->callsAddress();
   REQUIRE(ask(mesh.Context, callers, mesh.post())->result_int() == 200);
   http::Request deeper = mesh.SeenByTarget.front();
-  mesh.Near.Proxy->drain();
+  mesh.Near.Proxy->drain(std::chrono::seconds(5));
   mesh.Clock.advance(std::chrono::seconds(2));
   mesh.Near.Proxy->tick();
   auto refused = ask(mesh.Context, callers, mesh.post());
--- /dev/null
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -0,0 +1,64 @@
+#include <LibHttp/TwoNodes.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using namespace std::chrono_literals;
+using calls::AttemptEnd;
+
+namespace {
+
+/// How long a draining node has in these tests until it leaves.
+constexpr base::Duration Longest = 5s;
+
+/// Lets time pass at a draining node.
+void pass(TwoNodes &mesh, ProxyNode &node, base::Duration time) {
+  mesh.Clock.advance(time);
+  node.Proxy->tick();
+}
+
+std::optional<http::Response> askFor(TwoNodes &mesh, base::Duration deadline) {
+  auto request = mesh.post();
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(deadline);
+  request.set(calls::DeadlineHeader, std::to_string(ms.count()));
+  return ask(mesh.Context, mesh.Near.Proxy->callsAddress(), std::move(request));
+}
+
+} // namespace
+
+TEST_CASE(
+    "a call of a node that drains fails at work of its target that is not "
+    "proven") {
+  TwoNodes mesh;
+  mesh.Near.Proxy->drain(Longest);
+  pass(mesh, mesh.Near, 2s);
+  auto taken = askFor(mesh, 800ms);
+  REQUIRE(taken);
+  CHECK(taken->result_int() == 200);
+  auto late = askFor(mesh, 3100ms);
+  REQUIRE(late);
+  CHECK(codeOf(*late) == "5014");
+  CHECK((*late)[calls::OutcomeHeader] == "not-run");
+  pass(mesh, mesh.Near, 400ms);
+  CHECK(codeOf(*askFor(mesh, 2700ms)) == "5014");
+  CHECK(askFor(mesh, 2500ms)->result_int() == 200);
+}
+
+TEST_CASE("a draining node's gate takes no call that may outlast the node") {
+  TwoNodes mesh;
+  mesh.Far.Proxy->drain(Longest);
+  pass(mesh, mesh.Far, 1s);
+  mesh.Near.Broker.First.AttemptTimeout = 4500ms;
+  auto refused =
+      ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
+  REQUIRE(refused);
+  CHECK(mesh.SeenByTarget.empty());
+  REQUIRE(mesh.Near.Broker.Results.size() == 1);
+  CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::RefusedNotRun);
+  CHECK(mesh.Near.Broker.Results[0].Code == base::ResultCode::Draining);
+  mesh.Near.Broker.First.AttemptTimeout = 3500ms;
+  auto taken = ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
+  REQUIRE(taken);
+  CHECK(taken->body() == "echo body");
+}
