LibHttp: Close the mesh listener of a draining node at its time

While calls were at its gate a draining node kept its mesh listener, and while it kept that, peers that had not heard of the drain kept its gate busy: the two waited for each other until the end of the grace time.

Cause: the listener's end was tied to an empty gate for the sake of targets' deeper calls. Those come to the clients' listener; nothing of the kind comes over the mesh. Class of fault: a wait that what is waited for can renew.

Now the mesh listener stops after 2.5 s. A peer that connects later has sent nothing and goes to another target; requests on open connections are served, with Connection: close. The clients' listener still waits for the gate.

Test: 'calls at its gate don't keep a draining node reachable', seen to fail before (the call was taken).

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/CallEngine.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -47,6 +48,7 @@
   std::shared_ptr<Server> Callers;
   std::shared_ptr<Server> Mesh;
   std::optional<base::TimePoint> DrainingSince;
+  bool MeshClosing = false;
   bool Closing = false;
 };
 
@@ -127,12 +129,15 @@
   base::Duration draining = Engine->now() - *DrainingSince;
   if (draining > DefaultDrainLinger)
     Engine->refuseLongCalls();
+  if (draining < MeshDrainDelay)
+    return;
+  if (!std::exchange(MeshClosing, true))
+    Mesh->drain();
   // Deeper calls of calls in flight still come to the callers' listener.
-  if (draining < MeshDrainDelay || Engine->callsAtGate() > 0)
+  if (Engine->callsAtGate() > 0)
     return;
   Closing = true;
   Callers->drain();
-  Mesh->drain();
 }
 
 } // namespace
--- a/Tests/LibHttp/TestDrainingCalls.cpp
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -62,3 +62,21 @@
   REQUIRE(taken);
   CHECK(taken->body() == "echo body");
 }
+
+TEST_CASE("calls at its gate don't keep a draining node reachable") {
+  TwoNodes mesh;
+  mesh.HoldAnswers = true;
+  std::optional<http::Response> answer;
+  mesh.begin(answer);
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+  mesh.Far.Proxy->drain(Longest);
+  pass(mesh, mesh.Far, 2500ms);
+  CHECK(mesh.Far.Proxy->inFlight() > 0);
+  mesh.Near.Broker.First.FreshConnection = true;
+  ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post());
+  REQUIRE(mesh.Near.Broker.Results.size() == 1);
+  CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::NotSent);
+  mesh.Release = true;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(answer->body() == "echo body");
+}
