Tests: Two attempts of a call in every order, and two faults known to be red

What callers see of the red ones: an answer 500 of a second attempt ends the first at whose target work is in hand, which would have been answered 200; and a target at work on a call that came over a connection that was open at 2.5 s into its node's drain finds the clients' listener closed for its own calls.

Each is seen to fail on (500 in place of 200 and BrokenOff 1; connection refused). The others pass there under the sanitizers: both attempts answered in one turn, the client gone with both in flight and with the second just started, the loop and the node ended with both in flight, 3,000 random orders of ends in the planner.

--- a/Tests/LibCalls/TestHedges.cpp
+++ b/Tests/LibCalls/TestHedges.cpp
@@ -175,3 +175,59 @@
   it.Node.end(ended, at(it.Now));
   CHECK_FALSE(it.hedge(ended));
 }
+
+TEST_CASE("attempts in any order keep the promises, the places and the number "
+          "of targets") {
+  for (uint64_t seed = 0; seed < 3000; ++seed) {
+    CAPTURE(seed);
+    HedgeBench it;
+    base::Random random(seed);
+    const std::vector<fleet::Member> nodes = {member("n1"), member("n2"),
+                                              member("n3"), member("n4")};
+    it.members(nodes);
+    const auto call = it.lookUp();
+    std::vector<CallStep> flights = {it.stepOf(call)};
+    int arrived = 0;
+    bool mayHaveRun = false;
+    CallStep last;
+    while (!flights.empty()) {
+      it.pass(flights.front().HedgeAfter / 2);
+      if (auto more = it.hedge(call)) {
+        for (const auto &one : flights)
+          CHECK(one.To.Node != more->To.Node);
+        flights.push_back(*more);
+      }
+      REQUIRE(flights.size() <= 2);
+      const auto at = random.below(flights.size());
+      const auto one = flights[at];
+      flights.erase(flights.begin() + static_cast<ptrdiff_t>(at));
+      const ResultCode codes[] = {
+          ResultCode::Overloaded, ResultCode::Draining, ResultCode::NoTarget,
+          ResultCode::TargetRefused, ResultCode::DeadlineExceeded};
+      const auto end = static_cast<AttemptEnd>(1 + random.below(4));
+      const bool refused = end == AttemptEnd::RefusedNotRun;
+      const auto code = refused ? codes[random.below(5)] : ResultCode::Ok;
+      mayHaveRun |= end == AttemptEnd::Broken || end == AttemptEnd::TimedOut;
+      arrived += end == AttemptEnd::Broken || end == AttemptEnd::TimedOut ||
+                         code == ResultCode::TargetRefused
+                     ? 1
+                     : 0;
+      last = it.end(call, one, end, code);
+      if (last.What == Kind::Send) {
+        for (const auto &other : flights)
+          CHECK(other.To.Node != last.To.Node);
+        flights.push_back(last);
+      }
+      CHECK((last.What == Kind::Finish) == flights.empty());
+    }
+    CHECK(last.Outcome ==
+          (mayHaveRun ? CallOutcome::Unknown : CallOutcome::NotRun));
+    CHECK(arrived <= 3);
+    it.Node.end(call, at(it.Now));
+    for (const auto &node : nodes) {
+      it.members({node});
+      it.pass(60s);
+      CHECK(it.stepOf(it.lookUp()).Basis.InFlight == 0);
+    }
+  }
+}
--- a/Tests/LibHttp/TestDrainingCalls.cpp
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -80,3 +80,23 @@
   runUntil(mesh.Context, [&] { return answer.has_value(); });
   CHECK(answer->body() == "echo body");
 }
+
+TEST_CASE("known red: a draining node's target, called on a connection that "
+          "was open, finds the node closed for its own calls") {
+  TwoNodes mesh;
+  const auto calls = mesh.Far.Proxy->callsAddress();
+  REQUIRE(ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
+  mesh.Far.Proxy->drain(Longest);
+  pass(mesh, mesh.Far, 2500ms);
+  mesh.Near.Broker.First.AttemptTimeout = 2s;
+  mesh.HoldAnswers = true;
+  std::optional<http::Response> answer;
+  mesh.begin(answer);
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 2; });
+  boost::system::error_code ec;
+  asio::ip::tcp::socket deeper(mesh.Context);
+  deeper.connect({asio::ip::make_address(calls.Host), calls.Port}, ec);
+  CHECK_FALSE(ec);
+  mesh.Release = true;
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+}
--- a/Tests/LibHttp/TestSecondAttempts.cpp
+++ b/Tests/LibHttp/TestSecondAttempts.cpp
@@ -46,7 +46,7 @@
       co_await wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
     BrokenOff += in.Watch->Gone ? 1 : 0;
-    co_return http::makeJson(200, "from " + Id);
+    co_return http::makeJson(Status, "from " + Id);
   }
 
   fleet::Member member() const {
@@ -64,6 +64,7 @@
   asio::io_context *Context;
   std::shared_ptr<http::Server> Target;
   bool MayAnswer = false;
+  unsigned Status = 200;
   int Begun = 0;
   int BrokenOff = 0;
 };
@@ -118,7 +119,30 @@
     return *first;
   }
 
+  /// Begins a call with two attempts in flight; returns the second's node.
+  SlowNode &beginTwo(SlowNode *&first) {
+    first = &beginAtAnyNode();
+    Clock.advance(1s);
+    Proxy->tick();
+    auto isSecond = [&](const SlowNode &it) {
+      return &it != first && it.Begun > 0;
+    };
+    auto second = Nodes.end();
+    runUntil(Context, [&] {
+      second = std::find_if(Nodes.begin(), Nodes.end(), isSecond);
+      return second != Nodes.end();
+    });
+    return *second;
+  }
+
   void begin() {
+    if (Client) {
+      Client->connect(
+          {asio::ip::make_address("127.0.0.1"), Proxy->callsAddress().Port});
+      asio::write(*Client, asio::buffer(std::string(
+                               "GET /lookup HTTP/1.1\r\nHost: a\r\n\r\n")));
+      return;
+    }
     asio::co_spawn(
         Context,
         [this]() -> asio::awaitable<std::optional<http::Response>> {
@@ -156,6 +180,7 @@
                                    SlowNode{Context, Clock, "b"},
                                    SlowNode{Context, Clock, "c"}};
   std::optional<http::Response> Answer;
+  std::optional<asio::ip::tcp::socket> Client; ///< Of a client that may leave.
 };
 
 } // namespace
@@ -173,3 +198,81 @@
   CHECK(mesh.Answer->result_int() == 200);
   CHECK(mesh.Answer->body() == "from " + first.Id);
 }
+
+TEST_CASE("two attempts that are answered at once give one whole answer") {
+  for (int n = 0; n < 10; ++n) {
+    LookupMesh mesh;
+    SlowNode *first = nullptr;
+    SlowNode &second = mesh.beginTwo(first);
+    first->MayAnswer = second.MayAnswer = true;
+    runUntil(mesh.Context, [&] { return mesh.Answer.has_value(); });
+    CHECK(mesh.Answer->result_int() == 200);
+    CHECK(mesh.Answer->body().starts_with("from "));
+    CHECK(first->Begun + second.Begun == 2);
+  }
+}
+
+TEST_CASE("both attempts end when their client goes away") {
+  LookupMesh mesh;
+  mesh.Client.emplace(mesh.Context);
+  SlowNode *first = nullptr;
+  SlowNode &second = mesh.beginTwo(first);
+  mesh.Client.reset();
+  runUntil(mesh.Context,
+           [&] { return first->BrokenOff == 1 && second.BrokenOff == 1; });
+  runUntil(mesh.Context, [&] { return mesh.Proxy->inFlight() == 0; });
+}
+
+TEST_CASE("a second attempt that is just started ends with its client") {
+  LookupMesh mesh;
+  mesh.Client.emplace(mesh.Context);
+  SlowNode &first = mesh.beginAtAnyNode();
+  mesh.Clock.advance(1s);
+  mesh.Proxy->tick();
+  mesh.Client.reset();
+  runUntil(mesh.Context,
+           [&] { return mesh.Proxy->inFlight() == 0 && first.BrokenOff == 1; });
+}
+
+TEST_CASE("a loop ends with two attempts in flight and touches nothing") {
+  for (const bool isFromLoop : {false, true}) {
+    LookupMesh mesh;
+    SlowNode *first = nullptr;
+    if (isFromLoop)
+      mesh.beginTwo(first);
+    else
+      mesh.beginAtAnyNode();
+    mesh.Clock.advance(1s);
+    mesh.Proxy->tick();
+  }
+}
+
+TEST_CASE("a node that ends before two attempts lets them end") {
+  LookupMesh mesh;
+  SlowNode *first = nullptr;
+  SlowNode &second = mesh.beginTwo(first);
+  mesh.Proxy.reset();
+  for (int n = 0; n < 20; ++n) {
+    mesh.Context.restart();
+    mesh.Context.run_for(1ms);
+  }
+  second.MayAnswer = first->MayAnswer = true;
+  for (int n = 0; n < 50; ++n) {
+    mesh.Context.restart();
+    mesh.Context.run_for(1ms);
+  }
+}
+
+TEST_CASE("known red: work at a target is given up for an answer that it "
+          "failed") {
+  LookupMesh mesh;
+  SlowNode *first = nullptr;
+  SlowNode &second = mesh.beginTwo(first);
+  second.Status = 500;
+  second.MayAnswer = true;
+  mesh.pass(100ms);
+  first->MayAnswer = true;
+  runUntil(mesh.Context, [&] { return mesh.Answer.has_value(); });
+  CHECK(first->BrokenOff == 0);
+  CHECK(mesh.Answer->result_int() == 200);
+}
