LibCalls, LibHttp: Await the other attempt where a target says that it failed

What callers saw: with two attempts in flight a 500 of the one ended the other, at whose target work was in hand that would have been answered 200.

An answer with a status from 500 on ends the call only when no other attempt is in flight; else it is kept, and given where the other one gives no answer. A trace tells such answers apart.

Tests: 'work at a target is not given up for another one's failure', seen to fail before (500 in place of 200, BrokenOff 1), and 'the failure of one target is the answer when the other gives none'.

--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -64,6 +64,7 @@
   /// The answering node marked (AttemptHeader on its answer) that a call made
   /// while running this one failed and was dealt with there: no retry here.
   bool FailedBelow = false;
+  bool TargetFailed = false; ///< The target answered with a status from 500 on.
 };
 
 /// What to do next for a call.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -124,7 +124,8 @@
   AttemptResult result;
   result.End = static_cast<AttemptEnd>(entry.Numbers[1] % 256);
   result.FailedBelow = entry.Numbers[1] / 256 % 2 != 0;
-  result.Attempt = static_cast<uint32_t>(entry.Numbers[1] / 512);
+  result.Attempt = static_cast<uint32_t>(entry.Numbers[1] / 512 % 128);
+  result.TargetFailed = entry.Numbers[1] >= 65'536;
   result.Code = static_cast<base::ResultCode>(entry.Numbers[2]);
   result.PressurePermille = static_cast<uint32_t>(entry.Numbers[3]);
   result.Latency = base::Duration(entry.Numbers[4]);
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -125,25 +125,40 @@
   if (hasArrived(result))
     ++call.Arrivals;
   auto out = planNext(call, result, now);
-  const bool isOver = result.End == AttemptEnd::Answered ||
-                      result.End == AttemptEnd::CallerGone;
-  if (result.End == AttemptEnd::Answered)
-    dropFlights(call, flight->Attempt, now);
-  if (out.What == CallStep::Kind::Finish && !isOver && !call.Flights.empty())
-    out.What = CallStep::Kind::Await;
+  if (out.What == CallStep::Kind::Finish)
+    settle(call, *flight, result, out, now);
   if (out.What == CallStep::Kind::Finish && result.End != AttemptEnd::Answered)
     out.RetriesLeft = stateOf(call).Budget.left(call.Route.CallRank, Retries,
                                                 nodesLately(now), now);
   note(CallPlanEvent::AttemptEnded,
        {static_cast<int64_t>(handle),
         static_cast<int64_t>(result.End) + (result.FailedBelow ? 256 : 0) +
-            int64_t{512} * result.Attempt,
+            int64_t{512} * result.Attempt + (result.TargetFailed ? 65'536 : 0),
         static_cast<int64_t>(result.Code), result.PressurePermille,
         result.Latency.count(), result.RetryAfter.count()},
        {}, outcomeOf(out), now);
   return out;
 }
 
+/// Makes the last step of one attempt that of the call: while another attempt
+/// is in flight only an answer that is no failure ends it.
+void CallPlanner::settle(PlannedCall &call, const Flight &ended,
+                         const AttemptResult &result, CallStep &step,
+                         base::TimePoint now) {
+  const bool isAnswered = result.End == AttemptEnd::Answered;
+  const bool isGone = result.End == AttemptEnd::CallerGone;
+  const bool isSuccess = isAnswered && !result.TargetFailed;
+  if (!isSuccess && !isGone && !call.Flights.empty()) {
+    call.HasFailure = call.HasFailure || isAnswered;
+    step.What = CallStep::Kind::Await;
+  } else if (isAnswered) {
+    dropFlights(call, ended.Attempt, now);
+  } else if (call.HasFailure && !isGone) {
+    step = stopped(finish(CallOutcome::Answered, ResultCode::Ok),
+                   StopReason::Answered);
+  }
+}
+
 CallStep CallPlanner::planNext(PlannedCall &call, const AttemptResult &result,
                                base::TimePoint now) {
   switch (result.End) {
@@ -170,7 +185,7 @@
                                    base::TimePoint now) {
   auto &service = stateOf(call);
   const bool isFree = costsNoBudget(result);
-  const bool used = call.Attempts >= MaximumAttempts ||
+  const bool used = call.HasFailure || call.Attempts >= MaximumAttempts ||
                     call.arrivals() >= call.Route.MaximumAttempts;
   auto stop = isFinal(result) ? StopReason::Final
               : used          ? StopReason::AttemptsUsed
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -38,7 +38,8 @@
 /// is listed; text: node, data centre, region, service, target. Drained: text:
 /// the names. Begin: handle, rank, allowed time, flags (1 idempotent, 2 below a
 /// retry), budget percent; text: service. AttemptEnded: handle, end (256 more:
-/// failed below; 512 more for each attempt before it and itself), code,
+/// failed below; 512 more for each attempt before it and itself; 65,536
+/// more: the target answered that it failed), code,
 /// pressure, latency, retry-after. End: handle. Hedge:
 /// handle. Begin, AttemptEnded and Hedge decide kind, outcome and code, the
 /// node's hash, the time until a second attempt or the timeout, and
@@ -113,6 +114,7 @@
     uint32_t Arrivals = 0; ///< Ended attempts that came to a target.
     bool MayHaveRun = false;
     bool Retried = false;        ///< Sent again after bytes had been sent.
+    bool HasFailure = false;     ///< A target has answered that it failed.
     base::Duration HedgeAfter{}; ///< 0: no attempt starts beside the first.
     StopReason Stop = StopReason::None; ///< Why the last send() gave nothing.
 
@@ -131,6 +133,8 @@
   CallStep planFirst(PlannedCall &call, base::TimePoint now);
   CallStep planNext(PlannedCall &call, const AttemptResult &result,
                     base::TimePoint now);
+  void settle(PlannedCall &call, const Flight &ended,
+              const AttemptResult &result, CallStep &step, base::TimePoint now);
   CallStep afterRefusal(PlannedCall &call, const AttemptResult &result,
                         base::TimePoint now);
   CallStep afterLoss(PlannedCall &call, const AttemptResult &result,
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -362,6 +362,7 @@
   }
   unsigned status =
       result.End == AttemptEnd::Answered ? answer.result_int() : 0;
+  result.TargetFailed = isFailure(status);
   noteAttempt(call, step, result, status, now() - sent);
   if (isSuperseded)
     co_return step;
@@ -371,12 +372,13 @@
 CallStep CallEngine::conclude(OwnCall &call, const CallStep &step,
                               const calls::AttemptResult &result,
                               Response answer) {
-  call.FailedBelow = call.FailedBelow || result.FailedBelow;
-  if (result.End == AttemptEnd::Answered) {
+  bool isAnswered = result.End == AttemptEnd::Answered;
+  call.FailedBelow = result.FailedBelow || (call.FailedBelow && !isAnswered);
+  if (isAnswered) {
     call.Answer = std::move(answer);
     reframe(call.Answer, call.Incoming.Message.method());
   }
-  if (result.End == AttemptEnd::Answered && step.KeepAnswer) {
+  if (isAnswered && step.KeepAnswer) {
     std::string bytes;
     appendMessage(call.Answer, bytes);
     Environment.Broker->keepAnswer(call.Handle, std::move(bytes), now());
--- a/Tests/LibHttp/TestSecondAttempts.cpp
+++ b/Tests/LibHttp/TestSecondAttempts.cpp
@@ -263,8 +263,7 @@
   }
 }
 
-TEST_CASE("known red: work at a target is given up for an answer that it "
-          "failed") {
+TEST_CASE("work at a target is not given up for another one's failure") {
   LookupMesh mesh;
   SlowNode *first = nullptr;
   SlowNode &second = mesh.beginTwo(first);
@@ -276,3 +275,21 @@
   CHECK(first->BrokenOff == 0);
   CHECK(mesh.Answer->result_int() == 200);
 }
+
+TEST_CASE("the failure of one target is the answer when the other gives none") {
+  for (const bool isFirst : {true, false}) {
+    LookupMesh mesh;
+    SlowNode *first = nullptr;
+    SlowNode &second = mesh.beginTwo(first);
+    SlowNode &failing = isFirst ? *first : second;
+    SlowNode &broken = isFirst ? second : *first;
+    failing.Status = 500;
+    failing.MayAnswer = true;
+    mesh.pass(100ms);
+    CHECK_FALSE(mesh.Answer);
+    broken.Target.reset();
+    runUntil(mesh.Context, [&] { return mesh.Answer.has_value(); });
+    CHECK(mesh.Answer->result_int() == 500);
+    CHECK(mesh.Answer->body() == "from " + failing.Id);
+  }
+}
