LibHttp: Keep a draining node open for its target until no peer can call it

What callers saw: a target called over a connection that was open 2.5 s into its node's drain found the clients' listener closed for its own calls, and failed (found by the review, with a test). And, by reading: calls that end just before the node leaves left no time for the second that their connections may stay idle, so that the node would leave late with its listener open.

Cause: the clients' listener closed at the first tick that found the gate empty, though connections of peers could still bring work.

The clients' listener now waits until no connection of another node is left. So that the whole drain takes no longer, the mesh listener closes after 1.5 s; who connects later has sent nothing and goes elsewhere, free of the retry budget. What is taken must end a second before the node leaves. A race that came to no last step, for which no way was found, is told as unknown and not as not run.

'A drained proxy finishes its calls' ticks the far node while it waits, as a node does each 20 ms, and not once: whether its peer's connection has ended is seen at a later tick. What it asks for stays.

--- a/Libraries/LibHttp/AttemptRace.cpp
+++ b/Libraries/LibHttp/AttemptRace.cpp
@@ -44,7 +44,10 @@
     boost::system::error_code ec;
     co_await Changed.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
-  co_return Last.value_or(CallStep());
+  CallStep unknown;
+  unknown.Outcome = calls::CallOutcome::Unknown;
+  unknown.Code = base::ResultCode::Internal;
+  co_return Last.value_or(unknown);
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/AttemptRace.h
+++ b/Libraries/LibHttp/AttemptRace.h
@@ -35,7 +35,8 @@
 
   bool isDecided() const { return Last.has_value(); }
 
-  /// Waits until no lane runs any more and returns the call's last step.
+  /// Waits until no lane runs any more and returns the call's last step; a call
+  /// that came to none is told as unknown.
   boost::asio::awaitable<calls::CallStep> lastStep();
 
 private:
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -12,8 +12,9 @@
 
 /// Room for the fields that nodes add to a caller's head.
 constexpr size_t MeshHeaderBytes = 32UL << 10;
-/// For how long other nodes may still send to a draining one.
-constexpr base::Duration MeshDrainDelay = std::chrono::milliseconds(2500);
+/// For how long other nodes may still connect to a draining one, and clients.
+constexpr base::Duration MeshDrainDelay = std::chrono::milliseconds(1500);
+constexpr base::Duration CallsDrainDelay = std::chrono::milliseconds(2500);
 
 /// The two listeners and their graceful shutdown.
 class CallProxyShell final : public CallProxy {
@@ -105,7 +106,8 @@
   if (DrainingSince)
     return;
   DrainingSince = Engine->now();
-  Engine->leaveAt(*DrainingSince + longest);
+  // The last answers' connections may be idle for that long.
+  Engine->leaveAt(*DrainingSince + longest - DefaultDrainLinger);
   Callers->closeAfterAnswers();
   Mesh->closeAfterAnswers();
 }
@@ -133,8 +135,10 @@
     return;
   if (!std::exchange(MeshClosing, true))
     Mesh->drain();
-  // Deeper calls of calls in flight still come to the callers' listener.
-  if (Engine->callsAtGate() > 0)
+  // Deeper calls of calls in flight still come to the callers' listener, and
+  // open connections may bring further ones.
+  if (draining < CallsDrainDelay || Mesh->connections() > 0 ||
+      Engine->callsAtGate() > 0)
     return;
   Closing = true;
   Callers->drain();
--- a/Tests/LibHttp/TestCallLife.cpp
+++ b/Tests/LibHttp/TestCallLife.cpp
@@ -22,8 +22,8 @@
   mesh.Release = true;
   runUntil(mesh.Context, [&] { return answer.has_value(); });
   CHECK(answer->body() == "echo body");
-  mesh.Far.Proxy->tick();
   runUntil(mesh.Context, [&] {
+    mesh.Far.Proxy->tick();
     return mesh.Near.Proxy->inFlight() + mesh.Far.Proxy->inFlight() == 0;
   });
   CHECK(mesh.Near.Proxy->callsAddress().Port == 0); // It listens no more.
--- a/Tests/LibHttp/TestDrainingCalls.cpp
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// How long a draining node has in these tests until it leaves.
-constexpr base::Duration Longest = 5s;
+/// How long a draining node has in these tests until it leaves; its calls have
+/// 5 s, as the connections of the last ones may be idle for a second.
+constexpr base::Duration Longest = 6s;
 
 /// Lets time pass at a draining node.
 void pass(TwoNodes &mesh, ProxyNode &node, base::Duration time) {
@@ -81,8 +82,8 @@
   CHECK(answer->body() == "echo body");
 }
 
-TEST_CASE("known red: a draining node's target, called on a connection that "
-          "was open, finds the node closed for its own calls") {
+TEST_CASE("a draining node's target, called on a connection that was open, "
+          "finds the node open for its own calls") {
   TwoNodes mesh;
   const auto calls = mesh.Far.Proxy->callsAddress();
   REQUIRE(ask(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
