LibCalls: Remember the leave of a target that the node does not know

Cause: its node had been restarted 0.13 s before the leave came and knew no target. A leave of an unknown target was acknowledged and forgotten ('target left', known=no); a heartbeat that was sent before it and came after it then listed the target as ready, until a second leave at 25.54 s. Class of fault: an acknowledged word that is kept only where there is something to keep it at.

Now it is kept as a lapsed entry: no heartbeat of a process that had started by then brings the target back, a later process does. Starts and leaves are told by the same VM's clock. A trace's event of a leave has that time.

Test: 'a late heartbeat doesn't undo the leave of a target that the node didn't know', seen to fail before.

--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -33,7 +33,10 @@
   case LeaseEvent::Heartbeat:
     return heartbeat(entry);
   case LeaseEvent::Leave:
-    return {Replayed.leave(entry.Text, timeOf(entry)) ? 1 : 0};
+    return {Replayed.leave(entry.Text, timeOf(entry),
+                           static_cast<uint64_t>(entry.Numbers[0]))
+                ? 1
+                : 0};
   }
   return {};
 }
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -60,7 +60,8 @@
                 "a later process of the target is known");
     return false;
   }
-  const bool isNewProcess = heartbeat.Incarnation > lease.Incarnation;
+  const bool isNewProcess = heartbeat.Incarnation > lease.Incarnation &&
+                            heartbeat.Incarnation > lease.LeftUnixMs;
   if (known && !isNewProcess && heartbeat.Sequence <= lease.Sequence)
     return true;
   // A process that is leaving does not come back.
@@ -85,19 +86,36 @@
   return true;
 }
 
-bool TargetLeases::leave(std::string_view targetId, base::TimePoint now) {
+bool TargetLeases::leave(std::string_view targetId, base::TimePoint now,
+                         uint64_t unixMs) {
   const auto it = Leases.find(targetId);
   const bool isKnown = it != Leases.end();
   auto entry = entryOf(now, LeaseEvent::Leave, targetId);
+  entry.Numbers = {static_cast<int64_t>(unixMs)};
   entry.Decided = {isKnown ? 1 : 0};
   Record->record(std::move(entry));
-  if (!isKnown)
+  if (!isKnown) {
+    noteUnknownLeave(targetId, unixMs);
     return false;
+  }
   setState(it->second, fleet::TargetState::Left, now);
   Changed = true;
   return true;
 }
 
+/// A node that was restarted may hear of a leave first and of the heartbeats
+/// sent before it later.
+void TargetLeases::noteUnknownLeave(std::string_view targetId,
+                                    uint64_t unixMs) {
+  if (!makeRoom())
+    return;
+  auto &lease = Leases[std::string(targetId)];
+  lease.Target.TargetId = targetId;
+  lease.Target.State = fleet::TargetState::Left;
+  lease.LeftUnixMs = unixMs;
+  lease.Lapsed = true;
+}
+
 /// Notes since when a target that took work takes none.
 void TargetLeases::setState(Lease &lease, fleet::TargetState state,
                             base::TimePoint now) {
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -37,7 +37,8 @@
 /// incarnation, sequence, state, slots, lifetime and the text "ADDRESS TARGET",
 /// and decides the code of the refusal. The lifetime is that of the leases
 /// granted then, in microseconds; 0 where an older program did not say it.
-/// Leave decides 1 where the target is known.
+/// Leave has the time in milliseconds since 1970 and decides 1 where the target
+/// is known.
 struct LeaseEvent {
   enum Value : uint8_t { Announce, Tick, Drain, DrainAll, Heartbeat, Leave };
 };
@@ -66,8 +67,10 @@
   bool heartbeat(const Heartbeat &heartbeat, base::TimePoint now,
                  base::LastReason &reason);
 
-  /// Notes that a target has left; returns whether it was known.
-  bool leave(std::string_view targetId, base::TimePoint now);
+  /// Notes that a target has left; returns whether it was known. Of one that
+  /// was not, no heartbeat of a process that had started by \p unixMs
+  /// (milliseconds since 1970) brings it back.
+  bool leave(std::string_view targetId, base::TimePoint now, uint64_t unixMs);
 
   /// Drops lapsed leases; returns true when the list of targets changed.
   bool tick(base::TimePoint now);
@@ -102,6 +105,7 @@
             base::LastReason &reason);
   static void setState(Lease &lease, fleet::TargetState state,
                        base::TimePoint now);
+  void noteUnknownLeave(std::string_view targetId, uint64_t unixMs);
   bool makeRoom();
   bool lapse(base::TimePoint now);
 
@@ -110,6 +114,7 @@
     base::TimePoint ExpiresAt{};
     uint64_t Incarnation = 0;
     uint64_t Sequence = 0;
+    uint64_t LeftUnixMs = 0; ///< Processes started by then have left.
     bool Lapsed = false;
     bool DrainedByOperator = false;
     /// While set, the gate takes work although the target leaves.
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <chrono>
 #include <string>
 #include <utility>
 
@@ -161,7 +162,10 @@
 
 /// A target that is not known has nothing to leave, which is as good.
 http::Response TargetListener::leave(std::string_view id) {
-  bool isKnown = Leases->leave(id, Time->now());
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  auto unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(now);
+  bool isKnown =
+      Leases->leave(id, Time->now(), static_cast<uint64_t>(unixMs.count()));
   base::log(base::LogLevel::Info, "target left",
             {{"target", std::string(id)}, {"known", isKnown ? "yes" : "no"}});
   Changed();
--- a/Tests/LibCalls/TestTargetLeases.cpp
+++ b/Tests/LibCalls/TestTargetLeases.cpp
@@ -35,6 +35,13 @@
     return Leases.heartbeat(it, at(passed), Reason);
   }
 
+  /// The clock's milliseconds begin with the test.
+  bool leave(base::Duration passed) {
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(passed);
+    return Leases.leave("t", at(passed), static_cast<uint64_t>(ms.count()));
+  }
+
   /// Returns the state that the others and the gate see of the only target.
   std::pair<TargetState, TargetState> states(base::Duration passed) const {
     const auto told = Leases.current();
@@ -112,7 +119,7 @@
     if (isSaid)
       CHECK(it.heartbeat(7, 2, 2s, TargetState::Draining));
     else
-      CHECK(it.Leases.leave("t", at(2s)));
+      CHECK(it.leave(2s));
     const auto said = isSaid ? TargetState::Draining : TargetState::Left;
     CHECK(it.Leases.tick(at(2s)));
     CHECK(it.states(2s) == States{said, TargetState::Ready});
@@ -122,7 +129,7 @@
     CHECK(it.Leases.tick(at(2400ms)));
     CHECK(it.states(2400ms) == States{said, said});
     // A second word of the same leave opens nothing.
-    CHECK(it.Leases.leave("t", at(3s)));
+    CHECK(it.leave(3s));
     CHECK(it.states(3s) == States{TargetState::Left, TargetState::Left});
   }
 }
@@ -136,6 +143,19 @@
   CHECK(it.states(3s) == States{TargetState::Draining, TargetState::Draining});
 }
 
+TEST_CASE("a late heartbeat doesn't undo the leave of a target that the node "
+          "didn't know") {
+  LeaseBench it;
+  CHECK_FALSE(it.leave(2s));
+  CHECK(it.Leases.current().empty());
+  CHECK(it.heartbeat(1500, 7, 2100ms));
+  CHECK(it.states(2100ms) == States{TargetState::Left, TargetState::Left});
+  CHECK(it.heartbeat(1500, 8, 3s));
+  CHECK(it.states(3s) == States{TargetState::Left, TargetState::Left});
+  CHECK(it.heartbeat(2500, 1, 4s));
+  CHECK(it.states(4s) == States{TargetState::Ready, TargetState::Ready});
+}
+
 TEST_CASE("heartbeats may come late and in any order") {
   LeaseBench it;
   CHECK(it.heartbeat(7, 3, 1s, TargetState::Draining));
@@ -146,7 +166,7 @@
   it.Leases.tick(at(4s));
   CHECK(it.Leases.current().empty());
   // What left does not come back without a new process.
-  CHECK(it.Leases.leave("t", at(4s)));
+  CHECK(it.leave(4s));
   CHECK(it.heartbeat(7, 9, 5s));
   CHECK(it.Leases.current()[0].State == TargetState::Left);
 }
