LibCalls: Leave a target alone whose node says that it leaves

A node that had not heard of a drain went on choosing the draining target: as it refuses at once it has the fewest calls in flight and seems the least loaded. Each of these calls lost a way and, where it had no time left for another, failed.

Cause: the refusal 'draining' freed the call for another target, but nothing was learnt from it; only what the fleet says took the target out. Class of fault: two sources of one fact, and the nearer one unused.

Now such a refusal makes the node ask other targets first for 2 s, or until the fleet says something else of the target. Answers to earlier calls don't end that. It is no exclusion: the gate also says 'draining' to a call that may outlast the node while it still runs shorter ones, so where all targets leave, or nothing else is left for a further attempt, it is asked as before.

A failed try: with the leave as a pause of RefusalStreak no further attempt went to the target; 'ends of attempts decide between a retry, not run and unknown' saw two attempts in place of three with two targets that drain. Reverted for the form above.

Tests, each seen to fail without its part of the change: 'calls don't go on to a target whose node has said that it leaves' (94 refusals in 4 s in place of at most 2; with answers that end the pause 1 in place of 0), 'a target whose node had said that it leaves gets calls when it is announced anew', 'a further attempt may go to a target that leaves, if no other takes calls'.

--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -393,6 +393,9 @@
   }
   if (result.Code == ResultCode::TargetRefused)
     target->Refusals.refused(now);
+  if (result.Code == ResultCode::Draining &&
+      result.End == AttemptEnd::RefusedNotRun)
+    target->Refusals.refusedLeaving(now);
   if (silent)
     stateOf(call).Timer.observed(result.End == AttemptEnd::Superseded
                                      ? call.HedgeAfter
--- a/Libraries/LibCalls/TargetChoice.cpp
+++ b/Libraries/LibCalls/TargetChoice.cpp
@@ -86,7 +86,7 @@
 
 bool TargetChoice::allRefuse(const Targets &targets, base::TimePoint now) {
   return std::all_of(targets.begin(), targets.end(), [now](const auto *it) {
-    return it->Refusals.pauses(now);
+    return it->Refusals.isLeftAlone(now);
   });
 }
 
@@ -94,8 +94,9 @@
 /// better than any number that don't.
 Targets TargetChoice::withoutRefusing(Targets targets, base::TimePoint now) {
   if (!allRefuse(targets, now))
-    std::erase_if(targets,
-                  [now](const auto *it) { return it->Refusals.pauses(now); });
+    std::erase_if(targets, [now](const auto *it) {
+      return it->Refusals.isLeftAlone(now);
+    });
   return targets;
 }
 
@@ -159,7 +160,7 @@
     auto left = *list;
     std::erase_if(
         left, [&](const auto *it) { return !isFurther(*it, excluded, now); });
-    const auto tiers = tiersOf(left);
+    const auto tiers = tiersOf(withoutRefusing(std::move(left), now));
     auto *out =
         leastOfTwo(tiers.Own.empty() ? tiers.Away : tiers.Own, now, random);
     if (out)
--- a/Libraries/LibCalls/TargetTable.cpp
+++ b/Libraries/LibCalls/TargetTable.cpp
@@ -112,6 +112,8 @@
                          before.Epoch != target.Epoch;
   if (target.State == TargetState::Ready && readyAnew)
     known.ReadySince = now;
+  if (readyAnew)
+    known.Refusals.announced();
   if (readyAnew || newLoad)
     known.Load.reported(target.LoadPermille, now);
   const auto &identity = member.Identity;
--- a/Tests/LibCalls/TestRefusals.cpp
+++ b/Tests/LibCalls/TestRefusals.cpp
@@ -1,6 +1,7 @@
 #include <LibCalls/BrokerBench.h>
 #include <LibCalls/RefusalStreak.h>
 #include <LibCalls/TargetChoice.h>
+#include <LibCalls/TargetTable.h>
 
 #include <doctest/doctest.h>
 #include <set>
@@ -52,6 +53,74 @@
   CHECK(refusals <= 36);
 }
 
+TEST_CASE("calls don't go on to a target whose node has said that it leaves") {
+  BrokerBench it;
+  it.pass(TargetChoice::SlowStart);
+  const auto refusalsIn = [&it](base::Duration time, std::string_view node) {
+    int out = 0;
+    for (const auto until = it.Now + time; it.Now < until; it.Now += 10ms) {
+      const auto call = it.begin("/lookup");
+      auto step = it.stepOf(call);
+      while (step.What == CallStep::Kind::Send) {
+        const bool refuses = step.To.Node == node;
+        out += refuses ? 1 : 0;
+        step = refuses ? it.end(call, AttemptEnd::RefusedNotRun,
+                                ResultCode::Draining)
+                       : it.end(call, AttemptEnd::Answered);
+      }
+      checkAnswered(step);
+      it.Node.end(call, at(it.Now));
+    }
+    return out;
+  };
+  // A call that n1 runs since before it said so ends in between.
+  std::vector<CallHandle> early;
+  early.reserve(4);
+  for (int n = 0; n < 4; ++n)
+    early.push_back(it.begin("/lookup"));
+  CHECK(refusalsIn(100ms, "n1") == 1);
+  for (const auto call : early) {
+    checkAnswered(it.end(call, AttemptEnd::Answered));
+    it.Node.end(call, at(it.Now));
+  }
+  CHECK(refusalsIn(RefusalStreak::LongestPause / 2, "n1") == 0);
+  // It is asked once in each pause.
+  CHECK(refusalsIn(RefusalStreak::LongestPause * 2, "n1") <= 2);
+}
+
+TEST_CASE("a target whose node had said that it leaves gets calls when it is "
+          "announced anew") {
+  TargetTable table;
+  auto it = member("n1");
+  table.membersChanged({it}, at(1s));
+  auto &refusals = table.usable(Lookup).front()->Refusals;
+  refusals.refusedLeaving(at(1s));
+  it.Targets[0].LoadPermille = 900;
+  ++it.Revision;
+  table.membersChanged({it}, at(1s));
+  CHECK(refusals.isLeftAlone(at(1s)));
+  ++it.Targets[0].Epoch;
+  ++it.Revision;
+  table.membersChanged({it}, at(1s));
+  CHECK_FALSE(refusals.isLeftAlone(at(1s)));
+}
+
+TEST_CASE("a further attempt may go to a target that leaves, if no other takes "
+          "calls") {
+  BrokerBench it;
+  const auto refuse = [&it](CallHandle call, ResultCode code) {
+    return it.end(call, AttemptEnd::RefusedNotRun, code);
+  };
+  it.members({member("n1")});
+  refuse(it.begin("/lookup"), ResultCode::Draining);
+  it.members({member("n1"), member("n2")});
+  const auto call = it.begin("/lookup");
+  CHECK(it.stepOf(call).To.Node == "n2");
+  const auto second = refuse(call, ResultCode::Overloaded);
+  REQUIRE(second.What == CallStep::Kind::Send);
+  CHECK(second.To.Node == "n1");
+}
+
 TEST_CASE("a second attempt isn't sent to a target that refuses") {
   BrokerBench it;
   const auto refuse = [&it](CallHandle call) {
