LibHttp: End a write whose time passes between two of its pieces

Cause: the deadline of a connection cancels the operation under way. A large message is written in pieces of 64 KiB, and between two of them there is none: a deadline that passed there was noted and cancelled nothing. The next piece then waited for room without any bound, as long as the other side acknowledged probes: the connection, its handler and the whole message stayed. Class of fault: a deadline that is looked at before a loop and not within it.

Now each piece asks for the deadline first, and a write that did not get all of its bytes out has failed.

Test: 'an answer whose time passes between two of its pieces ends its connection', seen to fail before (still open after 20 s).

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -25,6 +25,7 @@
 /// Most messages have no more; a connection that waits keeps no more than this.
 constexpr size_t FirstReadBytes = 2UL << 10;
 constexpr size_t ReadChunkBytes = 8UL << 10;
+constexpr size_t WritePieceBytes = 64UL << 10;
 constexpr size_t DiscardLimitBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
 constexpr int KeepaliveIdleSeconds = 1;
@@ -308,12 +309,17 @@
   BytesTaken = 0;
   if (Expired)
     co_return false;
+  // Between two pieces there is nothing that the deadline could cancel.
+  auto pieceBytes = [this](const error_code &error, size_t) {
+    return error || Expired ? 0 : WritePieceBytes;
+  };
   BytesTaken =
-      co_await asio::async_write(Socket, asio::buffer(Output),
+      co_await asio::async_write(Socket, asio::buffer(Output), pieceBytes,
                                  asio::redirect_error(asio::use_awaitable, ec));
+  bool isWhole = BytesTaken == Output.size();
   if (Output.capacity() > KeptOutputBytes)
     std::string().swap(Output);
-  co_return !ec;
+  co_return !ec && isWhole;
 }
 
 void Connection::startWrite(const Request &message, std::string_view lines) {
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -91,6 +91,27 @@
   runUntil(context, [&] { return (*server)->inFlight() == 0; });
 }
 
+TEST_CASE("an answer whose time passes between two of its pieces ends its "
+          "connection") {
+  asio::io_context context(1);
+  base::LastReason reason;
+  http::ServerLimits limits;
+  limits.RequestTimeout = std::chrono::milliseconds(1);
+  // Copying it takes longer than that; the kernel has no room for all of it.
+  constexpr size_t LargeBodyBytes = 64UL << 20;
+  auto server = http::Server::create(
+      context, {"127.0.0.1", 0}, limits,
+      [](http::IncomingRequest) -> asio::awaitable<http::Response> {
+        co_return http::makeJson(200, std::string(LargeBodyBytes, 'x'));
+      },
+      reason);
+  REQUIRE(server);
+  auto client = connectTo(context, (*server)->address());
+  asio::write(client, asio::buffer(Get));
+  runUntil(context, [&] { return (*server)->connections() == 1; });
+  runUntil(context, [&] { return (*server)->connections() == 0; });
+}
+
 TEST_CASE("connections over the limit are told so") {
   asio::io_context context(1);
   base::LastReason reason;
