LibHttp: Log how a connection ended

Each connection of a client now ends with one reason out of 15. All are counted in connections_ended_total{reason}; 'connection ended' is written where the end was not simply idle, with the requests read, answered and dropped, the bytes unread, the age, and whether the node was draining. Ends that clients cause in any number have one line for each reason, listener and second, which tells how many others there were; those of this node's own doing have one each, as warnings.

No request costs a system call for it: the bytes in the kernel are asked for once where a connection ends (at a stop twice).

Counters now stay in use during a drain. They were let go of there and at the stop; the stop alone is needed, as the server's owner stops it before the counters' end, and sessions that are still suspended then come later. The stop counts and tells before it lets go, since the loop may not run again; for the same reason a node that ends destroys itself before the last lines are written.

The line of a node that ends with requests in hand was not tried with a whole process.

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -58,6 +58,7 @@
                             base::LastReason &reason) {
   ServerLimits limits;
   limits.Counters = Counters;
+  limits.Side = "callers";
   limits.TellsIdleTimeout = true;
   auto callers = Server::create(
       context, callsListen, limits,
@@ -67,6 +68,7 @@
       reason);
   if (!callers)
     return false;
+  limits.Side = "mesh";
   limits.TellsIdleTimeout = false;
   limits.HeaderBytes = MeshHeaderBytes;
   auto mesh = Server::create(
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -377,15 +377,24 @@
     expireAfter(DiscardTimeout);
     size_t discarded = 0;
     while (discarded < DiscardLimitBytes) {
+      DiscardedBytes += Buffer.size();
       Buffer.clear();
       if (co_await fill(ReadChunkBytes) != ReadEnd::Complete)
         break;
       discarded += Buffer.size();
     }
   }
+  DiscardedBytes = unreadBytes();
+  Buffer.clear();
   close();
 }
 
+size_t Connection::unreadBytes() const {
+  error_code ec;
+  size_t inKernel = Socket.is_open() ? Socket.available(ec) : 0;
+  return DiscardedBytes + Buffer.size() + inKernel;
+}
+
 bool Connection::hasPendingInput() {
   if (Buffer.size() > 0)
     return true;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -94,6 +94,11 @@
   /// Tells whether bytes beyond the last message have been read.
   bool hasBufferedInput() const { return Buffer.size() > 0; }
 
+  /// Returns the bytes that arrived and were not read as part of a message:
+  /// discarded by closeGently(), in the buffer or, while the socket is open, in
+  /// the kernel.
+  size_t unreadBytes() const;
+
   /// Returns the bytes of the buffers that the connection holds now.
   size_t keptBytes() const { return Buffer.capacity() + Output.capacity(); }
 
@@ -131,6 +136,7 @@
   boost::beast::flat_buffer Buffer;
   std::string Output;
   size_t BytesTaken = 0;
+  size_t DiscardedBytes = 0;
   Clock::time_point DeadlineAt = NoDeadline;
   bool Armed = false;
   bool Expired = false;
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -118,7 +118,6 @@
   if (!Draining)
     acceptBacklog();
   Draining = true;
-  Limits.Counters = nullptr;
   error_code ec;
   Acceptor.close(ec);
   for (Session *it : Sessions)
@@ -127,11 +126,12 @@
 
 void ServerState::stop() {
   Draining = true;
-  Limits.Counters = nullptr;
   error_code ec;
   Acceptor.close(ec);
   for (Session *it : Sessions)
     it->stop();
+  // What sessions do from here on may come after the counters' end.
+  Limits.Counters = nullptr;
 }
 
 size_t ServerState::inFlight() const {
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace radishcross::http {
@@ -28,7 +29,10 @@
   size_t Connections = 4096;
   /// Whether answers on kept connections tell the idle timeout (Keep-Alive).
   bool TellsIdleTimeout = false;
-  /// Where set, refusals are counted as bad_requests_total{reason}.
+  /// Names the listener in log lines.
+  std::string_view Side = "other";
+  /// Where set, refusals are counted as bad_requests_total{reason} and ends of
+  /// connections as connections_ended_total{reason}. Must outlive the server.
   base::Metrics *Counters = nullptr;
 };
 
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -53,9 +53,10 @@
     isReading = co_await readOne();
   co_await awaitAnswers();
   if (Refusal && !Closing)
-    co_await refuse(std::move(*Refusal), RefusalName);
+    co_await refuse(std::move(*Refusal), RefusalName, RefusalEnd);
   else if (Closing && Link->isOpen())
     co_await Link->closeGently();
+  tellEnd();
   Link->close();
   Owner->Sessions.erase(this);
 }
@@ -72,8 +73,10 @@
   armDeadline();
   if (ReadEnd end = co_await Link->awaitFirstByte();
       end != ReadEnd::Complete || Closing) {
-    if (end == ReadEnd::Closed && !Closing)
+    if (end == ReadEnd::Closed && !Closing) {
+      endAs(Waiting.empty() ? EndReason::ClientClosed : EndReason::ClientLeft);
       clientGone();
+    }
     co_return false;
   }
   Reading = true;
@@ -84,19 +87,25 @@
   ReadEnd end =
       co_await Link->readRequest(request, limits, Waiting.empty(), reason);
   Reading = false;
+  Figures.Read += end == ReadEnd::Complete ? 1 : 0;
+  Figures.Reading = end != ReadEnd::Complete;
   if (Closing)
     co_return false;
   if (end == ReadEnd::Closed || end == ReadEnd::Cut) {
+    endAs(Waiting.empty() ? EndReason::ClientCut : EndReason::ClientLeft);
     clientGone();
     co_return false;
   }
   if (end != ReadEnd::Complete) {
     RefusalName = end == ReadEnd::TimedOut ? "request-timeout"
                                            : base::describe(reason.code()).Name;
+    RefusalEnd = end == ReadEnd::TimedOut ? EndReason::ReadTimedOut
+                                          : EndReason::InputRefused;
     Refusal = refusalOf(end, reason);
     co_return false;
   }
   bool mayFollow = request.keep_alive();
+  ClientCloses = !mayFollow;
   accept(std::move(request));
   armDeadline();
   co_return mayFollow;
@@ -148,7 +157,7 @@
     watch->OnGone = nullptr;
     co_return response;
   } catch (const DropConnection &) {
-    Link->close();
+    closeAs(EndReason::HandlerClosed);
     failure = "the connection is dropped";
   } catch (const std::exception &error) {
     failure = error.what();
@@ -176,8 +185,9 @@
     Link->expireAfter(Owner->Limits.RequestTimeout);
     bool written = co_await Link->write(response);
     Waiting.pop_front();
+    Figures.Answered += written ? 1 : 0;
     if (!written)
-      Link->close();
+      closeAs(EndReason::AnswerNotWritten);
     if (!written || !keep) {
       closeAfterAnswer();
       break;
@@ -238,13 +248,16 @@
 }
 
 asio::awaitable<void> Session::refuse(Response response,
-                                      std::string_view reason) {
+                                      std::string_view reason,
+                                      EndReason endReason) {
   if (base::Metrics *counters = Owner->Limits.Counters)
     counters->counter("bad_requests_total{reason=\"" + std::string(reason) +
                       "\"}") += 1;
   response.keep_alive(false);
   Link->expireAfter(Owner->Limits.RequestTimeout);
-  if (co_await Link->write(response))
+  bool written = co_await Link->write(response);
+  endAs(written ? endReason : EndReason::AnswerNotWritten);
+  if (written)
     co_await Link->closeGently();
 }
 
@@ -253,7 +266,8 @@
   co_await refuse(makeAnswer(base::ResultCode::Overloaded,
                              calls::CallOutcome::NotRun,
                              "there are too many connections", OverloadRetry),
-                  "too-many-connections");
+                  "too-many-connections", EndReason::OverLimit);
+  tellEnd();
   Link->close();
   Owner->Sessions.erase(this);
 }
@@ -270,8 +284,11 @@
 
 void Session::clientReadable(error_code ec) {
   WatchPending = false;
-  if (!ec && Link->isOpen() && Link->atEndOfStream())
-    clientGone();
+  if (ec || !Link->isOpen() || !Link->atEndOfStream())
+    return;
+  if (!Closing && !Waiting.empty())
+    endAs(EndReason::ClientLeft);
+  clientGone();
 }
 
 /// Tells all handlers that nobody awaits their answers any more; what has not
@@ -288,6 +305,52 @@
     Link->expireAfter(Owner->Limits.DrainLinger);
 }
 
-void Session::stop() { Link->close(); }
+void Session::stop() {
+  bool isIdle = idle() && !Refusal && Link->unreadBytes() == 0;
+  Figures.Reading = Figures.Reading || Reading;
+  // What was written whole before is not cut.
+  if (!Closing || Writing)
+    endAs(isIdle ? EndReason::StoppedIdle : EndReason::Stopped);
+  // The loop may not run again.
+  tellEnd();
+  Link->close();
+}
+
+/// Notes why the connection ends, unless that is known already.
+void Session::endAs(EndReason reason) {
+  if (!Ended)
+    Ended = reason;
+}
+
+void Session::closeAs(EndReason reason) {
+  endAs(reason);
+  Figures.UnreadBytes = Link->unreadBytes();
+  Link->close();
+}
+
+/// Tells once how the connection ended.
+void Session::tellEnd() {
+  if (std::exchange(EndTold, true))
+    return;
+  Figures.UnreadBytes = std::max(Figures.UnreadBytes, Link->unreadBytes());
+  auto now = std::chrono::steady_clock::now();
+  Figures.Draining = Owner->Draining || Owner->ClosesAfterAnswers;
+  Figures.Age = std::chrono::duration_cast<base::Duration>(now - Since);
+  Figures.Reason = reasonOf(Figures);
+  Owner->Ends.ended(Figures, Owner->Limits.Side, Owner->Limits.Counters, now);
+}
+
+EndReason Session::reasonOf(const ConnectionEnd &end) const {
+  if (Ended)
+    return *Ended;
+  bool hasUnread = end.UnreadBytes > 0 || end.Reading;
+  if (!Closing)
+    return hasUnread ? EndReason::IdleUnread : EndReason::IdleClosed;
+  if (end.Read > end.Answered)
+    return EndReason::RequestDropped;
+  // What comes behind a client's own request to close is nobody's.
+  return hasUnread && !ClientCloses ? EndReason::AnswerUnread
+                                    : EndReason::AnswerClosed;
+}
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/Connection.h>
+#include <LibHttp/ConnectionEndLog.h>
 #include <LibHttp/Server.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,7 @@
   Handler Handle;
   bool Draining = false;
   bool ClosesAfterAnswers = false;
+  ConnectionEndLog Ends;
   std::unordered_set<Session *> Sessions;
 };
 
@@ -61,8 +63,8 @@
   boost::asio::awaitable<void> handle(PendingPointer pending);
   boost::asio::awaitable<Response> callHandler(PendingPointer pending);
   boost::asio::awaitable<void> writeAnswers();
-  boost::asio::awaitable<void> refuse(Response response,
-                                      std::string_view reason);
+  boost::asio::awaitable<void>
+  refuse(Response response, std::string_view reason, EndReason endReason);
   boost::asio::awaitable<void> awaitChange();
   boost::asio::awaitable<void> awaitAnswers();
   void accept(Request request);
@@ -74,6 +76,10 @@
   void watchClient();
   void clientReadable(boost::system::error_code ec);
   void clientGone();
+  void endAs(EndReason reason);
+  void closeAs(EndReason reason);
+  void tellEnd();
+  EndReason reasonOf(const ConnectionEnd &end) const;
 
   std::shared_ptr<SessionOwner> Owner;
   ConnectionPointer Link;
@@ -82,11 +88,17 @@
   std::deque<PendingPointer> Waiting; ///< In the order of the requests.
   std::optional<Response> Refusal;    ///< Of what could not be read.
   std::string_view RefusalName;
+  EndReason RefusalEnd = EndReason::InputRefused;
   base::Duration ToldIdleTimeout{};
   bool Reading = false; ///< A request has begun to arrive.
   bool Writing = false;
   bool Closing = false; ///< Nothing further is read.
   bool WatchPending = false;
+  bool ClientCloses = false; ///< The last request read asks for the end.
+  bool EndTold = false;
+  std::optional<EndReason> Ended; ///< The first that was found.
+  ConnectionEnd Figures;
+  ConnectionEndLog::Time Since = std::chrono::steady_clock::now();
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibNode/Node.cpp
+++ b/Libraries/LibNode/Node.cpp
@@ -54,6 +54,8 @@
             {{"calls", (*node)->callsAddress().text()},
              {"administration", settings.Administration.text()}});
   context.run();
+  // Connections that it still has get their lines.
+  node->reset();
   base::log(base::LogLevel::Info, "node stopped");
   base::flushLog();
   return base::ResultCode::Ok;
