LibHttp: Serve a request that came before the idle timer's turn

What callers saw: a reset, and no answer, for a request that came in the moment in which its connection had been idle for long enough. The promise of kept connections allows it (the request was not read), a client that may not send its request twice is left in doubt all the same.

Cause: the timer and the bytes are due in one turn of the loop, more often on a tenth of a core or after a pause; the timer's cancel ends the read, and the connection was closed on whatever the kernel had. Class of fault: a time that is judged by when its timer runs.

A wait that ends by its timer now looks for bytes first.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -156,6 +156,11 @@
   if (Buffer.size() > 0)
     co_return ReadEnd::Complete;
   ReadEnd end = co_await fill(FirstReadBytes);
+  // Bytes that came before the timer's turn in the loop came in time.
+  if (end == ReadEnd::TimedOut && hasPendingInput()) {
+    Expired = false;
+    end = co_await fill(FirstReadBytes);
+  }
   co_return end == ReadEnd::Cut ? ReadEnd::Closed : end;
 }
 
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -53,7 +53,8 @@
   /// Connects; returns false when the other side cannot be reached in time.
   boost::asio::awaitable<bool> connect(const base::Address &server);
 
-  /// Waits until at least one byte is buffered.
+  /// Waits until at least one byte is buffered. TimedOut is only said where
+  /// none has arrived.
   boost::asio::awaitable<ReadEnd> awaitFirstByte();
 
   /// Reads one request, strictly framed. Answers `Expect: 100-continue` where
--- /dev/null
+++ b/Tests/LibHttp/TestDroppedRequests.cpp
@@ -0,0 +1,97 @@
+#include <LibHttp/Mesh.h>
+
+#include <LibHttp/Answers.h>
+
+#include <algorithm>
+#include <thread>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string LastGet =
+    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+/// A server whose answers have bodies of \p bytes, and one client that takes
+/// little at a time.
+struct SlowClient {
+  SlowClient(const http::ServerLimits &limits, size_t bytes) : Bytes(bytes) {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        Context, {"127.0.0.1", 0}, limits,
+        [this](http::IncomingRequest) -> asio::awaitable<http::Response> {
+          ++Handled;
+          asio::steady_timer pause(Context);
+          while (Hold) {
+            pause.expires_after(1ms);
+            co_await pause.async_wait(asio::use_awaitable);
+          }
+          co_return http::makeJson(200, std::string(Bytes, 'x'));
+        },
+        reason);
+    REQUIRE(server);
+    Listening = *server;
+    Client.open(asio::ip::tcp::v4());
+    Client.set_option(asio::socket_base::receive_buffer_size(4 << 10));
+    Client.connect(
+        {asio::ip::make_address("127.0.0.1"), Listening->address().Port});
+    runUntil(Context, [&] { return Listening->connections() == 1; });
+    settle();
+  }
+
+  void send(const std::string &text) {
+    boost::system::error_code ec;
+    asio::write(Client, asio::buffer(text), ec);
+  }
+
+  /// Does all that can be done at once.
+  void settle() {
+    Context.restart();
+    Context.poll();
+  }
+
+  void runFor(base::Duration time) {
+    Context.restart();
+    Context.run_for(time);
+  }
+
+  /// Returns how many bytes of bodies come until the connection ends.
+  size_t readBodies() {
+    std::string got;
+    bool done = false;
+    asio::async_read(Client, asio::dynamic_buffer(got),
+                     [&](auto, size_t) { done = true; });
+    runUntil(Context, [&] { return done; });
+    return static_cast<size_t>(std::count(got.begin(), got.end(), 'x'));
+  }
+
+  size_t Bytes;
+  asio::io_context Context{1};
+  std::shared_ptr<http::Server> Listening;
+  asio::ip::tcp::socket Client{Context};
+  size_t Handled = 0;
+  bool Hold = false;
+};
+
+} // namespace
+
+TEST_CASE("a request that came in the moment of the connection's timeout is "
+          "closed on") {
+  for (bool draining : {false, true}) {
+    CAPTURE(draining);
+    http::ServerLimits limits;
+    (draining ? limits.DrainLinger : limits.IdleTimeout) = 300ms;
+    SlowClient it(limits, 10);
+    if (draining)
+      it.Listening->drain();
+    // Both timers are due in one turn of the loop, this one first.
+    asio::steady_timer before(it.Context, 1ms);
+    before.async_wait([&](auto) { it.send(LastGet); });
+    std::this_thread::sleep_for(400ms);
+    CHECK(it.readBodies() == 10);
+    runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
+  }
+}
