LibHttp: Leave a slow reader the last answer

What callers saw: the last answer of a connection cut, 4,003 of 40,000 bytes, where the client read slowly and a further request of its own was under way.

Cause: a connection that ends gently discards what comes for 1 s and then closes; any byte that comes later makes the kernel reset, which drops what it still holds of the answer. On a link of 7 Mbit/s that is no rare case.

It now goes on as long as the kernel holds bytes that the other side has not acknowledged (SIOCOUTQ), 30 s at most, the time after which the path counts as broken. The limit of 256 KB on what is discarded is as it was.

Test: 'a slow reader loses the last answer to a request behind it', seen to fail before.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -10,7 +10,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace radishcross::http {
@@ -380,13 +382,18 @@
   Socket.shutdown(tcp::socket::shutdown_send, ec);
   if (!ec) {
     expireAfter(DiscardTimeout);
+    auto until = Clock::now() + IncomingUserTimeout;
     size_t discarded = 0;
     while (discarded < DiscardLimitBytes) {
       DiscardedBytes += Buffer.size();
       Buffer.clear();
-      if (co_await fill(ReadChunkBytes) != ReadEnd::Complete)
-        break;
+      ReadEnd end = co_await fill(ReadChunkBytes);
       discarded += Buffer.size();
+      // A reset, which any further byte would cause, drops what is under way.
+      if (end == ReadEnd::TimedOut && hasUnsentOutput() && Clock::now() < until)
+        expireAfter(DiscardTimeout);
+      else if (end != ReadEnd::Complete)
+        break;
     }
   }
   DiscardedBytes = unreadBytes();
@@ -414,6 +421,11 @@
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool Connection::hasUnsentOutput() {
+  int n = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0;
+}
+
 base::Address Connection::peer() const {
   error_code ec;
   auto endpoint = Socket.remote_endpoint(ec);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -89,7 +89,8 @@
   size_t bytesTaken() const { return BytesTaken; }
 
   /// Ends the connection so that the other side can still read the answer:
-  /// sends FIN, then discards what arrives for a bounded time.
+  /// sends FIN, then discards what arrives for a bounded time, longer while the
+  /// other side has not acknowledged all of it.
   boost::asio::awaitable<void> closeGently();
 
   /// Tells whether bytes beyond the last message have been read.
@@ -111,6 +112,10 @@
   /// nothing to read; never blocks.
   bool atEndOfStream();
 
+  /// Tells whether the kernel holds bytes that the other side has not
+  /// acknowledged.
+  bool hasUnsentOutput();
+
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
--- a/Tests/LibHttp/TestDroppedRequests.cpp
+++ b/Tests/LibHttp/TestDroppedRequests.cpp
@@ -95,3 +95,15 @@
     runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
   }
 }
+
+TEST_CASE("a slow reader loses the last answer to a request behind it") {
+  constexpr size_t Bytes = 40'000;
+  SlowClient it({}, Bytes);
+  it.send(LastGet);
+  it.runFor(1200ms);
+  CHECK(it.Handled == 1);
+  it.send(Get);
+  it.runFor(50ms);
+  CHECK(it.readBodies() == Bytes);
+  CHECK(it.Handled == 1);
+}
