LibHttp: Give an answer a time of its own to be written

What callers saw: a long answer to a slow reader cut, 2,807,713 of 8,000,000 bytes in the test, once a configuration shortened the time for reading requests.

Cause: one limit for two things. RequestTimeout follows the configuration's limit on what a client may take to send a request, and bounded the writing of answers too.

Test: 'a short time for requests cuts the answer to a slow reader', seen to fail before. The tests of an answer that can't be written set the new limit in place of the old one and ask for the same.

--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -182,7 +182,7 @@
       tellIdleTimeout(response);
     // What arrives from here on is behind an answer that closes.
     Closing = Closing || !keep;
-    Link->expireAfter(Owner->Limits.RequestTimeout);
+    Link->expireAfter(Owner->Limits.AnswerTimeout);
     bool written = co_await Link->write(response);
     Waiting.pop_front();
     Figures.Answered += written ? 1 : 0;
@@ -254,7 +254,7 @@
     counters->counter("bad_requests_total{reason=\"" + std::string(reason) +
                       "\"}") += 1;
   response.keep_alive(false);
-  Link->expireAfter(Owner->Limits.RequestTimeout);
+  Link->expireAfter(Owner->Limits.AnswerTimeout);
   bool written = co_await Link->write(response);
   endAs(written ? endReason : EndReason::AnswerNotWritten);
   if (written)
--- /dev/null
+++ b/Tests/LibHttp/TestCallsCutShort.cpp
@@ -0,0 +1,136 @@
+#include <LibHttp/TwoNodes.h>
+
+#include <doctest/doctest.h>
+
+using namespace radishcross;
+using namespace radishcross::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What a server sends before it breaks off.
+const std::string Beginnings[] = {
+    "",
+    "HTTP/1.1 200 OK\r\nContent-Le",
+    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+    "HTTP/1.1 503 No\r\nX-Radishcross-Not-Executed: 1\r\n"
+    "Content-Length: 10\r\n\r\nabc",
+};
+
+/// Begins a server's answer and breaks its connection off.
+asio::awaitable<void> breakOff(asio::ip::tcp::acceptor &acceptor,
+                               std::string beginning, bool resets) {
+  auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+  acceptor.close();
+  std::string buf(4096, ' ');
+  co_await socket.async_read_some(asio::buffer(buf), asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(beginning),
+                             asio::use_awaitable);
+  if (resets)
+    socket.set_option(asio::socket_base::linger(true, 0));
+}
+
+/// Sends \p text over one connection of a client and returns all that comes.
+std::string talkToNear(TwoNodes &mesh, const std::string &text) {
+  return await(mesh.Context,
+               talk(mesh.Near.Proxy->callsAddress(), text, false));
+}
+
+size_t count(const std::string &text, const std::string &part) {
+  size_t n = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1))
+    ++n;
+  return n;
+}
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+const std::string LastGet =
+    "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("a target's or a node's answer that breaks off ends the caller's "
+          "connection or is said not to have run") {
+  enum class Where : uint8_t { LocalTarget, FarTarget, Node };
+  for (Where where : {Where::LocalTarget, Where::FarTarget, Where::Node})
+    for (const std::string &beginning : Beginnings)
+      for (bool resets : {false, true}) {
+        CAPTURE(static_cast<int>(where));
+        CAPTURE(beginning);
+        CAPTURE(resets);
+        TwoNodes mesh;
+        asio::ip::tcp::acceptor acceptor(
+            mesh.Context, {asio::ip::make_address("127.0.0.1"), 0});
+        base::Address server{"127.0.0.1", acceptor.local_endpoint().port()};
+        if (where != Where::Node)
+          mesh.route(server);
+        if (where == Where::LocalTarget) {
+          mesh.Near.Local = mesh.Far.Local;
+          mesh.Near.Broker.First.To.Node = "near";
+        } else if (where == Where::Node) {
+          mesh.Near.Broker.First.To.Mesh = server;
+        }
+        asio::co_spawn(mesh.Context, breakOff(acceptor, beginning, resets),
+                       asio::detached);
+        std::string got = talkToNear(mesh, Get + LastGet);
+        // The second call finds nobody, after the first one's answer.
+        CHECK(got.starts_with("HTTP/1.1 502 "));
+        CHECK(count(got, "HTTP/1.1 ") == 2);
+        CHECK(count(got, "\"outcome\":\"unknown\"") >= 1);
+        size_t broken = 0;
+        for (const auto &it : mesh.Near.Broker.Results)
+          broken += it.End == calls::AttemptEnd::Broken ? 1 : 0;
+        CHECK(broken == 1);
+      }
+}
+
+TEST_CASE("a target that closes its connection takes the caller's requests in "
+          "hand with it") {
+  TwoNodes mesh;
+  RawServer target(mesh.Context, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                 "Content-Length: 2\r\n\r\nok");
+  mesh.route(target.address());
+  std::string got = talkToNear(mesh, Get + Get + LastGet);
+  CHECK(count(got, "\r\n\r\nok") == 3);
+}
+
+TEST_CASE("a call is cut when its target leaves or another configuration "
+          "comes") {
+  for (bool isLocal : {false, true}) {
+    CAPTURE(isLocal);
+    TwoNodes mesh;
+    if (isLocal) {
+      mesh.Near.Local = mesh.Far.Local;
+      mesh.Near.Broker.First.To.Node = "near";
+    }
+    mesh.HoldAnswers = true;
+    std::optional<http::Response> answer;
+    mesh.begin(answer);
+    runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+    for (ProxyNode *node : {&mesh.Near, &mesh.Far}) {
+      node->Local = std::nullopt;
+      node->Snapshot = emptySnapshot();
+      node->Broker.First = calls::CallStep();
+      node->Proxy->namesChanged({}, "other");
+      node->Proxy->tick();
+    }
+    mesh.Release = true;
+    runUntil(mesh.Context, [&] { return answer.has_value(); });
+    CHECK(answer->result_int() == 200);
+    CHECK(answer->body() == "echo body");
+    CHECK(mesh.GoneAtTarget == 0);
+  }
+}
+
+TEST_CASE("a call whose node ends is closed on by the caller's node") {
+  TwoNodes mesh;
+  mesh.HoldAnswers = true;
+  std::optional<http::Response> answer;
+  mesh.begin(answer);
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+  mesh.Far.Proxy.reset();
+  runUntil(mesh.Context, [&] { return answer.has_value(); });
+  CHECK(answer->result_int() == 502);
+  CHECK((*answer)[calls::OutcomeHeader] == "unknown");
+}
--- a/Tests/LibHttp/TestConnectionEnds.cpp
+++ b/Tests/LibHttp/TestConnectionEnds.cpp
@@ -174,6 +174,12 @@
   return out;
 }
 
+http::ServerLimits withAnswerTimeout(base::Duration timeout) {
+  http::ServerLimits out;
+  out.AnswerTimeout = timeout;
+  return out;
+}
+
 http::ServerLimits withRequestTimeout(base::Duration timeout) {
   http::ServerLimits out;
   out.RequestTimeout = timeout;
@@ -271,7 +277,7 @@
 }
 
 TEST_CASE("an answer that cannot be written has a line") {
-  LoggedServer it(withRequestTimeout(50ms));
+  LoggedServer it(withAnswerTimeout(50ms));
   auto client = it.connect();
   send(client, get("/large"));
   it.awaitEnd();
--- a/Tests/LibHttp/TestDroppedRequests.cpp
+++ b/Tests/LibHttp/TestDroppedRequests.cpp
@@ -107,3 +107,38 @@
   CHECK(it.readBodies() == Bytes);
   CHECK(it.Handled == 1);
 }
+
+TEST_CASE("a short time for requests cuts the answer to a slow reader") {
+  constexpr size_t Bytes = 8'000'000;
+  SlowClient it({}, Bytes);
+  it.Listening->setClientLimits(16 << 10, 1 << 20, 50ms, 75s);
+  it.send(LastGet);
+  it.runFor(200ms);
+  CHECK(it.Handled == 1);
+  CHECK(it.readBodies() == Bytes);
+}
+
+TEST_CASE("a request half read behind the closing answer is passed on, or "
+          "resets the answer") {
+  SlowClient it({}, 10);
+  it.Hold = true;
+  it.send(Get + Get.substr(0, 20));
+  runUntil(it.Context, [&] { return it.Handled == 1; });
+  it.Listening->closeAfterAnswers();
+  it.Hold = false;
+  runUntil(it.Context, [&] { return it.Client.available() > 0; });
+  it.send(Get.substr(20));
+  CHECK(it.readBodies() == 10);
+  CHECK(it.Handled == 1);
+  runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
+}
+
+TEST_CASE("shorter limits end a request that is half read") {
+  SlowClient it({}, 10);
+  it.send(LastGet.substr(0, 20));
+  it.settle();
+  it.Listening->setClientLimits(10, 10, 1ms, 1ms);
+  it.runFor(50ms);
+  it.send(LastGet.substr(20));
+  CHECK(it.readBodies() == 10);
+}
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -96,7 +96,7 @@
   asio::io_context context(1);
   base::LastReason reason;
   http::ServerLimits limits;
-  limits.RequestTimeout = std::chrono::milliseconds(1);
+  limits.AnswerTimeout = std::chrono::milliseconds(1);
   // Copying it takes longer than that; the kernel has no room for all of it.
   constexpr size_t LargeBodyBytes = 64UL << 20;
   auto server = http::Server::create(
