LibHttp, LibCalls: Part the attempts from CallEngine, the flights from CallPlanner

What an attempt does stands in CallAttempts.cpp, what is known of attempts in flight in CallFlights.cpp; lines are moved, none changed.

--- /dev/null
+++ b/Libraries/LibCalls/CallFlights.cpp
@@ -0,0 +1,125 @@
+#include <LibCalls/CallPlanner.h>
+
+#include <algorithm>
+
+namespace radishcross::calls {
+
+namespace {
+
+using base::Duration;
+using base::ResultCode;
+
+/// The load of a target that refuses calls as overloaded.
+constexpr uint32_t FullPermille = 1000;
+
+} // namespace
+
+/// The first attempt goes on: its target may be at work, and the second one may
+/// be refused.
+std::optional<CallStep> CallPlanner::hedge(CallHandle handle,
+                                           base::TimePoint now) {
+  const auto it = Calls.find(handle);
+  if (it == Calls.end())
+    return std::nullopt;
+  auto &call = it->second;
+  std::optional<CallStep> out;
+  if (mayHedge(call, now))
+    out = send(call, true, now);
+  if (out) {
+    stateOf(call).Budget.spend(Retries, now);
+    call.Retried = true;
+  }
+  note(CallPlanEvent::Hedge, {static_cast<int64_t>(handle)}, {},
+       out ? outcomeOf(*out) : trace::Outcome{}, now);
+  return out;
+}
+
+/// Tells whether a second attempt may start beside the one in flight, with time
+/// enough to be of use.
+bool CallPlanner::mayHedge(const PlannedCall &call, base::TimePoint now) {
+  if (call.Flights.size() != 1 || call.HedgeAfter <= Duration::zero() ||
+      call.Retried)
+    return false;
+  const auto left = call.Deadline - now - HopMargin;
+  return left >= AttemptTimer::leastLeft(call.HedgeAfter) &&
+         retryStop(call, now) == StopReason::None;
+}
+
+/// Returns when another attempt may start beside the newest one: only beside
+/// the first one of a call that could be sent again.
+Duration CallPlanner::hedgeAfter(const PlannedCall &call, bool retry,
+                                 base::TimePoint now) {
+  const bool another = Table.usable(call.Route.ServiceName).size() > 1;
+  if (!call.Route.Idempotent || retry || !another ||
+      retryStop(call, now) != StopReason::None)
+    return {};
+  return stateOf(call).Timer.hedgeAfter(call.Flights.back().Timeout);
+}
+
+/// Takes an attempt out of those in flight; 0: the oldest.
+std::optional<CallPlanner::Flight> CallPlanner::takeFlight(PlannedCall &call,
+                                                           uint32_t attempt) {
+  auto &flights = call.Flights;
+  const auto it =
+      std::find_if(flights.begin(), flights.end(), [attempt](const auto &one) {
+        return attempt == 0 || one.Attempt == attempt;
+      });
+  if (it == flights.end())
+    return std::nullopt;
+  const auto out = *it;
+  flights.erase(it);
+  return out;
+}
+
+/// Lets go of the attempts in flight. Those that began before the one that was
+/// answered (0: none was) have been silent for as long as a second one waits.
+void CallPlanner::dropFlights(PlannedCall &call, uint32_t answered,
+                              base::TimePoint now) {
+  for (const auto &it : call.Flights) {
+    AttemptResult dropped;
+    dropped.End =
+        it.Attempt < answered ? AttemptEnd::Superseded : AttemptEnd::CallerGone;
+    learn(call, it, dropped, now);
+  }
+  call.Flights.clear();
+}
+
+/// Takes what an attempt tells of its target, its path and its service.
+void CallPlanner::learn(const PlannedCall &call, const Flight &flight,
+                        const AttemptResult &result, base::TimePoint now) {
+  auto *target = Table.find(flight.Target);
+  if (!target)
+    return;
+  target->InFlight -= target->InFlight > 0 ? 1 : 0;
+  const bool heard = result.End == AttemptEnd::Answered ||
+                     result.End == AttemptEnd::RefusedNotRun;
+  const bool silent = result.End == AttemptEnd::TimedOut ||
+                      result.End == AttemptEnd::Superseded;
+  if (heard)
+    target->Path->answered(flight.Fresh, now);
+  else
+    target->Path->unanswered(silent);
+  if (result.Code == ResultCode::Overloaded)
+    target->Load.observed(FullPermille, now);
+  if (result.End == AttemptEnd::Answered) {
+    target->Load.observed(result.PressurePermille, now);
+    target->Health.succeeded();
+    target->Refusals.answered();
+    stateOf(call).Timer.observed(result.Latency);
+  } else if (result.End == AttemptEnd::NotSent) {
+    target->Health.unreachable(now);
+  } else if (!heard && result.End != AttemptEnd::CallerGone) {
+    target->Health.failed(now);
+  }
+  if (result.Code == ResultCode::TargetRefused)
+    target->Refusals.refused(now);
+  if (result.Code == ResultCode::Draining &&
+      result.End == AttemptEnd::RefusedNotRun)
+    target->Refusals.refusedLeaving(now);
+  if (silent)
+    stateOf(call).Timer.observed(result.End == AttemptEnd::Superseded
+                                     ? call.HedgeAfter
+                                     : flight.Timeout);
+}
+
+} // namespace radishcross::calls
--- /dev/null
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -0,0 +1,211 @@
+#include <LibHttp/CallEngine.h>
+
+#include <LibBase/Logger.h>
+#include <LibCalls/CallTypes.h>
+#include <LibHttp/AnswerFields.h>
+#include <LibHttp/Answers.h>
+#include <LibHttp/Framing.h>
+#include <LibHttp/MeshCall.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <exception>
+#include <utility>
+
+// g++ 12 takes the frames' operator new, when it is inlined, for another one
+// than that of their operator delete.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace radishcross::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using calls::AttemptEnd;
+using calls::CallOutcome;
+using calls::CallStep;
+
+/// What another node's deadline is shorter by, at most and as a share of it:
+/// its word that a call has not run arrives before this node gives up.
+constexpr base::Duration AnswerMargin = std::chrono::milliseconds(10);
+constexpr int MarginShare = 8;
+
+} // namespace
+
+/// Makes the call's first attempt and, once it has been silent for long enough,
+/// a second one beside it.
+asio::awaitable<CallStep> CallEngine::raceAttempts(OwnCall &call,
+                                                   CallStep first) {
+  AttemptRace race(*Environment.Context, call.Incoming.Watch);
+  {
+    HedgeTimer timer(Hedges, first.HedgeAfter, now(),
+                     [&] { return startSecond(call, race); });
+    auto lane = AttemptRace::Lane::First;
+    race.ended(lane, co_await runLane(call, std::move(first), race, lane));
+  }
+  co_return co_await race.lastStep();
+}
+
+/// The call, which waits for the race's end, outlives the second lane.
+bool CallEngine::startSecond(OwnCall &call, AttemptRace &race) {
+  auto step = Environment.Broker->hedge(call.Handle, now());
+  if (!step)
+    return false;
+  auto lane = AttemptRace::Lane::Second;
+  race.started(lane);
+  asio::co_spawn(
+      *Environment.Context, runLane(call, std::move(*step), race, lane),
+      [&race, lane](const std::exception_ptr &, const CallStep &last) {
+        race.ended(lane, last);
+      });
+  return true;
+}
+
+/// Makes one attempt after the other, until the call is decided or is left to
+/// the other lane.
+asio::awaitable<CallStep> CallEngine::runLane(OwnCall &call, CallStep step,
+                                              AttemptRace &race,
+                                              AttemptRace::Lane lane) {
+  try {
+    while (step.What == CallStep::Kind::Send && !race.isDecided())
+      step = co_await runAttempt(call, step, race.watch(lane), &race);
+    co_return step;
+  } catch (const std::exception &error) {
+    base::log(
+        base::LogLevel::Error, "call attempt failed",
+        {{"request", plainId(call.Request.CallId)}, {"reason", error.what()}});
+  }
+  CallStep failed;
+  failed.Outcome = CallOutcome::Unknown;
+  failed.Code = base::ResultCode::Internal;
+  co_return failed;
+}
+
+/// Makes one attempt and returns the step that follows; the same step where
+/// the call was decided by another attempt of \p race meanwhile.
+asio::awaitable<CallStep>
+CallEngine::runAttempt(OwnCall &call, const CallStep &step,
+                       std::shared_ptr<ClientWatch> watch,
+                       const AttemptRace *race) {
+  base::TimePoint sent = now();
+  Response answer;
+  calls::AttemptResult result;
+  if (watch->Gone || call.Incoming.Watch->Gone) {
+    result.End = AttemptEnd::CallerGone;
+    result.Code = base::ResultCode::CallerGone;
+  } else {
+    result = co_await attemptAt(call, step, std::move(watch), answer);
+  }
+  result.Attempt = step.Attempt;
+  bool isSuperseded = race && race->isDecided();
+  if (isSuperseded && !call.Incoming.Watch->Gone) {
+    result.End = AttemptEnd::Superseded;
+    result.Code = base::ResultCode::Ok;
+  }
+  unsigned status =
+      result.End == AttemptEnd::Answered ? answer.result_int() : 0;
+  result.TargetFailed = isFailure(status);
+  noteAttempt(call, step, result, status, now() - sent);
+  if (isSuperseded)
+    co_return step;
+  co_return conclude(call, step, result, std::move(answer));
+}
+
+CallStep CallEngine::conclude(OwnCall &call, const CallStep &step,
+                              const calls::AttemptResult &result,
+                              Response answer) {
+  bool isAnswered = result.End == AttemptEnd::Answered;
+  call.FailedBelow = result.FailedBelow || (call.FailedBelow && !isAnswered);
+  if (isAnswered) {
+    call.Answer = std::move(answer);
+    reframe(call.Answer, call.Incoming.Message.method());
+  }
+  if (isAnswered && step.KeepAnswer) {
+    std::string bytes;
+    appendMessage(call.Answer, bytes);
+    Environment.Broker->keepAnswer(call.Handle, std::move(bytes), now());
+  }
+  return Environment.Broker->attemptEnded(call.Handle, result, now());
+}
+
+/// Keeps what the log says of an attempt; the newest of too many take the place
+/// of the last. The last one is that with the call's last word.
+void CallEngine::noteAttempt(OwnCall &call, const CallStep &step,
+                             const calls::AttemptResult &result,
+                             unsigned status, base::Duration took) {
+  ++call.Attempts;
+  EndedAttempt it;
+  it.Number = step.Attempt;
+  it.Node = step.To.Node;
+  it.IsForward = step.What == CallStep::Kind::Forward;
+  if (!it.IsForward)
+    it.TargetId = step.To.Target.TargetId;
+  it.Remaining = step.Remaining;
+  it.Timeout = step.AttemptTimeout;
+  it.Basis = step.Basis;
+  it.Result = result;
+  it.Took = took;
+  it.Status = status;
+  auto &tried = call.Tried;
+  bool hasLast = result.End == AttemptEnd::Superseded && !tried.empty();
+  if (tried.size() == MostAttemptLines)
+    tried.erase(tried.end() - (hasLast ? 2 : 1));
+  tried.insert(tried.end() - (hasLast ? 1 : 0), std::move(it));
+}
+
+/// Makes one attempt, here or at another node, which ends as CallerGone when
+/// \p watch says so.
+asio::awaitable<calls::AttemptResult>
+CallEngine::attemptAt(OwnCall &call, const CallStep &step,
+                      std::shared_ptr<ClientWatch> watch, Response &answer) {
+  MeshCall mesh;
+  mesh.CallId = call.Request.CallId;
+  mesh.CallRank = step.CallRank;
+  mesh.Remaining = std::min(step.Remaining, step.AttemptTimeout);
+  mesh.LatencyObjective = step.LatencyObjective;
+  mesh.Hops = call.Request.Hops;
+  mesh.Attempt = step.Retry || call.Request.BelowRetry ? RetryAttempt : 1;
+  mesh.ServiceName = step.ServiceName;
+  if (step.What == CallStep::Kind::Send)
+    mesh.TargetId = step.To.Target.TargetId;
+  bool isLocal =
+      step.What == CallStep::Kind::Send && step.To.Node == Environment.NodeId;
+  if (!isLocal) {
+    mesh.Remaining -= std::min(AnswerMargin, mesh.Remaining / MarginShare);
+    co_return co_await sendToNode(call, step, mesh, std::move(watch), answer);
+  }
+  GateOutcome outcome =
+      co_await Targets.run(std::move(mesh), call.Incoming.Message,
+                           call.Request.Fingerprint, std::move(watch));
+  answer = std::move(outcome.Answer);
+  co_return outcome.Result;
+}
+
+/// Sends a call to another node's mesh listener and reads from its answer
+/// whether it is the target's.
+asio::awaitable<calls::AttemptResult>
+CallEngine::sendToNode(OwnCall &call, const CallStep &step,
+                       const MeshCall &mesh, std::shared_ptr<ClientWatch> watch,
+                       Response &answer) {
+  Request &request = call.Incoming.Message;
+  frameForNextHop(request);
+  ExchangePlan plan;
+  plan.Server = step.To.Mesh;
+  plan.Timeout = step.AttemptTimeout;
+  plan.FreshConnection = step.FreshConnection;
+  plan.Lines = meshLines(request, mesh, MeshAudience::Node, Keys);
+  plan.IdField = Environment.Headers.RequestId;
+  plan.ServerIsNode = true;
+  ExchangeResult exchanged =
+      co_await exchange(Pool, plan, request, std::move(watch));
+  calls::AttemptResult result;
+  result.End = exchanged.End;
+  result.Latency = exchanged.Latency;
+  if (exchanged.End == AttemptEnd::Answered) {
+    answer = std::move(exchanged.Answer);
+    readResult(answer, result);
+  }
+  co_return result;
+}
+
+} // namespace radishcross::http
