LibHttp, LibCalls: Log what targets state about themselves

A target states on its answers how many requests a second it accepts, and that it is leaving.

Now the node beside a target reads both, logs each change, puts the limit and the starts of the last second into "call at gate", and sets two gauges. Nothing decides by them yet.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -191,6 +191,8 @@
     {"expected_target", &calls::CallHeaders::ExpectedTarget},
     {"caller_service", &calls::CallHeaders::CallerService},
     {"not_run", &calls::CallHeaders::NotRun},
+    {"rate_limit", &calls::CallHeaders::RateLimit},
+    {"leaving", &calls::CallHeaders::Leaving},
 };
 
 void readCallHeaders(const json::object &headers, calls::CallHeaders &out) {
--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -3,8 +3,10 @@
 #include <LibBase/Clock.h>
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/CallTypes.h>
+#include <LibCalls/TargetSignals.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,15 @@
   uint32_t Limit = 0; ///< Calls that may run; the adaptive limit.
   uint32_t Waiting = 0;
   uint32_t QueueLength = 0; ///< Calls that may wait.
+  /// Calls started in the last second.
+  uint32_t RecentStarts = 0;
+  std::optional<MilliRate> RateLimit; ///< Stated by the target.
+};
+
+/// Which of a target's statements an answer has changed.
+struct SignalChange {
+  bool RateLimit = false;
+  bool Leaving = false;
 };
 
 /// What the gate decided for one call.
@@ -59,6 +70,11 @@
 
   virtual GateAnswer arrive(const Arrival &arrival, base::TimePoint now) = 0;
 
+  /// Applies what the target states about itself on the answer to a running
+  /// call. Must be called before ended().
+  virtual SignalChange signalled(Ticket call, const TargetSignals &signals,
+                                 base::TimePoint now) = 0;
+
   /// Reports the end of a running call. Returns the answers for queued calls
   /// that may run now or are refused.
   virtual std::vector<GateAnswer>
--- a/Libraries/LibCalls/AdmissionPlayer.cpp
+++ b/Libraries/LibCalls/AdmissionPlayer.cpp
@@ -12,6 +12,8 @@
     {AdmissionEvent::Ended, "ended"},
     {AdmissionEvent::Abandoned, "abandoned"},
     {AdmissionEvent::Tick, "tick"},
+    {AdmissionEvent::Signalled, "signalled"},
+    {AdmissionEvent::ProcessChanged, "process-changed"},
 };
 
 TargetGateSettings settingsOf(const trace::Inputs &numbers) {
@@ -28,6 +30,15 @@
   return out;
 }
 
+/// See AdmissionEvent::Signalled.
+TargetSignals signalsOf(const trace::Inputs &numbers) {
+  TargetSignals out;
+  if ((numbers[1] & 1) != 0)
+    out.RateLimit = numbers[2];
+  out.IsLimitMalformed = (numbers[1] & 2) != 0;
+  return out;
+}
+
 } // namespace
 
 trace::Outcome AdmissionPlayer::play(const trace::Entry &entry) {
@@ -56,6 +67,11 @@
     return {};
   case AdmissionEvent::Tick:
     return gate->summaryOf(gate->tick(now));
+  case AdmissionEvent::Signalled:
+    return {gate->signalled(ticket, signalsOf(entry.Numbers), now) ? 1 : 0};
+  case AdmissionEvent::ProcessChanged:
+    gate->processChanged();
+    return {};
   }
   return {};
 }
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -4,6 +4,7 @@
 #include <LibCalls/CallTypes.h>
 #include <LibCalls/ChoiceBasis.h>
 #include <LibCalls/TargetCandidate.h>
+#include <LibCalls/TargetSignals.h>
 #include <LibConfig/Snapshot.h>
 
 #include <cstdint>
@@ -68,6 +69,9 @@
   /// call of this one failed and was already handled there: no retry here.
   bool DownstreamFailed = false;
   bool TargetFailed = false; ///< The target answered with status 500 or above.
+  /// What the target states on its answer; nothing without an answer of its
+  /// own.
+  std::optional<TargetSignals> Signals;
 };
 
 /// Next step that the HTTP layer has to carry out for a call.
--- a/Libraries/LibCalls/CallHeaders.h
+++ b/Libraries/LibCalls/CallHeaders.h
@@ -18,6 +18,11 @@
   std::string CallerService = "X-Radishcross-Caller";
   /// On answers of targets: the request was not run.
   std::string NotRun = "X-Radishcross-Not-Run";
+  /// On answers of targets: the requests per second, a decimal number, that the
+  /// target accepts from all callers together.
+  std::string RateLimit = "X-Radishcross-Rate-Limit";
+  /// On answers of targets: "1" from a target that is leaving.
+  std::string Leaving = "X-Radishcross-Leaving";
 
   bool operator==(const CallHeaders &) const = default;
 };
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibCalls/NodeGate.cpp
@@ -23,7 +23,8 @@
   TargetGateSettings Settings;
   std::unique_ptr<TargetGate> Admission;
   CrashDetector Crashes;
-  bool Listed = true; ///< False: gone, kept only for its calls in flight.
+  bool IsLeaving = false; ///< Stated by its process.
+  bool Listed = true;     ///< False: gone, kept only for its calls in flight.
 };
 
 bool sameLimits(const config::ServiceLimits &a,
@@ -83,6 +84,14 @@
     }
   }
 
+  /// Forgets what an earlier process of the target has stated.
+  void observeProcess(GatedTarget &gated, const fleet::TargetRecord &next) {
+    if (!gated.Admission || next.Epoch == gated.Target.Epoch)
+      return;
+    gated.IsLeaving = false;
+    gated.Admission->processChanged();
+  }
+
   /// Updates the crash detector with a target's new record \p next; null when
   /// the target is no longer listed.
   void observe(GatedTarget &gated, const fleet::TargetRecord *next) {
@@ -138,6 +147,20 @@
   return out;
 }
 
+SignalChange NodeGate::signalled(Ticket call, const TargetSignals &signals,
+                                 base::TimePoint now) {
+  Held->LastTime = now;
+  const auto it = Held->Calls.find(call);
+  if (it == Held->Calls.end())
+    return {};
+  auto &gated = *it->second;
+  SignalChange out;
+  out.RateLimit = gated.Admission->signalled(call, signals, now);
+  out.Leaving = signals.IsLeaving && !gated.IsLeaving;
+  gated.IsLeaving = gated.IsLeaving || signals.IsLeaving;
+  return out;
+}
+
 std::vector<GateAnswer>
 NodeGate::ended(Ticket call, const AttemptResult &result, base::TimePoint now) {
   Held->LastTime = now;
@@ -184,12 +207,15 @@
 std::map<std::string, GateView> NodeGate::viewsByService() const {
   std::map<std::string, GateView> out;
   for (const auto &[id, it] : Held->Targets) {
-    const auto view = it.Admission->view();
+    const auto view = it.Admission->view(Held->LastTime);
     auto &sum = out[it.Target.Service];
     sum.Running += view.Running;
     sum.Limit += view.Limit;
     sum.Waiting += view.Waiting;
     sum.QueueLength += view.QueueLength;
+    sum.RecentStarts += view.RecentStarts;
+    if (view.RateLimit)
+      sum.RateLimit = sum.RateLimit.value_or(0) + *view.RateLimit;
   }
   return out;
 }
@@ -204,6 +230,7 @@
   for (const auto &it : targets) {
     auto &gated = Held->Targets[it.TargetId];
     Held->observe(gated, &it);
+    Held->observeProcess(gated, it);
     gated.Target = it;
     gated.Listed = true;
   }
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -52,6 +52,13 @@
 constexpr uint32_t SlotsPressurePermille = 800;
 constexpr uint32_t QueuePressurePermille = 200;
 
+/// View of the calls started lately.
+constexpr Duration RecentWindow = std::chrono::seconds(1);
+
+/// Flags of a Signalled event.
+constexpr int64_t WithRateLimit = 1;
+constexpr int64_t WithMalformedLimit = 2;
+
 size_t indexOf(Rank rank) { return static_cast<size_t>(rank); }
 
 ResultCode refusalOf(TargetState state) {
@@ -85,7 +92,7 @@
                               uint64_t fingerprint, base::TimePoint now,
                               Duration objective) {
   WaitingCall arrived{call, rank, now, {}, fingerprint, objective, {}};
-  const auto found = view();
+  const auto found = view(now);
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
   recordEvent(AdmissionEvent::Arrive,
@@ -148,6 +155,28 @@
   return GateAnswer::accept(GateAnswer::Kind::Queued, call.Call);
 }
 
+bool TargetGate::signalled(Ticket call, const TargetSignals &signals,
+                           base::TimePoint now) {
+  const auto it = Running.find(call);
+  if (it == Running.end())
+    return false;
+  const bool isLimited = signals.RateLimit || Stated.rate();
+  const bool out = Stated.answered(signals, it->second.StartedAt, now);
+  if (isLimited)
+    recordEvent(AdmissionEvent::Signalled,
+                {static_cast<int64_t>(call),
+                 (signals.RateLimit ? WithRateLimit : 0) +
+                     (signals.IsLimitMalformed ? WithMalformedLimit : 0),
+                 signals.RateLimit.value_or(0)},
+                {out ? 1 : 0}, now);
+  return out;
+}
+
+void TargetGate::processChanged() {
+  Stated = {};
+  recordEvent(AdmissionEvent::ProcessChanged, {}, {}, {});
+}
+
 std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
                                           base::TimePoint now) {
   const auto it = Running.find(call);
@@ -248,6 +277,9 @@
       Running.size() + 1 + reservedSlots(rank, now) >= limit();
   Running[call.Call] = {rank, call.LatencyObjective, call.Fingerprint,
                         now,  call.Expected,         saturated};
+  while (!RecentStarts.empty() && now - RecentStarts.front() >= RecentWindow)
+    RecentStarts.pop_front();
+  RecentStarts.push_back(now);
 }
 
 Duration TargetGate::expectedOf(Rank rank, Duration objective) const {
@@ -304,10 +336,16 @@
 
 uint32_t TargetGate::limit() const { return Adaptive.current(); }
 
-GateView TargetGate::view() const {
-  return {static_cast<uint32_t>(Running.size()), limit(),
+GateView TargetGate::view(base::TimePoint now) const {
+  const auto recent = std::find_if(
+      RecentStarts.begin(), RecentStarts.end(),
+      [now](base::TimePoint it) { return now - it < RecentWindow; });
+  return {static_cast<uint32_t>(Running.size()),
+          limit(),
           static_cast<uint32_t>(Queue.size()),
-          static_cast<uint32_t>(Queue.capacity())};
+          static_cast<uint32_t>(Queue.capacity()),
+          static_cast<uint32_t>(RecentStarts.end() - recent),
+          Stated.rate()};
 }
 
 uint32_t TargetGate::pressurePermille() const {
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -6,11 +6,13 @@
 #include <LibCalls/RankQueue.h>
 #include <LibCalls/RankScheduler.h>
 #include <LibCalls/SlotTime.h>
+#include <LibCalls/StatedLimit.h>
 #include <LibConfig/Resources.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -32,8 +34,18 @@
 /// Arrive: ticket, rank, remaining microseconds, latency objective; outcome:
 /// kind, code, retry-after. Ended: ticket, end. Abandoned: ticket. Outcome of
 /// Ended and Tick: the number of answers, the sum of their tickets, the limit.
+/// Signalled: ticket, flags (1: with a rate limit, 2: with a malformed one),
+/// the limit; outcome: 1 if it has changed. ProcessChanged: none.
 struct AdmissionEvent {
-  enum Value : uint8_t { Configure, Arrive, Ended, Abandoned, Tick };
+  enum Value : uint8_t {
+    Configure,
+    Arrive,
+    Ended,
+    Abandoned,
+    Tick,
+    Signalled,
+    ProcessChanged,
+  };
 };
 
 /// Admission control for one target: slots scheduled by rank with floors, a
@@ -49,8 +61,16 @@
   GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
                     uint64_t fingerprint, base::TimePoint now,
                     base::Duration objective = {});
+  /// Applies the rate limit stated on the answer to a running call; returns
+  /// whether it has changed.
+  bool signalled(Ticket call, const TargetSignals &signals,
+                 base::TimePoint now);
   std::vector<GateAnswer> ended(Ticket call, AttemptEnd end,
                                 base::TimePoint now);
+
+  /// Records that another process of the target has taken over: its limit is
+  /// not known.
+  void processChanged();
   void abandoned(Ticket call, base::TimePoint now);
   std::vector<GateAnswer> tick(base::TimePoint now);
 
@@ -60,7 +80,7 @@
   uint32_t pressurePermille() const;
   uint32_t limit() const;
   /// Returns the current occupancy of the gate.
-  GateView view() const;
+  GateView view(base::TimePoint now) const;
   size_t running() const { return Running.size(); }
   size_t inFlight() const { return Running.size() + Queue.size(); }
   std::vector<uint64_t> runningFingerprints() const;
@@ -104,7 +124,9 @@
   AdaptiveLimit Adaptive;
   RankScheduler Scheduler;
   RankQueue Queue;
+  StatedLimit Stated;
   std::unordered_map<Ticket, RunningCall> Running;
+  std::deque<base::TimePoint> RecentStarts;
   std::vector<GateAnswer> Answers; ///< For queued calls; not yet returned.
   std::array<SlotTime, config::RankCount> ExpectedTimeByRank; ///< By rank.
   std::map<Kind, SlotTime>
--- a/Libraries/LibHttp/GateLog.cpp
+++ b/Libraries/LibHttp/GateLog.cpp
@@ -3,6 +3,9 @@
 #include <LibHttp/GateLog.h>
 #include <LibHttp/GateRunner.h>
 
+#include <array>
+#include <cstdio>
+#include <optional>
 #include <string>
 
 namespace radishcross::http {
@@ -15,8 +18,35 @@
          isSampled(requestId);
 }
 
+/// Formats a rate as requests per second; "none" without one.
+std::string formatRate(std::optional<calls::MilliRate> rate) {
+  constexpr double MilliPerUnit = 1000;
+  if (!rate)
+    return "none";
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.3f",
+                static_cast<double>(*rate) / MilliPerUnit);
+  return buf.data();
+}
+
 } // namespace
 
+void logSignals(const MeshCall &call, std::string_view requestId,
+                const calls::TargetSignals &signals,
+                const calls::SignalChange &change) {
+  const std::initializer_list<base::LogField> fields = {
+      {"target", call.TargetId},
+      {"service", call.ServiceName},
+      {"request", printableId(requestId)},
+      {"rate_limit", formatRate(signals.RateLimit)}};
+  if (change.RateLimit)
+    base::log(base::LogLevel::Info, "target rate limit changed", fields);
+  if (change.Leaving)
+    base::log(base::LogLevel::Info, "target is leaving", fields);
+  if (signals.IsLimitMalformed)
+    base::log(base::LogLevel::Warning, "target rate limit malformed", fields);
+}
+
 void logGateCall(const MeshCall &call, std::string_view requestId,
                  const GateOutcome &outcome) {
   if (!base::isLogged(base::LogLevel::Info) || !shouldLog(requestId, outcome))
@@ -42,6 +72,8 @@
        {"limit", std::to_string(loadOnArrival.Limit)},
        {"waiting", std::to_string(loadOnArrival.Waiting)},
        {"queue_length", std::to_string(loadOnArrival.QueueLength)},
+       {"recent_starts", std::to_string(loadOnArrival.RecentStarts)},
+       {"rate_limit", formatRate(loadOnArrival.RateLimit)},
        {"decided", std::move(decided)},
        {"waited_ms", formatMilliseconds(outcome.Waited)},
        {"ran_ms", formatMilliseconds(outcome.Ran)},
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/CallLog.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/GateLog.h>
+#include <LibHttp/ResponseFields.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -98,11 +99,27 @@
   if (!hasRun)
     co_return outcome;
   outcome.Ran = Environment.Time->now() - turn;
+  applySignals(call, request, ticket, outcome);
   dispatch(
       Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
   co_return outcome;
 }
 
+/// Passes on to the gate what the target states about itself.
+void GateRunner::applySignals(const MeshCall &call, const Request &request,
+                              calls::Ticket ticket,
+                              const GateOutcome &outcome) {
+  const auto &signals = outcome.Result.Signals;
+  if (!signals)
+    return;
+  const calls::SignalChange change =
+      Environment.Gate->signalled(ticket, *signals, Environment.Time->now());
+  logSignals(call, requestIdOf(request, Environment.Headers, call.CallId),
+             *signals, change);
+  if (signals->IsLimitMalformed)
+    Environment.Counters->counter("target_limits_malformed_total") += 1;
+}
+
 /// Waits until the gate decides, the deadline passes or the caller disconnects.
 asio::awaitable<GateAnswer>
 GateRunner::awaitTurn(calls::Ticket ticket, base::Duration remaining,
@@ -146,6 +163,9 @@
   GateOutcome outcome;
   outcome.Result.End = result.End;
   outcome.Result.Latency = result.Latency;
+  if (result.End == AttemptEnd::Answered)
+    outcome.Result.Signals =
+        readTargetSignals(result.HttpResponse, Environment.Headers);
   if (result.End == AttemptEnd::Answered &&
       saysNotRun(result.HttpResponse, Environment.Headers)) {
     outcome.Result.End = AttemptEnd::RefusedNotRun;
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -73,6 +73,8 @@
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
+  void applySignals(const MeshCall &call, const Request &request,
+                    calls::Ticket ticket, const GateOutcome &outcome);
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &decisions);
 
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -5,7 +5,9 @@
 #include <LibHttp/MeshCall.h>
 #include <LibHttp/Responses.h>
 
+#include <algorithm>
 #include <charconv>
+#include <string>
 #include <string_view>
 
 namespace radishcross::http {
@@ -23,8 +25,50 @@
   return number;
 }
 
+/// Higher limits count as this one, which is beyond any target.
+constexpr double MaximumRateLimit = 1e6;
+constexpr double MilliPerUnit = 1000;
+constexpr std::string_view LeavingValue = "1";
+
+bool isDigit(char c) { return c >= '0' && c <= '9'; }
+
 } // namespace
 
+std::optional<calls::MilliRate> parseRateLimit(std::string_view text,
+                                               base::LastReason &reason) {
+  double rate = 0;
+  const auto *end = text.data() + text.size();
+  auto [at, ec] =
+      std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+  const bool isNumber = !text.empty() && isDigit(text.front()) && at == end;
+  if (!isNumber || ec != std::errc())
+    return reason.fail(base::ResultCode::BadValue,
+                       "the rate limit is not a decimal number");
+  return static_cast<calls::MilliRate>(std::min(rate, MaximumRateLimit) *
+                                       MilliPerUnit);
+}
+
+std::optional<calls::TargetSignals>
+readTargetSignals(const Response &response, const calls::CallHeaders &names) {
+  if (response.result() == bh::status::misdirected_request)
+    return std::nullopt;
+  calls::TargetSignals out;
+  out.IsLeaving = fieldOf(response, names.Leaving) == LeavingValue;
+  auto [it, end] = response.equal_range(names.RateLimit);
+  for (; it != end; ++it) {
+    base::LastReason reason;
+    const auto text = it->value();
+    const auto rate = parseRateLimit({text.data(), text.size()}, reason);
+    if (!rate)
+      out.IsLimitMalformed = true;
+    else
+      out.RateLimit = std::min(*rate, out.RateLimit.value_or(*rate));
+  }
+  if (out.RateLimit)
+    out.IsLimitMalformed = false;
+  return out;
+}
+
 void prepareForNextHop(Response &response, bh::verb method) {
   removeHopByHopFields(response);
   stripMeshFields(response);
--- a/Libraries/LibHttp/ResponseFields.h
+++ b/Libraries/LibHttp/ResponseFields.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include <LibCalls/CallBroker.h>
+#include <LibCalls/CallHeaders.h>
 #include <LibHttp/Message.h>
 
+#include <optional>
+#include <string_view>
+
 namespace radishcross::http {
 
 /// Prepares \p response for the next connection: removes hop-by-hop and mesh
@@ -15,6 +19,18 @@
 /// unchanged.
 void readAttemptResult(const Response &response, calls::AttemptResult &result);
 
+/// Parses a number of requests per second: digits with an optional fraction.
+/// Fails with BadValue for anything else, such as a sign, an exponent or an
+/// empty text.
+std::optional<calls::MilliRate> parseRateLimit(std::string_view text,
+                                               base::LastReason &reason);
+
+/// Reads what a target states about itself on its own response; of several
+/// limits the lowest valid one counts. Returns nothing for a response that
+/// another target may have written (421).
+std::optional<calls::TargetSignals>
+readTargetSignals(const Response &response, const calls::CallHeaders &names);
+
 /// Returns the response that reports an attempt without a target response to
 /// the node that sent it.
 Response makeRefusalResponse(const calls::AttemptResult &result);
--- a/Libraries/LibHttp/StoppedNode.h
+++ b/Libraries/LibHttp/StoppedNode.h
@@ -43,6 +43,10 @@
     decision.Code = base::ResultCode::Draining;
     return decision;
   }
+  calls::SignalChange signalled(calls::Ticket, const calls::TargetSignals &,
+                                base::TimePoint) override {
+    return {};
+  }
   std::vector<calls::GateAnswer>
   ended(calls::Ticket, const calls::AttemptResult &, base::TimePoint) override {
     return {};
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Rates of targets are counted in thousandths.
+constexpr double MilliPerUnit = 1000;
 /// The maximum number of configurations and of services with a label of their
 /// own.
 constexpr size_t MaxLabels = 64;
@@ -86,7 +88,8 @@
 /// Sets the remaining retry budgets and the load of the gates.
 void NodeProcess::callMetrics() {
   for (const auto *it :
-       {"retries_left", "gate_limit", "gate_running", "gate_waiting"})
+       {"retries_left", "gate_limit", "gate_running", "gate_waiting",
+        "gate_recent_starts", "gate_rate_limit"})
     Counters.removeGauges(it);
   size_t n = 0;
   for (const auto &[service, left] : CallsBroker.retriesLeft(Time.now()))
@@ -97,12 +100,16 @@
   for (const auto &[service, view] : CallsGate.viewsByService()) {
     if (++n > MaxLabels)
       break;
-    auto set = [&, &name = service](std::string_view stem, uint32_t value) {
+    auto set = [&, &name = service](std::string_view stem, double value) {
       Counters.setGauge(labelled(stem, "service", name), value);
     };
     set("gate_limit", view.Limit);
     set("gate_running", view.Running);
     set("gate_waiting", view.Waiting);
+    set("gate_recent_starts", view.RecentStarts);
+    if (view.RateLimit)
+      set("gate_rate_limit",
+          static_cast<double>(*view.RateLimit) / MilliPerUnit);
   }
 }
 
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -77,6 +77,12 @@
     Running += Kind == calls::GateAnswer::Kind::Run ? 1 : 0;
     return answer;
   }
+  calls::SignalChange signalled(calls::Ticket,
+                                const calls::TargetSignals &signals,
+                                base::TimePoint) override {
+    Signals.push_back(signals);
+    return {};
+  }
   std::vector<calls::GateAnswer> ended(calls::Ticket,
                                        const calls::AttemptResult &result,
                                        base::TimePoint) override {
@@ -95,6 +101,7 @@
   std::vector<calls::GateAnswer> AtTick;
   std::vector<calls::Arrival> Arrivals;
   std::vector<calls::AttemptResult> Results;
+  std::vector<calls::TargetSignals> Signals;
   calls::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
--- a/Tests/LibHttp/TwoNodes.h
+++ b/Tests/LibHttp/TwoNodes.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace radishcross::tests {
@@ -41,6 +42,8 @@
     http::Response response =
         http::makeJsonResponse(200, "echo " + in.Message.body());
     response.set(calls::RankHeader, "forged by the target");
+    for (const auto &[name, value] : TargetFields)
+      response.insert(name, value);
     co_return response;
   }
 
@@ -83,6 +86,8 @@
   ProxyNode Far{Context, Clock, "far"};
   std::shared_ptr<http::Server> Target;
   std::vector<http::Request> SeenByTarget;
+  /// Further header fields of the target's responses.
+  std::vector<std::pair<std::string, std::string>> TargetFields;
   size_t DisconnectedAtTarget = 0;
   bool HoldResponses = false;
   bool Release = false;
