LibCalls: Keep the rate limit that a target states, at its gate

Cause: the gate in front of a target decides by slots and latency alone. A target whose real bound is a rate answers quickly, so neither falls.

Evidence: gates logged the limit and started 39 to 49 calls a second where 16.6 to 24.2 were stated. TestTargetLimits failed on the code before: 200 calls in 4 s where 5 to 150 are allowed; a call that has to wait for the limit was not refused.

Why this works: every call to a target, first attempts, retries, hedges, nested ones and those of other nodes, passes the one gate beside it, so a token bucket there binds them all without shares or gossip. What cannot start before its latest start is refused at once with the wait as Retry-After; waiting urgent calls go first and keep one token; an answer names the bucket's use as pressure. The limit ends with the target's process or when it is no longer stated.

--- a/Libraries/LibCalls/AdmissionPlayer.cpp
+++ b/Libraries/LibCalls/AdmissionPlayer.cpp
@@ -70,7 +70,7 @@
   case AdmissionEvent::Signalled:
     return {gate->signalled(ticket, signalsOf(entry.Numbers), now) ? 1 : 0};
   case AdmissionEvent::ProcessChanged:
-    gate->processChanged();
+    gate->processChanged(now);
     return {};
   }
   return {};
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibCalls/NodeGate.cpp
@@ -89,7 +89,7 @@
     if (!gated.Admission || next.Epoch == gated.Target.Epoch)
       return;
     gated.IsLeaving = false;
-    gated.Admission->processChanged();
+    gated.Admission->processChanged(LastTime);
   }
 
   /// Updates the crash detector with a target's new record \p next; null when
@@ -200,8 +200,9 @@
 
 uint32_t NodeGate::pressurePermille(const std::string &targetId) const {
   const auto it = Held->Targets.find(targetId);
-  return it == Held->Targets.end() ? 0
-                                   : it->second.Admission->pressurePermille();
+  return it == Held->Targets.end()
+             ? 0
+             : it->second.Admission->pressurePermille(Held->LastTime);
 }
 
 std::map<std::string, GateView> NodeGate::viewsByService() const {
--- a/Libraries/LibCalls/RankQueue.cpp
+++ b/Libraries/LibCalls/RankQueue.cpp
@@ -121,12 +121,23 @@
   return out;
 }
 
-base::Duration RankQueue::workBefore(const WaitingCall &call) const {
-  base::Duration out{};
+template <typename Visit>
+void RankQueue::visitBefore(const WaitingCall &call, Visit visit) const {
   for (size_t rank = 0; rank <= static_cast<size_t>(call.CallRank); ++rank)
     for (const auto &it : Lines[rank].Calls)
       if (it.CallRank < call.CallRank || it.LatestStart <= call.LatestStart)
-        out += it.Expected;
+        visit(it);
+}
+
+size_t RankQueue::callsBefore(const WaitingCall &call) const {
+  size_t out = 0;
+  visitBefore(call, [&out](const WaitingCall &) { ++out; });
+  return out;
+}
+
+base::Duration RankQueue::workBefore(const WaitingCall &call) const {
+  base::Duration out{};
+  visitBefore(call, [&out](const WaitingCall &it) { out += it.Expected; });
   return out;
 }
 
--- a/Libraries/LibCalls/RankQueue.h
+++ b/Libraries/LibCalls/RankQueue.h
@@ -60,7 +60,9 @@
 
   RankFlags waiting() const;
 
-  /// Returns the expected slot time of the calls to be served before \p call.
+  /// Returns the number of calls to be served before \p call, and their
+  /// expected slot time.
+  size_t callsBefore(const WaitingCall &call) const;
   base::Duration workBefore(const WaitingCall &call) const;
   size_t size() const { return Count; }
   uint32_t capacity() const { return Limits.QueueLength; }
@@ -71,6 +73,8 @@
     base::TimePoint NonEmptySince{};
     size_t ReservedPlaces = 0;
   };
+  template <typename Visit>
+  void visitBefore(const WaitingCall &call, Visit visit) const;
   bool overloaded(const RankLine &line, base::TimePoint now) const;
   RankLine &lineFor(config::Rank rank) {
     return Lines[static_cast<size_t>(rank)];
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -48,7 +48,8 @@
 /// Minimum retry-after of a call with a latency objective.
 constexpr Duration MinimumObjectiveRetryAfter = std::chrono::milliseconds(50);
 
-/// Shares of slots in use and of queued calls in the pressure.
+constexpr uint32_t FullPermille = 1000;
+/// Shares of slots or tokens in use and of queued calls in the pressure.
 constexpr uint32_t SlotsPressurePermille = 800;
 constexpr uint32_t QueuePressurePermille = 200;
 
@@ -121,8 +122,14 @@
   }
   if (call.LatencyObjective > Duration::zero())
     return decideQueueing(call, remaining, now);
-  call.LatestStart = now + remaining - std::min(call.Expected, remaining / 2);
-  return enqueue(call);
+  const auto patience = remaining - std::min(call.Expected, remaining / 2);
+  call.LatestStart = now + patience;
+  const auto wait = Limiter.waitFor(Queue.callsBefore(call), now);
+  if (wait < patience)
+    return enqueue(call);
+  return GateAnswer::refuse(
+      call.Call, ResultCode::Overloaded,
+      std::clamp(wait, MinimumRetryAfter, MaximumRetryAfter));
 }
 
 /// Queues a call with a latency objective if it is expected to meet that, and
@@ -136,7 +143,8 @@
                                  std::min(ShortPatience, useful / 3));
   call.LatestStart = now + patience;
   const auto work = Queue.workBefore(call) + call.Expected;
-  const auto wait = work / static_cast<int64_t>(limit());
+  const auto wait = std::max(work / static_cast<int64_t>(limit()),
+                             Limiter.waitFor(Queue.callsBefore(call), now));
   if (wait < patience)
     return enqueue(call);
   const auto most =
@@ -162,6 +170,8 @@
     return false;
   const bool isLimited = signals.RateLimit || Stated.rate();
   const bool out = Stated.answered(signals, it->second.StartedAt, now);
+  if (out)
+    Limiter.setRate(Stated.rate(), now);
   if (isLimited)
     recordEvent(AdmissionEvent::Signalled,
                 {static_cast<int64_t>(call),
@@ -172,9 +182,10 @@
   return out;
 }
 
-void TargetGate::processChanged() {
+void TargetGate::processChanged(base::TimePoint now) {
   Stated = {};
-  recordEvent(AdmissionEvent::ProcessChanged, {}, {}, {});
+  Limiter.setRate({}, now);
+  recordEvent(AdmissionEvent::ProcessChanged, {}, {}, now);
 }
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
@@ -246,12 +257,31 @@
 
 bool TargetGate::mayStart(Rank rank, base::TimePoint now) const {
   const uint32_t slots = limit();
-  if (Running.size() >= slots)
+  if (Running.size() >= slots || !hasToken(rank, now))
     return false;
   return Scheduler.hasCredit(rank) ||
          Running.size() + reservedSlots(rank, now) < slots;
 }
 
+/// Returns whether the rate limit lets a call of \p rank start. While a more
+/// urgent rank is in demand, one token is left to it.
+bool TargetGate::hasToken(Rank rank, base::TimePoint now) const {
+  if (!Limiter.isLimited() || Scheduler.hasCredit(rank))
+    return Limiter.isAvailable(0, now);
+  if (isUrgentCallWaiting(rank))
+    return false;
+  const auto wanted = demand(now);
+  const auto end = wanted.begin() + static_cast<ptrdiff_t>(indexOf(rank));
+  const bool hasUrgent = std::find(wanted.begin(), end, true) != end;
+  return Limiter.isAvailable(hasUrgent ? 1 : 0, now);
+}
+
+bool TargetGate::isUrgentCallWaiting(Rank rank) const {
+  const auto waiting = Queue.waiting();
+  const auto end = waiting.begin() + static_cast<ptrdiff_t>(indexOf(rank));
+  return std::find(waiting.begin(), end, true) != end;
+}
+
 uint32_t TargetGate::reservedSlots(Rank rank, base::TimePoint now) const {
   if (limit() < MinimumSlotsForReserve)
     return 0;
@@ -273,6 +303,7 @@
 void TargetGate::start(const WaitingCall &call, base::TimePoint now) {
   const auto rank = call.CallRank;
   Scheduler.started(rank, call.Expected, demand(now));
+  Limiter.take(now);
   const bool saturated =
       Running.size() + 1 + reservedSlots(rank, now) >= limit();
   Running[call.Call] = {rank, call.LatencyObjective, call.Fingerprint,
@@ -348,13 +379,17 @@
           Stated.rate()};
 }
 
-uint32_t TargetGate::pressurePermille() const {
+uint32_t TargetGate::pressurePermille(base::TimePoint now) const {
   const size_t slots = limit();
   const size_t queue = std::max<size_t>(Queue.capacity(), 1);
   const size_t used = std::min(Running.size(), slots);
   const size_t waiting = std::min(Queue.size(), queue);
-  return static_cast<uint32_t>(used * SlotsPressurePermille / slots +
-                               waiting * QueuePressurePermille / queue);
+  const auto bySlots =
+      static_cast<uint32_t>(used * SlotsPressurePermille / slots);
+  const auto byRate =
+      Limiter.usedPermille(now) * SlotsPressurePermille / FullPermille;
+  return std::max(bySlots, byRate) +
+         static_cast<uint32_t>(waiting * QueuePressurePermille / queue);
 }
 
 std::vector<uint64_t> TargetGate::runningFingerprints() const {
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -5,6 +5,7 @@
 #include <LibCalls/AdmissionGate.h>
 #include <LibCalls/RankQueue.h>
 #include <LibCalls/RankScheduler.h>
+#include <LibCalls/RateLimiter.h>
 #include <LibCalls/SlotTime.h>
 #include <LibCalls/StatedLimit.h>
 #include <LibConfig/Resources.h>
@@ -49,7 +50,9 @@
 };
 
 /// Admission control for one target: slots scheduled by rank with floors, a
-/// bounded queue, and a limit adapted to the observed latency.
+/// bounded queue, a limit adapted to the observed latency, and the rate limit
+/// that the target states. Every call that is sent to the target has passed
+/// here, so the gate keeps that limit for all callers.
 class TargetGate {
 public:
   TargetGate(std::string targetId, trace::Recorder &recorder);
@@ -70,14 +73,14 @@
 
   /// Records that another process of the target has taken over: its limit is
   /// not known.
-  void processChanged();
+  void processChanged(base::TimePoint now);
   void abandoned(Ticket call, base::TimePoint now);
   std::vector<GateAnswer> tick(base::TimePoint now);
 
   /// Encodes answers as the outcome of a trace entry.
   trace::Outcome summaryOf(const std::vector<GateAnswer> &answers) const;
 
-  uint32_t pressurePermille() const;
+  uint32_t pressurePermille(base::TimePoint now) const;
   uint32_t limit() const;
   /// Returns the current occupancy of the gate.
   GateView view(base::TimePoint now) const;
@@ -104,6 +107,8 @@
                             base::TimePoint now);
   bool mayStart(config::Rank rank, base::TimePoint now) const;
   uint32_t reservedSlots(config::Rank rank, base::TimePoint now) const;
+  bool hasToken(config::Rank rank, base::TimePoint now) const;
+  bool isUrgentCallWaiting(config::Rank rank) const;
   RankFlags demand(base::TimePoint now) const;
   GateAnswer enqueue(const WaitingCall &call);
   void start(const WaitingCall &call, base::TimePoint now);
@@ -125,6 +130,7 @@
   RankScheduler Scheduler;
   RankQueue Queue;
   StatedLimit Stated;
+  RateLimiter Limiter;
   std::unordered_map<Ticket, RunningCall> Running;
   std::deque<base::TimePoint> RecentStarts;
   std::vector<GateAnswer> Answers; ///< For queued calls; not yet returned.
