LibCalls, LibHttp: Keep a stated rate limit over a restart of the target's node

What targets see: after each restart of the node beside a limited target up to a slot's worth of calls at once, as the new process knows no limit until the first answer.

Cause: the limit lived in the one process that reads the target's answers.

Why this works: a caller's node that has passed on an answer with the limit states it on each call to that target, next to the call's id. Until the target's process has answered the gate's own process, the lowest such word counts; after that only answers do. So whoever knows the limit brings it along, and no membership record or peer has to be asked. A caller's node keeps it over the target's absence (10 min) and drops it for a later process of the target. Older nodes read the longer id as an id.

--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -21,6 +21,8 @@
   base::Duration Remaining{};
   uint64_t Fingerprint = 0;
   base::Duration LatencyObjective{}; ///< Of its route; 0: none.
+  /// The target's rate limit as the caller's node knows it from answers.
+  std::optional<MilliRate> StatedRate{};
 };
 
 /// Identifies an admitted or queued call at one node.
--- a/Libraries/LibCalls/AdmissionPlayer.cpp
+++ b/Libraries/LibCalls/AdmissionPlayer.cpp
@@ -14,6 +14,7 @@
     {AdmissionEvent::Tick, "tick"},
     {AdmissionEvent::Signalled, "signalled"},
     {AdmissionEvent::ProcessChanged, "process-changed"},
+    {AdmissionEvent::Reported, "reported"},
 };
 
 TargetGateSettings settingsOf(const trace::Inputs &numbers) {
@@ -30,15 +31,6 @@
   return out;
 }
 
-/// See AdmissionEvent::Signalled.
-TargetSignals signalsOf(const trace::Inputs &numbers) {
-  TargetSignals out;
-  if ((numbers[1] & 1) != 0)
-    out.RateLimit = numbers[2];
-  out.IsLimitMalformed = (numbers[1] & 2) != 0;
-  return out;
-}
-
 } // namespace
 
 trace::Outcome AdmissionPlayer::play(const trace::Entry &entry) {
@@ -68,10 +60,16 @@
   case AdmissionEvent::Tick:
     return gate->summaryOf(gate->tick(now));
   case AdmissionEvent::Signalled:
-    return {gate->signalled(ticket, signalsOf(entry.Numbers), now) ? 1 : 0};
+    return {gate->signalled(ticket,
+                            signalsOf(entry.Numbers[1], entry.Numbers[2]), now)
+                ? 1
+                : 0};
   case AdmissionEvent::ProcessChanged:
     gate->processChanged(now);
     return {};
+  case AdmissionEvent::Reported:
+    gate->reported(entry.Numbers[0], now);
+    return {};
   }
   return {};
 }
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -55,22 +55,48 @@
   return stateOf(call).Hedging.delay(call.ActiveAttempts.back().Timeout);
 }
 
-/// Removes and returns an attempt in flight; number 0: the oldest.
-std::optional<CallPlanner::ActiveAttempt>
-CallPlanner::takeActiveAttempt(PlannedCall &call, uint32_t attemptNumber) {
+/// Returns an attempt in flight, or null; number 0: the oldest.
+CallPlanner::ActiveAttempt *
+CallPlanner::findActiveAttempt(PlannedCall &call, uint32_t attemptNumber) {
   auto &activeAttempts = call.ActiveAttempts;
   const auto it =
       std::find_if(activeAttempts.begin(), activeAttempts.end(),
                    [attemptNumber](const auto &one) {
                      return attemptNumber == 0 || one.Attempt == attemptNumber;
                    });
-  if (it == activeAttempts.end())
+  return it == activeAttempts.end() ? nullptr : &*it;
+}
+
+/// Removes and returns an attempt in flight; number 0: the oldest.
+std::optional<CallPlanner::ActiveAttempt>
+CallPlanner::takeActiveAttempt(PlannedCall &call, uint32_t attemptNumber) {
+  auto *it = findActiveAttempt(call, attemptNumber);
+  if (!it)
     return std::nullopt;
   const auto out = *it;
-  activeAttempts.erase(it);
+  call.ActiveAttempts.erase(call.ActiveAttempts.begin() +
+                            (it - call.ActiveAttempts.data()));
   return out;
 }
 
+void CallPlanner::signalled(CallHandle handle, uint32_t attemptNumber,
+                            const TargetSignals &signals, base::TimePoint now) {
+  const auto it = Calls.find(handle);
+  const auto *attempt = it == Calls.end()
+                            ? nullptr
+                            : findActiveAttempt(it->second, attemptNumber);
+  auto *target = attempt ? Table.find(attempt->Target) : nullptr;
+  if (!target || target->Candidate.Target.Epoch != attempt->Epoch)
+    return;
+  const bool isNews = signals.RateLimit || target->Stated.rate();
+  target->Stated.answered(signals, attempt->SentAt, now);
+  if (isNews)
+    recordEvent(CallPlanEvent::Signalled,
+                {static_cast<int64_t>(handle), attemptNumber, flagsOf(signals),
+                 signals.RateLimit.value_or(0)},
+                {}, {}, now);
+}
+
 /// Drops the attempts in flight. Those started before the one that was answered
 /// (0: none was) have been silent for at least the hedging delay.
 void CallPlanner::dropActiveAttempts(PlannedCall &call, uint32_t answered,
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -97,6 +97,8 @@
   base::Duration HedgeAfter{};
   base::Duration Remaining{};        ///< Time left, passed to the next hop.
   base::Duration LatencyObjective{}; ///< Of the route; 0: none.
+  /// The target's rate limit, if this node knows one from its answers.
+  std::optional<MilliRate> StatedRate;
   /// Open a new connection to the node of To and close its idle connections.
   bool FreshConnection = false;
   /// The attempt is a retry or part of one: AttemptHeader is above 0.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -20,6 +20,7 @@
     {CallPlanEvent::Tick, "tick"},
     {CallPlanEvent::Nodes, "nodes"},
     {CallPlanEvent::Hedge, "hedge"},
+    {CallPlanEvent::Signalled, "signalled"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -45,7 +46,7 @@
     &CallPlanPlayer::drained,      &CallPlanPlayer::begin,
     &CallPlanPlayer::attemptEnded, &CallPlanPlayer::end,
     &CallPlanPlayer::tick,         &CallPlanPlayer::nodes,
-    &CallPlanPlayer::hedge};
+    &CallPlanPlayer::hedge,        &CallPlanPlayer::signalled};
 
 trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
   if (entry.Event >= std::size(Handlers))
@@ -154,6 +155,13 @@
   return step ? CallPlanner::outcomeOf(*step) : trace::Outcome{};
 }
 
+trace::Outcome CallPlanPlayer::signalled(const trace::Entry &entry) {
+  Replayed->signalled(handleOf(entry), static_cast<uint32_t>(entry.Numbers[1]),
+                      signalsOf(entry.Numbers[2], entry.Numbers[3]),
+                      timeOf(entry));
+  return {};
+}
+
 std::string_view CallPlanPlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
 }
--- a/Libraries/LibCalls/CallPlanPlayer.h
+++ b/Libraries/LibCalls/CallPlanPlayer.h
@@ -26,6 +26,7 @@
   trace::Outcome nodes(const trace::Entry &entry);
   trace::Outcome tick(const trace::Entry &entry);
   trace::Outcome hedge(const trace::Entry &entry);
+  trace::Outcome signalled(const trace::Entry &entry);
 
   using Handler = trace::Outcome (CallPlanPlayer::*)(const trace::Entry &);
   static const Handler Handlers[];
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -114,6 +114,8 @@
 CallStep CallPlanner::attemptEnded(CallHandle handle,
                                    const AttemptResult &result,
                                    base::TimePoint now) {
+  if (result.Signals)
+    signalled(handle, result.Attempt, *result.Signals, now);
   const auto it = Calls.find(handle);
   const auto attempt = it == Calls.end()
                            ? std::nullopt
@@ -279,8 +281,9 @@
   ++target->InFlight;
   target->Path->sent(now);
   call.LastTarget = target->Id;
-  call.ActiveAttempts.push_back(
-      {++call.Attempts, target->Id, target->Path->isSuspect(), timeout});
+  call.ActiveAttempts.push_back({++call.Attempts, target->Id,
+                                 target->Path->isSuspect(), timeout, now,
+                                 target->Candidate.Target.Epoch});
   const auto hedgeAt = hedgeAfter(call, retry, now);
   if (call.ActiveAttempts.size() == 1)
     call.HedgeAfter = hedgeAt;
@@ -295,6 +298,7 @@
   out.HedgeAfter = hedgeAt;
   out.Remaining = timeout;
   out.LatencyObjective = call.Route.LatencyObjective;
+  out.StatedRate = target->Stated.rate();
   out.FreshConnection = call.ActiveAttempts.back().OnNewConnection;
   out.Retry = retry || call.Route.WithinRetry;
   out.Basis = basis;
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -41,7 +41,8 @@
 /// text: service. AttemptEnded: handle, end (plus 256: a downstream call
 /// failed; plus 512 times the number of the attempt; plus 65,536: the target
 /// answered that it failed), code, pressure, latency, retry-after. End: handle.
-/// Hedge: handle. Times are in microseconds.
+/// Hedge: handle. Signalled: handle, number of the attempt, flags (see
+/// flagsOf()), the limit. Times are in microseconds.
 ///
 /// Outcome of Begin, AttemptEnded and Hedge: kind, outcome and code in one
 /// number, the node's hash, the hedging delay or else the timeout, and
@@ -57,6 +58,7 @@
     Tick,
     Nodes,
     Hedge,
+    Signalled,
   };
 };
 
@@ -79,6 +81,11 @@
                  base::TimePoint now);
   CallStep attemptEnded(CallHandle handle, const AttemptResult &result,
                         base::TimePoint now);
+
+  /// Applies what a target states about itself on the answer to an attempt in
+  /// flight; attemptEnded() does so with AttemptResult::Signals.
+  void signalled(CallHandle handle, uint32_t attemptNumber,
+                 const TargetSignals &signals, base::TimePoint now);
   /// See CallBroker::hedge.
   std::optional<CallStep> hedge(CallHandle handle, base::TimePoint now);
   void end(CallHandle handle, base::TimePoint now);
@@ -107,6 +114,8 @@
     uint64_t Target = 0;
     bool OnNewConnection = false;
     base::Duration Timeout{};
+    base::TimePoint SentAt{};
+    uint64_t Epoch = 0; ///< Of the target when the attempt was sent.
   };
   struct PlannedCall {
     RoutedCall Route;
@@ -154,6 +163,8 @@
                              const KnownTarget &chosen, base::TimePoint now);
   base::Duration hedgeAfter(const PlannedCall &call, bool retry,
                             base::TimePoint now);
+  static ActiveAttempt *findActiveAttempt(PlannedCall &call,
+                                          uint32_t attemptNumber);
   static std::optional<ActiveAttempt> takeActiveAttempt(PlannedCall &call,
                                                         uint32_t attemptNumber);
   void dropActiveAttempts(PlannedCall &call, uint32_t answered,
--- a/Libraries/LibCalls/KnownTarget.h
+++ b/Libraries/LibCalls/KnownTarget.h
@@ -4,6 +4,7 @@
 #include <LibCalls/LoadEstimate.h>
 #include <LibCalls/PathHealth.h>
 #include <LibCalls/RefusalBackoff.h>
+#include <LibCalls/StatedLimit.h>
 #include <LibCalls/TargetCandidate.h>
 #include <LibCalls/TargetHealth.h>
 
@@ -19,6 +20,7 @@
   TargetCandidate Candidate;
   std::string Region;
   bool Listed = false;  ///< Contained in the last list of members.
+  base::TimePoint UnlistedAt{};
   bool Usable = false;  ///< Accepts new calls.
   bool Suspect = false; ///< Its node is suspected to have failed.
   uint32_t InFlight = 0;
@@ -26,6 +28,7 @@
   LoadEstimate Load;
   TargetHealth Health;
   RefusalBackoff Refusals;
+  StatedLimit Stated; ///< Of the process with the epoch of Candidate.
   std::shared_ptr<PathHealth> Path; ///< Shared by the targets of its node.
 };
 
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibCalls/NodeGate.cpp
@@ -139,6 +139,8 @@
     return GateAnswer::refuse(call, ResultCode::NoTarget,
                               UnknownTargetRetryAfter);
   auto &gated = it->second;
+  if (arrival.StatedRate)
+    gated.Admission->reported(*arrival.StatedRate, now);
   const auto out = gated.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
       arrival.LatencyObjective);
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -56,10 +56,6 @@
 /// View of the calls started lately.
 constexpr Duration RecentWindow = std::chrono::seconds(1);
 
-/// Flags of a Signalled event.
-constexpr int64_t WithRateLimit = 1;
-constexpr int64_t WithMalformedLimit = 2;
-
 size_t indexOf(Rank rank) { return static_cast<size_t>(rank); }
 
 ResultCode refusalOf(TargetState state) {
@@ -174,14 +170,19 @@
     Limiter.setRate(Stated.rate(), now);
   if (isLimited)
     recordEvent(AdmissionEvent::Signalled,
-                {static_cast<int64_t>(call),
-                 (signals.RateLimit ? WithRateLimit : 0) +
-                     (signals.IsLimitMalformed ? WithMalformedLimit : 0),
+                {static_cast<int64_t>(call), flagsOf(signals),
                  signals.RateLimit.value_or(0)},
                 {out ? 1 : 0}, now);
   return out;
 }
 
+void TargetGate::reported(MilliRate rate, base::TimePoint now) {
+  if (!Stated.reported(rate))
+    return;
+  Limiter.setRate(Stated.rate(), now);
+  recordEvent(AdmissionEvent::Reported, {rate}, {}, now);
+}
+
 void TargetGate::processChanged(base::TimePoint now) {
   Stated = {};
   Limiter.setRate({}, now);
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibCalls/TargetGate.h
@@ -35,8 +35,8 @@
 /// Arrive: ticket, rank, remaining microseconds, latency objective; outcome:
 /// kind, code, retry-after. Ended: ticket, end. Abandoned: ticket. Outcome of
 /// Ended and Tick: the number of answers, the sum of their tickets, the limit.
-/// Signalled: ticket, flags (1: with a rate limit, 2: with a malformed one),
-/// the limit; outcome: 1 if it has changed. ProcessChanged: none.
+/// Signalled: ticket, flags (see flagsOf()), the limit; outcome: 1 if it has
+/// changed. ProcessChanged: none. Reported: the limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
@@ -46,6 +46,7 @@
     Tick,
     Signalled,
     ProcessChanged,
+    Reported,
   };
 };
 
@@ -68,6 +69,10 @@
   /// whether it has changed.
   bool signalled(Ticket call, const TargetSignals &signals,
                  base::TimePoint now);
+
+  /// Applies the rate limit that a caller's node knows, until the target's
+  /// process has answered a call of this node's process.
+  void reported(MilliRate rate, base::TimePoint now);
   std::vector<GateAnswer> ended(Ticket call, AttemptEnd end,
                                 base::TimePoint now);
 
--- a/Libraries/LibCalls/TargetSignals.h
+++ b/Libraries/LibCalls/TargetSignals.h
@@ -19,4 +19,10 @@
   bool IsLeaving = false;
 };
 
+/// Encodes all but the limit's value as flags of a trace entry.
+int64_t flagsOf(const TargetSignals &signals);
+
+/// Decodes the output of flagsOf(); \p rate is used if there is a limit.
+TargetSignals signalsOf(int64_t flags, MilliRate rate);
+
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/TargetTable.cpp
+++ b/Libraries/LibCalls/TargetTable.cpp
@@ -16,6 +16,12 @@
   return state == MemberState::Alive || state == MemberState::Suspect;
 }
 
+/// Returns whether what an unlisted target has stated still binds its callers.
+bool isBinding(const KnownTarget &target, base::TimePoint now) {
+  return target.Stated.rate() &&
+         now - target.UnlistedAt < TargetTable::StatementRetention;
+}
+
 uint64_t idOf(const fleet::NodeId &node, const std::string &targetId) {
   return base::hash64(targetId, base::hash64(node));
 }
@@ -32,7 +38,7 @@
       updateMember(Seen[member.Identity.Id], member, changed, now);
   for (auto &it : Seen)
     if (it.second.Round != Round)
-      unlist(it.second.Listed, changed);
+      unlist(it.second.Listed, changed, now);
   std::erase_if(Seen,
                 [this](const auto &it) { return it.second.Round != Round; });
   if (std::exchange(IndexStale, false))
@@ -69,12 +75,14 @@
   std::erase_if(gone, [&named](const auto *it) {
     return std::find(named.begin(), named.end(), it) != named.end();
   });
-  unlist(gone, changed);
+  unlist(gone, changed, now);
 }
 
-void TargetTable::unlist(const Targets &targets, Targets &changed) {
+void TargetTable::unlist(const Targets &targets, Targets &changed,
+                         base::TimePoint now) {
   for (auto *it : targets) {
     it->Listed = false;
+    it->UnlistedAt = now;
     changed.push_back(it);
     IndexStale = true;
   }
@@ -118,6 +126,9 @@
     known.Refusals.announced();
   if (readyAnew || newLoad)
     known.Load.reported(target.LoadPermille, now);
+  // Only a later process has nothing to do with what an earlier one stated.
+  if (target.Epoch > before.Epoch)
+    known.Stated = {};
   const auto &identity = member.Identity;
   known.Candidate = {identity.Id, identity.DataCentre, identity.Mesh, target};
   known.Region = identity.Region;
@@ -174,8 +185,9 @@
     out = it.second->Health.tick(now) || out;
     out = it.second->Path->tick(now) || out;
   }
-  const auto forgotten = std::erase_if(Known, [](const auto &it) {
-    return !it.second->Listed && it.second->InFlight == 0;
+  const auto forgotten = std::erase_if(Known, [now](const auto &it) {
+    const auto &known = *it.second;
+    return !known.Listed && known.InFlight == 0 && !isBinding(known, now);
   });
   std::erase_if(Paths, [](const auto &it) { return it.second.expired(); });
   return out || forgotten > 0;
--- a/Libraries/LibCalls/TargetTable.h
+++ b/Libraries/LibCalls/TargetTable.h
@@ -22,10 +22,15 @@
   /// Minimum interval between checks of ejections and silence.
   static constexpr base::Duration TickSpacing = std::chrono::milliseconds(100);
 
+  /// How long what a target has stated about itself is kept after the target is
+  /// no longer listed: its node may only be restarting.
+  static constexpr base::Duration StatementRetention = std::chrono::minutes(10);
+
   /// Updates the targets from the fleet's members; a member whose incarnation,
   /// revision and state are unchanged is skipped. The state of a target is kept
-  /// while it is listed or calls to it are in flight. Returns the targets that
-  /// have changed.
+  /// while it is listed or calls to it are in flight, and for
+  /// StatementRetention if the target has stated something that binds its
+  /// callers. Returns the targets that have changed.
   Targets membersChanged(const std::vector<fleet::Member> &members,
                          base::TimePoint now);
 
@@ -53,7 +58,7 @@
   bool markSeen(const fleet::Member &member);
   void updateMember(SeenMember &seen, const fleet::Member &member,
                     Targets &changed, base::TimePoint now);
-  void unlist(const Targets &targets, Targets &changed);
+  void unlist(const Targets &targets, Targets &changed, base::TimePoint now);
   KnownTarget &knownOf(const fleet::Member &member,
                        const fleet::TargetRecord &target);
   bool updateTarget(KnownTarget &known, const fleet::Member &member,
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -166,6 +166,7 @@
   mesh.CallRank = step.CallRank;
   mesh.Remaining = std::min(step.Remaining, step.AttemptTimeout);
   mesh.LatencyObjective = step.LatencyObjective;
+  mesh.StatedRate = step.StatedRate;
   mesh.Hops = call.Request.Hops;
   mesh.Attempt = step.Retry || call.Request.WithinRetry ? RetryAttempt : 1;
   mesh.ServiceName = step.ServiceName;
@@ -208,6 +209,8 @@
   if (exchanged.End == AttemptEnd::Answered) {
     response = std::move(exchanged.HttpResponse);
     readAttemptResult(response, result);
+    if (result.End == AttemptEnd::Answered)
+      result.Signals = readTargetSignals(response, Environment.Headers);
   }
   co_return result;
 }
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -74,9 +74,9 @@
   if (!canFinish(call.Remaining))
     co_return refusal(base::ResultCode::Draining);
   base::TimePoint now = Environment.Time->now();
-  calls::Arrival arrival{call.CallId,          call.ServiceName, call.TargetId,
-                         call.CallRank,        call.Remaining,   fingerprint,
-                         call.LatencyObjective};
+  calls::Arrival arrival{call.CallId,           call.ServiceName, call.TargetId,
+                         call.CallRank,         call.Remaining,   fingerprint,
+                         call.LatencyObjective, call.StatedRate};
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
   calls::Ticket ticket = decision.Call;
   calls::GateView loadOnArrival = decision.Found;
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -60,10 +60,11 @@
 using FieldValues =
     std::array<std::string_view, std::size(AuthenticatedFields)>;
 
-/// Separates the call id from the latency objective between nodes. The
-/// objective is part of the id's value because older nodes take the id as it
-/// is.
-constexpr char ObjectiveSeparator = ';';
+/// Separates the call id from the target's rate limit and from the latency
+/// objective between nodes: "ID;rLIMIT;OBJECTIVE", both optional. They are part
+/// of the id's value because older nodes take the id as it is.
+constexpr char IdSeparator = ';';
+constexpr char RatePrefix = 'r';
 
 /// Placeholder for the proof if there is no key.
 constexpr std::string_view NoProof = "-";
@@ -122,19 +123,39 @@
 std::string idWord(const MeshCall &call, MeshAudience audience) {
   auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.LatencyObjective);
-  if (audience != MeshAudience::Node || ms.count() <= 0)
-    return call.CallId;
-  return call.CallId + ObjectiveSeparator + std::to_string(ms.count());
+  std::string word = call.CallId;
+  if (audience != MeshAudience::Node)
+    return word;
+  if (call.StatedRate)
+    word.append({IdSeparator, RatePrefix})
+        .append(std::to_string(*call.StatedRate));
+  if (ms.count() > 0)
+    word.append({IdSeparator}).append(std::to_string(ms.count()));
+  return word;
+}
+
+/// Returns the text behind the last separator, or an empty one.
+std::string_view lastPartOf(std::string_view word) {
+  size_t at = word.rfind(IdSeparator);
+  return at == std::string_view::npos ? std::string_view()
+                                      : word.substr(at + 1);
 }
 
-/// Parses the output of idWord(). A suffix that is not an objective is part of
-/// the id.
+/// Parses the output of idWord(). A suffix that is neither an objective nor a
+/// limit is part of the id.
 void readIdWord(std::string_view word, MeshCall &call) {
-  size_t at = word.rfind(ObjectiveSeparator);
   uint32_t ms = 0;
-  if (at != std::string_view::npos && parseNumber(word.substr(at + 1), ms)) {
+  std::string_view part = lastPartOf(word);
+  if (parseNumber(part, ms)) {
     call.LatencyObjective = std::chrono::milliseconds(ms);
-    word = word.substr(0, at);
+    word.remove_suffix(part.size() + 1);
+  }
+  part = lastPartOf(word);
+  calls::MilliRate rate = 0;
+  if (part.starts_with(RatePrefix) && parseNumber(part.substr(1), rate) &&
+      rate >= 0) {
+    call.StatedRate = rate;
+    word.remove_suffix(part.size() + 1);
   }
   call.CallId = word;
 }
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
+#include <LibCalls/TargetSignals.h>
 #include <LibConfig/Rank.h>
 #include <LibHttp/MeshKey.h>
 #include <LibHttp/Message.h>
@@ -22,6 +23,9 @@
   /// Latency objective of the call's route; 0: none, or the sender is an older
   /// node that doesn't send it. Sent between nodes only, in milliseconds.
   base::Duration LatencyObjective{};
+  /// The target's rate limit, if the sender knows one from its answers. Sent
+  /// between nodes only.
+  std::optional<calls::MilliRate> StatedRate;
   uint32_t Hops = 0;       ///< Number of ancestor calls in the chain.
   uint32_t Attempt = 1;    ///< 2 for a retry.
   std::string ServiceName; ///< "configuration/name".
--- a/Tests/LibCalls/LimitedTarget.h
+++ b/Tests/LibCalls/LimitedTarget.h
@@ -56,6 +56,7 @@
     it.CallRank = rank;
     it.Remaining = 1s;
     it.LatencyObjective = 400ms;
+    it.StatedRate = KnownToCallers;
     const auto out = Gate->arrive(it, at(Now));
     ++Arrived;
     if (out.What == GateAnswer::Kind::Run)
@@ -101,6 +102,8 @@
   Quarantine Quarantined{Recorder};
   std::unique_ptr<NodeGate> Gate;
   std::optional<MilliRate> Limit;
+  /// The limit on the answers that the callers' nodes have passed on.
+  std::optional<MilliRate> KnownToCallers;
   uint32_t Slots = 9;
   uint64_t Epoch = 1;
   base::Duration Now{};
--- a/Tests/LibCalls/TestTargetLimits.cpp
+++ b/Tests/LibCalls/TestTargetLimits.cpp
@@ -1,3 +1,4 @@
+#include <LibCalls/BrokerFixture.h>
 #include <LibCalls/LimitedTarget.h>
 
 #include <doctest/doctest.h>
@@ -81,3 +82,55 @@
   CHECK(it.startsOf(Rank::Critical) == 20);
   CHECK(it.startsOf(Rank::Background) >= 20);
 }
+
+TEST_CASE("a target gets more than its rate limit while its node restarts") {
+  for (const MilliRate limit : {0, 100, 2'000, 16'600}) {
+    CAPTURE(limit);
+    LimitedTarget it(limit);
+    it.run(1s, 20ms);
+    it.Starts.clear();
+    it.KnownToCallers = limit;
+    it.run(3s, 20ms);
+    for (int n = 0; n < 4; ++n) {
+      it.restartNode();
+      it.run(1s, 20ms);
+    }
+    it.run(4s, 20ms);
+    CHECK(it.mostStarts(Window) <= allowed(limit));
+  }
+}
+
+TEST_CASE("a rate limit known to callers outlives the target's next answer") {
+  LimitedTarget it({});
+  it.KnownToCallers = 1'000;
+  it.run(4s, 20ms);
+  it.Starts.clear();
+  it.run(2s, 20ms);
+  CHECK(it.Starts.size() >= 95);
+}
+
+TEST_CASE(
+    "a caller's node forgets a rate limit when the target's node is away") {
+  BrokerFixture it;
+  it.members({member("n1")});
+  auto call = it.begin("/lookup");
+  auto answer = ends(AttemptEnd::Answered);
+  answer.Signals = TargetSignals{16'000, false, false};
+  it.Node.attemptEnded(call, answer, at(it.Now));
+  it.members({});
+  it.pass(30s);
+  it.members({member("n1")});
+  CHECK(it.stepOf(it.begin("/lookup")).StatedRate == 16'000);
+  SUBCASE("unless it has ended") {
+    call = it.begin("/lookup");
+    answer.Signals = TargetSignals{};
+    it.Node.attemptEnded(call, answer, at(it.Now));
+    CHECK_FALSE(it.stepOf(it.begin("/lookup")).StatedRate);
+  }
+  SUBCASE("unless another process has taken the target's place") {
+    auto next = member("n1");
+    next.Targets.front().Epoch = 1;
+    it.members({next});
+    CHECK_FALSE(it.stepOf(it.begin("/lookup")).StatedRate);
+  }
+}
--- a/Tests/LibHttp/TestMeshCall.cpp
+++ b/Tests/LibHttp/TestMeshCall.cpp
@@ -67,11 +67,16 @@
     std::string Id; ///< As written in the header line.
     std::string CallId;
     int64_t Milliseconds;
+    std::optional<calls::MilliRate> StatedRate{};
   };
   const Row rows[] = {{"0123", "0123", 0},
                       {"0123;250", "0123", 250},
                       {"0123;", "0123;", 0},
-                      {"0123;soon", "0123;soon", 0}};
+                      {"0123;soon", "0123;soon", 0},
+                      {"0123;r16900", "0123", 0, 16'900},
+                      {"0123;r0;250", "0123", 250, 0},
+                      {"0123;r-5;250", "0123;r-5", 250},
+                      {"0123;r;250", "0123;r", 250}};
   for (const auto &row : rows) {
     CAPTURE(row.Id);
     http::MeshCall call = someCall();
@@ -84,6 +89,7 @@
     CHECK(read->CallId == row.CallId);
     CHECK(read->LatencyObjective ==
           std::chrono::milliseconds(row.Milliseconds));
+    CHECK(read->StatedRate == row.StatedRate);
     std::string again =
         meshHeaderLines(bare, *read, http::MeshAudience::Node, keys);
     CHECK(again.find(" " + row.Id + " ") != std::string::npos);
