LibCalls, LibNode: Heed a target that states on an answer that it leaves

What targets see: one that says so on its answers and goes on reporting to be ready, or whose node's news doesn't reach a caller's node, gets calls until it is gone.

Cause: only heartbeats and leaves said that a target leaves; what it states on its answers was read by nobody.

Why this works: the node beside the target marks its lease as draining, for as long as the same process lives, and spreads that like any drain. A node that has passed on such an answer is bound by itself: it leaves that process out of every choice, first attempts, retries and hedges, whatever members say afterwards, also while it is cut off and when the target's node comes back and hears "ready" (kept for 10 min after the target is last listed). A later process of the target, by its start time, is not bound.

Seen to fail on the code before: TestLeavingTargets (five of six cases; one case as first written passed for want of calls to the other target), both lease cases, the gate's callback in TestTargetSignals, and the case of three nodes in TestWholePath (a call answered 200 where 503 is due). All tests pass.

--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -88,8 +88,11 @@
   auto *target = attempt ? Table.find(attempt->Target) : nullptr;
   if (!target || target->Candidate.Target.Epoch != attempt->Epoch)
     return;
-  const bool isNews = signals.RateLimit || target->Stated.rate();
+  const bool isNews = signals.RateLimit || target->Stated.rate() ||
+                      (signals.IsLeaving && !target->IsLeaving);
   target->Stated.answered(signals, attempt->SentAt, now);
+  if (signals.IsLeaving)
+    Table.leaving(*target);
   if (isNews)
     recordEvent(CallPlanEvent::Signalled,
                 {static_cast<int64_t>(handle), attemptNumber, flagsOf(signals),
--- a/Libraries/LibCalls/KnownTarget.h
+++ b/Libraries/LibCalls/KnownTarget.h
@@ -19,7 +19,7 @@
   uint64_t Id = 0; ///< Hash of node and target.
   TargetCandidate Candidate;
   std::string Region;
-  bool Listed = false;  ///< Contained in the last list of members.
+  bool Listed = false; ///< Contained in the last list of members.
   base::TimePoint UnlistedAt{};
   bool Usable = false;  ///< Accepts new calls.
   bool Suspect = false; ///< Its node is suspected to have failed.
@@ -28,7 +28,9 @@
   LoadEstimate Load;
   TargetHealth Health;
   RefusalBackoff Refusals;
-  StatedLimit Stated; ///< Of the process with the epoch of Candidate.
+  // Stated on answers, by the process with the epoch of Candidate:
+  StatedLimit Stated;
+  bool IsLeaving = false;
   std::shared_ptr<PathHealth> Path; ///< Shared by the targets of its node.
 };
 
--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -10,6 +10,7 @@
     {LeaseEvent::Announce, "announce"},   {LeaseEvent::Tick, "tick"},
     {LeaseEvent::Drain, "drain"},         {LeaseEvent::DrainAll, "drain-all"},
     {LeaseEvent::Heartbeat, "heartbeat"}, {LeaseEvent::Leave, "leave"},
+    {LeaseEvent::Leaving, "leaving"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -37,6 +38,12 @@
                            static_cast<uint64_t>(entry.Numbers[0]))
                 ? 1
                 : 0};
+  case LeaseEvent::Leaving:
+    return {Replayed.leaving(entry.Text,
+                             static_cast<uint64_t>(entry.Numbers[0]),
+                             timeOf(entry))
+                ? 1
+                : 0};
   }
   return {};
 }
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -72,8 +72,10 @@
     state = std::max(state, lease.Target.State);
   Changed = true;
   const uint64_t epoch = lease.Target.Epoch;
-  if (isNewProcess)
+  if (isNewProcess) {
     lease.AcceptsUntil.reset();
+    lease.IsLeaving = false;
+  }
   setState(lease, state, now);
   lease.Target = target;
   lease.Target.State = state;
@@ -105,6 +107,30 @@
   return true;
 }
 
+bool TargetLeases::leaving(std::string_view targetId, uint64_t epoch,
+                           base::TimePoint now) {
+  const auto it = Leases.find(targetId);
+  const bool isNews = it != Leases.end() && it->second.Target.Epoch == epoch &&
+                      !it->second.IsLeaving;
+  auto entry = entryOf(now, LeaseEvent::Leaving, targetId);
+  entry.Numbers = {static_cast<int64_t>(epoch)};
+  entry.Decided = {isNews ? 1 : 0};
+  Record->record(std::move(entry));
+  if (!isNews)
+    return false;
+  it->second.IsLeaving = true;
+  setState(it->second, statedState(it->second, it->second.Target.State), now);
+  Changed = true;
+  return true;
+}
+
+/// Returns the state of a target that reports \p reported.
+fleet::TargetState TargetLeases::statedState(const Lease &lease,
+                                             fleet::TargetState reported) {
+  return lease.IsLeaving ? std::max(reported, fleet::TargetState::Draining)
+                         : reported;
+}
+
 /// A restarted node may receive a leave before heartbeats that were sent
 /// earlier.
 void TargetLeases::recordUnknownLeave(std::string_view targetId,
@@ -163,8 +189,10 @@
         ResultCode::LeaseLapsed,
         "the lease of target \"" + target.TargetId +
             "\" has lapsed; announce the target again with epoch 0");
-  setState(it->second, target.State, now);
+  const auto state = statedState(it->second, target.State);
+  setState(it->second, state, now);
   it->second.Target = target;
+  it->second.Target.State = state;
   it->second.ExpiresAt = now + Lifetime;
   return LeaseAnswer{target.Epoch, Lifetime};
 }
@@ -178,6 +206,7 @@
   const uint64_t epoch = std::max(lease.Target.Epoch + 1, byClock);
   lease.Target = announcement.Target;
   lease.Target.Epoch = epoch;
+  lease.IsLeaving = false;
   lease.ExpiresAt = now + Lifetime;
   lease.Lapsed = false;
   return LeaseAnswer{epoch, Lifetime};
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -36,10 +36,19 @@
 /// granted epoch, or 0 and the code of the refusal. Tick: outcome: 1.
 /// Heartbeat: incarnation, sequence, state, slots, lifetime; text: "ADDRESS
 /// TARGET"; outcome: 0 or the code of the refusal. Leave: milliseconds since
-/// 1970; outcome: 1 if the target is known. The lifetime is that of the leases
+/// 1970; outcome: 1 if the target is known. Leaving: epoch; outcome: 1 if it is
+/// news. The lifetime is that of the leases
 /// granted then, in microseconds; 0 in traces of older programs.
 struct LeaseEvent {
-  enum Value : uint8_t { Announce, Tick, Drain, DrainAll, Heartbeat, Leave };
+  enum Value : uint8_t {
+    Announce,
+    Tick,
+    Drain,
+    DrainAll,
+    Heartbeat,
+    Leave,
+    Leaving,
+  };
 };
 
 /// Leases of the targets behind one node. A target whose lease has lapsed gets
@@ -71,6 +80,11 @@
   /// (milliseconds since 1970) do not add it.
   bool leave(std::string_view targetId, base::TimePoint now, uint64_t unixMs);
 
+  /// Records that a target's process has stated on an answer that it is
+  /// leaving: it is draining from now on, whatever it reports. Returns whether
+  /// this is news; an unknown process, named by its epoch, changes nothing.
+  bool leaving(std::string_view targetId, uint64_t epoch, base::TimePoint now);
+
   /// Lapses expired leases; returns true if the list of targets has changed.
   bool tick(base::TimePoint now);
 
@@ -104,6 +118,8 @@
                                     base::LastReason &reason);
   bool applyHeartbeat(const Heartbeat &heartbeat, base::TimePoint now,
                       base::LastReason &reason);
+  static fleet::TargetState statedState(const Lease &lease,
+                                        fleet::TargetState reported);
   static void setState(Lease &lease, fleet::TargetState state,
                        base::TimePoint now);
   void recordUnknownLeave(std::string_view targetId, uint64_t unixMs);
@@ -118,6 +134,7 @@
     uint64_t LeftUnixMs = 0; ///< Processes started at or before this have left.
     bool Lapsed = false;
     bool DrainedByOperator = false;
+    bool IsLeaving = false; ///< Its process has stated so on an answer.
     /// While set, the gate accepts calls although the target is leaving.
     std::optional<base::TimePoint> AcceptsUntil;
   };
--- a/Libraries/LibCalls/TargetTable.cpp
+++ b/Libraries/LibCalls/TargetTable.cpp
@@ -18,7 +18,7 @@
 
 /// Returns whether what an unlisted target has stated still binds its callers.
 bool isBinding(const KnownTarget &target, base::TimePoint now) {
-  return target.Stated.rate() &&
+  return (target.IsLeaving || target.Stated.rate()) &&
          now - target.UnlistedAt < TargetTable::StatementRetention;
 }
 
@@ -127,8 +127,10 @@
   if (readyAnew || newLoad)
     known.Load.reported(target.LoadPermille, now);
   // Only a later process has nothing to do with what an earlier one stated.
-  if (target.Epoch > before.Epoch)
+  if (target.Epoch > before.Epoch) {
     known.Stated = {};
+    known.IsLeaving = false;
+  }
   const auto &identity = member.Identity;
   known.Candidate = {identity.Id, identity.DataCentre, identity.Mesh, target};
   known.Region = identity.Region;
@@ -158,7 +160,7 @@
     auto &known = *it.second;
     known.Usable = known.Listed &&
                    known.Candidate.Target.State == TargetState::Ready &&
-                   !drained(known);
+                   !known.IsLeaving && !drained(known);
     if (known.Usable)
       ByService[known.Candidate.Target.Service].push_back(&known);
   }
@@ -171,6 +173,12 @@
   return it == ByService.end() ? none : it->second;
 }
 
+void TargetTable::leaving(KnownTarget &target) {
+  if (std::exchange(target.IsLeaving, true))
+    return;
+  rebuildIndex();
+}
+
 KnownTarget *TargetTable::find(uint64_t id) {
   const auto it = Known.find(id);
   return it == Known.end() ? nullptr : it->second.get();
--- a/Libraries/LibCalls/TargetTable.h
+++ b/Libraries/LibCalls/TargetTable.h
@@ -40,6 +40,10 @@
   /// Returns the targets of a service that accept new calls.
   const Targets &usable(std::string_view serviceName) const;
 
+  /// Records that a target has stated that it is leaving. It gets no more calls
+  /// of this node, whatever the fleet's members say of the same process.
+  void leaving(KnownTarget &target);
+
   /// Returns a target by its id, or null.
   KnownTarget *find(uint64_t id);
 
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -90,6 +90,7 @@
   Environment.Time = &FallbackClock;
   Environment.Counters = &DiscardedMetrics;
   Environment.CurrentSnapshot = [] { return config::SnapshotPointer(); };
+  Environment.OnTargetLeaving = nullptr;
   Environment.LocalTarget = [](const std::string &) {
     return std::optional<fleet::TargetRecord>();
   };
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -99,7 +99,7 @@
   if (!hasRun)
     co_return outcome;
   outcome.Ran = Environment.Time->now() - turn;
-  applySignals(call, request, ticket, outcome);
+  applySignals(call, request, *target, ticket, outcome);
   dispatch(
       Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
   co_return outcome;
@@ -107,6 +107,7 @@
 
 /// Passes on to the gate what the target states about itself.
 void GateRunner::applySignals(const MeshCall &call, const Request &request,
+                              const fleet::TargetRecord &target,
                               calls::Ticket ticket,
                               const GateOutcome &outcome) {
   const auto &signals = outcome.Result.Signals;
@@ -116,6 +117,8 @@
       Environment.Gate->signalled(ticket, *signals, Environment.Time->now());
   logSignals(call, requestIdOf(request, Environment.Headers, call.CallId),
              *signals, change);
+  if (change.Leaving && Environment.OnTargetLeaving)
+    Environment.OnTargetLeaving(target.TargetId, target.Epoch);
   if (signals->IsLimitMalformed)
     Environment.Counters->counter("target_limits_malformed_total") += 1;
 }
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -74,7 +74,8 @@
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
   void applySignals(const MeshCall &call, const Request &request,
-                    calls::Ticket ticket, const GateOutcome &outcome);
+                    const fleet::TargetRecord &target, calls::Ticket ticket,
+                    const GateOutcome &outcome);
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<calls::GateAnswer> &decisions);
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -186,6 +186,10 @@
   environment.CurrentSnapshot = [this]() -> config::SnapshotPointer {
     return isServing() ? ActiveSnapshot : nullptr;
   };
+  environment.OnTargetLeaving = [this](const std::string &id, uint64_t epoch) {
+    if (Leases.leaving(id, epoch, Time.now()))
+      targetsChanged();
+  };
   environment.LocalTarget =
       [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
     for (auto &it : Leases.current())
--- a/Tests/LibCalls/TestTargetLeases.cpp
+++ b/Tests/LibCalls/TestTargetLeases.cpp
@@ -193,3 +193,28 @@
   CHECK(it.Leases.current()[0].TargetId == "new");
   CHECK(it.heartbeat(6, 1, 2s, TargetState::Ready, "other", 81));
 }
+
+TEST_CASE("a leaving target is ready again with its next heartbeat") {
+  LeaseFixture it;
+  REQUIRE(it.heartbeat(7, 1, 0s));
+  CHECK_FALSE(it.Leases.leaving("t", 6, at(1s)));
+  CHECK_FALSE(it.Leases.leaving("other", 7, at(1s)));
+  CHECK(it.Leases.leaving("t", 7, at(1s)));
+  CHECK(it.Leases.tick(at(1s)));
+  CHECK(it.states(1s) == States{TargetState::Draining, TargetState::Ready});
+  REQUIRE(it.heartbeat(7, 2, 2s));
+  CHECK(it.states(2s) == States{TargetState::Draining, TargetState::Draining});
+  CHECK_FALSE(it.Leases.leaving("t", 7, at(2s)));
+  REQUIRE(it.heartbeat(8, 1, 3s));
+  CHECK(it.states(3s) == States{TargetState::Ready, TargetState::Ready});
+}
+
+TEST_CASE("a leaving target is ready again with its next announcement") {
+  LeaseFixture it;
+  const auto epoch = it.announce(0, 0s);
+  CHECK(it.Leases.leaving("t", epoch, at(1s)));
+  REQUIRE(it.announce(epoch, 2s) == epoch);
+  CHECK(it.states(2s) == States{TargetState::Draining, TargetState::Draining});
+  REQUIRE(it.announce(0, 3s) > epoch);
+  CHECK(it.states(3s) == States{TargetState::Ready, TargetState::Ready});
+}
--- a/Tests/LibHttp/Mesh.h
+++ b/Tests/LibHttp/Mesh.h
@@ -142,6 +142,10 @@
     environment.LocalTarget = [this](const std::string &name) {
       return Local && Local->TargetId == name ? Local : std::nullopt;
     };
+    environment.OnTargetLeaving = [this](const std::string &name,
+                                         uint64_t epoch) {
+      Leaving.emplace_back(name, epoch);
+    };
     environment.MeshKeys = {"the mesh key"};
     environment.NodeId = id;
     base::LastReason reason;
@@ -169,6 +173,8 @@
   /// Any snapshot will do, as the proxy only passes it on.
   config::SnapshotPointer Snapshot = emptySnapshot();
   std::optional<fleet::TargetRecord> Local;
+  /// Targets that have stated that they are leaving, with their epochs.
+  std::vector<std::pair<std::string, uint64_t>> Leaving;
   std::shared_ptr<http::CallProxy> Proxy;
 };
 
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -81,7 +81,7 @@
                                 const calls::TargetSignals &signals,
                                 base::TimePoint) override {
     Signals.push_back(signals);
-    return {};
+    return Change;
   }
   std::vector<calls::GateAnswer> ended(calls::Ticket,
                                        const calls::AttemptResult &result,
@@ -102,6 +102,7 @@
   std::vector<calls::Arrival> Arrivals;
   std::vector<calls::AttemptResult> Results;
   std::vector<calls::TargetSignals> Signals;
+  calls::SignalChange Change; ///< What signalled() returns.
   calls::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
--- a/Tests/LibHttp/TestTargetSignals.cpp
+++ b/Tests/LibHttp/TestTargetSignals.cpp
@@ -87,4 +87,19 @@
   REQUIRE(mesh.Far.Gate.Signals.size() == 1);
   CHECK(mesh.Far.Gate.Signals[0].RateLimit == 2'500);
   CHECK(mesh.Far.Gate.Signals[0].IsLeaving);
+  REQUIRE(mesh.Near.Broker.Results.size() == 1);
+  REQUIRE(mesh.Near.Broker.Results[0].Signals);
+  CHECK(mesh.Near.Broker.Results[0].Signals->RateLimit == 2'500);
+  CHECK(mesh.Near.Broker.Results[0].Signals->IsLeaving);
+}
+
+TEST_CASE("a node doesn't learn from an answer that its target is leaving") {
+  TwoNodes mesh;
+  mesh.Far.Gate.Change.Leaving = true;
+  mesh.Far.Local->Epoch = 7;
+  mesh.TargetFields = {{Names.Leaving, "1"}};
+  REQUIRE(
+      fetchFrom(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
+  REQUIRE(mesh.Far.Leaving.size() == 1);
+  CHECK(mesh.Far.Leaving[0] == std::pair<std::string, uint64_t>{"t1", 7});
 }
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -47,6 +47,10 @@
   std::shared_ptr<http::Server> Target;
   base::Address TargetAddress;
   int RequestCount = 0;
+  int Heartbeats = 0;
+  /// A header field of the target's responses.
+  std::string StatedField;
+  std::string StatedValue;
 
   Mesh() {
     for (const char *dataCentre : {"mobile", "savannah", "macon"}) {
@@ -89,6 +93,8 @@
           ++RequestCount;
           http::Response out(boost::beast::http::status::ok, 11);
           out.body() = "ran " + std::string(request.Message.target());
+          if (!StatedField.empty())
+            out.set(StatedField, StatedValue);
           out.prepare_payload();
           co_return out;
         },
@@ -138,6 +144,66 @@
     REQUIRE(answer->result_int() == 200);
   }
 
+  /// Sends a heartbeat of the target's one process, which reports to be ready.
+  void sendHeartbeat() {
+    std::string body =
+        R"({"service": "badges/lookup", "address": ")" + TargetAddress.text() +
+        R"(", "state": "ready", "slots": 9, "sequence": )" +
+        std::to_string(++Heartbeats) + R"(, "started_unix_ms": 1700000000000})";
+    auto answer = send(Settings[0].Targets,
+                       makeRequest(boost::beast::http::verb::post,
+                                   "/v1/targets/t1/heartbeat", body));
+    REQUIRE(answer);
+    REQUIRE(answer->result_int() == 200);
+  }
+
+  /// Publishes a version, starts the target and makes a call through each of
+  /// \p callers until one is answered.
+  void serveThrough(const std::vector<size_t> &callers) {
+    REQUIRE(runUntil([&] { return allReady(); }));
+    send(Settings[1].Administration,
+         makeRequest(boost::beast::http::verb::post,
+                     "/v1/configurations/badges/versions", FirstVersion));
+    REQUIRE(runUntil([&] { return allHold(1); }));
+    sendHeartbeat();
+    for (size_t it : callers)
+      REQUIRE(runUntil([&] { return lookup(it) == 200; }));
+  }
+
+  /// Replaces the process of the target's node; returns when the node at \p
+  /// caller has heard of the target from the new one.
+  void restartTargetsNode(size_t caller) {
+    uint64_t incarnation = targetsNode(caller).Incarnation;
+    Nodes[0].reset();
+    base::LastReason reason;
+    auto node = node::NodeProcess::create(Context, Settings[0],
+                                          platform::ports(), reason);
+    REQUIRE_MESSAGE(node, reason.text());
+    Nodes[0] = std::move(*node);
+    REQUIRE(runUntil([&] { return allReady(); }));
+    sendHeartbeat();
+    REQUIRE(runUntil([&] {
+      auto member = targetsNode(caller);
+      return member.Incarnation > incarnation && !member.Targets.empty();
+    }));
+  }
+
+  /// Returns the target's node as the node at \p caller sees it.
+  fleet::Member targetsNode(size_t caller) {
+    for (const auto &it : Nodes[caller]->members())
+      if (it.Identity.Id == Settings[0].Node)
+        return it;
+    return {};
+  }
+
+  /// Returns the status of a call through the node at \p caller.
+  unsigned lookup(size_t caller) {
+    auto answer =
+        send(Settings[caller].Calls,
+             makeRequest(boost::beast::http::verb::get, "/lookup/badge"));
+    return answer ? answer->result_int() : 0;
+  }
+
   bool allReady() {
     return std::all_of(Nodes.begin(), Nodes.end(),
                        [](const auto &it) { return it->ready(); });
@@ -325,3 +391,30 @@
   REQUIRE(other);
   CHECK(other->result_int() == 404);
 }
+
+TEST_CASE("a leaving target that reports to be ready gets further calls") {
+  Mesh mesh;
+  mesh.StatedField = calls::CallHeaders().Leaving;
+  mesh.StatedValue = "1";
+  mesh.serveThrough({2});
+  mesh.sendHeartbeat();
+  CHECK(mesh.lookup(2) == 503);
+  // The other nodes hear of it from the target's node.
+  CHECK(mesh.runUntil([&] { return mesh.lookup(1) == 503; }));
+  int before = mesh.RequestCount;
+  mesh.restartTargetsNode(2);
+  CHECK(mesh.lookup(2) == 503);
+  CHECK(mesh.RequestCount == before);
+}
+
+TEST_CASE("a restarted node lets callers exceed the rate limit of its target") {
+  Mesh mesh;
+  mesh.StatedField = calls::CallHeaders().RateLimit;
+  mesh.StatedValue = "0.1";
+  mesh.serveThrough({2});
+  CHECK(mesh.lookup(2) == 503);
+  CHECK(mesh.lookup(1) == 503);
+  mesh.restartTargetsNode(2);
+  CHECK(mesh.lookup(2) == 503);
+  CHECK(mesh.RequestCount == 1);
+}
