LibCalls: Let one call through on a limit that only callers remember

What callers see: after a restart of a target's node a caller's word of a limit that has ended meanwhile blocks the target until the bucket has a token: 5 s at a remembered limit of 0 (test: 0 calls in a second, 45 and more due).

Cause: a reported limit started with an empty bucket, like one that the target has just stated, though only an answer can tell whether it still holds.

Why this works: the first report grants one token.

--- a/Libraries/LibCalls/RateLimiter.cpp
+++ b/Libraries/LibCalls/RateLimiter.cpp
@@ -11,6 +11,11 @@
   UpdatedAt = now;
 }
 
+void RateLimiter::grant(base::TimePoint now) {
+  Level = std::min(levelAt(now) + Token, depth());
+  UpdatedAt = now;
+}
+
 int64_t RateLimiter::levelAt(base::TimePoint now) const {
   if (!isLimited())
     return 0;
--- a/Libraries/LibCalls/RateLimiter.h
+++ b/Libraries/LibCalls/RateLimiter.h
@@ -22,6 +22,9 @@
   /// Sets or removes the limit. The bucket is empty when a limit follows none.
   void setRate(std::optional<MilliRate> rate, base::TimePoint now);
 
+  /// Adds one token.
+  void grant(base::TimePoint now);
+
   bool isLimited() const { return Rate > 0; }
 
   /// Returns whether a call may start now that has to leave \p reserved tokens
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibCalls/TargetGate.cpp
@@ -179,7 +179,11 @@
 void TargetGate::reported(MilliRate rate, base::TimePoint now) {
   if (!Stated.reported(rate))
     return;
+  const bool wasLimited = Limiter.isLimited();
   Limiter.setRate(Stated.rate(), now);
+  // The report may be out of date; the answer to one call tells.
+  if (!wasLimited)
+    Limiter.grant(now);
   recordEvent(AdmissionEvent::Reported, {rate}, {}, now);
 }
 
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Logger.h>
 #include <LibCalls/CallTypes.h>
 #include <LibHttp/Framing.h>
+#include <LibHttp/GateLog.h>
 #include <LibHttp/MeshCall.h>
 #include <LibHttp/ResponseFields.h>
 #include <LibHttp/Responses.h>
@@ -211,6 +212,9 @@
     readAttemptResult(response, result);
     if (result.End == AttemptEnd::Answered)
       result.Signals = readTargetSignals(response, Environment.Headers);
+    if (result.Signals && result.Signals->IsLeaving)
+      logSignals(mesh, requestIdOf(request, Environment.Headers, mesh.CallId),
+                 *result.Signals, {.RateLimit = false, .Leaving = true});
   }
   co_return result;
 }
--- a/Libraries/LibHttp/GateLog.h
+++ b/Libraries/LibHttp/GateLog.h
@@ -16,8 +16,8 @@
                  const GateOutcome &outcome);
 
 /// Writes the lines "target rate limit changed" and "target is leaving" if the
-/// answer to a call has changed what is known of its target, and "target rate
-/// limit malformed" for a limit that cannot be parsed.
+/// answer to a call has changed what this node knows of its target, and "target
+/// rate limit malformed" for a limit that cannot be parsed.
 void logSignals(const MeshCall &call, std::string_view requestId,
                 const calls::TargetSignals &signals,
                 const calls::SignalChange &change);
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -34,6 +34,16 @@
   base::Duration Now = 1min;
 };
 
+/// Returns what a target may state; rarely that it is leaving.
+TargetSignals signals(Driver &it) {
+  TargetSignals out;
+  if (it.Draw.below(2) == 0)
+    out.RateLimit = static_cast<MilliRate>(it.Draw.below(20'000));
+  out.IsLimitMalformed = it.Draw.below(10) == 0;
+  out.IsLeaving = it.Draw.below(200) == 0;
+  return out;
+}
+
 void planCalls(trace::Recorder &recorder, Driver &it) {
   CallPlanner planner({"dc1", "south"}, it.Draw.next(), recorder);
   for (uint64_t n = 1; n <= Steps; ++n) {
@@ -43,6 +53,8 @@
     for (const char *node : {"a", "b", "c", "d"})
       members.push_back(member(node, it.Draw.below(2) == 0 ? "dc1" : "dc2",
                                it.pick<TargetState>(4)));
+    for (auto &one : members)
+      one.Targets.front().Epoch = n / 100;
     if (n % 50 == 1)
       planner.membersChanged(members, now);
     if (n % 170 == 0)
@@ -56,6 +68,8 @@
       auto result = ends(it.pick<AttemptEnd>(6));
       result.Attempt = static_cast<uint32_t>(it.Draw.below(3));
       result.PressurePermille = static_cast<uint32_t>(it.Draw.below(1000));
+      if (it.Draw.below(2) == 0)
+        result.Signals = signals(it);
       step = planner.attemptEnded(n, result, it.now());
     }
     if (n > 5)
@@ -74,7 +88,12 @@
         it.Draw.below(10) == 0 ? TargetState::Draining : TargetState::Ready;
     if (n % 100 == 1)
       gate.configure(settings, it.now());
+    if (n % 200 == 1)
+      gate.processChanged(it.now());
+    if (it.Draw.below(4) == 0)
+      gate.reported(static_cast<MilliRate>(it.Draw.below(20'000)), it.now());
     gate.arrive(n, it.pick<Rank>(3), 100ms, 0, it.now());
+    gate.signalled(it.Draw.below(n), signals(it), it.now());
     gate.ended(it.Draw.below(n), it.pick<AttemptEnd>(6), it.now());
     gate.abandoned(it.Draw.below(n), it.now());
     gate.tick(it.now());
@@ -92,6 +111,8 @@
     base::LastReason reason;
     const auto answer = leases.announce({record}, it.now(), reason);
     epoch = answer ? answer->Epoch : epoch;
+    if (n % 20 == 0)
+      leases.leaving(record.TargetId, epoch, it.now());
     leases.tick(it.now());
   }
 }
--- a/Tests/LibCalls/TestTargetLimits.cpp
+++ b/Tests/LibCalls/TestTargetLimits.cpp
@@ -134,3 +134,12 @@
     CHECK_FALSE(it.stepOf(it.begin("/lookup")).StatedRate);
   }
 }
+
+TEST_CASE("a limit that only callers remember blocks a target for seconds") {
+  LimitedTarget it({});
+  it.KnownToCallers = 0;
+  it.run(300ms, 20ms);
+  it.Starts.clear();
+  it.run(1s, 20ms);
+  CHECK(it.Starts.size() >= 45);
+}
