--- a/Tests/LibCalls/TestTargetLimits.cpp
+++ b/Tests/LibCalls/TestTargetLimits.cpp
@@ -1,3 +1,4 @@
+#include <LibBase/Random.h>
 #include <LibCalls/BrokerFixture.h>
 #include <LibCalls/LimitedTarget.h>
 
@@ -31,6 +32,18 @@
   }
 }
 
+TEST_CASE("a burst after a pause exceeds the rate limit") {
+  for (const MilliRate limit : {0, 2'000, 16'600}) {
+    CAPTURE(limit);
+    LimitedTarget it(limit);
+    it.run(5s, 1s);
+    it.run(5s, 10min);
+    it.Starts.clear();
+    it.run(10s, 5ms);
+    CHECK(it.mostStarts(Window) <= allowed(limit));
+  }
+}
+
 TEST_CASE("a rate limit is held against the target's next process") {
   LimitedTarget it(1'000);
   it.run(4s, 20ms);
@@ -143,3 +156,86 @@
   it.run(1s, 20ms);
   CHECK(it.Starts.size() >= 45);
 }
+
+namespace {
+
+/// A target's statements over time.
+struct Statement {
+  base::Duration At{};
+  uint64_t Epoch = 0;
+  std::optional<MilliRate> Limit;
+};
+
+/// Returns the highest limit stated between two times, or nothing unless one
+/// process stated a limit all the while.
+std::optional<MilliRate> highestLimit(const std::vector<Statement> &statements,
+                                      base::Duration from,
+                                      base::Duration until) {
+  std::optional<MilliRate> out;
+  std::optional<uint64_t> epoch;
+  for (size_t n = 0; n < statements.size(); ++n) {
+    const auto &it = statements[n];
+    const bool isOver =
+        n + 1 < statements.size() && statements[n + 1].At <= from;
+    if (isOver || it.At >= until)
+      continue;
+    if (!it.Limit || epoch.value_or(it.Epoch) != it.Epoch)
+      return std::nullopt;
+    epoch = it.Epoch;
+    out = std::max(*it.Limit, out.value_or(0));
+  }
+  return out;
+}
+
+/// Changes limits and restarts both sides at random for a minute.
+std::vector<Statement> runAtRandom(LimitedTarget &it, base::Random &random) {
+  constexpr std::optional<MilliRate> Limits[] = {std::nullopt, 0,      100,
+                                                 2'000,        10'000, 40'000};
+  constexpr Rank Ranks[] = {Rank::Critical, Rank::Standard, Rank::Background};
+  std::vector<Statement> out{{it.Now, it.Epoch, it.Limit}};
+  while (it.Now < 1min) {
+    const auto event = random.below(8);
+    if (event == 0)
+      it.restartTarget();
+    if (event <= 3)
+      it.Limit = Limits[random.below(std::size(Limits))];
+    if (event <= 3)
+      out.push_back({it.Now, it.Epoch, it.Limit});
+    if (event >= 6)
+      it.restartNode();
+    const base::Duration interval = 5ms * (1 + random.below(8));
+    for (uint64_t n = 0; n <= random.below(4); ++n)
+      it.run(5ms * (1 + random.below(300)), interval,
+             Ranks[random.below(std::size(Ranks))]);
+    it.KnownToCallers = it.Limit;
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a rate limit is exceeded while limits change and processes restart") {
+  constexpr base::Duration Notice = 3s;
+  size_t windows = 0;
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    base::Random random(seed);
+    LimitedTarget it(10'000);
+    const auto statements = runAtRandom(it, random);
+    for (size_t n = 0; n < it.Starts.size(); ++n) {
+      const auto from = it.Starts[n].At;
+      const auto limit = highestLimit(statements, from - Notice, from + Window);
+      if (!limit || from < Notice)
+        continue;
+      ++windows;
+      size_t starts = 0;
+      for (size_t other = n;
+           other < it.Starts.size() && it.Starts[other].At < from + Window;
+           ++other)
+        ++starts;
+      CHECK(starts <= allowed(*limit));
+    }
+  }
+  CHECK(windows > 1'000);
+}
