LibHttp, LibCalls: Let the lease alone know that a target is leaving

Now each answer that states it goes to the lease, which knows the process by its epoch and says whether this is news. The tests of leaving targets are the same but for the mock's flag, which is gone.

--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibCalls/AdmissionGate.h
@@ -39,12 +39,6 @@
   std::optional<MilliRate> RateLimit; ///< Stated by the target.
 };
 
-/// Which of a target's statements an answer has changed.
-struct SignalChange {
-  bool RateLimit = false;
-  bool Leaving = false;
-};
-
 /// What the gate decided for one call.
 struct GateAnswer {
   enum class Kind : uint8_t { Run, Queued, Refuse };
@@ -73,9 +67,10 @@
   virtual GateAnswer arrive(const Arrival &arrival, base::TimePoint now) = 0;
 
   /// Applies what the target states about itself on the answer to a running
-  /// call. Must be called before ended().
-  virtual SignalChange signalled(Ticket call, const TargetSignals &signals,
-                                 base::TimePoint now) = 0;
+  /// call; returns whether its rate limit has changed. Must be called before
+  /// ended().
+  virtual bool signalled(Ticket call, const TargetSignals &signals,
+                         base::TimePoint now) = 0;
 
   /// Reports the end of a running call. Returns the answers for queued calls
   /// that may run now or are refused.
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibCalls/NodeGate.cpp
@@ -23,8 +23,7 @@
   TargetGateSettings Settings;
   std::unique_ptr<TargetGate> Admission;
   CrashDetector Crashes;
-  bool IsLeaving = false; ///< Stated by its process.
-  bool Listed = true;     ///< False: gone, kept only for its calls in flight.
+  bool Listed = true; ///< False: gone, kept only for its calls in flight.
 };
 
 bool sameLimits(const config::ServiceLimits &a,
@@ -88,7 +87,6 @@
   void observeProcess(GatedTarget &gated, const fleet::TargetRecord &next) {
     if (!gated.Admission || next.Epoch == gated.Target.Epoch)
       return;
-    gated.IsLeaving = false;
     gated.Admission->processChanged(LastTime);
   }
 
@@ -149,18 +147,12 @@
   return out;
 }
 
-SignalChange NodeGate::signalled(Ticket call, const TargetSignals &signals,
-                                 base::TimePoint now) {
+bool NodeGate::signalled(Ticket call, const TargetSignals &signals,
+                         base::TimePoint now) {
   Held->LastTime = now;
   const auto it = Held->Calls.find(call);
-  if (it == Held->Calls.end())
-    return {};
-  auto &gated = *it->second;
-  SignalChange out;
-  out.RateLimit = gated.Admission->signalled(call, signals, now);
-  out.Leaving = signals.IsLeaving && !gated.IsLeaving;
-  gated.IsLeaving = gated.IsLeaving || signals.IsLeaving;
-  return out;
+  return it != Held->Calls.end() &&
+         it->second->Admission->signalled(call, signals, now);
 }
 
 std::vector<GateAnswer>
--- a/Libraries/LibCalls/NodeGate.h
+++ b/Libraries/LibCalls/NodeGate.h
@@ -20,8 +20,8 @@
   ~NodeGate() override;
 
   GateAnswer arrive(const Arrival &arrival, base::TimePoint now) override;
-  SignalChange signalled(Ticket call, const TargetSignals &signals,
-                         base::TimePoint now) override;
+  bool signalled(Ticket call, const TargetSignals &signals,
+                 base::TimePoint now) override;
   std::vector<GateAnswer> ended(Ticket call, const AttemptResult &result,
                                 base::TimePoint now) override;
   void abandoned(Ticket call, base::TimePoint now) override;
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -31,9 +31,9 @@
   /// Returns the record of a local target, or nothing.
   std::function<std::optional<fleet::TargetRecord>(const std::string &)>
       LocalTarget;
-  /// Called when the process \p epoch of a local target first states that it is
-  /// leaving.
-  std::function<void(const std::string &targetId, uint64_t epoch)>
+  /// Called when the process \p epoch of a local target states that it is
+  /// leaving; returns whether this is news.
+  std::function<bool(const std::string &targetId, uint64_t epoch)>
       OnTargetLeaving;
   std::vector<std::string> MeshKeys; ///< The first key signs, all keys verify.
   bool TrustsNetwork = false;        ///< Without keys, calls need no proof.
--- a/Libraries/LibHttp/GateLog.cpp
+++ b/Libraries/LibHttp/GateLog.cpp
@@ -32,16 +32,15 @@
 } // namespace
 
 void logSignals(const MeshCall &call, std::string_view requestId,
-                const calls::TargetSignals &signals,
-                const calls::SignalChange &change) {
+                const calls::TargetSignals &signals, const SignalNews &news) {
   const std::initializer_list<base::LogField> fields = {
       {"target", call.TargetId},
       {"service", call.ServiceName},
       {"request", printableId(requestId)},
       {"rate_limit", formatRate(signals.RateLimit)}};
-  if (change.RateLimit)
+  if (news.RateLimit)
     base::log(base::LogLevel::Info, "target rate limit changed", fields);
-  if (change.Leaving)
+  if (news.Leaving)
     base::log(base::LogLevel::Info, "target is leaving", fields);
   if (signals.IsLimitMalformed)
     base::log(base::LogLevel::Warning, "target rate limit malformed", fields);
--- a/Libraries/LibHttp/GateLog.h
+++ b/Libraries/LibHttp/GateLog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/AdmissionGate.h>
+#include <LibCalls/TargetSignals.h>
 
 #include <string_view>
 
@@ -15,11 +15,16 @@
 void logGateCall(const MeshCall &call, std::string_view requestId,
                  const GateOutcome &outcome);
 
-/// Writes the lines "target rate limit changed" and "target is leaving" if the
-/// answer to a call has changed what this node knows of its target, and "target
-/// rate limit malformed" for a limit that cannot be parsed.
+/// Which of a target's statements on an answer are news to this node.
+struct SignalNews {
+  bool RateLimit = false;
+  bool Leaving = false;
+};
+
+/// Writes the lines "target rate limit changed" and "target is leaving" as far
+/// as that is news, and "target rate limit malformed" for a limit that cannot
+/// be parsed.
 void logSignals(const MeshCall &call, std::string_view requestId,
-                const calls::TargetSignals &signals,
-                const calls::SignalChange &change);
+                const calls::TargetSignals &signals, const SignalNews &news);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -113,12 +113,13 @@
   const auto &signals = outcome.Result.Signals;
   if (!signals)
     return;
-  const calls::SignalChange change =
+  SignalNews news;
+  news.RateLimit =
       Environment.Gate->signalled(ticket, *signals, Environment.Time->now());
+  news.Leaving = signals->IsLeaving && Environment.OnTargetLeaving &&
+                 Environment.OnTargetLeaving(target.TargetId, target.Epoch);
   logSignals(call, requestIdOf(request, Environment.Headers, call.CallId),
-             *signals, change);
-  if (change.Leaving && Environment.OnTargetLeaving)
-    Environment.OnTargetLeaving(target.TargetId, target.Epoch);
+             *signals, news);
   if (signals->IsLimitMalformed)
     Environment.Counters->counter("target_limits_malformed_total") += 1;
 }
--- a/Libraries/LibHttp/StoppedNode.h
+++ b/Libraries/LibHttp/StoppedNode.h
@@ -43,9 +43,9 @@
     decision.Code = base::ResultCode::Draining;
     return decision;
   }
-  calls::SignalChange signalled(calls::Ticket, const calls::TargetSignals &,
-                                base::TimePoint) override {
-    return {};
+  bool signalled(calls::Ticket, const calls::TargetSignals &,
+                 base::TimePoint) override {
+    return false;
   }
   std::vector<calls::GateAnswer>
   ended(calls::Ticket, const calls::AttemptResult &, base::TimePoint) override {
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -187,8 +187,10 @@
     return isServing() ? ActiveSnapshot : nullptr;
   };
   environment.OnTargetLeaving = [this](const std::string &id, uint64_t epoch) {
-    if (Leases.leaving(id, epoch, Time.now()))
+    const bool isNews = Leases.leaving(id, epoch, Time.now());
+    if (isNews)
       targetsChanged();
+    return isNews;
   };
   environment.LocalTarget =
       [this](const std::string &id) -> std::optional<fleet::TargetRecord> {
--- a/Tests/LibHttp/Mesh.h
+++ b/Tests/LibHttp/Mesh.h
@@ -145,6 +145,7 @@
     environment.OnTargetLeaving = [this](const std::string &name,
                                          uint64_t epoch) {
       Leaving.emplace_back(name, epoch);
+      return true;
     };
     environment.MeshKeys = {"the mesh key"};
     environment.NodeId = id;
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -77,11 +77,10 @@
     Running += Kind == calls::GateAnswer::Kind::Run ? 1 : 0;
     return answer;
   }
-  calls::SignalChange signalled(calls::Ticket,
-                                const calls::TargetSignals &signals,
-                                base::TimePoint) override {
+  bool signalled(calls::Ticket, const calls::TargetSignals &signals,
+                 base::TimePoint) override {
     Signals.push_back(signals);
-    return Change;
+    return false;
   }
   std::vector<calls::GateAnswer> ended(calls::Ticket,
                                        const calls::AttemptResult &result,
@@ -102,7 +101,6 @@
   std::vector<calls::Arrival> Arrivals;
   std::vector<calls::AttemptResult> Results;
   std::vector<calls::TargetSignals> Signals;
-  calls::SignalChange Change; ///< What signalled() returns.
   calls::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
--- a/Tests/LibHttp/TestTargetSignals.cpp
+++ b/Tests/LibHttp/TestTargetSignals.cpp
@@ -95,7 +95,6 @@
 
 TEST_CASE("a node doesn't learn from an answer that its target is leaving") {
   TwoNodes mesh;
-  mesh.Far.Gate.Change.Leaving = true;
   mesh.Far.Local->Epoch = 7;
   mesh.TargetFields = {{Names.Leaving, "1"}};
   REQUIRE(
