--- a/Tests/LibCalls/TestTargetLimits.cpp
+++ b/Tests/LibCalls/TestTargetLimits.cpp
@@ -53,6 +53,20 @@
   CHECK(it.Starts.size() >= 95);
 }
 
+TEST_CASE("a rate limit is held against another target at the address") {
+  LimitedTarget it(0);
+  it.run(4s, 20ms);
+  auto next = it.record();
+  next.TargetId = "u";
+  it.Gate->targetsChanged({next}, at(it.Now));
+  Arrival arrival;
+  arrival.ServiceName = Lookup;
+  arrival.TargetId = "u";
+  arrival.Remaining = 1s;
+  for (uint32_t n = 0; n < it.Slots; ++n)
+    CHECK(it.Gate->arrive(arrival, at(it.Now)).What == GateAnswer::Kind::Run);
+}
+
 TEST_CASE("a rate limit is kept after the target has ceased to state it") {
   LimitedTarget it(1'000);
   it.run(4s, 20ms);
