LibNode, LibPeer, LibAdmin: Show unanswered reads and unconfirmed configuration

During the incident no log line told that eleven nodes had no news of the store for 28 s; external_confirmed_age_seconds alone did, and nothing named the read that was open. A node now logs when the external configuration it holds has not been confirmed for longer than the bound of a new version, the metric store_read_overdue_seconds tells how late an open read is, and a node's status reports the age.

--- a/Libraries/LibAdmin/NodeControl.h
+++ b/Libraries/LibAdmin/NodeControl.h
@@ -8,6 +8,7 @@
 
 #include <boost/json/value.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
   /// Returns whether the node has recovered its configuration and serves.
   virtual bool ready() const = 0;
 
+  /// Returns how long ago the external configuration held was last known to be
+  /// the newest; nothing if there is none or a newer one was reported.
+  virtual std::optional<base::Duration> externalAge() const = 0;
+
   /// Appends a record and passes its outcome to \p done after this node has
   /// applied it to the fold. An append whose response was lost is searched for
   /// in the log until \p timeout.
--- a/Libraries/LibAdmin/StatusReport.cpp
+++ b/Libraries/LibAdmin/StatusReport.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/json/array.hpp>
 #include <charconv>
+#include <chrono>
 #include <set>
 
 namespace radishcross::admin {
@@ -63,7 +64,7 @@
     if (configuration.empty() || configuration == name)
       rows.push_back(row(node, name));
   const auto &self = node.identity();
-  return {
+  json::object out{
       {"node", self.Id},
       {"data_centre", self.DataCentre},
       {"region", self.Region},
@@ -72,6 +73,10 @@
       {"fold_hash", hexText(node.fold().hash())},
       {"configurations", std::move(rows)},
   };
+  if (auto age = node.externalAge())
+    out["external_confirmed_age_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+  return out;
 }
 
 uint64_t wantedVersion(const log::Fold &fold, const fleet::NodeIdentity &node,
--- a/Libraries/LibAdmin/StatusReport.h
+++ b/Libraries/LibAdmin/StatusReport.h
@@ -11,7 +11,9 @@
 /// "offset", "fold_hash", "configurations": [{"configuration", "version",
 /// "since_unix_ms", "wanted", "holdover", "waiting": {"version", "code",
 /// "name", "reason"}}]}. "wanted" is the version attached to this node, 0 for
-/// none. Only \p configuration is listed unless it is empty.
+/// none. "external_confirmed_age_ms" is present if the external configuration
+/// held is known to have been the newest that long ago. Only \p configuration
+/// is listed unless it is empty.
 boost::json::object statusReport(const NodeControl &node,
                                  std::string_view configuration);
 
--- a/Libraries/LibFleet/RecordFreshness.cpp
+++ b/Libraries/LibFleet/RecordFreshness.cpp
@@ -74,6 +74,13 @@
   return out;
 }
 
+std::optional<base::Duration>
+RecordFreshness::currentAge(base::TimePoint now) const {
+  if (!CurrentAt)
+    return std::nullopt;
+  return std::max(now - *CurrentAt, base::Duration::zero());
+}
+
 bool RecordFreshness::takePendingPush() {
   bool isFresher =
       ConfirmedAt &&
--- a/Libraries/LibFleet/RecordFreshness.h
+++ b/Libraries/LibFleet/RecordFreshness.h
@@ -86,6 +86,10 @@
   /// Returns this node's report.
   FreshnessReport report(base::TimePoint now) const;
 
+  /// Returns how long ago the store was last known to hold nothing newer than
+  /// the versions held or reported; nothing if that was never known.
+  std::optional<base::Duration> currentAge(base::TimePoint now) const;
+
   /// Returns true if a new version or a fresher report should be pushed to
   /// peers; true only once for each.
   bool takePendingPush();
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -113,14 +113,18 @@
   }
 }
 
-/// Sets the time since the store last answered a read; a topic has no value
-/// before its first answer.
+/// Sets, for each topic, the time since the store last answered a read, which
+/// has no value before the first answer, and how late the next answer is.
 void NodeProcess::storeMetrics() {
   auto now = Time.now();
-  for (const auto &[topic, at] : Link.lastAnswerAt())
-    Counters.setGauge(labelled("store_told_age_seconds", "topic",
-                               base::nameOf(log::TopicNames, topic)),
-                      secondsOf(now - at));
+  for (const auto &it : Link.readTimes(now)) {
+    auto topic = base::nameOf(log::TopicNames, it.SelectedTopic);
+    if (it.LastAnswerAt)
+      Counters.setGauge(labelled("store_told_age_seconds", "topic", topic),
+                        secondsOf(now - *it.LastAnswerAt));
+    Counters.setGauge(labelled("store_read_overdue_seconds", "topic", topic),
+                      secondsOf(it.Overdue));
+  }
   if (auto age = Fleet->externalAge())
     Counters.setGauge("external_confirmed_age_seconds", secondsOf(*age));
 }
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -54,6 +54,9 @@
   std::vector<fleet::Member> members() const override;
   base::Metrics &metrics() override;
   bool ready() const override;
+  std::optional<base::Duration> externalAge() const override {
+    return Fleet->externalAge();
+  }
   void change(log::Record record, base::Duration timeout,
               std::function<void(admin::ChangeOutcome)> done) override;
   boost::json::value usage() const override;
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -95,13 +95,15 @@
           RegisteredPerDataCentre;
 }
 
-std::vector<std::pair<log::Topic, base::TimePoint>>
-PlatformLink::lastAnswerAt() const {
-  std::vector<std::pair<log::Topic, base::TimePoint>> out;
-  if (DirectoryReader && DirectoryReader->lastAnswerAt())
-    out.emplace_back(log::Topic::Nodes, *DirectoryReader->lastAnswerAt());
-  if (OperatorReader && OperatorReader->lastAnswerAt())
-    out.emplace_back(log::Topic::Operator, *OperatorReader->lastAnswerAt());
+std::vector<PlatformLink::ReadTimes>
+PlatformLink::readTimes(base::TimePoint now) const {
+  std::vector<ReadTimes> out;
+  if (DirectoryReader)
+    out.push_back({log::Topic::Nodes, DirectoryReader->lastAnswerAt(),
+                   DirectoryReader->overdue(now)});
+  if (OperatorReader)
+    out.push_back({log::Topic::Operator, OperatorReader->lastAnswerAt(),
+                   OperatorReader->overdue(now)});
   return out;
 }
 
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -51,8 +51,16 @@
     return CompressedRecord;
   }
 
-  /// Returns, for each topic that is read, when the store last answered.
-  std::vector<std::pair<log::Topic, base::TimePoint>> lastAnswerAt() const;
+  /// How the store answers this node's reads of one topic.
+  struct ReadTimes {
+    log::Topic SelectedTopic = log::Topic::Operator;
+    std::optional<base::TimePoint> LastAnswerAt;
+    /// Time that the outstanding read has gone unanswered.
+    base::Duration Overdue{};
+  };
+
+  /// Returns the times of each topic that is read.
+  std::vector<ReadTimes> readTimes(base::TimePoint now) const;
 
   /// Returns whether the store answers reads of the operator's record.
   bool isOperatorReachable() const {
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -87,6 +87,7 @@
 }
 
 void TopicReader::list() {
+  AnswerDue = base::SystemClock().now();
   Store->list(SelectedTopic,
               [weak = weak_from_this(), startedAt = base::BootClock().now()](
                   const log::TopicAnswer &answer) {
@@ -101,6 +102,7 @@
 }
 
 void TopicReader::follow(const fleet::TopicStep &step) {
+  AnswerDue = base::SystemClock().now() + step.Wait;
   Store->follow(
       SelectedTopic, step.From, step.Wait,
       [weak = weak_from_this(), from = step.From,
@@ -119,6 +121,7 @@
                                std::string_view operation,
                                const fleet::TopicRead &read,
                                base::TimePoint startedAt) {
+  AnswerDue.reset();
   bool isReachable = answer.Reached || answer.Expired;
   if (isReachable)
     LastAnswerAt = base::SystemClock().now();
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -4,6 +4,7 @@
 #include <LibFleet/TopicFollower.h>
 #include <LibLog/KeyedStore.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -57,6 +58,13 @@
   /// answer.
   std::optional<base::TimePoint> lastAnswerAt() const { return LastAnswerAt; }
 
+  /// Returns how long the outstanding read has gone unanswered beyond the time
+  /// for which the store may hold it.
+  base::Duration overdue(base::TimePoint now) const {
+    return AnswerDue ? std::max(now - *AnswerDue, base::Duration::zero())
+                     : base::Duration::zero();
+  }
+
   /// Returns whether the store answered the last read.
   bool isReachable() const { return IsReachable; }
 
@@ -75,6 +83,8 @@
   boost::asio::steady_timer Timer;
   bool IsReachable = true;
   std::optional<base::TimePoint> LastAnswerAt;
+  /// When the outstanding read should be answered at the latest.
+  std::optional<base::TimePoint> AnswerDue;
   bool IsPausing = false;
   bool IsResting = false;
 };
--- a/Libraries/LibPeer/FleetExternal.cpp
+++ b/Libraries/LibPeer/FleetExternal.cpp
@@ -79,6 +79,23 @@
   send(Members.pushDigest());
 }
 
+void FleetNode::logConfirmation() {
+  auto age = Freshness.currentAge(LastElapsed);
+  if (!Environment.External.Version || !age)
+    return;
+  bool isUnconfirmed = *age > Environment.Freshness.Bound;
+  if (isUnconfirmed == std::exchange(IsUnconfirmed, isUnconfirmed))
+    return;
+  base::log(
+      isUnconfirmed ? base::LogLevel::Warning : base::LogLevel::Info,
+      isUnconfirmed ? "external configuration unconfirmed"
+                    : "external configuration confirmed",
+      {{"version", std::to_string(Environment.External.Version())},
+       {"age_ms", std::to_string(age->count() / MicrosecondsPerMs)},
+       {"duty", std::string(base::nameOf(fleet::ReadDutyNames, LastDuty))},
+       {"rank", std::to_string(ownRank().Rank)}});
+}
+
 void FleetNode::serveExternal(const PullRequest &request, PullAnswer &answer) {
   const auto &external = Environment.External;
   if (!external.Version || external.Version() <= request.From)
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -141,6 +141,7 @@
   putInForce();
   replicate();
   pushFreshness();
+  logConfirmation();
   catchUpWithPeers();
   writeSnapshotIfDue();
   Environment.Platform->continueTruncation();
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -118,6 +118,10 @@
   void handleExternalDigest(const fleet::NodeId &sender,
                             const fleet::FreshnessReport &report);
   void pushFreshness();
+  /// Logs when the external configuration has not been confirmed for longer
+  /// than the bound within which a new version is in force, and when it is
+  /// confirmed again.
+  void logConfirmation();
   void catchUpWithPeers();
   void externalAnswered(const fleet::NodeId &peer,
                         std::optional<PullAnswer> answer);
@@ -149,6 +153,8 @@
   fleet::RecordFreshness Freshness;
   base::TimePoint LastElapsed{}; ///< Time of the last tick by elapsedClock().
   fleet::ReadDuty::Kind LastDuty = fleet::ReadDuty::Kind::None;
+  /// The external configuration has not been confirmed in time.
+  bool IsUnconfirmed = false;
   fleet::ReaderRank OwnRank;
   /// Membership generation that OwnRank was computed for.
   uint64_t OwnRankGeneration = UINT64_MAX;
--- a/Tests/LibAdmin/MockNodeControl.h
+++ b/Tests/LibAdmin/MockNodeControl.h
@@ -20,6 +20,9 @@
   std::vector<fleet::Member> members() const override { return Members; }
   base::Metrics &metrics() override { return Counters; }
   bool ready() const override { return Ready; }
+  std::optional<base::Duration> externalAge() const override {
+    return ExternalAge;
+  }
   void change(log::Record record, base::Duration timeout,
               std::function<void(ChangeOutcome)> done) override;
   boost::json::value usage() const override { return Usage; }
@@ -39,6 +42,7 @@
   base::Metrics Counters;
   boost::json::value Usage = boost::json::object();
   bool Ready = true;
+  std::optional<base::Duration> ExternalAge;
   bool Draining = false;
   bool LosesResponses = false; ///< Appends take effect, responses are lost.
   bool IsPlatformUnreachable = false; ///< The platform cannot be reached.
--- a/Tests/LibAdmin/TestApi.cpp
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -145,7 +145,11 @@
   CHECK(Node.Appends == 1);
   CHECK(documentOf(get("/v1/records/record-0001")) == document);
 
+  auto before = documentOf(get("/v1/status"));
+  CHECK_FALSE(before.as_object().contains("external_confirmed_age_ms"));
+  Node.ExternalAge = std::chrono::milliseconds(1234);
   auto status = documentOf(get("/v1/status?configuration=badges"));
+  CHECK(status.at("external_confirmed_age_ms").as_int64() == 1234);
   const auto &row = status.at("configurations").at(0);
   CHECK(row.at("version").as_int64() == 1);
   CHECK(row.at("wanted").as_int64() == 1);
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -375,14 +375,17 @@
   std::optional<http::Response> page;
   REQUIRE(mesh.runUntil([&] {
     page = get("/metrics");
-    return page && page->body().find("topic=\"nodes\"") != std::string::npos;
+    return page &&
+           page->body().find("store_told_age_seconds{topic=\"nodes\"") !=
+               std::string::npos;
   }));
   CHECK(page->result_int() == 200);
   for (const char *name :
        {"calls_total{rank=\"critical\",outcome=\"answered\"} 0",
         "targets{state=\"ready\"} 1", "members_by_state{state=\"alive\"} 3",
         "store_calls_total{call=\"list\",result=\"answered\"} ",
-        "store_told_age_seconds{topic=\"nodes\"} ", "ready 1",
+        "store_told_age_seconds{topic=\"nodes\"} ",
+        "store_read_overdue_seconds{topic=\"nodes\"} ", "ready 1",
         "gate_limit{service=\"badges/lookup\"} 9"}) {
     CAPTURE(name);
     CHECK(page->body().find(name) != std::string::npos);
--- a/Tests/StandIns/StoreModel.cpp
+++ b/Tests/StandIns/StoreModel.cpp
@@ -87,9 +87,21 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+asio::awaitable<void> StoreModel::awaitGone(http::IncomingRequest &incoming) {
+  asio::steady_timer timer(Context, asio::steady_timer::time_point::max());
+  incoming.Watch->OnGone = [&timer] { timer.cancel(); };
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  incoming.Watch->OnGone = nullptr;
+}
+
 asio::awaitable<http::Response>
 StoreModel::handle(http::IncomingRequest incoming) {
   std::string target(incoming.Message.target());
+  if (Silent) {
+    co_await awaitGone(incoming);
+    throw http::DropConnection();
+  }
   if (DelayMs > 0)
     co_await pause(milliseconds(DelayMs));
   if (Outage)
@@ -165,6 +177,11 @@
   wake();
 }
 
+void StoreModel::setSilent(bool silent) {
+  Silences += silent && !Silent ? 1 : 0;
+  Silent = silent;
+}
+
 void StoreModel::wake() {
   for (auto *it : Waiting)
     it->cancel();
@@ -190,8 +207,13 @@
   std::string target(incoming.Message.target());
   auto name = textAt(target, "topic");
   uint64_t from = numberAt(target, "from", 0);
+  auto silences = Silences;
   co_await awaitRecord(name, from, milliseconds(numberAt(target, "waitMs", 0)),
                        incoming);
+  if (Silences != silences) {
+    co_await awaitGone(incoming);
+    throw http::DropConnection();
+  }
   if (Outage)
     co_return errorResponse(503);
   const auto &topic = Topics[name];
--- a/Tests/StandIns/StoreModel.h
+++ b/Tests/StandIns/StoreModel.h
@@ -35,6 +35,10 @@
 
   void setOutage(bool outage);
   bool Outage = false; ///< Answer each request with 503.
+
+  /// Starts or ends a time in which no request is answered. Requests that are
+  /// open at its start, or arrive in it, are never answered.
+  void setSilent(bool silent);
   /// Number of appends to execute without an answer.
   uint64_t AnswersToLose = 0;
   uint64_t DelayMs = 0;            ///< Delay before each answer.
@@ -56,6 +60,8 @@
   };
 
   boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+  /// Waits until the client has closed the connection.
+  boost::asio::awaitable<void> awaitGone(http::IncomingRequest &incoming);
   boost::asio::awaitable<http::Response> read(http::IncomingRequest &incoming);
   boost::asio::awaitable<void> awaitRecord(const std::string &topic,
                                            uint64_t from,
@@ -69,6 +75,8 @@
   boost::asio::io_context &Context;
   std::map<std::string, Topic> Topics;
   std::list<boost::asio::steady_timer *> Waiting;
+  bool Silent = false;
+  uint64_t Silences = 0; ///< Number of silent times so far.
 };
 
 } // namespace radishcross::standins
