Tests/LibNode: Reproduce nodes kept on an old version by an unanswered read

One node, three nodes in two data centres and six in one read a store that falls silent for 0.4 s, then 2.5 s, and loses the requests that are open.

--- a/Tests/LibNode/TestUnansweredStoreReads.cpp
+++ b/Tests/LibNode/TestUnansweredStoreReads.cpp
@@ -107,3 +107,30 @@
   REQUIRE(node.externalAge());
   CHECK(*node.externalAge() > Bound);
 }
+
+TEST_CASE("a read that is never answered keeps nodes on an old version") {
+  for (const std::vector<std::string> &dataCentres :
+       {std::vector<std::string>{"a"},
+        {"a", "a", "b"},
+        {"a", "a", "a", "a", "a", "a"}}) {
+    CAPTURE(dataCentres.size());
+    Mesh mesh(dataCentres);
+    // Until now a node may read more often, as it may not know all others.
+    mesh.run(fleet::FreshnessSettings().DiscoveryTime);
+    uint64_t version = 1;
+    for (auto silence : {400ms, 2500ms}) {
+      CAPTURE(silence.count());
+      mesh.publish(++version);
+      REQUIRE(mesh.runUntil([&] { return mesh.allHold(version); }, Bound));
+      // Reads after a new version are spaced; all are open now.
+      mesh.run(1500ms);
+      mesh.Platform.Store.setSilent(true);
+      mesh.run(silence);
+      mesh.Platform.Store.setSilent(false);
+      mesh.publish(++version);
+      CHECK(mesh.runUntil([&] { return mesh.allHold(version); }, Bound));
+      if (!mesh.allHold(version))
+        break;
+    }
+  }
+}
