LibHttp, LibFleet, Platform: Repeat reads of the store that are not answered

Cause: a belief about the newest version had no bound on its age. In data centres of up to four nodes each node waited for one read, held by the store for up to 25 s, and 3 s more; one that is lost with its connection or with the store's memory is never answered, and nothing else was read meanwhile. Class: a time-out longer than the bound that it guards.

Why this works: a read that is not answered 30% of the bound after it should have been, and then each 50%, is sent again over a new connection, to be answered at once; the first answer counts, so that a slow store is still read. Small data centres read as larger ones do: one reader with waits of 30% of the bound, and its peers by themselves where its reports age. The first two ranks retry a failed read within 40% of the bound.

The test "in a small data centre each node follows the record for itself" asked for waits of 20 s and more, the fault itself; "... nothing bounds the age of a node's reading" asks for the bound, at the same sizes.

--- a/Libraries/LibFleet/RecordFreshness.cpp
+++ b/Libraries/LibFleet/RecordFreshness.cpp
@@ -14,9 +14,8 @@
     55; ///< For the first rank after the reader.
 constexpr int64_t LastReportAgePercent = 70; ///< For the last rank.
 
-/// For a node that follows the record for itself only; the store allows 30 s.
-constexpr base::Duration SoloLongPoll = std::chrono::seconds(25);
-constexpr base::Duration ReaderLongestPause = std::chrono::milliseconds(1500);
+constexpr int64_t EagerPausePercent = 40;
+
 /// For nodes that can wait for the readers' reports.
 constexpr base::Duration OthersLongestPause = std::chrono::seconds(3);
 
@@ -103,18 +102,17 @@
                                base::TimePoint now) const {
   if (now < StartupDelayEnds)
     return {};
-  bool isSmall = rank.Count <= Settings.MaximumIndependentFollowers;
-  if (isSmall && now - Started >= Settings.DiscoveryTime)
-    return {ReadDuty::Kind::Follow, SoloLongPoll, Settings.Bound / 2,
-            ReaderLongestPause};
+  ReadDuty out{ReadDuty::Kind::Follow, boundShare(LongPollPercent),
+               boundShare(SpacingPercent),
+               rank.Rank < Settings.EagerReaders ? boundShare(EagerPausePercent)
+                                                 : OthersLongestPause};
   if (rank.Rank == 0)
-    return {ReadDuty::Kind::Follow, boundShare(LongPollPercent),
-            boundShare(SpacingPercent), ReaderLongestPause};
+    return out;
   auto since = std::max(CurrentAt.value_or(Started), Started);
   if (now - since < maximumReportAge(rank))
     return {};
-  return {ReadDuty::Kind::Once, boundShare(LongPollPercent),
-          boundShare(SpacingPercent), OthersLongestPause};
+  out.What = ReadDuty::Kind::Once;
+  return out;
 }
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/RecordFreshness.h
+++ b/Libraries/LibFleet/RecordFreshness.h
@@ -28,13 +28,9 @@
   /// A starting node does not read before this time: by then its peers have
   /// reported.
   base::Duration StartupDelay = std::chrono::milliseconds(250);
-  /// In a data centre with at most this many live nodes each node follows the
-  /// record itself, which takes fewer calls to the store than frequent reports
-  /// do.
-  uint32_t MaximumIndependentFollowers = 4;
-  /// After this time a starting node is assumed to know the live nodes of its
-  /// data centre; before, it may know only a few.
-  base::Duration DiscoveryTime = std::chrono::seconds(3);
+  /// This many nodes of each data centre, by rank, read again soon after a
+  /// failed read; the others can wait for their reports.
+  uint32_t EagerReaders = 2;
 };
 
 /// A node's rank by rendezvous hashing among the live nodes of its data centre.
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -1,7 +1,5 @@
 #include <LibHttp/Client.h>
 
-#include <LibHttp/Connection.h>
-
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -33,8 +31,14 @@
                                                base::Duration timeout,
                                                base::LastReason &reason) {
   auto executor = co_await asio::this_coro::executor;
-  auto connection =
-      std::make_shared<Connection>(asio::ip::tcp::socket(executor));
+  co_return co_await fetchOver(
+      std::make_shared<Connection>(asio::ip::tcp::socket(executor)),
+      std::move(server), std::move(request), timeout, reason);
+}
+
+asio::awaitable<std::optional<Response>>
+fetchOver(ConnectionPointer connection, base::Address server, Request request,
+          base::Duration timeout, base::LastReason &reason) {
   auto startTime = std::chrono::steady_clock::now();
   connection->expireAfter(std::min(timeout, ConnectTimeout));
   if (!co_await connection->connect(server))
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
+#include <LibHttp/Connection.h>
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,6 +18,12 @@
                                                       base::Duration timeout,
                                                       base::LastReason &reason);
 
+/// Does the same over \p connection, which is not connected yet; closing it
+/// ends the request.
+boost::asio::awaitable<std::optional<Response>>
+fetchOver(ConnectionPointer connection, base::Address server, Request request,
+          base::Duration timeout, base::LastReason &reason);
+
 /// Blocking variant for command-line programs; runs its own io_context.
 std::optional<Response> fetchBlocking(const base::Address &server,
                                       Request request, base::Duration timeout,
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -148,6 +148,7 @@
   size_t n = co_await Socket.async_read_some(
       Buffer.prepare(chunk), asio::redirect_error(asio::use_awaitable, ec));
   Buffer.commit(n);
+  BytesReceived += n;
   ReachedEof = ec == asio::error::eof;
   if (!ec)
     co_return ReadStatus::Complete;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -97,6 +97,9 @@
   /// Returns whether bytes beyond the last message have been read.
   bool hasBufferedInput() const { return Buffer.size() > 0; }
 
+  /// Returns how many bytes have been received from the peer.
+  size_t bytesReceived() const { return BytesReceived; }
+
   /// Returns the number of received bytes that were not read as part of a
   /// message: discarded by lingeringClose(), in the buffer or, while the socket
   /// is open, in the kernel.
@@ -145,6 +148,7 @@
   boost::beast::flat_buffer Buffer;
   std::string Output;
   size_t BytesWritten = 0;
+  size_t BytesReceived = 0;
   size_t DiscardedBytes = 0;
   Clock::time_point DeadlineAt = NoDeadline;
   bool TimerRunning = false;
--- a/Libraries/LibNode/PlatformPorts.h
+++ b/Libraries/LibNode/PlatformPorts.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Metrics.h>
 #include <LibConfig/ExternalConfiguration.h>
+#include <LibHttp/RepeatSchedule.h>
 #include <LibLog/KeyedStore.h>
 
 #include <boost/asio/io_context.hpp>
@@ -17,7 +18,8 @@
 /// The interfaces that a node needs from the platform that it runs on.
 struct PlatformPorts {
   std::function<std::unique_ptr<log::KeyedStore>(
-      boost::asio::io_context &, std::vector<base::Address>, base::Metrics &)>
+      boost::asio::io_context &, std::vector<base::Address>, base::Metrics &,
+      http::RepeatPolicy readPolicy)>
       OpenStore;
   /// Decodes a record of the operator's topic; returns nothing if it is not a
   /// valid version.
--- a/Tests/LibFleet/TestRecordFreshness.cpp
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -14,8 +14,14 @@
 
 constexpr base::Duration Bound = 2s;
 
-/// How the store answers a node.
-enum class Store : uint8_t { Serves, Refuses };
+/// How the store answers a node. Reads that are open while it is silent are
+/// never answered.
+enum class Store : uint8_t { Serves, Refuses, Silent };
+
+/// When an unanswered read is repeated and when it fails.
+constexpr base::Duration FirstRepeat = Bound * 3 / 10;
+constexpr base::Duration RepeatSpacing = Bound / 2;
+constexpr base::Duration ReadTimeout = 3s;
 
 /// Nodes that read the operator's record as RecordFreshness decides and pull
 /// versions from peers that report them. Counts the calls to the store.
@@ -32,7 +38,10 @@
     base::TimePoint BeganAt{};
     bool IsReading = false;
     bool IsFollowing = false;
-    uint64_t Pulled = 0; ///< Version being pulled from a peer.
+    bool IsLost = false;          ///< The open read will not be answered.
+    base::TimePoint NextRepeat{}; ///< Of the open read.
+    base::TimePoint FailsAt{};    ///< The same.
+    uint64_t Pulled = 0;          ///< Version being pulled from a peer.
     base::TimePoint PullEnds{};
     uint32_t Failures = 0;
     ReadDuty Duty{};
@@ -66,6 +75,11 @@
     return 0;
   }
 
+  void setStore(Store mode) {
+    for (auto &[n, it] : StoreModes)
+      it = mode;
+  }
+
   std::map<size_t, Reader> Readers;
   std::map<size_t, Store> StoreModes;
   std::set<size_t> Frozen;
@@ -125,23 +139,45 @@
     it.IsReading = true;
     it.BeganAt = Now;
     it.IsFollowing = it.IsListed;
-    it.ReadEnds = Now + CallTime + (it.IsFollowing ? it.Duty.LongPoll : 0s);
+    auto hold = it.IsFollowing ? it.Duty.LongPoll : base::Duration::zero();
+    it.ReadEnds = Now + CallTime + hold;
+    it.NextRepeat = Now + hold + FirstRepeat;
+    it.FailsAt = Now + hold + ReadTimeout;
+    it.IsLost = false;
+  }
+
+  void repeatLostRead(size_t n, Reader &it) {
+    if (Now >= it.FailsAt)
+      return endFailedRead(it);
+    if (Now < it.NextRepeat)
+      return;
+    ++Calls;
+    it.NextRepeat = Now + RepeatSpacing;
+    it.IsLost = StoreModes.at(n) == Store::Silent;
+    it.IsFollowing = false;
+    it.BeganAt = Now;
+    it.ReadEnds = Now + CallTime;
+  }
+
+  void endFailedRead(Reader &it) {
+    it.IsReading = it.IsListed = false;
+    it.NextRead = Now + std::min<base::Duration>(
+                            200ms * (1U << std::min(it.Failures++, 8U)),
+                            it.Duty.LongestPause);
   }
 
   void endRead(size_t n, Reader &it) {
+    it.IsLost |= StoreModes.at(n) == Store::Silent;
+    if (it.IsLost)
+      return repeatLostRead(n, it);
     bool isRefused = StoreModes.at(n) == Store::Refuses;
     bool hasNews =
         it.IsFollowing && Version > it.Held && Now >= it.BeganAt + CallTime;
     if (Now < it.ReadEnds && !isRefused && !hasNews)
       return;
+    if (isRefused)
+      return endFailedRead(it);
     it.IsReading = false;
-    if (isRefused) {
-      it.IsListed = false;
-      it.NextRead = Now + std::min<base::Duration>(
-                              200ms * (1U << std::min(it.Failures++, 8U)),
-                              it.Duty.LongestPause);
-      return;
-    }
     it.Failures = 0;
     it.IsListed = true;
     if (Version > it.Held) {
@@ -291,30 +327,61 @@
 TEST_CASE("each node makes a bounded number of calls to a store that is down") {
   ReadingFleet fleet(7);
   startAll(fleet, 60);
-  for (auto &[n, mode] : fleet.StoreModes)
-    mode = Store::Refuses;
+  fleet.setStore(Store::Refuses);
   auto before = fleet.Calls;
   fleet.run(10s);
   CHECK(fleet.Calls - before < 60 * 7);
-  for (auto &[n, mode] : fleet.StoreModes)
-    mode = Store::Serves;
+  fleet.setStore(Store::Serves);
   fleet.publish();
   // After the store is back 4 s are allowed; its readers retry sooner.
   fleet.run(3s);
   CHECK(fleet.behind() == 0);
 }
 
-TEST_CASE("in a small data centre each node follows the record for itself") {
-  RecordFreshness it({Bound}, 1, base::TimePoint{1h});
-  auto now = base::TimePoint{1h};
-  CHECK(it.duty({0, 3}, now).What == ReadDuty::Kind::None);
-  now += 1s;
-  CHECK(it.duty({0, 3}, now).What == ReadDuty::Kind::Follow);
-  CHECK(it.duty({2, 3}, now).What == ReadDuty::Kind::None);
-  now += 3s;
-  auto duty = it.duty({2, 3}, now);
-  CHECK(duty.What == ReadDuty::Kind::Follow);
-  CHECK(duty.LongPoll >= 20s);
+TEST_CASE("a store that loses all open reads makes versions late") {
+  for (size_t size : {3, 9, 60})
+    for (uint64_t seed : {1, 2, 3})
+      for (auto silence : {400ms, 1000ms, 2000ms, 4000ms, 7000ms, 10000ms}) {
+        CAPTURE(size);
+        CAPTURE(seed);
+        CAPTURE(silence.count());
+        ReadingFleet fleet(seed);
+        startAll(fleet, size);
+        base::Random rng(seed);
+        // A second outage begins while nodes recover from the first.
+        for (auto length : {base::Duration(silence), base::Duration(400ms)}) {
+          fleet.run(std::chrono::milliseconds(rng.below(1500)));
+          fleet.setStore(Store::Silent);
+          fleet.run(length);
+          fleet.setStore(Store::Serves);
+          fleet.publish();
+          fleet.run(Bound);
+          CHECK(fleet.behind() == 0);
+          CHECK(fleet.latest() < Bound);
+        }
+      }
+}
+
+TEST_CASE("in a small data centre nothing bounds the age of a node's reading") {
+  for (uint32_t live : {1, 2, 3, 4}) {
+    CAPTURE(live);
+    auto now = base::TimePoint{1h};
+    RecordFreshness it({Bound}, 1, now);
+    CHECK(it.duty({0, live}, now).What == ReadDuty::Kind::None);
+    now += 1min;
+    auto duty = it.duty({0, live}, now);
+    CHECK(duty.What == ReadDuty::Kind::Follow);
+    CHECK(duty.LongPoll < Bound / 2);
+    CHECK(duty.LongestPause < Bound / 2);
+    // The others rest while reports are fresh and no longer.
+    it.readConfirmed(now);
+    CHECK(it.duty({live - 1, live}, now + Bound / 2).What ==
+          (live == 1 ? ReadDuty::Kind::Follow : ReadDuty::Kind::None));
+    auto late = it.duty({live - 1, live}, now + Bound * 3 / 4);
+    CHECK(late.What ==
+          (live == 1 ? ReadDuty::Kind::Follow : ReadDuty::Kind::Once));
+    CHECK(late.LongPoll < Bound / 2);
+  }
 }
 
 TEST_CASE("a version reported without an age triggers no read at once") {
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -41,7 +41,7 @@
   node::PlatformPorts makePorts(const std::string &id) {
     node::PlatformPorts out;
     out.OpenStore = [this, id](boost::asio::io_context &context, auto,
-                               base::Metrics &) {
+                               base::Metrics &, http::RepeatPolicy) {
       return std::make_unique<test::FakeStore>(context, Content,
                                                Behaviours[id]);
     };
--- a/Tests/LibNode/TestUnansweredStoreReads.cpp
+++ b/Tests/LibNode/TestUnansweredStoreReads.cpp
@@ -116,7 +116,7 @@
     CAPTURE(dataCentres.size());
     Mesh mesh(dataCentres);
     // Until now a node may read more often, as it may not know all others.
-    mesh.run(fleet::FreshnessSettings().DiscoveryTime);
+    mesh.run(3s);
     uint64_t version = 1;
     for (auto silence : {400ms, 2500ms}) {
       CAPTURE(silence.count());
