Tests/LibFleet: Lose readers of the operator's record in small data centres

The reader's loss was played with 60 nodes only. 3, 6, 9 and 12 nodes in three data centres now lose one or all readers (killed, frozen, refused by the store, unanswered by it, cut off) under a version each 0.7 s, and 1 to 12 nodes get versions each 0.25 s before they agree on ranks and after all but one were replaced at once. No version is late; no code is changed.

What keeps the fault away: a node reads for itself once its freshest report is older than 55 to 70% of the bound.

--- a/Tests/LibFleet/TestRecordFreshness.cpp
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <optional>
+#include <set>
 
 using namespace radishcross;
 using namespace radishcross::fleet;
@@ -277,6 +278,83 @@
     }
 }
 
+TEST_CASE(
+    "in small data centres no version is late, whatever happens to one or "
+    "all readers") {
+  enum class What : uint8_t { Killed, Frozen, Refused, Silent, Cut };
+  for (size_t size : {3, 6, 9, 12})
+    for (auto what :
+         {What::Killed, What::Frozen, What::Refused, What::Silent, What::Cut})
+      for (bool isOne : {true, false})
+        for (uint64_t seed = 1; seed <= 8; ++seed) {
+          CAPTURE(size);
+          CAPTURE(static_cast<int>(what));
+          CAPTURE(isOne);
+          CAPTURE(seed);
+          ReadingFleet fleet(seed);
+          startAll(fleet, size);
+          fleet.run(std::chrono::milliseconds(seed * 130));
+          std::set<size_t> readers{fleet.readerOf("dc-1")};
+          for (size_t n = 0; n < DataCentres && !isOne; ++n)
+            readers.insert(fleet.readerOf(nameOf(n)));
+          for (auto it : readers) {
+            if (what == What::Killed)
+              fleet.Down.insert(it);
+            if (what == What::Frozen)
+              fleet.Frozen.insert(it);
+            if (what == What::Refused)
+              fleet.StoreModes[it] = Store::Refuses;
+            if (what == What::Silent)
+              fleet.StoreModes[it] = Store::Silent;
+            if (what == What::Cut)
+              fleet.partition([&](size_t n) { return n == it; });
+          }
+          // No node that the store serves may be left where it answers none.
+          bool isServed = size > DataCentres || isOne || what == What::Cut;
+          if (!isServed)
+            continue;
+          auto lost = what == What::Frozen ? readers.size() : 0;
+          for (int n = 0; n < 8; ++n) {
+            fleet.publish();
+            fleet.run(700ms);
+          }
+          fleet.run(Bound - 700ms);
+          CHECK(fleet.behind() == lost);
+          CHECK(fleet.latest() < Bound);
+        }
+}
+
+TEST_CASE("no version is late before nodes agree on their ranks") {
+  for (size_t size : {1, 2, 3, 6, 12})
+    for (uint64_t seed = 1; seed <= 8; ++seed) {
+      CAPTURE(size);
+      CAPTURE(seed);
+      ReadingFleet fleet(seed);
+      for (size_t n = 0; n < size; ++n) {
+        fleet.start(n, nameOf(n));
+        fleet.run(std::chrono::milliseconds(seed * 40));
+      }
+      for (int n = 0; n < 12; ++n) {
+        fleet.publish();
+        fleet.run(250ms);
+      }
+      // All of a data centre's nodes but one are replaced at once.
+      for (size_t n = 1; n < size; ++n)
+        fleet.start(n, nameOf(n), 2000);
+      fleet.IsMeasured = false;
+      fleet.run(Bound);
+      CHECK(fleet.behind() == 0);
+      fleet.IsMeasured = true;
+      for (int n = 0; n < 12; ++n) {
+        fleet.publish();
+        fleet.run(250ms);
+      }
+      fleet.run(Bound);
+      CHECK(fleet.behind() == 0);
+      CHECK(fleet.latest() < Bound);
+    }
+}
+
 TEST_CASE("no version is late if all readers are lost when it is published") {
   for (uint64_t seed : {1, 2, 3}) {
     ReadingFleet fleet(seed);
