LibHttp: Repeat a read whose large response stops midway

Callers could see old routes for longer than the bound: a read that loses its connection after n bytes of the response was repeated only after the time that n bytes take at the slowest rate, though nothing arrived any more. At the 256 KB of the largest record that is 0.9 s more: the answer to a read held for 0.6 s was asked for again up to 2.1 s after it began. A page of a list (1 MB) was not repeated within its time-out of 3 s at all.

Cause: bytes received counted as progress for good. Now they delay the repeat for as long as more arrive, and at most FirstDelay after the last one. One byte at a time is still bounded by the rate.

The cases of RepeatSchedule keep their figures; they state in addition when the last bytes arrived.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -149,6 +149,8 @@
       Buffer.prepare(chunk), asio::redirect_error(asio::use_awaitable, ec));
   Buffer.commit(n);
   BytesReceived += n;
+  if (n > 0)
+    LastReceivedAt = base::SystemClock().now();
   ReachedEof = ec == asio::error::eof;
   if (!ec)
     co_return ReadStatus::Complete;
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -100,6 +100,9 @@
   /// Returns how many bytes have been received from the peer.
   size_t bytesReceived() const { return BytesReceived; }
 
+  /// Returns when bytes were received last.
+  base::TimePoint lastReceivedAt() const { return LastReceivedAt; }
+
   /// Returns the number of received bytes that were not read as part of a
   /// message: discarded by lingeringClose(), in the buffer or, while the socket
   /// is open, in the kernel.
@@ -151,6 +154,7 @@
   std::string Output;
   size_t BytesWritten = 0;
   size_t BytesReceived = 0;
+  base::TimePoint LastReceivedAt{};
   size_t DiscardedBytes = 0;
   Clock::time_point DeadlineAt = NoDeadline;
   bool TimerRunning = false;
--- a/Libraries/LibHttp/RepeatSchedule.cpp
+++ b/Libraries/LibHttp/RepeatSchedule.cpp
@@ -29,10 +29,12 @@
 }
 
 std::optional<base::TimePoint>
-RepeatSchedule::nextRepeat(size_t bytesReceived) const {
-  auto out = NextRepeat +
-             std::chrono::microseconds(bytesReceived * MicrosecondsPerSecond /
-                                       Policy.LeastBytesPerSecond);
+RepeatSchedule::nextRepeat(const ResponseProgress &progress) const {
+  auto slowest = NextRepeat + std::chrono::microseconds(
+                                  progress.Bytes * MicrosecondsPerSecond /
+                                  Policy.LeastBytesPerSecond);
+  auto stopped = progress.LastAt + Policy.FirstDelay;
+  auto out = std::max(NextRepeat, std::min(slowest, stopped));
   return out < FailsAt ? std::optional(out) : std::nullopt;
 }
 
--- a/Libraries/LibHttp/RepeatSchedule.h
+++ b/Libraries/LibHttp/RepeatSchedule.h
@@ -16,7 +16,8 @@
   base::Duration Spacing = std::chrono::seconds(1); ///< Between two repeats.
   base::Duration Timeout =
       std::chrono::seconds(3); ///< Until the request fails.
-  /// A response that arrives at this rate or faster delays the next repeat.
+  /// A response that arrives at this rate or faster delays the next repeat,
+  /// unless nothing has arrived for FirstDelay.
   uint64_t LeastBytesPerSecond = 290'000;
 
   /// Returns the policy by which what a request returns is known within
@@ -26,6 +27,12 @@
                                   uint64_t linkBytesPerSecond);
 };
 
+/// What has arrived of a response.
+struct ResponseProgress {
+  size_t Bytes = 0;
+  base::TimePoint LastAt{}; ///< When bytes arrived last.
+};
+
 /// Decides when one request is sent again over a new connection: a connection
 /// that has lost a response never delivers it, and a server that has been away
 /// may have forgotten the request. Times are of the steady clock.
@@ -36,9 +43,10 @@
       : Policy(policy), NextRepeat(answerDue + policy.FirstDelay),
         FailsAt(answerDue + policy.Timeout) {}
 
-  /// Returns the time of the next repeat, given the bytes of a response that
-  /// have arrived so far; nothing if the request fails before it.
-  std::optional<base::TimePoint> nextRepeat(size_t bytesReceived) const;
+  /// Returns the time of the next repeat, given what has arrived so far;
+  /// nothing if the request fails before it.
+  std::optional<base::TimePoint>
+  nextRepeat(const ResponseProgress &progress) const;
 
   /// Handles a repeat sent at \p now.
   void repeated(base::TimePoint now) { NextRepeat = now + Policy.Spacing; }
--- a/Libraries/LibHttp/RepeatingClient.cpp
+++ b/Libraries/LibHttp/RepeatingClient.cpp
@@ -32,11 +32,15 @@
     Ended.cancel();
   }
 
-  size_t bytesReceived() const {
-    size_t most = 0;
-    for (const auto &it : Connections)
-      most = std::max(most, it->bytesReceived());
-    return most;
+  ResponseProgress progress() const {
+    ResponseProgress out;
+    for (const auto &it : Connections) {
+      if (it->bytesReceived() == 0)
+        continue;
+      out.Bytes = std::max(out.Bytes, it->bytesReceived());
+      out.LastAt = std::max(out.LastAt, it->lastReceivedAt());
+    }
+    return out;
   }
 
   std::vector<ConnectionPointer> Connections; ///< One for each copy.
@@ -79,12 +83,12 @@
            schedule.failsAt() - clock.now());
   while (!copies->HasEnded) {
     // Without a repeat the newest copy ends the request at its timeout.
-    auto due = schedule.nextRepeat(copies->bytesReceived());
+    auto due = schedule.nextRepeat(copies->progress());
     copies->Ended.expires_at(due.value_or(base::TimePoint::max()));
     boost::system::error_code ec;
     co_await copies->Ended.async_wait(
         asio::redirect_error(asio::use_awaitable, ec));
-    due = schedule.nextRepeat(copies->bytesReceived());
+    due = schedule.nextRepeat(copies->progress());
     auto now = clock.now();
     if (copies->HasEnded || !due || now < *due)
       continue;
--- a/Tests/LibHttp/TestRepeatingClient.cpp
+++ b/Tests/LibHttp/TestRepeatingClient.cpp
@@ -112,6 +112,20 @@
   }
 }
 
+TEST_CASE("a large response that stops midway is waited for as if it arrived "
+          "slowly") {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n";
+  std::string half(200'000, 'x');
+  asio::io_context context(1);
+  ScriptedServer server(context, {{head + half}, {head + half + half}});
+  auto policy = quickPolicy();
+  policy.LeastBytesPerSecond = 10'000;
+  policy.Timeout = 10s; // Less than what the bytes received would take.
+  auto got = fetchFrom(context, server.address(), policy);
+  REQUIRE(got.Response);
+  CHECK(got.Response->body().size() == 400'000);
+}
+
 TEST_CASE("a request is repeated until the server is back") {
   asio::io_context context(1);
   ScriptedServer server(context, {{}, {}, {}, {Whole}});
@@ -164,18 +178,33 @@
   policy.LeastBytesPerSecond = 100'000;
   base::TimePoint due{10s};
   http::RepeatSchedule it(policy, due);
-  CHECK(it.nextRepeat(0) == due + policy.FirstDelay);
-  CHECK(it.nextRepeat(1) == due + policy.FirstDelay + 10us);
-  CHECK(it.nextRepeat(100'000) == due + policy.FirstDelay + 1s);
+  auto last = due + 2s; // The last bytes arrive then.
+  CHECK(it.nextRepeat({}) == due + policy.FirstDelay);
+  CHECK(it.nextRepeat({1, last}) == due + policy.FirstDelay + 10us);
+  CHECK(it.nextRepeat({100'000, last}) == due + policy.FirstDelay + 1s);
   // It fails before.
-  CHECK_FALSE(it.nextRepeat(1'000'000));
+  CHECK_FALSE(it.nextRepeat({1'000'000, due + 2900ms}));
   it.repeated(due + 1s);
-  CHECK(it.nextRepeat(0) == due + 1s + policy.Spacing);
+  CHECK(it.nextRepeat({}) == due + 1s + policy.Spacing);
   it.repeated(due + 2500ms);
-  CHECK_FALSE(it.nextRepeat(0));
+  CHECK_FALSE(it.nextRepeat({}));
   CHECK(it.failsAt() == due + policy.Timeout);
 }
 
+TEST_CASE(
+    "a response that stops is repeated no later than one that never began") {
+  http::RepeatPolicy policy;
+  policy.LeastBytesPerSecond = 100'000;
+  base::TimePoint due{10s};
+  http::RepeatSchedule it(policy, due);
+  // The server may answer before the end of the time it may hold the request.
+  for (auto last : {due - 500ms, due, due + 100ms})
+    CHECK(it.nextRepeat({250'000, last}) ==
+          std::max(due, last) + policy.FirstDelay);
+  it.repeated(due + 700ms);
+  CHECK(it.nextRepeat({250'000, due + 100ms}) == due + 700ms + policy.Spacing);
+}
+
 TEST_CASE("repeats leave time to pass their result on within the bound") {
   for (base::Duration bound : {base::Duration(1s), base::Duration(2s),
                                base::Duration(3s), base::Duration(15s)}) {
