LibHttp: Compare all request ids on a response

What callers could see: "not run, try again" for a request that its target was running, after a faulty target wrote an earlier refusal once more with the ids of both requests. No such bytes have been seen at a target here; found by test.

Cause: of several id fields on a response the first alone was compared.

Why this works: a response belongs to a request only if each id on it is the request's. Others are skipped as before, and the connection is closed after.

Test seen to fail before: "an earlier request's refusal is never the answer to a later one", row "with both ids, its own last": CHECK( busy == done ).

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -141,15 +141,17 @@
     auto sent = Message.find(Plan.IdField);
     if (Plan.IdField.empty() || sent == Message.end())
       return ResponseOwner::Own;
-    auto got = response.find(Plan.IdField);
+    auto [first, last] = response.equal_range(Plan.IdField);
     bool isRefusal =
         Plan.ServerIsNode && response.count(calls::OutcomeHeader) != 0;
-    if (got == response.end())
+    if (first == last)
       return isRefusal || !Pool.echoesIds(Plan.Server) ? ResponseOwner::Own
                                                        : ResponseOwner::Missing;
     Pool.noteEchoedId(Plan.Server);
-    return got->value() == sent->value() ? ResponseOwner::Own
-                                         : ResponseOwner::Other;
+    bool isOwn = std::all_of(first, last, [&](const auto &it) {
+      return it.value() == sent->value();
+    });
+    return isOwn ? ResponseOwner::Own : ResponseOwner::Other;
   }
 
   /// A connection is reused only if no data is outstanding in either direction.
--- a/Tests/LibHttp/TestRepeatedRefusals.cpp
+++ b/Tests/LibHttp/TestRepeatedRefusals.cpp
@@ -202,6 +202,8 @@
        {Reads, writes(refusalWith(idLine("a") + idLine("a")) + answerTo("b"))}},
       {"with both ids, its own first",
        {Reads, writes(refusalWith(idLine("a") + idLine("b")) + answerTo("b"))}},
+      {"with both ids, its own last",
+       {Reads, writes(refusalWith(idLine("b") + idLine("a")) + answerTo("b"))}},
       {"with both ids in one field",
        {Reads, writes(refusalWith(id + ": b, a\r\n") + answerTo("b"))}},
       {"with the later id in another case",
