LibHttp: Close a connection after a refusal without an id

What callers could see: "not run, try again", or a further attempt at another target, for a request that its target was running, after that target had refused a request without an id on the same connection (the 400 that targets give such requests, or any other refusal) and wrote the refusal once more.

Cause: a response without an id belongs to whatever request is in flight, until its server has been seen to echo ids, and always where the request has none. A target that has got only requests without ids has not been seen so.

Why this works: a refusal can come once more only on a connection that brought one. After a refusal that no id ties to its request there is no such connection. Weighed: to treat all refusals without an id on kept connections as unknown would end refusals by targets that echo no ids with 502; new connections for all requests without ids would cost more than one for each that was refused. Targets that are reached with ids and echo them see no new connection. Nodes answer each request once, so their connections are kept; the load stand-in says now that its servers are nodes.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/Exchange.h>
 
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/Responses.h>
 
 #include <algorithm>
 #include <charconv>
@@ -126,7 +127,8 @@
         co_return fail(connection, end);
       ResponseOwner owner = findOwner(response);
       if (owner == ResponseOwner::Own) {
-        releaseOrClose(connection, response, isInSync);
+        bool isReusable = isInSync && isRecognisable(response);
+        releaseOrClose(connection, response, isReusable);
         co_return AttemptEnd::Answered;
       }
       if (owner == ResponseOwner::Missing)
@@ -154,10 +156,25 @@
     return isOwn ? ResponseOwner::Own : ResponseOwner::Other;
   }
 
+  /// Returns whether a copy of \p response could be told from the response to a
+  /// later request, or would do no harm. Nodes don't repeat responses.
+  bool isRecognisable(const Response &response) const {
+    bool isIdentified = !fieldOf(Message, Plan.IdField).empty() &&
+                        response.count(Plan.IdField) != 0;
+    return isIdentified || Plan.ServerIsNode || !isRefusal(response);
+  }
+
+  /// Returns whether \p response promises that its request was not run.
+  bool isRefusal(const Response &response) const {
+    return promisesNotRun(response.result_int()) ||
+           response.count(Plan.NotRunField) != 0 ||
+           response.count(calls::OutcomeHeader) != 0;
+  }
+
   /// A connection is reused only if no data is outstanding in either direction.
   void releaseOrClose(const ConnectionPointer &connection,
-                      const Response &response, bool isInSync) {
-    if (isInSync && !connection->isWriting() && !connection->writeFailed() &&
+                      const Response &response, bool isReusable) {
+    if (isReusable && !connection->isWriting() && !connection->writeFailed() &&
         !connection->hasBufferedInput() && response.keep_alive() &&
         !response.need_eof())
       Pool.release(Plan.Server, connection, Time.now(),
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -20,6 +20,9 @@
   std::string Lines; ///< Additional header fields of the request.
   /// Name of the request id field that a response echoes; empty: none.
   std::string IdField;
+  /// Name of the field by which a server states that it did not run a request;
+  /// empty: none.
+  std::string NotRunField;
   /// The server is another node; its own refusals are accepted without an id.
   bool ServerIsNode = false;
   MessageLimits ResponseLimits{32UL << 10, 8UL << 20};
@@ -35,7 +38,9 @@
 /// Sends \p request over a pooled or new connection and reads the complete
 /// response. The result is NotSent only if no byte was sent. A connection whose
 /// response was abandoned is closed. A response with another request's id is
-/// skipped, and the connection is not reused. \p watch can cancel the attempt.
+/// skipped, and the connection is not reused, nor is one after a refusal
+/// without an id: a faulty server may repeat it. \p watch can cancel the
+/// attempt.
 boost::asio::awaitable<ExchangeResult>
 exchange(ConnectionPool &pool, ExchangePlan plan, const Request &request,
          std::shared_ptr<ClientWatch> watch);
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -163,6 +163,7 @@
   plan.Timeout = parent.Remaining;
   plan.Lines = targetLines(request, parent);
   plan.IdField = Environment.Headers.RequestId;
+  plan.NotRunField = Environment.Headers.NotRun;
   ExchangeResult result = co_await exchange(Pool, plan, request, watch);
   GateOutcome outcome;
   outcome.Result.End = result.End;
--- a/Libraries/LibHttp/Responses.cpp
+++ b/Libraries/LibHttp/Responses.cpp
@@ -32,7 +32,6 @@
   }
 }
 
-/// Statuses that promise that the request was not and will not be run.
 constexpr unsigned NotExecutedStatuses[] = {408, 421, 429, 503};
 constexpr unsigned FirstServerErrorStatus = 500;
 /// Longer delays are of no use to a client and could overflow the clock.
@@ -42,9 +41,7 @@
 /// was not run if and only if that is so.
 unsigned statusFor(base::ResultCode code, calls::CallOutcome outcome) {
   unsigned status = base::describe(code).HttpStatus;
-  bool isPromise =
-      std::find(std::begin(NotExecutedStatuses), std::end(NotExecutedStatuses),
-                status) != std::end(NotExecutedStatuses);
+  bool isPromise = promisesNotRun(status);
   if (isPromise && outcome == calls::CallOutcome::Unknown)
     return static_cast<unsigned>(bh::status::bad_gateway);
   if (status >= FirstServerErrorStatus && !isPromise &&
@@ -92,6 +89,12 @@
   return parser.release();
 }
 
+bool promisesNotRun(unsigned status) {
+  return std::find(std::begin(NotExecutedStatuses),
+                   std::end(NotExecutedStatuses),
+                   status) != std::end(NotExecutedStatuses);
+}
+
 std::string formatRetryAfter(base::Duration time) {
   constexpr int64_t MsPerSecond = 1000;
   auto ms = std::chrono::ceil<std::chrono::milliseconds>(time).count();
--- a/Libraries/LibHttp/Responses.h
+++ b/Libraries/LibHttp/Responses.h
@@ -20,6 +20,10 @@
                            std::string_view reason,
                            base::Duration retryAfter = {});
 
+/// Returns whether \p status promises that the request was not and will not be
+/// run.
+bool promisesNotRun(unsigned status);
+
 /// Formats \p time as seconds, with up to three decimal places if it is not
 /// whole.
 std::string formatRetryAfter(base::Duration time);
--- a/Tests/LibHttp/TestRepeatedRefusals.cpp
+++ b/Tests/LibHttp/TestRepeatedRefusals.cpp
@@ -238,6 +238,17 @@
   CHECK(sender.Target.Accepted == 2);
 }
 
+TEST_CASE("a connection that brought a refusal without an id is not reused") {
+  for (const std::string next : {"b", ""}) {
+    CAPTURE(next);
+    Sender sender({{Reads, writes(refusalOf("")), Reads, writes(refusalOf(""))},
+                   {Reads, writes(answerTo(next))}});
+    CHECK(sender.send("").HttpResponse.result_int() == 503);
+    CHECK(sender.send(next).HttpResponse.body() == "done");
+    CHECK(sender.Target.Accepted == 2);
+  }
+}
+
 TEST_CASE("the refusal of a cancelled request finds no connection") {
   Sender sender({{Reads, Pauses, writes(refusalOf("a"))},
                  {Reads, writes(answerTo("b"))}});
@@ -286,3 +297,21 @@
   CHECK_FALSE(mesh.Far.Gate.Signals[0].RateLimit);
   CHECK(mesh.Far.Leaving.empty());
 }
+
+TEST_CASE("a call is not told as not run by a refusal of a request without an "
+          "id") {
+  for (const std::string status : {"400", "503"}) {
+    CAPTURE(status);
+    const std::string refusal = refusalWith("", status);
+    TwoNodes mesh;
+    ScriptedTarget target(mesh.Context,
+                          {{Reads, writes(refusal), Reads, writes(refusal)},
+                           {Reads, writes(answerTo("b"))}});
+    mesh.route(target.address());
+    REQUIRE(call(mesh, ""));
+    CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::RefusedNotRun);
+    auto response = call(mesh, "b");
+    REQUIRE(response);
+    CHECK(response->result_int() == 200);
+  }
+}
--- a/Tests/StandIns/Load.cpp
+++ b/Tests/StandIns/Load.cpp
@@ -287,6 +287,7 @@
                               bool &isLeaving) {
     http::ExchangePlan plan;
     plan.Server = node;
+    plan.ServerIsNode = true;
     plan.Timeout = std::chrono::milliseconds(absl::GetFlag(FLAGS_timeout_ms));
     request.set(bh::field::host, plan.Server.text());
     auto watch = std::make_shared<http::ClientWatch>();
