LibHttp: Send a refused request again over another connection

What callers could see: "not run, try again" for a request that its target was running (REFUSED), or that ran at a second target (TWICE). A faulty target that writes this refusal once more then ends the attempt as not run.

Cause: the id alone identifies a response, and here both have the same. Nothing else on the wire differs.

Why this works: a refusal can come once more only on the connection that brought it. Each connection to a target remembers the ids that were refused over it, and the pool doesn't hand it out for them. It remembers all of them: after 64 it is closed, which is at most one new connection for 64 refusals. The memory also tells an old refusal from the answer to a request without an id, and shows that the target echoes ids when the pool has forgotten it.

Ways weighed: closing after each refusal costs a new connection for each one of a full target; excluding all targets that were tried takes away attempts that succeed; calling early refusals unknown needs a time that no target promises, and the copy may be late. A copy that a target writes on a connection that never brought this refusal is not recognised.

Tests seen to fail before: "a refused request is not sent again over the same connection": CHECK( busy == done ), Accepted CHECK( 1 == 2 ); "a further attempt at a target that refused the call is not ended by that refusal" through both nodes: CHECK( 503 == 200 ); "a refusal of an identified request is not the answer to one without an id": CHECK( busy == done ); "a copied refusal without an id is refused although its server is not remembered": CHECK( 0 == 3 ). That nodes' connections are reused was tried by taking their exception out: the test fails.

--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -4,6 +4,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibHttp/Message.h>
+#include <LibHttp/RefusalHistory.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -125,6 +126,8 @@
   /// acknowledged.
   bool hasUnsentOutput();
 
+  RefusalHistory &refusals() { return Refusals; }
+
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
@@ -152,6 +155,7 @@
   boost::asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   std::string Output;
+  RefusalHistory Refusals;
   size_t BytesWritten = 0;
   size_t BytesReceived = 0;
   base::TimePoint LastReceivedAt{};
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/ConnectionPool.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace radishcross::http {
 
@@ -19,14 +20,18 @@
 } // namespace
 
 ConnectionPointer ConnectionPool::acquireIdle(const base::Address &server,
-                                              base::TimePoint now) {
+                                              base::TimePoint now,
+                                              std::string_view requestId) {
   auto it = Idle.find(server);
   if (it == Idle.end())
     return nullptr;
   auto &connections = it->second;
-  while (!connections.empty()) {
-    IdleConnection idle = std::move(connections.back());
-    connections.pop_back();
+  for (size_t n = connections.size(); n > 0; --n) {
+    auto at = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+    if (at->Pooled->refusals().contains(requestId))
+      continue;
+    IdleConnection idle = std::move(*at);
+    connections.erase(at);
     if (now < idle.Until && !idle.Pooled->hasPendingInput())
       return idle.Pooled;
     idle.Pooled->close();
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace radishcross::http {
@@ -31,9 +32,10 @@
       : Context(&context), IdlePerServer(idlePerServer) {}
 
   /// Returns the most recently used idle connection to \p server that is still
-  /// usable, or null.
+  /// usable and over which the server has not refused \p requestId, or null.
   ConnectionPointer acquireIdle(const base::Address &server,
-                                base::TimePoint now);
+                                base::TimePoint now,
+                                std::string_view requestId = {});
 
   /// Returns a new connection, not yet connected.
   ConnectionPointer makeNew();
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -30,6 +30,10 @@
   Missing, ///< No id, though the server echoes ids.
 };
 
+std::string_view textOf(boost::beast::string_view value) {
+  return {value.data(), value.size()};
+}
+
 /// Returns the idle timeout that the server announced (Keep-Alive), or nothing.
 std::optional<base::Duration> serverIdleTimeoutOf(const Response &response) {
   constexpr std::string_view Name = "timeout=";
@@ -69,13 +73,15 @@
   Attempt(ConnectionPool &pool, ExchangePlan plan, const Request &request,
           std::shared_ptr<ClientWatch> watch)
       : Pool(pool), Plan(std::move(plan)), Message(request),
-        Watch(std::move(watch)), Started(Time.now()) {}
+        Watch(std::move(watch)), SentId(fieldOf(request, Plan.IdField)),
+        Started(Time.now()) {}
 
   asio::awaitable<ExchangeResult> run() {
     ExchangeResult result;
     if (Plan.FreshConnection)
       Pool.dropIdle(Plan.Server);
-    ConnectionPointer connection = Pool.acquireIdle(Plan.Server, Started);
+    ConnectionPointer connection =
+        Pool.acquireIdle(Plan.Server, Started, SentId);
     if (connection) {
       result.End = co_await send(connection, result.HttpResponse);
       // A stale pooled connection that accepted no byte says nothing about the
@@ -125,9 +131,9 @@
           response, Message.method(), Plan.ResponseLimits, reason);
       if (end != ReadStatus::Complete)
         co_return fail(connection, end);
-      ResponseOwner owner = findOwner(response);
+      ResponseOwner owner = findOwner(*connection, response);
       if (owner == ResponseOwner::Own) {
-        bool isReusable = isInSync && isRecognisable(response);
+        bool isReusable = isInSync && noteRefusal(*connection, response);
         releaseOrClose(connection, response, isReusable);
         co_return AttemptEnd::Answered;
       }
@@ -139,29 +145,39 @@
   }
 
   /// Determines by the echoed id which request \p response belongs to.
-  ResponseOwner findOwner(const Response &response) {
-    auto sent = Message.find(Plan.IdField);
-    if (Plan.IdField.empty() || sent == Message.end())
-      return ResponseOwner::Own;
+  ResponseOwner findOwner(Connection &connection, const Response &response) {
     auto [first, last] = response.equal_range(Plan.IdField);
-    bool isRefusal =
+    if (SentId.empty()) {
+      bool isRepeated = std::any_of(first, last, [&](const auto &it) {
+        return connection.refusals().contains(textOf(it.value()));
+      });
+      return isRepeated ? ResponseOwner::Other : ResponseOwner::Own;
+    }
+    bool isNodeRefusal =
         Plan.ServerIsNode && response.count(calls::OutcomeHeader) != 0;
     if (first == last)
-      return isRefusal || !Pool.echoesIds(Plan.Server) ? ResponseOwner::Own
-                                                       : ResponseOwner::Missing;
+      return !isNodeRefusal && echoesIds(connection) ? ResponseOwner::Missing
+                                                     : ResponseOwner::Own;
     Pool.noteEchoedId(Plan.Server);
-    bool isOwn = std::all_of(first, last, [&](const auto &it) {
-      return it.value() == sent->value();
+    bool isOwn = std::all_of(first, last, [this](const auto &it) {
+      return textOf(it.value()) == SentId;
     });
     return isOwn ? ResponseOwner::Own : ResponseOwner::Other;
   }
 
-  /// Returns whether a copy of \p response could be told from the response to a
-  /// later request, or would do no harm. Nodes don't repeat responses.
-  bool isRecognisable(const Response &response) const {
-    bool isIdentified = !fieldOf(Message, Plan.IdField).empty() &&
-                        response.count(Plan.IdField) != 0;
-    return isIdentified || Plan.ServerIsNode || !isRefusal(response);
+  bool echoesIds(Connection &connection) const {
+    return Pool.echoesIds(Plan.Server) || !connection.refusals().empty();
+  }
+
+  /// Remembers a refusal of this request, by which a copy of it is recognised.
+  /// Returns false if that is not possible.
+  bool noteRefusal(Connection &connection, const Response &response) const {
+    if (Plan.ServerIsNode || !isRefusal(response))
+      return true;
+    if (SentId.empty() || response.count(Plan.IdField) == 0)
+      return false;
+    connection.refusals().add(SentId);
+    return !connection.refusals().isFull();
   }
 
   /// Returns whether \p response promises that its request was not run.
@@ -201,6 +217,7 @@
   ExchangePlan Plan;
   const Request &Message;
   std::shared_ptr<ClientWatch> Watch;
+  std::string_view SentId; ///< Empty: none.
   base::TimePoint Started;
 };
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -38,9 +38,9 @@
 /// Sends \p request over a pooled or new connection and reads the complete
 /// response. The result is NotSent only if no byte was sent. A connection whose
 /// response was abandoned is closed. A response with another request's id is
-/// skipped, and the connection is not reused, nor is one after a refusal
-/// without an id: a faulty server may repeat it. \p watch can cancel the
-/// attempt.
+/// skipped, and the connection is not reused. A server other than a node may
+/// repeat a refusal: a connection is not reused after one without an id, nor
+/// for a request that was refused over it. \p watch can cancel the attempt.
 boost::asio::awaitable<ExchangeResult>
 exchange(ConnectionPool &pool, ExchangePlan plan, const Request &request,
          std::shared_ptr<ClientWatch> watch);
--- a/Tests/LibHttp/TestRepeatedRefusals.cpp
+++ b/Tests/LibHttp/TestRepeatedRefusals.cpp
@@ -249,6 +249,55 @@
   }
 }
 
+TEST_CASE("a refused request is not sent again over the same connection") {
+  Sender sender({{Reads, writes(refusalOf("a")), Reads,
+                  writes(refusalOf("a") + answerTo("a"))},
+                 {Reads, writes(answerTo("a")), Reads, writes(answerTo("b"))}});
+  CHECK(sender.send("a").HttpResponse.result_int() == 503);
+  CHECK(sender.send("a").HttpResponse.body() == "done");
+  CHECK(sender.Target.Accepted == 2);
+  // Other requests still use both connections.
+  CHECK(sender.Pool.idleCount() == 2);
+  CHECK(sender.send("b").HttpResponse.body() == "done");
+  CHECK(sender.Target.Accepted == 2);
+}
+
+TEST_CASE("a refusal of an identified request is not the answer to one without "
+          "an id") {
+  Sender sender({{Reads, writes(refusalOf("a")), Reads,
+                  writes(refusalOf("a") + answerTo(""))}});
+  CHECK(sender.send("a").HttpResponse.result_int() == 503);
+  CHECK(sender.send("").HttpResponse.body() == "done");
+  CHECK(sender.Pool.idleCount() == 0);
+}
+
+TEST_CASE("a connection that brought many refusals is not reused") {
+  constexpr size_t Refusals = http::RefusalHistory::MaximumRefusals;
+  Steps refuses;
+  for (size_t n = 0; n < Refusals; ++n)
+    refuses.insert(refuses.end(),
+                   {Reads, writes(refusalOf(std::to_string(n)))});
+  Sender sender({refuses, {Reads, writes(answerTo("b"))}});
+  for (size_t n = 0; n < Refusals; ++n) {
+    CHECK(sender.send(std::to_string(n)).End == AttemptEnd::Answered);
+    CHECK(sender.Target.Accepted == 1);
+  }
+  CHECK(sender.Pool.idleCount() == 0);
+  CHECK(sender.send("b").HttpResponse.body() == "done");
+}
+
+TEST_CASE("a copied refusal without an id is refused although its server is "
+          "not remembered") {
+  Sender sender(
+      {{Reads, writes(refusalOf("a")), Reads, writes(refusalOf(""))}});
+  CHECK(sender.send("a").HttpResponse.result_int() == 503);
+  // The pool forgets which servers echo ids when there are too many.
+  for (uint16_t port = 1; sender.Pool.echoesIds(sender.Target.address());
+       ++port)
+    sender.Pool.noteEchoedId({"192.0.2.1", port});
+  CHECK(sender.send("b").End == AttemptEnd::Broken);
+}
+
 TEST_CASE("the refusal of a cancelled request finds no connection") {
   Sender sender({{Reads, Pauses, writes(refusalOf("a"))},
                  {Reads, writes(answerTo("b"))}});
@@ -315,3 +364,20 @@
     CHECK(response->result_int() == 200);
   }
 }
+
+TEST_CASE("a further attempt at a target that refused the call is not ended by "
+          "that refusal") {
+  TwoNodes mesh;
+  ScriptedTarget target(mesh.Context, {{Reads, writes(refusalOf("a")), Reads,
+                                        writes(refusalOf("a") + answerTo("a"))},
+                                       {Reads, writes(answerTo("a"))}});
+  mesh.route(target.address());
+  mesh.Near.Broker.Next = {mesh.Near.Broker.First};
+  auto response = call(mesh, "a");
+  REQUIRE(response);
+  CHECK(response->result_int() == 200);
+  CHECK(response->body() == "done");
+  REQUIRE(mesh.Near.Broker.Results.size() == 2);
+  CHECK(mesh.Near.Broker.Results[0].End == AttemptEnd::RefusedNotRun);
+  CHECK(mesh.Near.Broker.Results[1].End == AttemptEnd::Answered);
+}
