Tests: Make the cases of unanswered reads independent of a machine's stalls

A stall of 50 ms at a bad moment added a repeat, one of 70 ms let an older copy fail before the newer was sent. The scripted server now acts once a given request has arrived, spacings and time-outs are longer than any stall where the order of events alone is asked for, and TestUnansweredStoreReads counts only time in which the process ran against its bound. What is asked for is the same.

Seen to fail: with "the older copy's failure ends the request" put in, "an older copy's failure does not end a request"; with the newest copy's failure left out, "the newest copy's failure ends a request at once" and "a request to a silent server ends at its timeout"; with reads of 25 s and report ages of 23 s, "a read that is never answered keeps nodes on an old version" three times at its bound.

--- a/Tests/LibHttp/TestRepeatingClient.cpp
+++ b/Tests/LibHttp/TestRepeatingClient.cpp
@@ -17,6 +17,7 @@
     std::string Bytes;
     bool IsClosed = false;
     std::chrono::milliseconds Delay{};
+    size_t AfterRequests = 0; ///< Sent once this many requests have arrived.
   };
 
   ScriptedServer(asio::io_context &context, std::vector<Reply> replies)
@@ -51,7 +52,12 @@
         asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
     Requests[n] = buf.substr(0, got);
     const auto script = n < Replies.size() ? Replies[n] : Reply{};
-    asio::steady_timer timer(Acceptor.get_executor(), script.Delay);
+    asio::steady_timer timer(Acceptor.get_executor());
+    while (Requests.size() < script.AfterRequests) {
+      timer.expires_after(1ms);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    timer.expires_after(script.Delay);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_await asio::async_write(*socket, asio::buffer(script.Bytes),
                                asio::redirect_error(asio::use_awaitable, ec));
@@ -71,8 +77,8 @@
 http::RepeatPolicy quickPolicy() {
   http::RepeatPolicy out;
   out.FirstDelay = 30ms;
-  out.Spacing = 50ms;
-  out.Timeout = 300ms;
+  out.Spacing = 5s; // Longer than any stall of the machine.
+  out.Timeout = 10s;
   return out;
 }
 
@@ -119,8 +125,7 @@
   asio::io_context context(1);
   ScriptedServer server(context, {{head + half}, {head + half + half}});
   auto policy = quickPolicy();
-  policy.LeastBytesPerSecond = 10'000;
-  policy.Timeout = 10s; // Less than what the bytes received would take.
+  policy.LeastBytesPerSecond = 10'000; // The bytes received take 20 s.
   auto got = fetchFrom(context, server.address(), policy);
   REQUIRE(got.Response);
   CHECK(got.Response->body().size() == 400'000);
@@ -129,14 +134,16 @@
 TEST_CASE("a request is repeated until the server is back") {
   asio::io_context context(1);
   ScriptedServer server(context, {{}, {}, {}, {Whole}});
-  auto got = fetchFrom(context, server.address(), quickPolicy());
+  auto policy = quickPolicy();
+  policy.Spacing = 500ms;
+  auto got = fetchFrom(context, server.address(), policy);
   CHECK(got.Response);
   CHECK(got.Repeats == 3);
 }
 
 TEST_CASE("a slow server's response to an older copy counts") {
   asio::io_context context(1);
-  ScriptedServer server(context, {{Whole, false, 120ms}, {Whole, false, 10s}});
+  ScriptedServer server(context, {{Whole, false, 120ms, 2}, {}});
   auto got = fetchFrom(context, server.address(), quickPolicy());
   REQUIRE(got.Response);
   CHECK(got.Response->body() == "done");
@@ -145,7 +152,10 @@
 TEST_CASE("a request to a silent server ends at its timeout") {
   asio::io_context context(1);
   ScriptedServer server(context, {});
-  auto got = fetchFrom(context, server.address(), quickPolicy());
+  auto policy = quickPolicy();
+  policy.Spacing = 250ms;
+  policy.Timeout = 1500ms;
+  auto got = fetchFrom(context, server.address(), policy);
   CHECK_FALSE(got.Response);
   CHECK(got.Reason.code() == base::ResultCode::OutcomeUnknown);
   CHECK(got.Repeats > 1);
@@ -154,10 +164,8 @@
 
 TEST_CASE("an older copy's failure does not end a request") {
   asio::io_context context(1);
-  ScriptedServer server(context, {{"", true, 100ms}, {Whole, false, 150ms}});
-  auto policy = quickPolicy();
-  policy.Spacing = 10s;
-  auto got = fetchFrom(context, server.address(), policy);
+  ScriptedServer server(context, {{"", true, 0ms, 2}, {Whole, false, 150ms}});
+  auto got = fetchFrom(context, server.address(), quickPolicy());
   REQUIRE(got.Response);
   CHECK(got.Repeats == 1);
 }
@@ -165,9 +173,7 @@
 TEST_CASE("the newest copy's failure ends a request at once") {
   asio::io_context context(1);
   ScriptedServer server(context, {{}, {"", true}});
-  auto policy = quickPolicy();
-  policy.Timeout = 10s;
-  auto got = fetchFrom(context, server.address(), policy);
+  auto got = fetchFrom(context, server.address(), quickPolicy());
   CHECK_FALSE(got.Response);
   CHECK(got.Repeats == 1);
 }
--- a/Tests/LibNode/TestUnansweredStoreReads.cpp
+++ b/Tests/LibNode/TestUnansweredStoreReads.cpp
@@ -59,11 +59,16 @@
     Platform.Store.write("keyed.op", "config", std::to_string(version));
   }
 
+  /// Runs until \p condition holds or the nodes have run for \p timeout. Time
+  /// in which the machine did not run this process does not count.
   template <typename Condition>
   bool runUntil(Condition condition, base::Duration timeout) {
-    auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (!condition() && std::chrono::steady_clock::now() < deadline)
-      Context.run_one_for(20ms);
+    constexpr base::Duration MaximumStep = 20ms;
+    for (base::Duration ran{}; !condition() && ran < timeout;) {
+      auto before = base::SystemClock().now();
+      Context.run_one_for(MaximumStep);
+      ran += std::min(base::SystemClock().now() - before, MaximumStep);
+    }
     return condition();
   }
 
