LibNode, LibPeer: Confirm the operator's record as of the store's answer

A version could be late at nodes in touch whose reader gets the store's answers late: an answer "nothing newer" confirmed the record as of the last tick before its arrival, so 1.4 s on the way made each report 1.4 s younger than what it tells, and the peers rested on it.

Cause: a belief with a wrong age. A read that the store held and answered without records was answered after the time for which it was held, and nothing later is known; that time counts now. Answers with records count as before: they may have been written at any time since the read began, and counting from there would make the deputies read after each version.

--- a/Libraries/LibFleet/RecordFreshness.h
+++ b/Libraries/LibFleet/RecordFreshness.h
@@ -58,6 +58,15 @@
     {ReadDuty::Kind::Follow, "follow"},
 };
 
+/// A read of the operator's record that found nothing newer than what the node
+/// then holds.
+struct RecordReading {
+  base::TimePoint StartedAt;
+  /// Before this time the store did not answer; set for a read that it held
+  /// and answered without records.
+  std::optional<base::TimePoint> HeldUntil;
+};
+
 /// Decides which nodes read the operator's record. One node of each data centre
 /// follows it and reports what it saw. A node whose freshest report is too old
 /// reads the record itself, lower rank numbers first, so that the loss of the
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -94,7 +94,9 @@
            {[this](const base::Address &it) { Fleet->addSeeds({it}); },
             [this] { externalChanged(); },
             [this] { return Fleet->externalDuty(); },
-            [this](base::TimePoint since) { Fleet->noteExternalRead(since); }}),
+            [this](const fleet::RecordReading &it) {
+              Fleet->noteExternalRead(it);
+            }}),
       StoredVersions(*Store, Self.Id, [this] { activateHeldVersions(); }),
       CrashQuarantine(Decisions), Notices(CrashQuarantine),
       Leases(Decisions, settings.TargetLease),
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -25,9 +25,8 @@
     std::function<void()> ConfigurationChanged;
     /// Returns how the operator's record is to be read now.
     std::function<fleet::ReadDuty()> ReadDuty;
-    /// Called after a read, begun at \p startedAt, that returned the newest
-    /// version.
-    std::function<void(base::TimePoint startedAt)> ConfigurationRead;
+    /// Called after a read that reached the newest version.
+    std::function<void(const fleet::RecordReading &)> ConfigurationRead;
   };
 
   PlatformLink(boost::asio::io_context &context, log::KeyedStore &store,
--- a/Libraries/LibNode/TopicReader.cpp
+++ b/Libraries/LibNode/TopicReader.cpp
@@ -95,7 +95,7 @@
                 if (!self)
                   return;
                 auto read = toTopicRead(answer, 0);
-                self->handleAnswer(answer, "list", read, startedAt);
+                self->handleAnswer(answer, "list", read, {startedAt, {}});
                 self->Follower.listed(read);
                 self->advance();
               });
@@ -105,13 +105,17 @@
   AnswerDue = base::SystemClock().now() + step.Wait;
   Store->follow(
       SelectedTopic, step.From, step.Wait,
-      [weak = weak_from_this(), from = step.From,
+      [weak = weak_from_this(), from = step.From, wait = step.Wait,
        startedAt = base::BootClock().now()](const log::TopicAnswer &answer) {
         auto self = weak.lock();
         if (!self)
           return;
         auto read = toTopicRead(answer, from);
-        self->handleAnswer(answer, "follow", read, startedAt);
+        fleet::RecordReading reading{startedAt, {}};
+        if (answer.Records.empty())
+          reading.HeldUntil =
+              std::min(startedAt + wait, base::BootClock().now());
+        self->handleAnswer(answer, "follow", read, reading);
         self->Follower.followed(read);
         self->advance();
       });
@@ -120,7 +124,7 @@
 void TopicReader::handleAnswer(const log::TopicAnswer &answer,
                                std::string_view operation,
                                const fleet::TopicRead &read,
-                               base::TimePoint startedAt) {
+                               const fleet::RecordReading &reading) {
   AnswerDue.reset();
   bool isReachable = answer.Reached || answer.Expired;
   if (isReachable)
@@ -137,7 +141,7 @@
   bool isCaughtUp =
       answer.Reached && (operation == "list" || read.Next >= answer.End);
   if (isCaughtUp && OnEvent.CaughtUp)
-    OnEvent.CaughtUp(startedAt);
+    OnEvent.CaughtUp(reading);
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/TopicReader.h
+++ b/Libraries/LibNode/TopicReader.h
@@ -22,9 +22,8 @@
     /// Returns how the topic is to be read now; if not set, it is always
     /// followed.
     std::function<fleet::ReadDuty()> Duty;
-    /// Called after a read, begun at \p startedAt, that reached the end of the
-    /// topic.
-    std::function<void(base::TimePoint startedAt)> CaughtUp;
+    /// Called after a read that reached the end of the topic.
+    std::function<void(const fleet::RecordReading &)> CaughtUp;
   };
 
   /// Starts to read. The reader stops when the last shared pointer to it is
@@ -74,7 +73,8 @@
   void list();
   void follow(const fleet::TopicStep &step);
   void handleAnswer(const log::TopicAnswer &answer, std::string_view operation,
-                    const fleet::TopicRead &read, base::TimePoint startedAt);
+                    const fleet::TopicRead &read,
+                    const fleet::RecordReading &reading);
 
   log::KeyedStore *Store;
   log::Topic SelectedTopic;
--- a/Libraries/LibPeer/FleetExternal.cpp
+++ b/Libraries/LibPeer/FleetExternal.cpp
@@ -24,9 +24,10 @@
   pushFreshness();
 }
 
-void FleetNode::noteExternalRead(base::TimePoint since) {
+void FleetNode::noteExternalRead(const fleet::RecordReading &reading) {
   // An answer that had arrived by the last tick would have been handled then.
-  Freshness.readConfirmed(std::max(since, LastElapsed));
+  Freshness.readConfirmed(
+      reading.HeldUntil.value_or(std::max(reading.StartedAt, LastElapsed)));
   pushFreshness();
 }
 
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -54,7 +54,7 @@
   void broadcastNotice(std::string topic, std::string text,
                        base::Duration lifetime) override;
   void setExternalVersion(uint64_t version) override;
-  void noteExternalRead(base::TimePoint since) override;
+  void noteExternalRead(const fleet::RecordReading &reading) override;
   std::optional<base::Duration> externalAge() const override {
     return Freshness.report(elapsedClock().now()).Age;
   }
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -126,9 +126,8 @@
   virtual void setExternalVersion(uint64_t version) = 0;
 
   /// Records that a read of the external configuration found nothing newer than
-  /// the version held. \p since is when the read began, by the clock that
-  /// counts suspension.
-  virtual void noteExternalRead(base::TimePoint since) = 0;
+  /// the version held. Its times are of the clock that counts suspension.
+  virtual void noteExternalRead(const fleet::RecordReading &reading) = 0;
 
   /// Returns how long ago the store was last known to hold nothing newer than
   /// this node's version; empty if unknown.
--- a/Tests/LibFleet/TestRecordFreshness.cpp
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -46,6 +46,8 @@
     base::TimePoint PullEnds{};
     uint32_t Failures = 0;
     ReadDuty Duty{};
+    std::optional<uint64_t> Answer{}; ///< Newest version in the store's answer.
+    base::TimePoint AnsweredAt{};
   };
 
   void start(size_t n, const std::string &dataCentre,
@@ -84,6 +86,8 @@
   std::map<size_t, Reader> Readers;
   std::map<size_t, Store> StoreModes;
   std::set<size_t> Frozen;
+  /// How long the store's answers are on their way to a node.
+  std::map<size_t, base::Duration> AnswerDelays;
   uint64_t Version = 0;
   uint64_t Calls = 0;
   bool IsMeasured = true;
@@ -174,18 +178,26 @@
     bool isRefused = StoreModes.at(n) == Store::Refuses;
     bool hasNews =
         it.IsFollowing && Version > it.Held && Now >= it.BeganAt + CallTime;
-    if (Now < it.ReadEnds && !isRefused && !hasNews)
+    if (!it.Answer && Now < it.ReadEnds && !isRefused && !hasNews)
       return;
     if (isRefused)
       return endFailedRead(it);
+    if (!it.Answer) {
+      it.Answer = Version;
+      it.AnsweredAt = Now;
+    }
+    if (Now - it.AnsweredAt < AnswerDelays[n])
+      return;
     it.IsReading = false;
     it.Failures = 0;
     it.IsListed = true;
-    if (Version > it.Held) {
-      hold(n, it, Version);
+    auto version = *std::exchange(it.Answer, std::nullopt);
+    bool isEmpty = it.IsFollowing && version <= it.Held;
+    if (version > it.Held) {
+      hold(n, it, version);
       it.NextRead = Now + it.Duty.Spacing;
     }
-    it.Fresh.readConfirmed(Now - CallTime);
+    it.Fresh.readConfirmed((isEmpty ? it.AnsweredAt : Now) - CallTime);
   }
 
   void hold(size_t n, Reader &it, uint64_t version) {
@@ -355,6 +367,28 @@
     }
 }
 
+TEST_CASE(
+    "answers that reach the readers late are taken for the store's word of "
+    "now") {
+  for (auto delay : {0ms, 300ms, 600ms, 1000ms, 1400ms})
+    for (uint64_t seed = 1; seed <= 24; ++seed) {
+      CAPTURE(delay.count());
+      CAPTURE(seed);
+      ReadingFleet fleet(seed);
+      startAll(fleet, 12);
+      for (size_t n = 0; n < DataCentres; ++n)
+        fleet.AnswerDelays[fleet.readerOf(nameOf(n))] = delay;
+      fleet.run(std::chrono::milliseconds(3000 + seed * 130));
+      for (int n = 0; n < 6; ++n) {
+        fleet.publish();
+        fleet.run(1700ms);
+      }
+      fleet.run(Bound);
+      CHECK(fleet.behind() == 0);
+      CHECK(fleet.latest() < Bound);
+    }
+}
+
 TEST_CASE("no version is late if all readers are lost when it is published") {
   for (uint64_t seed : {1, 2, 3}) {
     ReadingFleet fleet(seed);
--- a/Tests/LibPeer/TestFleetRuntime.cpp
+++ b/Tests/LibPeer/TestFleetRuntime.cpp
@@ -151,6 +151,18 @@
   }));
 }
 
+TEST_CASE(
+    "an answer that arrived late confirms the external configuration as of "
+    "its arrival") {
+  LoopbackFleet fleet;
+  auto &node = *fleet.start("dc-0").Fleet;
+  node.setExternalVersion(1);
+  auto now = fleet.Time.now();
+  node.noteExternalRead({now - 1600ms, now - 1s});
+  REQUIRE(node.externalAge());
+  CHECK(*node.externalAge() >= 1s);
+}
+
 TEST_CASE("a joining node recovers from peers while the platform is down") {
   LoopbackFleet fleet;
   for (int n = 0; n < 5; ++n)
