--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -110,6 +110,24 @@
   }
 }
 
+TEST_CASE("a record of the history without a readable key keeps its place") {
+  const std::string offsets("\0\0\0\0\0\0\0\6\0\0\0\0\0\0\0\2", 16);
+  const std::string records =
+      std::string("\0\0\0\3\1ka", 7) + std::string("\0\0\0\0", 4) +
+      std::string("\0\0\0\3\t{}", 7) + std::string("\0\0\0\3\1kb", 7);
+  auto got = readFrom(answerText("200 OK", offsets + records),
+                      [](auto &client, auto done) {
+                        client.follow(log::Topic::Changes, 2, {}, done);
+                      });
+  REQUIRE(got.Reached);
+  REQUIRE(got.Records.size() == 4);
+  const std::string_view values[] = {"a", "", "", "b"};
+  for (size_t it = 0; it < got.Records.size(); ++it) {
+    CHECK(got.Records[it].At == 2 + it);
+    CHECK(got.Records[it].Value == values[it]);
+  }
+}
+
 TEST_CASE(
     "the keys of a topic are listed, and a malformed page is a failed read") {
   const std::string good =
--- a/Tests/StandIns/StoreModel.cpp
+++ b/Tests/StandIns/StoreModel.cpp
@@ -160,7 +160,12 @@
 
 void StoreModel::write(const std::string &topic, const std::string &key,
                        const std::string &value) {
-  add(topic, bigEndian(key.size(), 1) + key + value);
+  writeContent(topic, bigEndian(key.size(), 1) + key + value);
+}
+
+void StoreModel::writeContent(const std::string &topic,
+                              const std::string &content) {
+  add(topic, content);
   wake();
 }
 
--- a/Tests/StandIns/StoreModel.h
+++ b/Tests/StandIns/StoreModel.h
@@ -27,6 +27,17 @@
   void write(const std::string &topic, const std::string &key,
              const std::string &value);
 
+  /// Appends the content of a record directly, which need not be a key and a
+  /// value.
+  void writeContent(const std::string &topic, const std::string &content);
+
+  /// Returns the newest value of a key; empty if it has none.
+  std::string newestOf(const std::string &topic, const std::string &key) {
+    const auto &keys = Topics[topic].Keys;
+    auto it = keys.find(key);
+    return it == keys.end() ? std::string() : it->second.Value;
+  }
+
   /// Drops the history of all topics; the newest record of each key stays.
   void forgetHistory();
 
