Platform, LibLog: Skip single odd items of a listing

Callers saw: one item of a listing that cannot be decoded, or one key that is not UTF-8 anywhere in the topic, failed the whole listing, again and again. A node that has to list (each one that starts) then knew neither the operator's record nor the directory nor what it had held. And a page that names itself as the next one was read without end.

Cause: decodeNewest gave up at the first such item, the JSON parser refused any byte that is not UTF-8, and StoreClient::list trusted "more".

A page whose own form is broken stays a failed read. For the log of changes a listing with such an item is still a failed read: left out, the record would be an empty one to this node, while others have read it from the history. It is retried, or the state comes from a peer.

The two rows of "a malformed page is a failed read" that were single items moved to the new test, which asks that the item is not read, that the others are, and that the end offset is right, for 18 kinds of item first and last; rows of broken pages took their place.

--- a/Libraries/LibLog/KeyedLog.cpp
+++ b/Libraries/LibLog/KeyedLog.cpp
@@ -107,6 +107,13 @@
                                from, maximumRecords, done](TopicAnswer listed) {
     if (weak.expired())
       return;
+    if (listed.Unreadable > 0) {
+      // Other nodes may have read these records from the history.
+      listed.Reached = false;
+      listed.Reason.fail(base::ResultCode::RecordMalformed,
+                         std::to_string(listed.Unreadable) +
+                             " records of the listed log cannot be decoded");
+    }
     if (!listed.Reached)
       return done(answerFromList(std::move(listed), from, maximumRecords));
     auto end = listed.End;
--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -4,6 +4,7 @@
 #include <LibBase/EnumNames.h>
 #include <LibBase/LastReason.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -48,6 +49,9 @@
   bool Expired = false; ///< The records asked for are no longer kept.
   uint64_t End = 0;     ///< One past the newest offset.
   std::vector<KeyedRecord> Records;
+  /// Number of records in the answer that cannot be decoded and are not in
+  /// Records.
+  size_t Unreadable = 0;
   base::LastReason Reason;
 };
 
--- a/Tests/LibLog/ModelStore.h
+++ b/Tests/LibLog/ModelStore.h
@@ -38,6 +38,7 @@
       TopicAnswer answer;
       answer.Reached = !isLost();
       answer.End = Records.size();
+      answer.Unreadable = UnreadableItems;
       if (!answer.Reached)
         return done(answer);
       page(std::move(answer), "", done);
@@ -90,6 +91,7 @@
   std::map<std::string, uint64_t> Newest;
   uint64_t First = 0;
   size_t KeysPerPage = 40;
+  size_t UnreadableItems = 0; ///< Items of each listing not to be decoded.
   uint32_t LossPercent = 0; ///< Share of calls that are refused or unanswered.
 
 private:
--- a/Tests/LibLog/TestKeyedLog.cpp
+++ b/Tests/LibLog/TestKeyedLog.cpp
@@ -293,3 +293,52 @@
   CHECK(got->First == 1);
   CHECK(got->Records.size() == 2);
 }
+
+TEST_CASE("a listed record that cannot be decoded is not read as an empty "
+          "record") {
+  ModelStore store(1);
+  store.append("a", "one");
+  store.append("b", "two");
+  store.forgetHistory(2);
+  KeyedLog reader(store, 1);
+  std::optional<log::ReadAnswer> got;
+  auto read = [&] {
+    got.reset();
+    reader.read(1, 256, {},
+                [&](const log::ReadAnswer &answer) { got = answer; });
+    while (store.pending() > 0)
+      store.step();
+    REQUIRE(got);
+  };
+  store.UnreadableItems = 1;
+  read();
+  CHECK_FALSE(got->Reached);
+  CHECK(got->Reason.code() == base::ResultCode::RecordMalformed);
+  CHECK(got->Records.empty());
+  store.UnreadableItems = 0;
+  read();
+  CHECK(got->Reached);
+  CHECK(got->Records.size() == 2);
+}
+
+TEST_CASE("a record with an empty key and value keeps the log's offsets") {
+  ModelStore store(1);
+  store.append("a", "one");
+  store.append("", "");
+  store.append("b", "two");
+  KeyedLog reader(store, 1);
+  for (uint64_t first : {0, 3}) {
+    store.forgetHistory(first);
+    std::optional<log::ReadAnswer> got;
+    reader.read(1, 256, {},
+                [&](const log::ReadAnswer &answer) { got = answer; });
+    while (store.pending() > 0)
+      store.step();
+    REQUIRE(got);
+    CHECK(got->Reached);
+    REQUIRE(got->Records.size() == 3);
+    CHECK(got->Records[1].At == 2);
+    CHECK(got->Records[1].Bytes.empty());
+    CHECK(got->Records[2].Bytes == "two");
+  }
+}
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -135,9 +135,11 @@
       R"("endOffset":6})";
   for (const std::string &body :
        {good, std::string("[]"), std::string(R"({"items":[]})"),
-        std::string(
-            R"({"items":[{"key":"k","value":"Y","offset":4}],"endOffset":6})"),
-        std::string(R"({"items":[{"key":"k"}],"endOffset":6})")}) {
+        std::string(R"({"items":{},"endOffset":6})"),
+        std::string(R"({"items":[],"endOffset":-1})"),
+        std::string(R"({"items":[],"endOffset":0.5})"),
+        std::string(R"({"items":[],"endOffset":18446744073709551616})"),
+        good.substr(0, good.size() - 1)}) {
     CAPTURE(body);
     auto got =
         readFrom(answerText("200 OK", body), [](auto &client, auto done) {
@@ -153,6 +155,76 @@
   }
 }
 
+TEST_CASE("an item of a listing that cannot be decoded names nothing, and the "
+          "others are read") {
+  for (const std::string &item :
+       {std::string(R"({"key":"o","value":"Y","offset":5})"),
+        std::string(R"({"key":"o","value":7,"offset":5})"),
+        std::string(R"({"key":"o","offset":5})"),
+        std::string(R"({"key":"o","value":"YQ=="})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":"5"})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":-1})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":0.5})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":1e308})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":1e400})"),
+        std::string(R"({"key":"o","value":"YQ==","offset":-1e400})"),
+        std::string(
+            R"({"key":"o","value":"YQ==","offset":18446744073709551616})"),
+        std::string(R"({"key":7,"value":"YQ==","offset":5})"),
+        std::string(R"({"value":"YQ==","offset":5})"), std::string("{}"),
+        std::string(R"({"key":"o"})"), std::string("null"),
+        std::string("[[[[]]]]"), std::string("\"o\"")}) {
+    CAPTURE(item);
+    for (bool isLast : {false, true}) {
+      std::string good = R"({"key":"k","value":"YQ==","offset":4})";
+      auto page = R"({"items":[)" +
+                  (isLast ? good + "," + item : item + "," + good) +
+                  R"(],"more":false,"endOffset":6})";
+      auto got =
+          readFrom(answerText("200 OK", page), [](auto &client, auto done) {
+            client.list(log::Topic::Operator, done);
+          });
+      CHECK(got.Reached);
+      CHECK(got.End == 6);
+      CHECK(got.Unreadable == 1);
+      REQUIRE(got.Records.size() == 1);
+      CHECK(got.Records[0].Key == "k");
+      CHECK(got.Records[0].Value == "a");
+      CHECK(got.Records[0].At == 4);
+    }
+  }
+}
+
+TEST_CASE("a key that is not UTF-8 does not hide the other keys") {
+  auto got = readFrom(
+      answerText("200 OK", "{\"items\":[{\"key\":\"\xff\xfe\",\"value\":"
+                           "\"YQ==\",\"offset\":3},"
+                           R"({"key":"k","value":"YQ==","offset":4}],)"
+                           R"("more":false,"endOffset":6})"),
+      [](auto &client, auto done) { client.list(log::Topic::Operator, done); });
+  CHECK(got.Reached);
+  REQUIRE(got.Records.size() == 2);
+  CHECK(got.Records[0].Key == "\xff\xfe");
+  CHECK(got.Records[1].Key == "k");
+}
+
+TEST_CASE("a listing whose pages never end is a failed read") {
+  for (const std::string &items :
+       {std::string(R"({"key":"k","value":"YQ==","offset":4})"),
+        std::string(R"({"key":"","value":"YQ==","offset":4})"),
+        std::string(R"({"value":"YQ==","offset":4})")}) {
+    CAPTURE(items);
+    auto got =
+        readFrom(answerText("200 OK", R"({"items":[)" + items +
+                                          R"(],"more":true,"endOffset":6})"),
+                 [](auto &client, auto done) {
+                   client.list(log::Topic::Operator, done);
+                 });
+    CHECK_FALSE(got.Reached);
+    CHECK(got.Reason.code() == ResultCode::PlatformUnavailable);
+  }
+}
+
 TEST_CASE("a dropped history is distinguished from a failed read") {
   auto got = readFrom(answerText("410 Gone", R"({"firstOffset":9})"),
                       [](auto &client, auto done) {
