LibFleet: Write a node's own entry over an odd one

Callers saw: when another writer overwrote a node's entry in the directory with one that cannot be read, the node left it so. Nodes that start alone did not find it any more.

Cause: NodeDirectory::applyRecord passed over an odd entry before it compared it with the node's own address, so mustWrite() stayed false.

An odd entry under the node's own key now counts as another address.

--- a/Libraries/LibFleet/NodeDirectory.cpp
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -46,15 +46,13 @@
   }
   base::LastReason reason;
   auto entry = decodeDirectoryEntry(record.Key, record.Value, reason);
-  if (!entry) {
+  if (!entry)
     base::log(base::LogLevel::Warning, "directory entry ignored",
               {{"key", record.Key}, {"reason", reason.text()}});
+  if (record.Key == Self.Id)
+    IsWritten = entry && entry->Gossip == Self.Gossip;
+  if (!entry || record.Key == Self.Id)
     return std::nullopt;
-  }
-  if (record.Key == Self.Id) {
-    IsWritten = entry->Gossip == Self.Gossip;
-    return std::nullopt;
-  }
   auto &known = Entries[record.Key];
   bool isNews =
       known.Gossip != entry->Gossip || known.Incarnation != entry->Incarnation;
--- a/Tests/LibFleet/TestNodeDirectory.cpp
+++ b/Tests/LibFleet/TestNodeDirectory.cpp
@@ -61,6 +61,16 @@
   CHECK(it.entries().empty());
 }
 
+TEST_CASE("an odd entry in place of this node's own is written over") {
+  NodeDirectory it(entryOf("a"));
+  it.written();
+  REQUIRE_FALSE(it.mustWrite());
+  it.applyRecord({3, "a", R"({"incarnation": 1e400, "gossip": "10.0.0.1:1"})"});
+  CHECK(it.mustWrite());
+  it.written();
+  CHECK_FALSE(it.mustWrite());
+}
+
 TEST_CASE("the first live node drops the entry of a node absent for long") {
   NodeDirectory first(entryOf("a"));
   NodeDirectory second(entryOf("b"));
