LibFleet: Log each odd directory entry once

Callers saw: each listing of the directory, every 5 to 30 s, logged every odd entry again, as many lines as another writer had left entries.

Cause: applyRecord logged without a memory of what it had logged.

An entry is logged once for its content, and 50 entries at most.

Seen to fail before, 200 odd entries listed 3 times: TestNodeDirectory.cpp:121: CHECK( 600 <= 100 ) TestNodeDirectory.cpp:125: CHECK( 3 == 1 ) Passes now.

--- a/Libraries/LibFleet/NodeDirectory.cpp
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/NodeDirectory.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/Logger.h>
 
 #include <boost/json/object.hpp>
@@ -47,8 +48,7 @@
   base::LastReason reason;
   auto entry = decodeDirectoryEntry(record.Key, record.Value, reason);
   if (!entry)
-    base::log(base::LogLevel::Warning, "directory entry ignored",
-              {{"key", record.Key}, {"reason", reason.text()}});
+    report(record, reason);
   if (record.Key == Self.Id)
     IsWritten = entry && entry->Gossip == Self.Gossip;
   if (!entry || record.Key == Self.Id)
@@ -60,6 +60,15 @@
   return isNews ? std::optional(known.Gossip) : std::nullopt;
 }
 
+void NodeDirectory::report(const log::KeyedRecord &record,
+                           const base::LastReason &reason) {
+  auto hash = base::hash64(record.Key + '\0' + record.Value);
+  if (Reported.size() == MaximumReported || !Reported.insert(hash).second)
+    return;
+  base::log(base::LogLevel::Warning, "directory entry ignored",
+            {{"key", record.Key}, {"reason", reason.text()}});
+}
+
 std::optional<NodeId> NodeDirectory::entryToDrop(const std::set<NodeId> &live,
                                                  bool isFirst,
                                                  base::TimePoint now) {
--- a/Libraries/LibFleet/NodeDirectory.h
+++ b/Libraries/LibFleet/NodeDirectory.h
@@ -62,10 +62,17 @@
   const std::map<NodeId, DirectoryEntry> &entries() const { return Entries; }
 
 private:
+  /// How many odd entries are logged, each once: they are listed again and
+  /// again.
+  static constexpr size_t MaximumReported = 50;
+
+  void report(const log::KeyedRecord &record, const base::LastReason &reason);
+
   DirectoryEntry Self;
   bool IsWritten = false;
   std::map<NodeId, DirectoryEntry> Entries;
   std::map<NodeId, base::TimePoint> AbsentSince;
+  std::set<uint64_t> Reported; ///< Hashes of the odd entries logged.
 };
 
 } // namespace radishcross::fleet
--- a/Tests/LibFleet/TestNodeDirectory.cpp
+++ b/Tests/LibFleet/TestNodeDirectory.cpp
@@ -1,5 +1,7 @@
 #include <LibFleet/NodeDirectory.h>
+#include <LogFile.h>
 
+#include <algorithm>
 #include <chrono>
 #include <doctest/doctest.h>
 
@@ -71,6 +73,25 @@
   CHECK_FALSE(it.mustWrite());
 }
 
+TEST_CASE("an odd entry that is listed again and again is logged once, and no "
+          "more than a few odd entries are") {
+  tests::LogFile log;
+  NodeDirectory it(entryOf("a"));
+  for (int listing = 0; listing < 3; ++listing)
+    for (int n = 0; n < 200; ++n)
+      it.applyRecord({0, "b" + std::to_string(n), "{"});
+  auto lines = log.lines();
+  auto logged = std::count_if(lines.begin(), lines.end(), [](const auto &line) {
+    return tests::textAt(line, "event") == "directory entry ignored";
+  });
+  CHECK(logged > 1);
+  CHECK(logged <= 100);
+  auto ofOne = std::count_if(lines.begin(), lines.end(), [](const auto &line) {
+    return tests::textAt(line, "key") == "b0";
+  });
+  CHECK(ofOne == 1);
+}
+
 TEST_CASE("the first live node drops the entry of a node absent for long") {
   NodeDirectory first(entryOf("a"));
   NodeDirectory second(entryOf("b"));
