LibBase, LibNode, LibFleet: Take no address with port 0 from others

Callers saw: a heartbeat or announcement whose address has port 0 was accepted, so nodes sent calls to a target that nobody can connect to; a directory entry with it named a node that gossip was sent to.

Cause: parseAddress takes port 0, which a listener of the node's own settings may have. parseRemoteAddress, for addresses of other processes, refuses it. The other ports out of range were refused before, as were numbers out of range and nesting of 1,000,000 levels in heartbeats; the new rows hold that: the schema bounds the numbers, and the parser the depth.

Seen to fail before: TestTargetListener.cpp:137: CHECK( 200 == 400 ), port := 0 TestTargetListener.cpp:140: CHECK( 200 == 400 ), port := 0 TestNodeDirectory.cpp:103: CHECK_FALSE( it.applyRecord({0, "b", text}) ), {"incarnation": 1, "gossip": "10.0.0.1:0"} Each passes now.

--- a/Libraries/LibBase/Address.cpp
+++ b/Libraries/LibBase/Address.cpp
@@ -35,4 +35,13 @@
   return Address{ip.to_string(), port};
 }
 
+std::optional<Address> parseRemoteAddress(std::string_view text,
+                                          LastReason &reason) {
+  auto out = parseAddress(text, reason);
+  if (out && out->Port == 0)
+    return reason.fail(ResultCode::BadAddress,
+                       "found port 0, expected a port from 1 to 65535");
+  return out;
+}
+
 } // namespace radishcross::base
--- a/Libraries/LibBase/Address.h
+++ b/Libraries/LibBase/Address.h
@@ -25,4 +25,9 @@
 /// Parses "IP:PORT"; fails with BadAddress.
 std::optional<Address> parseAddress(std::string_view text, LastReason &reason);
 
+/// Parses the address of another process; port 0, which nobody can connect to,
+/// fails too.
+std::optional<Address> parseRemoteAddress(std::string_view text,
+                                          LastReason &reason);
+
 } // namespace radishcross::base
--- a/Libraries/LibFleet/NodeDirectory.cpp
+++ b/Libraries/LibFleet/NodeDirectory.cpp
@@ -30,7 +30,7 @@
     return reason.fail(base::ResultCode::RecordMalformed,
                        "the directory's entry cannot be read");
   auto number = incarnation->to_number<uint64_t>(ec);
-  auto address = base::parseAddress(gossip->get_string(), reason);
+  auto address = base::parseRemoteAddress(gossip->get_string(), reason);
   if (ec || !address)
     return reason.fail(base::ResultCode::RecordMalformed,
                        "the directory's entry has a bad number or address");
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -43,7 +43,7 @@
   if (!document)
     return std::nullopt;
   const auto &object = document->as_object();
-  auto address = base::parseAddress(textAt(object, "address"), reason);
+  auto address = base::parseRemoteAddress(textAt(object, "address"), reason);
   if (!address)
     return std::nullopt;
   auto state = base::fromName(fleet::TargetStateNames, textAt(object, "state"));
--- a/Tests/LibBase/TestAddress.cpp
+++ b/Tests/LibBase/TestAddress.cpp
@@ -15,8 +15,11 @@
 }
 
 TEST_CASE("host names, missing ports and ports out of range are rejected") {
-  for (const char *text : {"localhost:80", "127.0.0.1", "127.0.0.1:", ":80",
-                           "127.0.0.1:65536", "127.0.0.1:8x", "1.2.3.256:1"}) {
+  for (const char *text :
+       {"localhost:80", "127.0.0.1", "127.0.0.1:", ":80", "127.0.0.1:65536",
+        "127.0.0.1:8x", "1.2.3.256:1", "127.0.0.1:99999999999999999999",
+        "127.0.0.1:-1", "127.0.0.1:1e3", "127.0.0.1: 80", "127.0.0.1:+80",
+        "127.0.0.1:80 ", "127.0.0.1:0x50", "", ":", "[]:80"}) {
     LastReason reason;
     CHECK_FALSE(parseAddress(text, reason));
     CHECK(reason.code() == ResultCode::BadAddress);
--- a/Tests/LibFleet/TestNodeDirectory.cpp
+++ b/Tests/LibFleet/TestNodeDirectory.cpp
@@ -73,6 +73,39 @@
   CHECK_FALSE(it.mustWrite());
 }
 
+TEST_CASE("an entry with a number or port out of range names no node") {
+  auto nested = [](const std::string &open, const std::string &close) {
+    constexpr int Levels = 1'000'000;
+    std::string out;
+    for (int n = 0; n < Levels; ++n)
+      out += open;
+    out += "1";
+    for (int n = 0; n < Levels; ++n)
+      out += close;
+    return out;
+  };
+  std::vector<std::string> texts = {"NaN", "\xff", "{}", nested("[", "]"),
+                                    nested("{\"a\":", "}")};
+  for (const char *number :
+       {"1e400", "-1e400", "1e308", "18446744073709551616", "-1", "0.5", "NaN",
+        "Infinity", "\"1\"", "null", "[]"})
+    texts.push_back(std::string(R"({"gossip": "10.0.0.1:1", "incarnation": )") +
+                    number + "}");
+  texts.push_back(R"({"gossip": "10.0.0.1:1", "incarnation": )" +
+                  nested("[", "]") + "}");
+  for (const char *port : {"0", "65536", "99999999999999999999", "-1", "1e3",
+                           " 80", "+80", "80 ", "0x50", ""})
+    texts.push_back(std::string(R"({"incarnation": 1, "gossip": "10.0.0.1:)") +
+                    port + "\"}");
+  for (const auto &text : texts) {
+    CAPTURE(text.substr(0, 64));
+    NodeDirectory it(entryOf("a"));
+    CHECK_FALSE(it.applyRecord({0, "b", text}));
+    CHECK(it.entries().empty());
+    CHECK(it.applyRecord(recordOf(entryOf("c"))) == entryOf("c").Gossip);
+  }
+}
+
 TEST_CASE("an odd entry that is listed again and again is logged once, and no "
           "more than a few odd entries are") {
   tests::LogFile log;
--- a/Tests/LibNode/TestTargetListener.cpp
+++ b/Tests/LibNode/TestTargetListener.cpp
@@ -84,6 +84,26 @@
           "state":"ready","sequence":4})",
       R"({"service":"till","address":"nowhere","slots":9,
           "state":"ready","sequence":4})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":1e400,
+          "state":"ready","sequence":4})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":0.5,
+          "state":"ready","sequence":4})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":-1})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":1e308})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":18446744073709551616})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":9223372036854775808})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":4,"started_unix_ms":-1})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":4,"started_unix_ms":1e19})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":4,"sequence":5})",
+      R"({"service":"till","address":"10.1.0.8:8301","slots":9,
+          "state":"ready","sequence":[[[[[4]]]]]})",
   };
   Listener it;
   CHECK(it.sendHeartbeat(ValidHeartbeat) == 200);
@@ -105,3 +125,33 @@
             R"({"service":"other","address":"10.1.0.9:8301","slots":9,
     "state":"ready","sequence":4})") == 200);
 }
+
+TEST_CASE("a heartbeat or announcement with a port out of range names no "
+          "target") {
+  for (const char *port :
+       {"0", "65536", "99999999999999999999", "-1", "1e3", " 80", "+80", ""}) {
+    CAPTURE(std::string(port));
+    Listener it;
+    it.Targets.setLocalTarget({});
+    auto address = std::string(R"("address":"10.1.0.8:)") + port + "\"";
+    CHECK(it.sendHeartbeat(R"({"service":"till",)" + address +
+                           R"(,"slots":9,"state":"ready","sequence":4})") ==
+          400);
+    CHECK(it.post("/v1/targets",
+                  R"({"service":"external/till","target":"i-7f",)" + address +
+                      R"(,"slots":9,"connections":9,"state":"ready"})") == 400);
+    CHECK(it.Leases.current().empty());
+  }
+}
+
+TEST_CASE("a deeply nested heartbeat or announcement is refused") {
+  Listener it;
+  for (const std::string open : {"[", "{\"service\":"}) {
+    std::string text;
+    for (int n = 0; n < 1'000'000; ++n)
+      text += open;
+    CHECK(it.sendHeartbeat(text) >= 400);
+    CHECK(it.post("/v1/targets", text) >= 400);
+  }
+  CHECK(it.Leases.current().empty());
+}
