LibLog: Forward records above the size limit without content

Callers saw: a record above 64 KiB that another writer appended to the log of changes failed each pull that had it in its answer, with all records beside it. Nodes that do not read the log themselves got no further change until, after 3 failed pulls, each read the store, which costs calls and needs the store.

Cause: the reader of the log kept the record as it was and served it, and PullCodec refuses an answer with a record above log::MaximumRecordBytes.

Every node refuses such a record whatever its content, and an outcome without an id is not part of the state, so both forms fold alike ("the gossip form ... gives the same fold" has one now).

Seen to fail before: TestCodecs.cpp:172: REQUIRE( got ) is NOT correct! "pull answer is malformed or too large".

--- a/Libraries/LibLog/GossipForm.cpp
+++ b/Libraries/LibLog/GossipForm.cpp
@@ -3,6 +3,8 @@
 namespace radishcross::log {
 
 std::string_view gossipForm(const StoredRecord &record) {
+  if (record.Bytes.size() > MaximumRecordBytes)
+    return {};
   base::LastReason reason;
   auto decoded = decodeRecord(record.Bytes, reason);
   bool isSnapshot = decoded && decoded->Kind == RecordKind::Snapshot;
--- a/Tests/LibLog/TestSnapshotInLog.cpp
+++ b/Tests/LibLog/TestSnapshotInLog.cpp
@@ -156,11 +156,13 @@
   CHECK_FALSE(due(160));
 }
 
-TEST_CASE("the gossip form of snapshot parts gives the same fold") {
+TEST_CASE("the gossip form of snapshot parts and of records that are too large "
+          "gives the same fold") {
   FoldDriver whole;
   fill(whole, 3);
   for (const auto &it : log::makeSnapshotParts(whole.State, Writer))
     whole.append(it);
+  whole.append(std::string(log::MaximumRecordBytes + 1, 'x'));
   whole.append(log::publish("last", "c0", 1, log::contentOf({}, {})));
   FoldDriver gossiped;
   for (const auto &it : whole.Log) {
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Random.h>
+#include <LibLog/GossipForm.h>
 #include <LibPeer/GossipCodec.h>
 #include <LibPeer/MeshAuthenticator.h>
 #include <LibPeer/PullCodec.h>
@@ -156,6 +157,24 @@
   }
 }
 
+TEST_CASE("a record larger than any node accepts does not fail the pulls of "
+          "the records beside it") {
+  PullAnswer answer;
+  answer.Kind = PullKind::Records;
+  for (const std::string &bytes :
+       {std::string("three"), std::string(log::MaximumRecordBytes + 1, 'x'),
+        std::string(log::MaximumRecordBytes, 'y')}) {
+    log::StoredRecord record{answer.Records.size() + 3, bytes};
+    answer.Records.push_back({record.At, std::string(log::gossipForm(record))});
+  }
+  base::LastReason reason;
+  auto got = decodePullAnswer(encodePullAnswer(answer), reason);
+  REQUIRE_MESSAGE(got, reason.text());
+  REQUIRE(got->Records.size() == 3);
+  CHECK(got->Records[1].Bytes.empty());
+  CHECK(got->Records[2].Bytes.size() == log::MaximumRecordBytes);
+}
+
 TEST_CASE("a mutated message fails authentication") {
   MeshAuthenticator authenticator({"new", "old"});
   auto sealed = MeshAuthenticator({"old"}).seal("body");
