LibNode: Ignore recorded versions that no log can have

Callers saw: a node whose record of held versions in the store had a number too large took no further version of that configuration.

Cause: after a start a node waits for the versions that its record names and takes no lower one. No change of the log can ever bring such a version.

Versions are counted by records of the log. A wrong but possible number is still waited for.

TestOddEntries now leaves odd entries of all kinds in all four topics, in place of a node's own too, before nodes start, while they follow, and before they start again from the list; it asks that they start, meet, follow, fold the same and register again, and that the log stays short.

--- a/Libraries/LibNode/HeldVersionStore.cpp
+++ b/Libraries/LibNode/HeldVersionStore.cpp
@@ -16,6 +16,10 @@
 /// The minimum time between a failed write and the next one.
 constexpr base::Duration RetryInterval = std::chrono::seconds(1);
 
+/// Versions are counted by records of the log, and no log has as many. A node
+/// would wait for a version above it for ever.
+constexpr uint64_t MaximumVersion = uint64_t{1} << 48U;
+
 } // namespace
 
 std::string encodeHoldings(const VersionNumbers &versions) {
@@ -36,7 +40,7 @@
   for (const auto &it : document.get_object()) {
     const auto &number = it.value();
     auto version = number.is_number() ? number.to_number<uint64_t>(ec) : 0;
-    if (!number.is_number() || ec)
+    if (!number.is_number() || ec || version > MaximumVersion)
       return reason.fail(base::ResultCode::RecordMalformed,
                          "the holdings record has an invalid version number");
     out.emplace(it.key(), version);
--- a/Tests/LibNode/TestHeldVersionStore.cpp
+++ b/Tests/LibNode/TestHeldVersionStore.cpp
@@ -109,7 +109,12 @@
 }
 
 TEST_CASE("without an answer, or with a malformed record, nothing is loaded") {
-  for (const char *text : {"", "[]", R"({"badges":"3"})", R"({"badges":-1})"}) {
+  for (const char *text :
+       {"", "[]", R"({"badges":"3"})", R"({"badges":-1})", R"({"badges":0.5})",
+        R"({"badges":1e400})", R"({"badges":-1e400})", R"({"badges":1e308})",
+        R"({"badges":18446744073709551616})", R"({"badges":null})",
+        R"({"badges":[3]})", R"({"badges":{}})", "\xff", "NaN"}) {
+    CAPTURE(std::string(text));
     MockStore store;
     node::HeldVersionStore versionStore(store, "n1", [] {});
     std::vector<VersionNumbers> found;
@@ -122,3 +127,28 @@
     CHECK(found == std::vector<VersionNumbers>{{}});
   }
 }
+
+TEST_CASE("a recorded version that no log can have is not waited for") {
+  for (const char *text :
+       {R"({"badges":18446744073709551615})",
+        R"({"badges":9223372036854775808})",
+        R"({"badges":9223372036854775807})", R"({"badges":1e18})"}) {
+    CAPTURE(std::string(text));
+    base::LastReason reason;
+    CHECK_FALSE(node::decodeHoldings(text, reason));
+    CHECK(reason.code() == base::ResultCode::RecordMalformed);
+  }
+}
+
+TEST_CASE("an odd record of this node's holdings is written over") {
+  MockStore store;
+  node::HeldVersionStore versionStore(store, "n1", [] {});
+  versionStore.load([](const VersionNumbers &) {});
+  log::TopicAnswer answer;
+  answer.Reached = true;
+  answer.Records = {{0, "n1", R"({"badges":1e400})"}};
+  store.Lists[0](answer);
+  versionStore.setDesired({{"badges", 3}});
+  versionStore.tick(at(1s));
+  CHECK(store.Puts.size() == 1);
+}
--- a/Tests/LibNode/TestOddEntries.cpp
+++ b/Tests/LibNode/TestOddEntries.cpp
@@ -2,6 +2,7 @@
 #include <LibNode/FreeListeners.h>
 #include <LibNode/MockPlatform.h>
 #include <LibNode/NodeProcess.h>
+#include <LogFile.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr std::string_view Changes = "keyed.radishcross-changes";
+constexpr std::string_view NodesTopic = "keyed.radishcross-nodes";
+constexpr std::string_view Holdings = "keyed.radishcross-holdings";
 constexpr std::string_view Operator = "keyed.op";
 
 /// Returns an operator's record with one route.
@@ -27,6 +30,35 @@
          R"("headerTimeout":3000,"idleTimeout":20000}})";
 }
 
+std::string nested(std::string_view open, std::string_view close, int levels) {
+  std::string out;
+  for (int n = 0; n < levels; ++n)
+    out += open;
+  out += "1";
+  for (int n = 0; n < levels; ++n)
+    out += close;
+  return out;
+}
+
+/// Returns texts that another writer may leave in place of a JSON object with
+/// the field \p key.
+std::vector<std::string> oddTexts(const std::string &key) {
+  std::vector<std::string> out = {"{",         "[]",       "7",      "null",
+                                  "\"\"",      "\xff\xfe", "NaN",    "{}{}",
+                                  R"({"":1})", "\0",       R"([{}])"};
+  for (int levels : {30, 10'000, 40'000}) {
+    out.push_back(nested("[", "]", levels));
+    out.push_back(nested(R"({"a":)", "}", levels));
+    out.push_back("{\"" + key + "\":" + nested("[", "]", levels) + "}");
+  }
+  for (const char *number :
+       {"1e400", "-1e400", "1e308", "18446744073709551616",
+        "18446744073709551615", "9223372036854775808", "-1", "0.5", "NaN",
+        "Infinity", "\"7\"", "null", "[]", "{}", "true"})
+    out.push_back("{\"" + key + "\":" + number + "}");
+  return out;
+}
+
 /// Nodes that read all topics through the store's client.
 struct Mesh {
   boost::asio::io_context Context{1};
@@ -106,6 +138,10 @@
     write(Changes, id,
           log::encodeRecord(log::makePublish(id, {"team", "me", ""}, body)));
   }
+
+  void publishOperator(uint64_t version) {
+    write(Operator, "config", operatorRecord(version));
+  }
 };
 
 } // namespace
@@ -123,3 +159,68 @@
     CHECK(mesh.runUntil([&] { return mesh.allHold("badges", 2); }, 5s));
   }
 }
+
+TEST_CASE("an odd entry of another writer in any topic keeps no node from "
+          "starting, meeting others and following new versions") {
+  tests::LogFile log;
+  Mesh mesh;
+  const auto own = mesh.Settings[0].Node;
+  auto writeOdd = [&](const std::string &suffix) {
+    for (auto topic : {Changes, NodesTopic, Holdings, Operator}) {
+      for (const auto &field : {"incarnation", "version", "badges"}) {
+        int n = 0;
+        for (const auto &text : oddTexts(field))
+          mesh.write(topic, "odd-" + suffix + std::to_string(n++), text);
+      }
+      mesh.write(topic, "\xff\xfe" + suffix, "{");
+      mesh.write(topic, "", "{}");
+      mesh.writeContent(topic, "");
+      mesh.writeContent(topic, "\t{}");
+    }
+    for (const char *port :
+         {"0", "65536", "99999999999999999999", "-1", "1e3", " 80", "+80", ""})
+      mesh.write(NodesTopic, std::string("port") + port + suffix,
+                 std::string(R"({"incarnation":1,"gossip":"127.0.0.1:)") +
+                     port + "\"}");
+    // In place of what one of the nodes has written itself.
+    mesh.write(NodesTopic, own, R"({"incarnation":1e400,"gossip":7})");
+    mesh.write(Holdings, own, R"({"badges":18446744073709551615})");
+    mesh.write(Changes, "covered-18446744073709551616", "{}");
+    mesh.write(Changes, "covered-99999999999999999999999", "{}");
+    mesh.write(Operator, "config", nested("[", "]", 100'000));
+    mesh.write(Operator, "config", R"({"version":1e400})");
+  };
+  writeOdd("a");
+  mesh.publishOperator(2);
+  mesh.publishBadges(0);
+  mesh.startAll();
+  CHECK(mesh.runUntil([&] { return mesh.allHold("external", 2); }));
+  CHECK(mesh.runUntil([&] { return mesh.allHold("badges", 1); }));
+  writeOdd("b");
+  mesh.publishOperator(3);
+  mesh.publishBadges(1);
+  CHECK(mesh.runUntil([&] { return mesh.allHold("external", 3); }, 4s));
+  CHECK(mesh.runUntil([&] { return mesh.allHold("badges", 2); }, 10s));
+  // Listed once more, after the history was dropped.
+  mesh.Platform.Store.forgetHistory();
+  writeOdd("c");
+  mesh.publishOperator(4);
+  mesh.publishBadges(2);
+  CHECK(mesh.runUntil([&] { return mesh.allHold("external", 4); }, 4s));
+  CHECK(mesh.runUntil([&] { return mesh.allHold("badges", 3); }, 10s));
+  // A node that reads the log from its list folds the same as the others.
+  auto hash = mesh.Nodes[1]->fold().hash();
+  mesh.Nodes.clear();
+  mesh.startAll();
+  CHECK(mesh.runUntil([&] { return mesh.allHold("external", 4); }));
+  CHECK(mesh.runUntil([&] { return mesh.allHold("badges", 3); }));
+  CHECK(mesh.Nodes[1]->fold().hash() == hash);
+  // Its own entry in the directory is right again.
+  auto isRegistered = [&] {
+    auto entry = mesh.Platform.Store.newestOf(std::string(NodesTopic), own);
+    return entry.find(mesh.Settings[0].Gossip.text()) != std::string::npos;
+  };
+  CHECK(mesh.runUntil(isRegistered, 30s));
+  auto lines = log.lines();
+  CHECK(lines.size() < 2000);
+}
