LibBase: Write log lines as UTF-8

Callers saw: a log line that quotes bytes of another writer, such as the key of a directory entry, was not valid JSON, and a reader of the log ended at it.

Cause: appendJsonString passed all bytes from 0x80 on. Bytes that are not part of a UTF-8 character now become U+FFFD; valid characters and ASCII are written as before.

--- a/Libraries/LibBase/Logger.cpp
+++ b/Libraries/LibBase/Logger.cpp
@@ -51,15 +51,53 @@
   return Levels[static_cast<size_t>(level)];
 }
 
+/// Returns the length of the UTF-8 character that \p text begins with; 0 if
+/// there is none.
+size_t characterLength(std::string_view text) {
+  struct Row {
+    unsigned char First; ///< Lowest first byte of a character of this length.
+    unsigned char LowestSecond;
+    size_t Length;
+  };
+  // A lower second byte would be an overlong form.
+  constexpr Row Rows[] = {{0xF1, 0x80, 4},
+                          {0xF0, 0x90, 4},
+                          {0xE1, 0x80, 3},
+                          {0xE0, 0xA0, 3},
+                          {0xC2, 0x80, 2}};
+  auto byteAt = [&](size_t at) { return static_cast<unsigned char>(text[at]); };
+  auto first = byteAt(0);
+  for (const auto &row : Rows) {
+    if (first < row.First)
+      continue;
+    // A higher one would be a surrogate, or beyond the last character.
+    unsigned char highest = first == 0xED ? 0x9F : first == 0xF4 ? 0x8F : 0xBF;
+    if (first > 0xF4 || text.size() < row.Length ||
+        byteAt(1) < row.LowestSecond || byteAt(1) > highest)
+      return 0;
+    for (size_t it = 2; it < row.Length; ++it)
+      if ((byteAt(it) & 0xC0U) != 0x80U)
+        return 0;
+    return row.Length;
+  }
+  return 0;
+}
+
 /// Appends a text as a JSON string. Serialising through the JSON library costs
 /// several times as much, which matters when an overload logs thousands of
 /// refused calls.
 void appendJsonString(std::string &out, std::string_view text) {
   constexpr std::string_view Digits = "0123456789abcdef";
+  constexpr std::string_view ReplacementCharacter = "\\ufffd";
   out += '"';
-  for (char c : text) {
+  for (size_t it = 0; it < text.size(); ++it) {
+    char c = text[it];
     auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') {
+    if (byte >= 0x80) {
+      size_t length = characterLength(text.substr(it));
+      out += length > 0 ? text.substr(it, length) : ReplacementCharacter;
+      it += length > 0 ? length - 1 : 0;
+    } else if (c == '"' || c == '\\') {
       out += '\\';
       out += c;
     } else if (byte < 0x20) {
--- a/Tests/LibBase/TestLogger.cpp
+++ b/Tests/LibBase/TestLogger.cpp
@@ -10,6 +10,7 @@
 #include <fcntl.h>
 #include <string>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace radishcross;
@@ -130,6 +131,40 @@
   setUp(-1);
 }
 
+TEST_CASE("a text that is not UTF-8 does not make its line unreadable") {
+  const std::pair<std::string, std::string> texts[] = {
+      {"caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80",
+       "caf\xc3\xa9 \xe2\x82\xac \xf0\x9f\x98\x80"},
+      {"\xff\xfe!", "**!"},
+      {"a\x80", "a*"},
+      {"\xc3", "*"},
+      {"\xc3(", "*("},
+      {"\xc0\xaf", "**"},
+      {"\xe2\x82", "**"},
+      {"\xed\xa0\x80", "***"},
+      {"\xe0\x80\x80", "***"},
+      {"\xf4\x90\x80\x80", "****"},
+      {"\xf8\x88\x80\x80\x80", "*****"},
+  };
+  for (const auto &[text, expected] : texts) {
+    CAPTURE(expected);
+    Pipe pipe;
+    setUp(pipe.writer());
+    base::log(base::LogLevel::Info, "odd", {{"text", text}});
+    base::flushLog();
+    boost::system::error_code ec;
+    auto line = boost::json::parse(pipe.read(), ec);
+    CHECK_FALSE(ec);
+    if (ec)
+      continue;
+    std::string found(line.at("text").as_string());
+    for (size_t at; (at = found.find("\xef\xbf\xbd")) != std::string::npos;)
+      found.replace(at, 3, "*");
+    CHECK(found == expected);
+  }
+  setUp(-1);
+}
+
 TEST_CASE("changing the log settings loses no line") {
   Pipe pipe;
   setUp(pipe.writer());
