LibHttp: Keep header limits beyond 32 bits

Callers saw: an operator's record with maxHeaderBytes of 2^32 or a little more, which is accepted, made each node refuse all requests with 431.

Cause: the limit was cast to the parser's 32 bits. It is now cut off at their maximum, and the sum for the listener between nodes no longer overflows.

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/CallEngine.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace radishcross::http {
@@ -96,9 +97,11 @@
   Callers->setClientLimits(InForce.HeaderBytes, InForce.BodyBytes,
                            InForce.HeaderTimeout, InForce.IdleTimeout);
   ServerLimits mesh;
-  Mesh->setClientLimits(InForce.HeaderBytes + MeshHeaderBytes,
-                        std::max(mesh.BodyBytes, InForce.BodyBytes),
-                        mesh.RequestTimeout, mesh.IdleTimeout);
+  Mesh->setClientLimits(
+      std::min(InForce.HeaderBytes, SIZE_MAX - MeshHeaderBytes) +
+          MeshHeaderBytes,
+      std::max(mesh.BodyBytes, InForce.BodyBytes), mesh.RequestTimeout,
+      mesh.IdleTimeout);
   base::log(base::LogLevel::Info, "client limits in force",
             {{"header_bytes", std::to_string(InForce.HeaderBytes)},
              {"body_bytes", std::to_string(InForce.BodyBytes)},
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -3,6 +3,7 @@
 #include <LibHttp/Framing.h>
 #include <LibHttp/Responses.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cerrno>
+#include <cstdint>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -47,6 +49,12 @@
   return base::ResultCode::BadRequest;
 }
 
+/// The parser's own limit has 32 bits.
+uint32_t headerLimit(const MessageLimits &limits) {
+  return static_cast<uint32_t>(
+      std::min<size_t>(limits.HeaderBytes, UINT32_MAX));
+}
+
 size_t countFields(const bh::fields &fields) {
   return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
 }
@@ -248,7 +256,7 @@
   if (end != ReadStatus::Complete)
     co_return end;
   bh::request_parser<bh::string_body> parser;
-  parser.header_limit(static_cast<uint32_t>(limits.HeaderBytes));
+  parser.header_limit(headerLimit(limits));
   parser.body_limit(limits.BodyBytes);
   error_code ec;
   size_t used = parser.put(asio::buffer(Buffer.cdata(), size), ec);
@@ -290,7 +298,7 @@
     if (end != ReadStatus::Complete)
       co_return end;
     bh::response_parser<bh::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(limits.HeaderBytes));
+    parser.header_limit(headerLimit(limits));
     parser.body_limit(limits.BodyBytes);
     parser.skip(method == bh::verb::head);
     error_code ec;
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -70,6 +70,23 @@
   CHECK(reason.code() == base::ResultCode::NodeUnreachable);
 }
 
+TEST_CASE("a header limit beyond 32 bits does not refuse every request") {
+  for (size_t limit : {size_t{1} << 32U, (size_t{1} << 32U) + 9, SIZE_MAX}) {
+    CAPTURE(limit);
+    asio::io_context context(1);
+    base::LastReason reason;
+    auto server =
+        http::Server::create(context, {"127.0.0.1", 0}, {}, answerOk, reason);
+    REQUIRE(server);
+    (*server)->setClientLimits(limit, limit, std::chrono::seconds(5),
+                               std::chrono::seconds(5));
+    auto got =
+        fetchFrom(context, (*server)->address(), {bh::verb::get, "/", 11});
+    REQUIRE(got);
+    CHECK(got->result_int() == 200);
+  }
+}
+
 TEST_CASE("a draining server serves a request already in transit, then closes "
           "idle connections") {
   asio::io_context context(1);
