Tests/LibLog, Tests/Platform: Try odd records of changes and of the operator

Nesting of up to 1,000,000 levels, numbers out of range, repeated keys and bytes that are not UTF-8 are refused here already: Boost.JSON's parser does not recurse and stops at 32 levels (StrictJson at 24 for records of changes), to_number takes exact values only, and StrictJson refuses the rest.

--- a/Tests/LibLog/TestRecord.cpp
+++ b/Tests/LibLog/TestRecord.cpp
@@ -50,6 +50,16 @@
        ResultCode::RecordMalformed, "by.team"},
       {R"({"id":"a","kind":"publish",)" + by + R"(,"body":{},"x":1})",
        ResultCode::RecordMalformed, "x: expected no such key"},
+      {std::string(60'000, '['), ResultCode::RecordMalformed,
+       "document-too-deep"},
+      {R"({"id":"a","kind":"publish",)" + by + R"(,"body":{"base":1e400}})",
+       ResultCode::RecordMalformed, "number-out-of-range"},
+      {R"({"id":"a","kind":"publish",)" + by +
+           R"(,"body":{"base":18446744073709551616}})",
+       ResultCode::RecordMalformed, "number-out-of-range"},
+      {R"({"id":"a","kind":"publish",)" + by + R"(,"body":{},"body":{}})",
+       ResultCode::RecordMalformed, "duplicate-key"},
+      {"\xff", ResultCode::RecordMalformed, "not-utf8"},
       {std::string(log::MaximumRecordBytes + 1, ' '),
        ResultCode::RecordTooLarge, "65537 bytes"},
   };
--- a/Tests/Platform/TestOperatorRecord.cpp
+++ b/Tests/Platform/TestOperatorRecord.cpp
@@ -43,6 +43,13 @@
   return out.replace(at, from.size(), to);
 }
 
+std::string repeated(std::string_view text, int times) {
+  std::string out;
+  for (int n = 0; n < times; ++n)
+    out += text;
+  return out;
+}
+
 bool tryRecord(std::string_view text) {
   base::LastReason reason;
   auto read = platform::decodeOperatorRecord(text, reason);
@@ -117,6 +124,20 @@
       {"not JSON", "\x81\xa7version"},
       {"cut off", std::string(ValidRecord.substr(0, ValidRecord.size() - 3))},
       {"another type", "[]"},
+      {"bytes that are not UTF-8", with("one.example", "\xff\xfe")},
+      {"deeply nested lists", std::string(1'000'000, '[')},
+      {"deeply nested objects", repeated(R"({"version":)", 1'000'000)},
+      {"a deeply nested version",
+       with("19", repeated("[", 100'000) + "1" + repeated("]", 100'000))},
+      {"a version of 1e400", with("19", "1e400")},
+      {"a version of -1e400", with("19", "-1e400")},
+      {"a version of 1e308", with("19", "1e308")},
+      {"a version of 65 bits", with("19", "18446744073709551616")},
+      {"a version that is no number", with("19", "NaN")},
+      {"a version that is a list", with("19", "[19]")},
+      {"a timeout of 1e400", with("1000", "1e400")},
+      {"a weight of 0.5", with("90", "0.5")},
+      {"a weight below 0", with("90", "-1")},
       {"no version", with(R"("version": 19,)", "")},
       {"a version of text", with("19", R"("19")")},
       {"a version below 0", with("19", "-19")},
