--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -44,7 +44,8 @@
   if (!document)
     return std::nullopt;
   const auto &object = document->as_object();
-  auto address = base::parseRemoteAddress(object.at("address").as_string(), reason);
+  auto address =
+      base::parseRemoteAddress(object.at("address").as_string(), reason);
   if (!address)
     return std::nullopt;
   calls::Heartbeat out;
