Tests/LibHttp: Reset the connections that a test says it resets

The test of truncated responses set SO_LINGER to 0 and left the close to the socket's destructor, which asio makes a plain close by switching SO_LINGER off, so "resets" was a FIN. Its row of a cut refusal had a field name that only a deployment gives, so that it was no refusal.

--- a/Tests/LibHttp/TestCallsCutShort.cpp
+++ b/Tests/LibHttp/TestCallsCutShort.cpp
@@ -13,7 +13,7 @@
     "",
     "HTTP/1.1 200 OK\r\nContent-Le",
     "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
-    "HTTP/1.1 503 No\r\nX-Radishcross-Not-Executed: 1\r\n"
+    "HTTP/1.1 503 No\r\nX-Radishcross-Not-Run: 1\r\n"
     "Content-Length: 10\r\n\r\nabc",
 };
 
@@ -26,8 +26,10 @@
   co_await socket.async_read_some(asio::buffer(buf), asio::use_awaitable);
   co_await asio::async_write(socket, asio::buffer(beginning),
                              asio::use_awaitable);
+  // Only an explicit close resets, the destructor does not.
   if (resets)
     socket.set_option(asio::socket_base::linger(true, 0));
+  socket.close();
 }
 
 /// Sends \p text over one client connection and returns everything received.
