--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -167,15 +167,55 @@
 
 TEST_CASE("a truncated or badly framed response has outcome unknown and is "
           "never forwarded") {
-  for (const char *raw : {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &raw : std::initializer_list<std::string>{
            "",
            "HTTP/1.1 200 OK\r\nContent-Le",
            "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: "
-           "3\r\n\r\nabc",
-           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: "
-           "chunked\r\n\r\nabc",
+           ok + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+           ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+           "HTTP/0.9 200 OK\r\n\r\nabc",
+           "HTTP/2.0 200 OK\r\n\r\nabc",
+           "HTTP/1.1 200\r\n\r\nabc",
+           "HTTP/1.1 20 OK\r\n\r\nabc",
+           "HTTP/1.1 2000 OK\r\n\r\nabc",
+           "HTTP/1.1 101 Switching Protocols\r\n\r\nabc",
+           "HTTP/1.1 100 Continue\r\n\r\n",
+           "HTTP/1.1 200 " + std::string(40'000, 'x') + "\r\n\r\nabc",
+           "200 OK\r\n\r\nabc",
+           "\r\n" + ok + "\r\nabc",
+           "<html>abc</html>",
+           "HTTP/1.1 200 OK\n\nabc",
+           "HTTP/1.1 200 OK\r\n\nabc",
+           ok + "A: b\n\r\n\r\nabc",
+           ok + "A: b\rC: d\r\n\r\nabc",
+           ok + std::string("A: \0\r\n\r\nabc", 11),
+           ok + "A: b\r\n c\r\n\r\nabc",
+           ok + "Content-Length: 1\r\n 0\r\n\r\n0123456789",
+           ok + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+           ok + "Content-Length: 3, 3\r\n\r\nabc",
+           ok + "Content-Length: +3\r\n\r\nabc",
+           ok + "Content-Length: -3\r\n\r\nabc",
+           ok + "Content-Length: 0x3\r\n\r\nabc",
+           ok + "Content-Length:\r\n\r\nabc",
+           ok + "Content-Length : 3\r\n\r\nabc",
+           ok + "Content-Length: 18446744073709551619\r\n\r\nabc",
+           ok + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+           ok + "Transfer-Encoding: identity\r\n\r\nabc",
+           ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n0\r\n\r\n",
+           "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+           chunked + "3x\r\nabc\r\n0\r\n\r\n",
+           chunked + "\r\n0\r\n\r\n",
+           chunked + "-1\r\nabc\r\n0\r\n\r\n",
+           chunked + "fffffffffffffffff\r\nabc\r\n0\r\n\r\n",
+           chunked + "2\r\nabc\r\n0\r\n\r\n",
+           chunked + "3\nabc\n0\n\n",
+           chunked + "3\r\nabc\r\n0\r\n",
+           chunked + "3\r\nabc\r\n0;a=\"\r\n\r\n",
+           chunked + "3\r\nabc\r\n0\r\nA b\r\n\r\n",
        }) {
     CAPTURE(raw);
     TwoNodes mesh;
