--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -225,6 +225,58 @@
   }
 }
 
+TEST_CASE("an answer of the store that is cut at any byte is a failed call") {
+  const std::string read =
+      answerText("200 OK", std::string("\0\0\0\0\0\0\0\4\0\0\0\0\0\0\0\2", 16) +
+                               std::string("\0\0\0\3\1ka\0\0\0\3\1kb", 14));
+  for (size_t n = 0; n <= read.size(); ++n) {
+    CAPTURE(n);
+    auto got = readFrom(read.substr(0, n), [](auto &client, auto done) {
+      client.follow(log::Topic::Nodes, 2, {}, done);
+    });
+    CHECK(got.Reached == (n == read.size()));
+    CHECK_FALSE(got.Expired);
+    CHECK(got.Records.size() == (n == read.size() ? 2 : 0));
+  }
+  const std::string page = answerText(
+      "200 OK", R"({"items":[{"key":"k","value":"YQ==","offset":4}],)"
+                R"("more":false,"endOffset":16})");
+  for (size_t n = 0; n <= page.size(); ++n) {
+    CAPTURE(n);
+    auto got = readFrom(page.substr(0, n), [](auto &client, auto done) {
+      client.list(log::Topic::Operator, done);
+    });
+    CHECK(got.Reached == (n == page.size()));
+    CHECK(got.Records.size() == (n == page.size() ? 1 : 0));
+  }
+  for (const char *status : {"200 OK", "503 Down"}) {
+    const std::string answer = answerText(status, R"({"offset":77})");
+    for (size_t n = 0; n < answer.size(); ++n) {
+      CAPTURE(n);
+      asio::io_context context(1);
+      RawServer store(context, answer.substr(0, n));
+      CHECK(append(context, {store.address()}).Outcome == Kind::Unknown);
+    }
+  }
+}
+
+TEST_CASE("a read whose body ends early loses no record") {
+  std::string whole("\0\0\0\0\0\0\0\4\0\0\0\0\0\0\0\2", 16);
+  whole += platform::encodeRecord("k", "first");
+  const size_t border = whole.size();
+  whole += platform::encodeRecord("k", "second");
+  for (size_t n = 0; n < whole.size(); ++n) {
+    CAPTURE(n);
+    auto got = platform::decodeRead(whole.substr(0, n), 2);
+    // Cut between two records, it still tells that there are more.
+    REQUIRE(got.has_value() == (n == 16 || n == border));
+    if (!got)
+      continue;
+    CHECK(got->End == 4);
+    CHECK(got->Records.size() == (n == border ? 1 : 0));
+  }
+}
+
 TEST_CASE("a dropped history is distinguished from a failed read") {
   auto got = readFrom(answerText("410 Gone", R"({"firstOffset":9})"),
                       [](auto &client, auto done) {
