--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -277,6 +277,24 @@
   }
 }
 
+TEST_CASE("a store address that answers nothing is asked for ever") {
+  asio::io_context context(1);
+  RawServer silent(context, "");
+  RawServer store(context,
+                  answerText("200 OK", R"({"items":[],"endOffset":0})"));
+  base::Metrics counters;
+  platform::StoreClient client(context, {silent.address(), store.address()},
+                               counters);
+  for (bool isReached : {false, true, true}) {
+    std::optional<log::TopicAnswer> got;
+    client.list(log::Topic::Operator,
+                [&](log::TopicAnswer it) { got = std::move(it); });
+    runUntil(context, [&] { return got.has_value(); });
+    CHECK(got->Reached == isReached);
+  }
+  CHECK(silent.Accepted == 1);
+}
+
 TEST_CASE("a dropped history is distinguished from a failed read") {
   auto got = readFrom(answerText("410 Gone", R"({"firstOffset":9})"),
                       [](auto &client, auto done) {
