LibPeer: Let the age of the configuration grow while a newer one is known

What operators saw: external_confirmed_age_seconds stood still at 28.0073 s at a node that held another version by then (the incident's scrapes at 32 and 37 s).

Cause: the age was that of a report, which has none while a newer version is reported and not held, or held and not yet confirmed; the gauge kept its last value, and a node that cannot get the newer version raised no alarm by it.

The metric and the status now state the time since nothing newer was known, which grows until the newer version is held and confirmed. "The age of a version that is no longer the newest stands still" holds it for the decision module; it passed at once, as the function was there.

--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -56,7 +56,7 @@
   void setExternalVersion(uint64_t version) override;
   void noteExternalRead(const fleet::RecordReading &reading) override;
   std::optional<base::Duration> externalAge() const override {
-    return Freshness.report(elapsedClock().now()).Age;
+    return Freshness.currentAge(elapsedClock().now());
   }
   fleet::ReadDuty externalDuty() override;
   void requestLogRead() override;
--- a/Tests/LibFleet/TestRecordFreshness.cpp
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -509,6 +509,18 @@
   CHECK(it.duty({7, 20}, now + 2s).What == ReadDuty::Kind::Once);
 }
 
+TEST_CASE("the age of a version that is no longer the newest stands still") {
+  auto now = base::TimePoint{1h};
+  RecordFreshness it({Bound}, 1, now);
+  CHECK_FALSE(it.currentAge(now));
+  it.setHeldVersion(5);
+  it.readConfirmed(now);
+  it.reported({6, 0s}, now + 1s);
+  CHECK(it.currentAge(now + 3s) == 3s);
+  it.setHeldVersion(6);
+  CHECK(it.currentAge(now + 3s) == 2s);
+}
+
 TEST_CASE("a report of an older or a newer version does not confirm the "
           "version held") {
   auto now = base::TimePoint{1h};
