Tests/LibBase: Capture a member, not a structured binding

clang-tidy refuses a lambda's capture of a structured binding in C++20; GCC takes it. The checks are the same.

--- a/Tests/LibBase/TestLogger.cpp
+++ b/Tests/LibBase/TestLogger.cpp
@@ -146,11 +146,11 @@
       {"\xf4\x90\x80\x80", "****"},
       {"\xf8\x88\x80\x80\x80", "*****"},
   };
-  for (const auto &[text, expected] : texts) {
-    CAPTURE(expected);
+  for (const auto &it : texts) {
+    CAPTURE(it.second);
     Pipe pipe;
     setUp(pipe.writer());
-    base::log(base::LogLevel::Info, "odd", {{"text", text}});
+    base::log(base::LogLevel::Info, "odd", {{"text", it.first}});
     base::flushLog();
     boost::system::error_code ec;
     auto line = boost::json::parse(pipe.read(), ec);
@@ -160,7 +160,7 @@
     std::string found(line.at("text").as_string());
     for (size_t at; (at = found.find("\xef\xbf\xbd")) != std::string::npos;)
       found.replace(at, 3, "*");
-    CHECK(found == expected);
+    CHECK(found == it.second);
   }
   setUp(-1);
 }
