--- a/Tests/LibNode/TestOddEntries.cpp
+++ b/Tests/LibNode/TestOddEntries.cpp
@@ -43,9 +43,10 @@
 /// Returns texts that another writer may leave in place of a JSON object with
 /// the field \p key.
 std::vector<std::string> oddTexts(const std::string &key) {
-  std::vector<std::string> out = {"{",         "[]",       "7",      "null",
-                                  "\"\"",      "\xff\xfe", "NaN",    "{}{}",
-                                  R"({"":1})", "\0",       R"([{}])"};
+  std::vector<std::string> out = {
+      "{",        "[]",  "7",    "null",      "\"\"",
+      "\xff\xfe", "NaN", "{}{}", R"({"":1})", std::string(1, 0),
+      R"([{}])"};
   for (int levels : {30, 10'000, 40'000}) {
     out.push_back(nested("[", "]", levels));
     out.push_back(nested(R"({"a":)", "}", levels));
--- a/Tests/LibNode/TestTopicReader.cpp
+++ b/Tests/LibNode/TestTopicReader.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 TEST_CASE("a read is taken to be answered when its answer arrives") {
-  constexpr base::Duration Wait = 20ms;
+  static constexpr base::Duration Wait = 20ms;
   boost::asio::io_context context(1);
   HeldStore store;
   std::optional<fleet::RecordReading> got;
--- a/Tests/LibNode/TestUnansweredStoreReads.cpp
+++ b/Tests/LibNode/TestUnansweredStoreReads.cpp
@@ -23,7 +23,7 @@
   test::MockPlatform Platform{Context};
   std::vector<std::unique_ptr<node::NodeProcess>> Nodes;
 
-  explicit Mesh(std::vector<std::string> dataCentres) {
+  explicit Mesh(const std::vector<std::string> &dataCentres) {
     publish(1);
     for (const auto &it : dataCentres)
       start(it);
--- a/Tests/Platform/TestStoreClient.cpp
+++ b/Tests/Platform/TestStoreClient.cpp
@@ -177,9 +177,10 @@
     CAPTURE(item);
     for (bool isLast : {false, true}) {
       std::string good = R"({"key":"k","value":"YQ==","offset":4})";
-      auto page = R"({"items":[)" +
-                  (isLast ? good + "," + item : item + "," + good) +
-                  R"(],"more":false,"endOffset":6})";
+      std::string page = R"({"items":[)";
+      page.append(isLast ? good : item).append(",");
+      page.append(isLast ? item : good);
+      page.append(R"(],"more":false,"endOffset":6})");
       auto got =
           readFrom(answerText("200 OK", page), [](auto &client, auto done) {
             client.list(log::Topic::Operator, done);
