LibHttp: Wait without a limit for the last copy of a request

What happened: after its last repeat a request waited with a timer at the largest time in microseconds, which overflows in nanoseconds. The time was in the past, so the node turned over the wait until the copy's timeout, up to a few hundred milliseconds of processor time for each read that a silent store leaves open.

Seen: the undefined behaviour sanitizer at TestRepeatingClient, "signed integer overflow: * 1000", before; none after, 22 cases. The timer now has the largest time of its own clock.

--- a/Libraries/LibHttp/RepeatingClient.cpp
+++ b/Libraries/LibHttp/RepeatingClient.cpp
@@ -84,7 +84,8 @@
   while (!copies->HasEnded) {
     // Without a repeat the newest copy ends the request at its timeout.
     auto due = schedule.nextRepeat(copies->progress());
-    copies->Ended.expires_at(due.value_or(base::TimePoint::max()));
+    copies->Ended.expires_at(due ? asio::steady_timer::time_point(*due)
+                                 : asio::steady_timer::time_point::max());
     boost::system::error_code ec;
     co_await copies->Ended.async_wait(
         asio::redirect_error(asio::use_awaitable, ec));
