--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -554,12 +554,15 @@
     processes; exits with the case's code."""
     async def body():
         mesh = None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             mesh = Mesh(case)
             held = await asyncio.wait_for(scenario(mesh), limit)
             mesh.record.add("the rule held" if held else "THE RULE WAS BROKEN")
             return HELD if held else BROKEN
-        except Exception as error:  # Only a judged run may exit with 0 or 1.
+        except (Exception, asyncio.CancelledError) as error:
+            # Only a judged run may exit with 0 or 1.
             print(f"the case could not run: {error!r}")
             return NOT_RUN
         finally:
