LibCalls: Tell quarantined requests apart by caller and service

Cause: the identity was a hash of method, path and body. An answer to anyone's request cleared the suspect, and the quarantine refused everyone's, at all services.

The fingerprint now includes the calling service, and the quarantine is keyed by fingerprint and service, at the caller's node and at the gate. An answer clears the request that crashed and no other, and a quarantine refuses no other.

Tests, which failed before: TestCallFields "requests of two callers with one path and body are told apart", TestNodeGate "a quarantine at one service lets the request pass at another".

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -116,12 +116,12 @@
     return refuse(ResultCode::NotRecovered, DefaultRetryAfter);
   if (!resolved.Matched)
     return refuse(ResultCode::NoRoute);
-  if (Quarantined->blocks(request.Fingerprint, now))
-    return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
   const auto &route = *resolved.Matched;
   auto &routed = call.Route;
   const auto &destination = TrafficSplit.choose(resolved, Randomness);
   routed.ServiceName = *destination.ServiceName;
+  if (Quarantined->blocks(request.Fingerprint, routed.ServiceName, now))
+    return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
   routed.CallRank = config::lessUrgentOf(route.CallRank, request.ParentRank);
   if (!Settings.Toggles.RanksEnabled)
     routed.CallRank = config::Rank::Standard;
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -22,7 +22,7 @@
   std::string Host;
   std::string Path;
   std::string IdempotencyKey; ///< Empty when the caller gave none.
-  uint64_t Fingerprint = 0;   ///< Hash of method, path and body.
+  uint64_t Fingerprint = 0;   ///< Hash of caller, method, path and body.
   bool FromMesh = false;      ///< Forwarded by another node.
   config::Rank ParentRank = config::Rank::Critical;
   uint32_t Hops = 0; ///< Upstream calls in the chain.
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibCalls/NodeGate.cpp
@@ -79,7 +79,8 @@
       reportCrash(gated, crashes.unreachable(LastTicket, LastTime));
     } else if (end == AttemptEnd::Answered) {
       crashes.answered(call);
-      Quarantined->answered(gated.Admission->fingerprintOf(call), LastTime);
+      Quarantined->answered(gated.Admission->fingerprintOf(call),
+                            gated.Target.Service, LastTime);
     }
   }
 
@@ -128,7 +129,7 @@
 GateAnswer NodeGate::arrive(const Arrival &arrival, base::TimePoint now) {
   Held->LastTime = now;
   const Ticket call = ++Held->LastTicket;
-  if (Held->Quarantined->blocks(arrival.Fingerprint, now))
+  if (Held->Quarantined->blocks(arrival.Fingerprint, arrival.ServiceName, now))
     return GateAnswer::refuse(call, ResultCode::Quarantined,
                               Quarantine::QuarantineLifetime);
   const auto it = Held->Targets.find(arrival.TargetId);
--- a/Libraries/LibCalls/Quarantine.cpp
+++ b/Libraries/LibCalls/Quarantine.cpp
@@ -1,6 +1,8 @@
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/QuarantinePlayer.h>
 
+#include <LibBase/Hash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -18,10 +20,16 @@
 Quarantine::Quarantine(trace::Recorder &recorder)
     : Answers(AnswerSlots), Record(&recorder) {}
 
+Quarantine::RequestKey Quarantine::keyOf(uint64_t fingerprint,
+                                         std::string_view serviceName) {
+  return base::hash64(serviceName, fingerprint);
+}
+
 QuarantineEntry &Quarantine::insert(Entries &entries, uint64_t fingerprint,
                                     std::string_view serviceName,
                                     base::TimePoint now) {
-  const auto known = entries.find(fingerprint);
+  const auto key = keyOf(fingerprint, serviceName);
+  const auto known = entries.find(key);
   if (known != entries.end())
     return known->second;
   if (entries.size() >= MaximumEntries)
@@ -31,7 +39,7 @@
                                    [](const auto &a, const auto &b) {
                                      return a.second.Until < b.second.Until;
                                    }));
-  auto &entry = entries[fingerprint];
+  auto &entry = entries[key];
   entry.Fingerprint = fingerprint;
   entry.ServiceName = serviceName;
   return entry;
@@ -39,7 +47,7 @@
 
 bool Quarantine::suspect(uint64_t fingerprint, std::string_view serviceName,
                          base::TimePoint now, bool reportToFleet) {
-  if (blocks(fingerprint, now))
+  if (blocks(fingerprint, serviceName, now))
     return false;
   auto &entry = insert(Suspects, fingerprint, serviceName, now);
   if (entry.Until <= now)
@@ -55,13 +63,13 @@
   blocked.Crashes = entry.Crashes;
   blocked.Until = now + QuarantineLifetime;
   queueReport(blocked);
-  Suspects.erase(fingerprint);
+  Suspects.erase(keyOf(fingerprint, serviceName));
   return true;
 }
 
 bool Quarantine::crashed(uint64_t fingerprint, std::string_view serviceName,
                          base::TimePoint now) {
-  if (answeredLately(fingerprint, now))
+  if (answeredLately(keyOf(fingerprint, serviceName), now))
     return false;
   const bool out = suspect(fingerprint, serviceName, now, true);
   recordEvent(QuarantinePlayer::Crashed, fingerprint, serviceName, {}, now,
@@ -83,7 +91,7 @@
   const bool few = distinct.size() <= MaximumSuspectsPerCrash;
   std::vector<uint64_t> out;
   for (const uint64_t it : distinct) {
-    if (it == 0 || (!few && !Suspects.contains(it)))
+    if (it == 0 || (!few && !Suspects.contains(keyOf(it, serviceName))))
       continue;
     if (crashed(it, serviceName, now))
       out.push_back(it);
@@ -91,15 +99,19 @@
   return out;
 }
 
-void Quarantine::answered(uint64_t fingerprint, base::TimePoint now) {
-  Answers[fingerprint % AnswerSlots] = {fingerprint, now, true};
-  if (!Suspects.empty() && Suspects.contains(fingerprint))
-    clear(fingerprint, now);
+void Quarantine::answered(uint64_t fingerprint, std::string_view serviceName,
+                          base::TimePoint now) {
+  const auto key = keyOf(fingerprint, serviceName);
+  Answers[key % AnswerSlots] = {key, now, true};
+  if (!Suspects.empty() && Suspects.contains(key))
+    clear(fingerprint, serviceName, now);
 }
 
-bool Quarantine::clear(uint64_t fingerprint, base::TimePoint now) {
-  const bool out = Suspects.erase(fingerprint) > 0;
-  recordEvent(QuarantinePlayer::Cleared, fingerprint, {}, {}, now, out);
+bool Quarantine::clear(uint64_t fingerprint, std::string_view serviceName,
+                       base::TimePoint now) {
+  const bool out = Suspects.erase(keyOf(fingerprint, serviceName)) > 0;
+  recordEvent(QuarantinePlayer::Cleared, fingerprint, serviceName, {}, now,
+              out);
   return out;
 }
 
@@ -109,11 +121,9 @@
   PendingReports.push_back(entry);
 }
 
-bool Quarantine::answeredLately(uint64_t fingerprint,
-                                base::TimePoint now) const {
-  const auto &it = Answers[fingerprint % AnswerSlots];
-  return it.Used && it.Fingerprint == fingerprint &&
-         now - it.At < AnswerLifetime;
+bool Quarantine::answeredLately(RequestKey key, base::TimePoint now) const {
+  const auto &it = Answers[key % AnswerSlots];
+  return it.Used && it.Key == key && now - it.At < AnswerLifetime;
 }
 
 void Quarantine::applyRemote(uint64_t fingerprint, std::string_view serviceName,
@@ -122,7 +132,7 @@
   entry.Crashes = std::max(entry.Crashes, 2U);
   entry.Until =
       std::max(entry.Until, now + std::min(lifetime, QuarantineLifetime));
-  Suspects.erase(fingerprint);
+  Suspects.erase(keyOf(fingerprint, serviceName));
   recordEvent(QuarantinePlayer::Learned, fingerprint, serviceName, lifetime,
               now, true);
 }
@@ -130,7 +140,7 @@
 bool Quarantine::applyRemoteSuspect(uint64_t fingerprint,
                                     std::string_view serviceName,
                                     base::TimePoint now) {
-  if (answeredLately(fingerprint, now))
+  if (answeredLately(keyOf(fingerprint, serviceName), now))
     return false;
   const bool out = suspect(fingerprint, serviceName, now, false);
   recordEvent(QuarantinePlayer::LearnedSuspicion, fingerprint, serviceName, {},
@@ -142,16 +152,20 @@
   return std::exchange(PendingReports, {});
 }
 
-bool Quarantine::blocks(uint64_t fingerprint, base::TimePoint now) const {
+bool Quarantine::blocks(uint64_t fingerprint, std::string_view serviceName,
+                        base::TimePoint now) const {
   if (Blocked.empty())
     return false;
-  const auto it = Blocked.find(fingerprint);
+  const auto it = Blocked.find(keyOf(fingerprint, serviceName));
   return it != Blocked.end() && it->second.Until > now;
 }
 
 bool Quarantine::lift(uint64_t fingerprint) {
-  Suspects.erase(fingerprint);
-  const bool out = Blocked.erase(fingerprint) > 0;
+  const auto isNamed = [fingerprint](const auto &it) {
+    return it.second.Fingerprint == fingerprint;
+  };
+  std::erase_if(Suspects, isNamed);
+  const bool out = std::erase_if(Blocked, isNamed) > 0;
   recordEvent(QuarantinePlayer::Lifted, fingerprint, {}, {}, {}, out);
   return out;
 }
--- a/Libraries/LibCalls/Quarantine.h
+++ b/Libraries/LibCalls/Quarantine.h
@@ -21,10 +21,11 @@
   base::TimePoint Until{};
 };
 
-/// Fingerprints of requests that were in flight on crashing targets. The second
-/// crash quarantines a fingerprint. Entries expire and memory is bounded. A
-/// fingerprint that a target has answered recently is not suspected, because a
-/// request that crashes every target that runs it is never answered.
+/// Requests that were in flight on crashing targets, identified by their
+/// fingerprint and service. The second crash quarantines a request. Entries
+/// expire and memory is bounded. A request that a target has answered recently
+/// is not suspected, because one that crashes every target that runs it is
+/// never answered.
 class Quarantine {
 public:
   static constexpr base::Duration SuspicionLifetime = std::chrono::minutes(5);
@@ -51,11 +52,14 @@
                                       const std::vector<uint64_t> &fingerprints,
                                       base::TimePoint now);
 
-  /// Reports that a target answered a request. Takes constant time.
-  void answered(uint64_t fingerprint, base::TimePoint now);
+  /// Reports that a target of the service answered a request. Takes constant
+  /// time.
+  void answered(uint64_t fingerprint, std::string_view serviceName,
+                base::TimePoint now);
 
   /// Removes a suspect; returns true if there was one.
-  bool clear(uint64_t fingerprint, base::TimePoint now);
+  bool clear(uint64_t fingerprint, std::string_view serviceName,
+             base::TimePoint now);
 
   /// Applies a quarantine decided by another node.
   void applyRemote(uint64_t fingerprint, std::string_view serviceName,
@@ -70,20 +74,27 @@
   /// fleet: with one crash a suspect, with more a quarantine.
   std::vector<QuarantineEntry> takeReports();
 
-  bool blocks(uint64_t fingerprint, base::TimePoint now) const;
+  bool blocks(uint64_t fingerprint, std::string_view serviceName,
+              base::TimePoint now) const;
+
+  /// Removes a fingerprint at all services; returns true if it was quarantined
+  /// at one.
   bool lift(uint64_t fingerprint);
   std::vector<QuarantineEntry> entries(base::TimePoint now) const;
 
 private:
-  using Entries = std::map<uint64_t, QuarantineEntry>;
+  /// Hash of fingerprint and service.
+  using RequestKey = uint64_t;
+  using Entries = std::map<RequestKey, QuarantineEntry>;
   struct Answer {
-    uint64_t Fingerprint = 0;
+    RequestKey Key = 0;
     base::TimePoint At{};
     bool Used = false;
   };
   static constexpr size_t AnswerSlots = 4096;
 
-  bool answeredLately(uint64_t fingerprint, base::TimePoint now) const;
+  static RequestKey keyOf(uint64_t fingerprint, std::string_view serviceName);
+  bool answeredLately(RequestKey key, base::TimePoint now) const;
   bool suspect(uint64_t fingerprint, std::string_view serviceName,
                base::TimePoint now, bool reportToFleet);
   static QuarantineEntry &insert(Entries &entries, uint64_t fingerprint,
--- a/Libraries/LibCalls/QuarantinePlayer.cpp
+++ b/Libraries/LibCalls/QuarantinePlayer.cpp
@@ -25,7 +25,7 @@
     out = Replayed.crashed(fingerprint, entry.Text, now);
     break;
   case Cleared:
-    out = Replayed.clear(fingerprint, now);
+    out = Replayed.clear(fingerprint, entry.Text, now);
     break;
   case Learned:
     Replayed.applyRemote(fingerprint, entry.Text,
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -36,11 +36,17 @@
 /// Deadlines of more than a day are ignored.
 constexpr int64_t MaxDeadlineMs = 86'400'000;
 
-uint64_t fingerprintOf(const Request &request) {
-  uint64_t head = base::hash64(
-      std::string_view(request.target().data(), request.target().size()),
-      base::hash64(std::string(request.method_string())));
-  return base::hash64(request.body(), head);
+/// Returns the hash of caller, method, path and body: two requests with the
+/// same one are the same to the targets of a service.
+uint64_t fingerprintOf(const Request &request,
+                       const calls::CallHeaders &headers) {
+  uint64_t out = 0;
+  for (std::string_view it :
+       {fieldOf(request, headers.CallerService),
+        std::string_view(request.method_string()),
+        std::string_view(request.target()), std::string_view(request.body())})
+    out = base::hash64(it, out);
+  return out;
 }
 
 /// Returns the deadline stated by a caller, or 0 if there is none.
@@ -198,7 +204,7 @@
 /// Answers another node's call with the target's response or a refusal.
 asio::awaitable<Response> CallEngine::runAtGate(MeshCall call,
                                                 IncomingRequest incoming) {
-  uint64_t fingerprint = fingerprintOf(incoming.Message);
+  uint64_t fingerprint = fingerprintOf(incoming.Message, Environment.Headers);
   bh::verb method = incoming.Message.method();
   GateOutcome outcome = co_await LocalGate.run(
       std::move(call), incoming.Message, fingerprint, incoming.Watch);
@@ -230,7 +236,7 @@
   call.Request.Host = fieldOf(request, "Host");
   call.Request.Path = request.target();
   call.Request.IdempotencyKey = fieldOf(request, calls::IdempotencyKeyHeader);
-  call.Request.Fingerprint = fingerprintOf(request);
+  call.Request.Fingerprint = fingerprintOf(request, Environment.Headers);
   base::TimePoint started = now();
   call.Handle = Environment.Broker->begin(call.Request, snapshot, started);
   CallGuard guard(Environment, call.Handle);
--- a/Tests/LibCalls/TestCrashDetector.cpp
+++ b/Tests/LibCalls/TestCrashDetector.cpp
@@ -34,7 +34,7 @@
     Node.ended(Node.arrive(it, at(Now)).Call, ends(how), at(Now));
   }
   void breakCall() { call(AttemptEnd::Broken, 66); }
-  bool isBlocked() { return Quarantined.blocks(66, at(Now)); }
+  bool isBlocked() { return Quarantined.blocks(66, Lookup, at(Now)); }
 
   uint64_t Epoch = 1;
   base::Duration Now = 1min;
--- a/Tests/LibCalls/TestNodeGate.cpp
+++ b/Tests/LibCalls/TestNodeGate.cpp
@@ -131,3 +131,10 @@
   CHECK(it.arrive(Rank::Standard, 10s, 1s, 66).Code == ResultCode::Quarantined);
   CHECK(it.arrive(Rank::Standard, 10s, 1s, 1).What == Kind::Run);
 }
+
+TEST_CASE("a quarantine at one service lets the request pass at another") {
+  // Guards against refusing a path everywhere since it crashes one service.
+  GateFixture it;
+  it.Quarantined.applyRemote(66, "badges/other", 1min, at(0s));
+  CHECK(it.arrive(Rank::Critical, 0s, 1s, 66).What == Kind::Run);
+}
--- a/Tests/LibCalls/TestQuarantine.cpp
+++ b/Tests/LibCalls/TestQuarantine.cpp
@@ -27,17 +27,17 @@
     "the second crash quarantines a request until it expires or is lifted") {
   QuarantineFixture it;
   CHECK_FALSE(it.Held.crashed(7, Lookup, at(0s)));
-  CHECK_FALSE(it.Held.blocks(7, at(0s)));
+  CHECK_FALSE(it.Held.blocks(7, Lookup, at(0s)));
   CHECK(it.Held.crashed(7, Lookup, at(10s)));
-  CHECK(it.Held.blocks(7, at(10s)));
+  CHECK(it.Held.blocks(7, Lookup, at(10s)));
   REQUIRE(it.Held.entries(at(10s)).size() == 1);
   CHECK(it.Held.entries(at(10s))[0].Crashes == 2);
   const auto over = 10s + Quarantine::QuarantineLifetime;
-  CHECK(it.Held.blocks(7, at(over - 1us)));
-  CHECK_FALSE(it.Held.blocks(7, at(over)));
+  CHECK(it.Held.blocks(7, Lookup, at(over - 1us)));
+  CHECK_FALSE(it.Held.blocks(7, Lookup, at(over)));
   CHECK(it.Held.lift(7));
   CHECK_FALSE(it.Held.lift(7));
-  CHECK_FALSE(it.Held.blocks(7, at(10s)));
+  CHECK_FALSE(it.Held.blocks(7, Lookup, at(10s)));
 }
 
 TEST_CASE("several reports of one crash count once") {
@@ -51,9 +51,9 @@
 
 TEST_CASE("requests that are answered elsewhere are not suspected") {
   QuarantineFixture it;
-  it.Held.answered(1, at(0s));
+  it.Held.answered(1, Lookup, at(0s));
   CHECK(it.crash("a", {1, 2, 66}, 1s).empty());
-  it.Held.answered(2, at(2s));
+  it.Held.answered(2, Lookup, at(2s));
   CHECK(it.crash("b", {1, 2, 66}, 3s) == Fingerprints{66});
 }
 
@@ -93,13 +93,13 @@
   REQUIRE(decision.size() == 1);
   CHECK(decision[0].Crashes == 2);
   a.Held.applyRemote(66, Lookup, Quarantine::QuarantineLifetime, at(3s));
-  CHECK(a.Held.blocks(66, at(3s)));
+  CHECK(a.Held.blocks(66, Lookup, at(3s)));
 }
 
 TEST_CASE("a recorded quarantine replays with equal outcomes") {
   QuarantineFixture it;
   it.crash("a", {1, 66}, 0s);
-  it.Held.answered(1, at(1s));
+  it.Held.answered(1, Lookup, at(1s));
   it.Held.applyRemoteSuspect(5, Lookup, at(1s));
   it.crash("b", {1, 5, 66}, 2s);
   it.Held.applyRemote(9, Lookup, 1min, at(3s));
--- a/Tests/LibHttp/TestCallFields.cpp
+++ b/Tests/LibHttp/TestCallFields.cpp
@@ -69,3 +69,21 @@
   CHECK(std::stoi(std::string(mesh.SeenByTarget.front()[Names.Deadline])) <=
         800);
 }
+
+TEST_CASE("requests of two callers with one path and body are told apart") {
+  // Guards against a quarantine that takes one caller's request for another's.
+  TwoNodes mesh;
+  for (const char *service : {"badges", "tills", "badges"}) {
+    mesh.Near.Proxy->setNames(Names, service);
+    REQUIRE(
+        fetchFrom(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
+  }
+  const auto &asked = mesh.Near.Broker.Requests;
+  const auto &arrived = mesh.Far.Gate.Arrivals;
+  REQUIRE(asked.size() == 3);
+  REQUIRE(arrived.size() == 3);
+  for (size_t n = 0; n < arrived.size(); ++n)
+    CHECK(asked[n].Fingerprint == arrived[n].Fingerprint);
+  CHECK(arrived[0].Fingerprint != arrived[1].Fingerprint);
+  CHECK(arrived[0].Fingerprint == arrived[2].Fingerprint);
+}
