LibCalls: Let an answer exonerate a request for three seconds only

A request may be answered and then begin to crash targets, such as after a release. For a minute after its last answer no crash counted against it. Now three seconds, the time within which a third crash must take effect.

Test, which failed before: TestQuarantine "a request that was answered before it crashes targets is suspected".

--- a/Libraries/LibCalls/Quarantine.h
+++ b/Libraries/LibCalls/Quarantine.h
@@ -30,7 +30,9 @@
 public:
   static constexpr base::Duration SuspicionLifetime = std::chrono::minutes(5);
   static constexpr base::Duration QuarantineLifetime = std::chrono::minutes(10);
-  static constexpr base::Duration AnswerLifetime = std::chrono::minutes(1);
+  /// An answer exonerates a request for this time only: it may begin to crash
+  /// targets at any moment, such as after a release.
+  static constexpr base::Duration AnswerLifetime = std::chrono::seconds(3);
   /// Reports for one target within this time count as one crash.
   static constexpr base::Duration CrashInterval = std::chrono::seconds(1);
   /// With more requests in flight, a crash is too weak evidence against each of
--- a/Tests/LibCalls/TestQuarantine.cpp
+++ b/Tests/LibCalls/TestQuarantine.cpp
@@ -57,6 +57,16 @@
   CHECK(it.crash("b", {1, 2, 66}, 3s) == Fingerprints{66});
 }
 
+TEST_CASE(
+    "a request that was answered before it crashes targets is suspected") {
+  // Guards against answers that hide for a minute that a request now crashes.
+  QuarantineFixture it;
+  it.Held.answered(66, Lookup, at(0s));
+  CHECK(it.crash("a", {66}, 2s).empty());
+  CHECK(it.crash("b", {66}, 4s).empty());
+  CHECK(it.crash("a", {66}, 6s) == Fingerprints{66});
+}
+
 TEST_CASE("a crash with many requests in flight adds no new suspects") {
   QuarantineFixture it;
   CHECK(it.crash("a", {66}, 0s).empty());
