LibPeer: Report no notice to the node that has sent it

A node's own notice of a first crash came back to it as another node's. So one crash counted twice and quarantined, for all nodes, whatever had been in flight and was not answered lately.

Test, which failed before: TestFleetRuntime "a node does not take its own notice for another node's".

--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -159,9 +159,13 @@
 }
 
 void FleetNode::reportChanges() {
-  for (const auto &it : Members.takeNewNotices())
-    if (Environment.NoticeReceived)
+  for (const auto &it : Members.takeNewNotices()) {
+    auto own = OwnNotices.find(it.Topic);
+    bool isOwn = own != OwnNotices.end() && own->second == it.Revision;
+    if (!isOwn && Environment.NoticeReceived)
       Environment.NoticeReceived(it.Topic, it.Text);
+  }
+  OwnNotices.clear();
   if (ReportedGeneration == Members.generation())
     return;
   ReportedGeneration = Members.generation();
@@ -366,8 +370,10 @@
 void FleetNode::broadcastNotice(std::string topic, std::string text,
                                 base::Duration lifetime) {
   auto left = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
+  auto revision = wallMilliseconds();
+  OwnNotices[topic] = revision;
   Members.post(
-      {std::move(topic), std::move(text), wallMilliseconds(),
+      {std::move(topic), std::move(text), revision,
        static_cast<uint32_t>(std::clamp<int64_t>(left, 0, UINT32_MAX))},
       Environment.Time->now());
 }
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -135,6 +135,8 @@
   MeshAuthenticator Authenticator;
   ReplayGuard Replays;
   base::Random RandomSource;
+  /// Revisions of this node's notices, by topic, until they are reported.
+  std::map<std::string, uint64_t> OwnNotices;
   uint64_t Epoch;
   uint64_t Sequence = 0;
   ControlByteCounters Bytes;
--- a/Tests/LibPeer/TestFleetRuntime.cpp
+++ b/Tests/LibPeer/TestFleetRuntime.cpp
@@ -359,3 +359,18 @@
   CHECK(fleet.Platform.CoveredOffset >= 1000);
   CHECK(fleet.Platform.CoveredOffset <= 1100);
 }
+
+TEST_CASE("a node does not take its own notice for another node's") {
+  // Guards against a first crash that counts twice and quarantines a request.
+  LoopbackFleet fleet;
+  fleet.start("dc-0");
+  fleet.start("dc-0");
+  REQUIRE(fleet.runUntil([&] {
+    return fleet.allServe(0) && fleet.Nodes[0]->Fleet->members().size() == 2;
+  }));
+  fleet.Nodes[0]->Fleet->broadcastNotice("quarantine/1/1", "f", 1min);
+  CHECK(fleet.runUntil([&] { return fleet.Nodes[1]->Notices.size() == 1; }));
+  CHECK(fleet.Nodes[0]->Notices.empty());
+  fleet.Nodes[1]->Fleet->broadcastNotice("quarantine/1/1", "g", 1min);
+  CHECK(fleet.runUntil([&] { return fleet.Nodes[0]->Notices.size() == 1; }));
+}
