LibCalls: Keep idempotency keys of two callers apart

Callers saw: a POST of one service with the method, path, body and key of another service's got 200 with the answer to that one's request; its own never ran. The same for one caller at two hosts whose routes lead to one service.

Cause: the table was keyed by service and key, and told requests apart by method, path and body. The key now belongs to service and caller, and the host is part of what a repeated key's request is compared by. The owner of a key still depends on service and key alone, so nodes of both releases forward to the same one.

Tests, which failed before: TestIdempotency "two callers with one idempotency key both run", "an idempotency key used again with another host is refused".

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -1,5 +1,6 @@
 #include <LibCalls/Broker.h>
 
+#include <LibBase/Hash.h>
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/IdempotencyTable.h>
 #include <LibCalls/KeyOwnership.h>
@@ -71,7 +72,7 @@
     const config::Route *Matched = nullptr; ///< Of Snapshot.
     RoutedCall Route;
     base::TimePoint Deadline{};
-    std::string Key;      ///< Service and idempotency key, when it has one.
+    std::string Key;      ///< Service, caller and idempotency key, if any.
     bool IsFirst = false; ///< Runs here as the first call of its key.
     /// Answer to be stored for the key, or stored answer to be replayed.
     std::optional<std::string> Answer;
@@ -149,17 +150,20 @@
   // A call must end before another node may become the owner of its key.
   call.Route.Allowed = std::min(call.Route.Allowed, Settings.KeyWindow / 2);
   call.Deadline = now + call.Route.Allowed;
-  const auto key = call.Route.ServiceName + "\n" + request.IdempotencyKey;
-  const auto owner = Owners.verdict(key, now);
+  const auto owner = Owners.verdict(
+      call.Route.ServiceName + "\n" + request.IdempotencyKey, now);
   if (owner.What == Ownership::Other && !request.FromMesh)
     return forward(call, owner);
   Keys.tick(now);
+  const auto key = call.Route.ServiceName + "\n" + request.CallerService +
+                   "\n" + request.IdempotencyKey;
   // A known key is answered from the table, even if this node may not run it.
   if (owner.What != Ownership::Own && !Keys.contains(key))
     return finish(CallOutcome::Unknown, ResultCode::IdempotencyOwnerLost,
                   std::max(owner.RetryAfter, DefaultRetryAfter));
   call.Key = key;
-  return beginKey(handle, call, request.Fingerprint, now);
+  return beginKey(handle, call, base::hash64(request.Host, request.Fingerprint),
+                  now);
 }
 
 CallStep Broker::State::beginKey(CallHandle handle, OpenCall &call,
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -22,6 +22,7 @@
   std::string Host;
   std::string Path;
   std::string IdempotencyKey; ///< Empty when the caller gave none.
+  std::string CallerService;  ///< Of the VM where it originated, if known.
   uint64_t Fingerprint = 0;   ///< Hash of caller, method, path and body.
   bool FromMesh = false;      ///< Forwarded by another node.
   config::Rank ParentRank = config::Rank::Critical;
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -236,6 +236,8 @@
   call.Request.Host = fieldOf(request, "Host");
   call.Request.Path = request.target();
   call.Request.IdempotencyKey = fieldOf(request, calls::IdempotencyKeyHeader);
+  call.Request.CallerService =
+      fieldOf(request, Environment.Headers.CallerService);
   call.Request.Fingerprint = fingerprintOf(request, Environment.Headers);
   base::TimePoint started = now();
   call.Handle = Environment.Broker->begin(call.Request, snapshot, started);
--- a/Tests/LibCalls/TestIdempotency.cpp
+++ b/Tests/LibCalls/TestIdempotency.cpp
@@ -230,3 +230,29 @@
                  at(Window));
   CHECK(table.begin("big", 1, 1, at(Window)) == KeyVerdict::Unknown);
 }
+
+TEST_CASE("two callers with one idempotency key both run") {
+  // Guards against one caller that gets the answer of another's payment.
+  BrokerFixture it;
+  it.Node.assumeNoEarlierCalls(at(it.Now));
+  CallRequest request;
+  request.IdempotencyKey = payKeyOf("n0");
+  for (const char *caller : {"desk", "till"}) {
+    request.CallerService = caller;
+    CHECK(it.stepOf(it.begin("/pay", request)).What == Kind::Send);
+  }
+  CHECK(it.stepOf(it.begin("/pay", request)).What == Kind::Wait);
+}
+
+TEST_CASE("an idempotency key used again with another host is refused") {
+  // Guards against the answer of a request to another route.
+  BrokerFixture it;
+  it.Node.assumeNoEarlierCalls(at(it.Now));
+  CallRequest request;
+  request.IdempotencyKey = payKeyOf("n0");
+  request.Host = "a.example";
+  CHECK(it.stepOf(it.begin("/pay", request)).What == Kind::Send);
+  request.Host = "b.example";
+  checkNotRun(it.stepOf(it.begin("/pay", request)),
+              ResultCode::IdempotencyMismatch);
+}
