--- a/Libraries/LibNode/HeldVersionStore.cpp
+++ b/Libraries/LibNode/HeldVersionStore.cpp
@@ -13,13 +13,15 @@
 
 namespace {
 
-/// The minimum time between a failed write and the next one.
-constexpr base::Duration RetryInterval = std::chrono::seconds(1);
-
 /// Versions are counted by records of the log, and no log has as many. A node
 /// would wait for a version above it for ever.
 constexpr uint64_t MaximumVersion = uint64_t{1} << 48U;
 
+/// Returns the record of a node; one that holds no versions has none.
+std::string textOf(const VersionNumbers &versions) {
+  return versions.empty() ? std::string() : encodeHoldings(versions);
+}
+
 } // namespace
 
 std::string encodeHoldings(const VersionNumbers &versions) {
@@ -50,57 +52,31 @@
 
 HeldVersionStore::HeldVersionStore(log::KeyedStore &store, std::string node,
                                    std::function<void()> onStored)
-    : Store(&store), Node(std::move(node)), OnStored(std::move(onStored)) {}
+    : Record(store, log::Topic::Holdings, std::move(node),
+             std::move(onStored)) {}
 
 void HeldVersionStore::load(std::function<void(const VersionNumbers &)> done) {
-  Store->list(log::Topic::Holdings, [weak = std::weak_ptr<bool>(LifetimeToken),
-                                     this, done = std::move(done)](
-                                        const log::TopicAnswer &answer) {
-    if (weak.expired())
-      return;
-    base::LastReason reason = answer.Reason;
+  Record.load([done = std::move(done)](const auto &recalled) {
+    base::LastReason reason = recalled.Reason;
     VersionNumbers found;
-    for (const auto &it : answer.Records) {
-      if (it.Key != Node || it.Value.empty())
-        continue;
-      if (auto versions = decodeHoldings(it.Value, reason))
+    if (!recalled.Text.empty())
+      if (auto versions = decodeHoldings(recalled.Text, reason))
         found = std::move(*versions);
-    }
-    Stored = Desired = found;
-    base::log(answer.Reached ? base::LogLevel::Info : base::LogLevel::Warning,
+    base::log(recalled.Reached ? base::LogLevel::Info : base::LogLevel::Warning,
               "holdings recalled",
-              {{"reached", answer.Reached ? "yes" : "no"},
+              {{"reached", recalled.Reached ? "yes" : "no"},
                {"versions", encodeHoldings(found)},
                {"reason", reason.text()}});
     done(found);
   });
 }
 
-void HeldVersionStore::tick(base::TimePoint now) {
-  if (IsWriting || Desired == Stored || now < NextWrite)
-    return;
-  IsWriting = true;
-  NextWrite = now + RetryInterval;
-  Store->put(log::Topic::Holdings, Node, encodeHoldings(Desired),
-             [weak = std::weak_ptr<bool>(LifetimeToken), this,
-              versions = Desired](const log::PutAnswer &answer) {
-               if (!weak.expired())
-                 writeEnded(versions, answer);
-             });
+void HeldVersionStore::setDesired(const VersionNumbers &versions) {
+  Record.setDesired(textOf(versions));
 }
 
-void HeldVersionStore::writeEnded(const VersionNumbers &versions,
-                                  const log::PutAnswer &answer) {
-  IsWriting = false;
-  if (answer.Outcome == log::PutAnswer::Kind::Accepted) {
-    Stored = versions;
-    NextWrite = {};
-    OnStored();
-    return;
-  }
-  base::log(base::LogLevel::Warning, "holdings were not written",
-            {{"versions", encodeHoldings(versions)},
-             {"reason", answer.Reason.text()}});
+bool HeldVersionStore::isStored(const VersionNumbers &versions) const {
+  return Record.isStored(textOf(versions));
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/HeldVersionStore.h
+++ b/Libraries/LibNode/HeldVersionStore.h
@@ -2,12 +2,11 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
-#include <LibLog/KeyedStore.h>
+#include <LibNode/StoredNodeRecord.h>
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,28 +37,17 @@
   void load(std::function<void(const VersionNumbers &)> done);
 
   /// Sets the versions to be stored; the next tick writes them.
-  void setDesired(VersionNumbers versions) { Desired = std::move(versions); }
+  void setDesired(const VersionNumbers &versions);
 
   /// Returns whether the store is known to hold exactly these versions.
-  bool isStored(const VersionNumbers &versions) const {
-    return Stored == versions;
-  }
+  bool isStored(const VersionNumbers &versions) const;
 
   /// Writes the versions if they have changed. One write is in flight at a
   /// time.
-  void tick(base::TimePoint now);
+  void tick(base::TimePoint now) { Record.tick(now); }
 
 private:
-  void writeEnded(const VersionNumbers &versions, const log::PutAnswer &answer);
-
-  log::KeyedStore *Store;
-  std::string Node;
-  std::function<void()> OnStored;
-  VersionNumbers Desired;
-  VersionNumbers Stored; ///< What the store is known to contain.
-  bool IsWriting = false;
-  base::TimePoint NextWrite{};
-  std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>(true);
+  StoredNodeRecord Record;
 };
 
 } // namespace radishcross::node
