LibNode: Make acknowledged departures of targets outlive the process

Cause: that a target has left and the order of its heartbeats were known to one process. After a restart any heartbeat of an unknown target was news, and the peers took the restarted node's word over what they held of the same process.

A node's departures (by target, the epoch of the latest process that stated that it leaves: a leave, `draining`, or a leaving stated on an answer) are now kept by its peers, as exceptions are, and in a record of the store that is written before the acknowledgement (which waits 0.5 s at most). A restarted node reports its targets as starting until it has asked both, then never takes a departed process as ready; a later process is not bound.

--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibCalls/LeasePlayer.cpp
@@ -10,7 +10,7 @@
     {LeaseEvent::Announce, "announce"},   {LeaseEvent::Tick, "tick"},
     {LeaseEvent::Drain, "drain"},         {LeaseEvent::DrainAll, "drain-all"},
     {LeaseEvent::Heartbeat, "heartbeat"}, {LeaseEvent::Leave, "leave"},
-    {LeaseEvent::Leaving, "leaving"},
+    {LeaseEvent::Leaving, "leaving"},     {LeaseEvent::Restore, "restore"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -44,6 +44,11 @@
                              timeOf(entry))
                 ? 1
                 : 0};
+  case LeaseEvent::Restore: {
+    const auto epoch = static_cast<uint64_t>(entry.Numbers[0]);
+    const auto news = Replayed.restore({{entry.Text, epoch}}, timeOf(entry));
+    return {static_cast<int64_t>(news)};
+  }
   }
   return {};
 }
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibCalls/TargetLeases.cpp
@@ -1,6 +1,7 @@
 #include <LibCalls/TargetLeases.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace radishcross::calls {
 
@@ -144,6 +145,58 @@
   lease.Lapsed = true;
 }
 
+fleet::Departures TargetLeases::departures() const {
+  std::vector<std::pair<uint64_t, std::string>> latest;
+  for (const auto &[id, it] : Leases) {
+    const bool leaves =
+        it.IsLeaving || it.Target.State >= fleet::TargetState::Draining;
+    const uint64_t epoch =
+        std::max(it.LeftUnixMs, leaves ? it.Incarnation : uint64_t{0});
+    if (epoch > 0)
+      latest.emplace_back(epoch, id);
+  }
+  std::sort(latest.rbegin(), latest.rend());
+  if (latest.size() > MaximumDepartures)
+    latest.resize(MaximumDepartures);
+  fleet::Departures out;
+  for (auto &[epoch, id] : latest)
+    out.emplace(std::move(id), epoch);
+  return out;
+}
+
+size_t TargetLeases::restore(const fleet::Departures &departures,
+                             base::TimePoint now) {
+  size_t out = 0;
+  for (const auto &[id, epoch] : departures) {
+    const bool isNews = restoreOne(id, epoch, now);
+    out += isNews ? 1 : 0;
+    auto entry = entryOf(now, LeaseEvent::Restore, id);
+    entry.Numbers = {static_cast<int64_t>(epoch)};
+    entry.Decided = {isNews ? 1 : 0};
+    Record->record(std::move(entry));
+  }
+  return out;
+}
+
+/// Returns whether the departure was news.
+bool TargetLeases::restoreOne(const std::string &targetId, uint64_t epoch,
+                              base::TimePoint now) {
+  const auto it = Leases.find(targetId);
+  if (it == Leases.end()) {
+    recordUnknownLeave(targetId, epoch);
+    return true;
+  }
+  auto &lease = it->second;
+  if (lease.LeftUnixMs >= epoch)
+    return false;
+  lease.LeftUnixMs = epoch;
+  if (lease.Incarnation <= epoch)
+    setState(lease, std::max(lease.Target.State, fleet::TargetState::Draining),
+             now);
+  Changed = true;
+  return true;
+}
+
 /// Sets the state; a ready target that starts to leave gets its grace period.
 void TargetLeases::setState(Lease &lease, fleet::TargetState state,
                             base::TimePoint now) {
@@ -261,13 +314,21 @@
   Record->record(entryOf({}, LeaseEvent::DrainAll, {}));
 }
 
+/// Returns the record of a target as far as its state is known.
+fleet::TargetRecord TargetLeases::reportedRecord(const Lease &lease) const {
+  auto out = lease.Target;
+  if (IsAwaitingRestore && out.State == fleet::TargetState::Ready)
+    out.State = fleet::TargetState::Starting;
+  return out;
+}
+
 std::vector<fleet::TargetRecord> TargetLeases::current() const {
   std::vector<fleet::TargetRecord> out;
   for (const auto &it : Leases) {
     const auto &lease = it.second;
     if (lease.Lapsed)
       continue;
-    auto target = lease.Target;
+    auto target = reportedRecord(lease);
     const bool drained = AllDrained || lease.DrainedByOperator;
     if (drained && target.State != fleet::TargetState::Left)
       target.State = fleet::TargetState::Draining;
@@ -282,7 +343,7 @@
   for (const auto &[id, lease] : Leases) {
     if (lease.Lapsed)
       continue;
-    auto target = lease.Target;
+    auto target = reportedRecord(lease);
     if (lease.AcceptsUntil && *lease.AcceptsUntil > now)
       target.State = fleet::TargetState::Ready;
     else if (lease.DrainedByOperator &&
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibCalls/TargetLeases.h
@@ -36,9 +36,9 @@
 /// granted epoch, or 0 and the code of the refusal. Tick: outcome: 1.
 /// Heartbeat: incarnation, sequence, state, slots, lifetime; text: "ADDRESS
 /// TARGET"; outcome: 0 or the code of the refusal. Leave: milliseconds since
-/// 1970; outcome: 1 if the target is known. Leaving: epoch; outcome: 1 if it is
-/// news. The lifetime is that of the leases
-/// granted then, in microseconds; 0 in traces of older programs.
+/// 1970; outcome: 1 if the target is known. Leaving and Restore: epoch;
+/// outcome: 1 if it is news. The lifetime is that of the leases granted then,
+/// in microseconds; 0 in traces of older programs.
 struct LeaseEvent {
   enum Value : uint8_t {
     Announce,
@@ -48,6 +48,7 @@
     Heartbeat,
     Leave,
     Leaving,
+    Restore,
   };
 };
 
@@ -58,6 +59,7 @@
 public:
   static constexpr base::Duration DefaultLifetime = std::chrono::seconds(3);
   static constexpr size_t MaximumTargets = 256;
+  static constexpr size_t MaximumDepartures = 32;
 
   explicit TargetLeases(trace::Recorder &recorder,
                         base::Duration lifetime = DefaultLifetime);
@@ -85,6 +87,23 @@
   /// this is news; an unknown process, named by its epoch, changes nothing.
   bool leaving(std::string_view targetId, uint64_t epoch, base::TimePoint now);
 
+  /// Returns the targets that have stated that they are leaving, the latest
+  /// MaximumDepartures of them. Targets without an incarnation are not
+  /// included, since another process of theirs cannot be told from the one that
+  /// left.
+  fleet::Departures departures() const;
+
+  /// Begins to report ready targets as starting, until restoreEnded() is
+  /// called: an earlier process of this node may have acknowledged that they
+  /// are leaving.
+  void awaitRestore() { IsAwaitingRestore = true; }
+  void restoreEnded() { IsAwaitingRestore = false; }
+
+  /// Applies the departures that an earlier process of this node has
+  /// acknowledged. Their processes do not become ready again. Returns how many
+  /// of them were news.
+  size_t restore(const fleet::Departures &departures, base::TimePoint now);
+
   /// Lapses expired leases; returns true if the list of targets has changed.
   bool tick(base::TimePoint now);
 
@@ -122,7 +141,10 @@
                                         fleet::TargetState reported);
   static void setState(Lease &lease, fleet::TargetState state,
                        base::TimePoint now);
+  bool restoreOne(const std::string &targetId, uint64_t epoch,
+                  base::TimePoint now);
   void recordUnknownLeave(std::string_view targetId, uint64_t unixMs);
+  fleet::TargetRecord reportedRecord(const Lease &lease) const;
   bool forgetLapsed();
   bool expireLeases(base::TimePoint now);
 
@@ -140,6 +162,7 @@
   };
   std::map<std::string, Lease, std::less<>> Leases;
   bool AllDrained = false;
+  bool IsAwaitingRestore = false;
   base::Duration Lifetime;
   bool Changed = false; ///< A lease lapsed since the last tick.
   trace::Recorder *Record;
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -24,6 +24,10 @@
     {TargetState::Left, "left"},
 };
 
+/// The targets of a node that have stated that they are leaving: by id, the
+/// epoch of the latest process that did. Earlier processes have left too.
+using Departures = std::map<std::string, uint64_t>;
+
 /// A target of a node, as announced to the fleet.
 struct TargetRecord {
   std::string Service;  ///< "configuration/name".
@@ -79,6 +83,10 @@
   /// The node has fetched its exceptions. Until then its peers keep those of
   /// its previous process.
   bool KnowsExceptions = false;
+  /// Kept by the peers like Exceptions, and asked for after a restart.
+  Departures Departed;
+  /// The node has fetched its departures; see KnowsExceptions.
+  bool KnowsDepartures = false;
 };
 
 } // namespace radishcross::fleet
--- a/Libraries/LibFleet/MemberTable.cpp
+++ b/Libraries/LibFleet/MemberTable.cpp
@@ -46,6 +46,9 @@
     held.KnowsExceptions = record.KnowsExceptions;
     if (record.KnowsExceptions)
       held.Exceptions = record.Exceptions;
+    held.KnowsDepartures = record.KnowsDepartures;
+    if (record.KnowsDepartures)
+      held.Departed = record.Departed;
     held.Revision = record.Revision;
     changed = true;
   }
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -244,12 +244,24 @@
   // A large pull is the first table of a joining node, which the others know.
   bool isForwarded = records.size() <= MaximumForwardedPull;
   for (const auto &it : records) {
-    if (it.Identity.Id == SelfId && !self().KnowsExceptions)
-      FormerExceptions = it.Exceptions;
+    if (it.Identity.Id == SelfId)
+      recallFormer(it);
     mergeUpdate({it, true}, now, isForwarded);
   }
 }
 
+/// Reads what a peer has kept for this node's previous process.
+void Membership::recallFormer(const Member &kept) {
+  if (!self().KnowsExceptions)
+    FormerExceptions = kept.Exceptions;
+  if (self().KnowsDepartures)
+    return;
+  for (const auto &[id, epoch] : kept.Departed) {
+    auto &latest = FormerDepartures[id];
+    latest = std::max(latest, epoch);
+  }
+}
+
 void Membership::mergeUpdate(const MemberUpdate &update, base::TimePoint now,
                              bool isForwarded) {
   if (update.Record.Identity.Id == SelfId)
@@ -348,6 +360,11 @@
     LeaveDeliveries.clear();
   }
   own.Targets = std::move(targets);
+  replaceSelf(std::move(own));
+}
+
+/// Replaces the content of this node's own record and spreads it.
+void Membership::replaceSelf(Member own) {
   ++own.Revision;
   Table.merge({std::move(own), true});
   Queue.push(SelfId, true);
@@ -361,11 +378,16 @@
     return;
   own.Exceptions = std::move(exceptions);
   own.KnowsExceptions = true;
-  ++own.Revision;
-  Table.merge({std::move(own), true});
-  Queue.push(SelfId, true);
-  HasPendingUpdates = true;
-  ++Generation;
+  replaceSelf(std::move(own));
+}
+
+void Membership::setDepartures(Departures departures) {
+  Member own = self();
+  if (own.KnowsDepartures && own.Departed == departures)
+    return;
+  own.Departed = std::move(departures);
+  own.KnowsDepartures = true;
+  replaceSelf(std::move(own));
 }
 
 void Membership::setDigest(const Digest &digest) {
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -109,6 +109,14 @@
   const std::map<std::string, uint64_t> &formerExceptions() const {
     return FormerExceptions;
   }
+
+  /// Replaces the departures that peers keep for this node
+  /// (Member::Departed). Call only after formerDepartures() has been read.
+  void setDepartures(Departures departures);
+
+  /// Returns the departures of this node's previous process, as its peers kept
+  /// them.
+  const Departures &formerDepartures() const { return FormerDepartures; }
   void setDigest(const Digest &digest);
 
   /// Adds addresses to join through, as found in the node directory.
@@ -155,6 +163,8 @@
   /// Content of a datagram besides the digest.
   enum class Payload : uint8_t { DigestOnly, Updates };
 
+  void replaceSelf(Member own);
+  void recallFormer(const Member &kept);
   void mergeUpdate(const MemberUpdate &update, base::TimePoint now,
                    bool isForwarded = true);
   void refute(const MemberUpdate &update);
@@ -224,6 +234,7 @@
   UpdateQueue Queue;
   NoticeBoard Board;
   std::map<std::string, uint64_t> FormerExceptions;
+  Departures FormerDepartures;
   Digest OwnDigest;
   std::map<NodeId, base::TimePoint> SuspectUntil;
   std::map<NodeId, base::TimePoint> DeadUntil;
--- a/Libraries/LibFleet/UpdateSize.cpp
+++ b/Libraries/LibFleet/UpdateSize.cpp
@@ -20,6 +20,8 @@
     bytes += target.Service.size() + target.TargetId.size() + TargetBytes;
   for (const auto &[name, version] : it.Exceptions)
     bytes += name.size() + LabelBytes;
+  for (const auto &[id, epoch] : it.Departed)
+    bytes += id.size() + LabelBytes;
   return bytes;
 }
 
--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -14,17 +14,17 @@
 
 /// The topics that radishcross reads or writes on the platform.
 enum class Topic : uint8_t {
-  Changes,  ///< Operators' changes in order, with unique keys.
-  Nodes,    ///< The nodes of the mesh, by node id.
-  Holdings, ///< The versions that each node holds, by node id.
-  Operator, ///< Written by the platform's operator; read only.
+  Changes,    ///< Operators' changes in order, with unique keys.
+  Nodes,      ///< The nodes of the mesh, by node id.
+  Holdings,   ///< The versions that each node holds, by node id.
+  Operator,   ///< Written by the platform's operator; read only.
+  Departures, ///< The targets of each node that have left, by node id.
 };
 
 constexpr base::EnumName<Topic> TopicNames[] = {
-    {Topic::Changes, "changes"},
-    {Topic::Nodes, "nodes"},
-    {Topic::Holdings, "holdings"},
-    {Topic::Operator, "operator"},
+    {Topic::Changes, "changes"},       {Topic::Nodes, "nodes"},
+    {Topic::Holdings, "holdings"},     {Topic::Operator, "operator"},
+    {Topic::Departures, "departures"},
 };
 
 /// One record of a topic. An empty value deletes the key.
--- /dev/null
+++ b/Libraries/LibNode/DepartureKeeper.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibBase/Clock.h>
+#include <LibCalls/TargetLeases.h>
+#include <LibNode/DepartureStore.h>
+#include <LibPeer/FleetRuntime.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace radishcross::node {
+
+/// Makes what a node has acknowledged of its targets' leaving outlive its
+/// process: the store and the peers remember it, and a restarted node takes no
+/// target as ready before it has asked them.
+class DepartureKeeper {
+public:
+  /// \p onChanged is called when the state of a target may have changed.
+  DepartureKeeper(log::KeyedStore &store, std::string node,
+                  calls::TargetLeases &leases, std::function<void()> onChanged);
+
+  /// Begins to ask the store and the peers; called at the start of a process
+  /// that may have had an earlier one.
+  void recall(base::TimePoint now);
+
+  /// Passes the departures of the targets on to the store and the peers.
+  void keep(peer::FleetRuntime &fleet, base::TimePoint now);
+
+  void tick(peer::FleetRuntime &fleet, base::TimePoint now);
+
+  /// Returns once the store holds the departures, or after
+  /// MaxAcknowledgementDelay.
+  boost::asio::awaitable<void> awaitStored() {
+    return Store.awaitStored(MaxAcknowledgementDelay);
+  }
+
+private:
+  /// How long a restarted node waits at most for the store.
+  static constexpr base::Duration MaxStoreWait = std::chrono::seconds(1);
+  static constexpr base::Duration MaxAcknowledgementDelay =
+      std::chrono::milliseconds(500);
+
+  void restore(const fleet::Departures &departures, std::string_view source);
+
+  DepartureStore Store;
+  calls::TargetLeases *Leases;
+  std::function<void()> OnChanged;
+  bool IsRecalling = false;
+  base::TimePoint RecallingSince{};
+  base::TimePoint LastTick{};
+};
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -100,6 +100,7 @@
       StoredVersions(*Store, Self.Id, [this] { activateHeldVersions(); }),
       CrashQuarantine(Decisions), Notices(CrashQuarantine),
       Leases(Decisions, settings.TargetLease),
+      Departures(*Store, Self.Id, Leases, [this] { targetsChanged(); }),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
                    std::chrono::minutes(1), settings.Retries,
                    settings.Compared},
@@ -110,8 +111,9 @@
                                                 if (Fleet)
                                                   Fleet->requestLogRead();
                                               }),
-      Announcements(Leases, Time, localTargetOf(settings),
-                    [this] { targetsChanged(); }),
+      Announcements(
+          Leases, Time, localTargetOf(settings), [this] { targetsChanged(); },
+          [this] { return Departures.awaitStored(); }),
       Administration(*this, settings.Tokens), MetricsText(*this),
       Timer(context) {}
 
@@ -129,6 +131,9 @@
   // Unlike seeds, seed hosts don't imply that other nodes run, so nothing waits
   // for them.
   node->Fleet->addSeeds(settings.SeedHosts);
+  // Before its first start a node has acknowledged nothing.
+  if (!settings.IsFirstStart)
+    node->Departures.recall(node->Time.now());
   node->armTimer();
   return node;
 }
@@ -351,6 +356,7 @@
 }
 
 void NodeProcess::targetsChanged() {
+  Departures.keep(*Fleet, Time.now());
   CallsGate.targetsChanged(Leases.targetsForGate(Time.now()), Time.now());
   Fleet->setTargets(Leases.current());
 }
@@ -374,6 +380,7 @@
   if (StorePendingSince && Time.now() - *StorePendingSince >= MaxStoreWait)
     activateHeldVersions();
   Link.tick(Fleet->members(), Time.now());
+  Departures.tick(*Fleet, Time.now());
   if (Leases.tick(Time.now()))
     targetsChanged();
   Notices.publish(
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -16,6 +16,7 @@
 #include <LibLog/HeldVersions.h>
 #include <LibLog/KeyedLog.h>
 #include <LibNode/ChangeSubmitter.h>
+#include <LibNode/DepartureKeeper.h>
 #include <LibNode/DrainPlan.h>
 #include <LibNode/HeldVersionStore.h>
 #include <LibNode/PlatformLink.h>
@@ -118,6 +119,7 @@
   calls::Quarantine CrashQuarantine;
   QuarantineNotices Notices;
   calls::TargetLeases Leases;
+  DepartureKeeper Departures;
   calls::Broker CallsBroker;
   calls::NodeGate CallsGate;
   UsageMeter Usage;
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -103,9 +103,10 @@
 
 TargetListener::TargetListener(calls::TargetLeases &leases,
                                const base::Clock &clock, LocalTarget local,
-                               std::function<void()> onChanged)
+                               std::function<void()> onChanged,
+                               AwaitStored awaitStored)
     : Leases(&leases), Time(&clock), Local(std::move(local)),
-      OnChanged(std::move(onChanged)) {}
+      OnChanged(std::move(onChanged)), Stored(std::move(awaitStored)) {}
 
 boost::asio::awaitable<http::Response>
 TargetListener::handle(http::IncomingRequest request) {
@@ -120,11 +121,18 @@
     co_return announce(request.Message.body());
   if (isPost && target.starts_with(Root) && target.size() > Root.size() + 1) {
     auto rest = target.substr(Root.size() + 1);
-    if (rest.ends_with(HeartbeatSuffix))
-      co_return heartbeat(rest.substr(0, rest.size() - HeartbeatSuffix.size()),
-                          request.Message.body());
-    if (rest.ends_with(LeaveSuffix))
-      co_return leave(rest.substr(0, rest.size() - LeaveSuffix.size()));
+    std::optional<http::Response> out;
+    bool isLeaving = rest.ends_with(LeaveSuffix);
+    if (isLeaving)
+      out = leave(rest.substr(0, rest.size() - LeaveSuffix.size()));
+    else if (rest.ends_with(HeartbeatSuffix))
+      out = heartbeat(rest.substr(0, rest.size() - HeartbeatSuffix.size()),
+                      request.Message.body(), isLeaving);
+    // The node may be gone after the wait.
+    if (isLeaving && Stored)
+      co_await Stored();
+    if (out)
+      co_return std::move(*out);
   }
   reason.fail(base::ResultCode::NotFound,
               "expected POST /v1/targets, /v1/targets/ID/heartbeat or "
@@ -147,8 +155,10 @@
                       {{"epoch", lease->Epoch}, {"lease_ms", ms.count()}});
 }
 
+/// Sets \p isLeaving if the heartbeat is accepted and its target is leaving.
 http::Response TargetListener::heartbeat(std::string_view id,
-                                         std::string_view body) {
+                                         std::string_view body,
+                                         bool &isLeaving) {
   base::LastReason reason;
   auto heartbeat = decodeHeartbeat(id, body, reason);
   bool isAccepted = heartbeat && isFromLocalTarget(*heartbeat, Local, reason) &&
@@ -159,6 +169,7 @@
     return errorResponse(reason);
   }
   OnChanged();
+  isLeaving = heartbeat->Target.State >= fleet::TargetState::Draining;
   return jsonResponse(beast_http::status::ok, {});
 }
 
--- a/Libraries/LibNode/TargetListener.h
+++ b/Libraries/LibNode/TargetListener.h
@@ -35,8 +35,14 @@
 /// POST /v1/targets/ID/leave -> {}.
 class TargetListener {
 public:
+  /// Returns once what the targets have stated outlives this process, or
+  /// cannot in time.
+  using AwaitStored = std::function<boost::asio::awaitable<void>()>;
+
+  /// \p awaitStored is called before a target's leaving is acknowledged.
   TargetListener(calls::TargetLeases &leases, const base::Clock &clock,
-                 LocalTarget local, std::function<void()> onChanged);
+                 LocalTarget local, std::function<void()> onChanged,
+                 AwaitStored awaitStored = nullptr);
 
   void setLocalTarget(LocalTarget local) { Local = std::move(local); }
 
@@ -45,13 +51,15 @@
 
 private:
   http::Response announce(std::string_view body);
-  http::Response heartbeat(std::string_view id, std::string_view body);
+  http::Response heartbeat(std::string_view id, std::string_view body,
+                           bool &isLeaving);
   http::Response leave(std::string_view id);
 
   calls::TargetLeases *Leases;
   const base::Clock *Time;
   LocalTarget Local;
   std::function<void()> OnChanged;
+  AwaitStored Stored;
 };
 
 } // namespace radishcross::node
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -51,6 +51,12 @@
   void setExceptions(std::map<std::string, uint64_t> exceptions) override {
     Members.setExceptions(std::move(exceptions));
   }
+  const fleet::Departures &formerDepartures() const override {
+    return Members.formerDepartures();
+  }
+  void setDepartures(fleet::Departures departures) override {
+    Members.setDepartures(std::move(departures));
+  }
   void broadcastNotice(std::string topic, std::string text,
                        base::Duration lifetime) override;
   void setExternalVersion(uint64_t version) override;
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -116,6 +116,14 @@
   /// derive from the fold and its labels; see HeldVersions::exceptions().
   virtual void setExceptions(std::map<std::string, uint64_t> exceptions) = 0;
 
+  /// Returns the departures that this node's previous process passed to
+  /// setDepartures(), as its peers remember them. Complete once ready().
+  virtual const fleet::Departures &formerDepartures() const = 0;
+
+  /// Makes the peers remember which targets are leaving, for a restart of this
+  /// node. Goes out with the next change of the targets at the latest.
+  virtual void setDepartures(fleet::Departures departures) = 0;
+
   /// Gossips a short text, such as a quarantined fingerprint, to every node for
   /// \p lifetime. It replaces an older text with the same topic.
   virtual void broadcastNotice(std::string topic, std::string text,
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -29,6 +29,11 @@
   version @1 :UInt64;
 }
 
+struct Departure {
+  targetId @0 :Text;
+  epoch @1 :UInt64;
+}
+
 struct Content {
   dataCentre @0 :Text;
   region @1 :Text;
@@ -40,6 +45,8 @@
   targets @7 :List(Target);
   exceptions @8 :List(HeldException);
   knowsExceptions @9 :Bool;
+  departures @10 :List(Departure);
+  knowsDepartures @11 :Bool;
 }
 
 struct Member {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(933f402e8d37371e);
 CAPNP_DECLARE_SCHEMA(964e9280a17a48ce);
 CAPNP_DECLARE_SCHEMA(df7648f05b1a23a0);
+CAPNP_DECLARE_SCHEMA(faba31bc7d9cf1ce);
 CAPNP_DECLARE_SCHEMA(f710d3145d7ea0be);
 CAPNP_DECLARE_SCHEMA(e420f8afdde2b9ba);
 CAPNP_DECLARE_SCHEMA(a1308b5bec05e0a0);
@@ -96,6 +97,21 @@
   };
 };
 
+struct Departure {
+  Departure() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(faba31bc7d9cf1ce, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Content {
   Content() = delete;
 
@@ -104,7 +120,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f710d3145d7ea0be, 1, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(f710d3145d7ea0be, 1, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -608,6 +624,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Departure::Reader {
+public:
+  typedef Departure Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargetId() const;
+  inline  ::capnp::Text::Reader getTargetId() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departure::Builder {
+public:
+  typedef Departure Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTargetId();
+  inline  ::capnp::Text::Builder getTargetId();
+  inline void setTargetId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTargetId(unsigned int size);
+  inline void adoptTargetId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTargetId();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Departure::Pipeline {
+public:
+  typedef Departure Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Content::Reader {
 public:
   typedef Content Reads;
@@ -654,6 +756,11 @@
 
   inline bool getKnowsExceptions() const;
 
+  inline bool hasDepartures() const;
+  inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Reader getDepartures() const;
+
+  inline bool getKnowsDepartures() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -748,6 +855,16 @@
   inline bool getKnowsExceptions();
   inline void setKnowsExceptions(bool value);
 
+  inline bool hasDepartures();
+  inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Builder getDepartures();
+  inline void setDepartures( ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Builder initDepartures(unsigned int size);
+  inline void adoptDepartures(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>> disownDepartures();
+
+  inline bool getKnowsDepartures();
+  inline void setKnowsDepartures(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1922,6 +2039,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Departure::Reader::hasTargetId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departure::Builder::hasTargetId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Departure::Reader::getTargetId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Departure::Builder::getTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Departure::Builder::setTargetId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Departure::Builder::initTargetId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Departure::Builder::adoptTargetId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Departure::Builder::disownTargetId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Departure::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Departure::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Departure::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Content::Reader::hasDataCentre() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2262,6 +2427,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Content::Reader::hasDepartures() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Content::Builder::hasDepartures() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Reader Content::Reader::getDepartures() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Builder Content::Builder::getDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Content::Builder::setDepartures( ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>::Builder Content::Builder::initDepartures(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Content::Builder::adoptDepartures(
+    ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>> Content::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::Departure,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool Content::Reader::getKnowsDepartures() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Content::Builder::getKnowsDepartures() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Content::Builder::setKnowsDepartures(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Member::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -75,6 +75,13 @@
     exceptions[n++].setVersion(version);
   }
   builder.setKnowsExceptions(member.KnowsExceptions);
+  auto departures = builder.initDepartures(member.Departed.size());
+  n = 0;
+  for (const auto &[id, epoch] : member.Departed) {
+    departures[n].setTargetId(id);
+    departures[n++].setEpoch(epoch);
+  }
+  builder.setKnowsDepartures(member.KnowsDepartures);
 }
 
 bool readContent(wire::Content::Reader reader, fleet::Member &member) {
@@ -100,6 +107,13 @@
     member.Exceptions[name] = it.getVersion();
   }
   member.KnowsExceptions = reader.getKnowsExceptions();
+  for (auto it : reader.getDepartures()) {
+    std::string id;
+    if (!readText(it.getTargetId(), MaximumIdBytes, id))
+      return false;
+    member.Departed[id] = it.getEpoch();
+  }
+  member.KnowsDepartures = reader.getKnowsDepartures();
   return readText(reader.getDataCentre(), MaximumIdBytes,
                   identity.DataCentre) &&
          readText(reader.getRegion(), MaximumIdBytes, identity.Region) &&
--- a/Tests/LibCalls/TestTargetLeases.cpp
+++ b/Tests/LibCalls/TestTargetLeases.cpp
@@ -1,4 +1,5 @@
 #include <LibCalls/CallFixtures.h>
+#include <LibCalls/LeasePlayer.h>
 #include <LibCalls/TargetLeases.h>
 
 #include <doctest/doctest.h>
@@ -218,3 +219,47 @@
   REQUIRE(it.announce(0, 3s) > epoch);
   CHECK(it.states(3s) == States{TargetState::Ready, TargetState::Ready});
 }
+
+TEST_CASE("a restored departure binds its process and no later one") {
+  LeaseFixture it;
+  it.Leases.awaitRestore();
+  REQUIRE(it.heartbeat(1000, 4, 1s));
+  CHECK(it.states(1s) == States{TargetState::Starting, TargetState::Starting});
+  CHECK(it.Leases.restore({{"t", 1000}, {"gone", 900}}, at(1s)) == 2);
+  CHECK(it.Leases.restore({{"t", 1000}}, at(1s)) == 0);
+  it.Leases.restoreEnded();
+  CHECK(it.states(2s) == States{TargetState::Draining, TargetState::Draining});
+  REQUIRE(it.heartbeat(1000, 5, 2s));
+  CHECK(it.states(2s).first == TargetState::Draining);
+  CHECK(it.Leases.departures() ==
+        fleet::Departures{{"gone", 900}, {"t", 1000}});
+  REQUIRE(it.heartbeat(1001, 1, 3s));
+  CHECK(it.states(3s) == States{TargetState::Ready, TargetState::Ready});
+}
+
+TEST_CASE("departures are those that targets have stated, bounded in number") {
+  LeaseFixture it;
+  REQUIRE(it.heartbeat(7, 1, 0s));
+  it.Leases.drainAll();
+  CHECK(it.Leases.departures().empty());
+  REQUIRE(it.Leases.leaving("t", 7, at(0s)));
+  CHECK(it.Leases.departures() == fleet::Departures{{"t", 7}});
+  for (uint64_t n = 1; n <= 2 * TargetLeases::MaximumDepartures; ++n)
+    it.heartbeat(100 + n, 1, 0s, TargetState::Draining, std::to_string(n),
+                 static_cast<uint16_t>(100 + n));
+  const auto latest = it.Leases.departures();
+  CHECK(latest.size() == TargetLeases::MaximumDepartures);
+  CHECK(latest.contains(std::to_string(2 * TargetLeases::MaximumDepartures)));
+  CHECK_FALSE(latest.contains("t"));
+}
+
+TEST_CASE("a recorded restore replays with equal outcomes") {
+  KeepingRecorder recorder;
+  TargetLeases leases{recorder};
+  leases.restore({{"t", 1000}}, at(0s));
+  leases.restore({{"t", 900}}, at(0s));
+  LeasePlayer player;
+  for (const auto &entry : recorder.Entries)
+    CHECK(player.play(entry) == entry.Decided);
+  CHECK(recorder.Entries.size() == 2);
+}
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -1,10 +1,7 @@
 #include <LibLog/RecordBodies.h>
-#include <LibNode/FakeStore.h>
-#include <LibNode/FreeListeners.h>
-#include <LibNode/NodeProcess.h>
+#include <LibNode/StoreMesh.h>
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -13,99 +10,7 @@
 
 namespace {
 
-/// Three nodes that share one store, whose behaviour can be set for each node.
-struct Mesh {
-  boost::asio::io_context Context{1};
-  test::StoreContent Content;
-  std::map<std::string, test::StoreBehaviour> Behaviours;
-  std::vector<admin::NodeSettings> Settings;
-  std::map<std::string, std::unique_ptr<node::NodeProcess>> Nodes;
-
-  Mesh() {
-    for (const char *id : {"a-1", "a-2", "b-1"})
-      addSettings(id);
-  }
-
-  void addSettings(const std::string &id) {
-    admin::NodeSettings it;
-    it.Node = id;
-    it.DataCentre = id.substr(0, 1);
-    it.Region = "south";
-    test::setFreeListeners(it);
-    it.Platform = {{"127.0.0.1", 1}};
-    it.HasOperatorConfiguration = true;
-    it.TrustsNetwork = true;
-    Settings.push_back(std::move(it));
-  }
-
-  node::PlatformPorts makePorts(const std::string &id) {
-    node::PlatformPorts out;
-    out.OpenStore = [this, id](boost::asio::io_context &context, auto,
-                               base::Metrics &, http::RepeatPolicy) {
-      return std::make_unique<test::FakeStore>(context, Content,
-                                               Behaviours[id]);
-    };
-    out.ConfigurationKey = "config";
-    out.DecodeOperatorRecord =
-        [](std::string_view text,
-           base::LastReason &reason) -> std::optional<config::ExternalVersion> {
-      if (text.empty() || text[0] < '0' || text[0] > '9')
-        return reason.fail(base::ResultCode::BadValue, "no number");
-      config::ExternalVersion version;
-      version.Version = std::stoull(std::string(text));
-      return version;
-    };
-    return out;
-  }
-
-  void start(const std::string &id) {
-    base::LastReason reason;
-    const auto &settings =
-        *std::find_if(Settings.begin(), Settings.end(),
-                      [&](const auto &it) { return it.Node == id; });
-    Nodes.erase(id);
-    auto node =
-        node::NodeProcess::create(Context, settings, makePorts(id), reason);
-    REQUIRE_MESSAGE(node, reason.text());
-    Nodes[id] = std::move(*node);
-  }
-
-  void startAll() {
-    for (const auto &it : Settings)
-      start(it.Node);
-    REQUIRE(runUntil([&] { return allReady(); }));
-    // Each has discovered the others.
-    REQUIRE(runUntil([&] {
-      return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &it) {
-        return it.second->members().size() == Settings.size();
-      });
-    }));
-  }
-
-  void publish(const std::string &text) {
-    Content.write(log::Topic::Operator, "config", text);
-  }
-
-  template <typename Condition>
-  bool runUntil(Condition condition, base::Duration timeout = 10s) {
-    auto deadline = std::chrono::steady_clock::now() + timeout;
-    while (!condition() && std::chrono::steady_clock::now() < deadline)
-      Context.run_one_for(20ms);
-    return condition();
-  }
-
-  bool allReady() {
-    return std::all_of(Nodes.begin(), Nodes.end(),
-                       [](const auto &it) { return it.second->ready(); });
-  }
-
-  uint64_t externalVersionAt(const std::string &id) {
-    for (const auto &it : Nodes.at(id)->holdingSince())
-      if (it.Configuration == config::ExternalConfigurationName)
-        return it.Version;
-    return 0;
-  }
-};
+using Mesh = test::StoreMesh;
 
 } // namespace
 
