LibHttp: Pass on no request behind one in progress while draining

Reported by operators of similar systems: requests that came late in the grace period of a planned stop were taken, passed on, and cut at its end.

It happens here on a kept connection: a draining node read on behind a request in progress until its listener closed, and the answer of the one behind waited for the first one's until the process ended. Such input now stays unread; the answer before it says `Connection: close`, so the client sends it again elsewhere.

Test, which failed before: TestDrainingCalls "a draining node passes on no request behind one in progress".

--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -69,8 +69,7 @@
     watchClient();
     co_await awaitChange();
   }
-  // While draining, input after a request in progress counts as unread.
-  if (Closing || !Client->isOpen() || (Shared->Draining && !Requests.empty()))
+  if (!Client->isOpen() || leavesInputUnread())
     co_return false;
   armDeadline();
   if (ReadStatus end = co_await Client->awaitFirstByte();
@@ -82,6 +81,8 @@
     }
     co_return false;
   }
+  if (leavesInputUnread())
+    co_return false;
   Reading = true;
   armDeadline();
   Request request;
@@ -116,6 +117,14 @@
   co_return mayBringMore;
 }
 
+/// Returns whether input from here on counts as unread. While leaving, that is
+/// so behind a request in progress: its answer closes the connection, or comes
+/// too late for the one behind.
+bool Session::leavesInputUnread() const {
+  bool isLeaving = Shared->Draining || Shared->ClosesAfterResponses;
+  return Closing || (isLeaving && !Requests.empty());
+}
+
 void Session::accept(Request request) {
   auto pending = std::make_shared<PendingRequest>();
   pending->IsHead = request.method() == bh::verb::head;
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -62,6 +62,7 @@
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
   boost::asio::awaitable<bool> readOne();
+  bool leavesInputUnread() const;
   boost::asio::awaitable<void> handle(PendingRequestPointer pending);
   boost::asio::awaitable<Response> callHandler(PendingRequestPointer pending);
   boost::asio::awaitable<void> writeResponses();
--- a/Tests/LibHttp/TestDrainingCalls.cpp
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -105,3 +105,29 @@
   mesh.Release = true;
   runUntil(mesh.Context, [&] { return response.has_value(); });
 }
+
+TEST_CASE("a draining node passes on no request behind one in progress") {
+  // Guards against requests taken late whose answers wait until the node ends.
+  TwoNodes mesh;
+  mesh.HoldResponses = true;
+  const auto calls = mesh.Near.Proxy->callsAddress();
+  asio::ip::tcp::socket client(mesh.Context);
+  client.connect({asio::ip::make_address(calls.Host), calls.Port});
+  const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+  asio::write(client, asio::buffer(request));
+  runUntil(mesh.Context, [&] { return mesh.SeenByTarget.size() == 1; });
+  mesh.Near.Proxy->drain(DrainLimit);
+  asio::write(client, asio::buffer(request));
+  mesh.Context.restart();
+  mesh.Context.run_for(50ms);
+  CHECK(mesh.SeenByTarget.size() == 1);
+  mesh.Release = true;
+  std::string got;
+  boost::system::error_code ec;
+  asio::async_read(client, asio::dynamic_buffer(got),
+                   [&](boost::system::error_code end, size_t) { ec = end; });
+  runUntil(mesh.Context, [&] { return bool(ec); });
+  CHECK(got.find("Connection: close") != std::string::npos);
+  CHECK(got.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(mesh.SeenByTarget.size() == 1);
+}
