LibHttp: Answer unfinished calls as unknown at the end of the grace period

Connections were closed at the end of the grace period with all that waited on them: also answers of targets, behind an earlier request of the same connection whose target was still at work. In plays by hand with a grace of 1 and 2 s, 8 requests that had run were cut so.

Unfinished calls are now answered with 502 (outcome unknown) before the process ends, and what waits behind them is delivered. Test: TestSession "an answer behind an unfinished request is delivered before the process ends"; the function that it calls did not exist before.

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -39,6 +39,7 @@
     Engine->setNames(headers, localService);
   }
   void drain(base::Duration timeLimit) override;
+  void answerUnfinished() override { Callers->answerUnfinished(); }
   size_t inFlight() const override;
   void tick() override;
 
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -69,6 +69,10 @@
   /// than \p timeLimit from now are refused.
   virtual void drain(base::Duration timeLimit) = 0;
 
+  /// Answers the callers whose calls are still in flight, when the time limit
+  /// has passed and the process ends.
+  virtual void answerUnfinished() = 0;
+
   /// Returns the number of requests in flight on both listeners.
   virtual size_t inFlight() const = 0;
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -167,6 +167,10 @@
   }
   void closeAfterResponses() override { State->ClosesAfterResponses = true; }
   void drain() override { State->drain(); }
+  void answerUnfinished() override {
+    for (Session *it : State->Sessions)
+      it->answerUnfinished();
+  }
   size_t inFlight() const override { return State->inFlight(); }
   size_t connections() const override { return State->connections(); }
 
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -101,6 +101,9 @@
   /// DrainLinger.
   virtual void drain() = 0;
 
+  /// Answers the requests in progress as unknown, before the process ends.
+  virtual void answerUnfinished() = 0;
+
   /// Returns the number of connections with a request being read, handled or
   /// answered. While draining, all open connections count, as idle ones may
   /// still bring a request.
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -155,6 +155,8 @@
 
 asio::awaitable<void> Session::handle(PendingRequestPointer pending) {
   Response response = co_await callHandler(pending);
+  if (pending->HttpResponse)
+    co_return; // See answerUnfinished().
   if (pending->IsHead)
     response.body().clear();
   pending->HttpResponse = std::move(response);
@@ -323,6 +325,22 @@
     Client->expireAfter(Shared->Limits.DrainLinger);
 }
 
+void Session::answerUnfinished() {
+  // Those that were not started count as unread.
+  std::erase_if(Requests, [](const auto &it) { return !it->Started; });
+  if (Requests.empty())
+    return;
+  for (const PendingRequestPointer &it : Requests)
+    if (!it->HttpResponse)
+      it->HttpResponse =
+          makeErrorResponse(base::ResultCode::CallOutcomeUnknown,
+                            calls::CallOutcome::Unknown, "the node ends");
+  asio::co_spawn(
+      Client->socket().get_executor(),
+      [self = shared_from_this()] { return self->writeResponses(); },
+      asio::detached);
+}
+
 void Session::stop() {
   bool isIdle = idle() && !Refusal && Client->unreadBytes() == 0;
   EndRecord.Reading = EndRecord.Reading || Reading;
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -45,6 +45,10 @@
 
   /// Applies the drain timeout to an idle connection.
   void drain();
+
+  /// Answers the requests in progress as unknown, since the process ends; so
+  /// answers that wait behind them are still delivered.
+  void answerUnfinished();
   void stop();
   bool idle() const { return Requests.empty() && !Reading; }
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -452,6 +452,7 @@
                                                : base::LogLevel::Warning,
             "drain ended",
             {{"calls_in_flight", std::to_string(Proxy->inFlight())}});
+  Proxy->answerUnfinished();
   Fleet->leave([this] {
     if (OnDrained)
       OnDrained();
--- a/Tests/LibHttp/TestSession.cpp
+++ b/Tests/LibHttp/TestSession.cpp
@@ -208,3 +208,21 @@
   CHECK(got.ends_with(it.Started.back()));
   runUntil(it.Context, [&] { return it.Listening->connections() == 0; });
 }
+
+TEST_CASE("an answer behind an unfinished request is delivered before the "
+          "process ends") {
+  // Guards against answers that are lost behind a request that takes too long.
+  HoldingServer it;
+  it.send("GET", "/long");
+  it.send("GET", "/short");
+  runUntil(it.Context, [&] { return it.Started.size() == 2; });
+  it.Released.insert("/short");
+  it.Listening->drain();
+  it.runReady();
+  it.Listening->answerUnfinished();
+  const auto got = it.readUntil("/short");
+  CHECK(got.find("HTTP/1.1 502") == 0);
+  const auto second = got.find("HTTP/1.1 200");
+  REQUIRE(second != std::string::npos);
+  CHECK(got.find("Connection: close", second) != std::string::npos);
+}
