LibHttp: Shorten the phases of a drain with the grace period

Calls that may outlast a draining node were refused from one second on, whatever the grace period. With a grace of 1 s a call of 1 s that came 0.3 s after the signal was passed on and cut.

The phases are now at most a fifth, 30% and a half of the time to drain; from a grace of 6 s on nothing changes. Test, which failed before: TestDrainingCalls "a node with little time to drain takes no call that outlasts it".

--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -13,10 +13,25 @@
 
 /// Additional header space for the fields that nodes add.
 constexpr size_t MeshHeaderBytes = 32UL << 10;
-/// How long a draining node still accepts connections from other nodes, and
-/// from clients.
-constexpr base::Duration MeshDrainDelay = std::chrono::milliseconds(1500);
-constexpr base::Duration CallsDrainDelay = std::chrono::milliseconds(2500);
+
+/// The phases of a drain, from its start.
+struct DrainPhases {
+  /// Calls that may outlast the node are refused from here on. Connections of
+  /// the last responses may stay idle for as long before the node ends.
+  base::Duration Linger = DefaultDrainLinger;
+  /// Until then connections from other nodes are accepted, and from clients.
+  base::Duration Mesh = std::chrono::milliseconds(1500);
+  base::Duration Calls = std::chrono::milliseconds(2500);
+};
+
+/// Shortens the phases where a drain may last \p timeLimit only.
+DrainPhases phasesWithin(base::Duration timeLimit) {
+  DrainPhases out;
+  out.Linger = std::min(out.Linger, timeLimit / 5);
+  out.Mesh = std::min(out.Mesh, timeLimit * 3 / 10);
+  out.Calls = std::min(out.Calls, timeLimit / 2);
+  return out;
+}
 
 /// The two listeners and their graceful shutdown.
 class HttpCallProxy final : public CallProxy {
@@ -52,6 +67,7 @@
   std::shared_ptr<Server> Callers;
   std::shared_ptr<Server> Mesh;
   std::optional<base::TimePoint> DrainingSince;
+  DrainPhases Phases;
   bool MeshClosing = false;
   bool Closing = false;
 };
@@ -113,8 +129,8 @@
   if (DrainingSince)
     return;
   DrainingSince = Engine->now();
-  // Connections of the last responses may stay idle for that long.
-  Engine->setShutdownTime(*DrainingSince + timeLimit - DefaultDrainLinger);
+  Phases = phasesWithin(timeLimit);
+  Engine->setShutdownTime(*DrainingSince + timeLimit - Phases.Linger);
   Callers->closeAfterResponses();
   Mesh->closeAfterResponses();
 }
@@ -136,15 +152,15 @@
   if (!DrainingSince || Closing)
     return;
   base::Duration draining = Engine->now() - *DrainingSince;
-  if (draining > DefaultDrainLinger)
+  if (draining > Phases.Linger)
     Engine->refuseLongCalls();
-  if (draining < MeshDrainDelay)
+  if (draining < Phases.Mesh)
     return;
   if (!std::exchange(MeshClosing, true))
     Mesh->drain();
   // Calls in flight still make nested calls through the callers' listener, and
   // open mesh connections may bring further calls.
-  if (draining < CallsDrainDelay || Mesh->connections() > 0 ||
+  if (draining < Phases.Calls || Mesh->connections() > 0 ||
       Engine->callsAtGate() > 0)
     return;
   Closing = true;
--- a/Tests/LibHttp/TestDrainingCalls.cpp
+++ b/Tests/LibHttp/TestDrainingCalls.cpp
@@ -131,3 +131,12 @@
   CHECK(got.find("HTTP/1.1", 1) == std::string::npos);
   CHECK(mesh.SeenByTarget.size() == 1);
 }
+
+TEST_CASE("a node with little time to drain takes no call that outlasts it") {
+  // Guards against calls taken late in a short grace period and cut at its end.
+  TwoNodes mesh;
+  mesh.Near.Proxy->drain(800ms);
+  advanceTime(mesh, mesh.Near, 300ms);
+  CHECK(codeOf(*fetchWithDeadline(mesh, 1s)) == "5014");
+  CHECK(fetchWithDeadline(mesh, 200ms)->result_int() == 200);
+}
