LibNode: Ask a store that does not answer for departures less and less often

A restarted node asked for the departures of its earlier process each second for as long as the store did not answer. Calls are priced also when they are refused, and after a restart of many nodes they keep a failing store busy. The interval now doubles up to 16 s, and is a second again when a departure waits to be written.

Test, which failed before (60 reads in 60 s): TestDepartureStore "a store that does not answer is asked less and less often".

--- a/Libraries/LibNode/DepartureStore.cpp
+++ b/Libraries/LibNode/DepartureStore.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Logger.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,8 +18,10 @@
 
 namespace {
 
-/// The minimum time between two reads of the record.
-constexpr base::Duration LoadInterval = std::chrono::seconds(1);
+/// The time between two reads of the record while the store does not answer; it
+/// doubles with each, unless a departure waits to be written.
+constexpr base::Duration ShortestLoadInterval = std::chrono::seconds(1);
+constexpr base::Duration LongestLoadInterval = std::chrono::seconds(16);
 
 } // namespace
 
@@ -55,7 +58,10 @@
 DepartureStore::~DepartureStore() { wake(); }
 
 void DepartureStore::setDesired(const fleet::Departures &departures) {
-  Desired = departures.empty() ? std::string() : encodeDepartures(departures);
+  auto text = departures.empty() ? std::string() : encodeDepartures(departures);
+  if (text != Desired)
+    LoadInterval = ShortestLoadInterval;
+  Desired = std::move(text);
   if (IsLoaded)
     Record.setDesired(Desired);
 }
@@ -63,10 +69,12 @@
 void DepartureStore::tick(base::TimePoint now) {
   if (IsLoaded)
     return Record.tick(now);
-  if (IsLoading || now < NextLoad)
+  if (IsLoading || now - LastLoad < LoadInterval)
     return;
+  LoadInterval =
+      std::clamp(LoadInterval * 2, ShortestLoadInterval, LongestLoadInterval);
   IsLoading = true;
-  NextLoad = now + LoadInterval;
+  LastLoad = now;
   Record.load([this](const auto &recalled) { loaded(recalled); });
 }
 
--- a/Libraries/LibNode/DepartureStore.h
+++ b/Libraries/LibNode/DepartureStore.h
@@ -59,7 +59,8 @@
   std::string Desired;
   bool IsLoaded = true;
   bool IsLoading = false;
-  base::TimePoint NextLoad{};
+  base::Duration LoadInterval{};
+  base::TimePoint LastLoad{};
   /// Shared with the coroutines that wait.
   std::shared_ptr<Waiters> Waiting = std::make_shared<Waiters>();
 };
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -72,6 +72,7 @@
 
   void list(log::Topic topic,
             std::function<void(log::TopicAnswer)> done) override {
+    ++Lists;
     later([this, topic, done = std::move(done)] {
       log::TopicAnswer answer;
       answer.Reached = Behaviour == StoreBehaviour::Serves;
@@ -107,6 +108,8 @@
     });
   }
 
+  size_t Lists = 0; ///< Number of calls of list().
+
 private:
   /// Calls \p step after the answer delay, unless this object is destroyed
   /// first.
--- a/Tests/LibNode/TestDepartureStore.cpp
+++ b/Tests/LibNode/TestDepartureStore.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 #include <optional>
+#include <utility>
 
 using namespace radishcross;
 using namespace std::chrono_literals;
@@ -88,6 +89,24 @@
         R"({"new":5,"old":3})");
 }
 
+TEST_CASE("a store that does not answer is asked less and less often") {
+  // Guards against restarted nodes that keep a failing store busy.
+  StoreFixture it;
+  it.Behaviour = test::StoreBehaviour::Refuses;
+  it.Departures->load();
+  auto countReads = [&](int seconds) {
+    size_t out = 0;
+    for (int n = 0; n < seconds; ++n) {
+      it.tick(1s);
+      out += std::exchange(it.Store.Lists, 0);
+    }
+    return out;
+  };
+  CHECK(countReads(60) <= 7);
+  it.Departures->setDesired({{"t", 5}});
+  CHECK(countReads(2) >= 1);
+}
+
 TEST_CASE("items of a stored record that cannot be read are left out") {
   CHECK(node::decodeDepartures(R"({"a":1,"b":"x","c":-1,"d":0,"e":2})") ==
         fleet::Departures{{"a", 1}, {"e", 2}});
