--- a/Libraries/LibAdmin/MetricsPage.cpp
+++ b/Libraries/LibAdmin/MetricsPage.cpp
@@ -7,10 +7,6 @@
 
 namespace radishcross::admin {
 
-// When g++ 12 inlines a coroutine frame's operator new, it reports a false
-// mismatch with the frame's operator delete.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 boost::asio::awaitable<http::Response>
 MetricsPage::handle(http::IncomingRequest incoming) {
   const auto &request = incoming.Message;
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -14,10 +14,6 @@
 #include <cstdio>
 #include <random>
 
-// False positive of g++ 12: it doesn't match the inlined operator new of a
-// coroutine frame with the frame's operator delete.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace radishcross::http {
 
 namespace {
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -9,10 +9,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-// False positive of g++ 12: it doesn't match the inlined operator new of a
-// coroutine frame with the frame's operator delete.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace radishcross::http {
 
 namespace {
