Build: End a build at a warning in the project's own checks only

Cause: -Werror was an option of every build, those of users with other compilers, versions and levels of optimisation included.

Others are shown warnings and get their program.

Before, it failed: "the build of deploy/system.toml ends at a warning". It also prints local settings of the machine's compiler, which may exempt a warning from being an error.

--- a/Meta/cross.sh
+++ b/Meta/cross.sh
@@ -59,6 +59,6 @@
   rm -rf "$build"
   fetch_sysroot >&2 || skip "the libraries for $architecture cannot be fetched"
 fi
-cmake --preset cross -B "$build" -DCROSS_TRIPLET="$triplet" -DCROSS_SYSROOT="$sysroot" >/dev/null
+Meta/configure.sh cross -B "$build" -DCROSS_TRIPLET="$triplet" -DCROSS_SYSROOT="$sysroot"
 cmake --build "$build" -j "${JOBS:-$(nproc)}"
 echo "cross build for $architecture: every source built without warnings"
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 preset=${1:-release}
 Meta/install.sh
-cmake --preset "$preset" >/dev/null
+Meta/configure.sh "$preset"
 cmake --build --preset "$preset" -j "${JOBS:-$(nproc)}"
 Meta/run-tests.sh "$preset"
