LibHttp: Keep bytes beyond ASCII in metric labels on every machine

Users would see: a service's label in the metrics has "_" for each byte beyond ASCII on x86-64, and the byte itself on arm64. No name that a version accepts has such bytes, so no page of metrics shows it today.

Cause: the bytes were compared with ' ' as char, which is signed on x86-64 and unsigned on arm64.

Fix: they are compared as unsigned char.

--- a/Libraries/LibHttp/CallMetrics.cpp
+++ b/Libraries/LibHttp/CallMetrics.cpp
@@ -16,11 +16,11 @@
 /// value.
 std::string labelText(std::string_view name) {
   std::string out;
-  for (char c : name) {
-    if (c == '"' || c == '\\' || c < ' ')
+  for (unsigned char byte : name) {
+    if (byte == '"' || byte == '\\' || byte < ' ')
       out += '_';
     else
-      out += c;
+      out += static_cast<char>(byte);
   }
   return out;
 }
