Tests/LibHttp: Send all requests before the first deadline of silence

Cause: 100 requests should each use an idle connection, and the server falls silent on them. The first one that reaches its deadline of 200 ms closes the other idle connections to that server, as it should. On a machine on which it takes longer than that to send all 100, the last ones find no idle connection and open new ones.

Fix: the deadline is at least ten times as long as it took to send and answer as many requests just before. No check has changed.

--- a/Tests/LibHttp/TestResponsesCut.cpp
+++ b/Tests/LibHttp/TestResponsesCut.cpp
@@ -338,10 +338,13 @@
   }
 
   void cutTogether(const std::vector<size_t> &cuts) {
+    base::Duration warmedUpIn{};
     if (Plan.Kept)
-      warmUp(cuts.size());
+      warmedUpIn = warmUp(cuts.size());
+    // The first deadline closes the idle connections to the server, so all
+    // requests must be on theirs by then, however slow the machine is.
     if (Plan.End == Ending::Silence)
-      setTimeout(SilenceDeadline);
+      setTimeout(std::max<base::Duration>(SilenceDeadline, 10 * warmedUpIn));
     size_t accepted = Server.Accepted;
     std::vector<std::string> texts;
     texts.reserve(cuts.size());
@@ -359,13 +362,17 @@
       warmUp(cuts.size());
   }
 
-  /// Opens as many connections to the server as there will be cuts.
-  void warmUp(size_t count) {
+  /// Opens as many connections to the server as there will be cuts, and returns
+  /// how long that took.
+  base::Duration warmUp(size_t count) {
+    const auto started = std::chrono::steady_clock::now();
     setTimeout(5s);
     Server.Together += count;
     for (const auto &it :
          sendAll(std::vector<std::string>(count, request("GET", "/whole"))))
       REQUIRE(it.ends_with("\r\n\r\nwarm"));
+    return std::chrono::duration_cast<base::Duration>(
+        std::chrono::steady_clock::now() - started);
   }
 
   /// Checks what the client got for a response cut after \p bytes.
