Meta: Fail where the build for the other architecture cannot be made

Cause: Meta/cross.sh printed a line about that and succeeded, so its verdict depended on the machine.

Fix: it fails. With an unreachable package server, before and after:

$ http_proxy=http://127.0.0.1:9 Meta/cross.sh; echo $? cross build SKIPPED: the libraries for amd64 cannot be fetched 0 cross build NOT DONE: the libraries for amd64 cannot be fetched 1

--- a/Meta/cross.sh
+++ b/Meta/cross.sh
@@ -1,8 +1,7 @@
 #!/usr/bin/env bash
 # Builds the whole tree, tests included, for the other supported architecture
 # (x86-64 on arm64 and the reverse) with warnings as errors. The programs are
-# not run. Where Debian's packages for that cannot be installed, it says so and
-# succeeds.
+# not run. Fails where Debian's packages for that cannot be installed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . Meta/packages.sh
@@ -13,12 +12,12 @@
   *) architecture= ;;
 esac
 
-skip() {
-  echo "cross build SKIPPED: $1" >&2
-  exit 0
+fail() {
+  echo "cross build NOT DONE: $1" >&2
+  exit 1
 }
 
-[ -n "$architecture" ] || skip "no other architecture is known for this machine"
+[ -n "$architecture" ] || fail "no other architecture is known for this machine"
 build=$PWD/Build/cross-$architecture
 sysroot=$build/sysroot
 
@@ -54,10 +53,10 @@
 }
 
 Meta/install.sh
-install_packages "g++-${triplet//_/-}" >&2 || skip "the compiler for $architecture cannot be installed"
+install_packages "g++-${triplet//_/-}" >&2 || fail "the compiler for $architecture cannot be installed"
 if [ "$(cat "$sysroot/packages" 2>/dev/null)" != "${libraries[*]}" ]; then
   rm -rf "$build"
-  fetch_sysroot >&2 || skip "the libraries for $architecture cannot be fetched"
+  fetch_sysroot >&2 || fail "the libraries for $architecture cannot be fetched"
 fi
 Meta/configure.sh cross -B "$build" -DCROSS_TRIPLET="$triplet" -DCROSS_SYSROOT="$sysroot"
 cmake --build "$build" -j "${JOBS:-$(nproc)}"
