--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -206,7 +206,7 @@
   return schema && schema->check(document, reason);
 }
 
-void readComparison(const json::object &from, calls::FeatureToggles &to) {
+void readComparison(const json::object &from, balance::FeatureToggles &to) {
   if (const auto *flag = from.if_contains("ranks"))
     to.RanksEnabled = flag->as_bool();
   if (const auto *flag = from.if_contains("choice_by_headroom"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include <LibBalance/FeatureToggles.h>
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/EnumNames.h>
 #include <LibBase/LastReason.h>
 #include <LibBase/Logger.h>
 #include <LibCalls/CallHeaders.h>
-#include <LibCalls/FeatureToggles.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibConfig/Labels.h>
 
@@ -72,7 +72,7 @@
   std::string Service; ///< Of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
-  calls::FeatureToggles Compared;
+  balance::FeatureToggles Compared;
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL
                           << 20; ///< Buffer for decisions recorded for replay.
--- a/Libraries/LibAdmin/Players.cpp
+++ b/Libraries/LibAdmin/Players.cpp
@@ -1,5 +1,6 @@
 #include <LibAdmin/Players.h>
 
+#include <LibAdmission/Players.h>
 #include <LibCalls/Players.h>
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/ReplicatorPlayer.h>
@@ -18,6 +19,7 @@
     out[Module::Fold] = std::move(fold);
     out[Module::Spreader] = std::make_unique<fleet::ReplicatorPlayer>();
     out[Module::Recovery] = std::make_unique<fleet::RecoveryPlayer>();
+    admission::addPlayers(out);
     calls::addPlayers(out);
     return out;
   });
--- a/Libraries/LibCalls/AdaptiveLimit.cpp
+++ b/Libraries/LibAdmission/AdaptiveLimit.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/AdaptiveLimit.h>
+#include <LibAdmission/AdaptiveLimit.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -82,4 +82,4 @@
   Limit = std::max(least, Limit * KeptTenths / 10);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/AdaptiveLimit.h
+++ b/Libraries/LibAdmission/AdaptiveLimit.h
@@ -6,7 +6,7 @@
 #include <array>
 #include <cstdint>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Adaptive concurrency limit of one target: reduces the limit below the
 /// announced slots while the observed latency shows that the target is
@@ -51,4 +51,4 @@
   int64_t SaturatedCalls = 0;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/AdmissionGate.h
+++ b/Libraries/LibAdmission/AdmissionGate.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/CallTypes.h>
-#include <LibCalls/TargetSignals.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// One call as it arrives at its target's node.
 struct Arrival {
@@ -22,7 +22,7 @@
   uint64_t Fingerprint = 0;
   base::Duration LatencyObjective{}; ///< Of its route; 0: none.
   /// The target's rate limit as the caller's node knows it from answers.
-  std::optional<MilliRate> StatedRate{};
+  std::optional<balance::MilliRate> StatedRate{};
 };
 
 /// Identifies an admitted or queued call at one node.
@@ -36,7 +36,7 @@
   uint32_t QueueLength = 0; ///< Calls that may wait.
   /// Calls started in the last second.
   uint32_t RecentStarts = 0;
-  std::optional<MilliRate> RateLimit; ///< Stated by the target.
+  std::optional<balance::MilliRate> RateLimit; ///< Stated by the target.
 };
 
 /// What the gate decided for one call.
@@ -69,13 +69,14 @@
   /// Applies what the target states about itself on the answer to a running
   /// call; returns whether its rate limit has changed. Must be called before
   /// ended().
-  virtual bool signalled(Ticket call, const TargetSignals &signals,
+  virtual bool signalled(Ticket call, const balance::TargetSignals &signals,
                          base::TimePoint now) = 0;
 
   /// Reports the end of a running call. Returns the answers for queued calls
   /// that may run now or are refused.
-  virtual std::vector<GateAnswer>
-  ended(Ticket call, const AttemptResult &result, base::TimePoint now) = 0;
+  virtual std::vector<GateAnswer> ended(Ticket call,
+                                        const calls::AttemptResult &result,
+                                        base::TimePoint now) = 0;
 
   /// Removes a queued call whose caller has disconnected.
   virtual void abandoned(Ticket call, base::TimePoint now) = 0;
@@ -90,4 +91,4 @@
   virtual size_t inFlight() const = 0;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/AdmissionPlayer.cpp
+++ b/Libraries/LibAdmission/AdmissionPlayer.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/AdmissionPlayer.h>
+#include <LibAdmission/AdmissionPlayer.h>
 
 #include <LibBase/EnumNames.h>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -52,18 +52,19 @@
             out.RetryAfter.count()};
   }
   case AdmissionEvent::Ended:
-    return gate->summaryOf(
-        gate->ended(ticket, static_cast<AttemptEnd>(entry.Numbers[1]), now));
+    return gate->summaryOf(gate->ended(
+        ticket, static_cast<calls::AttemptEnd>(entry.Numbers[1]), now));
   case AdmissionEvent::Abandoned:
     gate->abandoned(ticket, now);
     return {};
   case AdmissionEvent::Tick:
     return gate->summaryOf(gate->tick(now));
   case AdmissionEvent::Signalled:
-    return {gate->signalled(ticket,
-                            signalsOf(entry.Numbers[1], entry.Numbers[2]), now)
-                ? 1
-                : 0};
+    return {
+        gate->signalled(
+            ticket, balance::signalsOf(entry.Numbers[1], entry.Numbers[2]), now)
+            ? 1
+            : 0};
   case AdmissionEvent::ProcessChanged:
     gate->processChanged(now);
     return {};
@@ -78,4 +79,4 @@
   return base::nameOf(EventNames, static_cast<AdmissionEvent::Value>(event));
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/AdmissionPlayer.h
+++ b/Libraries/LibAdmission/AdmissionPlayer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/TargetGate.h>
+#include <LibAdmission/TargetGate.h>
 #include <LibTrace/Player.h>
 
 #include <map>
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Replays the gates of one node's targets; see AdmissionEvent.
 class AdmissionPlayer final : public trace::Player {
@@ -21,4 +21,4 @@
   std::map<std::string, std::unique_ptr<TargetGate>> Gates;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/CrashDetector.cpp
+++ b/Libraries/LibAdmission/CrashDetector.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/CrashDetector.h>
+#include <LibAdmission/CrashDetector.h>
 
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 std::vector<uint64_t> CrashDetector::callBroken(std::vector<uint64_t> running,
                                                 Ticket last,
@@ -45,4 +45,4 @@
     reset();
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/CrashDetector.h
+++ b/Libraries/LibAdmission/CrashDetector.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <LibAdmission/AdmissionGate.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/AdmissionGate.h>
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Distinguishes crashes of one target from calls that break while it stays
 /// alive, such as reset connections and malformed answers. A broken call counts
@@ -58,4 +58,4 @@
   bool HasCrashed = false;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/LeasePlayer.cpp
+++ b/Libraries/LibAdmission/LeasePlayer.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/LeasePlayer.h>
+#include <LibAdmission/LeasePlayer.h>
 
 #include <LibBase/EnumNames.h>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -100,4 +100,4 @@
   return base::nameOf(EventNames, static_cast<LeaseEvent::Value>(event));
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/LeasePlayer.h
+++ b/Libraries/LibAdmission/LeasePlayer.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <LibCalls/TargetLeases.h>
+#include <LibAdmission/TargetLeases.h>
 #include <LibTrace/Player.h>
 
 #include <string_view>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Replays the leases of a node's targets; see LeaseEvent.
 class LeasePlayer final : public trace::Player {
@@ -22,4 +22,4 @@
   TargetLeases Replayed{Ignored};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -1,13 +1,13 @@
-#include <LibCalls/NodeGate.h>
+#include <LibAdmission/NodeGate.h>
 
-#include <LibCalls/CrashDetector.h>
-#include <LibCalls/TargetGate.h>
+#include <LibAdmission/CrashDetector.h>
+#include <LibAdmission/TargetGate.h>
 
 #include <map>
 #include <unordered_map>
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -42,7 +42,7 @@
 } // namespace
 
 struct NodeGate::State {
-  Quarantine *Quarantined = nullptr;
+  calls::Quarantine *Quarantined = nullptr;
   trace::Recorder *Record = nullptr;
   config::SnapshotPointer InForce;
   std::map<std::string, GatedTarget, std::less<>> Targets;
@@ -69,15 +69,15 @@
   }
 
   /// Updates the crash detector and the quarantine with the end of a call.
-  void observe(GatedTarget &gated, Ticket call, AttemptEnd end) {
+  void observe(GatedTarget &gated, Ticket call, calls::AttemptEnd end) {
     auto &crashes = gated.Crashes;
-    if (end == AttemptEnd::Broken) {
+    if (end == calls::AttemptEnd::Broken) {
       reportCrash(gated,
                   crashes.callBroken(gated.Admission->runningFingerprints(),
                                      LastTicket, LastTime));
-    } else if (end == AttemptEnd::NotSent) {
+    } else if (end == calls::AttemptEnd::NotSent) {
       reportCrash(gated, crashes.unreachable(LastTicket, LastTime));
-    } else if (end == AttemptEnd::Answered) {
+    } else if (end == calls::AttemptEnd::Answered) {
       crashes.answered(call);
       Quarantined->answered(gated.Admission->fingerprintOf(call),
                             gated.Target.Service, LastTime);
@@ -118,7 +118,7 @@
   }
 };
 
-NodeGate::NodeGate(Quarantine &quarantine, trace::Recorder &recorder)
+NodeGate::NodeGate(calls::Quarantine &quarantine, trace::Recorder &recorder)
     : Held(std::make_unique<State>()) {
   Held->Quarantined = &quarantine;
   Held->Record = &recorder;
@@ -131,7 +131,7 @@
   const Ticket call = ++Held->LastTicket;
   if (Held->Quarantined->blocks(arrival.Fingerprint, arrival.ServiceName, now))
     return GateAnswer::refuse(call, ResultCode::Quarantined,
-                              Quarantine::QuarantineLifetime);
+                              calls::Quarantine::QuarantineLifetime);
   const auto it = Held->Targets.find(arrival.TargetId);
   if (it == Held->Targets.end() ||
       it->second.Target.Service != arrival.ServiceName)
@@ -148,7 +148,7 @@
   return out;
 }
 
-bool NodeGate::signalled(Ticket call, const TargetSignals &signals,
+bool NodeGate::signalled(Ticket call, const balance::TargetSignals &signals,
                          base::TimePoint now) {
   Held->LastTime = now;
   const auto it = Held->Calls.find(call);
@@ -156,8 +156,9 @@
          it->second->Admission->signalled(call, signals, now);
 }
 
-std::vector<GateAnswer>
-NodeGate::ended(Ticket call, const AttemptResult &result, base::TimePoint now) {
+std::vector<GateAnswer> NodeGate::ended(Ticket call,
+                                        const calls::AttemptResult &result,
+                                        base::TimePoint now) {
   Held->LastTime = now;
   const auto it = Held->Calls.find(call);
   if (it == Held->Calls.end())
@@ -243,4 +244,4 @@
     Held->configure(it.second);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/NodeGate.h
+++ b/Libraries/LibAdmission/NodeGate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/AdmissionGate.h>
+#include <LibAdmission/AdmissionGate.h>
 #include <LibCalls/Quarantine.h>
 #include <LibConfig/Snapshot.h>
 #include <LibFleet/Member.h>
@@ -11,18 +11,18 @@
 #include <string>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Admission control for all targets of one node; see AdmissionGate.
 class NodeGate final : public AdmissionGate {
 public:
-  NodeGate(Quarantine &quarantine, trace::Recorder &recorder);
+  NodeGate(calls::Quarantine &quarantine, trace::Recorder &recorder);
   ~NodeGate() override;
 
   GateAnswer arrive(const Arrival &arrival, base::TimePoint now) override;
-  bool signalled(Ticket call, const TargetSignals &signals,
+  bool signalled(Ticket call, const balance::TargetSignals &signals,
                  base::TimePoint now) override;
-  std::vector<GateAnswer> ended(Ticket call, const AttemptResult &result,
+  std::vector<GateAnswer> ended(Ticket call, const calls::AttemptResult &result,
                                 base::TimePoint now) override;
   void abandoned(Ticket call, base::TimePoint now) override;
   std::vector<GateAnswer> tick(base::TimePoint now) override;
@@ -44,4 +44,4 @@
   std::unique_ptr<State> Held;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RankQueue.cpp
+++ b/Libraries/LibAdmission/RankQueue.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/RankQueue.h>
+#include <LibAdmission/RankQueue.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -142,4 +142,4 @@
   return !line.Calls.empty() && now - line.NonEmptySince >= OverloadAfter;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RankQueue.h
+++ b/Libraries/LibAdmission/RankQueue.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibAdmission/AdmissionGate.h>
+#include <LibAdmission/RankScheduler.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/AdmissionGate.h>
-#include <LibCalls/RankScheduler.h>
 #include <LibConfig/Rank.h>
 #include <LibConfig/Resources.h>
 
@@ -11,7 +11,7 @@
 #include <optional>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// A call that waits for a slot.
 struct WaitingCall {
@@ -89,4 +89,4 @@
   size_t Count = 0;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RankScheduler.cpp
+++ b/Libraries/LibAdmission/RankScheduler.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/RankScheduler.h>
+#include <LibAdmission/RankScheduler.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -81,4 +81,4 @@
   }
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RankScheduler.h
+++ b/Libraries/LibAdmission/RankScheduler.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// One flag for each rank.
 using RankFlags = std::array<bool, config::RankCount>;
@@ -47,4 +47,4 @@
   std::array<int64_t, config::RankCount> Credit{}; ///< Slot time, microseconds.
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RateLimiter.cpp
+++ b/Libraries/LibAdmission/RateLimiter.cpp
@@ -1,10 +1,11 @@
-#include <LibCalls/RateLimiter.h>
+#include <LibAdmission/RateLimiter.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
-void RateLimiter::setRate(std::optional<MilliRate> rate, base::TimePoint now) {
+void RateLimiter::setRate(std::optional<balance::MilliRate> rate,
+                          base::TimePoint now) {
   const int64_t level = levelAt(now);
   Rate = rate ? std::max(*rate, MinimumRate) : 0;
   Level = std::min(level, depth());
@@ -55,4 +56,4 @@
   return static_cast<uint32_t>(used / (depth() / FullPermille));
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/RateLimiter.h
+++ b/Libraries/LibAdmission/RateLimiter.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/TargetSignals.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Token bucket that keeps the calls started at one target within the rate
 /// limit that the target states. Without a limit a call may always start.
@@ -17,10 +17,10 @@
   static constexpr base::Duration BurstTime = std::chrono::milliseconds(250);
   /// A lower limit counts as this one: only the answer to a call can tell that
   /// the limit has ended.
-  static constexpr MilliRate MinimumRate = 200;
+  static constexpr balance::MilliRate MinimumRate = 200;
 
   /// Sets or removes the limit. The bucket is empty when a limit follows none.
-  void setRate(std::optional<MilliRate> rate, base::TimePoint now);
+  void setRate(std::optional<balance::MilliRate> rate, base::TimePoint now);
 
   /// Adds one token.
   void grant(base::TimePoint now);
@@ -47,9 +47,9 @@
   int64_t depth() const { return Token + Rate * BurstTime.count(); }
   int64_t levelAt(base::TimePoint now) const;
 
-  MilliRate Rate = 0; ///< 0: no limit.
-  int64_t Level = 0;  ///< At UpdatedAt; may be negative.
+  balance::MilliRate Rate = 0; ///< 0: no limit.
+  int64_t Level = 0;           ///< At UpdatedAt; may be negative.
   base::TimePoint UpdatedAt{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/SlotTime.h
+++ b/Libraries/LibAdmission/SlotTime.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// How long calls of one kind hold a slot: the mean of the first Memory calls,
 /// then a moving mean.
@@ -31,4 +31,4 @@
   int64_t Seen = 0;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -1,9 +1,9 @@
-#include <LibCalls/TargetGate.h>
+#include <LibAdmission/TargetGate.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -154,8 +154,8 @@
                    Queue.callsBefore(call) + reservedTokens(call, now), now));
   if (wait < call.Patience)
     return enqueue(call);
-  const auto most =
-      std::max(remaining / RetryAfterDivisor, MinimumObjectiveRetryAfter);
+  const auto most = std::max(remaining / calls::RetryAfterDivisor,
+                             MinimumObjectiveRetryAfter);
   return GateAnswer::refuse(
       call.Call, ResultCode::Overloaded,
       std::clamp(wait - call.Patience, MinimumObjectiveRetryAfter, most));
@@ -170,7 +170,7 @@
   return GateAnswer::accept(GateAnswer::Kind::Queued, call.Call);
 }
 
-bool TargetGate::signalled(Ticket call, const TargetSignals &signals,
+bool TargetGate::signalled(Ticket call, const balance::TargetSignals &signals,
                            base::TimePoint now) {
   const auto it = Running.find(call);
   if (it == Running.end())
@@ -181,13 +181,13 @@
     Limiter.setRate(Stated.rate(), now);
   if (isLimited)
     recordEvent(AdmissionEvent::Signalled,
-                {static_cast<int64_t>(call), flagsOf(signals),
+                {static_cast<int64_t>(call), balance::flagsOf(signals),
                  signals.RateLimit.value_or(0)},
                 {out ? 1 : 0}, now);
   return out;
 }
 
-void TargetGate::reported(MilliRate rate, base::TimePoint now) {
+void TargetGate::reported(balance::MilliRate rate, base::TimePoint now) {
   if (!Stated.reported(rate))
     return;
   const bool wasLimited = Limiter.isLimited();
@@ -204,7 +204,7 @@
   recordEvent(AdmissionEvent::ProcessChanged, {}, {}, now);
 }
 
-std::vector<GateAnswer> TargetGate::ended(Ticket call, AttemptEnd end,
+std::vector<GateAnswer> TargetGate::ended(Ticket call, calls::AttemptEnd end,
                                           base::TimePoint now) {
   const auto it = Running.find(call);
   if (it == Running.end())
@@ -221,13 +221,13 @@
   return out;
 }
 
-void TargetGate::finish(const RunningCall &call, AttemptEnd end,
+void TargetGate::finish(const RunningCall &call, calls::AttemptEnd end,
                         base::TimePoint now) {
   const auto taken = now - call.StartedAt;
   Scheduler.ended(call.CallRank, call.Charged, taken, demand(now));
-  if (end == AttemptEnd::RefusedNotRun)
+  if (end == calls::AttemptEnd::RefusedNotRun)
     Adaptive.refused();
-  if (end != AttemptEnd::Answered)
+  if (end != calls::AttemptEnd::Answered)
     return;
   // The time of calls with an objective includes that of their downstream
   // calls, which says nothing about this target.
@@ -481,4 +481,4 @@
   Record->record(std::move(entry));
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <LibAdmission/AdaptiveLimit.h>
+#include <LibAdmission/AdmissionGate.h>
+#include <LibAdmission/RankQueue.h>
+#include <LibAdmission/RankScheduler.h>
+#include <LibAdmission/RateLimiter.h>
+#include <LibAdmission/SlotTime.h>
+#include <LibBalance/StatedLimit.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/AdaptiveLimit.h>
-#include <LibCalls/AdmissionGate.h>
-#include <LibCalls/RankQueue.h>
-#include <LibCalls/RankScheduler.h>
-#include <LibCalls/RateLimiter.h>
-#include <LibCalls/SlotTime.h>
-#include <LibCalls/StatedLimit.h>
 #include <LibConfig/Resources.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
@@ -20,7 +20,7 @@
 #include <utility>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Settings of one target's gate.
 struct TargetGateSettings {
@@ -67,13 +67,13 @@
                     base::Duration objective = {});
   /// Applies the rate limit stated on the answer to a running call; returns
   /// whether it has changed.
-  bool signalled(Ticket call, const TargetSignals &signals,
+  bool signalled(Ticket call, const balance::TargetSignals &signals,
                  base::TimePoint now);
 
   /// Applies the rate limit that a caller's node knows, until the target's
   /// process has answered a call of this node's process.
-  void reported(MilliRate rate, base::TimePoint now);
-  std::vector<GateAnswer> ended(Ticket call, AttemptEnd end,
+  void reported(balance::MilliRate rate, base::TimePoint now);
+  std::vector<GateAnswer> ended(Ticket call, calls::AttemptEnd end,
                                 base::TimePoint now);
 
   /// Records that another process of the target has taken over: its limit is
@@ -122,7 +122,8 @@
   RankFlags demand(base::TimePoint now) const;
   GateAnswer enqueue(const WaitingCall &call);
   void start(const WaitingCall &call, base::TimePoint now);
-  void finish(const RunningCall &call, AttemptEnd end, base::TimePoint now);
+  void finish(const RunningCall &call, calls::AttemptEnd end,
+              base::TimePoint now);
   void fillSlots(base::TimePoint now);
   void refuseExpired(base::TimePoint now);
   GateAnswer refusal(Ticket call, base::ResultCode code) const;
@@ -139,7 +140,7 @@
   AdaptiveLimit Adaptive;
   RankScheduler Scheduler;
   RankQueue Queue;
-  StatedLimit Stated;
+  balance::StatedLimit Stated;
   RateLimiter Limiter;
   std::unordered_map<Ticket, RunningCall> Running;
   std::deque<base::TimePoint> RecentStarts;
@@ -160,4 +161,4 @@
   std::array<SeenObjective, config::RankCount> ShortestObjective{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/TargetLeases.cpp
+++ b/Libraries/LibAdmission/TargetLeases.cpp
@@ -1,9 +1,9 @@
-#include <LibCalls/TargetLeases.h>
+#include <LibAdmission/TargetLeases.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 namespace {
 
@@ -354,4 +354,4 @@
   return out;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/TargetLeases.h
+++ b/Libraries/LibAdmission/TargetLeases.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::admission {
 
 /// Announcement of a target to its node, sent at its start and as a heartbeat.
 struct Announcement {
@@ -168,4 +168,4 @@
   trace::Recorder *Record;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::admission
--- a/Libraries/LibCalls/FeatureToggles.h
+++ b/Libraries/LibBalance/FeatureToggles.h
@@ -1,6 +1,6 @@
 #pragma once
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Features that a benchmark may disable to compare with a simpler design. Not
 /// for use in production.
@@ -11,4 +11,4 @@
   bool operator==(const FeatureToggles &) const = default;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/HedgeDelay.cpp
+++ b/Libraries/LibBalance/HedgeDelay.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/HedgeDelay.h>
+#include <LibBalance/HedgeDelay.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -22,4 +22,4 @@
   return fits ? wanted : base::Duration::zero();
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/HedgeDelay.h
+++ b/Libraries/LibBalance/HedgeDelay.h
@@ -2,7 +2,7 @@
 
 #include <LibBase/Clock.h>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Computes when a hedged attempt at one service may start. The delay follows
 /// the slowest answers, so that a slow service is not mistaken for one that
@@ -30,4 +30,4 @@
   base::Duration SlowestLatency{}; ///< Decays with each answer.
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/KnownTarget.h
+++ b/Libraries/LibBalance/KnownTarget.h
@@ -1,18 +1,18 @@
 #pragma once
 
+#include <LibBalance/LoadEstimate.h>
+#include <LibBalance/PathHealth.h>
+#include <LibBalance/RefusalBackoff.h>
+#include <LibBalance/StatedLimit.h>
+#include <LibBalance/TargetCandidate.h>
+#include <LibBalance/TargetHealth.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/LoadEstimate.h>
-#include <LibCalls/PathHealth.h>
-#include <LibCalls/RefusalBackoff.h>
-#include <LibCalls/StatedLimit.h>
-#include <LibCalls/TargetCandidate.h>
-#include <LibCalls/TargetHealth.h>
 
 #include <cstdint>
 #include <memory>
 #include <string>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// State that a caller's node keeps for one target.
 struct KnownTarget {
@@ -34,4 +34,4 @@
   std::shared_ptr<PathHealth> Path; ///< Shared by the targets of its node.
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/LoadBalancer.cpp
+++ b/Libraries/LibBalance/LoadBalancer.cpp
@@ -1,10 +1,10 @@
-#include <LibCalls/LoadBalancer.h>
+#include <LibBalance/LoadBalancer.h>
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -175,4 +175,4 @@
   return nullptr;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/LoadBalancer.h
+++ b/Libraries/LibBalance/LoadBalancer.h
@@ -1,18 +1,18 @@
 #pragma once
 
+#include <LibBalance/FeatureToggles.h>
+#include <LibBalance/KnownTarget.h>
+#include <LibBalance/SpilloverShare.h>
+#include <LibBalance/TargetTable.h>
 #include <LibBase/Clock.h>
 #include <LibBase/Random.h>
-#include <LibCalls/FeatureToggles.h>
-#include <LibCalls/KnownTarget.h>
-#include <LibCalls/SpilloverShare.h>
-#include <LibCalls/TargetTable.h>
 
 #include <cstdint>
 #include <span>
 #include <string>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Location of the choosing node.
 struct Locality {
@@ -67,4 +67,4 @@
   FeatureToggles Toggles;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/LoadEstimate.cpp
+++ b/Libraries/LibBalance/LoadEstimate.cpp
@@ -1,9 +1,9 @@
-#include <LibCalls/LoadEstimate.h>
+#include <LibBalance/LoadEstimate.h>
 
 #include <algorithm>
 #include <cstdlib>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -50,4 +50,4 @@
       FullPermille);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/LoadEstimate.h
+++ b/Libraries/LibBalance/LoadEstimate.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Estimate of one target's load at a caller's node, in permille. The pressure
 /// on an answer of the target's node is used while it is fresh. After that the
@@ -41,4 +41,4 @@
   int64_t Disagreement = 0; ///< Moving mean, permille.
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/PathHealth.cpp
+++ b/Libraries/LibBalance/PathHealth.cpp
@@ -1,6 +1,6 @@
-#include <LibCalls/PathHealth.h>
+#include <LibBalance/PathHealth.h>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 void PathHealth::sent(base::TimePoint now) {
   ++InFlight;
@@ -35,4 +35,4 @@
     SilentSince.reset();
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/PathHealth.h
+++ b/Libraries/LibBalance/PathHealth.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Detects stale pooled connections to one node. A device on the path may have
 /// dropped their state: they then stay silent for ever, while new connections
@@ -38,4 +38,4 @@
   bool Suspect = false;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/RefusalBackoff.cpp
+++ b/Libraries/LibBalance/RefusalBackoff.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/RefusalBackoff.h>
+#include <LibBalance/RefusalBackoff.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 void RefusalBackoff::refused(base::TimePoint now) {
   if (isBackingOff(now) || ++ConsecutiveRefusals < MinimumStreak)
@@ -14,4 +14,4 @@
   BackoffUntil = now + std::min(backoff, MaximumBackoff);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/RefusalBackoff.h
+++ b/Libraries/LibBalance/RefusalBackoff.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Backoff from a target that refuses calls. A target that refuses at once has
 /// the fewest calls in flight and so looks the least loaded: it would attract
@@ -54,4 +54,4 @@
   base::TimePoint AvoidedUntil{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/SpilloverShare.cpp
+++ b/Libraries/LibBalance/SpilloverShare.cpp
@@ -1,8 +1,8 @@
-#include <LibCalls/SpilloverShare.h>
+#include <LibBalance/SpilloverShare.h>
 
 #include <algorithm>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -31,4 +31,4 @@
   return static_cast<uint32_t>(Share);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/SpilloverShare.h
+++ b/Libraries/LibBalance/SpilloverShare.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// The share of a service's calls that spill over to other data centres. It
 /// follows the load of the local targets: immediately when none is usable,
@@ -27,4 +27,4 @@
   base::TimePoint ChangedAt{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/StatedLimit.cpp
+++ b/Libraries/LibBalance/StatedLimit.cpp
@@ -1,6 +1,6 @@
-#include <LibCalls/StatedLimit.h>
+#include <LibBalance/StatedLimit.h>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 bool StatedLimit::answered(const TargetSignals &signals, base::TimePoint sentAt,
                            base::TimePoint now) {
@@ -26,4 +26,4 @@
   return true;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/StatedLimit.h
+++ b/Libraries/LibBalance/StatedLimit.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/TargetSignals.h>
 
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// The rate limit that one target process states on its answers. Answers can
 /// arrive in another order than the target wrote them; an answer raises or ends
@@ -31,4 +31,4 @@
   bool HasAnswer = false;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetCandidate.h
+++ b/Libraries/LibBalance/TargetCandidate.h
@@ -3,7 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibFleet/Member.h>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// A target that the load balancer of a caller's node may choose.
 struct TargetCandidate {
@@ -13,4 +13,4 @@
   fleet::TargetRecord Target;
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetHealth.cpp
+++ b/Libraries/LibBalance/TargetHealth.cpp
@@ -1,4 +1,4 @@
-#include <LibCalls/TargetHealth.h>
+#include <LibBalance/TargetHealth.h>
 
 #include <LibBase/Logger.h>
 
@@ -11,7 +11,7 @@
 extern const std::string_view TargetHealthText;
 } // namespace radishcross::embedded
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 struct TargetHealth::ActionRow {
   std::string Name;
@@ -91,4 +91,4 @@
   Ejection = std::min(Ejection * 2, LongestEjection);
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetHealth.h
+++ b/Libraries/LibBalance/TargetHealth.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// Health of one target as seen by a caller's node (outlier detection), driven
 /// by the state chart TargetHealth.chart.json. Consecutive failures eject the
@@ -49,4 +49,4 @@
   base::TimePoint EjectedUntil{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetSignals.cpp
+++ b/Libraries/LibBalance/TargetSignals.cpp
@@ -1,6 +1,6 @@
-#include <LibCalls/TargetSignals.h>
+#include <LibBalance/TargetSignals.h>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -25,4 +25,4 @@
   return out;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetSignals.h
+++ b/Libraries/LibBalance/TargetSignals.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <optional>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// A rate in requests per 1,000 seconds.
 using MilliRate = int64_t;
@@ -25,4 +25,4 @@
 /// Decodes the output of flagsOf(); \p rate is used if there is a limit.
 TargetSignals signalsOf(int64_t flags, MilliRate rate);
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetTable.cpp
+++ b/Libraries/LibBalance/TargetTable.cpp
@@ -1,11 +1,11 @@
-#include <LibCalls/TargetTable.h>
+#include <LibBalance/TargetTable.h>
 
 #include <LibBase/Hash.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 namespace {
 
@@ -201,4 +201,4 @@
   return out || forgotten > 0;
 }
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/TargetTable.h
+++ b/Libraries/LibBalance/TargetTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibBalance/KnownTarget.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/KnownTarget.h>
 #include <LibFleet/Member.h>
 
 #include <map>
@@ -12,7 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace radishcross::calls {
+namespace radishcross::balance {
 
 /// The targets of all services, updated from the fleet's members.
 class TargetTable {
@@ -80,4 +80,4 @@
   base::TimePoint LastTick{};
 };
 
-} // namespace radishcross::calls
+} // namespace radishcross::balance
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibBalance/FeatureToggles.h>
 #include <LibBase/Random.h>
 #include <LibCalls/CallBroker.h>
-#include <LibCalls/FeatureToggles.h>
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibFleet/Member.h>
@@ -26,7 +26,7 @@
   /// detected.
   base::Duration KeyWindow = std::chrono::minutes(1);
   RetryLimits Retries = {};
-  FeatureToggles Toggles = {};
+  balance::FeatureToggles Toggles = {};
 };
 
 /// The broker of one node; see CallBroker.
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -40,7 +40,7 @@
       call.Retried)
     return false;
   const auto left = call.Deadline - now - HopMargin;
-  return left >= HedgeDelay::minimumRemaining(call.HedgeAfter) &&
+  return left >= balance::HedgeDelay::minimumRemaining(call.HedgeAfter) &&
          retryRefusal(call, now) == StopReason::None;
 }
 
@@ -80,7 +80,8 @@
 }
 
 void CallPlanner::signalled(CallHandle handle, uint32_t attemptNumber,
-                            const TargetSignals &signals, base::TimePoint now) {
+                            const balance::TargetSignals &signals,
+                            base::TimePoint now) {
   const auto it = Calls.find(handle);
   const auto *attempt = it == Calls.end()
                             ? nullptr
@@ -95,8 +96,8 @@
     Table.leaving(*target);
   if (isNews)
     recordEvent(CallPlanEvent::Signalled,
-                {static_cast<int64_t>(handle), attemptNumber, flagsOf(signals),
-                 signals.RateLimit.value_or(0)},
+                {static_cast<int64_t>(handle), attemptNumber,
+                 balance::flagsOf(signals), signals.RateLimit.value_or(0)},
                 {}, {}, now);
 }
 
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <LibBalance/TargetCandidate.h>
+#include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
 #include <LibCalls/CallTypes.h>
 #include <LibCalls/ChoiceBasis.h>
-#include <LibCalls/TargetCandidate.h>
-#include <LibCalls/TargetSignals.h>
 #include <LibConfig/Snapshot.h>
 
 #include <cstdint>
@@ -72,7 +72,7 @@
   bool TargetFailed = false; ///< The target answered with status 500 or above.
   /// What the target states on its answer; nothing without an answer of its
   /// own.
-  std::optional<TargetSignals> Signals;
+  std::optional<balance::TargetSignals> Signals;
 };
 
 /// Next step that the HTTP layer has to carry out for a call.
@@ -86,7 +86,7 @@
     Await,   ///< Another attempt of the call is in flight; its end decides.
   };
   Kind What = Kind::Finish;
-  TargetCandidate To;
+  balance::TargetCandidate To;
   std::string ServiceName;
   config::Rank CallRank = config::Rank::Background;
   /// Covers connecting and the complete answer. Counted from when the step was
@@ -99,7 +99,7 @@
   base::Duration Remaining{};        ///< Time left, passed to the next hop.
   base::Duration LatencyObjective{}; ///< Of the route; 0: none.
   /// The target's rate limit, if this node knows one from its answers.
-  std::optional<MilliRate> StatedRate;
+  std::optional<balance::MilliRate> StatedRate;
   /// Open a new connection to the node of To and close its idle connections.
   bool FreshConnection = false;
   /// The attempt is a retry or part of one: AttemptHeader is above 0.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -67,11 +67,11 @@
     retries.Window = base::Duration(entry.Numbers[2]);
     retries.Slack = entry.Numbers[3];
   }
-  FeatureToggles toggles;
+  balance::FeatureToggles toggles;
   toggles.HeadroomEnabled = entry.Numbers[4] == 0;
   Replayed = std::make_unique<CallPlanner>(
-      Locality{lines[0], lines[1]}, static_cast<uint64_t>(entry.Numbers[0]),
-      Ignored, retries, toggles);
+      balance::Locality{lines[0], lines[1]},
+      static_cast<uint64_t>(entry.Numbers[0]), Ignored, retries, toggles);
   return {};
 }
 
@@ -157,7 +157,7 @@
 
 trace::Outcome CallPlanPlayer::signalled(const trace::Entry &entry) {
   Replayed->signalled(handleOf(entry), static_cast<uint32_t>(entry.Numbers[1]),
-                      signalsOf(entry.Numbers[2], entry.Numbers[3]),
+                      balance::signalsOf(entry.Numbers[2], entry.Numbers[3]),
                       timeOf(entry));
   return {};
 }
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -63,9 +63,9 @@
 
 } // namespace
 
-CallPlanner::CallPlanner(const Locality &here, uint64_t randomSeed,
+CallPlanner::CallPlanner(const balance::Locality &here, uint64_t randomSeed,
                          trace::Recorder &recorder, const RetryLimits &retries,
-                         const FeatureToggles &toggles)
+                         const balance::FeatureToggles &toggles)
     : Balancer(here, toggles), Randomness(randomSeed), Record(&recorder),
       Retries(retries) {
   recordEvent(CallPlanEvent::Start,
@@ -305,8 +305,8 @@
   return out;
 }
 
-ChoiceBasis CallPlanner::basisOf(const TargetTable::Targets &targets,
-                                 const KnownTarget &chosen,
+ChoiceBasis CallPlanner::basisOf(const balance::TargetTable::Targets &targets,
+                                 const balance::KnownTarget &chosen,
                                  base::TimePoint now) {
   ChoiceBasis out;
   out.Candidates = static_cast<uint32_t>(targets.size());
@@ -379,7 +379,8 @@
           step.RetryAfter.count()};
 }
 
-void CallPlanner::recordTarget(const KnownTarget &target, base::TimePoint now) {
+void CallPlanner::recordTarget(const balance::KnownTarget &target,
+                               base::TimePoint now) {
   const auto &candidate = target.Candidate;
   const auto &record = candidate.Target;
   recordEvent(CallPlanEvent::Target,
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <LibBalance/HedgeDelay.h>
+#include <LibBalance/LoadBalancer.h>
+#include <LibBalance/SpilloverShare.h>
+#include <LibBalance/TargetTable.h>
 #include <LibBase/Random.h>
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/ClientThrottle.h>
-#include <LibCalls/HedgeDelay.h>
-#include <LibCalls/LoadBalancer.h>
 #include <LibCalls/RetryBudget.h>
-#include <LibCalls/SpilloverShare.h>
-#include <LibCalls/TargetTable.h>
 #include <LibTrace/Recorder.h>
 
 #include <boost/container/static_vector.hpp>
@@ -72,9 +72,9 @@
   /// Attempts of one call, of which at most one retry after bytes were sent.
   static constexpr uint32_t MaximumAttempts = 3;
 
-  CallPlanner(const Locality &here, uint64_t randomSeed,
+  CallPlanner(const balance::Locality &here, uint64_t randomSeed,
               trace::Recorder &recorder, const RetryLimits &retries = {},
-              const FeatureToggles &toggles = {});
+              const balance::FeatureToggles &toggles = {});
 
   /// Plans the first attempt of call \p handle.
   CallStep begin(CallHandle handle, const RoutedCall &call,
@@ -85,7 +85,7 @@
   /// Applies what a target states about itself on the answer to an attempt in
   /// flight; attemptEnded() does so with AttemptResult::Signals.
   void signalled(CallHandle handle, uint32_t attemptNumber,
-                 const TargetSignals &signals, base::TimePoint now);
+                 const balance::TargetSignals &signals, base::TimePoint now);
   /// See CallBroker::hedge.
   std::optional<CallStep> hedge(CallHandle handle, base::TimePoint now);
   void end(CallHandle handle, base::TimePoint now);
@@ -140,8 +140,8 @@
   struct ServiceState {
     RetryBudget Budget;
     ClientThrottle Throttle;
-    SpilloverShare Spillover;
-    HedgeDelay Hedging;
+    balance::SpilloverShare Spillover;
+    balance::HedgeDelay Hedging;
   };
 
   CallStep planFirst(PlannedCall &call, base::TimePoint now);
@@ -159,8 +159,9 @@
   int64_t recentNodes(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
-  static ChoiceBasis basisOf(const TargetTable::Targets &targets,
-                             const KnownTarget &chosen, base::TimePoint now);
+  static ChoiceBasis basisOf(const balance::TargetTable::Targets &targets,
+                             const balance::KnownTarget &chosen,
+                             base::TimePoint now);
   base::Duration hedgeAfter(const PlannedCall &call, bool retry,
                             base::TimePoint now);
   static ActiveAttempt *findActiveAttempt(PlannedCall &call,
@@ -175,10 +176,10 @@
   void recordEvent(CallPlanEvent::Value event, const trace::Inputs &numbers,
                    std::string text, const trace::Outcome &decided,
                    base::TimePoint now);
-  void recordTarget(const KnownTarget &target, base::TimePoint now);
+  void recordTarget(const balance::KnownTarget &target, base::TimePoint now);
 
-  TargetTable Table;
-  LoadBalancer Balancer;
+  balance::TargetTable Table;
+  balance::LoadBalancer Balancer;
   base::Random Randomness;
   trace::Recorder *Record;
   std::unordered_map<CallHandle, PlannedCall> Calls;
--- a/Libraries/LibCalls/Players.cpp
+++ b/Libraries/LibCalls/Players.cpp
@@ -1,9 +1,7 @@
 #include <LibCalls/Players.h>
 
-#include <LibCalls/AdmissionPlayer.h>
 #include <LibCalls/CallPlanPlayer.h>
 #include <LibCalls/IdempotencyPlayer.h>
-#include <LibCalls/LeasePlayer.h>
 #include <LibCalls/QuarantinePlayer.h>
 
 #include <memory>
@@ -12,10 +10,8 @@
 
 void addPlayers(trace::Replay::Players &players) {
   using trace::Module;
-  players[Module::Admission] = std::make_unique<AdmissionPlayer>();
   players[Module::CallPlan] = std::make_unique<CallPlanPlayer>();
   players[Module::Idempotency] = std::make_unique<IdempotencyPlayer>();
-  players[Module::TargetLease] = std::make_unique<LeasePlayer>();
   players[Module::Quarantine] = std::make_unique<QuarantinePlayer>();
 }
 
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <LibAdmission/AdmissionGate.h>
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/Metrics.h>
-#include <LibCalls/AdmissionGate.h>
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/CallHeaders.h>
 #include <LibConfig/Snapshot.h>
@@ -24,7 +24,7 @@
   const base::Clock *Time = nullptr;
   base::Metrics *Counters = nullptr;
   calls::CallBroker *Broker = nullptr;
-  calls::AdmissionGate *Gate = nullptr;
+  admission::AdmissionGate *Gate = nullptr;
   /// Returns the snapshot in force, or null before recovery, when callers get
   /// NotRecovered.
   std::function<config::SnapshotPointer()> CurrentSnapshot;
--- a/Libraries/LibHttp/GateLog.cpp
+++ b/Libraries/LibHttp/GateLog.cpp
@@ -19,7 +19,7 @@
 }
 
 /// Formats a rate as requests per second; "none" without one.
-std::string formatRate(std::optional<calls::MilliRate> rate) {
+std::string formatRate(std::optional<balance::MilliRate> rate) {
   constexpr double MilliPerUnit = 1000;
   if (!rate)
     return "none";
@@ -32,7 +32,7 @@
 } // namespace
 
 void logSignals(const MeshCall &call, std::string_view requestId,
-                const calls::TargetSignals &signals, const SignalNews &news) {
+                const balance::TargetSignals &signals, const SignalNews &news) {
   const std::initializer_list<base::LogField> fields = {
       {"target", call.TargetId},
       {"service", call.ServiceName},
--- a/Libraries/LibHttp/GateLog.h
+++ b/Libraries/LibHttp/GateLog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/TargetSignals.h>
+#include <LibBalance/TargetSignals.h>
 
 #include <string_view>
 
@@ -25,6 +25,6 @@
 /// as that is news, and "target rate limit malformed" for a limit that cannot
 /// be parsed.
 void logSignals(const MeshCall &call, std::string_view requestId,
-                const calls::TargetSignals &signals, const SignalNews &news);
+                const balance::TargetSignals &signals, const SignalNews &news);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 namespace asio = boost::asio;
+using admission::GateAnswer;
 using calls::AttemptEnd;
-using calls::GateAnswer;
 
 GateOutcome refusal(base::ResultCode code, base::Duration retryAfter = {}) {
   GateOutcome outcome;
@@ -70,12 +70,12 @@
   if (!canFinish(call.Remaining))
     co_return refusal(base::ResultCode::Draining);
   base::TimePoint now = Environment.Time->now();
-  calls::Arrival arrival{call.CallId,           call.ServiceName, call.TargetId,
-                         call.CallRank,         call.Remaining,   fingerprint,
-                         call.LatencyObjective, call.StatedRate};
+  admission::Arrival arrival{
+      call.CallId,    call.ServiceName, call.TargetId,         call.CallRank,
+      call.Remaining, fingerprint,      call.LatencyObjective, call.StatedRate};
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
-  calls::Ticket ticket = decision.Call;
-  calls::GateView loadOnArrival = decision.Found;
+  admission::Ticket ticket = decision.Call;
+  admission::GateView loadOnArrival = decision.Found;
   bool hasWaited = decision.What == GateAnswer::Kind::Queued;
   if (hasWaited)
     decision = co_await awaitTurn(ticket, call.Remaining, watch);
@@ -104,7 +104,7 @@
 /// Passes on to the gate what the target states about itself.
 void GateRunner::applySignals(const MeshCall &call, const Request &request,
                               const fleet::TargetRecord &target,
-                              calls::Ticket ticket,
+                              admission::Ticket ticket,
                               const GateOutcome &outcome) {
   const auto &signals = outcome.Result.Signals;
   if (!signals)
@@ -122,7 +122,7 @@
 
 /// Waits until the gate decides, the deadline passes or the caller disconnects.
 asio::awaitable<GateAnswer>
-GateRunner::awaitTurn(calls::Ticket ticket, base::Duration remaining,
+GateRunner::awaitTurn(admission::Ticket ticket, base::Duration remaining,
                       std::shared_ptr<ClientWatch> watch) {
   QueuedCall queued{asio::steady_timer(*Environment.Context, remaining),
                     std::nullopt};
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -15,7 +15,8 @@
   calls::AttemptResult Result;
   Response HttpResponse; ///< The target's response if Result.End is Answered.
   // For the log and the metrics:
-  calls::GateView LoadOnArrival; ///< Load of the gate when the call arrived.
+  admission::GateView
+      LoadOnArrival; ///< Load of the gate when the call arrived.
   bool HasWaited = false;
   bool HasRun = false;
   base::Duration Waited{}; ///< Time in the gate's queue.
@@ -60,30 +61,30 @@
   };
   struct QueuedCall {
     boost::asio::steady_timer Wake;
-    std::optional<calls::GateAnswer> Decision;
+    std::optional<admission::GateAnswer> Decision;
   };
 
   boost::asio::awaitable<GateOutcome>
   passGate(const MeshCall &call, Request &request, uint64_t fingerprint,
            std::shared_ptr<ClientWatch> watch);
-  boost::asio::awaitable<calls::GateAnswer>
-  awaitTurn(calls::Ticket ticket, base::Duration remaining,
+  boost::asio::awaitable<admission::GateAnswer>
+  awaitTurn(admission::Ticket ticket, base::Duration remaining,
             std::shared_ptr<ClientWatch> watch);
   boost::asio::awaitable<GateOutcome>
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
               std::shared_ptr<ClientWatch> watch);
   void applySignals(const MeshCall &call, const Request &request,
-                    const fleet::TargetRecord &target, calls::Ticket ticket,
+                    const fleet::TargetRecord &target, admission::Ticket ticket,
                     const GateOutcome &outcome);
   std::string targetLines(const Request &request, const MeshCall &call) const;
-  void dispatch(const std::vector<calls::GateAnswer> &decisions);
+  void dispatch(const std::vector<admission::GateAnswer> &decisions);
 
   CallProxyEnvironment &Environment;
   ConnectionPool &Pool;
   const MeshKeys &Keys;
   CallMetrics &Metrics;
-  std::unordered_map<calls::Ticket, QueuedCall *> Queue;
+  std::unordered_map<admission::Ticket, QueuedCall *> Queue;
   std::unordered_map<std::string, ActiveCall> ActiveCalls;
   std::optional<base::TimePoint> ShutdownTime; ///< Set when the node drains.
 };
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -151,7 +151,7 @@
     word.remove_suffix(part.size() + 1);
   }
   part = lastPartOf(word);
-  calls::MilliRate rate = 0;
+  balance::MilliRate rate = 0;
   if (part.starts_with(RatePrefix) && parseNumber(part.substr(1), rate) &&
       rate >= 0) {
     call.StatedRate = rate;
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
-#include <LibCalls/TargetSignals.h>
 #include <LibConfig/Rank.h>
 #include <LibHttp/MeshKey.h>
 #include <LibHttp/Message.h>
@@ -25,7 +25,7 @@
   base::Duration LatencyObjective{};
   /// The target's rate limit, if the sender knows one from its answers. Sent
   /// between nodes only.
-  std::optional<calls::MilliRate> StatedRate;
+  std::optional<balance::MilliRate> StatedRate;
   uint32_t Hops = 0;       ///< Number of ancestor calls in the chain.
   uint32_t Attempt = 1;    ///< 2 for a retry.
   std::string ServiceName; ///< "configuration/name".
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-std::optional<calls::MilliRate> parseRateLimit(std::string_view text,
-                                               base::LastReason &reason) {
+std::optional<balance::MilliRate> parseRateLimit(std::string_view text,
+                                                 base::LastReason &reason) {
   double rate = 0;
   const auto *end = text.data() + text.size();
   auto [at, ec] =
@@ -44,15 +44,15 @@
   if (!isNumber || ec != std::errc())
     return reason.fail(base::ResultCode::BadValue,
                        "the rate limit is not a decimal number");
-  return static_cast<calls::MilliRate>(std::min(rate, MaximumRateLimit) *
-                                       MilliPerUnit);
+  return static_cast<balance::MilliRate>(std::min(rate, MaximumRateLimit) *
+                                         MilliPerUnit);
 }
 
-std::optional<calls::TargetSignals>
+std::optional<balance::TargetSignals>
 readTargetSignals(const Response &response, const calls::CallHeaders &names) {
   if (response.result() == bh::status::misdirected_request)
     return std::nullopt;
-  calls::TargetSignals out;
+  balance::TargetSignals out;
   out.IsLeaving = fieldOf(response, names.Leaving) == LeavingValue;
   auto [it, end] = response.equal_range(names.RateLimit);
   for (; it != end; ++it) {
--- a/Libraries/LibHttp/ResponseFields.h
+++ b/Libraries/LibHttp/ResponseFields.h
@@ -22,13 +22,13 @@
 /// Parses a number of requests per second: digits with an optional fraction.
 /// Fails with BadValue for anything else, such as a sign, an exponent or an
 /// empty text.
-std::optional<calls::MilliRate> parseRateLimit(std::string_view text,
-                                               base::LastReason &reason);
+std::optional<balance::MilliRate> parseRateLimit(std::string_view text,
+                                                 base::LastReason &reason);
 
 /// Reads what a target states about itself on its own response; of several
 /// limits the lowest valid one counts. Returns nothing for a response that
 /// another target may have written (421).
-std::optional<calls::TargetSignals>
+std::optional<balance::TargetSignals>
 readTargetSignals(const Response &response, const calls::CallHeaders &names);
 
 /// Returns the response that reports an attempt without a target response to
--- a/Libraries/LibHttp/StoppedNode.h
+++ b/Libraries/LibHttp/StoppedNode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/AdmissionGate.h>
+#include <LibAdmission/AdmissionGate.h>
 #include <LibCalls/CallBroker.h>
 
 namespace radishcross::http {
@@ -36,23 +36,27 @@
 };
 
 /// Replaces the gate of a node that has been destroyed: admits nothing.
-class StoppedNodeGate final : public calls::AdmissionGate {
+class StoppedNodeGate final : public admission::AdmissionGate {
 public:
-  calls::GateAnswer arrive(const calls::Arrival &, base::TimePoint) override {
-    calls::GateAnswer decision;
+  admission::GateAnswer arrive(const admission::Arrival &,
+                               base::TimePoint) override {
+    admission::GateAnswer decision;
     decision.Code = base::ResultCode::Draining;
     return decision;
   }
-  bool signalled(calls::Ticket, const calls::TargetSignals &,
+  bool signalled(admission::Ticket, const balance::TargetSignals &,
                  base::TimePoint) override {
     return false;
   }
-  std::vector<calls::GateAnswer>
-  ended(calls::Ticket, const calls::AttemptResult &, base::TimePoint) override {
+  std::vector<admission::GateAnswer> ended(admission::Ticket,
+                                           const calls::AttemptResult &,
+                                           base::TimePoint) override {
+    return {};
+  }
+  void abandoned(admission::Ticket, base::TimePoint) override {}
+  std::vector<admission::GateAnswer> tick(base::TimePoint) override {
     return {};
   }
-  void abandoned(calls::Ticket, base::TimePoint) override {}
-  std::vector<calls::GateAnswer> tick(base::TimePoint) override { return {}; }
   uint32_t pressurePermille(const std::string &) const override { return 0; }
   size_t inFlight() const override { return 0; }
 };
--- a/Libraries/LibNode/DepartureKeeper.cpp
+++ b/Libraries/LibNode/DepartureKeeper.cpp
@@ -7,7 +7,7 @@
 namespace radishcross::node {
 
 DepartureKeeper::DepartureKeeper(log::KeyedStore &store, std::string node,
-                                 calls::TargetLeases &leases,
+                                 admission::TargetLeases &leases,
                                  std::function<void()> onChanged)
     : Store(store, std::move(node),
             [this](const fleet::Departures &it) {
--- a/Libraries/LibNode/DepartureKeeper.h
+++ b/Libraries/LibNode/DepartureKeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibAdmission/TargetLeases.h>
 #include <LibBase/Clock.h>
-#include <LibCalls/TargetLeases.h>
 #include <LibNode/DepartureStore.h>
 #include <LibPeer/FleetRuntime.h>
 
@@ -18,7 +18,8 @@
 public:
   /// \p onChanged is called when the state of a target may have changed.
   DepartureKeeper(log::KeyedStore &store, std::string node,
-                  calls::TargetLeases &leases, std::function<void()> onChanged);
+                  admission::TargetLeases &leases,
+                  std::function<void()> onChanged);
 
   /// Begins to ask the store and the peers; called at the start of a process
   /// that may have had an earlier one.
@@ -44,7 +45,7 @@
   void restore(const fleet::Departures &departures, std::string_view source);
 
   DepartureStore Store;
-  calls::TargetLeases *Leases;
+  admission::TargetLeases *Leases;
   std::function<void()> OnChanged;
   bool IsRecalling = false;
   base::TimePoint RecallingSince{};
--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -31,9 +31,9 @@
          std::string(name);
 }
 
-std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
-                                                std::string_view body,
-                                                base::LastReason &reason) {
+std::optional<admission::Heartbeat> decodeHeartbeat(std::string_view id,
+                                                    std::string_view body,
+                                                    base::LastReason &reason) {
   if (id.empty() || id.size() > MaxTargetIdLength ||
       id.find('/') != std::string_view::npos)
     return reason.fail(
@@ -48,7 +48,7 @@
       base::parseRemoteAddress(object.at("address").as_string(), reason);
   if (!address)
     return std::nullopt;
-  calls::Heartbeat out;
+  admission::Heartbeat out;
   out.Target.Service = fullServiceName(object.at("service").as_string());
   out.Target.TargetId = std::string(id);
   out.Target.Where = *address;
--- a/Libraries/LibNode/HeartbeatCodec.h
+++ b/Libraries/LibNode/HeartbeatCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibAdmission/TargetLeases.h>
 #include <LibBase/LastReason.h>
-#include <LibCalls/TargetLeases.h>
 
 #include <optional>
 #include <string>
@@ -17,8 +17,8 @@
 /// "slots", "sequence", "warm_up_ms", "started_unix_ms"}; unknown keys are
 /// ignored. Fails with a 1xxx code. A service without a configuration's name
 /// belongs to the external configuration.
-std::optional<calls::Heartbeat> decodeHeartbeat(std::string_view id,
-                                                std::string_view body,
-                                                base::LastReason &reason);
+std::optional<admission::Heartbeat> decodeHeartbeat(std::string_view id,
+                                                    std::string_view body,
+                                                    base::LastReason &reason);
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -4,13 +4,13 @@
 #include <LibAdmin/MetricsPage.h>
 #include <LibAdmin/NodeControl.h>
 #include <LibAdmin/NodeSettings.h>
+#include <LibAdmission/NodeGate.h>
+#include <LibAdmission/TargetLeases.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibBase/Metrics.h>
 #include <LibCalls/Broker.h>
-#include <LibCalls/NodeGate.h>
 #include <LibCalls/Quarantine.h>
-#include <LibCalls/TargetLeases.h>
 #include <LibHttp/CallProxy.h>
 #include <LibHttp/Server.h>
 #include <LibLog/HeldVersions.h>
@@ -118,10 +118,10 @@
   HeldVersionStore StoredVersions;
   calls::Quarantine CrashQuarantine;
   QuarantineNotices Notices;
-  calls::TargetLeases Leases;
+  admission::TargetLeases Leases;
   DepartureKeeper Departures;
   calls::Broker CallsBroker;
-  calls::NodeGate CallsGate;
+  admission::NodeGate CallsGate;
   UsageMeter Usage;
   log::HeldVersions Held;
   ChangeSubmitter Changes;
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -35,8 +35,8 @@
   return it ? std::string(it->as_string()) : std::string();
 }
 
-std::optional<calls::Announcement> decode(std::string_view body,
-                                          base::LastReason &reason) {
+std::optional<admission::Announcement> decode(std::string_view body,
+                                              base::LastReason &reason) {
   static const schema::EmbeddedSchema announcementSchema(
       embedded::AnnouncementText);
   auto document = announcementSchema.parse(body, AnnouncementLimits, reason);
@@ -49,7 +49,7 @@
   auto state = base::fromName(fleet::TargetStateNames, textAt(object, "state"));
   if (!state)
     return reason.fail(base::ResultCode::BadValue, "state: unknown value");
-  calls::Announcement out;
+  admission::Announcement out;
   out.Target.Service = textAt(object, "service");
   out.Target.TargetId = textAt(object, "target");
   out.Target.Where = *address;
@@ -82,7 +82,7 @@
 
 } // namespace
 
-bool isFromLocalTarget(const calls::Heartbeat &heartbeat,
+bool isFromLocalTarget(const admission::Heartbeat &heartbeat,
                        const LocalTarget &local, base::LastReason &reason) {
   const auto &target = heartbeat.Target;
   if (local.Where && target.Where != *local.Where) {
@@ -101,7 +101,7 @@
   return true;
 }
 
-TargetListener::TargetListener(calls::TargetLeases &leases,
+TargetListener::TargetListener(admission::TargetLeases &leases,
                                const base::Clock &clock, LocalTarget local,
                                std::function<void()> onChanged,
                                AwaitStored awaitStored)
--- a/Libraries/LibNode/TargetListener.h
+++ b/Libraries/LibNode/TargetListener.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include <LibAdmission/TargetLeases.h>
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
-#include <LibCalls/TargetLeases.h>
 #include <LibHttp/Server.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -25,7 +25,7 @@
 /// Returns whether a heartbeat comes from the target on the node's VM; fails
 /// with BadValue if the service or address differs, since then another process
 /// must have sent it.
-bool isFromLocalTarget(const calls::Heartbeat &heartbeat,
+bool isFromLocalTarget(const admission::Heartbeat &heartbeat,
                        const LocalTarget &local, base::LastReason &reason);
 
 /// Handles the requests of the targets on this VM:
@@ -40,7 +40,7 @@
   using AwaitStored = std::function<boost::asio::awaitable<void>()>;
 
   /// \p awaitStored is called before a target's leaving is acknowledged.
-  TargetListener(calls::TargetLeases &leases, const base::Clock &clock,
+  TargetListener(admission::TargetLeases &leases, const base::Clock &clock,
                  LocalTarget local, std::function<void()> onChanged,
                  AwaitStored awaitStored = nullptr);
 
@@ -55,7 +55,7 @@
                            bool &isLeaving);
   http::Response leave(std::string_view id);
 
-  calls::TargetLeases *Leases;
+  admission::TargetLeases *Leases;
   const base::Clock *Time;
   LocalTarget Local;
   std::function<void()> OnChanged;
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -80,12 +80,12 @@
   auto plain = goodSettings();
   auto settings = admin::decodeNodeSettings(plain, reason);
   REQUIRE(settings);
-  CHECK(settings->Compared == calls::FeatureToggles());
+  CHECK(settings->Compared == balance::FeatureToggles());
   change(plain, "/comparison",
          R"({"ranks": false, "choice_by_headroom": false})");
   settings = admin::decodeNodeSettings(plain, reason);
   REQUIRE(settings);
-  CHECK(settings->Compared == calls::FeatureToggles{false, false});
+  CHECK(settings->Compared == balance::FeatureToggles{false, false});
 }
 
 TEST_CASE("seed hosts use the node's gossip port and exclude the node itself") {
--- a/Tests/LibCalls/FloodModel.h
+++ b/Tests/LibAdmission/FloodModel.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <LibAdmission/TargetGate.h>
 #include <LibBase/Random.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/TargetGate.h>
 
 #include <algorithm>
 #include <array>
@@ -53,7 +53,7 @@
 class FloodModel {
 public:
   explicit FloodModel(const FloodCase &flood) : Flood(flood) {
-    TargetGateSettings settings;
+    admission::TargetGateSettings settings;
     settings.State = TargetState::Ready;
     settings.Slots = flood.Slots;
     settings.Connections = 120;
@@ -100,16 +100,16 @@
       Calls[++Last] = {rank, Now};
       const auto answer = Gate.arrive(Last, static_cast<Rank>(rank),
                                       Flood.Deadline, 0, at(Now));
-      if (answer.What != GateAnswer::Kind::Queued)
+      if (answer.What != admission::GateAnswer::Kind::Queued)
         take({answer});
     });
   }
 
-  void take(const std::vector<GateAnswer> &answers) {
+  void take(const std::vector<admission::GateAnswer> &answers) {
     for (const auto &it : answers) {
       const auto [rank, arrived] = Calls.at(it.Call);
       auto &outcome = Outcomes[rank];
-      if (it.What == GateAnswer::Kind::Run) {
+      if (it.What == admission::GateAnswer::Kind::Run) {
         start(it.Call, outcome);
         continue;
       }
@@ -119,7 +119,7 @@
     }
   }
 
-  void start(Ticket call, FloodOutcome &outcome) {
+  void start(admission::Ticket call, FloodOutcome &outcome) {
     const double factor =
         Flood.Exponential ? exponential() : 0.5 + Randomness.unit();
     const auto running =
@@ -140,12 +140,12 @@
 
   FloodCase Flood;
   trace::NullRecorder Recorder;
-  TargetGate Gate{"t", Recorder};
+  admission::TargetGate Gate{"t", Recorder};
   base::Random Randomness{7};
   std::multimap<base::Duration, std::function<void()>> Events;
-  std::unordered_map<Ticket, Call> Calls;
+  std::unordered_map<admission::Ticket, Call> Calls;
   std::array<FloodOutcome, config::RankCount> Outcomes;
-  Ticket Last = 0;
+  admission::Ticket Last = 0;
   base::Duration Now{};
 };
 
--- a/Tests/LibCalls/LimitedTarget.h
+++ b/Tests/LibAdmission/LimitedTarget.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <LibAdmission/NodeGate.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/NodeGate.h>
 
 #include <algorithm>
 #include <memory>
@@ -19,13 +19,14 @@
   static constexpr base::Duration TickPeriod = 20ms;
 
   struct Started {
-    Ticket Call = 0;
+    admission::Ticket Call = 0;
     base::Duration At{};
     Rank CallRank = Rank::Standard;
     base::Duration Objective{};
   };
 
-  explicit LimitedTarget(std::optional<MilliRate> limit) : Limit(limit) {
+  explicit LimitedTarget(std::optional<balance::MilliRate> limit)
+      : Limit(limit) {
     restartNode();
   }
 
@@ -33,7 +34,7 @@
   /// target are lost.
   void restartNode() {
     Running.clear();
-    Gate = std::make_unique<NodeGate>(Quarantined, Recorder);
+    Gate = std::make_unique<admission::NodeGate>(Quarantined, Recorder);
     Gate->targetsChanged({record()}, at(Now));
   }
 
@@ -50,8 +51,8 @@
     return out;
   }
 
-  GateAnswer arrive(Rank rank, base::Duration objective = 400ms) {
-    Arrival it;
+  admission::GateAnswer arrive(Rank rank, base::Duration objective = 400ms) {
+    admission::Arrival it;
     it.ServiceName = Lookup;
     it.TargetId = "t";
     it.CallRank = rank;
@@ -60,11 +61,11 @@
     it.StatedRate = KnownToCallers;
     const auto out = Gate->arrive(it, at(Now));
     ++Arrived;
-    if (out.What == GateAnswer::Kind::Run)
+    if (out.What == admission::GateAnswer::Kind::Run)
       start(out.Call, rank, objective);
-    if (out.What == GateAnswer::Kind::Queued)
+    if (out.What == admission::GateAnswer::Kind::Queued)
       Queued.push_back({out.Call, Now, rank, objective});
-    if (out.What == GateAnswer::Kind::Refuse)
+    if (out.What == admission::GateAnswer::Kind::Refuse)
       Refused.push_back(out);
     return out;
   }
@@ -101,10 +102,10 @@
 
   trace::NullRecorder Recorder;
   Quarantine Quarantined{Recorder};
-  std::unique_ptr<NodeGate> Gate;
-  std::optional<MilliRate> Limit;
+  std::unique_ptr<admission::NodeGate> Gate;
+  std::optional<balance::MilliRate> Limit;
   /// The limit on the answers that the callers' nodes have passed on.
-  std::optional<MilliRate> KnownToCallers;
+  std::optional<balance::MilliRate> KnownToCallers;
   uint32_t Slots = 9;
   uint64_t Epoch = 1;
   base::Duration Now{};
@@ -112,20 +113,20 @@
   std::vector<Started> Starts;
   std::vector<Started> Running;
   std::vector<Started> Queued;
-  std::vector<GateAnswer> Refused;
+  std::vector<admission::GateAnswer> Refused;
 
 private:
-  void start(Ticket call, Rank rank, base::Duration objective) {
+  void start(admission::Ticket call, Rank rank, base::Duration objective) {
     Starts.push_back({call, Now, rank, objective});
     Running.push_back(Starts.back());
   }
 
   void endCalls() {
-    std::vector<Ticket> ended;
+    std::vector<admission::Ticket> ended;
     for (const auto &it : Running)
       if (Now - it.At >= CallTime)
         ended.push_back(it.Call);
-    for (const Ticket call : ended) {
+    for (const admission::Ticket call : ended) {
       std::erase_if(Running,
                     [call](const auto &it) { return it.Call == call; });
       auto result = ends(AttemptEnd::Answered);
@@ -135,7 +136,7 @@
     }
   }
 
-  void apply(const std::vector<GateAnswer> &answers) {
+  void apply(const std::vector<admission::GateAnswer> &answers) {
     for (const auto &it : answers) {
       const auto queued =
           std::find_if(Queued.begin(), Queued.end(), [&it](const auto &other) {
@@ -143,7 +144,7 @@
           });
       if (queued == Queued.end())
         continue;
-      if (it.What == GateAnswer::Kind::Run)
+      if (it.What == admission::GateAnswer::Kind::Run)
         start(it.Call, queued->CallRank, queued->Objective);
       else
         Refused.push_back(it);
--- a/Tests/LibCalls/TestCrashDetector.cpp
+++ b/Tests/LibAdmission/TestCrashDetector.cpp
@@ -1,11 +1,13 @@
-#include <LibCalls/CrashDetector.h>
+#include <LibAdmission/CrashDetector.h>
 
+#include <LibAdmission/NodeGate.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/NodeGate.h>
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestFloods.cpp
+++ b/Tests/LibAdmission/TestFloods.cpp
@@ -1,4 +1,4 @@
-#include <LibCalls/FloodModel.h>
+#include <LibAdmission/FloodModel.h>
 
 #include <doctest/doctest.h>
 #include <iostream>
@@ -6,6 +6,8 @@
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestNodeGate.cpp
+++ b/Tests/LibAdmission/TestNodeGate.cpp
@@ -1,11 +1,13 @@
+#include <LibAdmission/NodeGate.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/NodeGate.h>
 
 #include <doctest/doctest.h>
 #include <utility>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestObjectives.cpp
+++ b/Tests/LibAdmission/TestObjectives.cpp
@@ -1,10 +1,12 @@
+#include <LibAdmission/TargetGate.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/TargetGate.h>
 
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestTargetLeases.cpp
+++ b/Tests/LibAdmission/TestTargetLeases.cpp
@@ -1,11 +1,13 @@
+#include <LibAdmission/LeasePlayer.h>
+#include <LibAdmission/TargetLeases.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/LeasePlayer.h>
-#include <LibCalls/TargetLeases.h>
 
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestTargetLimits.cpp
+++ b/Tests/LibAdmission/TestTargetLimits.cpp
@@ -1,11 +1,13 @@
+#include <LibAdmission/LimitedTarget.h>
 #include <LibBase/Random.h>
 #include <LibCalls/BrokerFixture.h>
-#include <LibCalls/LimitedTarget.h>
 
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestRefusals.cpp
+++ b/Tests/LibBalance/TestRefusals.cpp
@@ -1,13 +1,14 @@
+#include <LibBalance/LoadBalancer.h>
+#include <LibBalance/RefusalBackoff.h>
+#include <LibBalance/TargetTable.h>
 #include <LibCalls/BrokerFixture.h>
-#include <LibCalls/LoadBalancer.h>
-#include <LibCalls/RefusalBackoff.h>
-#include <LibCalls/TargetTable.h>
 
 #include <doctest/doctest.h>
 #include <set>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
 using namespace radishcross::calls::testing;
 
 TEST_CASE("consecutive refusals start a backoff that doubles") {
--- a/Tests/LibCalls/TestStatedLimit.cpp
+++ b/Tests/LibBalance/TestStatedLimit.cpp
@@ -1,10 +1,11 @@
+#include <LibBalance/StatedLimit.h>
 #include <LibCalls/CallFixtures.h>
-#include <LibCalls/StatedLimit.h>
 
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestTargets.cpp
+++ b/Tests/LibBalance/TestTargets.cpp
@@ -1,9 +1,9 @@
+#include <LibBalance/LoadBalancer.h>
+#include <LibBalance/LoadEstimate.h>
+#include <LibBalance/PathHealth.h>
+#include <LibBalance/SpilloverShare.h>
 #include <LibCalls/BrokerFixture.h>
 #include <LibCalls/ClientThrottle.h>
-#include <LibCalls/LoadBalancer.h>
-#include <LibCalls/LoadEstimate.h>
-#include <LibCalls/PathHealth.h>
-#include <LibCalls/SpilloverShare.h>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +12,7 @@
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/BrokerFixture.h
+++ b/Tests/LibCalls/BrokerFixture.h
@@ -15,7 +15,7 @@
 /// route and two targets.
 struct BrokerFixture {
   explicit BrokerFixture(trace::Recorder *recorder = nullptr,
-                         const FeatureToggles &toggles = {})
+                         const balance::FeatureToggles &toggles = {})
       : Node({"n0", "dc1", "south", 1, 1min, {}, toggles}, Quarantined,
              recorder ? *recorder : Recorder) {
     config::VersionContent content;
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -5,6 +5,7 @@
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
 using namespace radishcross::calls::testing;
 
 namespace {
--- a/Tests/LibCalls/TestCallRate.cpp
+++ b/Tests/LibCalls/TestCallRate.cpp
@@ -1,5 +1,5 @@
+#include <LibAdmission/NodeGate.h>
 #include <LibCalls/BrokerFixture.h>
-#include <LibCalls/NodeGate.h>
 
 #include <chrono>
 #include <doctest/doctest.h>
@@ -7,6 +7,8 @@
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 TEST_CASE("rate of decisions for a call at both nodes") {
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -1,11 +1,12 @@
+#include <LibAdmission/Players.h>
+#include <LibAdmission/TargetGate.h>
+#include <LibAdmission/TargetLeases.h>
 #include <LibBase/Random.h>
 #include <LibCalls/BrokerFixture.h>
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/IdempotencyTable.h>
 #include <LibCalls/KeyOwnership.h>
 #include <LibCalls/Players.h>
-#include <LibCalls/TargetGate.h>
-#include <LibCalls/TargetLeases.h>
 #include <LibTrace/RingRecorder.h>
 
 #include <doctest/doctest.h>
@@ -14,6 +15,8 @@
 
 using namespace radishcross;
 using namespace radishcross::calls;
+using namespace radishcross::balance;
+using namespace radishcross::admission;
 using namespace radishcross::calls::testing;
 
 namespace {
@@ -167,7 +170,8 @@
 trace::ReplayReport replay(const trace::Trace &trace) {
   const trace::Replay out([] {
     trace::Replay::Players players;
-    addPlayers(players);
+    calls::addPlayers(players);
+    admission::addPlayers(players);
     return players;
   });
   return out.run(trace);
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCalls/AdmissionGate.h>
+#include <LibAdmission/AdmissionGate.h>
 #include <LibCalls/CallBroker.h>
 
 #include <deque>
@@ -64,44 +64,44 @@
 };
 
 /// A gate that admits all calls, or queues them until the test releases them.
-class MockGate final : public calls::AdmissionGate {
+class MockGate final : public admission::AdmissionGate {
 public:
-  calls::GateAnswer arrive(const calls::Arrival &arrival,
-                           base::TimePoint) override {
+  admission::GateAnswer arrive(const admission::Arrival &arrival,
+                               base::TimePoint) override {
     Arrivals.push_back(arrival);
-    calls::GateAnswer answer;
+    admission::GateAnswer answer;
     answer.What = Kind;
     answer.Call = ++Tickets;
     answer.Code = base::ResultCode::Overloaded;
     answer.RetryAfter = std::chrono::seconds(2);
-    Running += Kind == calls::GateAnswer::Kind::Run ? 1 : 0;
+    Running += Kind == admission::GateAnswer::Kind::Run ? 1 : 0;
     return answer;
   }
-  bool signalled(calls::Ticket, const calls::TargetSignals &signals,
+  bool signalled(admission::Ticket, const balance::TargetSignals &signals,
                  base::TimePoint) override {
     Signals.push_back(signals);
     return false;
   }
-  std::vector<calls::GateAnswer> ended(calls::Ticket,
-                                       const calls::AttemptResult &result,
-                                       base::TimePoint) override {
+  std::vector<admission::GateAnswer> ended(admission::Ticket,
+                                           const calls::AttemptResult &result,
+                                           base::TimePoint) override {
     Results.push_back(result);
     Running -= 1;
     return {};
   }
-  void abandoned(calls::Ticket, base::TimePoint) override { ++Abandoned; }
-  std::vector<calls::GateAnswer> tick(base::TimePoint) override {
+  void abandoned(admission::Ticket, base::TimePoint) override { ++Abandoned; }
+  std::vector<admission::GateAnswer> tick(base::TimePoint) override {
     return std::exchange(AtTick, {});
   }
   uint32_t pressurePermille(const std::string &) const override { return 250; }
   size_t inFlight() const override { return Running; }
 
-  calls::GateAnswer::Kind Kind = calls::GateAnswer::Kind::Run;
-  std::vector<calls::GateAnswer> AtTick;
-  std::vector<calls::Arrival> Arrivals;
+  admission::GateAnswer::Kind Kind = admission::GateAnswer::Kind::Run;
+  std::vector<admission::GateAnswer> AtTick;
+  std::vector<admission::Arrival> Arrivals;
   std::vector<calls::AttemptResult> Results;
-  std::vector<calls::TargetSignals> Signals;
-  calls::Ticket Tickets = 0;
+  std::vector<balance::TargetSignals> Signals;
+  admission::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
 };
--- a/Tests/LibHttp/TestCallLife.cpp
+++ b/Tests/LibHttp/TestCallLife.cpp
@@ -5,7 +5,7 @@
 
 using namespace radishcross;
 using namespace radishcross::tests;
-using calls::GateAnswer;
+using admission::GateAnswer;
 
 TEST_CASE("a draining proxy finishes its calls, then closes all connections") {
   TwoNodes mesh;
--- a/Tests/LibHttp/TestCallPath.cpp
+++ b/Tests/LibHttp/TestCallPath.cpp
@@ -9,7 +9,7 @@
 
 using namespace radishcross;
 using namespace radishcross::tests;
-using calls::GateAnswer;
+using admission::GateAnswer;
 
 namespace {
 
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -5,8 +5,8 @@
 
 using namespace radishcross;
 using namespace radishcross::tests;
+using admission::GateAnswer;
 using calls::AttemptEnd;
-using calls::GateAnswer;
 
 TEST_CASE("a call passes both nodes and its complete response is returned") {
   TwoNodes mesh;
--- a/Tests/LibHttp/TestMeshCall.cpp
+++ b/Tests/LibHttp/TestMeshCall.cpp
@@ -67,7 +67,7 @@
     std::string Id; ///< As written in the header line.
     std::string CallId;
     int64_t Milliseconds;
-    std::optional<calls::MilliRate> StatedRate{};
+    std::optional<balance::MilliRate> StatedRate{};
   };
   const Row rows[] = {{"0123", "0123", 0},
                       {"0123;250", "0123", 250},
--- a/Tests/LibHttp/TestSecondAttempts.cpp
+++ b/Tests/LibHttp/TestSecondAttempts.cpp
@@ -13,7 +13,7 @@
 using namespace radishcross;
 using namespace radishcross::tests;
 using namespace std::chrono_literals;
-using calls::GateAnswer;
+using admission::GateAnswer;
 
 namespace {
 
--- a/Tests/LibHttp/TestTargetSignals.cpp
+++ b/Tests/LibHttp/TestTargetSignals.cpp
@@ -22,7 +22,7 @@
 TEST_CASE("a rate limit is a decimal number without sign or exponent") {
   struct Row {
     const char *Text;
-    std::optional<calls::MilliRate> Rate;
+    std::optional<balance::MilliRate> Rate;
   };
   const std::string huge(400, '9');
   const Row rows[] = {
--- a/Tests/LibNode/TestHostileHeartbeats.cpp
+++ b/Tests/LibNode/TestHostileHeartbeats.cpp
@@ -59,7 +59,7 @@
 
 TEST_CASE("mutated target requests stay within the listener's limits") {
   trace::NullRecorder recorder;
-  calls::TargetLeases leases(recorder);
+  admission::TargetLeases leases(recorder);
   base::SystemClock time;
   node::TargetListener listener(
       leases, time, {"external/till", base::Address{"10.1.0.8", 8301}}, [] {});
@@ -92,7 +92,7 @@
     REQUIRE(
         (status == 200 || (status >= 400 && status < 500) || status == 503));
     auto held = leases.current();
-    REQUIRE(held.size() <= calls::TargetLeases::MaximumTargets);
+    REQUIRE(held.size() <= admission::TargetLeases::MaximumTargets);
     for (const auto &it : held)
       REQUIRE(it.TargetId.find('/') == std::string::npos);
   }
--- a/Tests/LibNode/TestTargetListener.cpp
+++ b/Tests/LibNode/TestTargetListener.cpp
@@ -17,7 +17,7 @@
 /// A listener whose handler is called directly, without a socket.
 struct Listener {
   trace::NullRecorder Recorder;
-  calls::TargetLeases Leases{Recorder};
+  admission::TargetLeases Leases{Recorder};
   base::SystemClock Time;
   int ChangeCount = 0;
   node::TargetListener Targets{
