LibTenants: Let only the holders of keys ask where there are tenants

A configuration may now hold tenants with keys, a rank and an allotment, and public routes. Before, keys went on to targets, requests with unknown keys ran and no target learnt who asked. The receiving node takes the key out of each request, answers 401 where a needed one is unknown, and sets the tenant's name; a key that a newer version takes away ends calls before their next attempt. The tenant's rank goes before the route's. Keys are held as hashes. Downloads of the operator's record may be repeated.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -193,6 +193,8 @@
     {"not_run", &calls::CallHeaders::NotRun},
     {"rate_limit", &calls::CallHeaders::RateLimit},
     {"leaving", &calls::CallHeaders::Leaving},
+    {"key", &calls::CallHeaders::Key},
+    {"tenant", &calls::CallHeaders::Tenant},
 };
 
 void readCallHeaders(const json::object &headers, calls::CallHeaders &out) {
--- a/Libraries/LibBase/ResultCode.h
+++ b/Libraries/LibBase/ResultCode.h
@@ -81,6 +81,8 @@
   Draining = 5014,
   TargetRefused = 5015,
   TargetFailed = 5016,
+  KeyUnknown = 5018,
+  AllotmentSpent = 5019,
 
   // 6xxx: administration.
   Unauthorised = 6001,
--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -123,7 +123,8 @@
   routed.ServiceName = *destination.ServiceName;
   if (Quarantined->blocks(request.Fingerprint, routed.ServiceName, now))
     return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
-  routed.CallRank = config::lessUrgentOf(route.CallRank, request.ParentRank);
+  routed.CallRank = config::lessUrgentOf(
+      request.TenantRank.value_or(route.CallRank), request.ParentRank);
   if (!Settings.Toggles.RanksEnabled)
     routed.CallRank = config::Rank::Standard;
   routed.Allowed = allowedTime(request, route);
@@ -156,7 +157,7 @@
     return forward(call, owner);
   Keys.tick(now);
   const auto key = call.Route.ServiceName + "\n" + request.CallerService +
-                   "\n" + request.IdempotencyKey;
+                   "\n" + request.Tenant + "\n" + request.IdempotencyKey;
   // A known key is answered from the table, even if this node may not run it.
   if (owner.What != Ownership::Own && !Keys.contains(key))
     return finish(CallOutcome::Unknown, ResultCode::IdempotencyOwnerLost,
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -25,6 +25,9 @@
   std::string CallerService;  ///< Of the VM where it originated, if known.
   uint64_t Fingerprint = 0;   ///< Hash of caller, method, path and body.
   bool FromMesh = false;      ///< Forwarded by another node.
+  std::string Tenant;         ///< That asks; empty: none.
+  /// Of the tenant; goes before the rank of the route.
+  std::optional<config::Rank> TenantRank;
   config::Rank ParentRank = config::Rank::Critical;
   uint32_t Hops = 0; ///< Upstream calls in the chain.
   /// Time left until the caller's deadline; 0: only the route's deadline
--- a/Libraries/LibCalls/CallHeaders.h
+++ b/Libraries/LibCalls/CallHeaders.h
@@ -23,6 +23,10 @@
   std::string RateLimit = "X-Radishcross-Rate-Limit";
   /// On answers of targets: "1" from a target that is leaving.
   std::string Leaving = "X-Radishcross-Leaving";
+  /// From callers: the key of a tenant. Removed from every request.
+  std::string Key = "X-Radishcross-Key";
+  /// To targets: the name of the tenant that asks.
+  std::string Tenant = "X-Radishcross-Tenant";
 
   bool operator==(const CallHeaders &) const = default;
 };
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -58,6 +58,7 @@
   return result.Code == ResultCode::Quarantined ||
          result.Code == ResultCode::DeadlineExceeded ||
          result.Code == ResultCode::TooManyHops ||
+         result.Code == ResultCode::KeyUnknown ||
          result.Code == ResultCode::IdempotencyMismatch;
 }
 
--- a/Libraries/LibConfig/Difference.cpp
+++ b/Libraries/LibConfig/Difference.cpp
@@ -19,7 +19,7 @@
 
 using ElementsByName = std::map<std::string_view, const object *>;
 
-constexpr std::string_view Sections[] = {"services", "routes"};
+constexpr std::string_view Sections[] = {"services", "routes", "tenants"};
 
 ElementsByName elementsOf(const value &document, std::string_view section) {
   ElementsByName out;
--- a/Libraries/LibConfig/Resources.h
+++ b/Libraries/LibConfig/Resources.h
@@ -57,6 +57,20 @@
   /// Responses within this time count as fully useful; 0: the deadline is used.
   base::Duration LatencyObjective{};
   uint32_t MaximumAttempts = 3; ///< Targets that one request may be tried on.
+  bool IsPublic = false;        ///< Needs no key, also where there are tenants.
+};
+
+/// A customer of the mesh. Where a configuration has tenants, the requests on
+/// routes that are not public carry the key of one.
+struct Tenant {
+  std::string Name; ///< Unique among all configurations.
+  /// SHA-256 of each key, 64 lower-case hexadecimal digits.
+  std::vector<std::string> KeyHashes;
+  std::optional<Rank> CallRank = {}; ///< Goes before the rank of the route.
+  /// Allotment over all nodes together: requests a second, and beyond that in a
+  /// burst. 0 requests a second: no limit.
+  uint32_t RatePerSecond = 0;
+  uint32_t Burst = 0;
 };
 
 /// Limits on the size of client requests, and on how long a client connection
@@ -75,6 +89,7 @@
   std::vector<Service> Services;
   std::vector<Route> Routes;
   std::optional<ClientLimits> Limits = {};
+  std::vector<Tenant> Tenants = {};
 };
 
 } // namespace radishcross::config
--- a/Libraries/LibConfig/Snapshot.cpp
+++ b/Libraries/LibConfig/Snapshot.cpp
@@ -1,6 +1,7 @@
 #include <LibConfig/Snapshot.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace radishcross::config {
@@ -29,6 +30,8 @@
   /// Map nodes have stable addresses, so that route entries can point to keys.
   std::map<std::string, const Service *, std::less<>> Services;
   RouteIndex Routes;
+  std::set<std::string_view> TenantNames;
+  std::set<std::string_view> TenantKeys;
 
   bool addServices(const ConfigurationVersion &version,
                    base::LastReason &reason) {
@@ -43,6 +46,27 @@
     return true;
   }
 
+  /// The name of a tenant stands alone in headers, so it is unique among all
+  /// configurations, as its keys are.
+  bool addTenants(const ConfigurationVersion &version,
+                  base::LastReason &reason) {
+    for (const auto &it : version.Content->Tenants) {
+      if (!TenantNames.insert(it.Name).second) {
+        reason.fail(ResultCode::DuplicateName,
+                    "tenant " + it.Name + " is defined twice");
+        return false;
+      }
+      for (const auto &key : it.KeyHashes) {
+        if (TenantKeys.insert(key).second)
+          continue;
+        reason.fail(ResultCode::BadValue,
+                    "a key of tenant " + it.Name + " is another's too");
+        return false;
+      }
+    }
+    return true;
+  }
+
   /// Returns the destinations of a route. Fails with DanglingReference.
   std::optional<std::vector<Destination>>
   destinationsOf(const ConfigurationVersion &version, const Route &route,
@@ -96,7 +120,7 @@
                          "configuration " + it.Configuration +
                              " is given in two versions");
     last = &it.Configuration;
-    if (!index->addServices(it, reason))
+    if (!index->addServices(it, reason) || !index->addTenants(it, reason))
       return std::nullopt;
   }
   for (const auto &it : versions)
--- a/Libraries/LibConfig/Snapshot.h
+++ b/Libraries/LibConfig/Snapshot.h
@@ -36,7 +36,8 @@
 class Snapshot {
 public:
   /// Builds a snapshot of \p versions, at most one of each configuration. Fails
-  /// with DanglingReference, AmbiguousRoute or DuplicateName.
+  /// with DanglingReference, AmbiguousRoute, DuplicateName, or BadValue if two
+  /// configurations give one key to two tenants.
   static std::optional<std::shared_ptr<const Snapshot>>
   create(std::vector<ConfigurationVersion> versions, uint64_t offset,
          base::LastReason &reason);
--- a/Libraries/LibConfig/VersionContentCodec.cpp
+++ b/Libraries/LibConfig/VersionContentCodec.cpp
@@ -171,6 +171,20 @@
   out.MaximumAttempts = static_cast<uint32_t>(
       numberAt(from, "max_attempts", out.MaximumAttempts));
   out.Idempotent = flagAt(from, "idempotent");
+  out.IsPublic = flagAt(from, "public");
+  return out;
+}
+
+Tenant readTenant(const object &from) {
+  Tenant out;
+  out.Name = stringAt(from, "name", "");
+  for (const auto &it : listAt(from, "keys_sha256"))
+    out.KeyHashes.emplace_back(it.get_string());
+  if (from.contains("rank"))
+    out.CallRank = base::fromName(RankNames, stringAt(from, "rank", ""));
+  out.RatePerSecond =
+      static_cast<uint32_t>(numberAt(from, "rate_per_second", 0));
+  out.Burst = static_cast<uint32_t>(numberAt(from, "burst", 0));
   return out;
 }
 
@@ -372,6 +386,36 @@
   return true;
 }
 
+/// Fails unless every tenant has a name and no key is listed twice. The key
+/// itself is not part of the reason.
+bool checkTenants(const std::vector<Tenant> &tenants,
+                  base::LastReason &reason) {
+  std::set<std::string_view> names;
+  std::set<std::string_view> keys;
+  for (size_t i = 0; i < tenants.size(); ++i) {
+    const auto &tenant = tenants[i];
+    std::string path = "tenants[" + std::to_string(i) + "]";
+    if (!isName(tenant.Name)) {
+      failAt(path + ".name", ResultCode::BadValue, tenant.Name,
+             "letters, digits, '-', '_' and '.'", reason);
+      return false;
+    }
+    if (!names.insert(tenant.Name).second) {
+      failAt(path + ".name", ResultCode::DuplicateName, tenant.Name,
+             "a name not used before", reason);
+      return false;
+    }
+    for (const auto &it : tenant.KeyHashes) {
+      if (keys.insert(it).second)
+        continue;
+      failAt(path, ResultCode::BadValue, "a key that is listed twice",
+             "each key once, in one tenant", reason);
+      return false;
+    }
+  }
+  return true;
+}
+
 /// Checks what the schema cannot express: a route has either a service or a
 /// split.
 bool checkServiceOrSplit(const object &route, const std::string &path,
@@ -423,7 +467,8 @@
       {"latency_objective_ms",
        static_cast<int64_t>(millisecondsOf(route.LatencyObjective).count())},
       {"max_attempts", static_cast<int64_t>(route.MaximumAttempts)},
-      {"idempotent", route.Idempotent}};
+      {"idempotent", route.Idempotent},
+      {"public", route.IsPublic}};
   if (route.Split.empty())
     out["service"] = route.Service;
   else
@@ -431,6 +476,17 @@
   return out;
 }
 
+object writeTenant(const Tenant &tenant) {
+  array keys(tenant.KeyHashes.begin(), tenant.KeyHashes.end());
+  object out{{"name", tenant.Name},
+             {"keys_sha256", std::move(keys)},
+             {"rate_per_second", static_cast<int64_t>(tenant.RatePerSecond)},
+             {"burst", static_cast<int64_t>(tenant.Burst)}};
+  if (tenant.CallRank)
+    out["rank"] = base::nameOf(RankNames, *tenant.CallRank);
+  return out;
+}
+
 } // namespace
 
 std::string_view versionSchemaText() { return embedded::VersionText; }
@@ -453,6 +509,8 @@
   }
   if (const auto *limits = document.get_object().if_contains("limits"))
     out.Limits = readClientLimits(limits->get_object());
+  for (const auto &it : listAt(document.get_object(), "tenants"))
+    out.Tenants.push_back(readTenant(it.get_object()));
   if (!checkVersionContent(out, reason))
     return std::nullopt;
   return out;
@@ -462,7 +520,8 @@
                          base::LastReason &reason) {
   std::set<std::string_view> services;
   return checkServices(content.Services, services, reason) &&
-         checkRoutes(content.Routes, services, reason);
+         checkRoutes(content.Routes, services, reason) &&
+         checkTenants(content.Tenants, reason);
 }
 
 value encodeVersionContent(const VersionContent &content) {
@@ -475,6 +534,12 @@
   object out{{"services", std::move(services)}, {"routes", std::move(routes)}};
   if (content.Limits)
     out["limits"] = writeClientLimits(*content.Limits);
+  if (content.Tenants.empty())
+    return out;
+  array tenants;
+  for (const auto &it : content.Tenants)
+    tenants.emplace_back(writeTenant(it));
+  out["tenants"] = std::move(tenants);
   return out;
 }
 
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -91,6 +91,9 @@
   if (watch->Gone || call.Incoming.Watch->Gone) {
     result.End = AttemptEnd::CallerGone;
     result.Code = base::ResultCode::CallerGone;
+  } else if (isKeyRevoked(call)) {
+    result.End = AttemptEnd::RefusedNotRun;
+    result.Code = base::ResultCode::KeyUnknown;
   } else {
     result = co_await attemptAt(call, step, std::move(watch), response);
   }
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -92,6 +92,7 @@
   Environment.Time = &FallbackClock;
   Environment.Counters = &DiscardedMetrics;
   Environment.CurrentSnapshot = [] { return config::SnapshotPointer(); };
+  Allotments = nullptr;
   Environment.OnTargetLeaving = nullptr;
   Environment.LocalTarget = [](const std::string &) {
     return std::optional<fleet::TargetRecord>();
@@ -116,23 +117,25 @@
 asio::awaitable<Response> CallEngine::handleCaller(IncomingRequest incoming) {
   BrokeredCall call;
   base::LastReason reason;
-  // Without keys a target cannot prove that its call is nested.
+  // Without mesh keys a target cannot prove that its call is nested.
   auto parent = Keys.empty() ? std::nullopt
                              : readMeshCall(incoming.Message,
                                             MeshAudience::Target, Keys, reason);
+  auto who = identify(incoming.Message, parent.has_value());
   call.Request.Remaining =
       deadlineOf(incoming.Message, Environment.Headers.Deadline);
+  // Whatever else is wrong with the node, a missing key is told first.
+  if (who.What == tenants::Identity::Kind::Unknown) {
+    call.Incoming = std::move(incoming);
+    co_return refuse(call, base::ResultCode::KeyUnknown, {});
+  }
   // Without a proof, nested calls of a target look like any others; calls with
   // short deadlines are therefore still accepted.
   auto remaining = call.Request.Remaining;
   bool isShort = remaining.count() > 0 && LocalGate.canFinish(remaining);
   if (!parent && RefusesLongCalls && !isShort) {
-    CallStep refused;
-    refused.Code = base::ResultCode::Draining;
     call.Incoming = std::move(incoming);
-    ended(call, nullptr, refused, {});
-    co_return makeErrorResponse(refused.Code, CallOutcome::NotRun, {},
-                                RetryAfterDelay);
+    co_return refuse(call, base::ResultCode::Draining, RetryAfterDelay);
   }
   if (parent) {
     remaining =
@@ -149,9 +152,78 @@
   setOwnFields(incoming.Message);
   call.Request.CallId = newCallId();
   call.Incoming = std::move(incoming);
+  if (who.Asker) {
+    call.Request.Tenant = who.Asker->Name;
+    call.Request.TenantRank = who.Asker->CallRank;
+    call.KeyHash = std::move(who.KeyHash);
+    base::Duration retryAfter{};
+    if (!takeToken(call, *who.Asker, retryAfter))
+      co_return refuse(call, base::ResultCode::AllotmentSpent, retryAfter);
+  }
   co_return co_await runCall(std::move(call));
 }
 
+/// Removes the key from a request, so that it goes no further than this node,
+/// and replaces whatever the request says of its tenant.
+tenants::Identity CallEngine::identify(Request &request, bool isNested) {
+  const auto &names = Environment.Headers;
+  std::string key(request.count(names.Key) == 1 ? fieldOf(request, names.Key)
+                                                : std::string_view());
+  request.erase(names.Key);
+  request.erase(names.Tenant);
+  auto snapshot = Environment.CurrentSnapshot();
+  Tenants.update(snapshot);
+  if (!snapshot || !Tenants.hasTenants() || isNested)
+    return {};
+  auto method = request.method_string();
+  auto target = request.target();
+  auto route = snapshot->findRoute({method.data(), method.size()},
+                                   fieldOf(request, "Host"),
+                                   {target.data(), target.size()});
+  // Without a route there is nothing that a key could open.
+  if (!route.Matched)
+    return {};
+  auto who = Tenants.identify(key, route.Matched->IsPublic);
+  if (who.Asker)
+    request.set(names.Tenant, who.Asker->Name);
+  return who;
+}
+
+/// Takes a token of the tenant's allotment; without one the call is refused.
+bool CallEngine::takeToken(BrokeredCall &call, const config::Tenant &asker,
+                           base::Duration &retryAfter) {
+  if (!Allotments || asker.RatePerSecond == 0)
+    return true;
+  auto verdict = Allotments->take(asker.Name, now());
+  CallTotals.tenantAsked(Tenants.labelOf(asker.Name), verdict.IsGranted);
+  call.HoldsToken = verdict.IsGranted;
+  retryAfter = verdict.RetryAfter;
+  return verdict.IsGranted;
+}
+
+void CallEngine::returnToken(const BrokeredCall &call) {
+  if (call.HoldsToken && Allotments)
+    Allotments->giveBack(call.Request.Tenant, now());
+}
+
+/// Returns whether a newer version has taken the call's key away.
+bool CallEngine::isKeyRevoked(const BrokeredCall &call) {
+  if (call.KeyHash.empty())
+    return false;
+  Tenants.update(Environment.CurrentSnapshot());
+  return !Tenants.holds(call.KeyHash);
+}
+
+/// Refuses a call before it is planned.
+Response CallEngine::refuse(const BrokeredCall &call, base::ResultCode code,
+                            base::Duration retryAfter) {
+  CallStep refused;
+  refused.Code = code;
+  refused.RetryAfter = retryAfter;
+  ended(call, nullptr, refused, {});
+  return makeErrorResponse(code, CallOutcome::NotRun, {}, retryAfter);
+}
+
 /// Removes fields that a caller may not set and adds the name of the calling
 /// service.
 void CallEngine::setOwnFields(Request &request) const {
@@ -193,6 +265,10 @@
   call.Request.Remaining =
       mesh->Remaining.count() > 0 ? mesh->Remaining : ExpiredDeadline;
   call.Request.WithinRetry = mesh->Attempt >= RetryAttempt;
+  call.Request.Tenant = fieldOf(incoming.Message, Environment.Headers.Tenant);
+  Tenants.update(Environment.CurrentSnapshot());
+  if (const auto *tenant = Tenants.find(call.Request.Tenant))
+    call.Request.TenantRank = tenant->CallRank;
   call.Incoming = std::move(incoming);
   co_return co_await runCall(std::move(call));
 }
@@ -221,11 +297,8 @@
 asio::awaitable<Response> CallEngine::runCall(BrokeredCall call) {
   config::SnapshotPointer snapshot = Environment.CurrentSnapshot();
   if (!snapshot) {
-    CallStep refused;
-    refused.Code = base::ResultCode::NotRecovered;
-    ended(call, nullptr, refused, {});
-    co_return makeErrorResponse(refused.Code, CallOutcome::NotRun, {},
-                                RetryAfterDelay);
+    returnToken(call);
+    co_return refuse(call, base::ResultCode::NotRecovered, RetryAfterDelay);
   }
   const Request &request = call.Incoming.Message;
   call.Request.Method = request.method_string();
@@ -244,6 +317,8 @@
   call.CallRank = first.CallRank;
   CallStep last = co_await runSteps(call, first);
   ended(call, snapshot.get(), last, now() - started);
+  if (last.Outcome == CallOutcome::NotRun)
+    returnToken(call);
   bool answered = last.Outcome == CallOutcome::Answered;
   if (!call.ParentId.empty() && (!answered || call.DownstreamFailed))
     LocalGate.noteFailureBelow(call.ParentId);
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -9,6 +9,8 @@
 #include <LibHttp/GateRunner.h>
 #include <LibHttp/HedgeTimers.h>
 #include <LibHttp/StoppedNode.h>
+#include <LibTenants/AllotmentPort.h>
+#include <LibTenants/TenantDirectory.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +50,11 @@
   /// accepted.
   void refuseLongCalls() { RefusesLongCalls = true; }
 
+  /// See CallProxy::setAllotments.
+  void setAllotments(tenants::AllotmentPort *allotments) {
+    Allotments = allotments;
+  }
+
   /// See CallProxy::setNames.
   void setNames(const calls::CallHeaders &headers,
                 const std::string &localService) {
@@ -69,7 +76,9 @@
   struct BrokeredCall {
     calls::CallRequest Request;
     IncomingRequest Incoming;
-    std::string ParentId; ///< The parent call, if that runs here.
+    std::string ParentId;    ///< The parent call, if that runs here.
+    std::string KeyHash;     ///< Of the key that the tenant sent; empty: none.
+    bool HoldsToken = false; ///< Of its tenant's allotment.
     calls::CallHandle Handle = 0;
     Response HttpResponse;
     bool DownstreamFailed = false;
@@ -89,6 +98,13 @@
   boost::asio::awaitable<Response> runAtGate(MeshCall call,
                                              IncomingRequest incoming);
   boost::asio::awaitable<Response> runCall(BrokeredCall call);
+  tenants::Identity identify(Request &request, bool isNested);
+  bool takeToken(BrokeredCall &call, const config::Tenant &asker,
+                 base::Duration &retryAfter);
+  void returnToken(const BrokeredCall &call);
+  bool isKeyRevoked(const BrokeredCall &call);
+  Response refuse(const BrokeredCall &call, base::ResultCode code,
+                  base::Duration retryAfter);
   void ended(const BrokeredCall &call, const config::Snapshot *held,
              const calls::CallStep &last, base::Duration took);
   boost::asio::awaitable<calls::CallStep> runSteps(BrokeredCall &call,
@@ -133,6 +149,8 @@
   GateRunner LocalGate;
   HedgeTimers Hedges;
   CallMetrics CallTotals;
+  tenants::TenantDirectory Tenants;
+  tenants::AllotmentPort *Allotments = nullptr;
   base::Random IdGenerator;
   std::unordered_map<calls::CallHandle, WaitingCall *> Waiting;
   bool RefusesLongCalls = false;
--- a/Libraries/LibHttp/CallLog.cpp
+++ b/Libraries/LibHttp/CallLog.cpp
@@ -176,6 +176,7 @@
        {"version", std::move(route.Version)},
        {"held", versionsIn(call.Held)},
        {"service", std::string(call.ServiceName)},
+       {"tenant", call.Request ? call.Request->Tenant : std::string()},
        {"rank", std::string(base::nameOf(config::RankNames, call.CallRank))},
        {"deadline_ms", formatMilliseconds(allowed)},
        {"target", std::string(call.TargetId)},
--- a/Libraries/LibHttp/CallMetrics.cpp
+++ b/Libraries/LibHttp/CallMetrics.cpp
@@ -70,6 +70,12 @@
   return total;
 }
 
+void CallMetrics::tenantAsked(std::string_view label, bool isGranted) {
+  Counters->counter("tenant_requests_total{tenant=\"" + labelText(label) +
+                    "\",result=\"" + (isGranted ? "granted" : "refused") +
+                    "\"}") += 1;
+}
+
 void CallMetrics::countGateCall(const MeshCall &call,
                                 const GateOutcome &outcome) {
   const PerRank &row = Ranks[static_cast<size_t>(call.CallRank)];
--- a/Libraries/LibHttp/CallMetrics.h
+++ b/Libraries/LibHttp/CallMetrics.h
@@ -21,7 +21,8 @@
 /// calls_total{rank,outcome}, call_latency_ms{rank},
 /// calls_by_service_total{service,rank,outcome,reason}. At the target's node:
 /// gate_queue_ms{rank}, target_latency_ms{rank},
-/// gate_refused_total{rank,reason}.
+/// gate_refused_total{rank,reason}. At the client's node also
+/// tenant_requests_total{tenant,result} of tenants with an allotment.
 class CallMetrics {
 public:
   /// Number of services with their own label; further ones are counted as
@@ -36,6 +37,9 @@
              calls::CallOutcome outcome, base::ResultCode code,
              base::Duration latency);
 
+  /// Counts a request of a tenant that has an allotment.
+  void tenantAsked(std::string_view label, bool isGranted);
+
   /// Counts a call that has passed or been refused by the gate of its target's
   /// node.
   void countGateCall(const MeshCall &call, const GateOutcome &outcome);
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -53,6 +53,9 @@
                 const std::string &localService) override {
     Engine->setNames(headers, localService);
   }
+  void setAllotments(tenants::AllotmentPort *allotments) override {
+    Engine->setAllotments(allotments);
+  }
   void drain(base::Duration timeLimit) override;
   void answerUnfinished() override { Callers->answerUnfinished(); }
   size_t inFlight() const override;
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -9,6 +9,7 @@
 #include <LibConfig/Snapshot.h>
 #include <LibFleet/Member.h>
 #include <LibHttp/Server.h>
+#include <LibTenants/AllotmentPort.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -65,6 +66,9 @@
   virtual void setNames(const calls::CallHeaders &headers,
                         const std::string &localService) = 0;
 
+  /// Sets where tenants' allotments are kept; null: none are.
+  virtual void setAllotments(tenants::AllotmentPort *allotments) = 0;
+
   /// Starts draining: calls in flight finish, and calls that could last longer
   /// than \p timeLimit from now are refused.
   virtual void drain(base::Duration timeLimit) = 0;
--- a/Tests/LibCalls/TestBroker.cpp
+++ b/Tests/LibCalls/TestBroker.cpp
@@ -154,3 +154,15 @@
   it.members({dead, member("n2")});
   CHECK(nodes() == Nodes{"n2"});
 }
+
+TEST_CASE("a tenant's rank goes before that of the route") {
+  BrokerFixture it;
+  CallRequest request;
+  for (const auto rank : {Rank::Critical, Rank::Background}) {
+    request.TenantRank = rank;
+    CHECK(it.stepOf(it.begin("/lookup", request)).CallRank == rank);
+  }
+  request.ParentRank = Rank::Background;
+  request.TenantRank = Rank::Critical;
+  CHECK(it.stepOf(it.begin("/lookup", request)).CallRank == Rank::Background);
+}
--- a/Tests/LibConfig/TestVersionContentCodec.cpp
+++ b/Tests/LibConfig/TestVersionContentCodec.cpp
@@ -203,3 +203,38 @@
                  R"("match":{"methods":["PUT"]}})"),
       reason));
 }
+
+TEST_CASE("tenants round-trip, and faulty ones are refused") {
+  const std::string key(64, 'a');
+  auto document = [&key](const std::string &tenants) {
+    return boost::json::parse(R"({"services":[{"name":"lookup"}],"routes":[
+      {"name":"r","service":"lookup","public":true}],"tenants":[)" +
+                              tenants + "]}");
+  };
+  base::LastReason reason;
+  auto content = config::decodeVersionContent(
+      document(
+          R"({"name":"acme","rank":"critical","rate_per_second":9,"burst":3,
+                   "keys_sha256":[")" +
+          key + R"("]})"),
+      reason);
+  REQUIRE_MESSAGE(content, reason.text());
+  REQUIRE(content->Tenants.size() == 1);
+  CHECK(content->Tenants[0].CallRank == config::Rank::Critical);
+  CHECK(content->Tenants[0].RatePerSecond == 9);
+  CHECK(content->Routes[0].IsPublic);
+  auto written = config::encodeVersionContent(*content);
+  auto again = config::decodeVersionContent(written, reason);
+  REQUIRE_MESSAGE(again, reason.text());
+  CHECK(config::encodeVersionContent(*again) == written);
+  const std::string keys = R"(,"keys_sha256":[")" + key + R"("]})";
+  for (const std::string &tenants :
+       {R"({"name":"a")" + keys + R"(,{"name":"b")" + keys,
+        R"({"name":"")" + keys,
+        R"({"name":"a")" + keys + R"(,{"name":"a","keys_sha256":[]})",
+        std::string(R"({"name":"a","keys_sha256":["short"]})"),
+        std::string(R"({"name":"a","keys_sha256":[],"rate_per_second":-1})")}) {
+    CAPTURE(tenants);
+    CHECK_FALSE(config::decodeVersionContent(document(tenants), reason));
+  }
+}
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -4,6 +4,7 @@
 #include <LibCalls/CallBroker.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -22,6 +23,8 @@
                                const calls::AttemptResult &result,
                                base::TimePoint) override {
     Results.push_back(result);
+    if (OnAttemptEnded)
+      OnAttemptEnded();
     if (!Next.empty()) {
       calls::CallStep step = Next.front();
       Next.pop_front();
@@ -55,6 +58,7 @@
   std::string Kept;
   Resumed Resume;
   std::deque<calls::CallStep> Next;
+  std::function<void()> OnAttemptEnded;
   std::vector<calls::CallRequest> Requests;
   std::vector<calls::AttemptResult> Results;
   std::optional<calls::CallStep> Second; ///< What hedge() returns.
--- a/Tests/LibNode/StoreMesh.h
+++ b/Tests/LibNode/StoreMesh.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,8 @@
   std::map<std::string, StoreBehaviour> Behaviours;
   std::vector<admin::NodeSettings> Settings;
   std::map<std::string, std::unique_ptr<node::NodeProcess>> Nodes;
+  /// Content of a version; empty without.
+  std::function<config::VersionContent(uint64_t)> ContentOf;
 
   StoreMesh() {
     for (const char *id : {"a-1", "a-2", "b-1"})
@@ -48,13 +51,15 @@
       return std::make_unique<FakeStore>(context, Content, Behaviours[id]);
     };
     out.ConfigurationKey = "config";
-    out.DecodeOperatorRecord =
-        [](std::string_view text,
-           base::LastReason &reason) -> std::optional<config::ExternalVersion> {
+    out.DecodeOperatorRecord = [this](std::string_view text,
+                                      base::LastReason &reason)
+        -> std::optional<config::ExternalVersion> {
       if (text.empty() || text[0] < '0' || text[0] > '9')
         return reason.fail(base::ResultCode::BadValue, "no number");
       config::ExternalVersion version;
       version.Version = std::stoull(std::string(text));
+      if (ContentOf)
+        version.Content = ContentOf(version.Version);
       return version;
     };
     return out;
--- a/Tests/Platform/TestOperatorRecord.cpp
+++ b/Tests/Platform/TestOperatorRecord.cpp
@@ -1,3 +1,4 @@
+#include <LibBase/Hash.h>
 #include <LibConfig/VersionContentCodec.h>
 #include <MutateInputs.h>
 
@@ -8,6 +9,7 @@
 #include <platform/OperatorRecord.h>
 #include <platform/StoreFormat.h>
 #include <string>
+#include <vector>
 
 using namespace radishcross;
 using base::ResultCode;
@@ -285,3 +287,60 @@
   }
   CHECK(accepted > 0);
 }
+
+TEST_CASE(
+    "tenants and public routes are decoded, and keys are kept as hashes") {
+  base::LastReason reason;
+  auto text = with("\"limits\":", R"("tenants": [
+      {"name": "acme", "apiKeys": ["k1", "k2"], "priority": 1,
+       "ratePerS": 536, "burst": 40},
+      {"name": "free", "apiKeys": []}], "limits":)");
+  text.replace(text.find("\"maxAttempts\": 2"), 16,
+               "\"maxAttempts\": 2, \"public\": true");
+  auto read = platform::decodeOperatorRecord(text, reason);
+  REQUIRE_MESSAGE(read, reason.text());
+  const auto &tenants = read->Content.Tenants;
+  REQUIRE(tenants.size() == 2);
+  CHECK(tenants[0].Name == "acme");
+  CHECK(tenants[0].KeyHashes ==
+        std::vector<std::string>{base::sha256Hex("k1"), base::sha256Hex("k2")});
+  CHECK(tenants[0].CallRank == config::Rank::Standard);
+  CHECK(tenants[0].RatePerSecond == 536);
+  CHECK(tenants[0].Burst == 40);
+  CHECK_FALSE(tenants[1].CallRank);
+  CHECK(tenants[1].RatePerSecond == 0);
+  CHECK(read->Content.Routes[0].IsPublic);
+  CHECK_FALSE(read->Content.Routes[1].IsPublic);
+  const auto written =
+      boost::json::serialize(config::encodeVersionContent(read->Content));
+  CHECK(written.find("\"k1\"") == std::string::npos);
+}
+
+TEST_CASE("a record with a key in two tenants or a tenant without a name is "
+          "refused") {
+  for (std::string_view tenants :
+       {R"([{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}])",
+        R"([{"name": "", "apiKeys": ["k"]}])",
+        R"([{"name": "a", "apiKeys": ["k"], "ratePerS": -1}])",
+        R"([{"name": "a", "apiKeys": [7]}])", R"([{"name": "a"}])"}) {
+    CAPTURE(tenants);
+    base::LastReason reason;
+    CHECK_FALSE(platform::decodeOperatorRecord(
+        with("\"limits\":",
+             "\"tenants\": " + std::string(tenants) + ", \"limits\":"),
+        reason));
+    CHECK(reason.text().find("\"k\"") == std::string::npos);
+  }
+}
+
+TEST_CASE("a download may be repeated, any unknown kind may not") {
+  base::LastReason reason;
+  auto download = platform::decodeOperatorRecord(
+      with("\"kind\": \"safe\"", "\"kind\": \"download\""), reason);
+  REQUIRE(download);
+  CHECK(download->Content.Routes[0].Idempotent);
+  auto unknown = platform::decodeOperatorRecord(
+      with("\"kind\": \"safe\"", "\"kind\": \"other\""), reason);
+  REQUIRE(unknown);
+  CHECK_FALSE(unknown->Content.Routes[0].Idempotent);
+}
