LibAdmission: Put nested calls before new work

Nested calls now go first at the gate, may wait half of what their deadline leaves, and are never shed by a caller's throttle. Where no mesh key proves them the gate learns them: clients call from the VMs of the called service too, nested calls don't.

--- a/Libraries/LibAdmission/AdmissionGate.h
+++ b/Libraries/LibAdmission/AdmissionGate.h
@@ -23,6 +23,8 @@
   base::Duration LatencyObjective{}; ///< Of its route; 0: none.
   /// The target's rate limit as the caller's node knows it from answers.
   std::optional<balance::MilliRate> StatedRate{};
+  bool IsFromOwnService = false; ///< Made on a VM of the called service.
+  bool IsNested = false;         ///< Proved to be a nested call.
 };
 
 /// Identifies an admitted or queued call at one node.
@@ -45,10 +47,10 @@
 
   static GateAnswer refuse(Ticket call, base::ResultCode code,
                            base::Duration retryAfter) {
-    return {Kind::Refuse, call, code, retryAfter, {}};
+    return {Kind::Refuse, call, code, retryAfter, {}, false};
   }
   static GateAnswer accept(Kind what, Ticket call) {
-    return {what, call, base::ResultCode::Ok, {}, {}};
+    return {what, call, base::ResultCode::Ok, {}, {}, false};
   }
 
   Kind What = Kind::Refuse;
@@ -56,6 +58,8 @@
   base::ResultCode Code = base::ResultCode::Ok;
   base::Duration RetryAfter{};
   GateView Found; ///< Set by arrive() only.
+  /// Set by arrive() only: the call is nested, as proved or as learnt.
+  bool IsNested = false;
 };
 
 /// Admission control at the target's node: decides which call takes a slot,
--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -1,6 +1,7 @@
 #include <LibAdmission/NodeGate.h>
 
 #include <LibAdmission/CrashDetector.h>
+#include <LibAdmission/NestedKinds.h>
 #include <LibAdmission/TargetGate.h>
 
 #include <map>
@@ -23,6 +24,7 @@
   TargetGateSettings Settings;
   std::unique_ptr<TargetGate> Admission;
   CrashDetector Crashes;
+  NestedKinds Nested;
   bool Listed = true; ///< False: gone, kept only for its calls in flight.
 };
 
@@ -140,9 +142,13 @@
   auto &gated = it->second;
   if (arrival.StatedRate)
     gated.Admission->reported(*arrival.StatedRate, now);
+  const bool isNested =
+      arrival.IsNested ||
+      gated.Nested.arrived({arrival.CallRank, arrival.LatencyObjective},
+                           arrival.IsFromOwnService);
   const auto out = gated.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
-      arrival.LatencyObjective);
+      arrival.LatencyObjective, isNested);
   if (out.What != GateAnswer::Kind::Refuse)
     Held->Calls[call] = &gated;
   return out;
--- a/Libraries/LibAdmission/RankQueue.cpp
+++ b/Libraries/LibAdmission/RankQueue.cpp
@@ -12,6 +12,13 @@
   return (static_cast<size_t>(queueLength) * floorPercent + 99) / 100;
 }
 
+/// Nested calls go first, then the earliest latest start.
+bool goesBefore(const WaitingCall &a, const WaitingCall &b) {
+  if (a.IsNested != b.IsNested)
+    return a.IsNested;
+  return a.LatestStart < b.LatestStart;
+}
+
 } // namespace
 
 void RankQueue::setLimits(const config::ServiceLimits &limits) {
@@ -46,11 +53,11 @@
   const auto &line = Lines[static_cast<size_t>(rank)];
   if (line.Calls.empty())
     return nullptr;
-  if (line.Calls.front().LatencyObjective > base::Duration::zero())
-    return &*std::min_element(line.Calls.begin(), line.Calls.end(),
-                              [](const WaitingCall &a, const WaitingCall &b) {
-                                return a.LatestStart < b.LatestStart;
-                              });
+  const auto first =
+      std::min_element(line.Calls.begin(), line.Calls.end(), goesBefore);
+  if (first->IsNested ||
+      line.Calls.front().LatencyObjective > base::Duration::zero())
+    return &*first;
   const bool newestFirst = overloaded(line, now);
   return newestFirst ? &line.Calls.back() : &line.Calls.front();
 }
@@ -122,7 +129,7 @@
 void RankQueue::visitBefore(const WaitingCall &call, Visit visit) const {
   for (size_t rank = 0; rank <= static_cast<size_t>(call.CallRank); ++rank)
     for (const auto &it : Lines[rank].Calls)
-      if (it.CallRank < call.CallRank || it.LatestStart <= call.LatestStart)
+      if (it.CallRank < call.CallRank || !goesBefore(call, it))
         visit(it);
 }
 
--- a/Libraries/LibAdmission/RankQueue.h
+++ b/Libraries/LibAdmission/RankQueue.h
@@ -23,6 +23,7 @@
   uint64_t Fingerprint = 0;
   base::Duration LatencyObjective{}; ///< 0: none.
   base::Duration Expected{};         ///< Expected slot time.
+  bool IsNested = false;             ///< Made by work in progress elsewhere.
 };
 
 /// The bounded queue of one target. When it is full the oldest call of the
@@ -31,7 +32,8 @@
 /// empty for OverloadAfter is overloaded: its newest call is served first, and
 /// calls that have waited too long are refused at once, because their callers
 /// are the least likely to still need an answer. Calls with a latency objective
-/// are served in the order of their latest starts instead.
+/// are served in the order of their latest starts instead. Nested calls go
+/// first within their rank.
 class RankQueue {
 public:
   static constexpr base::Duration OverloadAfter =
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -44,6 +44,12 @@
 /// calls are mostly downstream calls of others, which fail with them.
 constexpr Duration ShortPatience = std::chrono::milliseconds(40);
 
+/// Rank by which nested calls are scheduled.
+constexpr Rank NestedRank = Rank::Critical;
+/// Percentage of the time that a nested call has beyond its own slot time that
+/// it may wait. The work above it needs the rest.
+constexpr int64_t NestedPatiencePercent = 50;
+
 constexpr Duration MaximumRetryAfter = std::chrono::seconds(30);
 /// Minimum retry-after of a call with a latency objective.
 constexpr Duration MinimumObjectiveRetryAfter = std::chrono::milliseconds(50);
@@ -87,14 +93,21 @@
 
 GateAnswer TargetGate::arrive(Ticket call, Rank rank, Duration remaining,
                               uint64_t fingerprint, base::TimePoint now,
-                              Duration objective) {
-  WaitingCall arrived{call, rank, now, {}, {}, fingerprint, objective, {}};
+                              Duration objective, bool isNested) {
+  WaitingCall arrived;
+  arrived.Call = call;
+  arrived.CallRank = isNested ? NestedRank : rank;
+  arrived.ArrivedAt = now;
+  arrived.Fingerprint = fingerprint;
+  arrived.LatencyObjective = objective;
+  arrived.IsNested = isNested;
   const auto found = view(now);
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
+  out.IsNested = isNested;
   recordEvent(AdmissionEvent::Arrive,
               {static_cast<int64_t>(call), static_cast<int64_t>(rank),
-               remaining.count(), objective.count()},
+               remaining.count(), objective.count(), isNested ? 1 : 0},
               {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
                out.RetryAfter.count()},
               now);
@@ -136,6 +149,8 @@
                                 Duration remaining) const {
   if (call.LatencyObjective <= Duration::zero())
     return remaining - std::min(call.Expected, remaining / 2);
+  if (call.IsNested)
+    return nestedPatienceOf(call, remaining);
   const auto useful = std::min(call.LatencyObjective, remaining);
   const auto needed = std::min(call.Expected * NeededPercent / 100,
                                useful * MaximumNeededPercent / 100);
@@ -143,6 +158,15 @@
                   std::min(ShortPatience, useful / 3));
 }
 
+/// The objective of a nested call is not that of the work above it, which only
+/// fails at the deadline.
+Duration TargetGate::nestedPatienceOf(const WaitingCall &call,
+                                      Duration remaining) {
+  const auto needed = std::min(call.Expected * NeededPercent / 100,
+                               remaining * MaximumNeededPercent / 100);
+  return (remaining - needed) * NestedPatiencePercent / 100;
+}
+
 /// Queues a call with a latency objective if it is expected to meet that, and
 /// refuses it at once otherwise.
 GateAnswer TargetGate::decideQueueing(const WaitingCall &call,
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -32,11 +32,11 @@
 
 /// Events of trace entries; the text is the target. Configure: slots,
 /// connections, state, queue length, floors of standard and background.
-/// Arrive: ticket, rank, remaining microseconds, latency objective; outcome:
-/// kind, code, retry-after. Ended: ticket, end. Abandoned: ticket. Outcome of
-/// Ended and Tick: the number of answers, the sum of their tickets, the limit.
-/// Signalled: ticket, flags (see flagsOf()), the limit; outcome: 1 if it has
-/// changed. ProcessChanged: none. Reported: the limit.
+/// Arrive: ticket, rank, remaining microseconds, latency objective, 1 if
+/// nested; outcome: kind, code, retry-after. Ended: ticket, end. Abandoned:
+/// ticket. Outcome of Ended and Tick: the number of answers, the sum of their
+/// tickets, the limit. Signalled: ticket, flags (see flagsOf()), the limit;
+/// outcome: 1 if it has changed. ProcessChanged: none. Reported: the limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
@@ -62,9 +62,12 @@
   /// all queued calls are refused; the next tick() returns those answers.
   void configure(const TargetGateSettings &settings, base::TimePoint now);
 
+  /// A call with \p isNested belongs to work that holds slots elsewhere and is
+  /// lost with it, so it goes before new work and may wait for as long as its
+  /// deadline allows, whatever its own rank and objective.
   GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
                     uint64_t fingerprint, base::TimePoint now,
-                    base::Duration objective = {});
+                    base::Duration objective = {}, bool isNested = false);
   /// Applies the rate limit stated on the answer to a running call; returns
   /// whether it has changed.
   bool signalled(Ticket call, const balance::TargetSignals &signals,
@@ -118,6 +121,8 @@
   void observeObjective(const WaitingCall &call, base::TimePoint now);
   base::Duration patienceOf(const WaitingCall &call,
                             base::Duration remaining) const;
+  static base::Duration nestedPatienceOf(const WaitingCall &call,
+                                         base::Duration remaining);
   bool isUrgentCallWaiting(config::Rank rank) const;
   RankFlags demand(base::TimePoint now) const;
   GateAnswer enqueue(const WaitingCall &call);
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -73,6 +73,9 @@
   /// call of this one failed and was already handled there: no retry here.
   bool DownstreamFailed = false;
   bool TargetFailed = false; ///< The target answered with status 500 or above.
+  /// The target's node knows the call as nested: the work above it is lost with
+  /// it.
+  bool IsNested = false;
   /// What the target states on its answer; nothing without an answer of its
   /// own.
   std::optional<balance::TargetSignals> Signals;
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -117,6 +117,7 @@
   call.Idempotent = (entry.Numbers[3] & 1) != 0;
   call.WithinRetry = (entry.Numbers[3] & 2) != 0;
   call.RetryBudgetPercent = static_cast<uint32_t>(entry.Numbers[4]);
+  call.LatencyObjective = base::Duration(entry.Numbers[5]);
   return CallPlanner::outcomeOf(
       Replayed->begin(handleOf(entry), call, timeOf(entry)));
 }
@@ -126,7 +127,8 @@
   result.End = static_cast<AttemptEnd>(entry.Numbers[1] % 256);
   result.DownstreamFailed = entry.Numbers[1] / 256 % 2 != 0;
   result.Attempt = static_cast<uint32_t>(entry.Numbers[1] / 512 % 128);
-  result.TargetFailed = entry.Numbers[1] >= 65'536;
+  result.TargetFailed = entry.Numbers[1] / 65'536 % 2 != 0;
+  result.IsNested = entry.Numbers[1] >= 131'072;
   result.Code = static_cast<base::ResultCode>(entry.Numbers[2]);
   result.PressurePermille = static_cast<uint32_t>(entry.Numbers[3]);
   result.Latency = base::Duration(entry.Numbers[4]);
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -18,6 +18,7 @@
 /// How long nodes that are no longer seen still count.
 constexpr Duration NodesRetention = std::chrono::seconds(30);
 constexpr int64_t PermilleOfPercent = 10;
+constexpr size_t MaximumNestedKinds = 64;
 /// Value in traces for a ratio that is not set.
 constexpr int64_t NoRatio = -1;
 
@@ -86,18 +87,40 @@
   recordEvent(CallPlanEvent::Begin,
               {static_cast<int64_t>(handle),
                static_cast<int64_t>(call.CallRank), call.Allowed.count(), flags,
-               call.RetryBudgetPercent},
+               call.RetryBudgetPercent, call.LatencyObjective.count()},
               call.ServiceName, outcomeOf(out), now);
   return out;
 }
 
+/// Only the gate's own answers tell; without one nothing changes.
+void CallPlanner::learnNested(ServiceState &service, const RoutedCall &route,
+                              const AttemptResult &result) {
+  const bool isToldByGate = result.End == AttemptEnd::Answered ||
+                            result.Code == ResultCode::Overloaded;
+  if (!isToldByGate)
+    return;
+  const std::pair kind{route.CallRank, route.LatencyObjective};
+  if (!result.IsNested)
+    service.NestedKinds.erase(kind);
+  else if (service.NestedKinds.size() < MaximumNestedKinds)
+    service.NestedKinds.insert(kind);
+}
+
+bool CallPlanner::isNested(const ServiceState &service,
+                           const RoutedCall &route) {
+  return service.NestedKinds.contains({route.CallRank, route.LatencyObjective});
+}
+
 CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
   if (call.Route.Allowed <= HopMargin)
     return withStop(finish(CallOutcome::NotRun, ResultCode::DeadlineExceeded),
                     StopReason::NoTime);
   auto &service = stateOf(call);
   const auto rank = call.Route.CallRank;
-  if (service.Throttle.shouldShed(rank, now, Randomness))
+  // Shedding a nested call would lose the work above it, which the throttle
+  // does not know.
+  if (!isNested(service, call.Route) &&
+      service.Throttle.shouldShed(rank, now, Randomness))
     return withStop(finish(CallOutcome::NotRun, ResultCode::Overloaded,
                            std::min(ClientThrottle::retryAfter(rank),
                                     call.Route.Allowed / RetryAfterDivisor)),
@@ -125,6 +148,7 @@
     return finish(CallOutcome::Unknown, ResultCode::Internal);
   auto &call = it->second;
   recordAttempt(call, *attempt, result, now);
+  learnNested(stateOf(call), call.Route, result);
   if (mayHaveReachedTarget(result))
     ++call.TargetArrivals;
   auto out = planNext(call, result, now);
@@ -137,7 +161,8 @@
       CallPlanEvent::AttemptEnded,
       {static_cast<int64_t>(handle),
        static_cast<int64_t>(result.End) + (result.DownstreamFailed ? 256 : 0) +
-           int64_t{512} * result.Attempt + (result.TargetFailed ? 65'536 : 0),
+           int64_t{512} * result.Attempt + (result.TargetFailed ? 65'536 : 0) +
+           (result.IsNested ? 131'072 : 0),
        static_cast<int64_t>(result.Code), result.PressurePermille,
        result.Latency.count(), result.RetryAfter.count()},
       {}, outcomeOf(out), now);
@@ -206,7 +231,7 @@
     }
     stop = call.Stop;
   }
-  if (result.Code == ResultCode::Overloaded)
+  if (result.Code == ResultCode::Overloaded && !isNested(service, call.Route))
     service.Throttle.refused(call.Route.CallRank);
   // An earlier attempt of this call may have run although this one did not.
   if (call.MayHaveRun)
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -13,6 +13,7 @@
 #include <boost/container/static_vector.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -37,12 +38,13 @@
 /// text: data centre, region. Nodes: their number. Target: state, slots, load,
 /// epoch, whether its node is suspected, whether it is listed; text: node, data
 /// centre, region, service, target. Drained: text: the names. Begin: handle,
-/// rank, allowed time, flags (1 idempotent, 2 within a retry), budget percent;
-/// text: service. AttemptEnded: handle, end (plus 256: a downstream call
-/// failed; plus 512 times the number of the attempt; plus 65,536: the target
-/// answered that it failed), code, pressure, latency, retry-after. End: handle.
-/// Hedge: handle. Signalled: handle, number of the attempt, flags (see
-/// flagsOf()), the limit. Times are in microseconds.
+/// rank, allowed time, flags (1 idempotent, 2 within a retry), budget percent,
+/// latency objective; text: service. AttemptEnded: handle, end (plus 256: a
+/// downstream call failed; plus 512 times the number of the attempt; plus
+/// 65,536: the target answered that it failed; plus 131,072: the call is
+/// nested), code, pressure, latency, retry-after. End: handle. Hedge: handle.
+/// Signalled: handle, number of the attempt, flags (see flagsOf()), the limit.
+/// Times are in microseconds.
 ///
 /// Outcome of Begin, AttemptEnded and Hedge: kind, outcome and code in one
 /// number, the node's hash, the hedging delay or else the timeout, and
@@ -142,8 +144,14 @@
     ClientThrottle Throttle;
     balance::SpilloverShare Spillover;
     balance::HedgeDelay Hedging;
+    /// Rank and latency objective of the calls that the targets' nodes told to
+    /// be nested. At most MaximumNestedKinds.
+    std::set<std::pair<config::Rank, base::Duration>> NestedKinds;
   };
 
+  static void learnNested(ServiceState &service, const RoutedCall &route,
+                          const AttemptResult &result);
+  static bool isNested(const ServiceState &service, const RoutedCall &route);
   CallStep planFirst(PlannedCall &call, base::TimePoint now);
   CallStep planNext(PlannedCall &call, const AttemptResult &result,
                     base::TimePoint now);
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -287,8 +287,7 @@
   } else {
     response = makeRefusalResponse(outcome.Result);
   }
-  response.set(calls::PressureHeader,
-               std::to_string(outcome.Result.PressurePermille));
+  response.set(calls::PressureHeader, pressureText(outcome.Result));
   if (outcome.Result.DownstreamFailed)
     response.set(calls::AttemptHeader, FailureBelowValue);
   co_return response;
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -36,6 +36,15 @@
          base::nameOf(calls::CallOutcomeNames, calls::CallOutcome::NotRun);
 }
 
+/// Returns whether \p caller, a name with or without its configuration, is the
+/// service \p serviceName, "configuration/name".
+bool isFromService(std::string_view caller, std::string_view serviceName) {
+  if (caller.empty() || !serviceName.ends_with(caller))
+    return false;
+  size_t before = serviceName.size() - caller.size();
+  return before == 0 || serviceName[before - 1] == '/';
+}
+
 } // namespace
 
 GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
@@ -73,9 +82,14 @@
   admission::Arrival arrival{
       call.CallId,    call.ServiceName, call.TargetId,         call.CallRank,
       call.Remaining, fingerprint,      call.LatencyObjective, call.StatedRate};
+  arrival.IsFromOwnService = isFromService(
+      fieldOf(request, Environment.Headers.CallerService), call.ServiceName);
+  // Without mesh keys no hops are counted.
+  arrival.IsNested = call.Hops > 0;
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
   admission::Ticket ticket = decision.Call;
   admission::GateView loadOnArrival = decision.Found;
+  bool isNested = decision.IsNested;
   bool hasWaited = decision.What == GateAnswer::Kind::Queued;
   if (hasWaited)
     decision = co_await awaitTurn(ticket, call.Remaining, watch);
@@ -89,6 +103,7 @@
   else
     outcome = refusal(decision.Code, decision.RetryAfter);
   outcome.HasRun = hasRun;
+  outcome.Result.IsNested = isNested;
   outcome.LoadOnArrival = loadOnArrival;
   outcome.HasWaited = hasWaited;
   outcome.Waited = turn - now;
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -29,6 +29,9 @@
 constexpr double MaximumRateLimit = 1e6;
 constexpr double MilliPerUnit = 1000;
 constexpr std::string_view LeavingValue = "1";
+/// Follows the pressure in PressureHeader on the answer to a nested call. Older
+/// nodes read only the number.
+constexpr std::string_view NestedMark = " nested";
 
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -81,8 +84,17 @@
     response.content_length(response.body().size());
 }
 
+std::string pressureText(const calls::AttemptResult &result) {
+  auto out = std::to_string(result.PressurePermille);
+  if (result.IsNested)
+    out += NestedMark;
+  return out;
+}
+
 void readAttemptResult(const Response &response, calls::AttemptResult &result) {
   result.PressurePermille = numberOf(response, calls::PressureHeader);
+  result.IsNested =
+      fieldOf(response, calls::PressureHeader).ends_with(NestedMark);
   result.DownstreamFailed =
       fieldOf(response, calls::AttemptHeader) == FailureBelowValue;
   std::string_view outcome = fieldOf(response, calls::OutcomeHeader);
--- a/Libraries/LibHttp/ResponseFields.h
+++ b/Libraries/LibHttp/ResponseFields.h
@@ -14,6 +14,10 @@
 /// unless the status or \p method rules out a body.
 void prepareForNextHop(Response &response, boost::beast::http::verb method);
 
+/// Returns the value of PressureHeader: the target's pressure, and whether its
+/// node knows the call as nested.
+std::string pressureText(const calls::AttemptResult &result);
+
 /// Reads the outcome of an attempt from another node's response. Without
 /// OutcomeHeader it is the target's own response, and \p result.End is left
 /// unchanged.
