LibBalance: Tell refusals by full targets from spurious ones

Each refusal by a target narrowed its gate and took it out of choice, at all callers alike. Where targets refuse a part of the calls at random with slots free, that kept away more calls than the refusals did.

Targets state their load on answers and refusals; its header name is the new setting call_headers.load. The target's node judges a refusal by it and tells the caller's node beside the pressure. Targets that refuse more than others get a higher score.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -195,6 +195,7 @@
     {"leaving", &calls::CallHeaders::Leaving},
     {"key", &calls::CallHeaders::Key},
     {"tenant", &calls::CallHeaders::Tenant},
+    {"load", &calls::CallHeaders::Load},
 };
 
 void readCallHeaders(const json::object &headers, calls::CallHeaders &out) {
--- a/Libraries/LibAdmission/AdmissionGate.h
+++ b/Libraries/LibAdmission/AdmissionGate.h
@@ -76,6 +76,13 @@
   virtual bool signalled(Ticket call, const balance::TargetSignals &signals,
                          base::TimePoint now) = 0;
 
+  /// Judges the refusal of a running call by its target, which stated \p load
+  /// on it. Must be called before ended(), which expects the outcome in
+  /// AttemptResult::Refusal.
+  virtual balance::RefusalKind
+  judgeRefusal(Ticket call, const std::optional<balance::TargetLoad> &load,
+               base::TimePoint now) = 0;
+
   /// Reports the end of a running call. Returns the answers for queued calls
   /// that may run now or are refused.
   virtual std::vector<GateAnswer> ended(Ticket call,
--- a/Libraries/LibAdmission/AdmissionPlayer.cpp
+++ b/Libraries/LibAdmission/AdmissionPlayer.cpp
@@ -52,8 +52,9 @@
             out.RetryAfter.count()};
   }
   case AdmissionEvent::Ended:
-    return gate->summaryOf(gate->ended(
-        ticket, static_cast<calls::AttemptEnd>(entry.Numbers[1]), now));
+    return gate->summaryOf(
+        gate->ended(ticket, static_cast<calls::AttemptEnd>(entry.Numbers[1]),
+                    now, static_cast<balance::RefusalKind>(entry.Numbers[2])));
   case AdmissionEvent::Abandoned:
     gate->abandoned(ticket, now);
     return {};
--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -162,6 +162,17 @@
          it->second->Admission->signalled(call, signals, now);
 }
 
+balance::RefusalKind
+NodeGate::judgeRefusal(Ticket call,
+                       const std::optional<balance::TargetLoad> &load,
+                       base::TimePoint now) {
+  Held->LastTime = now;
+  const auto it = Held->Calls.find(call);
+  return it == Held->Calls.end()
+             ? balance::RefusalKind::Full
+             : it->second->Admission->judgeRefusal(load, now);
+}
+
 std::vector<GateAnswer> NodeGate::ended(Ticket call,
                                         const calls::AttemptResult &result,
                                         base::TimePoint now) {
@@ -172,7 +183,7 @@
   auto &gated = *it->second;
   Held->Calls.erase(it);
   Held->observe(gated, call, result.End);
-  auto out = gated.Admission->ended(call, result.End, now);
+  auto out = gated.Admission->ended(call, result.End, now, result.Refusal);
   Held->forgetRefused(out);
   return out;
 }
--- a/Libraries/LibAdmission/NodeGate.h
+++ b/Libraries/LibAdmission/NodeGate.h
@@ -22,6 +22,9 @@
   GateAnswer arrive(const Arrival &arrival, base::TimePoint now) override;
   bool signalled(Ticket call, const balance::TargetSignals &signals,
                  base::TimePoint now) override;
+  balance::RefusalKind
+  judgeRefusal(Ticket call, const std::optional<balance::TargetLoad> &load,
+               base::TimePoint now) override;
   std::vector<GateAnswer> ended(Ticket call, const calls::AttemptResult &result,
                                 base::TimePoint now) override;
   void abandoned(Ticket call, base::TimePoint now) override;
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -224,35 +224,40 @@
 
 void TargetGate::processChanged(base::TimePoint now) {
   Stated = {};
+  Refusals = {};
   Limiter.setRate({}, now);
   recordEvent(AdmissionEvent::ProcessChanged, {}, {}, now);
 }
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, calls::AttemptEnd end,
-                                          base::TimePoint now) {
+                                          base::TimePoint now,
+                                          balance::RefusalKind refusal) {
   const auto it = Running.find(call);
   if (it == Running.end())
     return {};
   const auto finished = it->second;
   Running.erase(it);
-  finish(finished, end, now);
+  finish(finished, end, refusal, now);
   refuseExpired(now);
   fillSlots(now);
   auto out = takeAnswers();
   recordEvent(AdmissionEvent::Ended,
-              {static_cast<int64_t>(call), static_cast<int64_t>(end)},
+              {static_cast<int64_t>(call), static_cast<int64_t>(end),
+               static_cast<int64_t>(refusal)},
               summaryOf(out), now);
   return out;
 }
 
 void TargetGate::finish(const RunningCall &call, calls::AttemptEnd end,
-                        base::TimePoint now) {
+                        balance::RefusalKind refusal, base::TimePoint now) {
   const auto taken = now - call.StartedAt;
   Scheduler.ended(call.CallRank, call.Charged, taken, demand(now));
-  if (end == calls::AttemptEnd::RefusedNotRun)
+  if (end == calls::AttemptEnd::RefusedNotRun &&
+      refusal == balance::RefusalKind::Full)
     Adaptive.refused();
   if (end != calls::AttemptEnd::Answered)
     return;
+  Refusals.answered();
   // The time of calls with an objective includes that of their downstream
   // calls, which says nothing about this target.
   const bool hasObjective = call.LatencyObjective > Duration::zero();
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -6,6 +6,7 @@
 #include <LibAdmission/RankScheduler.h>
 #include <LibAdmission/RateLimiter.h>
 #include <LibAdmission/SlotTime.h>
+#include <LibBalance/RefusalJudge.h>
 #include <LibBalance/StatedLimit.h>
 #include <LibBase/Clock.h>
 #include <LibConfig/Resources.h>
@@ -33,10 +34,11 @@
 /// Events of trace entries; the text is the target. Configure: slots,
 /// connections, state, queue length, floors of standard and background.
 /// Arrive: ticket, rank, remaining microseconds, latency objective, 1 if
-/// nested; outcome: kind, code, retry-after. Ended: ticket, end. Abandoned:
-/// ticket. Outcome of Ended and Tick: the number of answers, the sum of their
-/// tickets, the limit. Signalled: ticket, flags (see flagsOf()), the limit;
-/// outcome: 1 if it has changed. ProcessChanged: none. Reported: the limit.
+/// nested; outcome: kind, code, retry-after. Ended: ticket, end, kind of
+/// refusal. Abandoned: ticket. Outcome of Ended and Tick: the number of
+/// answers, the sum of their tickets, the limit. Signalled: ticket, flags (see
+/// flagsOf()), the limit; outcome: 1 if it has changed. ProcessChanged: none.
+/// Reported: the limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
@@ -76,8 +78,16 @@
   /// Applies the rate limit that a caller's node knows, until the target's
   /// process has answered a call of this node's process.
   void reported(balance::MilliRate rate, base::TimePoint now);
-  std::vector<GateAnswer> ended(Ticket call, calls::AttemptEnd end,
-                                base::TimePoint now);
+  /// Judges a refusal by the target; see AdmissionGate::judgeRefusal().
+  balance::RefusalKind
+  judgeRefusal(const std::optional<balance::TargetLoad> &load,
+               base::TimePoint now) {
+    return Refusals.refused(load, Running.size(), now);
+  }
+  /// Ends a running call; \p refusal counts if the target refused it.
+  std::vector<GateAnswer>
+  ended(Ticket call, calls::AttemptEnd end, base::TimePoint now,
+        balance::RefusalKind refusal = balance::RefusalKind::Full);
 
   /// Records that another process of the target has taken over: its limit is
   /// not known.
@@ -128,7 +138,7 @@
   GateAnswer enqueue(const WaitingCall &call);
   void start(const WaitingCall &call, base::TimePoint now);
   void finish(const RunningCall &call, calls::AttemptEnd end,
-              base::TimePoint now);
+              balance::RefusalKind refusal, base::TimePoint now);
   void fillSlots(base::TimePoint now);
   void refuseExpired(base::TimePoint now);
   GateAnswer refusal(Ticket call, base::ResultCode code) const;
@@ -146,6 +156,7 @@
   RankScheduler Scheduler;
   RankQueue Queue;
   balance::StatedLimit Stated;
+  balance::RefusalJudge Refusals;
   RateLimiter Limiter;
   std::unordered_map<Ticket, RunningCall> Running;
   std::deque<base::TimePoint> RecentStarts;
--- a/Libraries/LibBalance/KnownTarget.h
+++ b/Libraries/LibBalance/KnownTarget.h
@@ -3,6 +3,7 @@
 #include <LibBalance/LoadEstimate.h>
 #include <LibBalance/PathHealth.h>
 #include <LibBalance/RefusalBackoff.h>
+#include <LibBalance/RefusalShare.h>
 #include <LibBalance/StatedLimit.h>
 #include <LibBalance/TargetCandidate.h>
 #include <LibBalance/TargetHealth.h>
@@ -28,6 +29,7 @@
   LoadEstimate Load;
   TargetHealth Health;
   RefusalBackoff Refusals;
+  RefusalShare RefusedShare;
   // Stated on answers, by the process with the epoch of Candidate:
   StatedLimit Stated;
   bool IsLeaving = false;
--- a/Libraries/LibBalance/LoadBalancer.cpp
+++ b/Libraries/LibBalance/LoadBalancer.cpp
@@ -70,7 +70,11 @@
   const uint64_t slowStart = slowStartPermille(target, now);
   const uint64_t own =
       (target.InFlight + 1) * FullPermille * FullPermille / (slots * slowStart);
-  return own + target.Load.current(now) +
+  const uint64_t loaded = own + target.Load.current(now);
+  const auto accepted = static_cast<uint64_t>(
+      RefusalShare::FullPermille - target.RefusedShare.permille(now));
+  // A refusal costs a retry besides the time.
+  return loaded * FullPermille * FullPermille / (accepted * accepted) +
          (target.Suspect ? SuspectPenaltyPermille : 0);
 }
 
--- a/Libraries/LibBalance/TargetSignals.h
+++ b/Libraries/LibBalance/TargetSignals.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibBalance/TargetLoad.h>
+
 #include <cstdint>
 #include <optional>
 
@@ -17,9 +19,12 @@
   bool IsLimitMalformed = false;
   /// The target is leaving and accepts no new calls.
   bool IsLeaving = false;
+  std::optional<TargetLoad> Load{};
+  /// The answer has a load that cannot be parsed; it is ignored.
+  bool IsLoadMalformed = false;
 };
 
-/// Encodes all but the limit's value as flags of a trace entry.
+/// Encodes all but the limit's value and the load as flags of a trace entry.
 int64_t flagsOf(const TargetSignals &signals);
 
 /// Decodes the output of flagsOf(); \p rate is used if there is a limit.
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -137,14 +137,18 @@
     target->Load.observed(result.PressurePermille, now);
     target->Health.succeeded();
     target->Refusals.answered();
+    target->RefusedShare.answered(now);
     stateOf(call).Hedging.observed(result.Latency);
   } else if (result.End == AttemptEnd::NotSent) {
     target->Health.unreachable(now);
   } else if (!hasReply && result.End != AttemptEnd::CallerGone) {
     target->Health.failed(now);
   }
-  if (result.Code == ResultCode::TargetRefused)
-    target->Refusals.refused(now);
+  if (result.Code == ResultCode::TargetRefused) {
+    target->RefusedShare.refused(now);
+    if (result.Refusal == balance::RefusalKind::Full)
+      target->Refusals.refused(now);
+  }
   if (result.Code == ResultCode::Draining &&
       result.End == AttemptEnd::RefusedNotRun)
     target->Refusals.refusedDraining(now);
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBalance/RefusalKind.h>
 #include <LibBalance/TargetCandidate.h>
 #include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
@@ -76,6 +77,9 @@
   /// The target's node knows the call as nested: the work above it is lost with
   /// it.
   bool IsNested = false;
+  /// Why the target refused the call, as its node judges; only with the code
+  /// TargetRefused.
+  balance::RefusalKind Refusal = balance::RefusalKind::Full;
   /// What the target states on its answer; nothing without an answer of its
   /// own.
   std::optional<balance::TargetSignals> Signals;
--- a/Libraries/LibCalls/CallHeaders.h
+++ b/Libraries/LibCalls/CallHeaders.h
@@ -27,6 +27,8 @@
   std::string Key = "X-Radishcross-Key";
   /// To targets: the name of the tenant that asks.
   std::string Tenant = "X-Radishcross-Tenant";
+  /// On answers of targets: "running,waiting,slots[,pace]", see TargetLoad.
+  std::string Load = "X-Radishcross-Load";
 
   bool operator==(const CallHeaders &) const = default;
 };
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -128,7 +128,9 @@
   result.DownstreamFailed = entry.Numbers[1] / 256 % 2 != 0;
   result.Attempt = static_cast<uint32_t>(entry.Numbers[1] / 512 % 128);
   result.TargetFailed = entry.Numbers[1] / 65'536 % 2 != 0;
-  result.IsNested = entry.Numbers[1] >= 131'072;
+  result.IsNested = entry.Numbers[1] / 131'072 % 2 != 0;
+  if (entry.Numbers[1] / 262'144 % 2 != 0)
+    result.Refusal = balance::RefusalKind::Spurious;
   result.Code = static_cast<base::ResultCode>(entry.Numbers[2]);
   result.PressurePermille = static_cast<uint32_t>(entry.Numbers[3]);
   result.Latency = base::Duration(entry.Numbers[4]);
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -162,7 +162,8 @@
       {static_cast<int64_t>(handle),
        static_cast<int64_t>(result.End) + (result.DownstreamFailed ? 256 : 0) +
            int64_t{512} * result.Attempt + (result.TargetFailed ? 65'536 : 0) +
-           (result.IsNested ? 131'072 : 0),
+           (result.IsNested ? 131'072 : 0) +
+           (result.Refusal == balance::RefusalKind::Spurious ? 262'144 : 0),
        static_cast<int64_t>(result.Code), result.PressurePermille,
        result.Latency.count(), result.RetryAfter.count()},
       {}, outcomeOf(out), now);
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -42,9 +42,9 @@
 /// latency objective; text: service. AttemptEnded: handle, end (plus 256: a
 /// downstream call failed; plus 512 times the number of the attempt; plus
 /// 65,536: the target answered that it failed; plus 131,072: the call is
-/// nested), code, pressure, latency, retry-after. End: handle. Hedge: handle.
-/// Signalled: handle, number of the attempt, flags (see flagsOf()), the limit.
-/// Times are in microseconds.
+/// nested; plus 262,144: the refusal is spurious), code, pressure, latency,
+/// retry-after. End: handle. Hedge: handle. Signalled: handle, number of the
+/// attempt, flags (see flagsOf()), the limit. Times are in microseconds.
 ///
 /// Outcome of Begin, AttemptEnded and Hedge: kind, outcome and code in one
 /// number, the node's hash, the hedging delay or else the timeout, and
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -285,7 +285,7 @@
     response = std::move(outcome.HttpResponse);
     prepareForNextHop(response, method);
   } else {
-    response = makeRefusalResponse(outcome.Result);
+    response = makeRefusalResponse(outcome.Result, Environment.Headers);
   }
   response.set(calls::PressureHeader, pressureText(outcome.Result));
   if (outcome.Result.DownstreamFailed)
--- a/Libraries/LibHttp/GateLog.cpp
+++ b/Libraries/LibHttp/GateLog.cpp
@@ -29,6 +29,14 @@
   return buf.data();
 }
 
+/// Returns why the target refused the call, or "none" if it did not.
+std::string refusalText(const calls::AttemptResult &result) {
+  return result.Code == base::ResultCode::TargetRefused
+             ? std::string(
+                   base::nameOf(balance::RefusalKindNames, result.Refusal))
+             : "none";
+}
+
 } // namespace
 
 void logSignals(const MeshCall &call, std::string_view requestId,
@@ -44,6 +52,8 @@
     base::log(base::LogLevel::Info, "target is leaving", fields);
   if (signals.IsLimitMalformed)
     base::log(base::LogLevel::Warning, "target rate limit malformed", fields);
+  if (signals.IsLoadMalformed)
+    base::log(base::LogLevel::Warning, "target load malformed", fields);
 }
 
 void logGateCall(const MeshCall &call, std::string_view requestId,
@@ -77,6 +87,7 @@
        {"waited_ms", formatMilliseconds(outcome.Waited)},
        {"ran_ms", formatMilliseconds(outcome.Ran)},
        {"end", std::string(base::nameOf(calls::AttemptEndNames, result.End))},
+       {"refusal", refusalText(result)},
        {"code", std::to_string(static_cast<unsigned>(result.Code))},
        {"status", std::to_string(status)},
        {"told_by", std::string(base::nameOf(OutcomeSourceNames,
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -111,6 +111,17 @@
     co_return outcome;
   outcome.Ran = Environment.Time->now() - turn;
   applySignals(call, request, *target, ticket, outcome);
+  if (outcome.Result.Code == base::ResultCode::TargetRefused) {
+    const auto load =
+        outcome.Result.Signals ? outcome.Result.Signals->Load : std::nullopt;
+    outcome.Result.Refusal =
+        Environment.Gate->judgeRefusal(ticket, load, Environment.Time->now());
+    Environment.Counters->counter(
+        "target_refusals_total{kind=\"" +
+        std::string(
+            base::nameOf(balance::RefusalKindNames, outcome.Result.Refusal)) +
+        "\"}") += 1;
+  }
   dispatch(
       Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
   co_return outcome;
@@ -133,6 +144,8 @@
              *signals, news);
   if (signals->IsLimitMalformed)
     Environment.Counters->counter("target_limits_malformed_total") += 1;
+  if (signals->IsLoadMalformed)
+    Environment.Counters->counter("target_loads_malformed_total") += 1;
 }
 
 /// Waits until the gate decides, the deadline passes or the caller disconnects.
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -6,6 +6,7 @@
 #include <LibHttp/Responses.h>
 
 #include <algorithm>
+#include <boost/container/static_vector.hpp>
 #include <charconv>
 #include <string>
 #include <string_view>
@@ -32,6 +33,32 @@
 /// Follows the pressure in PressureHeader on the answer to a nested call. Older
 /// nodes read only the number.
 constexpr std::string_view NestedMark = " nested";
+/// Follows the pressure on a target's refusal that its node judges as spurious.
+constexpr std::string_view SpuriousMark = " spurious";
+
+/// Higher figures of a load count as malformed; they are beyond any target.
+constexpr uint32_t MaximumLoadFigure = 1'000'000;
+constexpr size_t LoadFigures = 3;
+
+/// The inverse of parseTargetLoad().
+std::string loadText(const balance::TargetLoad &load) {
+  auto out = std::to_string(load.Running) + ',' + std::to_string(load.Waiting) +
+             ',' + std::to_string(load.Slots);
+  if (load.PacePercent)
+    out += ',' + std::to_string(*load.PacePercent);
+  return out;
+}
+
+void readTargetLoad(const Response &response, const calls::CallHeaders &names,
+                    balance::TargetSignals &out) {
+  const auto count = response.count(names.Load);
+  if (count == 0)
+    return;
+  base::LastReason reason;
+  if (count == 1)
+    out.Load = parseTargetLoad(fieldOf(response, names.Load), reason);
+  out.IsLoadMalformed = !out.Load;
+}
 
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
@@ -51,6 +78,31 @@
                                          MilliPerUnit);
 }
 
+std::optional<balance::TargetLoad> parseTargetLoad(std::string_view text,
+                                                   base::LastReason &reason) {
+  boost::container::static_vector<uint32_t, LoadFigures + 1> figures;
+  const auto *end = text.data() + text.size();
+  bool isList = true;
+  for (const auto *it = text.data(); isList && it <= end;) {
+    uint32_t figure = 0;
+    const auto [at, ec] = std::from_chars(it, end, figure);
+    isList = ec == std::errc() && figure <= MaximumLoadFigure &&
+             (at == end || *at == ',') && figures.size() < figures.capacity();
+    if (isList)
+      figures.push_back(figure);
+    it = at + 1;
+  }
+  const bool isWhole = isList && figures.size() >= LoadFigures;
+  const bool hasPace = figures.size() > LoadFigures;
+  if (!isWhole || figures[2] == 0 || (hasPace && figures.back() == 0))
+    return reason.fail(base::ResultCode::BadValue,
+                       "the load is not running,waiting,slots[,pace]");
+  balance::TargetLoad out{figures[0], figures[1], figures[2], std::nullopt};
+  if (hasPace)
+    out.PacePercent = figures.back();
+  return out;
+}
+
 std::optional<balance::TargetSignals>
 readTargetSignals(const Response &response, const calls::CallHeaders &names) {
   if (response.result() == bh::status::misdirected_request)
@@ -69,6 +121,7 @@
   }
   if (out.RateLimit)
     out.IsLimitMalformed = false;
+  readTargetLoad(response, names, out);
   return out;
 }
 
@@ -86,6 +139,8 @@
 
 std::string pressureText(const calls::AttemptResult &result) {
   auto out = std::to_string(result.PressurePermille);
+  if (result.Refusal == balance::RefusalKind::Spurious)
+    out += SpuriousMark;
   if (result.IsNested)
     out += NestedMark;
   return out;
@@ -93,8 +148,10 @@
 
 void readAttemptResult(const Response &response, calls::AttemptResult &result) {
   result.PressurePermille = numberOf(response, calls::PressureHeader);
-  result.IsNested =
-      fieldOf(response, calls::PressureHeader).ends_with(NestedMark);
+  const std::string_view pressure = fieldOf(response, calls::PressureHeader);
+  result.IsNested = pressure.ends_with(NestedMark);
+  if (pressure.find(SpuriousMark) != std::string_view::npos)
+    result.Refusal = balance::RefusalKind::Spurious;
   result.DownstreamFailed =
       fieldOf(response, calls::AttemptHeader) == FailureBelowValue;
   std::string_view outcome = fieldOf(response, calls::OutcomeHeader);
@@ -111,7 +168,8 @@
                           : AttemptEnd::Broken;
 }
 
-Response makeRefusalResponse(const calls::AttemptResult &result) {
+Response makeRefusalResponse(const calls::AttemptResult &result,
+                             const calls::CallHeaders &names) {
   bool notRun = result.End == AttemptEnd::NotSent ||
                 result.End == AttemptEnd::RefusedNotRun;
   auto code = result.Code;
@@ -127,6 +185,8 @@
   response.erase(bh::field::content_type);
   response.body().clear();
   response.content_length(0);
+  if (result.Signals && result.Signals->Load)
+    response.set(names.Load, loadText(*result.Signals->Load));
   return response;
 }
 
--- a/Libraries/LibHttp/ResponseFields.h
+++ b/Libraries/LibHttp/ResponseFields.h
@@ -14,8 +14,9 @@
 /// unless the status or \p method rules out a body.
 void prepareForNextHop(Response &response, boost::beast::http::verb method);
 
-/// Returns the value of PressureHeader: the target's pressure, and whether its
-/// node knows the call as nested.
+/// Returns the value of PressureHeader: the target's pressure, whether a
+/// refusal by the target was spurious, and whether its node knows the call as
+/// nested.
 std::string pressureText(const calls::AttemptResult &result);
 
 /// Reads the outcome of an attempt from another node's response. Without
@@ -29,14 +30,20 @@
 std::optional<balance::MilliRate> parseRateLimit(std::string_view text,
                                                  base::LastReason &reason);
 
+/// Parses "running,waiting,slots[,pace]": numbers without a sign, at least one
+/// slot, and a pace above 0, in percent. Fails with BadValue for anything else.
+std::optional<balance::TargetLoad> parseTargetLoad(std::string_view text,
+                                                   base::LastReason &reason);
+
 /// Reads what a target states about itself on its own response; of several
-/// limits the lowest valid one counts. Returns nothing for a response that
-/// another target may have written (421).
+/// limits the lowest valid one counts; of several loads none does. Returns
+/// nothing for a response that another target may have written (421).
 std::optional<balance::TargetSignals>
 readTargetSignals(const Response &response, const calls::CallHeaders &names);
 
 /// Returns the response that reports an attempt without a target response to
-/// the node that sent it.
-Response makeRefusalResponse(const calls::AttemptResult &result);
+/// the node that sent it, with the load that a refusing target stated.
+Response makeRefusalResponse(const calls::AttemptResult &result,
+                             const calls::CallHeaders &names);
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/StoppedNode.h
+++ b/Libraries/LibHttp/StoppedNode.h
@@ -48,6 +48,11 @@
                  base::TimePoint) override {
     return false;
   }
+  balance::RefusalKind judgeRefusal(admission::Ticket,
+                                    const std::optional<balance::TargetLoad> &,
+                                    base::TimePoint) override {
+    return balance::RefusalKind::Full;
+  }
   std::vector<admission::GateAnswer> ended(admission::Ticket,
                                            const calls::AttemptResult &,
                                            base::TimePoint) override {
--- a/Tests/LibAdmission/TestNodeGate.cpp
+++ b/Tests/LibAdmission/TestNodeGate.cpp
@@ -1,4 +1,5 @@
 #include <LibAdmission/NodeGate.h>
+#include <LibAdmission/TargetGate.h>
 #include <LibCalls/CallFixtures.h>
 
 #include <doctest/doctest.h>
@@ -140,3 +141,28 @@
   it.Quarantined.applyRemote(66, "badges/other", 1min, at(0s));
   CHECK(it.arrive(Rank::Critical, 0s, 1s, 66).What == Kind::Run);
 }
+
+TEST_CASE("only refusals by a full target narrow its gate") {
+  trace::NullRecorder recorder;
+  TargetGate gate("t", recorder);
+  TargetGateSettings settings;
+  settings.State = TargetState::Ready;
+  settings.Slots = 6;
+  settings.Connections = 120;
+  gate.configure(settings, at(0s));
+  Ticket ticket = 0;
+  const auto refuse = [&](const std::optional<TargetLoad> &load) {
+    REQUIRE(gate.arrive(++ticket, Rank::Standard, 1s, 0, at(1s)).What ==
+            Kind::Run);
+    const auto kind = gate.judgeRefusal(load, at(1s));
+    gate.ended(ticket, AttemptEnd::RefusedNotRun, at(1s), kind);
+    return kind;
+  };
+  for (int n = 0; n < 4; ++n)
+    CHECK(refuse(TargetLoad{0, 0, 6, {}}) == RefusalKind::Spurious);
+  CHECK(gate.limit() == 6);
+  CHECK(refuse(TargetLoad{6, 2, 6, {}}) == RefusalKind::Full);
+  CHECK(gate.limit() == 5);
+  CHECK(refuse(std::nullopt) == RefusalKind::Full);
+  CHECK(gate.limit() == 4);
+}
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -73,6 +73,9 @@
       result.PressurePermille = static_cast<uint32_t>(it.Draw.below(1000));
       if (it.Draw.below(2) == 0)
         result.Signals = signals(it);
+      if (it.Draw.below(4) == 0)
+        result.Code = ResultCode::TargetRefused;
+      result.Refusal = it.pick<RefusalKind>(2);
       step = planner.attemptEnded(n, result, it.now());
     }
     if (n > 5)
@@ -97,7 +100,8 @@
       gate.reported(static_cast<MilliRate>(it.Draw.below(20'000)), it.now());
     gate.arrive(n, it.pick<Rank>(3), 100ms, 0, it.now());
     gate.signalled(it.Draw.below(n), signals(it), it.now());
-    gate.ended(it.Draw.below(n), it.pick<AttemptEnd>(6), it.now());
+    gate.ended(it.Draw.below(n), it.pick<AttemptEnd>(6), it.now(),
+               it.pick<RefusalKind>(2));
     gate.abandoned(it.Draw.below(n), it.now());
     gate.tick(it.now());
   }
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -86,6 +86,13 @@
     Signals.push_back(signals);
     return false;
   }
+  balance::RefusalKind
+  judgeRefusal(admission::Ticket,
+               const std::optional<balance::TargetLoad> &load,
+               base::TimePoint) override {
+    RefusedWith.push_back(load);
+    return Judgement;
+  }
   std::vector<admission::GateAnswer> ended(admission::Ticket,
                                            const calls::AttemptResult &result,
                                            base::TimePoint) override {
@@ -105,6 +112,8 @@
   std::vector<admission::Arrival> Arrivals;
   std::vector<calls::AttemptResult> Results;
   std::vector<balance::TargetSignals> Signals;
+  std::vector<std::optional<balance::TargetLoad>> RefusedWith;
+  balance::RefusalKind Judgement = balance::RefusalKind::Full;
   admission::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
--- a/Tests/LibHttp/TestTargetSignals.cpp
+++ b/Tests/LibHttp/TestTargetSignals.cpp
@@ -103,3 +103,78 @@
   REQUIRE(mesh.Far.Leaving.size() == 1);
   CHECK(mesh.Far.Leaving[0] == std::pair<std::string, uint64_t>{"t1", 7});
 }
+
+TEST_CASE("a load is three or four numbers in a row") {
+  using balance::TargetLoad;
+  struct Row {
+    const char *Text;
+    std::optional<TargetLoad> Load;
+  };
+  const std::string huge(400, '9');
+  const Row rows[] = {
+      {"3,0,8", TargetLoad{3, 0, 8, std::nullopt}},
+      {"0,12,1,250", TargetLoad{0, 12, 1, 250}},
+      {"1000000,0,1000000,1", TargetLoad{1'000'000, 0, 1'000'000, 1}},
+      {"", std::nullopt},
+      {"3", std::nullopt},
+      {"3,0", std::nullopt},
+      {"3,0,", std::nullopt},
+      {"3,0,0", std::nullopt},
+      {"3,0,8,0", std::nullopt},
+      {"3,0,8,", std::nullopt},
+      {"3,0,8,100,", std::nullopt},
+      {"3,0,8,100,1", std::nullopt},
+      {",3,0,8", std::nullopt},
+      {"-1,0,8", std::nullopt},
+      {"+1,0,8", std::nullopt},
+      {"1.5,0,8", std::nullopt},
+      {"3, 0, 8", std::nullopt},
+      {"3;0;8", std::nullopt},
+      {"1000001,0,8", std::nullopt},
+      {"a,b,c", std::nullopt},
+      {huge.c_str(), std::nullopt},
+  };
+  for (const auto &row : rows) {
+    CAPTURE(row.Text);
+    base::LastReason reason;
+    CHECK((http::parseTargetLoad(row.Text, reason) == row.Load));
+    CHECK(reason.code() ==
+          (row.Load ? base::ResultCode::Ok : base::ResultCode::BadValue));
+  }
+}
+
+TEST_CASE("a load that is malformed or stated twice is ignored") {
+  http::Response response;
+  auto signals = http::readTargetSignals(response, Names);
+  REQUIRE(signals);
+  CHECK_FALSE(signals->Load);
+  CHECK_FALSE(signals->IsLoadMalformed);
+  response.insert(Names.Load, "3,0,8");
+  signals = http::readTargetSignals(response, Names);
+  REQUIRE(signals);
+  CHECK(signals->Load);
+  response.insert(Names.Load, "4,0,8");
+  signals = http::readTargetSignals(response, Names);
+  REQUIRE(signals);
+  CHECK_FALSE(signals->Load);
+  CHECK(signals->IsLoadMalformed);
+}
+
+TEST_CASE("a refusing target's load reaches its gate and the judgement the "
+          "caller's node") {
+  for (const auto kind :
+       {balance::RefusalKind::Full, balance::RefusalKind::Spurious}) {
+    TwoNodes mesh;
+    mesh.Far.Gate.Judgement = kind;
+    mesh.TargetFields = {{Names.NotRun, "1"}, {Names.Load, "3,0,8,120"}};
+    REQUIRE(
+        fetchFrom(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
+    REQUIRE(mesh.Far.Gate.RefusedWith.size() == 1);
+    CHECK((mesh.Far.Gate.RefusedWith[0] == balance::TargetLoad{3, 0, 8, 120}));
+    REQUIRE(mesh.Far.Gate.Results.size() == 1);
+    CHECK(mesh.Far.Gate.Results[0].Refusal == kind);
+    REQUIRE(mesh.Near.Broker.Results.size() == 1);
+    CHECK(mesh.Near.Broker.Results[0].Code == base::ResultCode::TargetRefused);
+    CHECK(mesh.Near.Broker.Results[0].Refusal == kind);
+  }
+}
