LibHttp: Pace large answers to the VM's link

With the new setting link_mbit_per_s large answers are written in pieces as the link becomes free, two at a time between nodes, the backlog counts as pressure, and a call whose answer the link cannot send within the objective is refused at once.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -21,6 +21,7 @@
 
 constexpr size_t MaximumSettingsBytes = 1UL << 20;
 constexpr uint64_t BytesPerKilobit = 125;
+constexpr uint64_t BytesPerMegabit = 125'000;
 
 constexpr base::EnumName<base::LogLevel> LogLevelNames[] = {
     {base::LogLevel::Debug, "debug"},
@@ -259,6 +260,9 @@
   if (const auto *n = root.if_contains("least_link_kbit_per_s"))
     settings.LeastLinkBytesPerSecond =
         n->to_number<uint64_t>() * BytesPerKilobit;
+  if (const auto *n = root.if_contains("link_mbit_per_s"))
+    settings.LinkBytesPerSecond = static_cast<uint64_t>(
+        n->to_number<double>() * static_cast<double>(BytesPerMegabit));
   if (const auto *service = root.if_contains("service"))
     settings.Service = text(*service);
   if (const auto *address = root.if_contains("target_address")) {
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -69,6 +69,8 @@
   base::Duration InForceBound = std::chrono::seconds(2);
   /// Bandwidth of a node's slowest link.
   uint64_t LeastLinkBytesPerSecond = 875'000;
+  /// Bandwidth of this VM's own link; 0: unknown, so answers are not paced.
+  uint64_t LinkBytesPerSecond = 0;
   std::string Service; ///< Of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -54,6 +54,7 @@
     restartOnly<&Settings::Platform>("platform.addresses"),
     restartOnly<&Settings::HasOperatorConfiguration>(
         "platform.operator_configuration"),
+    restartOnly<&Settings::LinkBytesPerSecond>("link_mbit_per_s"),
     restartOnly<&Settings::RecordingBytes>("recording_bytes"),
     restartOnly<&Settings::Seeds>("seeds"),
     restartOnly<&Settings::MeshKeys>("mesh_keys"),
--- a/Libraries/LibAdmission/AdmissionPlayer.cpp
+++ b/Libraries/LibAdmission/AdmissionPlayer.cpp
@@ -47,7 +47,8 @@
     const auto out =
         gate->arrive(ticket, static_cast<config::Rank>(entry.Numbers[1]),
                      base::Duration(entry.Numbers[2]), 0, now,
-                     base::Duration(entry.Numbers[3]), entry.Numbers[4] != 0);
+                     base::Duration(entry.Numbers[3]), entry.Numbers[4] != 0,
+                     base::Duration(entry.Numbers[5]));
     return {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
             out.RetryAfter.count()};
   }
--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -148,7 +148,7 @@
                            arrival.IsFromOwnService);
   const auto out = gated.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
-      arrival.LatencyObjective, isNested);
+      arrival.LatencyObjective, isNested, arrival.LinkTime);
   if (out.What != GateAnswer::Kind::Refuse)
     Held->Calls[call] = &gated;
   return out;
--- a/Libraries/LibAdmission/RankQueue.h
+++ b/Libraries/LibAdmission/RankQueue.h
@@ -23,6 +23,7 @@
   uint64_t Fingerprint = 0;
   base::Duration LatencyObjective{}; ///< 0: none.
   base::Duration Expected{};         ///< Expected slot time.
+  base::Duration LinkTime{};         ///< For its answer, and those before it.
   bool IsNested = false;             ///< Made by work in progress elsewhere.
 };
 
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -93,7 +93,8 @@
 
 GateAnswer TargetGate::arrive(Ticket call, Rank rank, Duration remaining,
                               uint64_t fingerprint, base::TimePoint now,
-                              Duration objective, bool isNested) {
+                              Duration objective, bool isNested,
+                              Duration linkTime) {
   WaitingCall arrived;
   arrived.Call = call;
   arrived.CallRank = isNested ? NestedRank : rank;
@@ -101,13 +102,15 @@
   arrived.Fingerprint = fingerprint;
   arrived.LatencyObjective = objective;
   arrived.IsNested = isNested;
+  arrived.LinkTime = linkTime;
   const auto found = view(now);
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
   out.IsNested = isNested;
   recordEvent(AdmissionEvent::Arrive,
               {static_cast<int64_t>(call), static_cast<int64_t>(rank),
-               remaining.count(), objective.count(), isNested ? 1 : 0},
+               remaining.count(), objective.count(), isNested ? 1 : 0,
+               linkTime.count()},
               {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
                out.RetryAfter.count()},
               now);
@@ -125,6 +128,12 @@
   if (remaining <= Duration::zero())
     return refusal(call.Call, ResultCode::DeadlineExceeded);
   call.Expected = expectedOf(rank, call.LatencyObjective);
+  if (isTooLateOnLink(call, remaining))
+    return GateAnswer::refuse(
+        call.Call, ResultCode::Overloaded,
+        std::clamp(call.LinkTime, MinimumObjectiveRetryAfter,
+                   std::max(remaining / calls::RetryAfterDivisor,
+                            MinimumObjectiveRetryAfter)));
   call.Patience = patienceOf(call, remaining);
   call.LatestStart = now + call.Patience;
   observeObjective(call, now);
@@ -143,6 +152,16 @@
       std::clamp(wait, MinimumRetryAfter, MaximumRetryAfter));
 }
 
+/// Returns whether the answer of a call that starts now would come too late for
+/// its objective, because the link has too much to send before it.
+bool TargetGate::isTooLateOnLink(const WaitingCall &call, Duration remaining) {
+  if (call.LinkTime <= Duration::zero() ||
+      call.LatencyObjective <= Duration::zero())
+    return false;
+  return call.Expected + call.LinkTime >
+         std::min(call.LatencyObjective, remaining);
+}
+
 /// Returns how long a call may wait so that it still meets its latency
 /// objective or, without one, its deadline.
 Duration TargetGate::patienceOf(const WaitingCall &call,
@@ -151,7 +170,8 @@
     return remaining - std::min(call.Expected, remaining / 2);
   if (call.IsNested)
     return nestedPatienceOf(call, remaining);
-  const auto useful = std::min(call.LatencyObjective, remaining);
+  const auto useful =
+      std::min(call.LatencyObjective, remaining) - call.LinkTime;
   const auto needed = std::min(call.Expected * NeededPercent / 100,
                                useful * MaximumNeededPercent / 100);
   return std::max((useful - needed) * PatiencePercent / 100,
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -34,11 +34,11 @@
 /// Events of trace entries; the text is the target. Configure: slots,
 /// connections, state, queue length, floors of standard and background.
 /// Arrive: ticket, rank, remaining microseconds, latency objective, 1 if
-/// nested; outcome: kind, code, retry-after. Ended: ticket, end, kind of
-/// refusal. Abandoned: ticket. Outcome of Ended and Tick: the number of
-/// answers, the sum of their tickets, the limit. Signalled: ticket, flags (see
-/// flagsOf()), the limit; outcome: 1 if it has changed. ProcessChanged: none.
-/// Reported: the limit.
+/// nested, time on the link; outcome: kind, code, retry-after. Ended: ticket,
+/// end, kind of refusal. Abandoned: ticket. Outcome of Ended and Tick: the
+/// number of answers, the sum of their tickets, the limit. Signalled: ticket,
+/// flags (see flagsOf()), the limit; outcome: 1 if it has changed.
+/// ProcessChanged: none. Reported: the limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
@@ -69,7 +69,8 @@
   /// deadline allows, whatever its own rank and objective.
   GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
                     uint64_t fingerprint, base::TimePoint now,
-                    base::Duration objective = {}, bool isNested = false);
+                    base::Duration objective = {}, bool isNested = false,
+                    base::Duration linkTime = {});
   /// Applies the rate limit stated on the answer to a running call; returns
   /// whether it has changed.
   bool signalled(Ticket call, const balance::TargetSignals &signals,
@@ -131,6 +132,8 @@
   void observeObjective(const WaitingCall &call, base::TimePoint now);
   base::Duration patienceOf(const WaitingCall &call,
                             base::Duration remaining) const;
+  static bool isTooLateOnLink(const WaitingCall &call,
+                              base::Duration remaining);
   static base::Duration nestedPatienceOf(const WaitingCall &call,
                                          base::Duration remaining);
   bool isUrgentCallWaiting(config::Rank rank) const;
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -43,7 +43,7 @@
   HttpCallProxy(const HttpCallProxy &) = delete;
   HttpCallProxy &operator=(const HttpCallProxy &) = delete;
 
-  bool listen(boost::asio::io_context &context,
+  bool listen(boost::asio::io_context &context, std::shared_ptr<LinkPacer> link,
               const base::Address &callsListen, const base::Address &meshListen,
               base::LastReason &reason);
 
@@ -76,12 +76,14 @@
 };
 
 bool HttpCallProxy::listen(boost::asio::io_context &context,
+                           std::shared_ptr<LinkPacer> link,
                            const base::Address &callsListen,
                            const base::Address &meshListen,
                            base::LastReason &reason) {
   ServerLimits limits;
   limits.Counters = Counters;
   limits.Side = "callers";
+  limits.Link = std::move(link);
   limits.AdvertisesIdleTimeout = true;
   auto callers = Server::create(
       context, callsListen, limits,
@@ -92,6 +94,7 @@
   if (!callers)
     return false;
   limits.Side = "mesh";
+  limits.WritesInTurns = true;
   limits.AdvertisesIdleTimeout = false;
   limits.HeaderBytes = MeshHeaderBytes;
   auto mesh = Server::create(
@@ -180,8 +183,10 @@
     return reason.fail(base::ResultCode::MissingKey,
                        "no mesh key is configured");
   auto *context = environment.Context;
+  auto link = environment.Link;
   auto proxy = std::make_shared<HttpCallProxy>(std::move(environment));
-  if (!proxy->listen(*context, callsListen, meshListen, reason))
+  if (!proxy->listen(*context, std::move(link), callsListen, meshListen,
+                     reason))
     return std::nullopt;
   return proxy;
 }
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -39,6 +39,7 @@
   std::vector<std::string> MeshKeys; ///< The first key signs, all keys verify.
   bool TrustsNetwork = false;        ///< Without keys, calls need no proof.
   calls::CallHeaders Headers;
+  std::shared_ptr<LinkPacer> Link; ///< Of this VM; null: nothing is paced.
   std::string
       LocalService; ///< Sent to targets as the caller's service; empty: none.
   std::string NodeId;
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -328,18 +328,47 @@
   }
 }
 
+/// Waits until the link is free for the next piece.
+asio::awaitable<void> Connection::awaitLink(size_t bytes) {
+  auto now = std::chrono::time_point_cast<base::Duration>(Clock::now());
+  auto wait = Link->reserve(bytes, base::TimePoint(now.time_since_epoch()));
+  if (wait <= base::Duration::zero())
+    co_return;
+  asio::steady_timer pause(Socket.get_executor(), wait);
+  error_code ec;
+  co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<bool> Connection::writeBytes() {
   error_code ec;
   BytesWritten = 0;
   if (Expired)
     co_return false;
+  // All but the last piece, each when the link is free for it.
+  while (Link && Output.size() - BytesWritten > LinkPacer::PieceBytes) {
+    co_await awaitLink(LinkPacer::PieceBytes);
+    if (Expired || !Socket.is_open())
+      co_return false;
+    BytesWritten += co_await asio::async_write(
+        Socket,
+        asio::buffer(Output.data() + BytesWritten, LinkPacer::PieceBytes),
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+      break;
+  }
+  if (Link && !ec)
+    Link->reserve(Output.size() - BytesWritten,
+                  base::TimePoint(
+                      std::chrono::time_point_cast<base::Duration>(Clock::now())
+                          .time_since_epoch()));
   // Between two chunks no operation is pending that the deadline could cancel.
   auto chunkBytes = [this](const error_code &error, size_t) {
     return error || Expired ? 0 : WriteChunkBytes;
   };
-  BytesWritten =
-      co_await asio::async_write(Socket, asio::buffer(Output), chunkBytes,
-                                 asio::redirect_error(asio::use_awaitable, ec));
+  if (!ec)
+    BytesWritten += co_await asio::async_write(
+        Socket, asio::buffer(Output) + BytesWritten, chunkBytes,
+        asio::redirect_error(asio::use_awaitable, ec));
   noteWriteError(ec);
   bool isComplete = BytesWritten == Output.size();
   if (Output.capacity() > MaxIdleOutputBytes)
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
+#include <LibHttp/LinkPacer.h>
 #include <LibHttp/Message.h>
 #include <LibHttp/RefusalHistory.h>
 
@@ -131,7 +132,11 @@
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
+  /// Paces what is written to a link; null: nothing is paced.
+  void setLink(std::shared_ptr<LinkPacer> link) { Link = std::move(link); }
+
 private:
+  boost::asio::awaitable<void> awaitLink(size_t bytes);
   using Clock = std::chrono::steady_clock;
   static constexpr Clock::time_point NoDeadline = Clock::time_point::max();
 
@@ -154,6 +159,7 @@
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
+  std::shared_ptr<LinkPacer> Link;
   std::string Output;
   RefusalHistory Refusals;
   size_t BytesWritten = 0;
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -6,6 +6,7 @@
 #include <LibHttp/GateLog.h>
 #include <LibHttp/ResponseFields.h>
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -45,6 +46,22 @@
   return before == 0 || serviceName[before - 1] == '/';
 }
 
+/// An answer that the link will have to carry once the target has made it.
+class ExpectedAnswer {
+public:
+  ExpectedAnswer(std::shared_ptr<LinkPacer> link, size_t bytes)
+      : Link(std::move(link)), Bytes(bytes) {
+    Link->expect(Bytes);
+  }
+  ~ExpectedAnswer() { Link->unexpect(Bytes); }
+  ExpectedAnswer(const ExpectedAnswer &) = delete;
+  ExpectedAnswer &operator=(const ExpectedAnswer &) = delete;
+
+private:
+  std::shared_ptr<LinkPacer> Link;
+  size_t Bytes;
+};
+
 } // namespace
 
 GateRunner::GateRunner(CallProxyEnvironment &environment, ConnectionPool &pool,
@@ -62,6 +79,10 @@
               outcome);
   outcome.Result.PressurePermille =
       Environment.Gate->pressurePermille(call.TargetId);
+  if (Environment.Link)
+    outcome.Result.PressurePermille =
+        std::max(outcome.Result.PressurePermille,
+                 Environment.Link->pressurePermille(Environment.Time->now()));
   auto it = ActiveCalls.find(call.CallId);
   if (it != ActiveCalls.end()) {
     outcome.Result.DownstreamFailed = it->second.DownstreamFailed;
@@ -86,6 +107,9 @@
       fieldOf(request, Environment.Headers.CallerService), call.ServiceName);
   // Without mesh keys no hops are counted.
   arrival.IsNested = call.Hops > 0;
+  size_t expectedBytes = Environment.Link ? Sizes.expected(kindOf(call)) : 0;
+  if (expectedBytes > 0)
+    arrival.LinkTime = Environment.Link->timeUntilSent(expectedBytes, now);
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
   admission::Ticket ticket = decision.Call;
   admission::GateView loadOnArrival = decision.Found;
@@ -97,6 +121,9 @@
   bool hasRun = decision.What == GateAnswer::Kind::Run;
   GateOutcome outcome;
   // g++ 12 miscompiles co_await inside a conditional expression.
+  std::optional<ExpectedAnswer> expected;
+  if (hasRun && expectedBytes > 0)
+    expected.emplace(Environment.Link, expectedBytes);
   if (hasRun)
     outcome = co_await runAtTarget(call, *target, request, now + call.Remaining,
                                    watch);
@@ -110,6 +137,9 @@
   if (!hasRun)
     co_return outcome;
   outcome.Ran = Environment.Time->now() - turn;
+  expected.reset();
+  if (outcome.Result.End == AttemptEnd::Answered)
+    Sizes.observed(kindOf(call), outcome.HttpResponse.body().size());
   applySignals(call, request, *target, ticket, outcome);
   if (outcome.Result.Code == base::ResultCode::TargetRefused) {
     const auto load =
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/AnswerSizes.h>
 #include <LibHttp/CallMetrics.h>
 #include <LibHttp/CallProxy.h>
 #include <LibHttp/Exchange.h>
@@ -54,6 +55,9 @@
   void noteFailureBelow(const std::string &callId);
 
 private:
+  AnswerSizes::Kind kindOf(const MeshCall &call) const {
+    return {call.CallRank, call.LatencyObjective};
+  }
   /// A call that has arrived at the gate and not ended.
   struct ActiveCall {
     base::TimePoint Deadline{};
@@ -87,6 +91,7 @@
   std::unordered_map<admission::Ticket, QueuedCall *> Queue;
   std::unordered_map<std::string, ActiveCall> ActiveCalls;
   std::optional<base::TimePoint> ShutdownTime; ///< Set when the node drains.
+  AnswerSizes Sizes;
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -32,6 +32,8 @@
       : Acceptor(context) {
     Limits = limits;
     Handle = std::move(handler);
+    if (limits.WritesInTurns && limits.Link)
+      Turns = std::make_shared<WriteTurns>(context.get_executor(), limits.Link);
   }
 
   bool listen(const base::Address &address, base::LastReason &reason);
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -4,6 +4,7 @@
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibBase/Metrics.h>
+#include <LibHttp/LinkPacer.h>
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,6 +32,11 @@
   size_t Connections = 4096;
   /// Whether responses announce the idle timeout (Keep-Alive field).
   bool AdvertisesIdleTimeout = false;
+  /// Paces the responses to this VM's link; null: they are not paced.
+  std::shared_ptr<LinkPacer> Link = nullptr;
+  /// Whether large responses are written in turns, if there is a pacer; see
+  /// WriteTurns.
+  bool WritesInTurns = false;
   /// Name of the listener in log lines.
   std::string_view Side = "other";
   /// If set, refused requests are counted as bad_requests_total{reason} and
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -47,7 +47,9 @@
       Client(std::make_shared<Connection>(std::move(socket))),
       Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
-                   asio::steady_timer::time_point::max()) {}
+                   asio::steady_timer::time_point::max()) {
+  Client->setLink(Shared->Limits.Link);
+}
 
 asio::awaitable<void> Session::run() {
   bool isReading = true;
@@ -199,8 +201,12 @@
       advertiseIdleTimeout(response);
     // Input from here on follows a response that closes the connection.
     Closing = Closing || !keepsAlive;
+    WriteTurns::Turn turn;
+    if (Shared->Turns)
+      turn = co_await Shared->Turns->take(response.body().size());
     Client->expireAfter(Shared->Limits.ResponseTimeout);
     bool isWritten = co_await Client->write(response);
+    turn = nullptr;
     Requests.pop_front();
     EndRecord.Answered += isWritten ? 1 : 0;
     if (!isWritten)
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -3,6 +3,7 @@
 #include <LibHttp/Connection.h>
 #include <LibHttp/ConnectionEndLog.h>
 #include <LibHttp/Server.h>
+#include <LibHttp/WriteTurns.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -22,6 +23,7 @@
   bool Draining = false;
   bool ClosesAfterResponses = false;
   ConnectionEndLog Ends;
+  std::shared_ptr<WriteTurns> Turns; ///< Null: all are written at once.
   std::unordered_set<Session *> Sessions;
 };
 
--- /dev/null
+++ b/Libraries/LibHttp/WriteTurns.cpp
@@ -0,0 +1,71 @@
+#include <LibHttp/WriteTurns.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace radishcross::http {
+
+namespace asio = boost::asio;
+
+/// Ends a turn once: with its owner or with its timer.
+class WriteTurns::Holder {
+public:
+  Holder(std::shared_ptr<WriteTurns> turns, asio::any_io_executor executor)
+      : Turns(std::move(turns)), Limit(executor, MaximumHold) {}
+  ~Holder() { end(); }
+  Holder(const Holder &) = delete;
+  Holder &operator=(const Holder &) = delete;
+
+  /// Ends the turn of \p holder after MaximumHold if it still has it.
+  static void limit(const std::shared_ptr<Holder> &holder) {
+    holder->Limit.async_wait(
+        [weak = std::weak_ptr(holder)](boost::system::error_code ec) {
+          auto held = weak.lock();
+          if (!ec && held)
+            held->end();
+        });
+  }
+
+private:
+  void end() {
+    if (auto turns = std::exchange(Turns, nullptr))
+      turns->release();
+  }
+
+  std::shared_ptr<WriteTurns> Turns;
+  asio::steady_timer Limit;
+};
+
+asio::awaitable<WriteTurns::Turn> WriteTurns::take(size_t bytes) {
+  if (bytes <= LargeBytes)
+    co_return nullptr;
+  auto self = shared_from_this();
+  if (Taken >= MaximumTurns) {
+    auto wake = std::make_shared<asio::steady_timer>(
+        Executor, asio::steady_timer::time_point::max());
+    Waiting.push_back(wake);
+    Link->queued(bytes);
+    boost::system::error_code ec;
+    co_await wake->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    Link->dequeued(bytes);
+  } else {
+    ++Taken;
+  }
+  auto holder = std::make_shared<Holder>(self, Executor);
+  Holder::limit(holder);
+  co_return holder;
+}
+
+/// Passes the turn on to the writer that has waited longest.
+void WriteTurns::release() {
+  if (Waiting.empty()) {
+    --Taken;
+    return;
+  }
+  auto next = std::move(Waiting.front());
+  Waiting.pop_front();
+  next->cancel();
+}
+
+} // namespace radishcross::http
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -215,6 +215,9 @@
   environment.LocalService = Settings.Service;
   environment.NodeId = Self.Id;
   environment.DataCentre = Self.DataCentre;
+  if (Settings.LinkBytesPerSecond > 0)
+    environment.Link =
+        std::make_shared<http::LinkPacer>(Settings.LinkBytesPerSecond);
   auto proxy = http::CallProxy::create(std::move(environment), Settings.Calls,
                                        Settings.Mesh, reason);
   if (!proxy)
--- a/Tests/LibAdmission/TestObjectives.cpp
+++ b/Tests/LibAdmission/TestObjectives.cpp
@@ -123,3 +123,18 @@
   }
   CHECK(it.Gate.limit() == 2);
 }
+
+TEST_CASE(
+    "a call whose answer the link cannot send in time is refused at once") {
+  ObjectiveFixture it(6);
+  it.measure(Rank::Background, 500ms, 60ms);
+  auto arrive = [&it](base::Duration linkTime) {
+    return it.Gate.arrive(++it.Last, Rank::Background, 2s, 0, at(1s), 500ms,
+                          false, linkTime);
+  };
+  CHECK(arrive(300ms).What == Kind::Run);
+  const auto refused = arrive(450ms);
+  CHECK(refused.What == Kind::Refuse);
+  CHECK(refused.Code == ResultCode::Overloaded);
+  CHECK(refused.RetryAfter == 450ms);
+}
