--- /dev/null
+++ b/Tests/LibTenants/TestAllotmentHolder.cpp
@@ -0,0 +1,154 @@
+#include <LibTenants/AllotmentHolder.h>
+#include <LibTenants/AllotmentKeeper.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace radishcross;
+using namespace radishcross::tenants;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A holder with one tenant "t" and two nodes that it may ask.
+struct AskingHolder {
+  AskingHolder() {
+    Holder.configure({{"t", 100, 100}});
+    Holder.setMembers({{"a", true}, {"b", true}, {"c", false}}, Now);
+    Now += AllotmentSettings{}.JoinTime;
+  }
+  /// Advances the clock and returns the last ask that is due.
+  std::optional<AllotmentSend> poll(base::Duration wait) {
+    Now += wait;
+    auto sends = Holder.poll(Now);
+    if (sends.empty())
+      return std::nullopt;
+    return sends.back();
+  }
+  void answer(const AllotmentSend &ask, uint32_t count) {
+    AllotmentMessage out;
+    out.IsAnswer = true;
+    out.Group = ask.Message.Group;
+    out.Session = ask.Message.Session;
+    out.Sequence = ask.Message.Sequence;
+    out.Stamp = ++Stamp;
+    for (const auto &it : ask.Message.Needs)
+      out.Grants.push_back({it.Tenant, 0, count});
+    Holder.handle(ask.To, out, Now);
+  }
+
+  AllotmentHolder Holder{AllotmentSettings{}, 1};
+  base::TimePoint Now{50s};
+  uint64_t Stamp = 1;
+};
+
+} // namespace
+
+TEST_CASE("a node lends nothing before it has a stamp") {
+  AskingHolder it;
+  auto first = it.poll(0ms);
+  REQUIRE(first);
+  CHECK(first->Message.ShareOf == 0);
+  it.answer(*first, 0);
+  auto second = it.poll(20ms);
+  REQUIRE(second);
+  CHECK(second->To == first->To);
+  CHECK(second->Message.Stamp != 0);
+  // The third node isn't alive and was not seen alive.
+  CHECK(second->Message.ShareOf == 2);
+}
+
+TEST_CASE("tokens lapse a lease after the ask, however late the node looks") {
+  AskingHolder it;
+  CHECK_FALSE(it.Holder.take("t", it.Now).IsGranted);
+  auto ask = it.poll(0ms);
+  REQUIRE(ask);
+  it.Now += 100ms;
+  it.answer(*ask, 5);
+  CHECK(it.Holder.take("t", it.Now + 800ms).IsGranted);
+  SUBCASE("in stock") {
+    CHECK_FALSE(it.Holder.take("t", it.Now + 900ms).IsGranted);
+  }
+  SUBCASE("an answer that came too late") {
+    ask = it.poll(150ms);
+    REQUIRE(ask);
+    it.Now += 1s;
+    it.answer(*ask, 5);
+    CHECK_FALSE(it.Holder.take("t", it.Now).IsGranted);
+  }
+}
+
+TEST_CASE("an answer to an earlier ask grants nothing") {
+  AskingHolder it;
+  it.Holder.take("t", it.Now);
+  auto first = it.poll(0ms);
+  REQUIRE(first);
+  auto second = it.poll(150ms);
+  REQUIRE(second);
+  it.answer(*first, 5);
+  CHECK_FALSE(it.Holder.take("t", it.Now).IsGranted);
+  it.answer(*second, 5);
+  CHECK(it.Holder.take("t", it.Now).IsGranted);
+}
+
+TEST_CASE("a node lends its share to another keeper only once the first share "
+          "has lapsed, and takes no tokens along") {
+  AskingHolder it;
+  auto ask = it.poll(0ms);
+  REQUIRE(ask);
+  const auto first = ask->To;
+  it.Holder.take("t", it.Now);
+  it.answer(*ask, 0);
+  // What the next ask lends lapses a lease after this stamp.
+  const auto stamped = it.Now;
+  ask = it.poll(20ms);
+  REQUIRE(ask);
+  REQUIRE(ask->Message.ShareOf != 0);
+  it.answer(*ask, 50);
+  bool isGoneFromView = false;
+  SUBCASE("gone from the view") { isGoneFromView = true; }
+  SUBCASE("silent") {}
+  if (isGoneFromView)
+    it.Holder.setMembers({{"a", first != "a"}, {"b", first != "b"}}, it.Now);
+  while (it.Now - stamped <= AllotmentSettings{}.Lease) {
+    ask = it.poll(10ms);
+    if (!ask || it.Now - stamped > AllotmentSettings{}.Lease)
+      continue;
+    CHECK(ask->To == first);
+  }
+  ask = it.poll(150ms);
+  for (int n = 0; n < 20 && (!ask || ask->To == first); ++n)
+    ask = it.poll(10ms);
+  CHECK(it.Holder.keeper(allotmentGroupOf("t")) != first);
+  CHECK_FALSE(it.Holder.take("t", it.Now).IsGranted);
+}
+
+TEST_CASE("a refused tenant gets a later time for each request") {
+  AskingHolder it;
+  auto last = it.Holder.take("t", it.Now).RetryAfter;
+  for (int n = 0; n < 5; ++n) {
+    auto next = it.Holder.take("t", it.Now).RetryAfter;
+    CHECK(next > last);
+    last = next;
+  }
+}
+
+TEST_CASE("needs of many tenants are split so that each ask fits a datagram") {
+  AllotmentHolder holder({}, 1);
+  std::vector<TenantLimit> limits;
+  for (int n = 0; n < 400; ++n)
+    limits.push_back(
+        {"a-tenant-with-a-long-name-" + std::to_string(n), 10, 10});
+  holder.configure(limits);
+  base::TimePoint now{50s};
+  holder.setMembers({{"a", true}}, now);
+  for (const auto &it : limits)
+    holder.take(it.Name, now);
+  size_t needs = 0;
+  for (const auto &it : holder.poll(now)) {
+    CHECK(it.Message.Needs.size() < 25);
+    needs += it.Message.Needs.size();
+  }
+  CHECK(needs == limits.size());
+}
