--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -298,13 +298,11 @@
         found->second.AskedSequence != answer.Sequence)
       continue;
     auto &pocket = found->second;
-    // An answer that comes late is of tokens that the keeper takes for lapsed.
-    if (now - it.LastAsk >= Settings.Lease)
-      continue;
     uint64_t held = uint64_t{grant.Kept} + grant.Granted;
     uint64_t since =
         pocket.Used > pocket.UsedAtAsk ? pocket.Used - pocket.UsedAtAsk : 0;
     pocket.Stock = static_cast<uint32_t>(held > since ? held - since : 0);
+    // Of the ask: the keeper counts from the answer, which is later.
     pocket.Until = it.LastAsk + Settings.Lease;
     pocket.IsScarce = grant.Granted < pocket.Wanted;
     it.IsScarce = it.IsScarce || pocket.IsScarce;
