--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -224,6 +224,13 @@
   to.Slack = from.at("slack").to_number<int64_t>();
 }
 
+void readAllotments(const json::object &from, tenants::AllotmentSettings &to) {
+  to.Window =
+      std::chrono::seconds(from.at("window_seconds").to_number<int64_t>());
+  to.Overshoot = from.at("overshoot").to_number<double>();
+  to.Slack = from.at("slack").to_number<uint32_t>();
+}
+
 } // namespace
 
 std::string_view nodeSettingsSchemaText() { return embedded::NodeSettingsText; }
@@ -270,6 +277,8 @@
     readCallHeaders(headers->as_object(), settings.CallHeaders);
   if (const auto *budget = root.if_contains("retry_budget"))
     readRetryBudget(budget->as_object(), settings.Retries);
+  if (const auto *allotments = root.if_contains("allotments"))
+    readAllotments(allotments->as_object(), settings.Allotments);
   if (const auto *comparison = root.if_contains("comparison"))
     readComparison(comparison->as_object(), settings.Compared);
   if (const auto *n = root.if_contains("target_lease_ms"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -9,6 +9,7 @@
 #include <LibCalls/CallHeaders.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibConfig/Labels.h>
+#include <LibTenants/AllotmentSettings.h>
 
 #include <boost/json/value.hpp>
 #include <chrono>
@@ -72,6 +73,7 @@
   std::string Service; ///< Of this VM's target; targets see it as caller.
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
+  tenants::AllotmentSettings Allotments;
   balance::FeatureToggles Compared;
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -38,6 +38,7 @@
     live<&Settings::TargetLease>("target_lease_ms"),
     live<&Settings::Service>("service"),
     live<&Settings::TargetAddress>("target_address"),
+    restartOnly<&Settings::Allotments>("allotments"),
     restartOnly<&Settings::Compared>("comparison"),
     live<&Settings::SeedHosts>("seed_hosts"),
     restartOnly<&Settings::Node>("node"),
--- /dev/null
+++ b/Libraries/LibNode/NodeAllotments.cpp
@@ -0,0 +1,106 @@
+#include <LibNode/NodeAllotments.h>
+
+#include <LibBase/Logger.h>
+#include <LibFleet/MemberTable.h>
+
+#include <boost/asio/post.hpp>
+#include <string>
+#include <utility>
+
+namespace radishcross::node {
+
+std::vector<tenants::TenantLimit> limitsOf(const config::Snapshot &snapshot) {
+  std::vector<tenants::TenantLimit> out;
+  for (const auto &version : snapshot.versions())
+    for (const auto &it : version.Content->Tenants)
+      if (it.RatePerSecond > 0)
+        out.push_back({it.Name, it.RatePerSecond, it.Burst});
+  return out;
+}
+
+NodeAllotments::NodeAllotments(boost::asio::io_context &context,
+                               const base::Clock &elapsed, fleet::NodeId self,
+                               const tenants::AllotmentSettings &settings,
+                               uint64_t firstSession, Sender sender)
+    : Context(&context), Elapsed(&elapsed),
+      Own(std::move(self), settings, firstSession), Send(std::move(sender)) {}
+
+tenants::AllotmentVerdict NodeAllotments::take(std::string_view tenant,
+                                               base::TimePoint) {
+  auto verdict = Own.take(tenant, Elapsed->now());
+  if (Own.isUrgent() && !std::exchange(IsSendPosted, true))
+    boost::asio::post(*Context,
+                      [this, weak = std::weak_ptr<bool>(LifetimeToken)] {
+                        if (weak.expired())
+                          return;
+                        IsSendPosted = false;
+                        sendDue();
+                      });
+  return verdict;
+}
+
+void NodeAllotments::giveBack(std::string_view tenant, base::TimePoint) {
+  Own.giveBack(tenant, Elapsed->now());
+}
+
+void NodeAllotments::snapshotChanged(const config::Snapshot &snapshot) {
+  auto limits = limitsOf(snapshot);
+  if (limits.size() != std::exchange(LimitedTenants, limits.size()))
+    base::log(base::LogLevel::Info, "allotments in force",
+              {{"tenants", std::to_string(limits.size())}});
+  Own.configure(limits, Elapsed->now());
+}
+
+void NodeAllotments::membersChanged(const std::vector<fleet::Member> &members) {
+  std::vector<tenants::AllotmentMember> out;
+  for (const auto &it : members)
+    if (it.State != fleet::MemberState::Left)
+      out.push_back({it.Identity.Id, isLive(it), it.IsRecovered});
+  Own.setMembers(out, Elapsed->now());
+}
+
+std::optional<tenants::AllotmentSend>
+NodeAllotments::receive(const fleet::NodeId &from,
+                        const tenants::AllotmentMessage &message) {
+  return Own.handle(from, message, Elapsed->now());
+}
+
+void NodeAllotments::tick() {
+  sendDue();
+  logKeepers();
+}
+
+void NodeAllotments::sendDue() {
+  for (auto &it : Own.poll(Elapsed->now()))
+    Send(std::move(it));
+}
+
+void NodeAllotments::logKeepers() {
+  for (uint32_t group = 0; group < tenants::AllotmentGroups; ++group) {
+    const auto &keeper = Own.holder().keeper(group);
+    if (keeper == LoggedKeepers[group])
+      continue;
+    base::log(base::LogLevel::Info, "allotment keeper chosen",
+              {{"group", std::to_string(group)},
+               {"keeper", keeper},
+               {"before", LoggedKeepers[group]}});
+    LoggedKeepers[group] = keeper;
+  }
+}
+
+void NodeAllotments::setGauges(base::Metrics &metrics) const {
+  const auto &counts = Own.holder().counts();
+  const auto set = [&](std::string_view name, uint64_t value) {
+    metrics.setGauge(name, static_cast<double>(value));
+  };
+  set("allotment_tenants", LimitedTenants);
+  set("allotment_granted", counts.Granted);
+  set("allotment_refused", counts.Refused);
+  set("allotment_asks", counts.Asks);
+  set("allotment_keeper_changes", counts.KeeperChanges);
+  for (uint32_t group = 0; group < tenants::AllotmentGroups; ++group)
+    metrics.setGauge("allotment_share{group=\"" + std::to_string(group) + "\"}",
+                     Own.keeper().share(group));
+}
+
+} // namespace radishcross::node
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -48,6 +48,7 @@
   versionMetrics();
   callMetrics();
   storeMetrics();
+  Shares.setGauges(Counters);
   return Counters;
 }
 
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -106,6 +106,11 @@
                    settings.Compared},
                   CrashQuarantine, Decisions),
       CallsGate(CrashQuarantine, Decisions), Usage(CallsBroker),
+      Shares(context, Elapsed, Self.Id, settings.Allotments,
+             static_cast<uint64_t>(unixMilliseconds()),
+             [this](tenants::AllotmentSend it) {
+               Fleet->sendAllotment(std::move(it));
+             }),
       Held(Self.Id, Self.NodeLabels), Changes(Platform, Time,
                                               [this] {
                                                 if (Fleet)
@@ -172,6 +177,11 @@
         [this](peer::ExternalRecord it, const fleet::NodeId &peer) {
           Link.acceptCompressed(std::move(it.Packed), peer);
         }};
+  environment.AllotmentReceived =
+      [this](const fleet::NodeId &from,
+             const tenants::AllotmentMessage &message) {
+        return Shares.receive(from, message);
+      };
   environment.HasSeedHosts = !Settings.SeedHosts.empty();
   environment.Freshness.Bound = Settings.InForceBound;
   environment.MinimumLinkBytesPerSecond = Settings.LeastLinkBytesPerSecond;
@@ -220,6 +230,7 @@
   if (!proxy)
     return false;
   Proxy = std::move(*proxy);
+  Proxy->setAllotments(&Shares);
   return listen(
              AdministrationServer, Settings.Administration,
              [this](http::IncomingRequest request) {
@@ -328,6 +339,7 @@
   }
   ActiveSnapshot = std::move(*next);
   CallsGate.limitsChanged(ActiveSnapshot);
+  Shares.snapshotChanged(*ActiveSnapshot);
   for (const auto &held : ActiveSnapshot->versions()) {
     auto &since = HeldSince[held.Configuration];
     if (since.Version == held.Version)
@@ -353,6 +365,7 @@
 void NodeProcess::membersChanged() {
   MembersDirty = false;
   CallsBroker.membersChanged(Fleet->members(), Time.now());
+  Shares.membersChanged(Fleet->members());
 }
 
 void NodeProcess::targetsChanged() {
@@ -392,6 +405,7 @@
     membersChanged();
   CallsBroker.tick(Time.now());
   Proxy->tick();
+  Shares.tick();
   Changes.tick();
   base::flushLog();
   drainTick();
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -19,6 +19,7 @@
 #include <LibNode/DepartureKeeper.h>
 #include <LibNode/DrainPlan.h>
 #include <LibNode/HeldVersionStore.h>
+#include <LibNode/NodeAllotments.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNotices.h>
 #include <LibNode/TargetListener.h>
@@ -123,6 +124,7 @@
   calls::Broker CallsBroker;
   admission::NodeGate CallsGate;
   UsageMeter Usage;
+  NodeAllotments Shares;
   log::HeldVersions Held;
   ChangeSubmitter Changes;
   TargetListener Announcements;
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -195,6 +195,8 @@
     return countDropped("own");
   if (!Replays.accept(datagram->Sender, datagram->Epoch, datagram->Sequence))
     return countDropped("replayed");
+  if (datagram->Allotment)
+    return handleAllotment(*datagram, from);
   run(Members.handleDatagram({datagram->Sender, from}, datagram->Message,
                              Environment.Time->now()));
   checkFoldHash(datagram->Sender, datagram->Message.Summary);
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -59,6 +59,7 @@
   }
   void broadcastNotice(std::string topic, std::string text,
                        base::Duration lifetime) override;
+  void sendAllotment(tenants::AllotmentSend send) override;
   void setExternalVersion(uint64_t version) override;
   void noteExternalRead(const fleet::RecordReading &reading) override;
   std::optional<base::Duration> externalAge() const override {
@@ -73,6 +74,9 @@
   void armTimer();
   void tick();
   void handleDatagram(std::string_view bytes, const base::Address &from);
+  void handleAllotment(const Datagram &datagram, const base::Address &from);
+  void sendAllotment(tenants::AllotmentMessage message,
+                     const base::Address &to);
   void countDropped(std::string_view reason);
   void send(std::vector<fleet::GossipSend> sends);
   void run(fleet::MembershipActions actions);
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -9,6 +9,7 @@
 #include <LibFleet/VersionCatchUp.h>
 #include <LibLog/Fold.h>
 #include <LibLog/PlatformClient.h>
+#include <LibTenants/AllotmentMessage.h>
 #include <LibTrace/Recorder.h>
 
 #include <boost/asio/io_context.hpp>
@@ -83,6 +84,10 @@
   std::function<void()> MembersChanged;
   std::function<void(std::string_view topic, std::string_view text)>
       NoticeReceived;
+  /// Called with a message about allotments; returns the answer, if any.
+  std::function<std::optional<tenants::AllotmentSend>(
+      const fleet::NodeId &from, const tenants::AllotmentMessage &message)>
+      AllotmentReceived;
 };
 
 /// Performs the I/O of LibFleet: datagrams, pulls, reads of the log and timers.
@@ -129,6 +134,10 @@
   virtual void broadcastNotice(std::string topic, std::string text,
                                base::Duration lifetime) = 0;
 
+  /// Sends a message about allotments to a node. It is dropped if the node is
+  /// not known, and may be lost.
+  virtual void sendAllotment(tenants::AllotmentSend send) = 0;
+
   /// Announces to the peers that a version of the external configuration is in
   /// force here.
   virtual void setExternalVersion(uint64_t version) = 0;
--- a/Libraries/LibPeer/GossipCodec.cpp
+++ b/Libraries/LibPeer/GossipCodec.cpp
@@ -48,6 +48,63 @@
   return true;
 }
 
+void writeAllotment(wire::Allotment::Builder to,
+                    const tenants::AllotmentMessage &from) {
+  to.setIsAnswer(from.IsAnswer);
+  to.setGroup(from.Group);
+  to.setSession(from.Session);
+  to.setSequence(from.Sequence);
+  to.setStamp(from.Stamp);
+  to.setShareOf(from.ShareOf);
+  uint32_t n = 0;
+  if (!from.Needs.empty()) {
+    auto needs = to.initNeeds(from.Needs.size());
+    for (const auto &it : from.Needs) {
+      auto need = needs[n++];
+      need.setTenant(it.Tenant);
+      need.setUsed(it.Used);
+      need.setStock(it.Stock);
+      need.setWant(it.Want);
+    }
+  }
+  n = 0;
+  if (from.Grants.empty())
+    return;
+  auto grants = to.initGrants(from.Grants.size());
+  for (const auto &it : from.Grants) {
+    auto grant = grants[n++];
+    grant.setTenant(it.Tenant);
+    grant.setKept(it.Kept);
+    grant.setGranted(it.Granted);
+  }
+}
+
+bool readAllotment(wire::Allotment::Reader from,
+                   tenants::AllotmentMessage &to) {
+  to.IsAnswer = from.getIsAnswer();
+  to.Group = from.getGroup();
+  to.Session = from.getSession();
+  to.Sequence = from.getSequence();
+  to.Stamp = from.getStamp();
+  to.ShareOf = from.getShareOf();
+  for (auto it : from.getNeeds()) {
+    auto &need = to.Needs.emplace_back();
+    if (!readText(it.getTenant(), MaximumDatagramBytes, need.Tenant))
+      return false;
+    need.Used = it.getUsed();
+    need.Stock = it.getStock();
+    need.Want = it.getWant();
+  }
+  for (auto it : from.getGrants()) {
+    auto &grant = to.Grants.emplace_back();
+    if (!readText(it.getTenant(), MaximumDatagramBytes, grant.Tenant))
+      return false;
+    grant.Kept = it.getKept();
+    grant.Granted = it.getGranted();
+  }
+  return true;
+}
+
 bool readDatagram(wire::Datagram::Reader reader, Datagram &datagram) {
   auto &message = datagram.Message;
   if (reader.getKind() > static_cast<uint8_t>(fleet::GossipKind::Join) ||
@@ -56,6 +113,8 @@
     return false;
   datagram.Epoch = reader.getEpoch();
   datagram.Sequence = reader.getSequence();
+  if (reader.hasAllotment())
+    return readAllotment(reader.getAllotment(), datagram.Allotment.emplace());
   message.Kind = static_cast<fleet::GossipKind>(reader.getKind());
   message.Probe = reader.getProbe();
   message.Summary = readDigest(reader.getSummary());
@@ -73,6 +132,10 @@
   builder.setSender(datagram.Sender);
   builder.setEpoch(datagram.Epoch);
   builder.setSequence(datagram.Sequence);
+  if (datagram.Allotment) {
+    writeAllotment(builder.initAllotment(), *datagram.Allotment);
+    return packMessage(arena);
+  }
   builder.setKind(static_cast<uint8_t>(message.Kind));
   builder.setProbe(message.Probe);
   if (!message.Subject.empty())
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -77,6 +77,30 @@
   externalAge @6 :UInt32;
 }
 
+struct AllotmentNeed {
+  tenant @0 :Text;
+  used @1 :UInt64;
+  stock @2 :UInt32;
+  want @3 :UInt32;
+}
+
+struct AllotmentGrant {
+  tenant @0 :Text;
+  kept @1 :UInt32;
+  granted @2 :UInt32;
+}
+
+struct Allotment {
+  isAnswer @0 :Bool;
+  group @1 :UInt32;
+  session @2 :UInt64;
+  sequence @3 :UInt64;
+  stamp @4 :UInt64;
+  shareOf @5 :UInt32;
+  needs @6 :List(AllotmentNeed);
+  grants @7 :List(AllotmentGrant);
+}
+
 struct Datagram {
   sender @0 :Text;
   epoch @1 :UInt64;
@@ -87,6 +111,7 @@
   summary @6 :Digest;
   updates @7 :List(Member);
   notices @8 :List(Notice);
+  allotment @9 :Allotment;
 }
 
 struct Record {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -25,6 +25,9 @@
 CAPNP_DECLARE_SCHEMA(e420f8afdde2b9ba);
 CAPNP_DECLARE_SCHEMA(a1308b5bec05e0a0);
 CAPNP_DECLARE_SCHEMA(f0f9d86e8880fddc);
+CAPNP_DECLARE_SCHEMA(f733c26987b2aa2f);
+CAPNP_DECLARE_SCHEMA(f199cff48f217f89);
+CAPNP_DECLARE_SCHEMA(88ac07d709afbb9a);
 CAPNP_DECLARE_SCHEMA(a69e6e420be70692);
 CAPNP_DECLARE_SCHEMA(8789a87b8a938476);
 CAPNP_DECLARE_SCHEMA(e35402dbe1f4d41a);
@@ -172,6 +175,51 @@
   };
 };
 
+struct AllotmentNeed {
+  AllotmentNeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f733c26987b2aa2f, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AllotmentGrant {
+  AllotmentGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f199cff48f217f89, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Allotment {
+  Allotment() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88ac07d709afbb9a, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Datagram {
   Datagram() = delete;
 
@@ -180,7 +228,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a69e6e420be70692, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a69e6e420be70692, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1224,6 +1272,314 @@
 };
 #endif  // !CAPNP_LITE
 
+class AllotmentNeed::Reader {
+public:
+  typedef AllotmentNeed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline  ::uint64_t getUsed() const;
+
+  inline  ::uint32_t getStock() const;
+
+  inline  ::uint32_t getWant() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AllotmentNeed::Builder {
+public:
+  typedef AllotmentNeed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline  ::uint64_t getUsed();
+  inline void setUsed( ::uint64_t value);
+
+  inline  ::uint32_t getStock();
+  inline void setStock( ::uint32_t value);
+
+  inline  ::uint32_t getWant();
+  inline void setWant( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentNeed::Pipeline {
+public:
+  typedef AllotmentNeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class AllotmentGrant::Reader {
+public:
+  typedef AllotmentGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant() const;
+  inline  ::capnp::Text::Reader getTenant() const;
+
+  inline  ::uint32_t getKept() const;
+
+  inline  ::uint32_t getGranted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class AllotmentGrant::Builder {
+public:
+  typedef AllotmentGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTenant();
+  inline  ::capnp::Text::Builder getTenant();
+  inline void setTenant( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTenant(unsigned int size);
+  inline void adoptTenant(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTenant();
+
+  inline  ::uint32_t getKept();
+  inline void setKept( ::uint32_t value);
+
+  inline  ::uint32_t getGranted();
+  inline void setGranted( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class AllotmentGrant::Pipeline {
+public:
+  typedef AllotmentGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Allotment::Reader {
+public:
+  typedef Allotment Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsAnswer() const;
+
+  inline  ::uint32_t getGroup() const;
+
+  inline  ::uint64_t getSession() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getStamp() const;
+
+  inline  ::uint32_t getShareOf() const;
+
+  inline bool hasNeeds() const;
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader getNeeds() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Allotment::Builder {
+public:
+  typedef Allotment Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsAnswer();
+  inline void setIsAnswer(bool value);
+
+  inline  ::uint32_t getGroup();
+  inline void setGroup( ::uint32_t value);
+
+  inline  ::uint64_t getSession();
+  inline void setSession( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
+  inline  ::uint32_t getShareOf();
+  inline void setShareOf( ::uint32_t value);
+
+  inline bool hasNeeds();
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder getNeeds();
+  inline void setNeeds( ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder initNeeds(unsigned int size);
+  inline void adoptNeeds(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> disownNeeds();
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> disownGrants();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Allotment::Pipeline {
+public:
+  typedef Allotment Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Datagram::Reader {
 public:
   typedef Datagram Reads;
@@ -1264,6 +1620,9 @@
   inline bool hasNotices() const;
   inline  ::capnp::List< ::radishcross::peer::wire::Notice,  ::capnp::Kind::STRUCT>::Reader getNotices() const;
 
+  inline bool hasAllotment() const;
+  inline  ::radishcross::peer::wire::Allotment::Reader getAllotment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1339,6 +1698,13 @@
   inline void adoptNotices(::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Notice,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::Notice,  ::capnp::Kind::STRUCT>> disownNotices();
 
+  inline bool hasAllotment();
+  inline  ::radishcross::peer::wire::Allotment::Builder getAllotment();
+  inline void setAllotment( ::radishcross::peer::wire::Allotment::Reader value);
+  inline  ::radishcross::peer::wire::Allotment::Builder initAllotment();
+  inline void adoptAllotment(::capnp::Orphan< ::radishcross::peer::wire::Allotment>&& value);
+  inline ::capnp::Orphan< ::radishcross::peer::wire::Allotment> disownAllotment();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1358,6 +1724,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::radishcross::peer::wire::Digest::Pipeline getSummary();
+  inline  ::radishcross::peer::wire::Allotment::Pipeline getAllotment();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2826,6 +3193,296 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AllotmentNeed::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AllotmentNeed::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AllotmentNeed::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AllotmentNeed::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AllotmentNeed::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AllotmentNeed::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AllotmentNeed::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AllotmentNeed::Reader::getUsed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AllotmentNeed::Builder::getUsed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setUsed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AllotmentNeed::Reader::getStock() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AllotmentNeed::Builder::getStock() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setStock( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AllotmentNeed::Reader::getWant() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AllotmentNeed::Builder::getWant() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentNeed::Builder::setWant( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AllotmentGrant::Reader::hasTenant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AllotmentGrant::Builder::hasTenant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AllotmentGrant::Reader::getTenant() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::getTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AllotmentGrant::Builder::setTenant( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AllotmentGrant::Builder::initTenant(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AllotmentGrant::Builder::adoptTenant(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AllotmentGrant::Builder::disownTenant() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t AllotmentGrant::Reader::getKept() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AllotmentGrant::Builder::getKept() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setKept( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AllotmentGrant::Reader::getGranted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AllotmentGrant::Builder::getGranted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AllotmentGrant::Builder::setGranted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Allotment::Reader::getIsAnswer() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Allotment::Builder::getIsAnswer() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setIsAnswer(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Allotment::Reader::getGroup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Allotment::Builder::getGroup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setGroup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Allotment::Reader::getSession() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Allotment::Builder::getSession() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setSession( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Allotment::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Allotment::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Allotment::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Allotment::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Allotment::Reader::getShareOf() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Allotment::Builder::getShareOf() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Allotment::Builder::setShareOf( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Allotment::Reader::hasNeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Allotment::Builder::hasNeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader Allotment::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder Allotment::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Allotment::Builder::setNeeds( ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>::Builder Allotment::Builder::initNeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Allotment::Builder::adoptNeeds(
+    ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>> Allotment::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentNeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Allotment::Reader::hasGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Allotment::Builder::hasGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader Allotment::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder Allotment::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Allotment::Builder::setGrants( ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>::Builder Allotment::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Allotment::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>> Allotment::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::radishcross::peer::wire::AllotmentGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Datagram::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3057,6 +3714,45 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Datagram::Reader::hasAllotment() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasAllotment() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::radishcross::peer::wire::Allotment::Reader Datagram::Reader::getAllotment() const {
+  return ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::radishcross::peer::wire::Allotment::Builder Datagram::Builder::getAllotment() {
+  return ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::radishcross::peer::wire::Allotment::Pipeline Datagram::Pipeline::getAllotment() {
+  return  ::radishcross::peer::wire::Allotment::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setAllotment( ::radishcross::peer::wire::Allotment::Reader value) {
+  ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::radishcross::peer::wire::Allotment::Builder Datagram::Builder::initAllotment() {
+  return ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptAllotment(
+    ::capnp::Orphan< ::radishcross::peer::wire::Allotment>&& value) {
+  ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::radishcross::peer::wire::Allotment> Datagram::Builder::disownAllotment() {
+  return ::capnp::_::PointerHelpers< ::radishcross::peer::wire::Allotment>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Record::Reader::getAt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -160,7 +160,7 @@
     Groups[group].Chosen.clear();
     uint64_t most = 0;
     for (const auto &it : Members) {
-      if (!it.IsAlive || DoubtedUntil.contains(it.Id))
+      if (!it.IsAlive || !it.CanKeep || DoubtedUntil.contains(it.Id))
         continue;
       auto weight = base::rendezvousWeight(key, it.Id);
       if (!Groups[group].Chosen.empty() && weight <= most)
--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -16,6 +16,7 @@
 struct AllotmentMember {
   fleet::NodeId Id;
   bool IsAlive = false;
+  bool CanKeep = true; ///< Serves, so that it may be a keeper.
 };
 
 /// Totals of an AllotmentHolder since its start.
--- a/Libraries/LibTenants/AllotmentKeeper.cpp
+++ b/Libraries/LibTenants/AllotmentKeeper.cpp
@@ -155,7 +155,9 @@
                                          base::TimePoint now) {
   AllotmentMessage answer;
   answer.IsAnswer = true;
-  if (ask.IsAnswer || ask.Group >= AllotmentGroups)
+  // Without a configuration a node can't tell what is allotted; another will be
+  // asked.
+  if (ask.IsAnswer || ask.Group >= AllotmentGroups || Accounts.empty())
     return answer;
   answer.Group = ask.Group;
   expire(now);
--- a/Libraries/LibTenants/AllotmentKeeper.h
+++ b/Libraries/LibTenants/AllotmentKeeper.h
@@ -20,8 +20,8 @@
   /// Replaces the allotments. Unused tokens beyond a lower one are dropped.
   void configure(const std::vector<TenantLimit> &limits, base::TimePoint now);
 
-  /// Answers an ask of node \p from. An ask that is older than the last one is
-  /// not answered; the answer then has sequence 0.
+  /// Answers an ask of node \p from. An ask that is older than the last one,
+  /// or comes before the first limits, is not answered: sequence 0.
   AllotmentMessage handle(std::string_view from, const AllotmentMessage &ask,
                           base::TimePoint now);
 
--- a/Libraries/LibTenants/AllotmentSettings.h
+++ b/Libraries/LibTenants/AllotmentSettings.h
@@ -49,6 +49,8 @@
   /// After its first view of the members a node waits this long before it
   /// lends its share, since the view may be partial.
   base::Duration JoinTime = std::chrono::milliseconds(1500);
+
+  bool operator==(const AllotmentSettings &) const = default;
 };
 
 /// What the allowed excess is used for; the parts add up to less than 1.
--- /dev/null
+++ b/Tests/LibNode/TestAllotmentsAcrossNodes.cpp
@@ -0,0 +1,105 @@
+#include <LibNode/StoreMesh.h>
+
+#include <LibBase/Hash.h>
+#include <LibHttp/Client.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+
+using namespace radishcross;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Mesh = test::StoreMesh;
+
+config::VersionContent contentWithAllotment(uint64_t) {
+  config::VersionContent out;
+  out.Services = {{"quotes", {}}};
+  out.Routes = {{"quotes", {{}, "", "/quotes"}, "quotes"}};
+  config::Tenant tenant;
+  tenant.Name = "acme";
+  tenant.KeyHashes = {base::sha256Hex("the key")};
+  tenant.RatePerSecond = 50;
+  tenant.Burst = 50;
+  out.Tenants = {tenant};
+  return out;
+}
+
+/// Returns the status of a request of the tenant at a node; 0: no answer.
+unsigned statusAt(Mesh &mesh, const std::string &node) {
+  http::Request request(boost::beast::http::verb::get, "/quotes", 11);
+  request.set("Host", "any");
+  request.set(calls::CallHeaders().Key, "the key");
+  std::optional<unsigned> status;
+  boost::asio::co_spawn(
+      mesh.Context,
+      [&]() -> boost::asio::awaitable<unsigned> {
+        base::LastReason reason;
+        auto out = co_await http::fetch(mesh.Nodes.at(node)->callsAddress(),
+                                        request, 5s, reason);
+        co_return out ? out->result_int() : 0;
+      },
+      [&](const std::exception_ptr &, unsigned got) { status = got; });
+  REQUIRE(mesh.runUntil([&] { return status.has_value(); }));
+  return *status;
+}
+
+/// Returns the sum of the shares of the tenant's group that all nodes keep.
+double keptShares(Mesh &mesh) {
+  const auto group = std::to_string(tenants::allotmentGroupOf("acme"));
+  const auto name = "allotment_share{group=\"" + group + "\"} ";
+  double sum = 0;
+  for (const auto &[id, node] : mesh.Nodes) {
+    auto text = node->metrics().prometheusText();
+    auto at = text.find(name);
+    REQUIRE(at != std::string::npos);
+    sum += std::stod(text.substr(at + name.size()));
+  }
+  return sum;
+}
+
+} // namespace
+
+TEST_CASE("nodes lend their shares to one keeper, and each gets tokens of it") {
+  Mesh mesh;
+  mesh.ContentOf = contentWithAllotment;
+  mesh.publish("1");
+  mesh.startAll();
+  // No share is lent yet, so nothing is granted.
+  CHECK(statusAt(mesh, "a-1") == 429);
+  REQUIRE(mesh.runUntil([&] { return keptShares(mesh) > 0.99; }));
+  CHECK(keptShares(mesh) < 1.01);
+  for (const char *id : {"a-1", "a-2", "b-1"}) {
+    INFO(id);
+    // There is no target, so a request that is granted gets another error.
+    CHECK(mesh.runUntil([&] { return statusAt(mesh, id) == 503; }));
+  }
+}
+
+TEST_CASE("the shares of a node that is gone go to another keeper") {
+  Mesh mesh;
+  mesh.ContentOf = contentWithAllotment;
+  mesh.publish("1");
+  mesh.startAll();
+  REQUIRE(mesh.runUntil([&] { return keptShares(mesh) > 0.99; }));
+  const auto group = std::to_string(tenants::allotmentGroupOf("acme"));
+  std::string keeper;
+  for (const auto &[id, node] : mesh.Nodes)
+    if (node->metrics().prometheusText().find("allotment_share{group=\"" +
+                                              group + "\"} 0\n") ==
+        std::string::npos)
+      keeper = id;
+  REQUIRE_FALSE(keeper.empty());
+  mesh.Nodes.erase(keeper);
+  // Two of three shares are left.
+  REQUIRE(mesh.runUntil([&] {
+    auto sum = keptShares(mesh);
+    return sum > 0.6 && sum < 0.7;
+  }));
+  for (const auto &[id, node] : mesh.Nodes)
+    CHECK(mesh.runUntil([&] { return statusAt(mesh, id) == 503; }));
+}
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -93,6 +93,23 @@
   return bytes;
 }
 
+Datagram exampleAllotment() {
+  Datagram out;
+  out.Sender = "node-1";
+  out.Epoch = 2;
+  out.Sequence = 7;
+  tenants::AllotmentMessage it;
+  it.Group = 3;
+  it.Session = 4;
+  it.Sequence = 5;
+  it.Stamp = 6;
+  it.ShareOf = 91;
+  it.Needs = {{"t", 1, 2, 3}};
+  it.Grants = {{"t", 8, 9}};
+  out.Allotment = it;
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("messages survive an encode and decode round trip") {
@@ -117,6 +134,59 @@
   CHECK(encodePullAnswer(*answer) == encodePullAnswer(exampleAnswer()));
 }
 
+TEST_CASE("messages about allotments survive a round trip") {
+  base::LastReason reason;
+  auto ask = decodeDatagram(encodeDatagram(exampleAllotment()), reason);
+  REQUIRE(ask);
+  REQUIRE(ask->Allotment);
+  CHECK(ask->Sender == "node-1");
+  CHECK(ask->Sequence == 7);
+  const auto &it = *ask->Allotment;
+  CHECK_FALSE(it.IsAnswer);
+  CHECK(it.Group == 3);
+  CHECK(it.Session == 4);
+  CHECK(it.Sequence == 5);
+  CHECK(it.Stamp == 6);
+  CHECK(it.ShareOf == 91);
+  REQUIRE(it.Needs.size() == 1);
+  CHECK(it.Needs[0].Tenant == "t");
+  CHECK(it.Needs[0].Used == 1);
+  CHECK(it.Needs[0].Stock == 2);
+  CHECK(it.Needs[0].Want == 3);
+  REQUIRE(it.Grants.size() == 1);
+  CHECK(it.Grants[0].Kept == 8);
+  CHECK(it.Grants[0].Granted == 9);
+  CHECK(encodeDatagram(*ask) == encodeDatagram(exampleAllotment()));
+}
+
+TEST_CASE("messages about allotments stay small") {
+  MeshAuthenticator authenticator({"key"});
+  auto datagram = exampleAllotment();
+  datagram.Epoch = 1796600000000;
+  datagram.Sequence = 1000000;
+  datagram.Sender = "vm-with-a-name-7";
+  auto &it = *datagram.Allotment;
+  it.Session = 1796600000000;
+  it.Sequence = 100000;
+  it.Stamp = 86400000000;
+  it.Needs.clear();
+  it.Grants.clear();
+  auto idle = authenticator.seal(encodeDatagram(datagram)).size();
+  for (int n = 0; n < 3; ++n)
+    it.Needs.push_back({"some-tenant-" + std::to_string(n), 100000, 30, 200});
+  auto busy = authenticator.seal(encodeDatagram(datagram)).size();
+  MESSAGE("idle " << idle << ", three tenants " << busy << " bytes");
+  CHECK(idle <= 120);
+  CHECK(busy <= 220);
+  // The most that one message holds.
+  it.Needs.clear();
+  for (int n = 0; n < 26; ++n)
+    it.Needs.push_back({"tenant-with-" + std::to_string(n), UINT32_MAX,
+                        UINT32_MAX, UINT32_MAX});
+  CHECK(authenticator.seal(encodeDatagram(datagram)).size() <=
+        MaximumDatagramBytes);
+}
+
 TEST_CASE("decoders reject malformed messages and never crash") {
   struct Case {
     std::string Encoded;
@@ -127,6 +197,10 @@
        [](auto bytes, auto &reason) {
          return decodeDatagram(bytes, reason).has_value();
        }},
+      {encodeDatagram(exampleAllotment()),
+       [](auto bytes, auto &reason) {
+         return decodeDatagram(bytes, reason).has_value();
+       }},
       {encodePullRequest(exampleRequest()),
        [](auto bytes, auto &reason) {
          return decodePullRequest(bytes, reason).has_value();
--- a/Tests/LibTenants/TestAllotments.cpp
+++ b/Tests/LibTenants/TestAllotments.cpp
@@ -1,4 +1,4 @@
-#include "AllotmentFleet.h"
+#include <LibTenants/AllotmentFleet.h>
 
 #include <doctest/doctest.h>
 
