LibTenants: Keep no allotments at a node that leaves

A node whose targets are all leaving is no keeper any more, so its shares move before it goes. Lapsed shares are looked for every 10 ms, not for each message.

--- a/Libraries/LibNode/NodeAllotments.cpp
+++ b/Libraries/LibNode/NodeAllotments.cpp
@@ -3,12 +3,30 @@
 #include <LibBase/Logger.h>
 #include <LibFleet/MemberTable.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <string>
 #include <utility>
 
 namespace radishcross::node {
 
+namespace {
+
+/// Returns whether a member serves and will go on to. One whose targets are all
+/// leaving may be about to leave too.
+bool mayKeep(const fleet::Member &member) {
+  const auto isLeaving = [](const fleet::TargetRecord &it) {
+    return it.State == fleet::TargetState::Draining ||
+           it.State == fleet::TargetState::Left;
+  };
+  const auto &targets = member.Targets;
+  return member.IsRecovered &&
+         (targets.empty() ||
+          !std::all_of(targets.begin(), targets.end(), isLeaving));
+}
+
+} // namespace
+
 std::vector<tenants::TenantLimit> limitsOf(const config::Snapshot &snapshot) {
   std::vector<tenants::TenantLimit> out;
   for (const auto &version : snapshot.versions())
@@ -55,7 +73,7 @@
   std::vector<tenants::AllotmentMember> out;
   for (const auto &it : members)
     if (it.State != fleet::MemberState::Left)
-      out.push_back({it.Identity.Id, isLive(it), it.IsRecovered});
+      out.push_back({it.Identity.Id, isLive(it), mayKeep(it)});
   Own.setMembers(out, Elapsed->now());
 }
 
--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -52,20 +52,27 @@
 
 void AllotmentHolder::setMembers(const std::vector<AllotmentMember> &members,
                                  base::TimePoint now) {
-  // A node of which the view holds nobody else may not have joined yet.
   if (!std::exchange(HasMembers, true))
     FirstMembers = now;
-  Members = members;
-  IsChoiceStale = true;
-  std::map<fleet::NodeId, base::TimePoint> seen;
-  for (const auto &it : Members) {
-    auto old = SeenAlive.find(it.Id);
+  std::map<fleet::NodeId, base::TimePoint> lost;
+  std::map<std::string_view, bool> wasAlive;
+  for (const auto &it : Members)
+    wasAlive.emplace(it.Id, it.IsAlive);
+  uint32_t alive = 0;
+  for (const auto &it : members) {
+    auto since = LostSince.find(it.Id);
+    auto before = wasAlive.find(it.Id);
     if (it.IsAlive)
-      seen[it.Id] = now;
-    else if (old != SeenAlive.end())
-      seen[it.Id] = old->second;
+      ++alive;
+    else if (since != LostSince.end())
+      lost.insert(*since);
+    else if (before != wasAlive.end() && before->second)
+      lost.emplace(it.Id, now);
   }
-  SeenAlive = std::move(seen);
+  LostSince = std::move(lost);
+  AliveMembers = alive;
+  Members = members;
+  IsChoiceStale = true;
 }
 
 /// Returns how many nodes share the allotments: those alive and those that were
@@ -73,13 +80,10 @@
 uint32_t AllotmentHolder::shareOf(base::TimePoint now) {
   if (!HasMembers || now - FirstMembers < Settings.JoinTime)
     return 0;
-  for (const auto &it : Members)
-    if (it.IsAlive)
-      SeenAlive[it.Id] = now;
-  std::erase_if(SeenAlive, [&](const auto &it) {
+  std::erase_if(LostSince, [&](const auto &it) {
     return now - it.second > Settings.MemberMemory;
   });
-  return static_cast<uint32_t>(SeenAlive.size());
+  return AliveMembers + static_cast<uint32_t>(LostSince.size());
 }
 
 void AllotmentHolder::decay(Pocket &pocket, base::TimePoint now) const {
--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -110,7 +110,8 @@
   AllotmentSettings Settings;
   uint64_t NextSession;
   std::vector<AllotmentMember> Members;
-  std::map<fleet::NodeId, base::TimePoint> SeenAlive;
+  uint32_t AliveMembers = 0;
+  std::map<fleet::NodeId, base::TimePoint> LostSince; ///< Not alive any more.
   std::map<fleet::NodeId, base::TimePoint> DoubtedUntil;
   base::TimePoint FirstMembers{};
   bool HasMembers = false;
--- a/Libraries/LibTenants/AllotmentKeeper.cpp
+++ b/Libraries/LibTenants/AllotmentKeeper.cpp
@@ -17,6 +17,9 @@
 /// Nodes that have asked for nothing in this many leases are forgotten.
 constexpr int LenderMemoryLeases = 10;
 
+/// How often lapsed shares are looked for; they lapse earlier by as much.
+constexpr base::Duration ExpiryPeriod = std::chrono::milliseconds(10);
+
 } // namespace
 
 uint32_t allotmentGroupOf(std::string_view tenant) {
@@ -69,6 +72,9 @@
 }
 
 void AllotmentKeeper::expire(base::TimePoint now) {
+  if (now < NextExpiry)
+    return;
+  NextExpiry = now + ExpiryPeriod;
   for (auto &[name, account] : Accounts) {
     for (auto &[id, it] : account.Holdings) {
       if (it.Held == 0 || now <= it.Until)
@@ -108,9 +114,9 @@
   auto stamped =
       base::TimePoint(base::Duration(static_cast<int64_t>(ask.Stamp)));
   bool isLent = ask.ShareOf != 0 && ask.Stamp != 0 && stamped <= now &&
-                now - stamped < Settings.Lease;
+                now - stamped < Settings.Lease - ExpiryPeriod;
   lender.Share = isLent ? 1.0 / ask.ShareOf : 0;
-  lender.Until = isLent ? stamped + Settings.Lease : now;
+  lender.Until = isLent ? stamped + Settings.Lease - ExpiryPeriod : now;
   return true;
 }
 
@@ -162,9 +168,11 @@
   answer.Group = ask.Group;
   expire(now);
   auto &lender = Groups[ask.Group].Lenders[std::string(from)];
+  const auto lent = lender.Share;
   if (!accept(lender, ask, now))
     return answer;
-  setShare(ask.Group, now);
+  if (lender.Share != lent)
+    setShare(ask.Group, now);
   answer.Session = ask.Session;
   answer.Sequence = ask.Sequence;
   answer.Stamp = static_cast<uint64_t>(now.time_since_epoch().count());
--- a/Libraries/LibTenants/AllotmentKeeper.h
+++ b/Libraries/LibTenants/AllotmentKeeper.h
@@ -25,7 +25,7 @@
   AllotmentMessage handle(std::string_view from, const AllotmentMessage &ask,
                           base::TimePoint now);
 
-  /// Forgets lapsed loans and holdings.
+  /// Forgets lapsed shares and holdings.
   void expire(base::TimePoint now);
 
   /// Returns the sum of the shares lent for \p group, 0 to about 1.
@@ -58,6 +58,7 @@
     std::map<std::string, Lender, std::less<>> Lenders;
   };
 
+  /// Returns whether the ask is newer than the lender's last.
   bool accept(Lender &lender, const AllotmentMessage &ask, base::TimePoint now);
   void setShare(uint32_t group, base::TimePoint now);
   void accrue(Account &account, double share, base::TimePoint now) const;
@@ -67,6 +68,7 @@
                  base::TimePoint now);
 
   AllotmentSettings Settings;
+  base::TimePoint NextExpiry{};
   std::array<Group, AllotmentGroups> Groups;
   std::map<std::string, Account, std::less<>> Accounts;
 };
--- a/Tests/LibTenants/AllotmentFleet.h
+++ b/Tests/LibTenants/AllotmentFleet.h
@@ -21,6 +21,7 @@
     uint32_t Site = 0;
     bool IsRunning = true;
     bool IsFrozen = false;
+    bool IsLeaving = false;
     base::TimePoint ViewDue = base::TimePoint::max();
   };
   struct Tally {
@@ -63,6 +64,11 @@
     Nodes[n].IsRunning = false;
     changeViews();
   }
+  /// Says of \p n that it is leaving.
+  void leave(size_t n) {
+    Nodes[n].IsLeaving = true;
+    changeViews();
+  }
   void freeze(size_t n, bool isFrozen) { Nodes[n].IsFrozen = isFrozen; }
   void cut(int site) {
     CutSite = site;
@@ -159,8 +165,9 @@
     std::vector<AllotmentMember> view;
     for (size_t m = 0; m < Nodes.size(); ++m) {
       bool isDoubted = Doubted == int(m) && n % 2 == 0 && n != m;
-      view.push_back(
-          {nameOf(m), Nodes[m].IsRunning && !isCut(n, m) && !isDoubted});
+      view.push_back({nameOf(m),
+                      Nodes[m].IsRunning && !isCut(n, m) && !isDoubted,
+                      !Nodes[m].IsLeaving});
     }
     Nodes[n].Own->setMembers(view, Now);
   }
--- a/Tests/LibTenants/TestAllotments.cpp
+++ b/Tests/LibTenants/TestAllotments.cpp
@@ -261,3 +261,51 @@
     checkBound(fleet, seed);
   }
 }
+
+TEST_CASE("a keeper that says that it leaves is hardly noticed") {
+  Refusals sum;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    base::Random source(seed);
+    AllotmentFleet fleet(12, limitsFor(source), seed);
+    auto demands = demandsFor(fleet, 0);
+    run(fleet, demands, 4500);
+    demands = demandsFor(fleet, 0.8);
+    run(fleet, demands, 3000);
+    takeRefusals(fleet);
+    for (size_t n = 0; n < fleet.Nodes.size(); ++n)
+      if (fleet.Nodes[n].Own->keeper().share(
+              allotmentGroupOf(fleet.Limits[0].Name)) > 0.5) {
+        fleet.leave(n);
+        break;
+      }
+    run(fleet, demands, 6000);
+    add(sum, takeRefusals(fleet));
+    checkBound(fleet, seed);
+  }
+  MESSAGE("refused of what is owed in the 6 s after: " << sum.share());
+  CHECK(sum.share() < 0.05);
+}
+
+TEST_CASE("a keeper that is killed is replaced") {
+  Refusals sum;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    base::Random source(seed);
+    AllotmentFleet fleet(12, limitsFor(source), seed);
+    auto demands = demandsFor(fleet, 0);
+    run(fleet, demands, 4500);
+    demands = demandsFor(fleet, 0.8);
+    run(fleet, demands, 3000);
+    takeRefusals(fleet);
+    for (size_t n = 0; n < fleet.Nodes.size(); ++n)
+      if (fleet.Nodes[n].Own->keeper().share(
+              allotmentGroupOf(fleet.Limits[0].Name)) > 0.5) {
+        fleet.kill(n);
+        break;
+      }
+    run(fleet, demands, 6000);
+    add(sum, takeRefusals(fleet));
+    checkBound(fleet, seed);
+  }
+  MESSAGE("refused of what is owed in the 6 s after: " << sum.share());
+  CHECK(sum.share() < 0.25);
+}
