--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -88,6 +88,24 @@
   CHECK(settings->Compared == balance::FeatureToggles{false, false});
 }
 
+TEST_CASE("the bound of allotments is read") {
+  base::LastReason reason;
+  auto document = goodSettings();
+  auto settings = admin::decodeNodeSettings(document, reason);
+  REQUIRE(settings);
+  CHECK(settings->Allotments == tenants::AllotmentSettings());
+  change(document, "/allotments",
+         R"({"window_seconds": 7, "overshoot": 0.25, "slack": 3})");
+  settings = admin::decodeNodeSettings(document, reason);
+  REQUIRE_MESSAGE(settings, reason.line());
+  CHECK(settings->Allotments.Window == std::chrono::seconds(7));
+  CHECK(settings->Allotments.Overshoot == 0.25);
+  CHECK(settings->Allotments.Slack == 3);
+  change(document, "/allotments/overshoot", "1.5");
+  CHECK_FALSE(admin::decodeNodeSettings(document, reason));
+  CHECK(reason.code() == ResultCode::NumberOutOfRange);
+}
+
 TEST_CASE("seed hosts use the node's gossip port and exclude the node itself") {
   auto document = goodSettings();
   change(document, "/seed_hosts", R"(["127.0.0.7:8306", "127.0.0.1:8306"])");
