LibBalance: Draw targets by how long work takes there

Two targets were drawn evenly and compared by loads that are mostly older than they last. Slow targets got as many calls as fast ones and refused while others had room.

The gate knows the mean slot time of each kind of call and tells it beside the pressure; the caller's node compares it with the mean of the service's targets and draws by slots over that ratio.

--- a/Libraries/LibAdmission/AdmissionGate.h
+++ b/Libraries/LibAdmission/AdmissionGate.h
@@ -42,6 +42,8 @@
   /// Calls started in the last second.
   uint32_t RecentStarts = 0;
   std::optional<balance::MilliRate> RateLimit; ///< Stated by the target.
+  /// Mean slot time of calls like the one that arrived; 0: unknown.
+  base::Duration Expected{};
 };
 
 /// What the gate decided for one call.
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -106,6 +106,7 @@
   const auto found = view(now);
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
+  out.Found.Expected = learntTime(arrived);
   out.IsNested = isNested;
   recordEvent(AdmissionEvent::Arrive,
               {static_cast<int64_t>(call), static_cast<int64_t>(rank),
@@ -412,6 +413,17 @@
   RecentStarts.push_back(now);
 }
 
+Duration TargetGate::learntTime(const WaitingCall &call) const {
+  if (call.LatencyObjective <= Duration::zero())
+    return ExpectedTimeByRank[indexOf(call.CallRank)].expected().value_or(
+        Duration{});
+  const auto it =
+      ExpectedTimeByKind.find({call.CallRank, call.LatencyObjective});
+  return it == ExpectedTimeByKind.end()
+             ? Duration{}
+             : it->second.expected().value_or(Duration{});
+}
+
 Duration TargetGate::expectedOf(Rank rank, Duration objective) const {
   const auto &byRank = ExpectedTimeByRank[indexOf(rank)];
   if (objective <= Duration::zero())
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -146,6 +146,8 @@
   void refuseExpired(base::TimePoint now);
   GateAnswer refusal(Ticket call, base::ResultCode code) const;
   base::Duration retryAfter() const;
+  /// Returns the mean slot time of such calls; 0: none has ended yet.
+  base::Duration learntTime(const WaitingCall &call) const;
   base::Duration expectedOf(config::Rank rank, base::Duration objective) const;
   base::Duration patienceOf(config::Rank rank) const;
   std::vector<GateAnswer> takeAnswers();
--- a/Libraries/LibBalance/KnownTarget.h
+++ b/Libraries/LibBalance/KnownTarget.h
@@ -4,6 +4,7 @@
 #include <LibBalance/PathHealth.h>
 #include <LibBalance/RefusalBackoff.h>
 #include <LibBalance/RefusalShare.h>
+#include <LibBalance/RelativeTime.h>
 #include <LibBalance/StatedLimit.h>
 #include <LibBalance/TargetCandidate.h>
 #include <LibBalance/TargetHealth.h>
@@ -30,6 +31,7 @@
   TargetHealth Health;
   RefusalBackoff Refusals;
   RefusalShare RefusedShare;
+  RelativeTime Speed;
   // Stated on answers, by the process with the epoch of Candidate:
   StatedLimit Stated;
   bool IsLeaving = false;
--- a/Libraries/LibBalance/LoadBalancer.cpp
+++ b/Libraries/LibBalance/LoadBalancer.cpp
@@ -1,6 +1,7 @@
 #include <LibBalance/LoadBalancer.h>
 
 #include <algorithm>
+#include <boost/container/small_vector.hpp>
 #include <optional>
 #include <utility>
 
@@ -49,27 +50,47 @@
   return left.empty() ? nullptr : left[random.below(left.size())];
 }
 
+/// Returns the calls that a target can run in the time of one usual call, in
+/// thousandths.
+uint64_t capacityOf(const KnownTarget &target, base::TimePoint now) {
+  const uint64_t slots = std::max(target.Candidate.Target.Slots, 1U);
+  const auto time = static_cast<uint64_t>(target.Speed.permille(now));
+  return std::max<uint64_t>(
+      slots * slowStartPermille(target, now) * FullPermille / time, 1);
+}
+
+/// Draws a target other than \p other with a probability by its capacity: what
+/// is known of loads is mostly older than the loads last, and calls drawn
+/// evenly would fill the slow and small targets first.
+KnownTarget *drawByCapacity(const Targets &targets, const KnownTarget *other,
+                            base::TimePoint now, base::Random &random) {
+  boost::container::small_vector<uint64_t, 64> sums;
+  uint64_t sum = 0;
+  for (const auto *it : targets) {
+    sum += it == other ? 0 : capacityOf(*it, now);
+    sums.push_back(sum);
+  }
+  const auto found =
+      std::upper_bound(sums.begin(), sums.end(), random.below(sum));
+  return targets[static_cast<size_t>(found - sums.begin())];
+}
+
 KnownTarget *betterOfTwo(const Targets &targets, base::TimePoint now,
                          base::Random &random) {
   if (targets.empty())
     return nullptr;
   if (targets.size() == 1)
     return targets.front();
-  const size_t first = random.below(targets.size());
-  size_t second = random.below(targets.size() - 1);
-  second += second >= first ? 1 : 0;
-  auto *a = targets[first];
-  auto *b = targets[second];
+  auto *a = drawByCapacity(targets, nullptr, now, random);
+  auto *b = drawByCapacity(targets, a, now, random);
   return LoadBalancer::score(*b, now) < LoadBalancer::score(*a, now) ? b : a;
 }
 
 } // namespace
 
 uint64_t LoadBalancer::score(const KnownTarget &target, base::TimePoint now) {
-  const uint64_t slots = std::max(target.Candidate.Target.Slots, 1U);
-  const uint64_t slowStart = slowStartPermille(target, now);
-  const uint64_t own =
-      (target.InFlight + 1) * FullPermille * FullPermille / (slots * slowStart);
+  const uint64_t own = (target.InFlight + 1) * FullPermille * FullPermille /
+                       capacityOf(target, now);
   const uint64_t loaded = own + target.Load.current(now);
   const auto accepted = static_cast<uint64_t>(
       RefusalShare::FullPermille - target.RefusedShare.permille(now));
--- a/Libraries/LibBalance/TargetTable.cpp
+++ b/Libraries/LibBalance/TargetTable.cpp
@@ -129,6 +129,7 @@
   // Only a later process has nothing to do with what an earlier one stated.
   if (target.Epoch > before.Epoch) {
     known.Stated = {};
+    known.Speed = {};
     known.IsLeaving = false;
   }
   const auto &identity = member.Identity;
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -133,6 +133,12 @@
     target->Path->unanswered(wasSilent);
   if (result.Code == ResultCode::Overloaded)
     target->Load.observed(FullPermille, now);
+  if (result.ExpectedTime > Duration::zero())
+    target->Speed.observed(
+        stateOf(call).Times.observed(
+            {call.Route.CallRank, call.Route.LatencyObjective},
+            result.ExpectedTime),
+        now);
   if (result.End == AttemptEnd::Answered) {
     target->Load.observed(result.PressurePermille, now);
     target->Health.succeeded();
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -67,6 +67,8 @@
   AttemptEnd End = AttemptEnd::NotSent;
   base::ResultCode Code = base::ResultCode::Ok;
   uint32_t PressurePermille = 0; ///< Of the target, reported by its node.
+  /// Mean time of such calls at the target, reported by its node; 0: unknown.
+  base::Duration ExpectedTime{};
   base::Duration Latency{};
   /// Time after which a refused caller may retry, given by the target's node.
   base::Duration RetryAfter{};
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -19,6 +19,8 @@
 constexpr Duration NodesRetention = std::chrono::seconds(30);
 constexpr int64_t PermilleOfPercent = 10;
 constexpr size_t MaximumNestedKinds = 64;
+/// Factor in traces for a time beside a pressure.
+constexpr int64_t PressuresPerMicrosecond = 1 << 20;
 /// Value in traces for a ratio that is not set.
 constexpr int64_t NoRatio = -1;
 
@@ -164,7 +166,9 @@
            int64_t{512} * result.Attempt + (result.TargetFailed ? 65'536 : 0) +
            (result.IsNested ? 131'072 : 0) +
            (result.Refusal == balance::RefusalKind::Spurious ? 262'144 : 0),
-       static_cast<int64_t>(result.Code), result.PressurePermille,
+       static_cast<int64_t>(result.Code),
+       result.PressurePermille +
+           result.ExpectedTime.count() * PressuresPerMicrosecond,
        result.Latency.count(), result.RetryAfter.count()},
       {}, outcomeOf(out), now);
   return out;
@@ -341,6 +345,7 @@
     out.LeftOut += it->Health.ejected() ? 1 : 0;
   out.InFlight = chosen.InFlight;
   out.LoadPermille = chosen.Load.current(now);
+  out.TimePermille = chosen.Speed.permille(now);
   out.Suspect = chosen.Suspect;
   out.KnownAge = chosen.Load.age(now);
   return out;
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -2,6 +2,7 @@
 
 #include <LibBalance/HedgeDelay.h>
 #include <LibBalance/LoadBalancer.h>
+#include <LibBalance/RelativeTime.h>
 #include <LibBalance/SpilloverShare.h>
 #include <LibBalance/TargetTable.h>
 #include <LibBase/Random.h>
@@ -42,9 +43,10 @@
 /// latency objective; text: service. AttemptEnded: handle, end (plus 256: a
 /// downstream call failed; plus 512 times the number of the attempt; plus
 /// 65,536: the target answered that it failed; plus 131,072: the call is
-/// nested; plus 262,144: the refusal is spurious), code, pressure, latency,
-/// retry-after. End: handle. Hedge: handle. Signalled: handle, number of the
-/// attempt, flags (see flagsOf()), the limit. Times are in microseconds.
+/// nested; plus 262,144: the refusal is spurious), code, pressure (plus 2^20
+/// times the expected time), latency, retry-after. End: handle. Hedge: handle.
+/// Signalled: handle, number of the attempt, flags (see flagsOf()), the limit.
+/// Times are in microseconds.
 ///
 /// Outcome of Begin, AttemptEnded and Hedge: kind, outcome and code in one
 /// number, the node's hash, the hedging delay or else the timeout, and
@@ -144,6 +146,7 @@
     ClientThrottle Throttle;
     balance::SpilloverShare Spillover;
     balance::HedgeDelay Hedging;
+    balance::ServiceTimes Times;
     /// Rank and latency objective of the calls that the targets' nodes told to
     /// be nested. At most MaximumNestedKinds.
     std::set<std::pair<config::Rank, base::Duration>> NestedKinds;
--- a/Libraries/LibCalls/ChoiceBasis.h
+++ b/Libraries/LibCalls/ChoiceBasis.h
@@ -13,7 +13,8 @@
   uint32_t LeftOut = 0;    ///< Of them, those ejected after failures.
   uint32_t InFlight = 0;   ///< This node's calls at the chosen target before.
   uint32_t LoadPermille = 0;
-  bool Suspect = false; ///< Its node is suspected to have failed.
+  int64_t TimePermille = 0; ///< Of the mean time of the service's targets.
+  bool Suspect = false;     ///< Its node is suspected to have failed.
   /// Time since the chosen target's load was last reported or observed.
   base::Duration KnownAge{};
 };
--- a/Libraries/LibHttp/CallLog.cpp
+++ b/Libraries/LibHttp/CallLog.cpp
@@ -91,6 +91,7 @@
        {"left_out", std::to_string(basis.LeftOut)},
        {"own_calls", std::to_string(basis.InFlight)},
        {"load_permille", std::to_string(basis.LoadPermille)},
+       {"time_permille", std::to_string(basis.TimePermille)},
        {"known_ms", formatMilliseconds(basis.KnownAge)},
        {"suspect", basis.Suspect ? "yes" : "no"},
        {"left_ms", formatMilliseconds(it.Remaining)},
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -131,6 +131,7 @@
     outcome = refusal(decision.Code, decision.RetryAfter);
   outcome.HasRun = hasRun;
   outcome.Result.IsNested = isNested;
+  outcome.Result.ExpectedTime = loadOnArrival.Expected;
   outcome.LoadOnArrival = loadOnArrival;
   outcome.HasWaited = hasWaited;
   outcome.Waited = turn - now;
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -36,6 +36,10 @@
 /// Follows the pressure on a target's refusal that its node judges as spurious.
 constexpr std::string_view SpuriousMark = " spurious";
 
+/// Followed by the mean time, in microseconds, of such calls at the target.
+constexpr std::string_view TimeMark = " time=";
+constexpr base::Duration MaximumExpectedTime = std::chrono::minutes(10);
+
 /// Higher figures of a load count as malformed; they are beyond any target.
 constexpr uint32_t MaximumLoadFigure = 1'000'000;
 constexpr size_t LoadFigures = 3;
@@ -60,6 +64,16 @@
   out.IsLoadMalformed = !out.Load;
 }
 
+base::Duration expectedTimeOf(std::string_view pressure) {
+  const auto at = pressure.find(TimeMark);
+  if (at == std::string_view::npos)
+    return {};
+  pressure.remove_prefix(at + TimeMark.size());
+  int64_t time = 0;
+  std::from_chars(pressure.data(), pressure.data() + pressure.size(), time);
+  return std::clamp(base::Duration(time), {}, MaximumExpectedTime);
+}
+
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
 } // namespace
@@ -141,6 +155,8 @@
   auto out = std::to_string(result.PressurePermille);
   if (result.Refusal == balance::RefusalKind::Spurious)
     out += SpuriousMark;
+  if (result.ExpectedTime > base::Duration::zero())
+    out.append(TimeMark).append(std::to_string(result.ExpectedTime.count()));
   if (result.IsNested)
     out += NestedMark;
   return out;
@@ -152,6 +168,7 @@
   result.IsNested = pressure.ends_with(NestedMark);
   if (pressure.find(SpuriousMark) != std::string_view::npos)
     result.Refusal = balance::RefusalKind::Spurious;
+  result.ExpectedTime = expectedTimeOf(pressure);
   result.DownstreamFailed =
       fieldOf(response, calls::AttemptHeader) == FailureBelowValue;
   std::string_view outcome = fieldOf(response, calls::OutcomeHeader);
--- a/Libraries/LibHttp/ResponseFields.h
+++ b/Libraries/LibHttp/ResponseFields.h
@@ -15,8 +15,8 @@
 void prepareForNextHop(Response &response, boost::beast::http::verb method);
 
 /// Returns the value of PressureHeader: the target's pressure, whether a
-/// refusal by the target was spurious, and whether its node knows the call as
-/// nested.
+/// refusal by the target was spurious, the mean time of such calls there, and
+/// whether its node knows the call as nested.
 std::string pressureText(const calls::AttemptResult &result);
 
 /// Reads the outcome of an attempt from another node's response. Without
--- a/Tests/LibCalls/RefusingTargets.h
+++ b/Tests/LibCalls/RefusingTargets.h
@@ -5,6 +5,7 @@
 #include <LibCalls/CallFixtures.h>
 #include <LibCalls/CallPlanner.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,12 +32,32 @@
     base::Duration Work = 100ms;
     base::Duration Length = 12s;
     uint64_t Seed = 1;
+    /// Time that work takes at the targets in turn, in percent of Work.
+    std::vector<int64_t> Speeds = {100};
+    /// Every sixth target takes three times as long in every second Noise.
+    base::Duration Noise{};
+    bool StatesTime = true; ///< The gates tell the time of calls.
   };
   struct Totals {
     uint64_t Calls = 0;
     uint64_t Answered = 0; ///< Within the objective.
     uint64_t Arrivals = 0; ///< Requests that reached a target.
     uint64_t Refused = 0;  ///< By a target.
+    uint64_t RefusedAtGates = 0;
+    std::vector<int64_t> Latencies; ///< Of answered calls, microseconds.
+
+    int64_t mean() const {
+      int64_t sum = 0;
+      for (const auto it : Latencies)
+        sum += it;
+      return sum / std::max<int64_t>(static_cast<int64_t>(Latencies.size()), 1);
+    }
+    int64_t percentile99() {
+      const auto it = Latencies.begin() +
+                      static_cast<ptrdiff_t>(Latencies.size() * 99 / 100);
+      std::nth_element(Latencies.begin(), it, Latencies.end());
+      return *it;
+    }
   };
 
   explicit RefusingTargets(const Settings &settings)
@@ -91,6 +112,7 @@
     size_t Caller = 0;
     base::Duration BegunAt{};
     CallStep Step;
+    base::Duration Expected{}; ///< As the gate told.
   };
 
   void after(base::Duration wait, std::function<void()> action) {
@@ -128,8 +150,10 @@
       after(Hop, [this, handle] { arrive(handle); });
       return;
     }
-    if (step.Outcome == CallOutcome::Answered &&
-        Now - call.BegunAt <= Objective)
+    const bool isAnswered = step.Outcome == CallOutcome::Answered;
+    if (isAnswered)
+      Sum.Latencies.push_back((Now - call.BegunAt).count());
+    if (isAnswered && Now - call.BegunAt <= Objective)
       ++Sum.Answered;
     Planners[call.Caller]->end(handle, at(Now));
     Calls.erase(handle);
@@ -144,6 +168,7 @@
     const auto answer = Gates[gate]->arrive(handle, Rank::Standard,
                                             Calls.at(handle).Step.Remaining, 0,
                                             at(Now), Objective);
+    Calls.at(handle).Expected = answer.Found.Expected;
     if (answer.What != admission::GateAnswer::Kind::Queued)
       take(gate, {answer});
   }
@@ -155,21 +180,30 @@
         continue;
       }
       auto result = ends(AttemptEnd::RefusedNotRun, it.Code);
+      ++Sum.RefusedAtGates;
       result.RetryAfter = it.RetryAfter;
       reply(gate, it.Call, result);
     }
   }
 
+  base::Duration workAt(size_t gate) {
+    const auto drawn =
+        Model.Work / 2 +
+        Model.Work * static_cast<int64_t>(Draw.below(1000)) / 1000;
+    const bool isNoisy =
+        Model.Noise > 0s && gate % 6 == 0 && Now / Model.Noise % 2 == 0;
+    return drawn * Model.Speeds[gate % Model.Speeds.size()] / 100 *
+           (isNoisy ? 3 : 1);
+  }
+
   void runAtTarget(size_t gate, CallHandle handle) {
     ++Sum.Arrivals;
     const bool refuses =
         gate < Model.Refusing && Draw.below(100) < Model.RefusedPercent;
     if (!refuses) {
-      after(Model.Work / 2 +
-                Model.Work * static_cast<int64_t>(Draw.below(1000)) / 1000,
-            [this, gate, handle] {
-              end(gate, handle, ends(AttemptEnd::Answered));
-            });
+      after(workAt(gate), [this, gate, handle] {
+        end(gate, handle, ends(AttemptEnd::Answered));
+      });
       return;
     }
     ++Sum.Refused;
@@ -194,6 +228,8 @@
 
   void reply(size_t gate, CallHandle handle, AttemptResult result) {
     result.PressurePermille = Gates[gate]->pressurePermille(at(Now));
+    if (Model.StatesTime)
+      result.ExpectedTime = Calls.at(handle).Expected;
     after(Hop, [this, handle, result] {
       const auto &planner = Planners[Calls.at(handle).Caller];
       carryOut(handle, planner->attemptEnded(handle, result, at(Now)));
--- a/Tests/LibCalls/TestReplay.cpp
+++ b/Tests/LibCalls/TestReplay.cpp
@@ -76,6 +76,8 @@
       if (it.Draw.below(4) == 0)
         result.Code = ResultCode::TargetRefused;
       result.Refusal = it.pick<RefusalKind>(2);
+      result.ExpectedTime =
+          base::Duration(static_cast<int64_t>(it.Draw.below(200'000)));
       step = planner.attemptEnded(n, result, it.now());
     }
     if (n > 5)
--- a/Tests/LibHttp/MockDecisions.h
+++ b/Tests/LibHttp/MockDecisions.h
@@ -78,6 +78,7 @@
     answer.Call = ++Tickets;
     answer.Code = base::ResultCode::Overloaded;
     answer.RetryAfter = std::chrono::seconds(2);
+    answer.Found.Expected = Expected;
     Running += Kind == admission::GateAnswer::Kind::Run ? 1 : 0;
     return answer;
   }
@@ -114,6 +115,7 @@
   std::vector<balance::TargetSignals> Signals;
   std::vector<std::optional<balance::TargetLoad>> RefusedWith;
   balance::RefusalKind Judgement = balance::RefusalKind::Full;
+  base::Duration Expected{};
   admission::Ticket Tickets = 0;
   size_t Running = 0;
   size_t Abandoned = 0;
--- a/Tests/LibHttp/TestTargetSignals.cpp
+++ b/Tests/LibHttp/TestTargetSignals.cpp
@@ -178,3 +178,46 @@
     CHECK(mesh.Near.Broker.Results[0].Refusal == kind);
   }
 }
+
+TEST_CASE(
+    "the time of a kind of call at its target reaches the caller's node") {
+  for (const auto time : {base::Duration{}, base::Duration(81'234)}) {
+    TwoNodes mesh;
+    mesh.Far.Gate.Expected = time;
+    REQUIRE(
+        fetchFrom(mesh.Context, mesh.Near.Proxy->callsAddress(), mesh.post()));
+    REQUIRE(mesh.Near.Broker.Results.size() == 1);
+    CHECK(mesh.Near.Broker.Results[0].ExpectedTime == time);
+    CHECK(mesh.Near.Broker.Results[0].PressurePermille == 250);
+  }
+}
+
+TEST_CASE("what follows the pressure is read in whole or not at all") {
+  struct Row {
+    const char *Text;
+    base::Duration Time;
+    bool IsSpurious;
+    bool IsNested;
+  };
+  const Row rows[] = {
+      {"500", {}, false, false},
+      {"500 nested", {}, false, true},
+      {"500 spurious", {}, true, false},
+      {"500 spurious time=7 nested", base::Duration(7), true, true},
+      {"500 time=7", base::Duration(7), false, false},
+      {"500 time=", {}, false, false},
+      {"500 time=-7", {}, false, false},
+      {"500 time=99999999999999999999", {}, false, false},
+  };
+  for (const auto &row : rows) {
+    CAPTURE(row.Text);
+    http::Response response;
+    response.set(calls::PressureHeader, row.Text);
+    calls::AttemptResult result;
+    http::readAttemptResult(response, result);
+    CHECK(result.PressurePermille == 500);
+    CHECK(result.ExpectedTime == row.Time);
+    CHECK((result.Refusal == balance::RefusalKind::Spurious) == row.IsSpurious);
+    CHECK(result.IsNested == row.IsNested);
+  }
+}
