LibHttp: Learn how long a target keeps idle connections

A target that drops connections which rested resets the next request on one: its outcome is unknown, and one that must not run twice is lost. Each such connection cost a request, again and again.

A reused connection that ends within 50 ms without a byte of an answer, after a rest of 100 ms or more, now limits rests to that server to half of that one for 5 minutes. The new test of TestExchange fails without it: the second rested connection is broken too.

--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -1,7 +1,9 @@
 #include <LibHttp/CallEngine.h>
 
 #include <LibBase/Hash.h>
+#include <LibBase/Logger.h>
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/CallLog.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/MeshCall.h>
 #include <LibHttp/ResponseFields.h>
@@ -79,6 +81,14 @@
       LocalGate(Environment, Pool, Keys, CallTotals),
       CallTotals(*Environment.Counters),
       IdGenerator(std::random_device()() ^ base::hash64(Environment.NodeId)) {
+  Pool.setOnRestLimit([this](const base::Address &server, base::Duration rest,
+                             base::Duration limit) {
+    Environment.Counters->counter("rest_limits_learnt_total") += 1;
+    base::log(base::LogLevel::Warning, "connection lost after a rest",
+              {{"server", server.text()},
+               {"rested_ms", formatMilliseconds(rest)},
+               {"limit_ms", formatMilliseconds(limit)}});
+  });
   Environment.Broker->setOnResumed(
       [this](calls::CallHandle call, const CallStep &step) {
         resume(call, step);
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -16,6 +16,8 @@
 constexpr int UsableDenominator = 5;
 /// Maximum number of servers remembered as echoing request ids.
 constexpr size_t MaxEchoingServers = 4096;
+/// Maximum number of servers with a limit of their own.
+constexpr size_t MaxRestLimits = 4096;
 
 } // namespace
 
@@ -25,6 +27,7 @@
   auto it = Idle.find(server);
   if (it == Idle.end())
     return nullptr;
+  const auto limit = restLimitOf(server, now);
   auto &connections = it->second;
   for (size_t n = connections.size(); n > 0; --n) {
     auto at = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
@@ -32,7 +35,8 @@
       continue;
     IdleConnection idle = std::move(*at);
     connections.erase(at);
-    if (now < idle.Until && !idle.Pooled->hasPendingInput())
+    bool isRested = limit && now - idle.Since > *limit;
+    if (now < idle.Until && !isRested && !idle.Pooled->hasPendingInput())
       return idle.Pooled;
     idle.Pooled->close();
   }
@@ -56,7 +60,7 @@
     connection->close();
     return;
   }
-  connections.push_back({std::move(connection), now + usable});
+  connections.push_back({std::move(connection), now + usable, now});
 }
 
 void ConnectionPool::dropIdle(const base::Address &server) {
@@ -68,6 +72,22 @@
   Idle.erase(it);
 }
 
+void ConnectionPool::noteLost(const base::Address &server, base::Duration rest,
+                              base::Duration silence, base::TimePoint now) {
+  if (RestLimits.size() >= MaxRestLimits && !RestLimits.contains(server))
+    return;
+  auto &limit = RestLimits[server];
+  if (limit.lost(rest, silence, now) && OnRestLimit)
+    OnRestLimit(server, rest, *limit.current(now));
+}
+
+std::optional<base::Duration>
+ConnectionPool::restLimitOf(const base::Address &server,
+                            base::TimePoint now) const {
+  auto it = RestLimits.find(server);
+  return it == RestLimits.end() ? std::nullopt : it->second.current(now);
+}
+
 void ConnectionPool::noteEchoedId(const base::Address &server) {
   if (EchoesIds.size() >= MaxEchoingServers)
     EchoesIds.clear();
@@ -76,14 +96,18 @@
 
 void ConnectionPool::tick(base::TimePoint now) {
   for (auto &[server, connections] : Idle) {
-    std::erase_if(connections, [now](IdleConnection &idle) {
-      if (now < idle.Until)
+    const auto limit = restLimitOf(server, now);
+    std::erase_if(connections, [now, limit](IdleConnection &idle) {
+      if (now < idle.Until && (!limit || now - idle.Since <= *limit))
         return false;
       idle.Pooled->close();
       return true;
     });
   }
   std::erase_if(Idle, [](const auto &entry) { return entry.second.empty(); });
+  std::erase_if(RestLimits, [now](const auto &entry) {
+    return !entry.second.current(now);
+  });
 }
 
 size_t ConnectionPool::idleCount() const {
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -3,12 +3,15 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibHttp/Connection.h>
+#include <LibHttp/RestLimit.h>
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace radishcross::http {
@@ -51,6 +54,19 @@
   /// middlebox on the path may have lost the state of all of them.
   void dropIdle(const base::Address &server);
 
+  /// Called when the time that connections to a server may rest has become
+  /// shorter.
+  using RestLimitLearnt = std::function<void(
+      const base::Address &server, base::Duration rest, base::Duration limit)>;
+  void setOnRestLimit(RestLimitLearnt learnt) {
+    OnRestLimit = std::move(learnt);
+  }
+
+  /// Records that a reused connection was lost without a byte of an answer; see
+  /// RestLimit::lost().
+  void noteLost(const base::Address &server, base::Duration rest,
+                base::Duration silence, base::TimePoint now);
+
   /// Records that responses of \p server echo the request id; echoesIds()
   /// returns whether that was seen.
   void noteEchoedId(const base::Address &server);
@@ -64,14 +80,19 @@
   size_t idleCount() const;
 
 private:
+  std::optional<base::Duration> restLimitOf(const base::Address &server,
+                                            base::TimePoint now) const;
   struct IdleConnection {
     ConnectionPointer Pooled;
     base::TimePoint Until{};
+    base::TimePoint Since{};
   };
   boost::asio::io_context *Context;
   size_t IdlePerServer;
   std::map<base::Address, std::vector<IdleConnection>, AddressOrder> Idle;
   std::set<base::Address, AddressOrder> EchoesIds;
+  std::map<base::Address, RestLimit, AddressOrder> RestLimits;
+  RestLimitLearnt OnRestLimit;
 };
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -83,7 +83,12 @@
     ConnectionPointer connection =
         Pool.acquireIdle(Plan.Server, Started, SentId);
     if (connection) {
+      size_t received = connection->bytesReceived();
+      base::Duration rest = Started - connection->lastReceivedAt();
       result.End = co_await send(connection, result.HttpResponse);
+      if (result.End == AttemptEnd::Broken &&
+          connection->bytesReceived() == received)
+        Pool.noteLost(Plan.Server, rest, Time.now() - Started, Time.now());
       // A stale pooled connection that accepted no byte says nothing about the
       // server.
       if (result.End == AttemptEnd::NotSent && !hasTimedOut())
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -322,3 +322,34 @@
   // The rest of the request's body has not been sent yet.
   CHECK(sender.Pool.idleCount() == 0);
 }
+
+TEST_CASE("a connection that a server may have forgotten is not used again") {
+  // The server ends each connection with a reset at its second request.
+  Sender sender({responseTo("", "1"), ""});
+  sender.Server.Resets = true;
+  bool isLearnt = false;
+  sender.Pool.setOnRestLimit([&isLearnt](const base::Address &,
+                                         base::Duration rest,
+                                         base::Duration limit) {
+    isLearnt = true;
+    CHECK(rest >= http::RestLimit::MinimumRest);
+    CHECK(limit == rest / http::RestLimit::RestDivisor);
+  });
+  const auto rest = [&sender] {
+    sender.Context.restart();
+    sender.Context.run_for(http::RestLimit::MinimumRest * 2);
+  };
+  // On a slow machine the reset may come too late to tell.
+  constexpr int tries = 20;
+  for (int n = 0; n < tries && !isLearnt; ++n) {
+    CHECK(sender.send("a").End == AttemptEnd::Answered);
+    rest();
+    CHECK(sender.send("b").End == AttemptEnd::Broken);
+  }
+  REQUIRE(isLearnt);
+  CHECK(sender.send("c").End == AttemptEnd::Answered);
+  rest();
+  const auto accepted = sender.Server.Accepted;
+  CHECK(sender.send("d").End == AttemptEnd::Answered);
+  CHECK(sender.Server.Accepted == accepted + 1);
+}
