LibAdmission: Keep to a service's maximum of connections

max_connections of a service was read and not acted on. Each call at a target takes one connection, and only the gate beside the target opens any, so the gate now runs no more calls at once than that. The new test of TestNodeGate fails without it: 6 calls run where 2 are allowed.

--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -4,6 +4,7 @@
 #include <LibAdmission/NestedKinds.h>
 #include <LibAdmission/TargetGate.h>
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -57,11 +58,21 @@
     return service ? service->Limits : config::ServiceLimits{};
   }
 
+  /// Returns the connections that may be open to a target: the configured
+  /// maximum or what it announces, whichever is less.
+  uint32_t connectionsOf(const fleet::TargetRecord &target) const {
+    const auto *service =
+        InForce ? InForce->findService(target.Service) : nullptr;
+    const uint32_t maximum = service ? service->MaximumConnections : 0;
+    return maximum == 0 ? target.Connections
+                        : std::min(maximum, target.Connections);
+  }
+
   void configure(GatedTarget &gated) {
     const auto &target = gated.Target;
     const TargetGateSettings settings{
         gated.Listed ? target.State : TargetState::Left, target.Slots,
-        target.Connections, limitsOf(target.Service)};
+        connectionsOf(target), limitsOf(target.Service)};
     if (gated.Admission && sameSettings(gated.Settings, settings))
       return;
     if (!gated.Admission)
--- a/Tests/LibAdmission/TestNodeGate.cpp
+++ b/Tests/LibAdmission/TestNodeGate.cpp
@@ -166,3 +166,29 @@
   CHECK(refuse(std::nullopt) == RefusalKind::Full);
   CHECK(gate.limit() == 4);
 }
+
+TEST_CASE(
+    "no more calls run at once than a service's connections to a target") {
+  struct Row {
+    uint32_t Maximum;
+    uint32_t Runs;
+  };
+  // The target has 6 slots.
+  for (const auto &row : {Row{0, 6}, Row{120, 6}, Row{2, 2}}) {
+    GateFixture it(6);
+    config::VersionContent content;
+    content.Services = {{"lookup", {}}};
+    content.Services.front().MaximumConnections = row.Maximum;
+    base::LastReason reason;
+    auto built = config::Snapshot::create(
+        {{"badges", 1,
+          std::make_shared<const config::VersionContent>(content)}},
+        1, reason);
+    REQUIRE(built);
+    it.Node.limitsChanged(*built);
+    uint32_t runs = 0;
+    for (int n = 0; n < 10; ++n)
+      runs += it.arrive(Rank::Critical).What == Kind::Run ? 1 : 0;
+    CHECK(runs == row.Runs);
+  }
+}
