--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace radishcross::tenants {
@@ -27,14 +28,24 @@
   uint64_t KeeperChanges = 0;
 };
 
+/// What a node has seen of one tenant since the tenant got its limit.
+struct AllotmentReport {
+  TenantLimit Limit;
+  uint64_t Granted = 0; ///< At this node.
+  uint64_t Refused = 0; ///< At this node.
+  uint32_t Stock = 0;   ///< Tokens held.
+  fleet::NodeId Keeper; ///< Asked for tokens; empty: none yet.
+};
+
 /// Holds tokens ahead of the requests that come in at this node, and lends the
 /// node's share of the allotments to one keeper a group at a time. All times
 /// are of a clock that counts suspension.
 class AllotmentHolder {
 public:
   /// \p firstSession must increase from process to process of the node.
-  AllotmentHolder(AllotmentSettings settings, uint64_t firstSession)
-      : Settings(settings), NextSession(firstSession) {}
+  AllotmentHolder(fleet::NodeId self, AllotmentSettings settings,
+                  uint64_t firstSession)
+      : Self(std::move(self)), Settings(settings), NextSession(firstSession) {}
 
   void configure(const std::vector<TenantLimit> &limits);
 
@@ -56,6 +67,9 @@
   /// Returns whether an ask should be sent sooner than by the next tick.
   bool isUrgent() const;
 
+  /// Returns all tenants with a limit, by name.
+  std::vector<AllotmentReport> report(base::TimePoint now) const;
+
   const AllotmentCounts &counts() const { return Counts; }
   const fleet::NodeId &keeper(uint32_t group) const {
     return Groups[group].Keeper;
@@ -77,11 +91,14 @@
     uint32_t Wanted = 0;
     bool IsScarce = false;
     uint32_t Refused = 0; ///< Since the last answer.
+    uint64_t TotalGranted = 0;
+    uint64_t TotalRefused = 0;
   };
   struct Group {
     fleet::NodeId Keeper; ///< Asked now.
     fleet::NodeId Chosen; ///< To be asked once Keeper holds no share.
     bool HasTenants = false;
+    bool IsOwner = false;   ///< This node owns a share of the allotments.
     bool IsLeaving = false; ///< Lends no more, to change to another keeper.
     bool IsUrgent = false;
     bool IsPending = false;
@@ -105,8 +122,11 @@
   bool isAskDue(const Group &group, base::TimePoint now) const;
   void ask(uint32_t group, base::TimePoint now,
            std::vector<AllotmentSend> &sends);
-  uint32_t shareOf(base::TimePoint now);
+  bool isOwner(uint32_t group) const;
+  bool hasJoined(base::TimePoint now) const;
+  uint32_t shareOf(const Group &group, base::TimePoint now) const;
 
+  fleet::NodeId Self;
   AllotmentSettings Settings;
   uint64_t NextSession;
   std::vector<AllotmentMember> Members;
