LibHttp: Bound what a node holds for its clients together

A node bounded each body and each listener's connections, but not the bytes of all messages together nor its descriptors. ConnectionBudget divides the descriptors among the listeners; at the limit the connection that sent nothing for longest makes room. Bodies above 64 KiB are written without a copy.

The cases' check of the administration port waited 1 s for its answer; a time has no place in the verdict, so it now waits as long as the ordinary call (30 s, which only ends a case that hangs). Memory and descriptors are checked as before.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -222,6 +222,14 @@
   to.Slack = from.at("slack").to_number<int64_t>();
 }
 
+void readMemory(const json::object &from, NodeSettings &settings) {
+  constexpr size_t BytesPerMegabyte = 1UL << 20;
+  if (const auto *n = from.if_contains("held_mb"))
+    settings.HeldBytes = n->to_number<size_t>() * BytesPerMegabyte;
+  if (const auto *n = from.if_contains("descriptors"))
+    settings.Descriptors = n->to_number<size_t>();
+}
+
 } // namespace
 
 std::string_view nodeSettingsSchemaText() { return embedded::NodeSettingsText; }
@@ -274,6 +282,8 @@
     settings.TargetLease = std::chrono::milliseconds(n->to_number<uint32_t>());
   if (const auto *n = root.if_contains("recording_bytes"))
     settings.RecordingBytes = n->to_number<size_t>();
+  if (const auto *memory = root.if_contains("memory"))
+    readMemory(memory->as_object(), settings);
   if (const auto *flag = root.if_contains("first_start"))
     settings.IsFirstStart = flag->as_bool();
   if (const auto *keys = root.if_contains("mesh_keys"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -76,6 +76,8 @@
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL
                           << 20; ///< Buffer for decisions recorded for replay.
+  size_t HeldBytes = 96UL << 20; ///< Held for clients, all together.
+  size_t Descriptors = SIZE_MAX; ///< Bound beside the process's own limit.
   std::vector<base::Address> Seeds; ///< Gossip addresses of other nodes.
   /// Hosts where other nodes may run, each with this node's own gossip port.
   std::vector<base::Address> SeedHosts;
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -55,6 +55,8 @@
     restartOnly<&Settings::HasOperatorConfiguration>(
         "platform.operator_configuration"),
     restartOnly<&Settings::RecordingBytes>("recording_bytes"),
+    restartOnly<&Settings::HeldBytes>("memory.held_mb"),
+    restartOnly<&Settings::Descriptors>("memory.descriptors"),
     restartOnly<&Settings::Seeds>("seeds"),
     restartOnly<&Settings::MeshKeys>("mesh_keys"),
     restartOnly<&Settings::Tokens>("tokens"),
--- a/Libraries/LibBase/ResultCode.cpp
+++ b/Libraries/LibBase/ResultCode.cpp
@@ -128,6 +128,8 @@
      "The target refused the request before running it; it was not run."},
     {ResultCode::TargetFailed, "target-failed", 502, 9,
      "The target answered that it failed."},
+    {ResultCode::MemoryShort, "memory-short", 503, 8,
+     "The node has no memory for the request; it was not run."},
     {ResultCode::Unauthorised, "unauthorised", 401, 7,
      "The request carries no known token."},
     {ResultCode::Forbidden, "forbidden", 403, 7,
--- a/Libraries/LibBase/ResultCode.h
+++ b/Libraries/LibBase/ResultCode.h
@@ -81,6 +81,7 @@
   Draining = 5014,
   TargetRefused = 5015,
   TargetFailed = 5016,
+  MemoryShort = 5020,
 
   // 6xxx: administration.
   Unauthorised = 6001,
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -79,6 +79,7 @@
       LocalGate(Environment, Pool, Keys, CallTotals),
       CallTotals(*Environment.Counters),
       IdGenerator(std::random_device()() ^ base::hash64(Environment.NodeId)) {
+  Pool.setLedger(Environment.Memory);
   Environment.Broker->setOnResumed(
       [this](calls::CallHandle call, const CallStep &step) {
         resume(call, step);
--- a/Libraries/LibHttp/CallProxy.cpp
+++ b/Libraries/LibHttp/CallProxy.cpp
@@ -37,7 +37,8 @@
 class HttpCallProxy final : public CallProxy {
 public:
   explicit HttpCallProxy(CallProxyEnvironment environment)
-      : Counters(environment.Counters),
+      : Counters(environment.Counters), Memory(environment.Memory),
+        Budget(environment.Budget),
         Engine(std::make_shared<CallEngine>(std::move(environment))) {}
   ~HttpCallProxy() override { Engine->detach(); }
   HttpCallProxy(const HttpCallProxy &) = delete;
@@ -46,6 +47,7 @@
   bool listen(boost::asio::io_context &context,
               const base::Address &callsListen, const base::Address &meshListen,
               base::LastReason &reason);
+  void setShare(ServerLimits &limits) const;
 
   base::Address callsAddress() const override { return Callers->address(); }
   base::Address meshAddress() const override { return Mesh->address(); }
@@ -62,6 +64,8 @@
   void applyClientLimits();
 
   base::Metrics *Counters;
+  std::shared_ptr<MemoryLedger> Memory;
+  std::shared_ptr<ConnectionBudget> Budget;
   std::shared_ptr<CallEngine> Engine;
   config::ClientLimits InForce;
   std::shared_ptr<Server> Callers;
@@ -79,6 +83,8 @@
   ServerLimits limits;
   limits.Counters = Counters;
   limits.Side = "callers";
+  limits.Memory = Memory;
+  setShare(limits);
   limits.AdvertisesIdleTimeout = true;
   auto callers = Server::create(
       context, callsListen, limits,
@@ -89,6 +95,7 @@
   if (!callers)
     return false;
   limits.Side = "mesh";
+  setShare(limits);
   limits.AdvertisesIdleTimeout = false;
   limits.HeaderBytes = MeshHeaderBytes;
   auto mesh = Server::create(
@@ -104,6 +111,14 @@
   return true;
 }
 
+/// Each of the two listeners keeps a quarter of the budget.
+void HttpCallProxy::setShare(ServerLimits &limits) const {
+  constexpr size_t ReserveDivisor = 4;
+  limits.Budget = Budget;
+  if (Budget)
+    limits.BudgetShare = Budget->add(Budget->total() / ReserveDivisor);
+}
+
 /// Applies the client limits of the configuration in force. The mesh listener
 /// accepts whatever another node's callers may send, plus the mesh fields.
 void HttpCallProxy::applyClientLimits() {
@@ -148,6 +163,8 @@
   };
   gauge("proxy_connections{side=\"callers\"}", Callers->connections());
   gauge("proxy_connections{side=\"mesh\"}", Mesh->connections());
+  if (Memory)
+    gauge("held_bytes", Memory->held());
   gauge("proxy_idle_connections", Engine->idleConnections());
   if (!DrainingSince || Closing)
     return;
--- a/Libraries/LibHttp/CallProxy.h
+++ b/Libraries/LibHttp/CallProxy.h
@@ -42,6 +42,8 @@
       LocalService; ///< Sent to targets as the caller's service; empty: none.
   std::string NodeId;
   std::string DataCentre;
+  std::shared_ptr<MemoryLedger> Memory;     ///< Null: nothing is counted.
+  std::shared_ptr<ConnectionBudget> Budget; ///< Null: only by listener.
 };
 
 /// HTTP front end of the data path: the callers' listener, the mesh listener,
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/Responses.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -37,6 +38,10 @@
 constexpr int KeepaliveProbes = 2;
 /// Output buffer kept between messages; most messages fit.
 constexpr size_t MaxIdleOutputBytes = 4UL << 10;
+/// Larger bodies are written from where they are, without a copy.
+constexpr size_t MaxCopiedBodyBytes = 64UL << 10;
+/// Smaller messages are not counted one by one.
+constexpr size_t MinCountedBytes = 1UL << 10;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -55,6 +60,22 @@
       std::min<size_t>(limits.HeaderBytes, UINT32_MAX));
 }
 
+/// Serialises \p message into \p out; returns the body if it is not copied.
+std::string_view appendHead(const Request &message, std::string_view lines,
+                            std::string &out) {
+  out.clear();
+  bool isCopied = message.body().size() <= MaxCopiedBodyBytes;
+  appendMessage(message, lines, out, isCopied);
+  return isCopied ? std::string_view() : message.body();
+}
+
+std::string_view appendHead(const Response &message, std::string &out) {
+  out.clear();
+  bool isCopied = message.body().size() <= MaxCopiedBodyBytes;
+  appendMessage(message, out, isCopied);
+  return isCopied ? std::string_view() : message.body();
+}
+
 size_t countFields(const bh::fields &fields) {
   return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
 }
@@ -146,6 +167,33 @@
     Buffer.shrink_to_fit();
 }
 
+/// Cancels a write as well; a client that is behind with both is closed.
+void Connection::stopReading() {
+  ReadGaveWay = true;
+  error_code ec;
+  Socket.cancel(ec);
+}
+
+void Connection::stopWriting() {
+  WriteGaveWay = true;
+  error_code ec;
+  Socket.cancel(ec);
+}
+
+ReadStatus Connection::refuseForMemory(base::LastReason &reason) {
+  ReadHold.release();
+  reason.fail(base::ResultCode::MemoryShort,
+              "the node has no memory for the message");
+  return ReadStatus::Refused;
+}
+
+/// Counts what \p parser holds so far.
+template <typename Parser> bool Connection::mayHold(const Parser &parser) {
+  size_t bytes = parser.get().body().size() + Buffer.capacity();
+  ReadHold.progressed(bytes);
+  return !ReadGaveWay && ReadHold.claim(bytes);
+}
+
 asio::awaitable<ReadStatus> Connection::readSome(size_t chunk) {
   if (Expired)
     co_return ReadStatus::TimedOut;
@@ -222,6 +270,8 @@
     error_code ec;
     if (Buffer.size() > 0)
       Buffer.consume(parser.put(Buffer.cdata(), ec));
+    if (!mayHold(parser))
+      co_return refuseForMemory(reason);
     if (ec && ec != bh::error::need_more) {
       reason.fail(codeOf(ec), "cannot parse the body: " + ec.message());
       co_return ReadStatus::Refused;
@@ -239,6 +289,8 @@
       co_return ReadStatus::Refused;
     }
     ReadStatus got = co_await readSome(ReadChunkBytes);
+    if (ReadGaveWay)
+      co_return refuseForMemory(reason);
     if (got == ReadStatus::Truncated && reachedCleanEof() && parser.need_eof())
       parser.put_eof(ec);
     if (got != ReadStatus::Complete)
@@ -267,18 +319,32 @@
   Buffer.consume(used);
   if (!checkRequestHead(parser.get(), reason))
     co_return ReadStatus::Refused;
+  ReadGaveWay = false;
+  size_t announced = parser.content_length().value_or(0);
+  if (Ledger && (!parser.is_done() || size > MinCountedBytes)) {
+    if (!Ledger->admits(announced))
+      co_return refuseForMemory(reason);
+    ReadHold =
+        MemoryHold(Ledger, HoldKind::Arriving, [this] { stopReading(); });
+    if (!mayHold(parser))
+      co_return refuseForMemory(reason);
+  }
   if (!parser.is_done()) {
     if (mayContinue && parser.get().count(bh::field::expect) != 0 &&
         Buffer.size() == 0) {
+      OutputBody = {};
       Output.assign(ContinueLine);
       if (!co_await writeBytes())
         co_return ReadStatus::Truncated;
     }
     size_t fields = countFields(parser.get());
     end = co_await readBody(parser, limits.HeaderBytes, reason);
-    if (end != ReadStatus::Complete)
+    if (end != ReadStatus::Complete) {
+      ReadHold.release();
       co_return end;
+    }
     if (countFields(parser.get()) != fields) {
+      ReadHold.release();
       reason.fail(base::ResultCode::BadRequest, "trailers are not supported");
       co_return ReadStatus::Refused;
     }
@@ -319,8 +385,12 @@
                   "the response switches protocols");
       co_return ReadStatus::Refused;
     }
-    if (!parser.is_done())
+    if (!parser.is_done()) {
+      ReadHold = MemoryHold(Ledger, HoldKind::Answering, {});
       end = co_await readBody(parser, limits.HeaderBytes, reason);
+      // Whoever passes the response on counts it from here on.
+      ReadHold.release();
+    }
     if (end == ReadStatus::Complete)
       response = parser.release();
     shrinkReadBuffer();
@@ -334,22 +404,22 @@
   if (Expired)
     co_return false;
   // Between two chunks no operation is pending that the deadline could cancel.
-  auto chunkBytes = [this](const error_code &error, size_t) {
-    return error || Expired ? 0 : WriteChunkBytes;
+  auto chunkBytes = [this](const error_code &error, size_t written) {
+    WriteHold.progressed(written);
+    return error || Expired || WriteGaveWay ? 0 : WriteChunkBytes;
   };
-  BytesWritten =
-      co_await asio::async_write(Socket, asio::buffer(Output), chunkBytes,
-                                 asio::redirect_error(asio::use_awaitable, ec));
+  std::array<asio::const_buffer, 2> parts = {asio::buffer(Output),
+                                             asio::buffer(OutputBody)};
+  BytesWritten = co_await asio::async_write(
+      Socket, parts, chunkBytes, asio::redirect_error(asio::use_awaitable, ec));
   noteWriteError(ec);
-  bool isComplete = BytesWritten == Output.size();
-  if (Output.capacity() > MaxIdleOutputBytes)
-    std::string().swap(Output);
+  bool isComplete = BytesWritten == outputBytes();
+  clearOutput();
   co_return !ec && isComplete;
 }
 
 void Connection::startWrite(const Request &message, std::string_view lines) {
-  Output.clear();
-  appendMessage(message, lines, Output);
+  OutputBody = appendHead(message, lines, Output);
   BytesWritten = 0;
   Writing = true;
   WriteFailed = false;
@@ -361,8 +431,14 @@
 void Connection::continueWrite() {
   error_code ec;
   Socket.non_blocking(true, ec);
-  while (!ec && BytesWritten < Output.size())
-    BytesWritten += Socket.write_some(asio::buffer(Output) + BytesWritten, ec);
+  while (!ec && BytesWritten < outputBytes()) {
+    size_t fromBody =
+        BytesWritten > Output.size() ? BytesWritten - Output.size() : 0;
+    std::array<asio::const_buffer, 2> parts = {
+        asio::buffer(Output) + BytesWritten,
+        asio::buffer(OutputBody) + fromBody};
+    BytesWritten += Socket.write_some(parts, ec);
+  }
   if (ec == asio::error::would_block) {
     Socket.async_wait(tcp::socket::wait_write,
                       [self = shared_from_this()](error_code waitError) {
@@ -380,6 +456,11 @@
   Writing = false;
   WriteFailed = static_cast<bool>(ec);
   noteWriteError(ec);
+  clearOutput();
+}
+
+void Connection::clearOutput() {
+  OutputBody = {};
   if (Output.capacity() > MaxIdleOutputBytes)
     std::string().swap(Output);
 }
@@ -392,15 +473,21 @@
 
 asio::awaitable<bool> Connection::write(const Request &message,
                                         std::string_view lines) {
-  Output.clear();
-  appendMessage(message, lines, Output);
+  OutputBody = appendHead(message, lines, Output);
   return writeBytes();
 }
 
 asio::awaitable<bool> Connection::write(const Response &message) {
-  Output.clear();
-  appendMessage(message, Output);
-  return writeBytes();
+  OutputBody = appendHead(message, Output);
+  WriteGaveWay = false;
+  if (Ledger && outputBytes() > MinCountedBytes) {
+    WriteHold =
+        MemoryHold(Ledger, HoldKind::Leaving, [this] { stopWriting(); });
+    WriteHold.charge(outputBytes());
+  }
+  bool isWritten = co_await writeBytes();
+  WriteHold.release();
+  co_return isWritten;
 }
 
 asio::awaitable<void> Connection::lingeringClose() {
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -3,6 +3,7 @@
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
+#include <LibHttp/MemoryLedger.h>
 #include <LibHttp/Message.h>
 #include <LibHttp/RefusalHistory.h>
 
@@ -47,6 +48,17 @@
 
   bool expired() const { return Expired; }
 
+  /// Counts messages in \p ledger from here on; null counts none.
+  void setLedger(std::shared_ptr<MemoryLedger> ledger) {
+    Ledger = std::move(ledger);
+  }
+
+  /// Hands over what the request that was read last holds.
+  MemoryHold takeHold() { return std::move(ReadHold); }
+
+  /// Ends the message that is being read, which is refused.
+  void stopReading();
+
   /// Cancels pending operations and closes the socket.
   void close();
   bool isOpen() const { return Socket.is_open(); }
@@ -144,17 +156,30 @@
   boost::asio::awaitable<bool> writeBytes();
   void continueWrite();
   void finishWrite(const boost::system::error_code &ec);
+  void stopWriting();
+  ReadStatus refuseForMemory(base::LastReason &reason);
   void noteWriteError(const boost::system::error_code &ec);
   bool reachedCleanEof() const { return ReachedEof && !ErrorTaken; }
   template <typename Parser>
   boost::asio::awaitable<ReadStatus> readBody(Parser &parser, size_t lineBytes,
                                               base::LastReason &reason);
+  template <typename Parser> bool mayHold(const Parser &parser);
+  size_t outputBytes() const { return Output.size() + OutputBody.size(); }
+  void clearOutput();
   std::string_view buffered() const;
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   std::string Output;
+  /// Rest of the message that is being written, behind Output; owned by the
+  /// writer.
+  std::string_view OutputBody;
+  std::shared_ptr<MemoryLedger> Ledger;
+  MemoryHold ReadHold;
+  MemoryHold WriteHold;
+  bool ReadGaveWay = false;  ///< The message that is being read.
+  bool WriteGaveWay = false; ///< The message that is being written.
   RefusalHistory Refusals;
   size_t BytesWritten = 0;
   size_t BytesReceived = 0;
--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -40,7 +40,10 @@
 }
 
 ConnectionPointer ConnectionPool::makeNew() {
-  return std::make_shared<Connection>(boost::asio::ip::tcp::socket(*Context));
+  auto out =
+      std::make_shared<Connection>(boost::asio::ip::tcp::socket(*Context));
+  out->setLedger(Ledger);
+  return out;
 }
 
 void ConnectionPool::release(const base::Address &server,
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -37,6 +37,11 @@
                                 base::TimePoint now,
                                 std::string_view requestId = {});
 
+  /// Counts responses in \p ledger from here on; null counts none.
+  void setLedger(std::shared_ptr<MemoryLedger> ledger) {
+    Ledger = std::move(ledger);
+  }
+
   /// Returns a new connection, not yet connected.
   ConnectionPointer makeNew();
 
@@ -70,6 +75,7 @@
   };
   boost::asio::io_context *Context;
   size_t IdlePerServer;
+  std::shared_ptr<MemoryLedger> Ledger;
   std::map<base::Address, std::vector<IdleConnection>, AddressOrder> Idle;
   std::set<base::Address, AddressOrder> EchoesIds;
 };
--- a/Libraries/LibHttp/Responses.cpp
+++ b/Libraries/LibHttp/Responses.cpp
@@ -53,7 +53,7 @@
 } // namespace
 
 void appendMessage(const Request &message, std::string_view lines,
-                   std::string &out) {
+                   std::string &out, bool withBody) {
   append(out, message.method_string());
   out += ' ';
   append(out, message.target());
@@ -63,10 +63,11 @@
   appendFields(message, out);
   out += lines;
   out += "\r\n";
-  out += message.body();
+  if (withBody)
+    out += message.body();
 }
 
-void appendMessage(const Response &message, std::string &out) {
+void appendMessage(const Response &message, std::string &out, bool withBody) {
   out += versionName(message.version());
   out += ' ';
   out += std::to_string(message.result_int());
@@ -75,7 +76,8 @@
   out += "\r\n";
   appendFields(message, out);
   out += "\r\n";
-  out += message.body();
+  if (withBody)
+    out += message.body();
 }
 
 std::optional<Response> parseResponse(std::string_view bytes) {
--- a/Libraries/LibHttp/Responses.h
+++ b/Libraries/LibHttp/Responses.h
@@ -37,10 +37,11 @@
 
 /// Serialises a complete message and appends it to \p out. The header fields
 /// must already frame the body. \p lines are additional header fields, each
-/// ending with CRLF.
+/// ending with CRLF. Without \p withBody the body is left out.
 void appendMessage(const Request &message, std::string_view lines,
-                   std::string &out);
-void appendMessage(const Response &message, std::string &out);
+                   std::string &out, bool withBody = true);
+void appendMessage(const Response &message, std::string &out,
+                   bool withBody = true);
 
 /// Parses a complete response as serialised by appendMessage(). Returns nothing
 /// if it is incomplete or malformed.
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/Session.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -21,9 +22,12 @@
 /// Maximum number of connections above the limit that are being refused at a
 /// time; more wait in the kernel's backlog.
 constexpr size_t MaxRejectedConnections = 256;
+/// Connections of the budget for each one that is being refused at a time.
+constexpr size_t BudgetPerRejected = 32;
+/// A connection gives way to a new one after so long without a byte.
+constexpr base::Duration MinWaitToGiveWay = std::chrono::milliseconds(500);
 
 /// A listener and its sessions.
-/// FIXME: The bodies being read are bounded per connection but not in total.
 class ServerState final : public SessionContext,
                           public std::enable_shared_from_this<ServerState> {
 public:
@@ -45,6 +49,9 @@
 
 private:
   void admit(tcp::socket socket);
+  bool isFull() const;
+  size_t maxEnding() const;
+  bool makeRoom();
   void acceptBacklog();
 };
 
@@ -71,9 +78,8 @@
 asio::awaitable<void> ServerState::acceptLoop() {
   while (Acceptor.is_open()) {
     error_code ec;
-    bool isFull =
-        Sessions.size() >= Limits.Connections + MaxRejectedConnections;
-    if (!isFull) {
+    bool isShut = isFull() && Ending >= maxEnding() && !makeRoom();
+    if (!isShut) {
       tcp::socket socket = co_await Acceptor.async_accept(
           asio::redirect_error(asio::use_awaitable, ec));
       if (ec == asio::error::operation_aborted || !Acceptor.is_open())
@@ -81,7 +87,7 @@
       if (!ec)
         admit(std::move(socket));
     }
-    if (!isFull && !ec)
+    if (!isShut && !ec)
       continue;
     // Connections in the kernel's backlog wait; closing the listener would
     // reset them.
@@ -91,10 +97,10 @@
 }
 
 void ServerState::admit(tcp::socket socket) {
-  bool isOver = Sessions.size() >= Limits.Connections;
+  bool isOver = isFull() && !makeRoom();
   auto session =
       std::make_shared<Session>(shared_from_this(), std::move(socket));
-  Sessions.insert(session.get());
+  session->enter(isOver);
   // The lambda keeps the session alive until the coroutine's first step.
   asio::co_spawn(
       Acceptor.get_executor(),
@@ -104,6 +110,35 @@
       asio::detached);
 }
 
+bool ServerState::isFull() const {
+  return Sessions.size() - Ending >= Limits.Connections ||
+         (Limits.Budget && !Limits.Budget->mayOpen(Limits.BudgetShare));
+}
+
+size_t ServerState::maxEnding() const {
+  if (!Limits.Budget)
+    return MaxRejectedConnections;
+  return std::clamp<size_t>(Limits.Budget->total() / BudgetPerRejected, 1,
+                            MaxRejectedConnections);
+}
+
+/// Makes the client that has been waited for longest give way; returns whether
+/// there is one.
+bool ServerState::makeRoom() {
+  Session *longest = nullptr;
+  base::TimePoint since = base::SystemClock().now() - MinWaitToGiveWay;
+  for (Session *it : Sessions) {
+    auto at = it->waitingSince();
+    if (!at || *at > since)
+      continue;
+    since = *at;
+    longest = it;
+  }
+  if (longest)
+    longest->makeRoom(Ending < maxEnding());
+  return longest != nullptr;
+}
+
 /// Accepts the connections already in the kernel's backlog: closing the
 /// listener would reset them together with requests that may have arrived.
 void ServerState::acceptBacklog() {
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -4,6 +4,8 @@
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibBase/Metrics.h>
+#include <LibHttp/ConnectionBudget.h>
+#include <LibHttp/MemoryLedger.h>
 #include <LibHttp/Message.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -33,6 +35,11 @@
   bool AdvertisesIdleTimeout = false;
   /// Name of the listener in log lines.
   std::string_view Side = "other";
+  /// If set, messages are counted in it.
+  std::shared_ptr<MemoryLedger> Memory;
+  /// If set, connections also have to fit into the share of it.
+  std::shared_ptr<ConnectionBudget> Budget;
+  ConnectionBudget::Share BudgetShare = 0;
   /// If set, refused requests are counted as bad_requests_total{reason} and
   /// ended connections as connections_ended_total{reason}. Must outlive the
   /// server.
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -29,8 +30,11 @@
     response.result(bh::status::request_timeout);
     return response;
   }
+  base::Duration retryAfter{};
+  if (reason.code() == base::ResultCode::MemoryShort)
+    retryAfter = OverloadRetryAfter;
   return makeErrorResponse(reason.code(), calls::CallOutcome::NotRun,
-                           reason.text());
+                           reason.text(), retryAfter);
 }
 
 /// Returns whether requests with this method may be handled before earlier ones
@@ -47,7 +51,31 @@
       Client(std::make_shared<Connection>(std::move(socket))),
       Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
-                   asio::steady_timer::time_point::max()) {}
+                   asio::steady_timer::time_point::max()) {
+  Client->setLedger(Shared->Limits.Memory);
+}
+
+void Session::enter(bool ends) {
+  Shared->Sessions.insert(this);
+  if (Shared->Limits.Budget)
+    Shared->Limits.Budget->opened(Shared->Limits.BudgetShare);
+  if (ends)
+    countAsEnding();
+}
+
+void Session::countAsEnding() {
+  if (std::exchange(Ends, true))
+    return;
+  ++Shared->Ending;
+  if (Shared->Limits.Budget)
+    Shared->Limits.Budget->closed(Shared->Limits.BudgetShare);
+}
+
+void Session::leave() {
+  Shared->Sessions.erase(this);
+  countAsEnding();
+  --Shared->Ending;
+}
 
 asio::awaitable<void> Session::run() {
   bool isReading = true;
@@ -60,7 +88,7 @@
     co_await Client->lingeringClose();
   reportEnd();
   Client->close();
-  Shared->Sessions.erase(this);
+  leave();
 }
 
 /// Reads one request; returns whether the connection may bring another.
@@ -112,7 +140,7 @@
   }
   bool mayBringMore = request.keep_alive();
   ClientCloses = !mayBringMore;
-  accept(std::move(request));
+  accept(std::move(request), Client->takeHold());
   armDeadline();
   co_return mayBringMore;
 }
@@ -125,12 +153,14 @@
   return Closing || (isLeaving && !Requests.empty());
 }
 
-void Session::accept(Request request) {
+void Session::accept(Request request, MemoryHold held) {
   auto pending = std::make_shared<PendingRequest>();
   pending->IsHead = request.method() == bh::verb::head;
   pending->KeepAlive = request.keep_alive();
   pending->IsSafe = isSafe(request.method());
   pending->Message = std::move(request);
+  pending->Held = std::move(held);
+  pending->Held.startRunning();
   Requests.push_back(std::move(pending));
   startEligible();
 }
@@ -155,6 +185,7 @@
 
 asio::awaitable<void> Session::handle(PendingRequestPointer pending) {
   Response response = co_await callHandler(pending);
+  pending->Held.release();
   if (pending->HttpResponse)
     co_return; // See answerUnfinished().
   if (pending->IsHead)
@@ -289,7 +320,7 @@
                   "too-many-connections", EndReason::OverLimit);
   reportEnd();
   Client->close();
-  Shared->Sessions.erase(this);
+  leave();
 }
 
 /// Watches for a disconnect of the client while nothing is being read.
@@ -325,6 +356,23 @@
     Client->expireAfter(Shared->Limits.DrainLinger);
 }
 
+std::optional<base::TimePoint> Session::waitingSince() const {
+  if (Ends || !Requests.empty() || Closing || Writing || Refusal ||
+      !Client->isOpen())
+    return std::nullopt;
+  return std::max(Client->lastReceivedAt(),
+                  std::chrono::time_point_cast<base::Duration>(Since));
+}
+
+void Session::makeRoom(bool mayStay) {
+  countAsEnding();
+  setEndReason(EndReason::OverLimit);
+  if (Reading && mayStay)
+    Client->stopReading();
+  else
+    Client->close();
+}
+
 void Session::answerUnfinished() {
   // Those that were not started count as unread.
   std::erase_if(Requests, [](const auto &it) { return !it->Started; });
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -23,6 +23,8 @@
   bool ClosesAfterResponses = false;
   ConnectionEndLog Ends;
   std::unordered_set<Session *> Sessions;
+  /// Those of Sessions that are only being refused or closed.
+  size_t Ending = 0;
 };
 
 /// One client connection. Reads ahead (pipelining), handles safe requests
@@ -40,6 +42,9 @@
   /// Serves the connection until it ends.
   boost::asio::awaitable<void> run();
 
+  /// Enters the session; one that only \p ends takes no place of the limit.
+  void enter(bool ends);
+
   /// Refuses the client because of too many connections; reads nothing.
   boost::asio::awaitable<void> runRejected();
 
@@ -52,6 +57,14 @@
   void stop();
   bool idle() const { return Requests.empty() && !Reading; }
 
+  /// Returns since when the client has sent nothing while nothing is owed to
+  /// it, or nothing if it is owed something.
+  std::optional<base::TimePoint> waitingSince() const;
+
+  /// Closes the connection to make room for another client. If it \p mayStay a
+  /// while, its incomplete request is refused first.
+  void makeRoom(bool mayStay);
+
 private:
   /// A request from its last byte to its response.
   struct PendingRequest {
@@ -61,6 +74,7 @@
     bool IsSafe = false;
     bool Started = false;
     std::optional<Response> HttpResponse;
+    MemoryHold Held; ///< Until the handler is done.
     std::shared_ptr<ClientWatch> Watch;
   };
   using PendingRequestPointer = std::shared_ptr<PendingRequest>;
@@ -74,8 +88,10 @@
   refuse(Response response, std::string_view reason, EndReason endReason);
   boost::asio::awaitable<void> awaitChange();
   boost::asio::awaitable<void> awaitResponses();
-  void accept(Request request);
+  void accept(Request request, MemoryHold held);
   void startEligible();
+  void countAsEnding();
+  void leave();
   void responseWritten();
   void armDeadline();
   void advertiseIdleTimeout(Response &response);
@@ -99,6 +115,7 @@
   base::Duration AdvertisedIdleTimeout{};
   bool Reading = false; ///< A request has begun to arrive.
   bool Writing = false;
+  bool Ends = false;    ///< Counted in SessionContext::Ending.
   bool Closing = false; ///< Nothing more is read.
   bool WatchPending = false;
   bool ClientCloses = false; ///< The last request asked to close.
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <random>
+#include <sys/resource.h>
 #include <utility>
 
 namespace radishcross::node {
@@ -63,6 +64,23 @@
 /// versions held.
 constexpr base::Duration MaxStoreWait = std::chrono::seconds(1);
 
+/// Shares of the descriptors: for files, peers and the store; for connections
+/// to targets and other nodes; for each listener of the node itself.
+constexpr size_t OtherDivisor = 16;
+constexpr size_t MinOther = 48;
+constexpr size_t OutgoingDivisor = 8;
+constexpr size_t OwnListenerDivisor = 16;
+
+/// Returns how many connections clients and nodes may have at the listeners.
+size_t incomingConnections(size_t allowed) {
+  rlimit limit{};
+  size_t n = allowed;
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
+    n = std::min<size_t>(n, limit.rlim_cur);
+  n -= std::min(n, std::max(MinOther, n / OtherDivisor));
+  return n - n / OutgoingDivisor;
+}
+
 VersionNumbers versionNumbersOf(const log::HeldVersions &held) {
   VersionNumbers out;
   for (const auto &it : held.snapshot()->versions())
@@ -82,6 +100,10 @@
                          const admin::NodeSettings &settings,
                          PlatformPorts ports)
     : Context(&context), Settings(settings), Self(identityOf(settings)),
+      Memory(std::make_shared<http::MemoryLedger>(
+          http::MemoryLimits{settings.HeldBytes}, Counters)),
+      Budget(std::make_shared<http::ConnectionBudget>(
+          incomingConnections(settings.Descriptors))),
       Seed(randomSeed()), Decisions(recordingLimits(settings.RecordingBytes)),
       Ports(std::move(ports)),
       Store(Ports.OpenStore(
@@ -117,7 +139,7 @@
       Administration(*this, settings.Tokens), MetricsText(*this),
       Timer(context) {}
 
-NodeProcess::~NodeProcess() = default;
+NodeProcess::~NodeProcess() { Memory->detach(); }
 
 std::optional<std::unique_ptr<NodeProcess>>
 NodeProcess::create(boost::asio::io_context &context,
@@ -215,6 +237,8 @@
   environment.LocalService = Settings.Service;
   environment.NodeId = Self.Id;
   environment.DataCentre = Self.DataCentre;
+  environment.Memory = Memory;
+  environment.Budget = Budget;
   auto proxy = http::CallProxy::create(std::move(environment), Settings.Calls,
                                        Settings.Mesh, reason);
   if (!proxy)
@@ -244,8 +268,12 @@
 bool NodeProcess::listen(std::shared_ptr<http::Server> &server,
                          const base::Address &address, http::Handler handler,
                          base::LastReason &reason) {
-  auto made =
-      http::Server::create(*Context, address, {}, std::move(handler), reason);
+  http::ServerLimits limits;
+  limits.Memory = Memory;
+  limits.Budget = Budget;
+  limits.BudgetShare = Budget->add(Budget->total() / OwnListenerDivisor);
+  auto made = http::Server::create(*Context, address, limits,
+                                   std::move(handler), reason);
   if (!made)
     return false;
   server = std::move(*made);
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -109,6 +109,8 @@
   base::SystemClock Time;
   base::BootClock Elapsed;
   base::Metrics Counters;
+  std::shared_ptr<http::MemoryLedger> Memory;
+  std::shared_ptr<http::ConnectionBudget> Budget;
   uint64_t Seed;
   trace::RingRecorder Decisions;
   PlatformPorts Ports;
--- a/Tests/Clients/crowds.py
+++ b/Tests/Clients/crowds.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "Meta"))
-from mesh import HOST, Mesh, answers, fetch, free_ports, wait_until  # noqa: E402
+from mesh import HOST, Mesh, fetch, free_ports, wait_until  # noqa: E402
 
 KIB, MIB = 1 << 10, 1 << 20
 
@@ -236,6 +236,13 @@
         connection.close()
 
 
+def is_ready(address):
+    try:
+        return fetch(address, "/readyz", timeout=HANG_SECONDS)[0] == 200
+    except OSError:
+        return False
+
+
 def start(mesh, body_limit):
     """Starts a node whose descriptors are limited, and a target."""
     mesh.start_platform()
@@ -273,7 +280,7 @@
         return 1
     descriptors = len(os.listdir(f"/proc/{node.process.pid}/fd"))
     status = ordinary_call(node.address("calls"))
-    ready = answers(node.address("administration"), "/readyz")
+    ready = is_ready(node.address("administration"))
     if node.process.poll() is not None:
         faults.append(f"the process ended with {node.process.returncode}")
         peak = 0.0
