LibHttp: Refuse answers whose status HTTP does not have

Answers of targets and other nodes with a status above 599 were passed on, and a stored answer with any number would have been replayed. Both count as broken now: outcome unknown, 502. 000 and the other odd ones were refused already, whoever read them (a call, a node, a fetch).

The new test failed before for 600 and 999 at all four readers, and for 000, 001, 099 and 101 at the replay. It takes the place of the test of 000 alone and holds that one too.

--- a/Libraries/LibHttp/Framing.cpp
+++ b/Libraries/LibHttp/Framing.cpp
@@ -159,10 +159,11 @@
 
 bool checkResponseHead(const Response &response, base::LastReason &reason) {
   constexpr unsigned MinStatus = 100;
+  constexpr unsigned MaxStatus = 599;
   std::string_view fault =
       findLengthError(HeadFields(response), response.version());
-  if (response.result_int() < MinStatus)
-    fault = "the status code does not have three digits";
+  if (response.result_int() < MinStatus || response.result_int() > MaxStatus)
+    fault = "the status code is not between 100 and 599";
   if (fault.empty())
     return true;
   reason.fail(base::ResultCode::CallOutcomeUnknown,
--- a/Libraries/LibHttp/Responses.cpp
+++ b/Libraries/LibHttp/Responses.cpp
@@ -34,6 +34,8 @@
 
 constexpr unsigned NotExecutedStatuses[] = {408, 421, 429, 503};
 constexpr unsigned FirstServerErrorStatus = 500;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 /// Longer delays are of no use to a client and could overflow the clock.
 constexpr std::chrono::seconds MaxRetryAfter{3600};
 
@@ -88,6 +90,9 @@
   parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
   if (ec || !parser.is_done())
     return std::nullopt;
+  unsigned status = parser.get().result_int();
+  if (status < FirstFinalStatus || status > LastStatus)
+    return std::nullopt;
   return parser.release();
 }
 
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -1,7 +1,9 @@
 #include <LibHttp/Mesh.h>
 
+#include <LibHttp/Client.h>
 #include <LibHttp/ConnectionPool.h>
 #include <LibHttp/Exchange.h>
+#include <LibHttp/Responses.h>
 
 using namespace radishcross;
 using namespace radishcross::tests;
@@ -113,11 +115,13 @@
     plan.Server = Server.address();
     plan.Timeout = std::chrono::seconds(5);
     plan.IdField = IdField;
+    plan.ServerIsNode = ServerIsNode;
     return await(Context,
                  http::exchange(Pool, plan, request,
                                 std::make_shared<http::ClientWatch>()));
   }
 
+  bool ServerIsNode = false;
   asio::io_context Context{1};
   ScriptedServer Server;
   http::ConnectionPool Pool{Context};
@@ -266,10 +270,45 @@
   }
 }
 
-TEST_CASE("a response without a three-digit status code is refused") {
-  Sender sender({"HTTP/1.1 000 OK\r\nX-Request-Id: a\r\n"
-                 "Content-Length: 0\r\n\r\n"});
-  CHECK(sender.send("a").End == AttemptEnd::Broken);
+TEST_CASE(
+    "a response with a status that HTTP does not have is refused, whoever "
+    "reads it") {
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "20", "0200", "2000", "+20",
+        "-20", "-200", " 200", "2 0", "20a", "abc", "", "2"}) {
+    CAPTURE(status);
+    const std::string text = "HTTP/1.1 " + status +
+                             " OK\r\nX-Request-Id: a\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    for (bool isNode : {false, true}) {
+      CAPTURE(isNode);
+      Sender sender({text});
+      sender.ServerIsNode = isNode;
+      CHECK(sender.send("a").End == AttemptEnd::Broken);
+    }
+    asio::io_context context(1);
+    ScriptedServer server(context, {text});
+    base::LastReason reason;
+    auto fetched =
+        await(context, http::fetch(server.address(),
+                                   http::Request(bh::verb::get, "/", 11),
+                                   std::chrono::seconds(5), reason));
+    CHECK_FALSE(fetched.has_value());
+    CHECK(reason.code() == base::ResultCode::OutcomeUnknown);
+    CHECK_FALSE(http::parseResponse(text).has_value());
+  }
+}
+
+TEST_CASE("each final status that HTTP has is taken") {
+  for (unsigned status : {200U, 299U, 304U, 418U, 499U, 500U, 599U}) {
+    CAPTURE(status);
+    const std::string text = "HTTP/1.1 " + std::to_string(status) +
+                             " Odd\r\nX-Request-Id: a\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    Sender sender({text});
+    CHECK(sender.send("a").End == AttemptEnd::Answered);
+    CHECK(http::parseResponse(text).has_value());
+  }
 }
 
 TEST_CASE(
