--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -57,6 +57,8 @@
         "platform.operator_configuration"),
     restartOnly<&Settings::LinkBytesPerSecond>("link_mbit_per_s"),
     restartOnly<&Settings::RecordingBytes>("recording_bytes"),
+    restartOnly<&Settings::HeldBytes>("memory.held_mb"),
+    restartOnly<&Settings::Descriptors>("memory.descriptors"),
     restartOnly<&Settings::Seeds>("seeds"),
     restartOnly<&Settings::MeshKeys>("mesh_keys"),
     restartOnly<&Settings::Tokens>("tokens"),
--- a/Libraries/LibBase/ResultCode.cpp
+++ b/Libraries/LibBase/ResultCode.cpp
@@ -132,6 +132,8 @@
      "The request needs the key of a tenant and has none that is known."},
     {ResultCode::AllotmentSpent, "allotment-spent", 429, 6,
      "The tenant has asked for more than its allotment."},
+    {ResultCode::MemoryShort, "memory-short", 503, 8,
+     "The node has no memory for the request; it was not run."},
     {ResultCode::Unauthorised, "unauthorised", 401, 7,
      "The request carries no known token."},
     {ResultCode::Forbidden, "forbidden", 403, 7,
--- a/Libraries/LibBase/ResultCode.h
+++ b/Libraries/LibBase/ResultCode.h
@@ -83,6 +83,7 @@
   TargetFailed = 5016,
   KeyUnknown = 5018,
   AllotmentSpent = 5019,
+  MemoryShort = 5020,
 
   // 6xxx: administration.
   Unauthorised = 6001,
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -89,6 +89,7 @@
                {"rested_ms", formatMilliseconds(rest)},
                {"limit_ms", formatMilliseconds(limit)}});
   });
+  Pool.setLedger(Environment.Memory);
   Environment.Broker->setOnResumed(
       [this](calls::CallHandle call, const CallStep &step) {
         resume(call, step);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -4,10 +4,14 @@
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibHttp/LinkPacer.h>
+#include <LibHttp/MemoryLedger.h>
 #include <LibHttp/Message.h>
 #include <LibHttp/RefusalHistory.h>
+#include <LibHttp/WriteTurns.h>
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -48,6 +52,17 @@
 
   bool expired() const { return Expired; }
 
+  /// Counts messages in \p ledger from here on; null counts none.
+  void setLedger(std::shared_ptr<MemoryLedger> ledger) {
+    Ledger = std::move(ledger);
+  }
+
+  /// Hands over what the request that was read last holds.
+  MemoryHold takeHold() { return std::move(ReadHold); }
+
+  /// Ends the message that is being read, which is refused.
+  void stopReading();
+
   /// Cancels pending operations and closes the socket.
   void close();
   bool isOpen() const { return Socket.is_open(); }
@@ -132,10 +147,17 @@
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
-  /// Paces what is written to a link; null: nothing is paced.
-  void setLink(std::shared_ptr<LinkPacer> link) { Link = std::move(link); }
+  /// Paces what is written to a link, and makes large responses wait for their
+  /// turns; null: they don't.
+  void setLink(std::shared_ptr<LinkPacer> link,
+               std::shared_ptr<WriteTurns> turns) {
+    Link = std::move(link);
+    Turns = std::move(turns);
+  }
 
 private:
+  using OutputParts = std::array<boost::asio::const_buffer, 2>;
+  OutputParts unwritten() const;
   boost::asio::awaitable<void> awaitLink(size_t bytes);
   using Clock = std::chrono::steady_clock;
   static constexpr Clock::time_point NoDeadline = Clock::time_point::max();
@@ -149,18 +171,32 @@
   boost::asio::awaitable<bool> writeBytes();
   void continueWrite();
   void finishWrite(const boost::system::error_code &ec);
+  void stopWriting();
+  ReadStatus refuseForMemory(base::LastReason &reason);
   void noteWriteError(const boost::system::error_code &ec);
   bool reachedCleanEof() const { return ReachedEof && !ErrorTaken; }
   template <typename Parser>
   boost::asio::awaitable<ReadStatus> readBody(Parser &parser, size_t lineBytes,
                                               base::LastReason &reason);
+  template <typename Parser> bool mayHold(const Parser &parser);
+  size_t outputBytes() const { return Output.size() + OutputBody.size(); }
+  void clearOutput();
   std::string_view buffered() const;
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   std::shared_ptr<LinkPacer> Link;
+  std::shared_ptr<WriteTurns> Turns;
   std::string Output;
+  /// Rest of the message that is being written, behind Output; owned by the
+  /// writer.
+  std::string_view OutputBody;
+  std::shared_ptr<MemoryLedger> Ledger;
+  MemoryHold ReadHold;
+  MemoryHold WriteHold;
+  bool ReadGaveWay = false;  ///< The message that is being read.
+  bool WriteGaveWay = false; ///< The message that is being written.
   RefusalHistory Refusals;
   size_t BytesWritten = 0;
   size_t BytesReceived = 0;
--- a/Libraries/LibHttp/Responses.cpp
+++ b/Libraries/LibHttp/Responses.cpp
@@ -34,6 +34,8 @@
 
 constexpr unsigned NotExecutedStatuses[] = {408, 421, 429, 503};
 constexpr unsigned FirstServerErrorStatus = 500;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 /// Longer delays are of no use to a client and could overflow the clock.
 constexpr std::chrono::seconds MaxRetryAfter{3600};
 
@@ -53,7 +55,7 @@
 } // namespace
 
 void appendMessage(const Request &message, std::string_view lines,
-                   std::string &out) {
+                   std::string &out, bool withBody) {
   append(out, message.method_string());
   out += ' ';
   append(out, message.target());
@@ -63,10 +65,11 @@
   appendFields(message, out);
   out += lines;
   out += "\r\n";
-  out += message.body();
+  if (withBody)
+    out += message.body();
 }
 
-void appendMessage(const Response &message, std::string &out) {
+void appendMessage(const Response &message, std::string &out, bool withBody) {
   out += versionName(message.version());
   out += ' ';
   out += std::to_string(message.result_int());
@@ -75,7 +78,8 @@
   out += "\r\n";
   appendFields(message, out);
   out += "\r\n";
-  out += message.body();
+  if (withBody)
+    out += message.body();
 }
 
 std::optional<Response> parseResponse(std::string_view bytes) {
@@ -86,6 +90,9 @@
   parser.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
   if (ec || !parser.is_done())
     return std::nullopt;
+  unsigned status = parser.get().result_int();
+  if (status < FirstFinalStatus || status > LastStatus)
+    return std::nullopt;
   return parser.release();
 }
 
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -29,8 +30,11 @@
     response.result(bh::status::request_timeout);
     return response;
   }
+  base::Duration retryAfter{};
+  if (reason.code() == base::ResultCode::MemoryShort)
+    retryAfter = OverloadRetryAfter;
   return makeErrorResponse(reason.code(), calls::CallOutcome::NotRun,
-                           reason.text());
+                           reason.text(), retryAfter);
 }
 
 /// Returns whether requests with this method may be handled before earlier ones
@@ -48,7 +52,30 @@
       Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
                    asio::steady_timer::time_point::max()) {
-  Client->setLink(Shared->Limits.Link);
+  Client->setLink(Shared->Limits.Link, Shared->Turns);
+  Client->setLedger(Shared->Limits.Memory);
+}
+
+void Session::enter(bool ends) {
+  Shared->Sessions.insert(this);
+  if (Shared->Limits.Budget)
+    Shared->Limits.Budget->opened(Shared->Limits.BudgetShare);
+  if (ends)
+    countAsEnding();
+}
+
+void Session::countAsEnding() {
+  if (std::exchange(Ends, true))
+    return;
+  ++Shared->Ending;
+  if (Shared->Limits.Budget)
+    Shared->Limits.Budget->closed(Shared->Limits.BudgetShare);
+}
+
+void Session::leave() {
+  Shared->Sessions.erase(this);
+  countAsEnding();
+  --Shared->Ending;
 }
 
 asio::awaitable<void> Session::run() {
@@ -62,7 +89,7 @@
     co_await Client->lingeringClose();
   reportEnd();
   Client->close();
-  Shared->Sessions.erase(this);
+  leave();
 }
 
 /// Reads one request; returns whether the connection may bring another.
@@ -114,7 +141,7 @@
   }
   bool mayBringMore = request.keep_alive();
   ClientCloses = !mayBringMore;
-  accept(std::move(request));
+  accept(std::move(request), Client->takeHold());
   armDeadline();
   co_return mayBringMore;
 }
@@ -127,12 +154,14 @@
   return Closing || (isLeaving && !Requests.empty());
 }
 
-void Session::accept(Request request) {
+void Session::accept(Request request, MemoryHold held) {
   auto pending = std::make_shared<PendingRequest>();
   pending->IsHead = request.method() == bh::verb::head;
   pending->KeepAlive = request.keep_alive();
   pending->IsSafe = isSafe(request.method());
   pending->Message = std::move(request);
+  pending->Held = std::move(held);
+  pending->Held.startRunning();
   Requests.push_back(std::move(pending));
   startEligible();
 }
@@ -157,6 +186,7 @@
 
 asio::awaitable<void> Session::handle(PendingRequestPointer pending) {
   Response response = co_await callHandler(pending);
+  pending->Held.release();
   if (pending->HttpResponse)
     co_return; // See answerUnfinished().
   if (pending->IsHead)
@@ -201,12 +231,8 @@
       advertiseIdleTimeout(response);
     // Input from here on follows a response that closes the connection.
     Closing = Closing || !keepsAlive;
-    WriteTurns::Turn turn;
-    if (Shared->Turns)
-      turn = co_await Shared->Turns->take(response.body().size());
     Client->expireAfter(Shared->Limits.ResponseTimeout);
     bool isWritten = co_await Client->write(response);
-    turn = nullptr;
     Requests.pop_front();
     EndRecord.Answered += isWritten ? 1 : 0;
     if (!isWritten)
@@ -295,7 +321,7 @@
                   "too-many-connections", EndReason::OverLimit);
   reportEnd();
   Client->close();
-  Shared->Sessions.erase(this);
+  leave();
 }
 
 /// Watches for a disconnect of the client while nothing is being read.
@@ -331,6 +357,23 @@
     Client->expireAfter(Shared->Limits.DrainLinger);
 }
 
+std::optional<base::TimePoint> Session::waitingSince() const {
+  if (Ends || !Requests.empty() || Closing || Writing || Refusal ||
+      !Client->isOpen())
+    return std::nullopt;
+  return std::max(Client->lastReceivedAt(),
+                  std::chrono::time_point_cast<base::Duration>(Since));
+}
+
+void Session::makeRoom(bool mayStay) {
+  countAsEnding();
+  setEndReason(EndReason::OverLimit);
+  if (Reading && mayStay)
+    Client->stopReading();
+  else
+    Client->close();
+}
+
 void Session::answerUnfinished() {
   // Those that were not started count as unread.
   std::erase_if(Requests, [](const auto &it) { return !it->Started; });
