--- a/Tests/LibTenants/TestAllotmentHolder.cpp
+++ b/Tests/LibTenants/TestAllotmentHolder.cpp
@@ -127,6 +127,7 @@
 TEST_CASE("of many nodes some own the allotments, also when one is lost") {
   base::TimePoint now{50s};
   std::vector<AllotmentMember> members;
+  members.reserve(60);
   for (int n = 0; n < 60; ++n)
     members.push_back({"n" + std::to_string(n), true});
   std::vector<AllotmentHolder> holders;
@@ -176,6 +177,7 @@
 TEST_CASE("needs of many tenants are split so that each ask fits a datagram") {
   AllotmentHolder holder("a", {}, 1);
   std::vector<TenantLimit> limits;
+  limits.reserve(400);
   for (int n = 0; n < 400; ++n)
     limits.push_back(
         {"a-tenant-with-a-long-name-" + std::to_string(n), 10, 10});
