LibTenants: Let a request wait for tokens that are being asked for

A node held two tokens ahead of each tenant that had asked it. Now spare tokens are held only where there are enough for all nodes, and a request that finds none waits up to 60 ms, mostly a round trip, for those being asked for; a tenant beyond its allotment is still refused at once.

--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -167,9 +167,12 @@
     call.Request.Tenant = who.Asker->Name;
     call.Request.TenantRank = who.Asker->CallRank;
     call.KeyHash = std::move(who.KeyHash);
-    base::Duration retryAfter{};
-    if (!takeToken(call, *who.Asker, retryAfter))
-      co_return refuse(call, base::ResultCode::AllotmentSpent, retryAfter);
+    // The tenant's record may be gone after the wait.
+    uint32_t ratePerSecond = who.Asker->RatePerSecond;
+    auto verdict = co_await takeToken(call, ratePerSecond);
+    if (!verdict.IsGranted)
+      co_return refuse(call, base::ResultCode::AllotmentSpent,
+                       verdict.RetryAfter);
   }
   co_return co_await runCall(std::move(call));
 }
@@ -200,16 +203,30 @@
   return who;
 }
 
-/// Takes a token of the tenant's allotment; without one the call is refused.
-bool CallEngine::takeToken(BrokeredCall &call, const config::Tenant &asker,
-                           base::Duration &retryAfter) {
-  if (!Allotments || asker.RatePerSecond == 0)
-    return true;
-  auto verdict = Allotments->take(asker.Name, now());
-  CallTotals.tenantAsked(Tenants.labelOf(asker.Name), verdict.IsGranted);
+/// Takes a token of the tenant's allotment, and waits for one that is being
+/// asked for; without one the call is refused.
+asio::awaitable<tenants::AllotmentVerdict>
+CallEngine::takeToken(BrokeredCall &call, uint32_t ratePerSecond) {
+  using tenants::AllotmentPort;
+  if (!Allotments || ratePerSecond == 0)
+    co_return tenants::AllotmentVerdict();
+  auto verdict = Allotments->take(call.Request.Tenant, now());
+  asio::steady_timer pause(*Environment.Context);
+  for (base::Duration waited{};
+       verdict.IsAsking && waited < AllotmentPort::AskTime &&
+       !call.Incoming.Watch->Gone;
+       waited += AllotmentPort::LookInterval) {
+    pause.expires_after(AllotmentPort::LookInterval);
+    boost::system::error_code ec;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (!Allotments)
+      break;
+    verdict = Allotments->retake(call.Request.Tenant, now());
+  }
+  CallTotals.tenantAsked(Tenants.labelOf(call.Request.Tenant),
+                         verdict.IsGranted);
   call.HoldsToken = verdict.IsGranted;
-  retryAfter = verdict.RetryAfter;
-  return verdict.IsGranted;
+  co_return verdict;
 }
 
 void CallEngine::returnToken(const BrokeredCall &call) {
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -99,8 +99,8 @@
                                              IncomingRequest incoming);
   boost::asio::awaitable<Response> runCall(BrokeredCall call);
   tenants::Identity identify(Request &request, bool isNested);
-  bool takeToken(BrokeredCall &call, const config::Tenant &asker,
-                 base::Duration &retryAfter);
+  boost::asio::awaitable<tenants::AllotmentVerdict>
+  takeToken(BrokeredCall &call, uint32_t ratePerSecond);
   void returnToken(const BrokeredCall &call);
   bool isKeyRevoked(const BrokeredCall &call);
   Response refuse(const BrokeredCall &call, base::ResultCode code,
--- a/Libraries/LibNode/NodeAllotments.cpp
+++ b/Libraries/LibNode/NodeAllotments.cpp
@@ -47,17 +47,30 @@
 tenants::AllotmentVerdict NodeAllotments::take(std::string_view tenant,
                                                base::TimePoint) {
   auto verdict = Own.take(tenant, Elapsed->now());
-  if (Own.isUrgent() && !std::exchange(IsSendPosted, true))
-    boost::asio::post(*Context,
-                      [this, weak = std::weak_ptr<bool>(LifetimeToken)] {
-                        if (weak.expired())
-                          return;
-                        IsSendPosted = false;
-                        sendDue();
-                      });
+  sendSoon();
   return verdict;
 }
 
+tenants::AllotmentVerdict NodeAllotments::retake(std::string_view tenant,
+                                                 base::TimePoint) {
+  auto verdict = Own.retake(tenant, Elapsed->now());
+  sendSoon();
+  return verdict;
+}
+
+/// Sends what is urgent once the handler that asks has returned.
+void NodeAllotments::sendSoon() {
+  if (!Own.isUrgent() || std::exchange(IsSendPosted, true))
+    return;
+  boost::asio::post(*Context,
+                    [this, weak = std::weak_ptr<bool>(LifetimeToken)] {
+                      if (weak.expired())
+                        return;
+                      IsSendPosted = false;
+                      sendDue();
+                    });
+}
+
 void NodeAllotments::giveBack(std::string_view tenant, base::TimePoint) {
   Own.giveBack(tenant, Elapsed->now());
 }
--- a/Libraries/LibNode/NodeAllotments.h
+++ b/Libraries/LibNode/NodeAllotments.h
@@ -31,6 +31,8 @@
 
   tenants::AllotmentVerdict take(std::string_view tenant,
                                  base::TimePoint now) override;
+  tenants::AllotmentVerdict retake(std::string_view tenant,
+                                   base::TimePoint now) override;
   void giveBack(std::string_view tenant, base::TimePoint now) override;
 
   void snapshotChanged(const config::Snapshot &snapshot);
@@ -44,6 +46,7 @@
   void setGauges(base::Metrics &metrics) const;
 
 private:
+  void sendSoon();
   void sendDue();
   void logKeepers();
 
--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -20,8 +20,10 @@
 constexpr size_t MaximumNeedBytes = 900;
 constexpr size_t NeedBytes = 24; ///< Estimate besides the name.
 
-/// Tokens held of a tenant besides those for its demand.
+/// Tokens held of a tenant besides those for its demand, and the part of what
+/// it may have unused that all nodes together hold so at most.
 constexpr uint32_t SpareTokens = 2;
+constexpr double SparePart = 0.5;
 
 /// A stock below one part in this many of what is wanted is filled at once.
 constexpr uint32_t LowStockPart = 2;
@@ -122,8 +124,47 @@
   if (!isWarm(pocket, now))
     return 0;
   decay(pocket, now);
-  return SpareTokens +
-         static_cast<uint32_t>(std::ceil(Settings.StockFactor * pocket.Demand));
+  const auto spare = spareOf(pocket);
+  const auto factor = spare > 0 ? Settings.StockFactor : 1;
+  return spare + static_cast<uint32_t>(std::ceil(factor * pocket.Demand));
+}
+
+/// A small tenant that asks at many nodes has no tokens to hold ahead at each:
+/// its requests wait for an ask.
+uint32_t AllotmentHolder::spareOf(const Pocket &pocket) const {
+  const auto each = SparePart * unusedBound(pocket.Limit, Settings) /
+                    std::max(AliveMembers, 1U);
+  return std::min(SpareTokens, static_cast<uint32_t>(each));
+}
+
+bool AllotmentHolder::useToken(Pocket &pocket, base::TimePoint now) {
+  if (now >= pocket.Until)
+    pocket.Stock = 0;
+  if (pocket.Stock == 0)
+    return false;
+  --pocket.Stock;
+  ++pocket.Used;
+  pocket.IsReported = false;
+  return true;
+}
+
+AllotmentVerdict AllotmentHolder::retake(std::string_view tenant,
+                                         base::TimePoint now) {
+  auto found = Pockets.find(tenant);
+  if (found == Pockets.end())
+    return {};
+  auto &it = found->second;
+  if (!useToken(it, now)) {
+    // Meanwhile others may have used what was granted.
+    Groups[it.Group].IsUrgent = Groups[it.Group].IsUrgent || !it.IsScarce;
+    return {false, it.IsScarce ? ScarceRetry : UnaskedRetry, !it.IsScarce};
+  }
+  ++Counts.Granted;
+  ++it.TotalGranted;
+  --Counts.Refused;
+  --it.TotalRefused;
+  it.Refused -= it.Refused > 0 ? 1 : 0;
+  return {};
 }
 
 AllotmentVerdict AllotmentHolder::take(std::string_view tenant,
@@ -134,19 +175,12 @@
   auto &it = found->second;
   auto &group = Groups[it.Group];
   decay(it, now);
-  if (!isWarm(it, now))
+  if (!isWarm(it, now) && spareOf(it) > 0)
     it.Demand = Settings.FirstDemandShare * it.Limit.RatePerSecond *
                 seconds(Settings.StockTime);
   it.Demand += 1;
   it.LastTake = now;
-  if (now >= it.Until)
-    it.Stock = 0;
-  bool isGranted = it.Stock > 0;
-  if (isGranted) {
-    --it.Stock;
-    ++it.Used;
-    it.IsReported = false;
-  }
+  const bool isGranted = useToken(it, now);
   if (it.Stock * LowStockPart < targetOf(it, now))
     group.IsUrgent = true;
   if (isGranted) {
@@ -161,8 +195,10 @@
   auto spread =
       std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(
           it.Refused / double(it.Limit.RatePerSecond)));
-  return {false, std::min(LongestRetry,
-                          (it.IsScarce ? ScarceRetry : UnaskedRetry) + spread)};
+  return {false,
+          std::min(LongestRetry,
+                   (it.IsScarce ? ScarceRetry : UnaskedRetry) + spread),
+          !it.IsScarce};
 }
 
 void AllotmentHolder::giveBack(std::string_view tenant) {
--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -55,6 +55,8 @@
                   base::TimePoint now);
 
   AllotmentVerdict take(std::string_view tenant, base::TimePoint now);
+  /// As take(), for a request that is counted already.
+  AllotmentVerdict retake(std::string_view tenant, base::TimePoint now);
   void giveBack(std::string_view tenant);
 
   /// Returns the asks that are due.
@@ -115,6 +117,8 @@
 
   bool isWarm(const Pocket &pocket, base::TimePoint now) const;
   uint32_t targetOf(Pocket &pocket, base::TimePoint now) const;
+  uint32_t spareOf(const Pocket &pocket) const;
+  static bool useToken(Pocket &pocket, base::TimePoint now);
   void decay(Pocket &pocket, base::TimePoint now) const;
   void chooseKeepers(base::TimePoint now);
   void attach(uint32_t group);
--- a/Libraries/LibTenants/Allotments.h
+++ b/Libraries/LibTenants/Allotments.h
@@ -28,6 +28,10 @@
   AllotmentVerdict take(std::string_view tenant, base::TimePoint now) override {
     return Holder.take(tenant, now);
   }
+  AllotmentVerdict retake(std::string_view tenant,
+                          base::TimePoint now) override {
+    return Holder.retake(tenant, now);
+  }
   void giveBack(std::string_view tenant, base::TimePoint) override {
     Holder.giveBack(tenant);
   }
--- a/Tests/LibHttp/TestTenantKeys.cpp
+++ b/Tests/LibHttp/TestTenantKeys.cpp
@@ -61,12 +61,23 @@
                                  base::TimePoint) override {
     CHECK(tenant == "acme");
     if (Left == 0)
-      return {false, std::chrono::milliseconds(300)};
+      return {false, std::chrono::milliseconds(300), AfterRetakes > 0};
     --Left;
     return {};
   }
+  tenants::AllotmentVerdict retake(std::string_view tenant,
+                                   base::TimePoint now) override {
+    ++Retakes;
+    Left += AfterRetakes > 0 && Retakes == AfterRetakes ? 1 : 0;
+    auto out = take(tenant, now);
+    out.IsAsking = !out.IsGranted;
+    return out;
+  }
   void giveBack(std::string_view, base::TimePoint) override { ++Left; }
   int Left;
+  /// A token is granted after so many looks; 0: none is being asked for.
+  int AfterRetakes = 0;
+  int Retakes = 0;
 };
 
 } // namespace
@@ -179,3 +190,19 @@
   REQUIRE(mesh.ask(mesh.keyed()));
   CHECK(allotment.Left == 1);
 }
+
+TEST_CASE("a request waits for a token that is being asked for") {
+  KeyedMesh mesh;
+  FixedAllotment allotment(0);
+  allotment.AfterRetakes = 3;
+  mesh.Near.Proxy->setAllotments(&allotment);
+  auto response = mesh.ask(mesh.keyed());
+  REQUIRE(response);
+  CHECK(response->result_int() == 200);
+  CHECK(allotment.Retakes == 3);
+  // One that does not come in time is a refusal.
+  allotment.AfterRetakes = 1000;
+  response = mesh.ask(mesh.keyed());
+  REQUIRE(response);
+  CHECK(response->result_int() == 429);
+}
--- a/Tests/LibTenants/AllotmentFleet.h
+++ b/Tests/LibTenants/AllotmentFleet.h
@@ -101,16 +101,7 @@
     if (isOwed)
       tally.Owed -= 1;
     tally.OwedRequests += isOwed;
-    tally.OwedRefused += isOwed && !verdict.IsGranted;
-    if (verdict.IsGranted) {
-      ++tally.Granted;
-      tally.Runs.push_back(Now);
-      while (tally.Runs.front() <= Now - Settings.Window)
-        tally.Runs.pop_front();
-      tally.Most = std::max<uint64_t>(tally.Most, tally.Runs.size());
-    }
-    if (node.Own->isUrgent())
-      sendAll(n, node.Own->poll(Now));
+    settle({n, limit.Name, isOwed, Now}, verdict);
   }
 
   /// Advances the clock by one millisecond.
@@ -127,6 +118,7 @@
         sendAll(n, it.Own->poll(Now));
     }
     deliver();
+    lookAgain();
   }
 
   /// The most requests in a window that the bound allows.
@@ -146,6 +138,46 @@
   static constexpr uint32_t Sites = 3;
 
 private:
+  /// A request that waits for tokens, as the calls' engine lets it.
+  struct Asking {
+    size_t Node = 0;
+    std::string Tenant;
+    bool IsOwed = false;
+    base::TimePoint Since{};
+  };
+
+  void settle(const Asking &it, const AllotmentVerdict &verdict) {
+    auto &tally = Tallies[it.Tenant];
+    if (verdict.IsGranted) {
+      ++tally.Granted;
+      tally.Runs.push_back(Now);
+      while (tally.Runs.front() <= Now - Settings.Window)
+        tally.Runs.pop_front();
+      tally.Most = std::max<uint64_t>(tally.Most, tally.Runs.size());
+    } else if (verdict.IsAsking && Now - it.Since < AllotmentPort::AskTime) {
+      Waiting.emplace(Now + AllotmentPort::LookInterval, it);
+    } else {
+      tally.OwedRefused += it.IsOwed;
+    }
+    auto &node = Nodes[it.Node];
+    if (node.Own->isUrgent())
+      sendAll(it.Node, node.Own->poll(Now));
+  }
+
+  void lookAgain() {
+    while (!Waiting.empty() && Waiting.begin()->first <= Now) {
+      auto it = std::move(Waiting.begin()->second);
+      Waiting.erase(Waiting.begin());
+      auto &node = Nodes[it.Node];
+      if (!node.IsRunning) // Its clients see the connection end.
+        continue;
+      if (node.IsFrozen)
+        Waiting.emplace(Now + AllotmentPort::LookInterval, std::move(it));
+      else
+        settle(it, node.Own->retake(it.Tenant, Now));
+    }
+  }
+
   struct Flying {
     size_t To = 0;
     size_t From = 0;
@@ -219,6 +251,7 @@
   int CutSite = -1;
   int Doubted = -1;
   std::multimap<base::TimePoint, Flying> InFlight;
+  std::multimap<base::TimePoint, Asking> Waiting;
 };
 
 } // namespace radishcross::tenants
