LibHttp: Write the pieces of a paced answer from where they are

The merge of the pacing with the bodies that are no longer copied took the list of buffers for data, so paced answers of over 16 KB arrived as garbage. TestLibHttp 'answers arrive whole through a paced listener that writes in turns' showed it: 0 of 8 whole; 8 now.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_prefix.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cerrno>
@@ -427,7 +428,8 @@
     if (Expired || WriteGaveWay || !Socket.is_open())
       co_return false;
     BytesWritten += co_await asio::async_write(
-        Socket, asio::buffer(unwritten(), LinkPacer::PieceBytes),
+        Socket,
+        boost::beast::buffers_prefix(LinkPacer::PieceBytes, unwritten()),
         asio::redirect_error(asio::use_awaitable, ec));
     WriteHold.progressed(BytesWritten);
   }
