LibHttp: Let a client that still sends read that its body was refused

A body that gave way for memory was refused while its client still sent; after 256 KiB more the connection was reset, and the client saw no answer. What comes of such a body is now dropped for up to 4 s while it keeps coming.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -33,6 +33,8 @@
 constexpr size_t WriteChunkBytes = 64UL << 10;
 constexpr size_t MaxDiscardBytes = 256UL << 10;
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
+/// A refused body is discarded for so long at most.
+constexpr base::Duration MaxBodyDiscardTime = std::chrono::seconds(4);
 constexpr int KeepaliveIdleSeconds = 1;
 constexpr int KeepaliveIntervalSeconds = 1;
 constexpr int KeepaliveProbes = 2;
@@ -490,14 +492,16 @@
   co_return isWritten;
 }
 
-asio::awaitable<void> Connection::lingeringClose() {
+asio::awaitable<void> Connection::lingeringClose(size_t bodyBytes) {
   error_code ec;
   Socket.shutdown(tcp::socket::shutdown_send, ec);
   if (!ec) {
     expireAfter(DiscardTimeout);
     auto until = Clock::now() + IncomingUserTimeout;
+    auto bodyUntil = Clock::now() + MaxBodyDiscardTime;
+    size_t maximum = std::max(MaxDiscardBytes, bodyBytes);
     size_t discarded = 0;
-    while (discarded < MaxDiscardBytes) {
+    while (discarded < maximum) {
       DiscardedBytes += Buffer.size();
       Buffer.clear();
       ReadStatus end = co_await readSome(ReadChunkBytes);
@@ -508,6 +512,8 @@
         expireAfter(DiscardTimeout);
       else if (end != ReadStatus::Complete)
         break;
+      else if (bodyBytes > 0 && Clock::now() < bodyUntil)
+        expireAfter(DiscardTimeout);
     }
   }
   DiscardedBytes = unreadBytes();
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -104,8 +104,10 @@
 
   /// Closes so that the peer can still read the response: sends FIN, then
   /// discards input for a bounded time, which is extended while the peer has
-  /// not acknowledged all output.
-  boost::asio::awaitable<void> lingeringClose();
+  /// not acknowledged all output. With \p bodyBytes above 0 it discards as many
+  /// for MaxBodyDiscardTime as long as they keep coming, so that a client that
+  /// sends a body whole before it reads gets the response.
+  boost::asio::awaitable<void> lingeringClose(size_t bodyBytes = 0);
 
   /// Returns whether bytes beyond the last message have been read.
   bool hasBufferedInput() const { return Buffer.size() > 0; }
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -308,8 +308,11 @@
   Client->expireAfter(Shared->Limits.ResponseTimeout);
   bool isWritten = co_await Client->write(response);
   setEndReason(isWritten ? endReason : EndReason::AnswerNotWritten);
+  bool isBodyDiscarded =
+      reason == base::describe(base::ResultCode::MemoryShort).Name;
   if (isWritten)
-    co_await Client->lingeringClose();
+    co_await Client->lingeringClose(isBodyDiscarded ? Shared->Limits.BodyBytes
+                                                    : 0);
 }
 
 asio::awaitable<void> Session::runRejected() {
