--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -507,13 +507,14 @@
       ReadStatus end = co_await readSome(ReadChunkBytes);
       discarded += Buffer.size();
       // Input after close() would cause a reset, which drops output in transit.
-      if (end == ReadStatus::TimedOut && hasUnsentOutput() &&
-          Clock::now() < until)
+      bool isUnsent = end == ReadStatus::TimedOut && hasUnsentOutput() &&
+                      Clock::now() < until;
+      bool isBodyComing = end == ReadStatus::Complete && bodyBytes > 0 &&
+                          Clock::now() < bodyUntil;
+      if (isUnsent || isBodyComing)
         expireAfter(DiscardTimeout);
       else if (end != ReadStatus::Complete)
         break;
-      else if (bodyBytes > 0 && Clock::now() < bodyUntil)
-        expireAfter(DiscardTimeout);
     }
   }
   DiscardedBytes = unreadBytes();
