LibTenants: Hold no token for demand that has passed

A tenant's demand at a node decays but never to nothing, so each node that it had asked in the last 8 s went on to hold a token, and after one scarce answer the next request, seconds later, was refused at once. Demand of less than half a request now holds none, and an answer counts as scarce for 200 ms.

--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -125,8 +125,12 @@
     return 0;
   decay(pocket, now);
   const auto spare = spareOf(pocket);
-  const auto factor = spare > 0 ? Settings.StockFactor : 1;
-  return spare + static_cast<uint32_t>(std::ceil(factor * pocket.Demand));
+  // Demand never decays to nothing, and a token kept for it is one that no
+  // other node can have.
+  if (spare == 0)
+    return static_cast<uint32_t>(std::lround(pocket.Demand));
+  return spare +
+         static_cast<uint32_t>(std::ceil(Settings.StockFactor * pocket.Demand));
 }
 
 /// A small tenant that asks at many nodes has no tokens to hold ahead at each:
@@ -155,9 +159,11 @@
     return {};
   auto &it = found->second;
   if (!useToken(it, now)) {
+    const bool isScarce = now < it.ScarceUntil;
     // Meanwhile others may have used what was granted.
-    Groups[it.Group].IsUrgent = Groups[it.Group].IsUrgent || !it.IsScarce;
-    return {false, it.IsScarce ? ScarceRetry : UnaskedRetry, !it.IsScarce};
+    if (!isScarce)
+      Groups[it.Group].IsUrgent = true;
+    return {false, isScarce ? ScarceRetry : UnaskedRetry, !isScarce};
   }
   ++Counts.Granted;
   ++it.TotalGranted;
@@ -191,14 +197,15 @@
   ++Counts.Refused;
   ++it.TotalRefused;
   ++it.Refused;
+  const bool isScarce = now < it.ScarceUntil;
   // Those refused come back one after the other, at the rate of the tenant.
   auto spread =
       std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(
           it.Refused / double(it.Limit.RatePerSecond)));
-  return {false,
-          std::min(LongestRetry,
-                   (it.IsScarce ? ScarceRetry : UnaskedRetry) + spread),
-          !it.IsScarce};
+  return {
+      false,
+      std::min(LongestRetry, (isScarce ? ScarceRetry : UnaskedRetry) + spread),
+      !isScarce};
 }
 
 void AllotmentHolder::giveBack(std::string_view tenant) {
@@ -378,8 +385,9 @@
     pocket.Stock = static_cast<uint32_t>(held > since ? held - since : 0);
     // Of the ask: the keeper counts from the answer, which is later.
     pocket.Until = it.LastAsk + Settings.Lease;
-    pocket.IsScarce = grant.Granted < pocket.Wanted;
-    it.IsScarce = it.IsScarce || pocket.IsScarce;
+    const bool isScarce = grant.Granted < pocket.Wanted;
+    pocket.ScarceUntil = isScarce ? now + ScarceRetry : base::TimePoint{};
+    it.IsScarce = it.IsScarce || isScarce;
     pocket.Refused = 0;
     pocket.IsReported = pocket.Used == pocket.UsedAtAsk;
     pocket.AskedSequence = 0;
--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -91,8 +91,8 @@
     uint64_t AskedSequence = 0;
     uint64_t UsedAtAsk = 0;
     uint32_t Wanted = 0;
-    bool IsScarce = false;
-    uint32_t Refused = 0; ///< Since the last answer.
+    base::TimePoint ScarceUntil{}; ///< The keeper could not grant all wanted.
+    uint32_t Refused = 0;          ///< Since the last answer.
     uint64_t TotalGranted = 0;
     uint64_t TotalRefused = 0;
   };
