LibFleet: Announce the software version of targets

Cause: callers' nodes could not tell the versions of a service's targets, and a node could tell one other node something only by telling all.

Change: TargetRecord::SoftwareVersion, Peer.capnp Target.softwareVersion @8, sent only where roll-outs are configured; datagrams of kind Direct, whose notices are for their receiver alone.

The round trip of TestCodecs now has a version.

--- a/Libraries/LibBalance/TargetTable.cpp
+++ b/Libraries/LibBalance/TargetTable.cpp
@@ -114,7 +114,8 @@
   const bool changed =
       !known.Listed || before.State != target.State ||
       before.Epoch != target.Epoch || before.Service != target.Service ||
-      before.Slots != target.Slots || before.Where != target.Where;
+      before.Slots != target.Slots || before.Where != target.Where ||
+      before.SoftwareVersion != target.SoftwareVersion;
   const bool newLoad = before.LoadPermille != target.LoadPermille;
   if (!changed && !newLoad && known.Suspect == suspect)
     return false;
--- a/Libraries/LibBalance/TargetTable.h
+++ b/Libraries/LibBalance/TargetTable.h
@@ -40,6 +40,11 @@
   /// Returns the targets of a service that accept new calls.
   const Targets &usable(std::string_view serviceName) const;
 
+  /// Returns the same of all services that have any.
+  const std::map<std::string, Targets, std::less<>> &usableByService() const {
+    return ByService;
+  }
+
   /// Records that a target has stated that it is leaving. It gets no more calls
   /// of this node, whatever the fleet's members say of the same process.
   void leaving(KnownTarget &target);
--- a/Libraries/LibFleet/Gossip.h
+++ b/Libraries/LibFleet/Gossip.h
@@ -17,6 +17,7 @@
   PingRequest, ///< Asks the receiver to ping Subject.
   Update,      ///< Carries updates and the digest; no answer is expected.
   Join,        ///< First message of a joining node; carries its record.
+  Direct,      ///< Carries notices for the receiver only.
 };
 
 constexpr base::EnumName<GossipKind> GossipKindNames[] = {
@@ -25,6 +26,7 @@
     {GossipKind::PingRequest, "ping-request"},
     {GossipKind::Update, "news"},
     {GossipKind::Join, "join"},
+    {GossipKind::Direct, "direct"},
 };
 
 /// Summary of what a node holds; part of every datagram.
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -39,6 +39,8 @@
   uint32_t LoadPermille = 0; ///< Reported load.
   /// Raised when the target is announced again after its lease lapsed.
   uint64_t Epoch = 0;
+  /// Of the target's program; empty where roll-outs are not configured.
+  std::string SoftwareVersion;
 };
 
 enum class MemberState : uint8_t { Alive, Suspect, Dead, Left };
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -20,7 +20,8 @@
 bool sameButLoad(const TargetRecord &a, const TargetRecord &b) {
   return a.Service == b.Service && a.TargetId == b.TargetId &&
          a.Where == b.Where && a.State == b.State && a.Slots == b.Slots &&
-         a.Connections == b.Connections && a.Epoch == b.Epoch;
+         a.Connections == b.Connections && a.Epoch == b.Epoch &&
+         a.SoftwareVersion == b.SoftwareVersion;
 }
 
 bool sameButLoad(const std::vector<TargetRecord> &a,
@@ -401,6 +402,20 @@
 
 std::vector<Notice> Membership::takeNewNotices() { return Board.takeNew(); }
 
+std::optional<GossipSend> Membership::direct(const NodeId &to,
+                                             std::vector<Notice> notices) {
+  const auto *member = Table.find(to);
+  if (!member)
+    return std::nullopt;
+  auto message = compose(GossipKind::Direct, 0, {}, Payload::DigestOnly);
+  message.Notices = std::move(notices);
+  return GossipSend{member->Identity.Gossip, std::move(message)};
+}
+
+std::vector<Membership::DirectNotice> Membership::takeDirectNotices() {
+  return std::exchange(DirectNotices, {});
+}
+
 GossipMessage Membership::compose(GossipKind kind, uint64_t probe,
                                   const NodeId &subject, Payload payload) {
   GossipMessage message;
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -80,6 +80,9 @@
 /// relies on the updates from theirs.
 class Membership {
 public:
+  /// Direct notices that are kept until they are taken; more are dropped.
+  static constexpr size_t MaximumDirectNotices = 1024;
+
   /// \p self carries the initial incarnation and revision; both must be higher
   /// than those of any earlier process with the same id.
   Membership(Member self, std::vector<base::Address> seeds,
@@ -154,6 +157,18 @@
   uint64_t generation() const { return Generation; }
   std::vector<Notice> takeNewNotices();
 
+  /// Returns a datagram with notices for \p to alone, or nothing if that
+  /// member is not known.
+  std::optional<GossipSend> direct(const NodeId &to,
+                                   std::vector<Notice> notices);
+
+  /// A notice that was sent to this node alone.
+  struct DirectNotice {
+    NodeId From;
+    Notice Content;
+  };
+  std::vector<DirectNotice> takeDirectNotices();
+
   /// Returns up to \p count random live members, without this one, for which \p
   /// accept is true.
   std::vector<const Member *>
@@ -233,6 +248,7 @@
   Prober Probes;
   UpdateQueue Queue;
   NoticeBoard Board;
+  std::vector<DirectNotice> DirectNotices; ///< At most MaximumDirectNotices.
   std::map<std::string, uint64_t> FormerExceptions;
   Departures FormerDepartures;
   Digest OwnDigest;
--- a/Libraries/LibFleet/MembershipAnswers.cpp
+++ b/Libraries/LibFleet/MembershipAnswers.cpp
@@ -20,6 +20,13 @@
     return actions;
   for (const auto &it : message.Updates)
     mergeUpdate(it, now);
+  if (message.Kind == GossipKind::Direct) {
+    for (const auto &it : message.Notices)
+      if (DirectNotices.size() < MaximumDirectNotices)
+        DirectNotices.push_back({sender.Id, it});
+    Table.updateDigest(sender.Id, message.Summary);
+    return actions;
+  }
   for (const auto &it : message.Notices)
     Board.post(it, now);
   Table.updateDigest(sender.Id, message.Summary);
--- a/Libraries/LibFleet/UpdateSize.cpp
+++ b/Libraries/LibFleet/UpdateSize.cpp
@@ -17,7 +17,8 @@
   for (const auto &[key, value] : it.Identity.NodeLabels)
     bytes += key.size() + value.size() + LabelBytes;
   for (const auto &target : it.Targets)
-    bytes += target.Service.size() + target.TargetId.size() + TargetBytes;
+    bytes += target.Service.size() + target.TargetId.size() +
+             target.SoftwareVersion.size() + TargetBytes;
   for (const auto &[name, version] : it.Exceptions)
     bytes += name.size() + LabelBytes;
   for (const auto &[id, epoch] : it.Departed)
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -166,6 +166,10 @@
       Environment.NoticeReceived(it.Topic, it.Text);
   }
   OwnNotices.clear();
+  for (const auto &it : Members.takeDirectNotices())
+    if (Environment.DirectNoticeReceived)
+      Environment.DirectNoticeReceived(it.From, it.Content.Topic,
+                                       it.Content.Text);
   if (ReportedGeneration == Members.generation())
     return;
   ReportedGeneration = Members.generation();
@@ -378,6 +382,13 @@
       Environment.Time->now());
 }
 
+void FleetNode::sendNotice(const fleet::NodeId &to, std::string topic,
+                           std::string text) {
+  auto out = Members.direct(to, {{std::move(topic), std::move(text), 0, 0}});
+  if (out)
+    send({std::move(*out)});
+}
+
 void FleetNode::requestLogRead() {
   RecordReplicator.requestRead();
   Environment.Recorder->record(
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -59,6 +59,8 @@
   }
   void broadcastNotice(std::string topic, std::string text,
                        base::Duration lifetime) override;
+  void sendNotice(const fleet::NodeId &to, std::string topic,
+                  std::string text) override;
   void setExternalVersion(uint64_t version) override;
   void noteExternalRead(const fleet::RecordReading &reading) override;
   std::optional<base::Duration> externalAge() const override {
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -83,6 +83,10 @@
   std::function<void()> MembersChanged;
   std::function<void(std::string_view topic, std::string_view text)>
       NoticeReceived;
+  /// A notice that \p from has sent to this node alone.
+  std::function<void(const fleet::NodeId &from, std::string_view topic,
+                     std::string_view text)>
+      DirectNoticeReceived;
 };
 
 /// Performs the I/O of LibFleet: datagrams, pulls, reads of the log and timers.
@@ -129,6 +133,10 @@
   virtual void broadcastNotice(std::string topic, std::string text,
                                base::Duration lifetime) = 0;
 
+  /// Sends a short text to one node, once; it may get lost.
+  virtual void sendNotice(const fleet::NodeId &to, std::string topic,
+                          std::string text) = 0;
+
   /// Announces to the peers that a version of the external configuration is in
   /// force here.
   virtual void setExternalVersion(uint64_t version) = 0;
--- a/Libraries/LibPeer/GossipCodec.cpp
+++ b/Libraries/LibPeer/GossipCodec.cpp
@@ -50,7 +50,7 @@
 
 bool readDatagram(wire::Datagram::Reader reader, Datagram &datagram) {
   auto &message = datagram.Message;
-  if (reader.getKind() > static_cast<uint8_t>(fleet::GossipKind::Join) ||
+  if (reader.getKind() > static_cast<uint8_t>(fleet::GossipKind::Direct) ||
       !readText(reader.getSender(), MaximumIdBytes, datagram.Sender) ||
       datagram.Sender.empty())
     return false;
--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -22,6 +22,7 @@
   connections @5 :UInt32;
   loadPermille @6 :UInt32;
   epoch @7 :UInt64;
+  softwareVersion @8 :Text;
 }
 
 struct HeldException {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -75,7 +75,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(964e9280a17a48ce, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(964e9280a17a48ce, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -447,6 +447,9 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline bool hasSoftwareVersion() const;
+  inline  ::capnp::Text::Reader getSoftwareVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -511,6 +514,13 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline bool hasSoftwareVersion();
+  inline  ::capnp::Text::Builder getSoftwareVersion();
+  inline void setSoftwareVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftwareVersion(unsigned int size);
+  inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1991,6 +2001,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Target::Reader::hasSoftwareVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Target::Builder::hasSoftwareVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Target::Reader::getSoftwareVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Target::Builder::getSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Target::Builder::setSoftwareVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Target::Builder::initSoftwareVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Target::Builder::adoptSoftwareVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Target::Builder::disownSoftwareVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool HeldException::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -35,6 +35,8 @@
   builder.setConnections(target.Connections);
   builder.setLoadPermille(target.LoadPermille);
   builder.setEpoch(target.Epoch);
+  if (!target.SoftwareVersion.empty())
+    builder.setSoftwareVersion(target.SoftwareVersion);
 }
 
 bool readTarget(wire::Target::Reader reader, fleet::TargetRecord &target) {
@@ -47,6 +49,8 @@
   target.Epoch = reader.getEpoch();
   return readText(reader.getService(), MaximumTextBytes, target.Service) &&
          readText(reader.getTargetId(), MaximumIdBytes, target.TargetId) &&
+         readText(reader.getSoftwareVersion(), MaximumIdBytes,
+                  target.SoftwareVersion) &&
          readAddress(reader.getAddress(), target.Where);
 }
 
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -33,7 +33,8 @@
                             9,
                             120,
                             300,
-                            2});
+                            2,
+                            "v2"});
   return member;
 }
 
@@ -104,6 +105,7 @@
   CHECK(member.Identity.NodeLabels == exampleMember().Identity.NodeLabels);
   CHECK(member.Identity.Administration.text() == "[::1]:4");
   CHECK(member.Targets[0].State == fleet::TargetState::Draining);
+  CHECK(member.Targets[0].SoftwareVersion == "v2");
   CHECK(member.HeldOffset == 5);
   CHECK_FALSE(datagram->Message.Updates[1].HasContent);
 
