LibCalls: Place attempts by the versions of targets

Cause: a roll-out needs a share of the calls at each node.

Change: with bounds set, CallPlanner asks a VersionGate of each service which targets an attempt may go to and counts answers by route and version. A version that appears beside others is held back for 3 s, since its order may be on its way. New trace events, so that recorded roll-outs replay.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -64,7 +64,10 @@
         Keys(Settings.KeyWindow, recorder),
         Owners(Settings.Node, Settings.DataCentre, Settings.KeyWindow,
                recorder),
-        Randomness(Settings.RandomSeed) {}
+        Randomness(Settings.RandomSeed) {
+    if (Settings.Versions)
+      Planner.boundVersions(*Settings.Versions);
+  }
 
   struct OpenCall {
     config::SnapshotPointer Snapshot;
@@ -129,6 +132,7 @@
   routed.Allowed = allowedTime(request, route);
   routed.Idempotent = route.Idempotent;
   routed.MaximumAttempts = route.MaximumAttempts;
+  routed.RouteName = route.Name;
   routed.LatencyObjective = route.LatencyObjective;
   routed.WithinRetry = request.WithinRetry;
   routed.RetryBudgetPercent =
@@ -375,6 +379,30 @@
   Held->Planner.drainedChanged(drained, now);
 }
 
+bool Broker::rolloutOrdered(const rollout::Order &order, base::TimePoint now) {
+  return Held->Planner.rolloutOrdered(order, now);
+}
+
+bool Broker::rolloutLearned(const std::string &service,
+                            const rollout::StoredProgress &progress,
+                            base::Duration age, base::TimePoint now) {
+  return Held->Planner.rolloutLearned(service, progress, age, now);
+}
+
+void Broker::rolloutHalted(const std::string &service, uint64_t orderAt,
+                           base::TimePoint now) {
+  Held->Planner.rolloutHalted(service, orderAt, now);
+}
+
+std::map<std::string, rollout::VersionGate, std::less<>> &
+Broker::versionGates() {
+  return Held->Planner.versionGates();
+}
+
+std::vector<CallPlanner::VersionCut> Broker::takeVersionCuts() {
+  return Held->Planner.takeVersionCuts();
+}
+
 void Broker::assumeNoEarlierCalls(base::TimePoint now) {
   Held->Owners.assumeNoEarlierCalls(now);
 }
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -3,13 +3,16 @@
 #include <LibBalance/FeatureToggles.h>
 #include <LibBase/Random.h>
 #include <LibCalls/CallBroker.h>
+#include <LibCalls/CallPlanner.h>
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,6 +30,8 @@
   base::Duration KeyWindow = std::chrono::minutes(1);
   RetryLimits Retries = {};
   balance::FeatureToggles Toggles = {};
+  /// Calls are placed by the versions of targets within these bounds.
+  std::optional<rollout::Bounds> Versions = {};
 };
 
 /// The broker of one node; see CallBroker.
@@ -56,6 +61,16 @@
   void drainedChanged(const std::vector<std::string> &drained,
                       base::TimePoint now);
 
+  /// See CallPlanner.
+  bool rolloutOrdered(const rollout::Order &order, base::TimePoint now);
+  bool rolloutLearned(const std::string &service,
+                      const rollout::StoredProgress &progress,
+                      base::Duration age, base::TimePoint now);
+  void rolloutHalted(const std::string &service, uint64_t orderAt,
+                     base::TimePoint now);
+  std::map<std::string, rollout::VersionGate, std::less<>> &versionGates();
+  std::vector<CallPlanner::VersionCut> takeVersionCuts();
+
   /// States that the fleet had no configuration when this node recovered, so no
   /// call can have run before. Otherwise a node answers calls with an
   /// idempotency key that it owns as unknown until the window has passed.
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -123,6 +123,7 @@
   if (!target)
     return;
   target->InFlight -= target->InFlight > 0 ? 1 : 0;
+  noteVersionAnswer(call, attempt, *target, result, now);
   const bool hasReply = result.End == AttemptEnd::Answered ||
                         result.End == AttemptEnd::RefusedNotRun;
   const bool wasSilent = result.End == AttemptEnd::TimedOut ||
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -21,6 +21,10 @@
     {CallPlanEvent::Nodes, "nodes"},
     {CallPlanEvent::Hedge, "hedge"},
     {CallPlanEvent::Signalled, "signalled"},
+    {CallPlanEvent::VersionBounds, "version-bounds"},
+    {CallPlanEvent::RolloutOrdered, "rollout-ordered"},
+    {CallPlanEvent::RolloutLearned, "rollout-learned"},
+    {CallPlanEvent::RolloutHalted, "rollout-halted"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -42,11 +46,13 @@
 } // namespace
 
 const CallPlanPlayer::Handler CallPlanPlayer::Handlers[] = {
-    &CallPlanPlayer::start,        &CallPlanPlayer::target,
-    &CallPlanPlayer::drained,      &CallPlanPlayer::begin,
-    &CallPlanPlayer::attemptEnded, &CallPlanPlayer::end,
-    &CallPlanPlayer::tick,         &CallPlanPlayer::nodes,
-    &CallPlanPlayer::hedge,        &CallPlanPlayer::signalled};
+    &CallPlanPlayer::start,          &CallPlanPlayer::target,
+    &CallPlanPlayer::drained,        &CallPlanPlayer::begin,
+    &CallPlanPlayer::attemptEnded,   &CallPlanPlayer::end,
+    &CallPlanPlayer::tick,           &CallPlanPlayer::nodes,
+    &CallPlanPlayer::hedge,          &CallPlanPlayer::signalled,
+    &CallPlanPlayer::versionBounds,  &CallPlanPlayer::rolloutOrdered,
+    &CallPlanPlayer::rolloutLearned, &CallPlanPlayer::rolloutHalted};
 
 trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
   if (entry.Event >= std::size(Handlers))
@@ -77,10 +83,11 @@
 
 trace::Outcome CallPlanPlayer::target(const trace::Entry &entry) {
   auto lines = linesOf(entry.Text);
-  lines.resize(5);
+  lines.resize(6); // Older traces contain no version.
   fleet::TargetRecord record;
   record.Service = lines[3];
   record.TargetId = lines[4];
+  record.SoftwareVersion = lines[5];
   record.State = static_cast<fleet::TargetState>(entry.Numbers[0]);
   record.Slots = static_cast<uint32_t>(entry.Numbers[1]);
   record.LoadPermille = static_cast<uint32_t>(entry.Numbers[2]);
@@ -111,7 +118,10 @@
 
 trace::Outcome CallPlanPlayer::begin(const trace::Entry &entry) {
   RoutedCall call;
-  call.ServiceName = entry.Text;
+  auto lines = linesOf(entry.Text);
+  lines.resize(2);
+  call.ServiceName = lines[0];
+  call.RouteName = lines[1];
   call.CallRank = static_cast<config::Rank>(entry.Numbers[1]);
   call.Allowed = base::Duration(entry.Numbers[2]);
   call.Idempotent = (entry.Numbers[3] & 1) != 0;
@@ -162,6 +172,44 @@
   return {};
 }
 
+trace::Outcome CallPlanPlayer::versionBounds(const trace::Entry &entry) {
+  Replayed->boundVersions({static_cast<uint32_t>(entry.Numbers[0]),
+                           static_cast<uint32_t>(entry.Numbers[1]),
+                           base::Duration(entry.Numbers[2])});
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::rolloutOrdered(const trace::Entry &entry) {
+  auto lines = linesOf(entry.Text);
+  lines.resize(2);
+  Replayed->rolloutOrdered({lines[0], lines[1],
+                            base::Duration(entry.Numbers[1]),
+                            static_cast<uint64_t>(entry.Numbers[0])},
+                           timeOf(entry));
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::rolloutLearned(const trace::Entry &entry) {
+  auto lines = linesOf(entry.Text);
+  lines.resize(2);
+  rollout::StoredProgress progress;
+  progress.Offset = static_cast<uint64_t>(entry.Numbers[0]);
+  progress.Value.OrderAt = static_cast<uint64_t>(entry.Numbers[1]);
+  progress.Value.Version = lines[1];
+  progress.Value.State = static_cast<rollout::Phase>(entry.Numbers[2]);
+  progress.Value.Step = static_cast<uint32_t>(entry.Numbers[3]);
+  progress.Value.Age = base::Duration(entry.Numbers[4]);
+  Replayed->rolloutLearned(lines[0], progress, base::Duration(entry.Numbers[5]),
+                           timeOf(entry));
+  return {};
+}
+
+trace::Outcome CallPlanPlayer::rolloutHalted(const trace::Entry &entry) {
+  Replayed->rolloutHalted(entry.Text, static_cast<uint64_t>(entry.Numbers[0]),
+                          timeOf(entry));
+  return {};
+}
+
 std::string_view CallPlanPlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
 }
--- a/Libraries/LibCalls/CallPlanPlayer.h
+++ b/Libraries/LibCalls/CallPlanPlayer.h
@@ -27,6 +27,10 @@
   trace::Outcome tick(const trace::Entry &entry);
   trace::Outcome hedge(const trace::Entry &entry);
   trace::Outcome signalled(const trace::Entry &entry);
+  trace::Outcome versionBounds(const trace::Entry &entry);
+  trace::Outcome rolloutOrdered(const trace::Entry &entry);
+  trace::Outcome rolloutLearned(const trace::Entry &entry);
+  trace::Outcome rolloutHalted(const trace::Entry &entry);
 
   using Handler = trace::Outcome (CallPlanPlayer::*)(const trace::Entry &);
   static const Handler Handlers[];
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -67,7 +67,7 @@
                          trace::Recorder &recorder, const RetryLimits &retries,
                          const balance::FeatureToggles &toggles)
     : Balancer(here, toggles), Randomness(randomSeed), Record(&recorder),
-      Retries(retries) {
+      GateSeed(randomSeed), Retries(retries) {
   recordEvent(CallPlanEvent::Start,
               {static_cast<int64_t>(randomSeed),
                retries.RatioPermille.value_or(NoRatio), retries.Window.count(),
@@ -86,7 +86,9 @@
               {static_cast<int64_t>(handle),
                static_cast<int64_t>(call.CallRank), call.Allowed.count(), flags,
                call.RetryBudgetPercent},
-              call.ServiceName, outcomeOf(out), now);
+              VersionBounds ? call.ServiceName + "\n" + call.RouteName
+                            : call.ServiceName,
+              outcomeOf(out), now);
   return out;
 }
 
@@ -272,8 +274,7 @@
     excluded.push_back(it.Target);
   if (call.LastTarget != 0)
     excluded.push_back(call.LastTarget);
-  auto *target = Balancer.choose(targets, excluded, stateOf(call).Spillover,
-                                 now, Randomness);
+  auto *target = chooseTarget(call, excluded, now);
   call.Stop = StopReason::NoOtherTarget;
   if (!target)
     return std::nullopt;
@@ -332,6 +333,7 @@
                                  base::TimePoint now) {
   for (const auto *it : Table.membersChanged(members, now))
     recordTarget(*it, now);
+  listVersions(now);
 }
 
 void CallPlanner::nodesChanged(int64_t nodes, base::TimePoint now) {
@@ -389,7 +391,8 @@
                target.Suspect ? 1 : 0, target.Listed ? 1 : 0},
               candidate.Node + "\n" + candidate.DataCentre + "\n" +
                   target.Region + "\n" + record.Service + "\n" +
-                  record.TargetId,
+                  record.TargetId +
+                  (VersionBounds ? "\n" + record.SoftwareVersion : ""),
               {}, now);
 }
 
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -8,6 +8,7 @@
 #include <LibCalls/CallBroker.h>
 #include <LibCalls/ClientThrottle.h>
 #include <LibCalls/RetryBudget.h>
+#include <LibRollout/VersionGate.h>
 #include <LibTrace/Recorder.h>
 
 #include <boost/container/static_vector.hpp>
@@ -30,6 +31,7 @@
   uint32_t RetryBudgetPercent = 0;
   uint32_t MaximumAttempts = 3;      ///< Targets that it may be sent to.
   base::Duration LatencyObjective{}; ///< 0: none.
+  std::string RouteName = {};        ///< For the evidence of roll-outs.
 };
 
 /// Events of trace entries, with their numbers and text. Start: random seed,
@@ -42,7 +44,13 @@
 /// failed; plus 512 times the number of the attempt; plus 65,536: the target
 /// answered that it failed), code, pressure, latency, retry-after. End: handle.
 /// Hedge: handle. Signalled: handle, number of the attempt, flags (see
-/// flagsOf()), the limit. Times are in microseconds.
+/// flagsOf()), the limit. VersionBounds: exposure in permille, slack, time to
+/// roll back. RolloutOrdered: offset, period; text: service, version.
+/// RolloutLearned: offset, offset of the order, state, step, age of the order
+/// then, time since it was confirmed; text: service, version. RolloutHalted:
+/// offset of the order; text: service. With bounds of versions, the text of
+/// Target has the target's version and that of Begin the route as a further
+/// line. Times are in microseconds.
 ///
 /// Outcome of Begin, AttemptEnded and Hedge: kind, outcome and code in one
 /// number, the node's hash, the hedging delay or else the timeout, and
@@ -59,6 +67,10 @@
     Nodes,
     Hedge,
     Signalled,
+    VersionBounds,
+    RolloutOrdered,
+    RolloutLearned,
+    RolloutHalted,
   };
 };
 
@@ -93,6 +105,29 @@
   void membersChanged(const std::vector<fleet::Member> &members,
                       base::TimePoint now);
 
+  /// Begins to place calls by the versions of targets.
+  void boundVersions(const rollout::Bounds &bounds);
+
+  /// Apply an order and the state of a roll-out, and stop its new version; see
+  /// rollout::VersionGate. The first two return whether this is news.
+  bool rolloutOrdered(const rollout::Order &order, base::TimePoint now);
+  bool rolloutLearned(const std::string &service,
+                      const rollout::StoredProgress &progress,
+                      base::Duration age, base::TimePoint now);
+  void rolloutHalted(const std::string &service, uint64_t orderAt,
+                     base::TimePoint now);
+
+  /// The gates of the services that have one, by name.
+  using VersionGates = std::map<std::string, rollout::VersionGate, std::less<>>;
+  VersionGates &versionGates() { return Gates; }
+
+  /// A new version that this node has stopped by its own evidence.
+  struct VersionCut {
+    std::string Service;
+    rollout::Finding Why;
+  };
+  std::vector<VersionCut> takeVersionCuts();
+
   /// Sets the number of nodes that share the retry slack. The recent maximum
   /// counts, so that nodes in a network partition don't spend all of it.
   void nodesChanged(int64_t nodes, base::TimePoint now);
@@ -141,6 +176,7 @@
     RetryBudget Budget;
     ClientThrottle Throttle;
     balance::SpilloverShare Spillover;
+    balance::SpilloverShare NewVersionSpillover;
     balance::HedgeDelay Hedging;
   };
 
@@ -159,6 +195,17 @@
   int64_t recentNodes(base::TimePoint now);
   std::optional<CallStep> send(PlannedCall &call, bool retry,
                                base::TimePoint now);
+  using Excluded = balance::LoadBalancer::Excluded;
+  balance::KnownTarget *chooseTarget(const PlannedCall &call, Excluded excluded,
+                                     base::TimePoint now);
+  balance::KnownTarget *chooseByVersion(const PlannedCall &call,
+                                        rollout::VersionGate &gate,
+                                        Excluded excluded, base::TimePoint now);
+  void listVersions(base::TimePoint now);
+  void noteVersionAnswer(const PlannedCall &call, const ActiveAttempt &attempt,
+                         const balance::KnownTarget &target,
+                         const AttemptResult &result, base::TimePoint now);
+  rollout::VersionGate &gateOf(const std::string &service);
   static ChoiceBasis basisOf(const balance::TargetTable::Targets &targets,
                              const balance::KnownTarget &chosen,
                              base::TimePoint now);
@@ -184,6 +231,10 @@
   trace::Recorder *Record;
   std::unordered_map<CallHandle, PlannedCall> Calls;
   std::map<std::string, ServiceState, std::less<>> Services;
+  std::optional<rollout::Bounds> VersionBounds;
+  uint64_t GateSeed;
+  VersionGates Gates;
+  std::vector<VersionCut> VersionCuts;
   RetryLimits Retries;
   int64_t Nodes = 0;
   int64_t RecentMaximumNodes = 0; ///< Lately.
--- a/Libraries/LibRollout/RolloutTypes.h
+++ b/Libraries/LibRollout/RolloutTypes.h
@@ -24,6 +24,8 @@
   uint32_t ExposurePermille = 0;
   uint32_t ExposureSlack = 0; ///< Calls above that share.
   base::Duration Rollback{};  ///< From the 50th bad answer to the last call.
+
+  bool operator==(const Bounds &) const = default;
 };
 
 /// An operator's order to move a service to another version.
--- a/Libraries/LibRollout/VersionGate.cpp
+++ b/Libraries/LibRollout/VersionGate.cpp
@@ -74,6 +74,37 @@
   return isBad ? Role::Withheld : Role::New;
 }
 
+void VersionGate::targetsListed(
+    std::map<std::string, size_t, std::less<>> ready, base::TimePoint now) {
+  Ready = std::move(ready);
+  std::erase_if(FirstSeen,
+                [this](const auto &it) { return !Ready.contains(it.first); });
+  for (const auto &[version, targets] : Ready)
+    FirstSeen.emplace(version, now);
+}
+
+bool VersionGate::isHeldBack(std::string_view version,
+                             base::TimePoint now) const {
+  const auto seen = FirstSeen.find(version);
+  if (seen == FirstSeen.end() || now - seen->second >= UnorderedHold ||
+      (Current && Current->Version == version))
+    return false;
+  const auto own = Ready.find(version)->second;
+  return std::any_of(Ready.begin(), Ready.end(), [&](const auto &it) {
+    const bool isLarger =
+        it.second > own || (it.second == own && it.first < version);
+    const auto other = FirstSeen.find(it.first)->second;
+    return it.first != version && it.second > 0 &&
+           (other < seen->second || (other == seen->second && isLarger));
+  });
+}
+
+bool VersionGate::mayDiffer(base::TimePoint now) const {
+  return Current ||
+         std::any_of(Ready.begin(), Ready.end(),
+                     [&](const auto &it) { return isHeldBack(it.first, now); });
+}
+
 Basis VersionGate::basis(bool hasOld, bool hasNew, base::TimePoint now) const {
   if (!Current)
     return Basis::NoOrder;
--- a/Libraries/LibRollout/VersionGate.h
+++ b/Libraries/LibRollout/VersionGate.h
@@ -78,6 +78,21 @@
 
   Role roleOf(std::string_view version) const;
 
+  /// How long a version that appears beside others is held back without an
+  /// order: its order may be about to arrive.
+  static constexpr base::Duration UnorderedHold = std::chrono::seconds(3);
+
+  /// Notes the ready targets of each version.
+  void targetsListed(std::map<std::string, size_t, std::less<>> ready,
+                     base::TimePoint now);
+
+  /// Returns whether a version that is not ordered gets nothing yet: others
+  /// with more ready targets were there before.
+  bool isHeldBack(std::string_view version, base::TimePoint now) const;
+
+  /// Returns whether place() or isHeldBack() may prefer a version at \p now.
+  bool mayDiffer(base::TimePoint now) const;
+
   /// Decides for one attempt and counts it. \p hasOld, \p hasNew: a target of
   /// that role is listed.
   PlacingAnswer place(bool hasOld, bool hasNew, base::TimePoint now);
@@ -113,6 +128,8 @@
   AnswerJudge Judge;
   Evidence Own;
   std::map<std::string, RouteTally, std::less<>> Counts;
+  std::map<std::string, size_t, std::less<>> Ready; ///< Targets by version.
+  std::map<std::string, base::TimePoint, std::less<>> FirstSeen;
   uint64_t Sequence = 0;
   uint64_t Calls = 0; ///< Since the order was learned.
   uint64_t NewCalls = 0;
--- a/Tests/LibRollout/TestVersionGate.cpp
+++ b/Tests/LibRollout/TestVersionGate.cpp
@@ -168,3 +168,18 @@
   CHECK(StepPlan::targetsInUse(10, 250) == 3);
   CHECK(StepPlan::targetsInUse(10, 1000) == 10);
 }
+
+TEST_CASE_FIXTURE(GateFixture, "a new version waits for its order") {
+  Gate.targetsListed({{"v1", 3}, {"v0", 1}}, Now);
+  CHECK_FALSE(Gate.isHeldBack("v1", Now));
+  CHECK(Gate.isHeldBack("v0", Now)); // Seen together: the larger one goes on.
+  CHECK(Gate.mayDiffer(Now));
+  Now += VersionGate::UnorderedHold;
+  CHECK_FALSE(Gate.mayDiffer(Now));
+  Gate.targetsListed({{"v1", 3}, {"v2", 9}}, Now);
+  CHECK(Gate.isHeldBack("v2", Now));
+  order(1);
+  CHECK_FALSE(Gate.isHeldBack("v2", Now));
+  Gate.targetsListed({{"v2", 9}}, Now);
+  CHECK_FALSE(Gate.isHeldBack("v2", Now));
+}
