LibNode: Serve the operator's roll-outs

Cause: orders of the operator to move a service to another version were not read.

Change: RolloutKeeper reads orders, keeps the state in the store's status topic by conditional appends (KeyedStore::putAt), tells it to all nodes by notices and sends counts to the deciding node. Setting `rollouts`, rendered from the platform's bounds where they have one; without it nothing is read, sent or placed otherwise.

Measured: TestLibNode 59 cases pass, among them a roll-out that completes, one rolled back, one whose decider is killed and replaced by another node or restarted. With dead nodes left among the candidates the last one fails. TestPlatform 29, TestLibAdmin 35, TestLibBase 18, TestLibLog 56 cases pass.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -222,6 +222,17 @@
   to.Slack = from.at("slack").to_number<int64_t>();
 }
 
+rollout::Bounds readRollouts(const json::object &from) {
+  constexpr double Permille = 1000;
+  rollout::Bounds out;
+  out.ExposurePermille = static_cast<uint32_t>(
+      std::llround(from.at("exposure_share").to_number<double>() * Permille));
+  out.ExposureSlack = from.at("exposure_slack").to_number<uint32_t>();
+  out.Rollback =
+      std::chrono::milliseconds(from.at("rollback_ms").to_number<uint32_t>());
+  return out;
+}
+
 } // namespace
 
 std::string_view nodeSettingsSchemaText() { return embedded::NodeSettingsText; }
@@ -268,6 +279,8 @@
     readCallHeaders(headers->as_object(), settings.CallHeaders);
   if (const auto *budget = root.if_contains("retry_budget"))
     readRetryBudget(budget->as_object(), settings.Retries);
+  if (const auto *rollouts = root.if_contains("rollouts"))
+    settings.Versions = readRollouts(rollouts->as_object());
   if (const auto *comparison = root.if_contains("comparison"))
     readComparison(comparison->as_object(), settings.Compared);
   if (const auto *n = root.if_contains("target_lease_ms"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -9,6 +9,7 @@
 #include <LibCalls/CallHeaders.h>
 #include <LibCalls/RetryBudget.h>
 #include <LibConfig/Labels.h>
+#include <LibRollout/RolloutTypes.h>
 
 #include <boost/json/value.hpp>
 #include <chrono>
@@ -73,6 +74,8 @@
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
   balance::FeatureToggles Compared;
+  /// Bounds of roll-outs; without them versions of targets are not used.
+  std::optional<rollout::Bounds> Versions;
   base::Duration TargetLease = std::chrono::seconds(3);
   size_t RecordingBytes = 16UL
                           << 20; ///< Buffer for decisions recorded for replay.
--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -19,12 +19,13 @@
   Holdings,   ///< The versions that each node holds, by node id.
   Operator,   ///< Written by the platform's operator; read only.
   Departures, ///< The targets of each node that have left, by node id.
+  Status,     ///< What the platform's operator reads.
 };
 
 constexpr base::EnumName<Topic> TopicNames[] = {
     {Topic::Changes, "changes"},       {Topic::Nodes, "nodes"},
     {Topic::Holdings, "holdings"},     {Topic::Operator, "operator"},
-    {Topic::Departures, "departures"},
+    {Topic::Departures, "departures"}, {Topic::Status, "status"},
 };
 
 /// One record of a topic. An empty value deletes the key.
@@ -66,6 +67,19 @@
   virtual void put(Topic topic, std::string key, std::string value,
                    std::function<void(PutAnswer)> done) = 0;
 
+  /// Writes one record if the topic ends at offset \p end; otherwise the answer
+  /// is Refused. \p done is called exactly once. A store without conditions
+  /// refuses.
+  virtual void putAt(Topic, uint64_t /*end*/, const std::string & /*key*/,
+                     const std::string & /*value*/,
+                     const std::function<void(PutAnswer)> &done) {
+    PutAnswer out;
+    out.Outcome = PutAnswer::Kind::Refused;
+    out.Reason.fail(base::ResultCode::PlatformUnavailable,
+                    "the store has no conditional writes");
+    done(out);
+  }
+
   /// Deletes all \p keys in one step; \p done is called exactly once.
   virtual void drop(Topic topic, std::vector<std::string> keys,
                     std::function<void(PutAnswer)> done) = 0;
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -93,6 +93,9 @@
            {Self.Id, static_cast<uint64_t>(unixMilliseconds()), Self.Gossip},
            {[this](const base::Address &it) { Fleet->addSeeds({it}); },
             [this] { externalChanged(); },
+            [this](const log::KeyedRecord &it) {
+              Rollouts.orderRead(it, Time.now());
+            },
             [this] { return Fleet->externalDuty(); },
             [this](const fleet::RecordReading &it) {
               Fleet->noteExternalRead(it);
@@ -102,9 +105,11 @@
       Leases(Decisions, settings.TargetLease),
       Departures(*Store, Self.Id, Leases, [this] { targetsChanged(); }),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
-                   std::chrono::minutes(1), settings.Retries,
-                   settings.Compared},
+                   std::chrono::minutes(1), settings.Retries, settings.Compared,
+                   settings.Versions},
                   CrashQuarantine, Decisions),
+      Rollouts(settings.Versions, *Store, Ports, CallsBroker, Counters, Self.Id,
+               static_cast<uint64_t>(unixMilliseconds())),
       CallsGate(CrashQuarantine, Decisions), Usage(CallsBroker),
       Held(Self.Id, Self.NodeLabels), Changes(Platform, Time,
                                               [this] {
@@ -158,6 +163,12 @@
   environment.NoticeReceived = [this](std::string_view topic,
                                       std::string_view text) {
     Notices.receive(topic, text, Time.now());
+    Rollouts.received(topic, text, {}, Time.now());
+  };
+  environment.DirectNoticeReceived = [this](const fleet::NodeId &from,
+                                            std::string_view topic,
+                                            std::string_view text) {
+    Rollouts.received(topic, text, from, Time.now());
   };
   if (Settings.HasOperatorConfiguration)
     environment.External = {
@@ -358,7 +369,12 @@
 void NodeProcess::targetsChanged() {
   Departures.keep(*Fleet, Time.now());
   CallsGate.targetsChanged(Leases.targetsForGate(Time.now()), Time.now());
-  Fleet->setTargets(Leases.current());
+  auto targets = Leases.current();
+  // Without bounds nobody uses the versions, so they are not announced.
+  if (!Settings.Versions)
+    for (auto &it : targets)
+      it.SoftwareVersion.clear();
+  Fleet->setTargets(std::move(targets));
 }
 
 void NodeProcess::armTimer() {
@@ -390,6 +406,7 @@
       Time.now());
   if (MembersDirty)
     membersChanged();
+  Rollouts.tick(*Fleet, Time.now());
   CallsBroker.tick(Time.now());
   Proxy->tick();
   Changes.tick();
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -21,6 +21,7 @@
 #include <LibNode/HeldVersionStore.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNotices.h>
+#include <LibNode/RolloutKeeper.h>
 #include <LibNode/TargetListener.h>
 #include <LibNode/UsageMeter.h>
 #include <LibPeer/FleetRuntime.h>
@@ -121,6 +122,7 @@
   admission::TargetLeases Leases;
   DepartureKeeper Departures;
   calls::Broker CallsBroker;
+  RolloutKeeper Rollouts;
   admission::NodeGate CallsGate;
   UsageMeter Usage;
   log::HeldVersions Held;
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -168,8 +168,12 @@
 }
 
 void PlatformLink::handleOperatorRecord(const log::KeyedRecord &record) {
-  if (record.Key != Ports->ConfigurationKey || record.Value.empty() ||
-      !applyConfiguration(record.Value, "store"))
+  if (record.Key != Ports->ConfigurationKey) {
+    if (Callbacks.OtherRecordRead)
+      Callbacks.OtherRecordRead(record);
+    return;
+  }
+  if (record.Value.empty() || !applyConfiguration(record.Value, "store"))
     return;
   CompressedRecord = base::zlibCompress(record.Value);
   Callbacks.ConfigurationChanged();
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -23,6 +23,8 @@
   struct Events {
     std::function<void(const base::Address &gossip)> NodeFound;
     std::function<void()> ConfigurationChanged;
+    /// Called for each other record of the operator.
+    std::function<void(const log::KeyedRecord &)> OtherRecordRead;
     /// Returns how the operator's record is to be read now.
     std::function<fleet::ReadDuty()> ReadDuty;
     /// Called after a read that reached the newest version.
--- a/Libraries/LibNode/PlatformPorts.h
+++ b/Libraries/LibNode/PlatformPorts.h
@@ -5,6 +5,7 @@
 #include <LibConfig/ExternalConfiguration.h>
 #include <LibHttp/RepeatSchedule.h>
 #include <LibLog/KeyedStore.h>
+#include <LibRollout/RolloutTypes.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -28,6 +29,17 @@
       DecodeOperatorRecord;
   /// The key of that record in the operator's topic.
   std::string_view ConfigurationKey;
+  /// Prefix of the keys of orders and of the states of roll-outs.
+  std::string_view RolloutKeyPrefix;
+  /// Decodes an order; its service has the operator's name.
+  std::function<std::optional<rollout::Order>(
+      std::string_view key, std::string_view text, base::LastReason &)>
+      DecodeRolloutOrder;
+  /// Encode and decode the state of a roll-out.
+  std::function<std::string(const rollout::Progress &)> EncodeRolloutStatus;
+  std::function<std::optional<rollout::Progress>(std::string_view text,
+                                                 base::LastReason &)>
+      DecodeRolloutStatus;
 };
 
 } // namespace radishcross::node
--- a/Tests/LibNode/FakeStore.h
+++ b/Tests/LibNode/FakeStore.h
@@ -57,6 +57,16 @@
                       [done = std::move(done), answer] { done(answer); });
   }
 
+  void putAt(log::Topic topic, uint64_t end, const std::string &key,
+             const std::string &value,
+             const std::function<void(log::PutAnswer)> &done) override {
+    if (Content.Topics[topic].Records.size() == end)
+      return put(topic, key, value, done);
+    log::PutAnswer answer;
+    answer.Outcome = log::PutAnswer::Kind::Refused;
+    boost::asio::post(Context, [done, answer] { done(answer); });
+  }
+
   void drop(log::Topic topic, std::vector<std::string> keys,
             std::function<void(log::PutAnswer)> done) override {
     log::PutAnswer answer;
--- a/Tests/LibNode/StoreMesh.h
+++ b/Tests/LibNode/StoreMesh.h
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,18 @@
     Settings.push_back(std::move(it));
   }
 
+  /// Decodes the operator's records as the platform does, instead of as plain
+  /// numbers.
+  std::optional<node::PlatformPorts> Formats;
+
   node::PlatformPorts makePorts(const std::string &id) {
-    node::PlatformPorts out;
+    auto out = Formats.value_or(node::PlatformPorts{});
     out.OpenStore = [this, id](boost::asio::io_context &context, auto,
                                base::Metrics &, http::RepeatPolicy) {
       return std::make_unique<FakeStore>(context, Content, Behaviours[id]);
     };
+    if (Formats)
+      return out;
     out.ConfigurationKey = "config";
     out.DecodeOperatorRecord =
         [](std::string_view text,
