--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -22,6 +22,7 @@
 #include <LibNode/NodeAllotments.h>
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNotices.h>
+#include <LibNode/RolloutKeeper.h>
 #include <LibNode/TargetListener.h>
 #include <LibNode/UsageMeter.h>
 #include <LibPeer/FleetRuntime.h>
@@ -125,6 +126,7 @@
   admission::TargetLeases Leases;
   DepartureKeeper Departures;
   calls::Broker CallsBroker;
+  RolloutKeeper Rollouts;
   admission::NodeGate CallsGate;
   UsageMeter Usage;
   NodeAllotments Shares;
--- a/Tests/LibNode/StoreMesh.h
+++ b/Tests/LibNode/StoreMesh.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,12 +45,18 @@
     Settings.push_back(std::move(it));
   }
 
+  /// Decodes the operator's records as the platform does, instead of as plain
+  /// numbers.
+  std::optional<node::PlatformPorts> Formats;
+
   node::PlatformPorts makePorts(const std::string &id) {
-    node::PlatformPorts out;
+    auto out = Formats.value_or(node::PlatformPorts{});
     out.OpenStore = [this, id](boost::asio::io_context &context, auto,
                                base::Metrics &, http::RepeatPolicy) {
       return std::make_unique<FakeStore>(context, Content, Behaviours[id]);
     };
+    if (Formats)
+      return out;
     out.ConfigurationKey = "config";
     out.DecodeOperatorRecord = [this](std::string_view text,
                                       base::LastReason &reason)
