--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -40,6 +40,7 @@
     live<&Settings::TargetAddress>("target_address"),
     restartOnly<&Settings::Allotments>("allotments"),
     restartOnly<&Settings::Compared>("comparison"),
+    restartOnly<&Settings::Versions>("rollouts"),
     live<&Settings::SeedHosts>("seed_hosts"),
     restartOnly<&Settings::Node>("node"),
     restartOnly<&Settings::DataCentre>("data_centre"),
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -88,6 +88,10 @@
   std::function<std::optional<tenants::AllotmentSend>(
       const fleet::NodeId &from, const tenants::AllotmentMessage &message)>
       AllotmentReceived;
+  /// A notice that \p from has sent to this node alone.
+  std::function<void(const fleet::NodeId &from, std::string_view topic,
+                     std::string_view text)>
+      DirectNoticeReceived;
 };
 
 /// Performs the I/O of LibFleet: datagrams, pulls, reads of the log and timers.
@@ -138,6 +142,10 @@
   /// not known, and may be lost.
   virtual void sendAllotment(tenants::AllotmentSend send) = 0;
 
+  /// Sends a short text to one node, once; it may get lost.
+  virtual void sendNotice(const fleet::NodeId &to, std::string topic,
+                          std::string text) = 0;
+
   /// Announces to the peers that a version of the external configuration is in
   /// force here.
   virtual void setExternalVersion(uint64_t version) = 0;
--- a/Libraries/LibPeer/GossipCodec.cpp
+++ b/Libraries/LibPeer/GossipCodec.cpp
@@ -107,7 +107,7 @@
 
 bool readDatagram(wire::Datagram::Reader reader, Datagram &datagram) {
   auto &message = datagram.Message;
-  if (reader.getKind() > static_cast<uint8_t>(fleet::GossipKind::Join) ||
+  if (reader.getKind() > static_cast<uint8_t>(fleet::GossipKind::Direct) ||
       !readText(reader.getSender(), MaximumIdBytes, datagram.Sender) ||
       datagram.Sender.empty())
     return false;
