--- a/Libraries/LibTenants/AllotmentPort.h
+++ b/Libraries/LibTenants/AllotmentPort.h
@@ -18,8 +18,8 @@
 /// The allotments of tenants, as one node asks for them.
 class AllotmentPort {
 public:
-  /// Time in which an ask is mostly answered, and the interval at which it is
-  /// worth to look.
+  /// Longest time that a request waits for tokens that are being asked for, and
+  /// the interval at which it looks for them.
   static constexpr base::Duration AskTime = std::chrono::milliseconds(150);
   static constexpr base::Duration LookInterval = std::chrono::milliseconds(4);
 
