--- a/Libraries/LibConfig/VersionContentCodec.h
+++ b/Libraries/LibConfig/VersionContentCodec.h
@@ -19,11 +19,6 @@
 decodeVersionContent(const boost::json::value &document,
                      base::LastReason &reason);
 
-/// Validates only the semantics of \p content, from whatever source it was
-/// read. Fails with a 1xxx or 2xxx code.
-bool checkVersionContent(const VersionContent &content,
-                         base::LastReason &reason);
-
 /// Returns the document of \p content with all defaults written out.
 boost::json::value encodeVersionContent(const VersionContent &content);
 
--- a/Tests/Platform/TestOperatorRecord.cpp
+++ b/Tests/Platform/TestOperatorRecord.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Hash.h>
+#include <LibConfig/VersionContentCheck.h>
 #include <LibConfig/VersionContentCodec.h>
 #include <MutateInputs.h>
 
