LibFleet: Let a restarted node wait for word of the store from after its start

Cause: a node that starts while the store refuses it took the version of the first peer that answered. A peer that was about to take a newer version, which the earlier process of the node had held, thus brought an older one back into use: a key that had been taken away opened the node again for a moment. Change: a node serves once the version it holds was known to be the newest at a time after its start, or the bound has passed by which all nodes hold what was accepted before it. Ruled out: a slow machine alone; the version was read at a time when the node was ready.

--- a/Libraries/LibFleet/RecordFreshness.cpp
+++ b/Libraries/LibFleet/RecordFreshness.cpp
@@ -45,6 +45,7 @@
 
 void RecordFreshness::confirmCurrent(std::optional<base::TimePoint> asOf) {
   ConfirmedAt = latest(ConfirmedAt, asOf);
+  WasConfirmed |= ConfirmedAt && *ConfirmedAt >= Started;
   CurrentAt = latest(CurrentAt, ConfirmedAt);
 }
 
--- a/Libraries/LibFleet/RecordFreshness.h
+++ b/Libraries/LibFleet/RecordFreshness.h
@@ -95,6 +95,14 @@
   /// the versions held or reported; nothing if that was never known.
   std::optional<base::Duration> currentAge(base::TimePoint now) const;
 
+  /// Returns true once the version held is known to be as new as any that an
+  /// earlier process of this node held: since this process started the store
+  /// was known to hold nothing newer or, if no node hears from the store, the
+  /// bound has passed, by which every node holds what was accepted before.
+  bool isAsNewAsBefore(base::TimePoint now) const {
+    return WasConfirmed || now - Started >= Settings.Bound;
+  }
+
   /// Returns true if a new version or a fresher report should be pushed to
   /// peers; true only once for each.
   bool takePendingPush();
@@ -116,6 +124,8 @@
   uint64_t Held = 0;
   /// When the version held was last known to be the newest.
   std::optional<base::TimePoint> ConfirmedAt;
+  /// A version held was known to be the newest at a time after the start.
+  bool WasConfirmed = false;
   /// When the store was last known to hold nothing newer than the version held
   /// then or any reported since.
   std::optional<base::TimePoint> CurrentAt;
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -474,9 +474,11 @@
 /// Returns whether calls can be handled. A draining node still accepts the
 /// calls that arrive.
 bool NodeProcess::isServing() const {
-  bool hasConfiguration =
-      !Settings.HasOperatorConfiguration || Link.configuration().version() != 0;
-  return Fleet && Fleet->ready() && ActiveSnapshot && hasConfiguration;
+  if (!Fleet || !Fleet->ready() || !ActiveSnapshot)
+    return false;
+  return !Settings.HasOperatorConfiguration ||
+         (Link.configuration().version() != 0 &&
+          Fleet->isExternalAsNewAsBefore());
 }
 
 void NodeProcess::change(log::Record record, base::Duration timeout,
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -67,6 +67,9 @@
   std::optional<base::Duration> externalAge() const override {
     return Freshness.currentAge(elapsedClock().now());
   }
+  bool isExternalAsNewAsBefore() const override {
+    return Freshness.isAsNewAsBefore(LastElapsed);
+  }
   fleet::ReadDuty externalDuty() override;
   void requestLogRead() override;
   void leave(std::function<void()> done) override;
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -158,6 +158,10 @@
   /// this node's version; empty if unknown.
   virtual std::optional<base::Duration> externalAge() const = 0;
 
+  /// Returns whether the external configuration held is known to be as new as
+  /// any that an earlier process of this node held.
+  virtual bool isExternalAsNewAsBefore() const = 0;
+
   /// Returns how this node currently reads the external configuration.
   virtual fleet::ReadDuty externalDuty() = 0;
 
--- a/Tests/LibFleet/TestRecordFreshness.cpp
+++ b/Tests/LibFleet/TestRecordFreshness.cpp
@@ -323,6 +323,34 @@
   CHECK(it.currentAge(now + 3s) == 2s);
 }
 
+TEST_CASE("a restarted node waits for word of the store from after its start") {
+  const base::TimePoint start(1h);
+  FreshnessSettings settings;
+  RecordFreshness node(settings, 1, start);
+  // A peer that was last told of version 3 before the start: its word says
+  // nothing of version 4, which this node may have held.
+  node.reported({3, 300ms}, start + 200ms);
+  node.setHeldVersion(3);
+  CHECK_FALSE(node.isAsNewAsBefore(start + 200ms));
+  SUBCASE("the newer version comes") {
+    node.reported({4, 100ms}, start + 400ms);
+    CHECK_FALSE(node.isAsNewAsBefore(start + 400ms));
+    node.setHeldVersion(4);
+    CHECK(node.isAsNewAsBefore(start + 400ms));
+  }
+  SUBCASE("the store holds nothing newer") {
+    node.reported({3, 100ms}, start + 400ms);
+    CHECK(node.isAsNewAsBefore(start + 400ms));
+    // A later version does not stop the node.
+    node.setHeldVersion(4);
+    CHECK(node.isAsNewAsBefore(start + 500ms));
+  }
+  SUBCASE("no node hears from the store") {
+    CHECK_FALSE(node.isAsNewAsBefore(start + settings.Bound - 1ms));
+    CHECK(node.isAsNewAsBefore(start + settings.Bound));
+  }
+}
+
 TEST_CASE("a report of an older or a newer version does not confirm the "
           "version held") {
   auto now = base::TimePoint{1h};
