--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -82,6 +82,15 @@
 
 } // namespace
 
+LocalTarget localTargetOf(const admin::NodeSettings &settings) {
+  LocalTarget out;
+  out.Where = settings.TargetAddress;
+  // Without the address any service may be announced here.
+  if (out.Where && !settings.Service.empty())
+    out.Service = fullServiceName(settings.Service);
+  return out;
+}
+
 bool isFromLocalTarget(const admission::Heartbeat &heartbeat,
                        const LocalTarget &local, base::LastReason &reason) {
   const auto &target = heartbeat.Target;
--- a/Libraries/LibNode/TargetListener.h
+++ b/Libraries/LibNode/TargetListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmin/NodeSettings.h>
 #include <LibAdmission/TargetLeases.h>
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
@@ -22,6 +23,8 @@
   std::optional<base::Address> Where;
 };
 
+LocalTarget localTargetOf(const admin::NodeSettings &settings);
+
 /// Returns whether a heartbeat comes from the target on the node's VM; fails
 /// with BadValue if the service or address differs, since then another process
 /// must have sent it.
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Logger.h>
+#include <LibBase/WallClock.h>
 #include <LibFleet/RecoveryPlayer.h>
 #include <LibFleet/ReplicatorPlayer.h>
 #include <LibLog/FoldPlayer.h>
@@ -22,11 +23,6 @@
 /// SeedContactTimeout, since their gossip may still arrive.
 constexpr int TailersOnlyFactor = 4;
 
-uint64_t wallMilliseconds() {
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 /// Wall-clock time makes incarnation and revision increase from process to
 /// process. If the clock has stepped back, the peers' older records are
 /// refuted.
@@ -52,9 +48,9 @@
       fleet::Recovery::create(settings, environment.Time->now(), reason);
   if (!recovery)
     return std::nullopt;
-  auto node =
-      std::make_shared<FleetNode>(std::move(environment), settings,
-                                  std::move(*recovery), wallMilliseconds());
+  auto node = std::make_shared<FleetNode>(
+      std::move(environment), settings, std::move(*recovery),
+      static_cast<uint64_t>(base::unixMilliseconds()));
   if (!node->start(reason))
     return std::nullopt;
   return std::shared_ptr<FleetRuntime>(std::move(node));
@@ -376,7 +372,7 @@
 void FleetNode::broadcastNotice(std::string topic, std::string text,
                                 base::Duration lifetime) {
   auto left = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
-  auto revision = wallMilliseconds();
+  auto revision = static_cast<uint64_t>(base::unixMilliseconds());
   OwnNotices[topic] = revision;
   Members.post(
       {std::move(topic), std::move(text), revision,
