LibRollout: Let versions with few calls be proven beyond the canary steps

Cause: a service with about 15 to 60 calls/s brings fewer than the 30 answers that the canary steps ask for and more calls than the slack covers, so a good version was rolled back as overdue. A lease could last 6 s, over the 5 s in which a bad version must be rolled back. Change: a version that isn't proven leaves the canary steps if the bound on exposure would hold though it were bad in the next step. Leases are 2.4 s.

--- a/Libraries/LibRollout/RolloutDecider.cpp
+++ b/Libraries/LibRollout/RolloutDecider.cpp
@@ -100,10 +100,13 @@
   return it;
 }
 
+/// Returns whether the new targets have at least half of the capacity, which
+/// must be there before the old ones are given up.
+bool RolloutDecider::hasCapacity() const {
+  return NewTargets > 0 && NewTargets * 2 >= OldTargets;
+}
+
 bool RolloutDecider::isProven(base::TimePoint now) const {
-  // Half the capacity must be there before the old targets are given up.
-  if (NewTargets == 0 || NewTargets * 2 < OldTargets)
-    return false;
   if (Answers.newAnswers().Answers >= LeastProof)
     return true;
   // A service with few calls cannot exceed the slack even if all of them go to
@@ -117,20 +120,45 @@
   return expected * 2 <= static_cast<double>(Limits.ExposureSlack);
 }
 
+/// Returns whether the bound on exposure holds if the version is bad in \p step
+/// and is stopped once the evidence is there. Where few calls bring few answers
+/// in the canary steps, this lets the version go on and be proven there.
+bool RolloutDecider::isAffordable(uint32_t step, base::TimePoint now) const {
+  const auto elapsed = std::max<int64_t>((now - OrderSeen).count(), 1);
+  const auto total =
+      Answers.newAnswers().Answers + Answers.oldAnswers().Answers;
+  const auto untilStopped = total * static_cast<uint64_t>(StopTime.count()) /
+                            static_cast<uint64_t>(elapsed) *
+                            StepPlan::sharePermille(step, Limits) /
+                            FullPermille;
+  const auto expected =
+      Answers.newAnswers().Answers + Evidence::LeastAnswers + untilStopped;
+  const auto allowed =
+      total * Limits.ExposurePermille / FullPermille + Limits.ExposureSlack;
+  return expected <= allowed;
+}
+
 std::optional<RolloutDecider::Move>
 RolloutDecider::advance(Progress next, base::TimePoint now) const {
   const auto held = now - KnownSince;
   if (next.Step == StepPlan::FullStep) {
     if (age(now) < StepPlan::completionAge(Current->Period) ||
-        held < part(Current->Period, LeastFullHoldPermille) || !isProven(now))
+        held < part(Current->Period, LeastFullHoldPermille) || !hasCapacity() ||
+        !isProven(now))
       return std::nullopt;
     next.State = Phase::Completed;
     return Move{next, Reason::Finished};
   }
-  if (age(now) < StepPlan::beginOf(next.Step + 1, Current->Period) ||
-      held < part(Current->Period, LeastHoldPermille))
+  auto begin = StepPlan::beginOf(next.Step + 1, Current->Period);
+  // Few calls need longer for the proof, which the last canary step won't
+  // bring.
+  if (next.Step == StepPlan::LastCanaryStep && !isProven(now))
+    begin = (begin + StepPlan::beginOf(next.Step, Current->Period)) / 2;
+  if (age(now) < begin || held < part(Current->Period, LeastHoldPermille))
     return std::nullopt;
-  if (next.Step >= StepPlan::LastCanaryStep && !isProven(now))
+  const bool mayLeaveCanary =
+      hasCapacity() && (isProven(now) || isAffordable(next.Step + 1, now));
+  if (next.Step >= StepPlan::LastCanaryStep && !mayLeaveCanary)
     return std::nullopt;
   ++next.Step;
   return Move{next, Reason::Proven};
--- a/Libraries/LibRollout/RolloutDecider.h
+++ b/Libraries/LibRollout/RolloutDecider.h
@@ -64,6 +64,9 @@
   static constexpr base::Duration RetryDelay = std::chrono::milliseconds(200);
   /// Answers of the new version, over all nodes, that prove the canary steps.
   static constexpr uint64_t LeastProof = 30;
+  /// From a bad answer until all nodes have stopped the version: its report,
+  /// the finding and the notice.
+  static constexpr base::Duration StopTime = std::chrono::milliseconds(1500);
   /// Part of the period for which a step lasts at least, permille.
   static constexpr uint32_t LeastHoldPermille = 30;
   /// Part of the period for which the last step lasts at least, permille.
@@ -92,7 +95,9 @@
     Reason Why = Reason::Began;
   };
   base::Duration age(base::TimePoint now) const;
+  bool hasCapacity() const;
   bool isProven(base::TimePoint now) const;
+  bool isAffordable(uint32_t step, base::TimePoint now) const;
   std::optional<Move> decide(base::TimePoint now) const;
   std::optional<Move> advance(Progress next, base::TimePoint now) const;
   void take(const StoredProgress &progress, base::TimePoint now);
--- a/Libraries/LibRollout/VersionGate.h
+++ b/Libraries/LibRollout/VersionGate.h
@@ -59,7 +59,9 @@
 class VersionGate {
 public:
   /// Time for which a state holds after the decider confirmed it in the store.
-  static constexpr base::Duration LeaseTime = std::chrono::seconds(3);
+  /// A notice's way is not counted, so it may last twice as long, which is to
+  /// stay below the 5 s in which a bad version must be rolled back.
+  static constexpr base::Duration LeaseTime = std::chrono::milliseconds(2400);
 
   /// \p randomSeed must differ from node to node: it sets which call of a node
   /// is the first to go to the new version.
--- a/Tests/LibRollout/TestRolloutRuns.cpp
+++ b/Tests/LibRollout/TestRolloutRuns.cpp
@@ -89,6 +89,33 @@
   CHECK(it.ended(Phase::Completed));
 }
 
+TEST_CASE("calls that bring few answers decide no roll-out by themselves") {
+  for (uint32_t rate : {5, 10, 15, 20, 30, 40, 60, 80, 120})
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+      Setup setup;
+      setup.Seed = seed;
+      setup.CallsPerSecond = rate;
+      CAPTURE(rate);
+      CAPTURE(seed);
+      RolloutModel good(setup);
+      good.run(1s);
+      good.order("v2");
+      good.run(setup.Period);
+      CHECK(good.ended(Phase::Completed));
+      for (uint32_t permille : {1000, 400}) {
+        setup.New.FailPermille = permille;
+        RolloutModel bad(setup);
+        bad.run(1s);
+        bad.order("v2");
+        bad.run(setup.Period);
+        CAPTURE(bad.NewCalls);
+        CAPTURE(bad.TotalCalls);
+        CHECK(bad.keepsExposure());
+        CHECK(bad.LateCalls == 0);
+      }
+    }
+}
+
 TEST_CASE("a node without the state keeps to the old version") {
   Setup setup;
   RolloutModel it(setup);
