--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -163,6 +163,9 @@
   boost::asio::awaitable<void> awaitLink(size_t bytes);
   using Clock = std::chrono::steady_clock;
   static constexpr Clock::time_point NoDeadline = Clock::time_point::max();
+  static constexpr size_t ReadChunkBytes = 8UL << 10;
+  /// Smaller messages are not counted one by one.
+  static constexpr size_t MinCountedBytes = 1UL << 10;
 
   void startTimer(Clock::time_point at);
   void timerFired();
