LibAdmin: Let what may be held follow from the machine's memory

The settings of a process state its machine's memory and descriptors, but nothing took them: 96 MiB could be held on any machine. memory.machine_mb leaves 64 MiB or a quarter, whichever is more, for all else; memory.held_mb still goes first.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -3,6 +3,7 @@
 #include <LibSchema/JsonSchema.h>
 #include <LibSchema/StrictJson.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/json/value.hpp>
 #include <cmath>
@@ -233,8 +234,20 @@
   to.Slack = from.at("slack").to_number<uint32_t>();
 }
 
+/// Returns how much of a process of \p machine mebibytes messages may hold. The
+/// rest is for the node itself, its buffers and the kernel's.
+size_t heldOf(size_t machine) {
+  constexpr size_t MinOtherMegabytes = 64;
+  constexpr size_t OtherDivisor = 4;
+  constexpr size_t MinHeldMegabytes = 16;
+  const auto other = std::max(MinOtherMegabytes, machine / OtherDivisor);
+  return std::max(machine, other + MinHeldMegabytes) - other;
+}
+
 void readMemory(const json::object &from, NodeSettings &settings) {
   constexpr size_t BytesPerMegabyte = 1UL << 20;
+  if (const auto *n = from.if_contains("machine_mb"))
+    settings.HeldBytes = heldOf(n->to_number<size_t>()) * BytesPerMegabyte;
   if (const auto *n = from.if_contains("held_mb"))
     settings.HeldBytes = n->to_number<size_t>() * BytesPerMegabyte;
   if (const auto *n = from.if_contains("descriptors"))
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -88,6 +88,26 @@
   CHECK(settings->Compared == balance::FeatureToggles{false, false});
 }
 
+TEST_CASE("what may be held follows from the machine's memory") {
+  constexpr size_t Mebibyte = 1UL << 20;
+  const std::pair<const char *, size_t> cases[] = {
+      {"{}", 96},
+      {R"({"machine_mb": 64})", 16},
+      {R"({"machine_mb": 160})", 96},
+      {R"({"machine_mb": 260})", 195},
+      {R"({"machine_mb": 512})", 384},
+      {R"({"machine_mb": 512, "held_mb": 100})", 100}};
+  for (const auto &[memory, held] : cases) {
+    INFO(memory);
+    auto document = goodSettings();
+    change(document, "/memory", memory);
+    base::LastReason reason;
+    auto settings = admin::decodeNodeSettings(document, reason);
+    REQUIRE(settings);
+    CHECK(settings->HeldBytes == held * Mebibyte);
+  }
+}
+
 TEST_CASE("the bound of allotments is read") {
   base::LastReason reason;
   auto document = goodSettings();
