LibHttp: Let slow readers hold a window of a long answer

An answer was read whole before it was passed on, so 24 readers of 4 MiB each that read nothing held 97 MB. Now 256 KiB are read, and the rest only as the reader takes it, at each node on the way. An answer that breaks off then lacks its length or last chunk; stored ones are still read whole. The slot at the target is taken until the end, and where calls wait for it the reader that stopped longest is ended; the time that readers took is not learnt as the target's.

A body in chunks was held twice while it grew: 140 MB for one of 64 MiB. Now address space for the largest is reserved once it passes 512 KiB.

--- a/Libraries/LibAdmission/AdmissionPlayer.cpp
+++ b/Libraries/LibAdmission/AdmissionPlayer.cpp
@@ -55,7 +55,8 @@
   case AdmissionEvent::Ended:
     return gate->summaryOf(
         gate->ended(ticket, static_cast<calls::AttemptEnd>(entry.Numbers[1]),
-                    now, static_cast<balance::RefusalKind>(entry.Numbers[2])));
+                    now, static_cast<balance::RefusalKind>(entry.Numbers[2]),
+                    base::Duration(entry.Numbers[3])));
   case AdmissionEvent::Abandoned:
     gate->abandoned(ticket, now);
     return {};
--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -195,7 +195,8 @@
   auto &gated = *it->second;
   Held->Calls.erase(it);
   Held->observe(gated, call, result.End);
-  auto out = gated.Admission->ended(call, result.End, now, result.Refusal);
+  auto out = gated.Admission->ended(call, result.End, now, result.Refusal,
+                                    result.AwaitedReader);
   Held->forgetRefused(out);
   return out;
 }
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -256,11 +256,13 @@
 
 std::vector<GateAnswer> TargetGate::ended(Ticket call, calls::AttemptEnd end,
                                           base::TimePoint now,
-                                          balance::RefusalKind refusal) {
+                                          balance::RefusalKind refusal,
+                                          base::Duration awaitedReader) {
   const auto it = Running.find(call);
   if (it == Running.end())
     return {};
-  const auto finished = it->second;
+  auto finished = it->second;
+  finished.StartedAt += awaitedReader;
   Running.erase(it);
   finish(finished, end, refusal, now);
   refuseExpired(now);
@@ -268,7 +270,7 @@
   auto out = takeAnswers();
   recordEvent(AdmissionEvent::Ended,
               {static_cast<int64_t>(call), static_cast<int64_t>(end),
-               static_cast<int64_t>(refusal)},
+               static_cast<int64_t>(refusal), awaitedReader.count()},
               summaryOf(out), now);
   return out;
 }
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -85,10 +85,12 @@
                base::TimePoint now) {
     return Refusals.refused(load, Running.size(), now);
   }
-  /// Ends a running call; \p refusal counts if the target refused it.
+  /// Ends a running call; \p refusal counts if the target refused it. The time
+  /// for which it waited for the reader of its answer is not the target's.
   std::vector<GateAnswer>
   ended(Ticket call, calls::AttemptEnd end, base::TimePoint now,
-        balance::RefusalKind refusal = balance::RefusalKind::Full);
+        balance::RefusalKind refusal = balance::RefusalKind::Full,
+        base::Duration awaitedReader = {});
 
   /// Records that another process of the target has taken over: its limit is
   /// not known.
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -70,6 +70,9 @@
   /// Mean time of such calls at the target, reported by its node; 0: unknown.
   base::Duration ExpectedTime{};
   base::Duration Latency{};
+  /// Of an answer that was passed on while it was read: the time for which its
+  /// reader was waited for.
+  base::Duration AwaitedReader{};
   /// Time after which a refused caller may retry, given by the target's node.
   base::Duration RetryAfter{};
   /// The answering node marked (AttemptHeader on its answer) that a downstream
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -179,9 +179,11 @@
         std::min(MaxResponseMargin, mesh.Remaining / MarginDivisor);
     co_return co_await sendToNode(call, step, mesh, std::move(watch), response);
   }
+  const AnswerPath path{call.Request.FromMesh || !call.Incoming.IsWithinVm,
+                        step.StoreAnswer};
   GateOutcome outcome =
       co_await LocalGate.run(std::move(mesh), call.Incoming.Message,
-                             call.Request.Fingerprint, std::move(watch));
+                             call.Request.Fingerprint, std::move(watch), path);
   response = std::move(outcome.HttpResponse);
   co_return outcome.Result;
 }
@@ -201,6 +203,9 @@
   plan.Lines = meshHeaderLines(request, mesh, MeshAudience::Node, Keys);
   plan.IdField = Environment.Headers.RequestId;
   plan.ServerIsNode = true;
+  // A stored answer has to be known to be whole before it is passed on.
+  if (!step.StoreAnswer)
+    plan.ResponseLimits.WindowBytes = AnswerWindowBytes;
   ExchangeResult exchanged =
       co_await exchange(Pool, plan, request, std::move(watch));
   calls::AttemptResult result;
--- a/Libraries/LibHttp/CallEngine.cpp
+++ b/Libraries/LibHttp/CallEngine.cpp
@@ -312,8 +312,9 @@
                                                 IncomingRequest incoming) {
   uint64_t fingerprint = fingerprintOf(incoming.Message, Environment.Headers);
   bh::verb method = incoming.Message.method();
-  GateOutcome outcome = co_await LocalGate.run(
-      std::move(call), incoming.Message, fingerprint, incoming.Watch);
+  GateOutcome outcome =
+      co_await LocalGate.run(std::move(call), incoming.Message, fingerprint,
+                             incoming.Watch, AnswerPath());
   Response response;
   if (outcome.Result.End == AttemptEnd::Answered) {
     response = std::move(outcome.HttpResponse);
@@ -358,9 +359,30 @@
   if (!answered)
     call.HttpResponse =
         makeErrorResponse(last.Code, last.Outcome, {}, last.RetryAfter);
+  else if (call.HttpResponse.Rest)
+    noteRestEnd(call);
   co_return std::move(call.HttpResponse);
 }
 
+/// Counts and logs how the rest of a call's answer ends, unless it is whole.
+void CallEngine::noteRestEnd(const BrokeredCall &call) {
+  auto id = requestIdOf(call.Incoming.Message, Environment.Headers,
+                        call.Request.CallId);
+  call.HttpResponse.Rest->addOnEnd(
+      [this, id = std::move(id)](RestEnd how, base::Duration awaited) {
+        if (how == RestEnd::Whole)
+          return;
+        const bool isBroken = how == RestEnd::Broken;
+        Environment.Counters->counter(
+            isBroken ? "answers_broken_off_total{by=\"server\"}"
+                     : "answers_broken_off_total{by=\"reader\"}") += 1;
+        if (isBroken)
+          base::log(base::LogLevel::Warning, "answer broken off",
+                    {{"request", printableId(id)},
+                     {"awaited_reader_ms", formatMilliseconds(awaited)}});
+      });
+}
+
 /// Counts and logs a finished call.
 void CallEngine::ended(const BrokeredCall &call, const config::Snapshot *held,
                        const CallStep &last, base::Duration took) {
--- a/Libraries/LibHttp/CallEngine.h
+++ b/Libraries/LibHttp/CallEngine.h
@@ -105,6 +105,7 @@
   bool isKeyRevoked(const BrokeredCall &call);
   Response refuse(const BrokeredCall &call, base::ResultCode code,
                   base::Duration retryAfter);
+  void noteRestEnd(const BrokeredCall &call);
   void ended(const BrokeredCall &call, const config::Snapshot *held,
              const calls::CallStep &last, base::Duration took);
   boost::asio::awaitable<calls::CallStep> runSteps(BrokeredCall &call,
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -21,6 +21,9 @@
 constexpr base::Duration DiscardTimeout = std::chrono::seconds(1);
 /// A refused body is discarded for so long at most.
 constexpr base::Duration MaxBodyDiscardTime = std::chrono::seconds(4);
+/// Of a long answer, for its connections on both sides. Best effort: without it
+/// the kernel's own limits hold.
+constexpr int KernelWindowBytes = 128 << 10;
 constexpr int KeepaliveIdleSeconds = 1;
 constexpr int KeepaliveIntervalSeconds = 1;
 constexpr int KeepaliveProbes = 2;
@@ -81,11 +84,13 @@
   Expired = true;
   error_code ec;
   Socket.cancel(ec);
+  Writer.wake();
 }
 
 void Connection::close() {
   error_code ec;
   Socket.close(ec);
+  Writer.wake();
 }
 
 asio::awaitable<bool> Connection::connect(const base::Address &server) {
@@ -112,6 +117,7 @@
   WriteGaveWay = true;
   error_code ec;
   Socket.cancel(ec);
+  Writer.wake();
 }
 
 asio::awaitable<void> Connection::lingeringClose(size_t bodyBytes) {
@@ -169,6 +175,30 @@
   return ::ioctl(Socket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0;
 }
 
+void Connection::limitReceiveWindow() {
+  using Clamp =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_WINDOW_CLAMP>;
+  error_code ec;
+  Socket.set_option(Clamp(KernelWindowBytes), ec);
+}
+
+/// Bounds what the kernel takes before it is sent.
+void Connection::limitUnsent() {
+  using Unsent =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+  error_code ec;
+  Socket.set_option(Unsent(KernelWindowBytes), ec);
+}
+
+bool Connection::isWithinVm() const {
+  error_code ec;
+  auto remote = Socket.remote_endpoint(ec);
+  if (ec)
+    return false;
+  auto local = Socket.local_endpoint(ec);
+  return !ec && remote.address() == local.address();
+}
+
 base::Address Connection::peer() const {
   error_code ec;
   auto endpoint = Socket.remote_endpoint(ec);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -7,6 +7,7 @@
 #include <LibHttp/MemoryLedger.h>
 #include <LibHttp/Message.h>
 #include <LibHttp/RefusalHistory.h>
+#include <LibHttp/WakeUp.h>
 #include <LibHttp/WriteTurns.h>
 
 #include <array>
@@ -15,18 +16,28 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace radishcross::http {
 
+/// What a slow reader holds of a long answer, in bytes: so much of it is read
+/// before it is passed on, and then about an eighth at a time.
+constexpr size_t AnswerWindowBytes = 256UL << 10;
+
 /// Size limits of one message, in bytes.
 struct MessageLimits {
   size_t HeaderBytes = 16UL << 10;
   size_t BodyBytes = 1UL << 20;
+  /// A longer response is returned with a rest (Response::Rest).
+  size_t WindowBytes = SIZE_MAX;
 };
 
+using ResponseParser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
 /// Result of reading one message.
 enum class ReadStatus : uint8_t {
   Complete,  ///< The message was read completely.
@@ -83,16 +94,26 @@
                                                  base::LastReason &reason);
 
   /// Reads one response to a request with \p method. A body without a length
-  /// ends at a clean end of stream, never at a reset.
+  /// ends at a clean end of stream, never at a reset. A rest is left only once
+  /// the request has been written.
   boost::asio::awaitable<ReadStatus>
   readResponse(Response &response, boost::beast::http::verb method,
                const MessageLimits &limits, base::LastReason &reason);
 
+  /// Continues a response that has a rest: waits until \p parser has some of
+  /// its body or all.
+  boost::asio::awaitable<ReadStatus>
+  readMore(ResponseParser &parser, size_t lineBytes, base::LastReason &reason);
+
+  /// Bounds what the kernel accepts from the peer before it is read.
+  void limitReceiveWindow();
+
   /// Writes one complete message; returns false if the connection broke. \p
   /// lines are additional header fields, each ending with CRLF.
   boost::asio::awaitable<bool> write(const Request &message,
                                      std::string_view lines = {});
-  boost::asio::awaitable<bool> write(const Response &message);
+  /// As above; a rest is written as it comes. Frees the body of such a message.
+  boost::asio::awaitable<bool> write(Response &message);
 
   /// Starts writing a complete request, so that its response can be read
   /// meanwhile. Nothing else may be written until isWriting() is false.
@@ -149,6 +170,10 @@
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
+  /// Returns whether the peer is on this VM, so that nothing between the two
+  /// goes over the VM's link.
+  bool isWithinVm() const;
+
   /// Paces what is written to a link, and makes large responses wait for their
   /// turns; null: they don't.
   void setLink(std::shared_ptr<LinkPacer> link,
@@ -177,13 +202,23 @@
   void continueWrite();
   void finishWrite(const boost::system::error_code &ec);
   void stopWriting();
+  void limitUnsent();
+  void noteWritten(size_t bytes);
+  boost::asio::awaitable<bool> writeRest(Response &message);
+  boost::asio::awaitable<bool> readRest(std::string &part);
+  bool mayWrite() const {
+    return !Expired && !WriteGaveWay && Socket.is_open();
+  }
   ReadStatus refuseForMemory(base::LastReason &reason);
   void noteWriteError(const boost::system::error_code &ec);
   bool reachedCleanEof() const { return ReachedEof && !ErrorTaken; }
   template <typename Parser>
-  boost::asio::awaitable<ReadStatus> readBody(Parser &parser, size_t lineBytes,
-                                              base::LastReason &reason);
+  boost::asio::awaitable<ReadStatus>
+  readBody(Parser &parser, size_t lineBytes, base::LastReason &reason,
+           size_t windowBytes = SIZE_MAX, size_t chunk = ReadChunkBytes,
+           size_t maximumBytes = 0);
   template <typename Parser> bool mayHold(const Parser &parser);
+  template <typename Parser> void reserveBody(Parser &parser, size_t bytes);
   size_t outputBytes() const { return Output.size() + OutputBody.size(); }
   void clearOutput();
   std::string_view buffered() const;
@@ -200,8 +235,11 @@
   std::shared_ptr<MemoryLedger> Ledger;
   MemoryHold ReadHold;
   MemoryHold WriteHold;
-  bool ReadGaveWay = false;  ///< The message that is being read.
-  bool WriteGaveWay = false; ///< The message that is being written.
+  WakeUp Writer; ///< Ends the writer's waits beside those for the socket.
+  AnswerRest *Rest = nullptr; ///< Of the message that is being written.
+  size_t WrittenBefore = 0;   ///< Bytes of its parts before the current one.
+  bool ReadGaveWay = false;   ///< The message that is being read.
+  bool WriteGaveWay = false;  ///< The message that is being written.
   RefusalHistory Refusals;
   size_t BytesWritten = 0;
   size_t BytesReceived = 0;
--- a/Libraries/LibHttp/ConnectionReads.cpp
+++ b/Libraries/LibHttp/ConnectionReads.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Connection.h>
 
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/Framing.h>
 
 #include <algorithm>
@@ -9,6 +10,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -20,6 +23,7 @@
 
 /// Most messages fit; an idle connection keeps no larger read buffer than this.
 constexpr size_t FirstReadBytes = 2UL << 10;
+constexpr size_t MinReservedBytes = 512UL << 10;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 constexpr std::string_view ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -69,6 +73,17 @@
   return !ReadGaveWay && ReadHold.claim(bytes);
 }
 
+/// Reserves the address space for a body of up to \p bytes whose length is not
+/// known, once it is large: growing step by step would hold it twice. Pages of
+/// it exist only when they are written.
+template <typename Parser>
+void Connection::reserveBody(Parser &parser, size_t bytes) {
+  auto &body = parser.get().body();
+  if (body.size() >= MinReservedBytes && body.capacity() < bytes &&
+      !parser.content_length())
+    body.reserve(bytes);
+}
+
 asio::awaitable<ReadStatus> Connection::readSome(size_t chunk) {
   if (Expired)
     co_return ReadStatus::TimedOut;
@@ -137,9 +152,9 @@
 }
 
 template <typename Parser>
-asio::awaitable<ReadStatus> Connection::readBody(Parser &parser,
-                                                 size_t lineBytes,
-                                                 base::LastReason &reason) {
+asio::awaitable<ReadStatus>
+Connection::readBody(Parser &parser, size_t lineBytes, base::LastReason &reason,
+                     size_t windowBytes, size_t chunk, size_t maximumBytes) {
   parser.eager(true);
   while (!parser.is_done()) {
     error_code ec;
@@ -147,11 +162,13 @@
       Buffer.consume(parser.put(Buffer.cdata(), ec));
     if (!mayHold(parser))
       co_return refuseForMemory(reason);
+    reserveBody(parser, maximumBytes);
     if (ec && ec != bh::error::need_more) {
       reason.fail(codeOf(ec), "cannot parse the body: " + ec.message());
       co_return ReadStatus::Refused;
     }
-    if (parser.is_done())
+    if (parser.is_done() ||
+        (parser.get().body().size() >= windowBytes && !Writing))
       break;
     if (!ec && Buffer.size() > 0)
       continue;
@@ -163,7 +180,7 @@
                       std::to_string(lineBytes) + " bytes");
       co_return ReadStatus::Refused;
     }
-    ReadStatus got = co_await readSome(ReadChunkBytes);
+    ReadStatus got = co_await readSome(chunk);
     if (ReadGaveWay)
       co_return refuseForMemory(reason);
     if (got == ReadStatus::Truncated && reachedCleanEof() && parser.need_eof())
@@ -213,7 +230,10 @@
         co_return ReadStatus::Truncated;
     }
     size_t fields = countFields(parser.get());
-    end = co_await readBody(parser, limits.HeaderBytes, reason);
+    size_t maximumBytes =
+        Ledger ? std::min(limits.BodyBytes, Ledger->largest()) : 0;
+    end = co_await readBody(parser, limits.HeaderBytes, reason, SIZE_MAX,
+                            ReadChunkBytes, maximumBytes);
     if (end != ReadStatus::Complete) {
       ReadHold.release();
       co_return end;
@@ -238,7 +258,8 @@
     ReadStatus end = co_await readHead(limits.HeaderBytes, size, reason);
     if (end != ReadStatus::Complete)
       co_return end;
-    bh::response_parser<bh::string_body> parser;
+    auto owned = std::make_unique<ResponseParser>();
+    auto &parser = *owned;
     parser.header_limit(headerLimit(limits));
     parser.body_limit(limits.BodyBytes);
     parser.skip(method == bh::verb::head);
@@ -262,10 +283,19 @@
     }
     if (!parser.is_done()) {
       ReadHold = MemoryHold(Ledger, HoldKind::Answering, {});
-      end = co_await readBody(parser, limits.HeaderBytes, reason);
+      end = co_await readBody(parser, limits.HeaderBytes, reason,
+                              limits.WindowBytes);
       // Whoever passes the response on counts it from here on.
       ReadHold.release();
     }
+    if (end == ReadStatus::Complete && !parser.is_done()) {
+      response = Response();
+      response.base() = parser.get().base();
+      response.body() = std::exchange(parser.get().body(), {});
+      response.Rest = std::make_shared<AnswerRest>(
+          shared_from_this(), std::move(owned), limits.HeaderBytes);
+      co_return end;
+    }
     if (end == ReadStatus::Complete)
       response = parser.release();
     shrinkReadBuffer();
@@ -273,4 +303,13 @@
   }
 }
 
+asio::awaitable<ReadStatus> Connection::readMore(ResponseParser &parser,
+                                                 size_t lineBytes,
+                                                 base::LastReason &reason) {
+  ReadStatus end =
+      co_await readBody(parser, lineBytes, reason, 1, AnswerWindowBytes / 8);
+  shrinkReadBuffer();
+  co_return end;
+}
+
 } // namespace radishcross::http
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,12 +1,15 @@
 #include <LibHttp/Exchange.h>
 
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/Responses.h>
 
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -139,12 +142,16 @@
       ResponseOwner owner = findOwner(*connection, response);
       if (owner == ResponseOwner::Own) {
         bool isReusable = isInSync && noteRefusal(*connection, response);
-        releaseOrClose(connection, response, isReusable);
+        if (response.Rest)
+          keepForRest(connection, response, isReusable);
+        else
+          releaseOrClose(connection, response, isReusable);
         co_return AttemptEnd::Answered;
       }
-      if (owner == ResponseOwner::Missing)
+      if (owner == ResponseOwner::Missing || !co_await skipRest(response))
         break;
       isInSync = false;
+      connection->expireAfter(left());
     }
     co_return fail(connection, ReadStatus::Refused);
   }
@@ -204,6 +211,35 @@
       connection->close();
   }
 
+  /// As releaseOrClose(), once the rest of the response has ended.
+  void keepForRest(const ConnectionPointer &connection,
+                   const Response &response, bool isReusable) {
+    isReusable = isReusable && response.keep_alive() && !response.need_eof();
+    response.Rest->setTimeout(left());
+    response.Rest->addOnEnd([pool = &Pool, server = Plan.Server, connection,
+                             idle = serverIdleTimeoutOf(response),
+                             isReusable](RestEnd end, base::Duration) {
+      if (end == RestEnd::Whole && isReusable &&
+          !connection->hasBufferedInput())
+        pool->release(server, connection, base::SystemClock().now(), idle);
+      else
+        connection->close();
+    });
+  }
+
+  /// Reads the rest of a response to another request.
+  asio::awaitable<bool> skipRest(Response &response) {
+    const auto rest = std::exchange(response.Rest, nullptr);
+    if (!rest)
+      co_return true;
+    rest->setTimeout(left());
+    std::string part;
+    while (!rest->isWhole())
+      if (!co_await rest->read(part))
+        co_return false;
+    co_return true;
+  }
+
   AttemptEnd fail(const ConnectionPointer &connection, ReadStatus end) {
     bool isNotSent = connection->bytesWritten() == 0;
     connection->close();
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -28,19 +28,20 @@
   MessageLimits ResponseLimits{32UL << 10, 8UL << 20};
 };
 
-/// Result of one attempt; HttpResponse is complete if End is Answered.
+/// Result of one attempt; HttpResponse is complete if End is Answered, but for
+/// its rest if the plan allows one.
 struct ExchangeResult {
   calls::AttemptEnd End = calls::AttemptEnd::NotSent;
   base::Duration Latency{};
   Response HttpResponse;
 };
 
-/// Sends \p request over a pooled or new connection and reads the complete
-/// response. The result is NotSent only if no byte was sent. A connection whose
-/// response was abandoned is closed. A response with another request's id is
-/// skipped, and the connection is not reused. A server other than a node may
-/// repeat a refusal: a connection is not reused after one without an id, nor
-/// for a request that was refused over it. \p watch can cancel the attempt.
+/// Sends \p request over a pooled or new connection and reads the response. The
+/// result is NotSent only if no byte was sent. A connection whose response was
+/// abandoned is closed. A response with another request's id is skipped, and
+/// the connection is not reused. A server other than a node may repeat a
+/// refusal: a connection is not reused after one without an id, nor for a
+/// request that was refused over it. \p watch can cancel the attempt.
 boost::asio::awaitable<ExchangeResult>
 exchange(ConnectionPool &pool, ExchangePlan plan, const Request &request,
          std::shared_ptr<ClientWatch> watch);
--- a/Libraries/LibHttp/Framing.cpp
+++ b/Libraries/LibHttp/Framing.cpp
@@ -157,7 +157,8 @@
   return false;
 }
 
-bool checkResponseHead(const Response &response, base::LastReason &reason) {
+bool checkResponseHead(const Response::Whole &response,
+                       base::LastReason &reason) {
   constexpr unsigned MinStatus = 100;
   constexpr unsigned MaxStatus = 599;
   std::string_view fault =
--- a/Libraries/LibHttp/Framing.h
+++ b/Libraries/LibHttp/Framing.h
@@ -18,7 +18,8 @@
 
 /// Checks the status and the body length fields of a response. Fails with
 /// CallOutcomeUnknown.
-bool checkResponseHead(const Response &response, base::LastReason &reason);
+bool checkResponseHead(const Response::Whole &response,
+                       base::LastReason &reason);
 
 /// Returns whether \p path has a "." or ".." segment, plain or percent-encoded,
 /// a backslash or a fragment.
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -46,6 +46,12 @@
   return before == 0 || serviceName[before - 1] == '/';
 }
 
+/// Returns the length of the whole body, as far as it is known.
+size_t bodyBytesOf(const Response &response) {
+  const auto whole = response.Rest ? response.Rest->wholeBytes() : std::nullopt;
+  return whole ? static_cast<size_t>(*whole) : response.body().size();
+}
+
 /// An answer that the link will have to carry once the target has made it.
 class ExpectedAnswer {
 public:
@@ -68,18 +74,19 @@
                        const MeshKeys &keys, CallMetrics &callMetrics)
     : Environment(environment), Pool(pool), Keys(keys), Metrics(callMetrics) {}
 
-asio::awaitable<GateOutcome>
-GateRunner::run(MeshCall call, Request &request, uint64_t fingerprint,
-                std::shared_ptr<ClientWatch> watch) {
+asio::awaitable<GateOutcome> GateRunner::run(MeshCall call, Request &request,
+                                             uint64_t fingerprint,
+                                             std::shared_ptr<ClientWatch> watch,
+                                             AnswerPath path) {
   ActiveCalls[call.CallId].Deadline = Environment.Time->now() + call.Remaining;
   GateOutcome outcome =
-      co_await passGate(call, request, fingerprint, std::move(watch));
+      co_await passGate(call, request, fingerprint, std::move(watch), path);
   Metrics.countGateCall(call, outcome);
   logGateCall(call, requestIdOf(request, Environment.Headers, call.CallId),
               outcome);
   outcome.Result.PressurePermille =
       Environment.Gate->pressurePermille(call.TargetId);
-  if (Environment.Link)
+  if (Environment.Link && path.CrossesLink)
     outcome.Result.PressurePermille =
         std::max(outcome.Result.PressurePermille,
                  Environment.Link->pressurePermille(Environment.Time->now()));
@@ -93,7 +100,8 @@
 
 asio::awaitable<GateOutcome>
 GateRunner::passGate(const MeshCall &call, Request &request,
-                     uint64_t fingerprint, std::shared_ptr<ClientWatch> watch) {
+                     uint64_t fingerprint, std::shared_ptr<ClientWatch> watch,
+                     AnswerPath path) {
   auto target = Environment.LocalTarget(call.TargetId);
   if (!target)
     co_return refusal(base::ResultCode::NoTarget);
@@ -108,7 +116,8 @@
   // Without mesh keys no hops are counted.
   arrival.IsNested = call.Hops > 0;
   arrival.IsProvable = !Keys.empty();
-  size_t expectedBytes = Environment.Link ? Sizes.expected(kindOf(call)) : 0;
+  size_t expectedBytes =
+      Environment.Link && path.CrossesLink ? Sizes.expected(kindOf(call)) : 0;
   if (expectedBytes > 0)
     arrival.LinkTime = Environment.Link->timeUntilSent(expectedBytes, now);
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
@@ -117,7 +126,9 @@
   bool isNested = decision.IsNested;
   bool hasWaited = decision.What == GateAnswer::Kind::Queued;
   if (hasWaited)
-    decision = co_await awaitTurn(ticket, call.Remaining, watch);
+    decision = co_await awaitTurn(ticket, call, watch);
+  else if (decision.What == GateAnswer::Kind::Refuse)
+    makeRoom(call.TargetId);
   base::TimePoint turn = Environment.Time->now();
   bool hasRun = decision.What == GateAnswer::Kind::Run;
   GateOutcome outcome;
@@ -127,7 +138,7 @@
     expected.emplace(Environment.Link, expectedBytes);
   if (hasRun)
     outcome = co_await runAtTarget(call, *target, request, now + call.Remaining,
-                                   watch);
+                                   watch, path);
   else
     outcome = refusal(decision.Code, decision.RetryAfter);
   outcome.HasRun = hasRun;
@@ -141,7 +152,7 @@
   outcome.Ran = Environment.Time->now() - turn;
   expected.reset();
   if (outcome.Result.End == AttemptEnd::Answered)
-    Sizes.observed(kindOf(call), outcome.HttpResponse.body().size());
+    Sizes.observed(kindOf(call), bodyBytesOf(outcome.HttpResponse));
   applySignals(call, request, *target, ticket, outcome);
   if (outcome.Result.Code == base::ResultCode::TargetRefused) {
     const auto load =
@@ -154,11 +165,51 @@
             base::nameOf(balance::RefusalKindNames, outcome.Result.Refusal)) +
         "\"}") += 1;
   }
-  dispatch(
-      Environment.Gate->ended(ticket, outcome.Result, Environment.Time->now()));
+  end(call, ticket, outcome);
   co_return outcome;
 }
 
+/// Frees the slot of a call, with a rest of its answer once that has ended.
+void GateRunner::end(const MeshCall &call, admission::Ticket ticket,
+                     const GateOutcome &outcome) {
+  const auto &rest = outcome.HttpResponse.Rest;
+  if (!rest) {
+    dispatch(Environment.Gate->ended(ticket, outcome.Result,
+                                     Environment.Time->now()));
+    return;
+  }
+  PassedOn[ticket] = {call.TargetId, rest.get()};
+  rest->addOnEnd([this, ticket, result = outcome.Result](
+                     RestEnd how, base::Duration awaitedReader) mutable {
+    PassedOn.erase(ticket);
+    if (how == RestEnd::Broken)
+      result.End = AttemptEnd::Broken;
+    else if (how == RestEnd::Abandoned)
+      result.End = AttemptEnd::CallerGone;
+    result.AwaitedReader = awaitedReader;
+    dispatch(Environment.Gate->ended(ticket, result, Environment.Time->now()));
+  });
+}
+
+/// Ends the reader that has stopped reading for longest, so that another call
+/// gets its slot at the target.
+void GateRunner::makeRoom(const std::string &targetId) {
+  AnswerRest *longest = nullptr;
+  const auto now = base::SystemClock().now();
+  auto stalled = MemoryAccount::StallTime;
+  for (const auto &[ticket, it] : PassedOn) {
+    const auto time = it.Rest->stalledFor(now);
+    if (it.TargetId != targetId || time < stalled)
+      continue;
+    stalled = time;
+    longest = it.Rest;
+  }
+  if (!longest)
+    return;
+  Environment.Counters->counter("stalled_readers_ended_total") += 1;
+  longest->giveWay();
+}
+
 /// Passes on to the gate what the target states about itself.
 void GateRunner::applySignals(const MeshCall &call, const Request &request,
                               const fleet::TargetRecord &target,
@@ -182,15 +233,18 @@
 
 /// Waits until the gate decides, the deadline passes or the caller disconnects.
 asio::awaitable<GateAnswer>
-GateRunner::awaitTurn(admission::Ticket ticket, base::Duration remaining,
+GateRunner::awaitTurn(admission::Ticket ticket, const MeshCall &call,
                       std::shared_ptr<ClientWatch> watch) {
-  QueuedCall queued{asio::steady_timer(*Environment.Context, remaining),
+  QueuedCall queued{call.TargetId,
+                    asio::steady_timer(*Environment.Context, call.Remaining),
                     std::nullopt};
   Queue[ticket] = &queued;
   watch->OnGone = [&queued] { queued.Wake.cancel(); };
+  makeRoom(call.TargetId);
   boost::system::error_code ec;
-  co_await queued.Wake.async_wait(
-      asio::redirect_error(asio::use_awaitable, ec));
+  if (!queued.Decision)
+    co_await queued.Wake.async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
   watch->OnGone = nullptr;
   Queue.erase(ticket);
   if (queued.Decision)
@@ -206,7 +260,7 @@
 asio::awaitable<GateOutcome>
 GateRunner::runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
                         Request &request, base::TimePoint deadline,
-                        std::shared_ptr<ClientWatch> watch) {
+                        std::shared_ptr<ClientWatch> watch, AnswerPath path) {
   MeshCall parent = call;
   parent.Remaining = deadline - Environment.Time->now();
   if (watch->Gone)
@@ -220,6 +274,8 @@
   plan.Lines = targetLines(request, parent);
   plan.IdField = Environment.Headers.RequestId;
   plan.NotRunField = Environment.Headers.NotRun;
+  if (!path.IsStored)
+    plan.ResponseLimits.WindowBytes = AnswerWindowBytes;
   ExchangeResult result = co_await exchange(Pool, plan, request, watch);
   GateOutcome outcome;
   outcome.Result.End = result.End;
@@ -235,6 +291,9 @@
   if (outcome.Result.End == AttemptEnd::NotSent)
     outcome.Result.Code = base::ResultCode::NoTarget;
   outcome.HttpResponse = std::move(result.HttpResponse);
+  // Only a target's answer is passed on.
+  if (outcome.Result.End != AttemptEnd::Answered)
+    outcome.HttpResponse.Rest.reset();
   co_return outcome;
 }
 
@@ -284,6 +343,13 @@
 
 void GateRunner::tick() {
   dispatch(Environment.Gate->tick(Environment.Time->now()));
+  if (PassedOn.empty())
+    return;
+  std::vector<std::string> wanted;
+  for (const auto &[ticket, it] : Queue)
+    wanted.push_back(it->TargetId);
+  for (const auto &it : wanted)
+    makeRoom(it);
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/AnswerSizes.h>
 #include <LibHttp/CallMetrics.h>
 #include <LibHttp/CallProxy.h>
@@ -24,6 +25,14 @@
   base::Duration Ran{};    ///< Time from admission to the end of the exchange.
 };
 
+/// Where the answer of a call goes.
+struct AnswerPath {
+  bool CrossesLink = true; ///< It leaves this VM.
+  /// It is stored for repeats of the call, so it has to be known to be whole
+  /// before it is passed on.
+  bool IsStored = false;
+};
+
 /// Runs calls at local targets, for this node and others, as the admission gate
 /// decides.
 class GateRunner {
@@ -34,7 +43,8 @@
   /// Runs one call at a local target.
   boost::asio::awaitable<GateOutcome> run(MeshCall call, Request &request,
                                           uint64_t fingerprint,
-                                          std::shared_ptr<ClientWatch> watch);
+                                          std::shared_ptr<ClientWatch> watch,
+                                          AnswerPath path);
 
   /// From now on refuses calls whose deadline is later than \p time.
   void setShutdownTime(base::TimePoint time) { ShutdownTime = time; }
@@ -64,25 +74,29 @@
     bool DownstreamFailed = false;
   };
   struct QueuedCall {
+    std::string TargetId;
     boost::asio::steady_timer Wake;
     std::optional<admission::GateAnswer> Decision;
   };
 
   boost::asio::awaitable<GateOutcome>
   passGate(const MeshCall &call, Request &request, uint64_t fingerprint,
-           std::shared_ptr<ClientWatch> watch);
+           std::shared_ptr<ClientWatch> watch, AnswerPath path);
   boost::asio::awaitable<admission::GateAnswer>
-  awaitTurn(admission::Ticket ticket, base::Duration remaining,
+  awaitTurn(admission::Ticket ticket, const MeshCall &call,
             std::shared_ptr<ClientWatch> watch);
   boost::asio::awaitable<GateOutcome>
   runAtTarget(const MeshCall &call, const fleet::TargetRecord &target,
               Request &request, base::TimePoint deadline,
-              std::shared_ptr<ClientWatch> watch);
+              std::shared_ptr<ClientWatch> watch, AnswerPath path);
   void applySignals(const MeshCall &call, const Request &request,
                     const fleet::TargetRecord &target, admission::Ticket ticket,
                     const GateOutcome &outcome);
   std::string targetLines(const Request &request, const MeshCall &call) const;
   void dispatch(const std::vector<admission::GateAnswer> &decisions);
+  void end(const MeshCall &call, admission::Ticket ticket,
+           const GateOutcome &outcome);
+  void makeRoom(const std::string &targetId);
 
   CallProxyEnvironment &Environment;
   ConnectionPool &Pool;
@@ -90,6 +104,12 @@
   CallMetrics &Metrics;
   std::unordered_map<admission::Ticket, QueuedCall *> Queue;
   std::unordered_map<std::string, ActiveCall> ActiveCalls;
+  /// A call whose answer is being passed on; it keeps its slot.
+  struct PassedOnCall {
+    std::string TargetId;
+    AnswerRest *Rest = nullptr;
+  };
+  std::unordered_map<admission::Ticket, PassedOnCall> PassedOn;
   std::optional<base::TimePoint> ShutdownTime; ///< Set when the node drains.
   AnswerSizes Sizes;
 };
--- a/Libraries/LibHttp/LinkPacer.cpp
+++ b/Libraries/LibHttp/LinkPacer.cpp
@@ -20,7 +20,8 @@
 
 base::Duration LinkPacer::reserve(size_t bytes, base::TimePoint now) {
   const auto wait = std::max(FreeAt - now - Allowance, base::Duration::zero());
-  FreeAt = std::max(FreeAt, now) + timeFor(bytes);
+  FreeAt =
+      std::min(std::max(FreeAt, now) + timeFor(bytes), now + MaximumBacklog);
   return wait;
 }
 
--- a/Libraries/LibHttp/MemoryAccount.cpp
+++ b/Libraries/LibHttp/MemoryAccount.cpp
@@ -22,7 +22,7 @@
   }
   HoldId id = Free.back();
   Free.pop_back();
-  Holds[id] = {kind, true, 0, 0, now, now};
+  Holds[id] = {kind, true, 0, 0, now, now, std::nullopt};
   return id;
 }
 
@@ -55,6 +55,18 @@
   hold.ProgressAt = now;
 }
 
+void MemoryAccount::pause(HoldId id, base::TimePoint now) {
+  Holds[id].PausedAt = now;
+}
+
+void MemoryAccount::resume(HoldId id, base::TimePoint now) {
+  Hold &hold = Holds[id];
+  const auto paused = now - hold.PausedAt.value_or(now);
+  hold.Began += paused;
+  hold.ProgressAt += paused;
+  hold.PausedAt.reset();
+}
+
 MemoryAccount::Claim MemoryAccount::claim(HoldId id, size_t bytes,
                                           base::TimePoint now) {
   return makeRoom(id, bytes, now, false);
@@ -71,13 +83,13 @@
   bool isSmallB = b.Bytes <= Limits.SmallBytes;
   if (isSmallA != isSmallB)
     return isSmallB;
-  bool isStalledA = now - a.ProgressAt >= StallTime;
-  bool isStalledB = now - b.ProgressAt >= StallTime;
+  bool isStalledA = a.isStalled(now);
+  bool isStalledB = b.isStalled(now);
   if (isStalledA != isStalledB)
     return isStalledA;
   if (isStalledA)
     return a.ProgressAt < b.ProgressAt;
-  return rateOf(a.Moved, now - a.Began) < rateOf(b.Moved, now - b.Began);
+  return rateOf(a.Moved, a.age(now)) < rateOf(b.Moved, b.age(now));
 }
 
 size_t MemoryAccount::weakest(base::TimePoint now, size_t except) const {
--- a/Libraries/LibHttp/MemoryAccount.h
+++ b/Libraries/LibHttp/MemoryAccount.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace radishcross::http {
@@ -64,6 +65,11 @@
   /// began.
   void progressed(HoldId id, size_t moved, base::TimePoint now);
 
+  /// From here on \p id waits for this node and not for its client, until
+  /// resume(): the time does not count for its progress.
+  void pause(HoldId id, base::TimePoint now);
+  void resume(HoldId id, base::TimePoint now);
+
   /// Notes that \p id, read completely, is now being handled.
   void startRunning(HoldId id);
 
@@ -76,6 +82,9 @@
 
   size_t held() const { return Held; }
 
+  /// Returns the size of the largest message that can be held alone.
+  size_t largest() const { return Limits.Bytes - Limits.reserve(); }
+
 private:
   struct Hold {
     HoldKind Kind = HoldKind::Arriving;
@@ -84,6 +93,14 @@
     size_t Moved = 0;
     base::TimePoint Began{};
     base::TimePoint ProgressAt{};
+    std::optional<base::TimePoint> PausedAt;
+
+    bool isStalled(base::TimePoint now) const {
+      return PausedAt.value_or(now) - ProgressAt >= StallTime;
+    }
+    base::Duration age(base::TimePoint now) const {
+      return PausedAt.value_or(now) - Began;
+    }
   };
 
   static bool givesWay(HoldKind kind) {
--- a/Libraries/LibHttp/MemoryLedger.cpp
+++ b/Libraries/LibHttp/MemoryLedger.cpp
@@ -57,6 +57,16 @@
     Ledger->Account.progressed(Id, moved, Ledger->now());
 }
 
+void MemoryHold::pause() {
+  if (Ledger)
+    Ledger->Account.pause(Id, Ledger->now());
+}
+
+void MemoryHold::resume() {
+  if (Ledger)
+    Ledger->Account.resume(Id, Ledger->now());
+}
+
 void MemoryHold::startRunning() {
   if (!Ledger)
     return;
--- a/Libraries/LibHttp/MemoryLedger.h
+++ b/Libraries/LibHttp/MemoryLedger.h
@@ -31,6 +31,9 @@
   /// Counts bytes that are held already.
   void charge(size_t bytes);
   void progressed(size_t moved);
+  /// The message waits for this node until resume(), not for its client.
+  void pause();
+  void resume();
   /// The request was read; from here on it does not give way.
   void startRunning();
   void release();
@@ -51,6 +54,7 @@
   /// never gives way; counts a refusal.
   bool admits(size_t bytes);
   size_t held() const { return Account.held(); }
+  size_t largest() const { return Account.largest(); }
 
   /// Stops counting, before the counters are destroyed.
   void detach() { Counters = nullptr; }
--- a/Libraries/LibHttp/ResponseFields.cpp
+++ b/Libraries/LibHttp/ResponseFields.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/ResponseFields.h>
 
 #include <LibCalls/CallTypes.h>
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/Framing.h>
 #include <LibHttp/MeshCall.h>
 #include <LibHttp/Responses.h>
@@ -26,6 +27,7 @@
   return number;
 }
 
+constexpr uint32_t FullPermille = 1000;
 /// Higher limits count as this one, which is beyond any target.
 constexpr double MaximumRateLimit = 1e6;
 constexpr double MilliPerUnit = 1000;
@@ -74,6 +76,16 @@
   return std::clamp(base::Duration(time), {}, MaximumExpectedTime);
 }
 
+/// Frames the body by its length; one whose end is not known yet by chunks.
+void frameBody(Response &response) {
+  const auto whole = response.Rest ? response.Rest->wholeBytes()
+                                   : std::optional(response.body().size());
+  if (whole)
+    response.content_length(*whole);
+  else
+    response.chunked(true);
+}
+
 bool isDigit(char c) { return c >= '0' && c <= '9'; }
 
 } // namespace
@@ -148,7 +160,7 @@
     response.content_length(boost::none);
   else if (method != bh::verb::head &&
            response.result() != bh::status::not_modified)
-    response.content_length(response.body().size());
+    frameBody(response);
 }
 
 std::string pressureText(const calls::AttemptResult &result) {
@@ -163,7 +175,8 @@
 }
 
 void readAttemptResult(const Response &response, calls::AttemptResult &result) {
-  result.PressurePermille = numberOf(response, calls::PressureHeader);
+  result.PressurePermille =
+      std::min(numberOf(response, calls::PressureHeader), FullPermille);
   const std::string_view pressure = fieldOf(response, calls::PressureHeader);
   result.IsNested = pressure.ends_with(NestedMark);
   if (pressure.find(SpuriousMark) != std::string_view::npos)
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Session.h>
 
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/Responses.h>
 
 #include <algorithm>
@@ -52,7 +53,8 @@
       Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
                    asio::steady_timer::time_point::max()) {
-  Client->setLink(Shared->Limits.Link, Shared->Turns);
+  if (!Client->isWithinVm())
+    Client->setLink(Shared->Limits.Link, Shared->Turns);
   Client->setLedger(Shared->Limits.Memory);
 }
 
@@ -158,6 +160,7 @@
   auto pending = std::make_shared<PendingRequest>();
   pending->IsHead = request.method() == bh::verb::head;
   pending->KeepAlive = request.keep_alive();
+  pending->TakesChunks = request.version() >= 11;
   pending->IsSafe = isSafe(request.method());
   pending->Message = std::move(request);
   pending->Held = std::move(held);
@@ -198,6 +201,7 @@
 asio::awaitable<Response> Session::callHandler(PendingRequestPointer pending) {
   auto &watch = pending->Watch;
   IncomingRequest incoming{std::move(pending->Message), Peer,
+                           Client->isWithinVm(),
                            std::shared_ptr<bool>(watch, &watch->Gone), watch};
   std::string failure;
   try {
@@ -232,7 +236,9 @@
     // Input from here on follows a response that closes the connection.
     Closing = Closing || !keepsAlive;
     Client->expireAfter(Shared->Limits.ResponseTimeout);
-    bool isWritten = co_await Client->write(response);
+    auto pending = Requests.front();
+    bool isWritten = co_await writeResponse(*pending, response);
+    response = Response();
     Requests.pop_front();
     EndRecord.Answered += isWritten ? 1 : 0;
     if (!isWritten)
@@ -251,6 +257,44 @@
   StateChanged.cancel();
 }
 
+/// Writes a response, with its rest if it has one.
+asio::awaitable<bool> Session::writeResponse(const PendingRequest &pending,
+                                             Response &response) {
+  const auto watch = pending.Watch;
+  if (response.Rest)
+    watch->OnGone = [rest = response.Rest] { rest->abandon(); };
+  // A client of HTTP/1.0 could not tell a rest that breaks off from its end.
+  if (response.Rest && !pending.TakesChunks && !response.Rest->wholeBytes())
+    co_await gatherRest(response);
+  bool isWritten = co_await Client->write(response);
+  if (watch)
+    watch->OnGone = nullptr;
+  co_return isWritten;
+}
+
+/// Reads the rest of a response, which then has a length.
+asio::awaitable<void> Session::gatherRest(Response &response) {
+  const auto rest = std::exchange(response.Rest, nullptr);
+  const bool keepsAlive = response.keep_alive();
+  MemoryHold hold(Shared->Limits.Memory, HoldKind::Answering, {});
+  std::string part;
+  bool isWhole = hold.claim(response.body().size());
+  while (isWhole && !rest->isWhole()) {
+    isWhole = co_await rest->read(part) &&
+              hold.claim(response.body().size() + part.size());
+    if (isWhole)
+      response.body() += part;
+  }
+  if (isWhole) {
+    response.content_length(response.body().size());
+    co_return;
+  }
+  response =
+      makeErrorResponse(base::ResultCode::CallOutcomeUnknown,
+                        calls::CallOutcome::Unknown, "the response broke off");
+  response.keep_alive(keepsAlive);
+}
+
 /// Abandons the requests that follow a response that closes the connection.
 void Session::abandonFollowing() {
   Closing = true;
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -73,6 +73,7 @@
     Request Message;
     bool IsHead = false;
     bool KeepAlive = true;
+    bool TakesChunks = true;
     bool IsSafe = false;
     bool Started = false;
     std::optional<Response> HttpResponse;
@@ -86,6 +87,9 @@
   boost::asio::awaitable<void> handle(PendingRequestPointer pending);
   boost::asio::awaitable<Response> callHandler(PendingRequestPointer pending);
   boost::asio::awaitable<void> writeResponses();
+  boost::asio::awaitable<bool> writeResponse(const PendingRequest &pending,
+                                             Response &response);
+  boost::asio::awaitable<void> gatherRest(Response &response);
   boost::asio::awaitable<void>
   refuse(Response response, std::string_view reason, EndReason endReason);
   boost::asio::awaitable<void> awaitChange();
--- a/Libraries/LibHttp/WriteTurns.cpp
+++ b/Libraries/LibHttp/WriteTurns.cpp
@@ -38,18 +38,26 @@
   asio::steady_timer Limit;
 };
 
-asio::awaitable<WriteTurns::Turn> WriteTurns::take(size_t bytes) {
+asio::awaitable<WriteTurns::Turn> WriteTurns::take(size_t bytes,
+                                                   WakeUp &waker) {
   if (bytes <= LargeBytes)
     co_return nullptr;
   auto self = shared_from_this();
   if (Taken >= MaximumTurns) {
-    auto wake = std::make_shared<asio::steady_timer>(
-        Executor, asio::steady_timer::time_point::max());
-    Waiting.push_back(wake);
+    auto waiter = std::make_shared<Waiter>(Executor);
+    Waiting.push_back(waiter);
     Link->queued(bytes);
-    boost::system::error_code ec;
-    co_await wake->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    {
+      WakeUp::Wait wait(waker, [waiter] { waiter->Timer.cancel(); });
+      boost::system::error_code ec;
+      co_await waiter->Timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, ec));
+    }
     Link->dequeued(bytes);
+    if (!waiter->IsGranted) {
+      std::erase(Waiting, waiter);
+      co_return nullptr;
+    }
   } else {
     ++Taken;
   }
@@ -66,7 +74,8 @@
   }
   auto next = std::move(Waiting.front());
   Waiting.pop_front();
-  next->cancel();
+  next->IsGranted = true;
+  next->Timer.cancel();
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/WriteTurns.h
+++ b/Libraries/LibHttp/WriteTurns.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibHttp/LinkPacer.h>
+#include <LibHttp/WakeUp.h>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -35,18 +36,25 @@
              std::shared_ptr<LinkPacer> link)
       : Executor(std::move(executor)), Link(std::move(link)) {}
 
-  /// Waits for a turn to write \p bytes; empty for a small answer.
-  boost::asio::awaitable<Turn> take(size_t bytes);
+  /// Waits for a turn to write \p bytes; empty for a small answer, or if \p
+  /// waker has ended the wait.
+  boost::asio::awaitable<Turn> take(size_t bytes, WakeUp &waker);
 
   size_t waiting() const { return Waiting.size(); }
 
 private:
   class Holder;
+  struct Waiter {
+    explicit Waiter(const boost::asio::any_io_executor &executor)
+        : Timer(executor, boost::asio::steady_timer::time_point::max()) {}
+    boost::asio::steady_timer Timer;
+    bool IsGranted = false;
+  };
   void release();
 
   boost::asio::any_io_executor Executor;
   std::shared_ptr<LinkPacer> Link;
-  std::deque<std::shared_ptr<boost::asio::steady_timer>> Waiting;
+  std::deque<std::shared_ptr<Waiter>> Waiting;
   size_t Taken = 0;
 };
 
--- a/Tests/LibHttp/TestMemoryAccount.cpp
+++ b/Tests/LibHttp/TestMemoryAccount.cpp
@@ -113,6 +113,24 @@
   CHECK(Account.held() == 90 * Mebibyte);
 }
 
+TEST_CASE_FIXTURE(Fixture, "memory account: what waits for the node itself "
+                           "does not count as stalled") {
+  auto paced = hold(HoldKind::Leaving, 30 * Mebibyte);
+  Account.pause(paced, Time.now());
+  auto slow = hold(HoldKind::Arriving, 30 * Mebibyte);
+  Time.advance(2 * Second);
+  Account.progressed(slow, 30 * Mebibyte + 1, Time.now());
+  auto own = Account.open(HoldKind::Arriving, Time.now());
+  auto claim = Account.claim(own, 20 * Mebibyte, Time.now());
+  CHECK(claim.GiveWay == Ids{slow});
+  Account.resume(paced, Time.now());
+  Time.advance(Second);
+  Account.progressed(own, 20 * Mebibyte, Time.now());
+  claim = Account.claim(own, 50 * Mebibyte, Time.now());
+  CHECK(claim.Granted);
+  CHECK(claim.GiveWay == Ids{paced});
+}
+
 TEST_CASE_FIXTURE(Fixture, "memory account: closed holds give their bytes back "
                            "and are used again") {
   auto id = hold(HoldKind::Arriving, Mebibyte);
