--- a/Tests/Clients/windows.py
+++ b/Tests/Clients/windows.py
@@ -69,11 +69,11 @@
 }
 
 
-def start(mesh, count):
+def start(mesh, count, descriptors=DESCRIPTORS):
     mesh.start_platform()
     nodes = mesh.add_nodes(count, ["mobile"])
     ours = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, ours[1]))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, ours[1]))
     for node in nodes:
         mesh.start_node(node)
     resource.setrlimit(resource.RLIMIT_NOFILE, ours)
