--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/Session.h>
 
+#include <LibHttp/AnswerRest.h>
 #include <LibHttp/Responses.h>
 
 #include <algorithm>
@@ -52,7 +53,8 @@
       Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
                    asio::steady_timer::time_point::max()) {
-  Client->setLink(Shared->Limits.Link, Shared->Turns);
+  if (!Client->isWithinVm())
+    Client->setLink(Shared->Limits.Link, Shared->Turns);
   Client->setLedger(Shared->Limits.Memory);
 }
 
@@ -158,6 +160,7 @@
   auto pending = std::make_shared<PendingRequest>();
   pending->IsHead = request.method() == bh::verb::head;
   pending->KeepAlive = request.keep_alive();
+  pending->TakesChunks = request.version() >= 11;
   pending->IsSafe = isSafe(request.method());
   pending->Message = std::move(request);
   pending->Held = std::move(held);
@@ -198,6 +201,7 @@
 asio::awaitable<Response> Session::callHandler(PendingRequestPointer pending) {
   auto &watch = pending->Watch;
   IncomingRequest incoming{std::move(pending->Message), Peer,
+                           Client->isWithinVm(),
                            std::shared_ptr<bool>(watch, &watch->Gone), watch};
   std::string failure;
   try {
@@ -232,7 +236,9 @@
     // Input from here on follows a response that closes the connection.
     Closing = Closing || !keepsAlive;
     Client->expireAfter(Shared->Limits.ResponseTimeout);
-    bool isWritten = co_await Client->write(response);
+    auto pending = Requests.front();
+    bool isWritten = co_await writeResponse(*pending, response);
+    response = Response();
     Requests.pop_front();
     EndRecord.Answered += isWritten ? 1 : 0;
     if (!isWritten)
@@ -251,6 +257,44 @@
   StateChanged.cancel();
 }
 
+/// Writes a response, with its rest if it has one.
+asio::awaitable<bool> Session::writeResponse(const PendingRequest &pending,
+                                             Response &response) {
+  const auto watch = pending.Watch;
+  if (response.Rest)
+    watch->OnGone = [rest = response.Rest] { rest->abandon(); };
+  // A client of HTTP/1.0 could not tell a rest that breaks off from its end.
+  if (response.Rest && !pending.TakesChunks && !response.Rest->wholeBytes())
+    co_await gatherRest(response);
+  bool isWritten = co_await Client->write(response);
+  if (watch)
+    watch->OnGone = nullptr;
+  co_return isWritten;
+}
+
+/// Reads the rest of a response, which then has a length.
+asio::awaitable<void> Session::gatherRest(Response &response) {
+  const auto rest = std::exchange(response.Rest, nullptr);
+  const bool keepsAlive = response.keep_alive();
+  MemoryHold hold(Shared->Limits.Memory, HoldKind::Answering, {});
+  std::string part;
+  bool isWhole = hold.claim(response.body().size());
+  while (isWhole && !rest->isWhole()) {
+    isWhole = co_await rest->read(part) &&
+              hold.claim(response.body().size() + part.size());
+    if (isWhole)
+      response.body() += part;
+  }
+  if (isWhole) {
+    response.content_length(response.body().size());
+    co_return;
+  }
+  response =
+      makeErrorResponse(base::ResultCode::CallOutcomeUnknown,
+                        calls::CallOutcome::Unknown, "the response broke off");
+  response.keep_alive(keepsAlive);
+}
+
 /// Abandons the requests that follow a response that closes the connection.
 void Session::abandonFollowing() {
   Closing = true;
@@ -355,92 +399,4 @@
     it->Watch->clientDisconnected();
 }
 
-void Session::drain() {
-  if (idle())
-    Client->expireAfter(Shared->Limits.DrainLinger);
-}
-
-std::optional<base::TimePoint> Session::waitingSince() const {
-  if (Ends || !Requests.empty() || Closing || Writing || Refusal ||
-      !Client->isOpen())
-    return std::nullopt;
-  return std::max(Client->lastReceivedAt(),
-                  std::chrono::time_point_cast<base::Duration>(Since));
-}
-
-void Session::makeRoom(bool mayStay) {
-  countAsEnding();
-  setEndReason(EndReason::OverLimit);
-  if (Reading && mayStay)
-    Client->stopReading();
-  else
-    Client->close();
-}
-
-void Session::answerUnfinished() {
-  // Those that were not started count as unread.
-  std::erase_if(Requests, [](const auto &it) { return !it->Started; });
-  if (Requests.empty())
-    return;
-  for (const PendingRequestPointer &it : Requests)
-    if (!it->HttpResponse)
-      it->HttpResponse =
-          makeErrorResponse(base::ResultCode::CallOutcomeUnknown,
-                            calls::CallOutcome::Unknown, "the node ends");
-  asio::co_spawn(
-      Client->socket().get_executor(),
-      [self = shared_from_this()] { return self->writeResponses(); },
-      asio::detached);
-}
-
-void Session::stop() {
-  bool isIdle = idle() && !Refusal && Client->unreadBytes() == 0;
-  EndRecord.Reading = EndRecord.Reading || Reading;
-  // A response that was written completely is not cut off.
-  if (!Closing || Writing)
-    setEndReason(isIdle ? EndReason::StoppedIdle : EndReason::Stopped);
-  // The event loop may not run again.
-  reportEnd();
-  Client->close();
-}
-
-/// Records why the connection ends, unless a reason is already known.
-void Session::setEndReason(EndReason reason) {
-  if (!Ended)
-    Ended = reason;
-}
-
-void Session::closeWithReason(EndReason reason) {
-  setEndReason(reason);
-  EndRecord.UnreadBytes = Client->unreadBytes();
-  Client->close();
-}
-
-/// Reports the end of the connection, once.
-void Session::reportEnd() {
-  if (std::exchange(EndReported, true))
-    return;
-  EndRecord.UnreadBytes =
-      std::max(EndRecord.UnreadBytes, Client->unreadBytes());
-  auto now = std::chrono::steady_clock::now();
-  EndRecord.Draining = Shared->Draining || Shared->ClosesAfterResponses;
-  EndRecord.Age = std::chrono::duration_cast<base::Duration>(now - Since);
-  EndRecord.Reason = endReasonOf(EndRecord);
-  Shared->Ends.ended(EndRecord, Shared->Limits.Side, Shared->Limits.Counters,
-                     now);
-}
-
-EndReason Session::endReasonOf(const ConnectionEnd &end) const {
-  if (Ended)
-    return *Ended;
-  bool hasUnread = end.UnreadBytes > 0 || end.Reading;
-  if (!Closing)
-    return hasUnread ? EndReason::IdleUnread : EndReason::IdleClosed;
-  if (end.Read > end.Answered)
-    return EndReason::RequestDropped;
-  // Input after the client's own `Connection: close` is ignored.
-  return hasUnread && !ClientCloses ? EndReason::AnswerUnread
-                                    : EndReason::AnswerClosed;
-}
-
 } // namespace radishcross::http
