LibBase: Take the latency histogram out of Metrics

Decisions need quantiles of their own, with generations that are added up and forgotten. The class is that of the metrics, which use it as before.

--- a/Libraries/LibBase/Metrics.cpp
+++ b/Libraries/LibBase/Metrics.cpp
@@ -1,22 +1,11 @@
 #include <LibBase/Metrics.h>
 
-#include <boost/histogram.hpp>
-#include <cmath>
 #include <sstream>
 
 namespace radishcross::base {
 
 namespace {
 
-namespace bh = boost::histogram;
-
-constexpr unsigned BucketCount = 240;
-constexpr double LowestMilliseconds = 0.01;
-constexpr double HighestMilliseconds = 100000.0;
-
-using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
-using BucketStorage = decltype(bh::make_histogram(LogAxis()));
-
 /// Appends `_bucket` to the name and adds the label `le`; the name may already
 /// have labels.
 std::string bucketName(std::string_view name, const std::string &bound) {
@@ -39,13 +28,6 @@
 
 } // namespace
 
-struct Metrics::Histogram {
-  BucketStorage Buckets = bh::make_histogram(
-      LogAxis(BucketCount, LowestMilliseconds, HighestMilliseconds));
-  uint64_t Count = 0;
-  double Sum = 0;
-};
-
 Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 
@@ -73,27 +55,14 @@
 void Metrics::observe(std::string_view name, Duration latency) {
   auto it = Histograms.find(name);
   if (it == Histograms.end())
-    it = Histograms.emplace(name, std::make_unique<Histogram>()).first;
-  double ms = static_cast<double>(latency.count()) / 1000.0;
-  it->second->Buckets(ms);
-  ++it->second->Count;
-  it->second->Sum += ms;
+    it = Histograms.emplace(name, LatencyHistogram()).first;
+  it->second.add(latency);
 }
 
 double Metrics::quantileMilliseconds(std::string_view name,
                                      double quantile) const {
   auto it = Histograms.find(name);
-  if (it == Histograms.end() || it->second->Count == 0)
-    return 0;
-  const auto &buckets = it->second->Buckets;
-  double targetCount = quantile * static_cast<double>(it->second->Count);
-  double cumulative = 0;
-  for (int i = -1; i <= static_cast<int>(BucketCount); ++i) {
-    cumulative += buckets.at(i);
-    if (cumulative >= targetCount && cumulative > 0)
-      return i < 0 ? LowestMilliseconds : buckets.axis().bin(i).upper();
-  }
-  return HighestMilliseconds;
+  return it == Histograms.end() ? 0 : it->second.quantileMilliseconds(quantile);
 }
 
 std::string Metrics::prometheusText() const {
@@ -103,19 +72,17 @@
   for (const auto &[name, value] : Gauges)
     out << name << ' ' << value << '\n';
   for (const auto &[name, histogram] : Histograms) {
-    double cumulative = histogram->Buckets.at(-1);
-    for (int i = 0; i < static_cast<int>(BucketCount); ++i) {
-      double n = histogram->Buckets.at(i);
-      cumulative += n;
-      if (n == 0)
-        continue;
+    double cumulative = histogram.underflow();
+    for (const auto &it : histogram.buckets()) {
+      cumulative += it.Count;
       std::ostringstream bound;
-      bound << histogram->Buckets.axis().bin(i).upper();
+      bound << it.UpperMilliseconds;
       out << bucketName(name, bound.str()) << ' ' << cumulative << '\n';
     }
-    out << bucketName(name, "+Inf") << ' ' << histogram->Count << '\n';
-    out << withSuffix(name, "_sum") << ' ' << histogram->Sum << '\n';
-    out << withSuffix(name, "_count") << ' ' << histogram->Count << '\n';
+    out << bucketName(name, "+Inf") << ' ' << histogram.count() << '\n';
+    out << withSuffix(name, "_sum") << ' ' << histogram.sumMilliseconds()
+        << '\n';
+    out << withSuffix(name, "_count") << ' ' << histogram.count() << '\n';
   }
   return out.str();
 }
--- a/Libraries/LibBase/Metrics.h
+++ b/Libraries/LibBase/Metrics.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <LibBase/Clock.h>
+#include <LibBase/LatencyHistogram.h>
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <string>
 #include <string_view>
 
@@ -42,10 +42,9 @@
   std::string prometheusText() const;
 
 private:
-  struct Histogram;
   std::map<std::string, uint64_t, std::less<>> Counters;
   std::map<std::string, double, std::less<>> Gauges;
-  std::map<std::string, std::unique_ptr<Histogram>, std::less<>> Histograms;
+  std::map<std::string, LatencyHistogram, std::less<>> Histograms;
 };
 
 } // namespace radishcross::base
