--- a/Libraries/LibBalance/LoadBalancer.h
+++ b/Libraries/LibBalance/LoadBalancer.h
@@ -33,6 +33,8 @@
   explicit LoadBalancer(Locality here, const FeatureToggles &toggles = {})
       : Self(std::move(here)), Toggles(toggles) {}
 
+  const Locality &here() const { return Self; }
+
   /// Ids of the targets that an attempt must not use; empty for a first
   /// attempt.
   using Excluded = std::span<const uint64_t>;
--- a/Libraries/LibBalance/TargetTable.cpp
+++ b/Libraries/LibBalance/TargetTable.cpp
@@ -175,6 +175,15 @@
   return it == ByService.end() ? none : it->second;
 }
 
+std::vector<const KnownTarget *>
+TargetTable::listed(std::string_view serviceName) const {
+  std::vector<const KnownTarget *> out;
+  for (const auto &[id, known] : Known)
+    if (known->Listed && known->Candidate.Target.Service == serviceName)
+      out.push_back(known.get());
+  return out;
+}
+
 void TargetTable::leaving(KnownTarget &target) {
   if (std::exchange(target.IsLeaving, true))
     return;
--- a/Libraries/LibBalance/TargetTable.h
+++ b/Libraries/LibBalance/TargetTable.h
@@ -45,6 +45,9 @@
     return ByService;
   }
 
+  /// Returns the listed targets of a service, usable or not.
+  std::vector<const KnownTarget *> listed(std::string_view serviceName) const;
+
   /// Records that a target has stated that it is leaving. It gets no more calls
   /// of this node, whatever the fleet's members say of the same process.
   void leaving(KnownTarget &target);
