LibCalls: Hedge late calls within an operator's share; preview a call

A call that may be repeated and is late by HedgePolicy gets one attempt at another target with room, charged to the retry budget; an attempt that it outruns says nothing bad of its target, path or version. Without a share calls are planned as before (TestLateHedges compares the records).

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -67,6 +67,8 @@
         Randomness(Settings.RandomSeed) {
     if (Settings.Versions)
       Planner.boundVersions(*Settings.Versions);
+    if (Settings.Hedges != balance::HedgeSettings())
+      Planner.limitHedges(Settings.Hedges);
   }
 
   struct OpenCall {
@@ -75,12 +77,16 @@
     const config::Route *Matched = nullptr; ///< Of Snapshot.
     RoutedCall Route;
     base::TimePoint Deadline{};
+    uint64_t Fingerprint = 0;
     std::string Key;      ///< Service, caller and idempotency key, if any.
     bool IsFirst = false; ///< Runs here as the first call of its key.
     /// Answer to be stored for the key, or stored answer to be replayed.
     std::optional<std::string> Answer;
   };
 
+  std::optional<CallStep> route(OpenCall &call, const CallRequest &request,
+                                TrafficSplitter &split, base::Random &random,
+                                base::TimePoint now) const;
   CallStep plan(CallHandle handle, OpenCall &call, const CallRequest &request,
                 base::TimePoint now);
   CallStep planKeyed(CallHandle handle, OpenCall &call,
@@ -107,8 +113,13 @@
   Resumed OnResumed;
 };
 
-CallStep Broker::State::plan(CallHandle handle, OpenCall &call,
-                             const CallRequest &request, base::TimePoint now) {
+/// Finds the route and the service of a call. Returns its refusal, if it is
+/// refused for that.
+std::optional<CallStep> Broker::State::route(OpenCall &call,
+                                             const CallRequest &request,
+                                             TrafficSplitter &split,
+                                             base::Random &random,
+                                             base::TimePoint now) const {
   const auto resolved =
       call.Snapshot
           ? call.Snapshot->findRoute(request.Method, request.Host, request.Path)
@@ -122,8 +133,9 @@
     return refuse(ResultCode::NoRoute);
   const auto &route = *resolved.Matched;
   auto &routed = call.Route;
-  const auto &destination = TrafficSplit.choose(resolved, Randomness);
+  const auto &destination = split.choose(resolved, random);
   routed.ServiceName = *destination.ServiceName;
+  call.Fingerprint = request.Fingerprint;
   if (Quarantined->blocks(request.Fingerprint, routed.ServiceName, now))
     return refuse(ResultCode::Quarantined, Quarantine::QuarantineLifetime);
   routed.CallRank = config::lessUrgentOf(
@@ -136,12 +148,20 @@
   routed.RouteName = route.Name;
   routed.LatencyObjective = route.LatencyObjective;
   routed.WithinRetry = request.WithinRetry;
+  routed.IsNested = request.Hops > 0;
   routed.RetryBudgetPercent =
       destination.ServiceDefinition->Limits.RetryBudgetPercent;
   call.Deadline = now + routed.Allowed;
+  return std::nullopt;
+}
+
+CallStep Broker::State::plan(CallHandle handle, OpenCall &call,
+                             const CallRequest &request, base::TimePoint now) {
+  if (auto refused = route(call, request, TrafficSplit, Randomness, now))
+    return *refused;
   // Idempotent calls may run twice anyway, so their keys are ignored.
-  if (request.IdempotencyKey.empty() || route.Idempotent)
-    return Planner.begin(handle, routed, now);
+  if (request.IdempotencyKey.empty() || call.Route.Idempotent)
+    return Planner.begin(handle, call.Route, now);
   return planKeyed(handle, call, request, now);
 }
 
@@ -304,6 +324,27 @@
   return handle;
 }
 
+RoutePreview Broker::preview(const CallRequest &request,
+                             const config::SnapshotPointer &snapshot,
+                             base::TimePoint now) const {
+  State::OpenCall call;
+  call.Snapshot = snapshot;
+  auto split = Held->TrafficSplit;
+  auto random = Held->Randomness;
+  RoutePreview out;
+  const auto refused = Held->route(call, request, split, random, now);
+  out.Matched = call.Matched;
+  out.Call = call.Route;
+  if (snapshot && call.Matched)
+    out.Destinations =
+        *snapshot->findRoute(request.Method, request.Host, request.Path)
+             .Destinations;
+  if (!call.Route.ServiceName.empty())
+    out.Place = Held->Planner.preview(call.Route, now);
+  out.Step = refused ? *refused : out.Place.Step;
+  return out;
+}
+
 CallStep Broker::step(CallHandle call) const {
   const auto it = Held->Open.find(call);
   return it == Held->Open.end() ? refuse(ResultCode::Internal)
@@ -329,6 +370,11 @@
 }
 
 std::optional<CallStep> Broker::hedge(CallHandle handle, base::TimePoint now) {
+  const auto it = Held->Open.find(handle);
+  if (it != Held->Open.end() &&
+      Held->Quarantined->blocks(it->second.Fingerprint,
+                                it->second.Route.ServiceName, now))
+    return std::nullopt;
   return Held->Planner.hedge(handle, now);
 }
 
@@ -408,6 +454,10 @@
   Held->Owners.assumeNoEarlierCalls(now);
 }
 
+std::map<std::string, balance::HedgeCounts> Broker::hedgeCounts() const {
+  return Held->Planner.hedgeCounts();
+}
+
 std::vector<std::pair<std::string, int64_t>>
 Broker::retriesLeft(base::TimePoint now) {
   return Held->Planner.retriesLeft(now);
--- a/Libraries/LibCalls/Broker.h
+++ b/Libraries/LibCalls/Broker.h
@@ -6,6 +6,7 @@
 #include <LibCalls/CallPlanner.h>
 #include <LibCalls/Quarantine.h>
 #include <LibCalls/RetryBudget.h>
+#include <LibCalls/RoutePreview.h>
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
@@ -32,6 +33,7 @@
   balance::FeatureToggles Toggles = {};
   /// Calls are placed by the versions of targets within these bounds.
   std::optional<rollout::Bounds> Versions = {};
+  balance::HedgeSettings Hedges = {};
 };
 
 /// The broker of one node; see CallBroker.
@@ -76,10 +78,20 @@
   /// idempotency key that it owns as unknown until the window has passed.
   void assumeNoEarlierCalls(base::TimePoint now);
 
+  /// Returns what would become of a request now, without its idempotency key.
+  /// Nothing is counted, recorded or changed. \p snapshot may be null; else the
+  /// result refers to it.
+  RoutePreview preview(const CallRequest &request,
+                       const config::SnapshotPointer &snapshot,
+                       base::TimePoint now) const;
+
   /// Returns, for each service called from this node, the number of retries
   /// that its critical calls have left now.
   std::vector<std::pair<std::string, int64_t>> retriesLeft(base::TimePoint now);
 
+  /// See CallPlanner.
+  std::map<std::string, balance::HedgeCounts> hedgeCounts() const;
+
   /// Runs the periodic work: ends ejections of targets, expires idempotency
   /// keys, and answers calls that have waited too long. Must be called at least
   /// once a second.
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -23,8 +23,13 @@
     return std::nullopt;
   auto &call = it->second;
   std::optional<CallStep> out;
-  if (mayHedge(call, now))
+  if (!isSilenceDue(call, now)) {
+    out = hedgeLate(call, now);
+  } else if (mayHedge(call, now)) {
     out = send(call, true, now);
+    if (out)
+      out->Hedge = HedgeCause::Silent;
+  }
   if (out) {
     stateOf(call).Budget.spend(Retries, now);
     call.Retried = true;
@@ -101,14 +106,13 @@
                 {}, {}, now);
 }
 
-/// Drops the attempts in flight. Those started before the one that was answered
-/// (0: none was) have been silent for at least the hedging delay.
+/// Drops the attempts in flight, with \p answered the number of the one that
+/// was answered (0: none was).
 void CallPlanner::dropActiveAttempts(PlannedCall &call, uint32_t answered,
                                      base::TimePoint now) {
   for (const auto &it : call.ActiveAttempts) {
     AttemptResult dropped;
-    dropped.End =
-        it.Attempt < answered ? AttemptEnd::Superseded : AttemptEnd::CallerGone;
+    dropped.End = dropAs(call, it, answered, now);
     recordAttempt(call, it, dropped, now);
   }
   call.ActiveAttempts.clear();
@@ -124,6 +128,7 @@
     return;
   target->InFlight -= target->InFlight > 0 ? 1 : 0;
   noteVersionAnswer(call, attempt, *target, result, now);
+  noteAnswerTime(call, attempt, result, now);
   const bool hasReply = result.End == AttemptEnd::Answered ||
                         result.End == AttemptEnd::RefusedNotRun;
   const bool wasSilent = result.End == AttemptEnd::TimedOut ||
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -119,6 +119,7 @@
   bool FreshConnection = false;
   /// The attempt is a retry or part of one: AttemptHeader is above 0.
   bool Retry = false;
+  HedgeCause Hedge = HedgeCause::None;
   /// Pass the complete answer to storeAnswer() before attemptEnded(Answered).
   /// The attempt continues when the caller disconnects, because a duplicate of
   /// the call gets this answer.
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/EnumNames.h>
 
+#include <cstdlib>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -25,6 +26,7 @@
     {CallPlanEvent::RolloutOrdered, "rollout-ordered"},
     {CallPlanEvent::RolloutLearned, "rollout-learned"},
     {CallPlanEvent::RolloutHalted, "rollout-halted"},
+    {CallPlanEvent::HedgeLimits, "hedge-limits"},
 };
 
 base::TimePoint timeOf(const trace::Entry &entry) {
@@ -52,7 +54,8 @@
     &CallPlanPlayer::tick,           &CallPlanPlayer::nodes,
     &CallPlanPlayer::hedge,          &CallPlanPlayer::signalled,
     &CallPlanPlayer::versionBounds,  &CallPlanPlayer::rolloutOrdered,
-    &CallPlanPlayer::rolloutLearned, &CallPlanPlayer::rolloutHalted};
+    &CallPlanPlayer::rolloutLearned, &CallPlanPlayer::rolloutHalted,
+    &CallPlanPlayer::hedgeLimits};
 
 trace::Outcome CallPlanPlayer::play(const trace::Entry &entry) {
   if (entry.Event >= std::size(Handlers))
@@ -126,6 +129,7 @@
   call.Allowed = base::Duration(entry.Numbers[2]);
   call.Idempotent = (entry.Numbers[3] & 1) != 0;
   call.WithinRetry = (entry.Numbers[3] & 2) != 0;
+  call.IsNested = (entry.Numbers[3] & 4) != 0;
   call.RetryBudgetPercent = static_cast<uint32_t>(entry.Numbers[4]);
   call.LatencyObjective = base::Duration(entry.Numbers[5]);
   return CallPlanner::outcomeOf(
@@ -217,6 +221,18 @@
   return {};
 }
 
+trace::Outcome CallPlanPlayer::hedgeLimits(const trace::Entry &entry) {
+  balance::HedgeSettings settings;
+  settings.SharePermille = entry.Numbers[0];
+  settings.QuantilePermille = entry.Numbers[1];
+  const auto lines = linesOf(entry.Text);
+  for (size_t n = 0; n + 1 < lines.size(); n += 2)
+    settings.ServiceSharePermille[lines[n]] =
+        std::strtoll(lines[n + 1].c_str(), nullptr, 10);
+  Replayed->limitHedges(settings);
+  return {};
+}
+
 std::string_view CallPlanPlayer::eventName(uint8_t event) const {
   return base::nameOf(EventNames, static_cast<CallPlanEvent::Value>(event));
 }
--- a/Libraries/LibCalls/CallPlanPlayer.h
+++ b/Libraries/LibCalls/CallPlanPlayer.h
@@ -31,6 +31,7 @@
   trace::Outcome rolloutOrdered(const trace::Entry &entry);
   trace::Outcome rolloutLearned(const trace::Entry &entry);
   trace::Outcome rolloutHalted(const trace::Entry &entry);
+  trace::Outcome hedgeLimits(const trace::Entry &entry);
 
   using Handler = trace::Outcome (CallPlanPlayer::*)(const trace::Entry &);
   static const Handler Handlers[];
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -1,5 +1,6 @@
 #include <LibCalls/CallPlanner.h>
 
+#include <LibBalance/SpareTargets.h>
 #include <LibBase/Hash.h>
 
 #include <algorithm>
@@ -15,8 +16,6 @@
 /// Retry-after for refusals without one.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
-/// How long nodes that are no longer seen still count.
-constexpr Duration NodesRetention = std::chrono::seconds(30);
 constexpr int64_t PermilleOfPercent = 10;
 constexpr size_t MaximumNestedKinds = 64;
 /// A retry needs at least the mean time of such calls divided by this.
@@ -85,13 +84,15 @@
   planned.Route = call;
   planned.Deadline = now + call.Allowed;
   auto out = planFirst(planned, now);
-  const int flags = (call.Idempotent ? 1 : 0) + (call.WithinRetry ? 2 : 0);
+  const int flags = (call.Idempotent ? 1 : 0) + (call.WithinRetry ? 2 : 0) +
+                    (call.IsNested ? 4 : 0);
   recordEvent(CallPlanEvent::Begin,
               {static_cast<int64_t>(handle),
                static_cast<int64_t>(call.CallRank), call.Allowed.count(), flags,
                call.RetryBudgetPercent, call.LatencyObjective.count()},
-              VersionBounds ? call.ServiceName + "\n" + call.RouteName
-                            : call.ServiceName,
+              VersionBounds || LateHedges.isOn()
+                  ? call.ServiceName + "\n" + call.RouteName
+                  : call.ServiceName,
               outcomeOf(out), now);
   return out;
 }
@@ -115,28 +116,46 @@
   return service.NestedKinds.contains({route.CallRank, route.LatencyObjective});
 }
 
-CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
-  if (call.Route.Allowed <= HopMargin)
+/// Returns the refusal of a call that is not sent to any target, if it is one.
+std::optional<CallStep> CallPlanner::refusedAtOnce(ServiceState &service,
+                                                   const RoutedCall &route,
+                                                   base::TimePoint now,
+                                                   base::Random &random) {
+  if (route.Allowed <= HopMargin)
     return withStop(finish(CallOutcome::NotRun, ResultCode::DeadlineExceeded),
                     StopReason::NoTime);
-  auto &service = stateOf(call);
-  const auto rank = call.Route.CallRank;
+  const auto rank = route.CallRank;
   // Shedding a nested call would lose the work above it, which the throttle
   // does not know.
-  if (!isNested(service, call.Route) &&
-      service.Throttle.shouldShed(rank, now, Randomness))
-    return withStop(finish(CallOutcome::NotRun, ResultCode::Overloaded,
-                           std::min(ClientThrottle::retryAfter(rank),
-                                    call.Route.Allowed / RetryAfterDivisor)),
-                    StopReason::Shed);
+  if (isNested(service, route) ||
+      !service.Throttle.shouldShed(rank, now, random))
+    return std::nullopt;
+  return withStop(finish(CallOutcome::NotRun, ResultCode::Overloaded,
+                         std::min(ClientThrottle::retryAfter(rank),
+                                  route.Allowed / RetryAfterDivisor)),
+                  StopReason::Shed);
+}
+
+CallStep CallPlanner::planFirst(PlannedCall &call, base::TimePoint now) {
+  auto &service = stateOf(call);
+  if (auto refused = refusedAtOnce(service, call.Route, now, Randomness))
+    return *refused;
   service.Budget.called(Retries.RatioPermille.value_or(
                             call.Route.RetryBudgetPercent * PermilleOfPercent),
                         Retries.Window, now);
   auto out = send(call, false, now);
-  return out ? *out
-             : withStop(finish(CallOutcome::NotRun, ResultCode::NoTarget,
-                               DefaultRetryAfter),
-                        StopReason::NoTarget);
+  if (out && LateHedges.isOn(call.Route.ServiceName))
+    LateHedges.started(call.Route.ServiceName,
+                       balance::SpareTargets::headroomPermille(
+                           Table.usable(call.Route.ServiceName), now),
+                       now);
+  return out ? *out : noTarget();
+}
+
+CallStep CallPlanner::noTarget() {
+  return withStop(
+      finish(CallOutcome::NotRun, ResultCode::NoTarget, DefaultRetryAfter),
+      StopReason::NoTarget);
 }
 
 CallStep CallPlanner::attemptEnded(CallHandle handle,
@@ -191,6 +210,7 @@
     step.What = CallStep::Kind::Await;
   } else if (isAnswered) {
     dropActiveAttempts(call, ended.Attempt, now);
+    settleLateHedge(call, ended.Attempt);
   } else if (call.HasFailure && !isGone) {
     step = withStop(finish(CallOutcome::Answered, ResultCode::Ok),
                     StopReason::Answered);
@@ -224,7 +244,8 @@
                                    base::TimePoint now) {
   auto &service = stateOf(call);
   const bool isFree = isFreeToRetry(result);
-  const bool used = call.HasFailure || call.Attempts >= MaximumAttempts ||
+  const bool used = call.HasFailure || isRacing(call) ||
+                    call.Attempts >= MaximumAttempts ||
                     call.attemptsAtTargets() >= call.Route.MaximumAttempts;
   auto stop = isRefusedEverywhere(result) ? StopReason::Final
               : used                      ? StopReason::AttemptsUsed
@@ -238,7 +259,8 @@
     }
     stop = call.Stop;
   }
-  if (result.Code == ResultCode::Overloaded && !isNested(service, call.Route))
+  if (result.Code == ResultCode::Overloaded && !isNested(service, call.Route) &&
+      !isRacing(call))
     service.Throttle.refused(call.Route.CallRank);
   // An earlier attempt of this call may have run although this one did not.
   if (call.MayHaveRun)
@@ -309,7 +331,6 @@
   call.Stop = StopReason::NoTime;
   if (timeout <= Duration::zero())
     return std::nullopt;
-  const auto &targets = Table.usable(call.Route.ServiceName);
   boost::container::static_vector<uint64_t, MaximumAttempts + 1> excluded;
   for (const auto &it : call.ActiveAttempts)
     excluded.push_back(it.Target);
@@ -319,28 +340,37 @@
   call.Stop = StopReason::NoOtherTarget;
   if (!target)
     return std::nullopt;
-  const auto basis = basisOf(targets, *target, now);
-  ++target->InFlight;
-  target->Path->sent(now);
-  call.LastTarget = target->Id;
-  call.ActiveAttempts.push_back({++call.Attempts, target->Id,
-                                 target->Path->isSuspect(), timeout, now,
-                                 target->Candidate.Target.Epoch});
+  return sendTo(call, *target, retry, now);
+}
+
+CallStep CallPlanner::sendTo(PlannedCall &call, balance::KnownTarget &target,
+                             bool retry, base::TimePoint now) {
+  const auto timeout = call.Deadline - now - HopMargin;
+  const auto basis = basisOf(Table.usable(call.Route.ServiceName), target, now);
+  ++target.InFlight;
+  target.Path->sent(now);
+  call.LastTarget = target.Id;
+  call.ActiveAttempts.push_back(
+      {++call.Attempts, target.Id, target.Path->isSuspect(), timeout, now,
+       target.Candidate.Target.Epoch, target.Speed.permille(now)});
   const auto hedgeAt = hedgeAfter(call, retry, now);
   if (call.ActiveAttempts.size() == 1)
     call.HedgeAfter = hedgeAt;
 
   CallStep out;
   out.What = CallStep::Kind::Send;
-  out.To = target->Candidate;
+  out.To = target.Candidate;
   out.ServiceName = call.Route.ServiceName;
   out.CallRank = call.Route.CallRank;
   out.AttemptTimeout = timeout;
   out.Attempt = call.Attempts;
-  out.HedgeAfter = hedgeAt;
+  const auto late = lateAfter(call, retry, now);
+  out.HedgeAfter = late > Duration::zero() && hedgeAt > Duration::zero()
+                       ? std::min(late, hedgeAt)
+                       : std::max(late, hedgeAt);
   out.Remaining = timeout;
   out.LatencyObjective = call.Route.LatencyObjective;
-  out.StatedRate = target->Stated.rate();
+  out.StatedRate = target.Stated.rate();
   out.FreshConnection = call.ActiveAttempts.back().OnNewConnection;
   out.Retry = retry || call.Route.WithinRetry;
   out.Basis = basis;
@@ -367,6 +397,7 @@
   if (it == Calls.end())
     return;
   dropActiveAttempts(it->second, 0, now);
+  settleLateHedge(it->second, 0);
   Calls.erase(it);
   recordEvent(CallPlanEvent::End, {static_cast<int64_t>(handle)}, {}, {}, now);
 }
--- a/Libraries/LibCalls/CallVersions.cpp
+++ b/Libraries/LibCalls/CallVersions.cpp
@@ -86,41 +86,60 @@
 
 KnownTarget *CallPlanner::chooseTarget(const PlannedCall &call,
                                        Excluded excluded, base::TimePoint now) {
+  auto &service = stateOf(call);
   const auto it =
       VersionBounds ? Gates.find(call.Route.ServiceName) : Gates.end();
-  if (it != Gates.end() && it->second.mayDiffer(now))
-    return chooseByVersion(call, it->second, excluded, now);
-  return Balancer.choose(Table.usable(call.Route.ServiceName), excluded,
-                         stateOf(call).Spillover, now, Randomness);
+  auto *gate = it == Gates.end() ? nullptr : &it->second;
+  return chooseWith(
+      {&service.Spillover, &service.NewVersionSpillover, gate, &Randomness},
+      call.Route.ServiceName, excluded, now);
 }
 
-KnownTarget *CallPlanner::chooseByVersion(const PlannedCall &call,
-                                          rollout::VersionGate &gate,
-                                          Excluded excluded,
-                                          base::TimePoint now) {
-  const auto &all = Table.usable(call.Route.ServiceName);
-  TargetTable::Targets old;
-  TargetTable::Targets fresh;
-  for (auto *it : all) {
+KnownTarget *CallPlanner::chooseWith(const ChoiceState &state,
+                                     const std::string &service,
+                                     Excluded excluded,
+                                     base::TimePoint now) const {
+  if (state.Gate && state.Gate->mayDiffer(now))
+    return chooseByVersion(state, service, excluded, now);
+  return Balancer.choose(Table.usable(service), excluded, *state.Spillover, now,
+                         *state.Randomness);
+}
+
+CallPlanner::VersionTargets
+CallPlanner::targetsByVersion(const rollout::VersionGate &gate,
+                              const std::string &service,
+                              base::TimePoint now) const {
+  VersionTargets out;
+  for (auto *it : Table.usable(service)) {
     const auto &version = it->Candidate.Target.SoftwareVersion;
     const auto role = gate.roleOf(version);
     if (role == Role::New)
-      fresh.push_back(it);
+      out.New.push_back(it);
     else if (role == Role::Old && !gate.isHeldBack(version, now))
-      old.push_back(it);
+      out.Old.push_back(it);
   }
-  const auto placed = gate.place(!old.empty(), !fresh.empty(), now);
-  auto &service = stateOf(call);
+  return out;
+}
+
+KnownTarget *CallPlanner::chooseByVersion(const ChoiceState &state,
+                                          const std::string &service,
+                                          Excluded excluded,
+                                          base::TimePoint now) const {
+  auto targets = targetsByVersion(*state.Gate, service, now);
+  auto &fresh = targets.New;
+  const auto placed =
+      state.Gate->place(!targets.Old.empty(), !fresh.empty(), now);
   if (placed.Where == Placing::NewOnly) {
     // All nodes use the same few targets: the table orders them by id.
     if (placed.Why == rollout::Basis::Share)
-      fresh.resize(rollout::StepPlan::targetsInUse(fresh.size(),
-                                                   gate.sharePermille(now)));
-    if (auto *it = Balancer.choose(fresh, excluded, service.NewVersionSpillover,
-                                   now, Randomness))
+      fresh.resize(rollout::StepPlan::targetsInUse(
+          fresh.size(), state.Gate->sharePermille(now)));
+    if (auto *it = Balancer.choose(fresh, excluded, *state.NewVersionSpillover,
+                                   now, *state.Randomness))
       return it;
   }
-  return Balancer.choose(old, excluded, service.Spillover, now, Randomness);
+  return Balancer.choose(targets.Old, excluded, *state.Spillover, now,
+                         *state.Randomness);
 }
 
 /// An attempt that surely did not run says nothing of the version, nor does one
--- a/Libraries/LibCalls/ChoiceBasis.h
+++ b/Libraries/LibCalls/ChoiceBasis.h
@@ -19,6 +19,19 @@
   base::Duration KnownAge{};
 };
 
+/// Why an attempt was started beside another one.
+enum class HedgeCause : uint8_t {
+  None,   ///< It was not.
+  Silent, ///< The first one was silent for too long; see balance::HedgeDelay.
+  Late,   ///< Most answers had come by then; see balance::HedgePolicy.
+};
+
+constexpr base::EnumName<HedgeCause> HedgeCauseNames[] = {
+    {HedgeCause::None, ""},
+    {HedgeCause::Silent, "silent"},
+    {HedgeCause::Late, "late"},
+};
+
 /// Why a call has no further attempt.
 enum class StopReason : uint8_t {
   None, ///< Another attempt follows, or none was planned.
