--- a/Libraries/LibConfig/Snapshot.cpp
+++ b/Libraries/LibConfig/Snapshot.cpp
@@ -1,6 +1,7 @@
 #include <LibConfig/Snapshot.h>
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <utility>
 
@@ -167,6 +168,17 @@
   return it == Indexes->Services.end() ? nullptr : it->second;
 }
 
+const ConfigurationVersion *Snapshot::versionWith(const Route *route) const {
+  const std::less<const Route *> isBefore;
+  for (const auto &it : Versions) {
+    const auto &routes = it.Content->Routes;
+    const auto *first = routes.data();
+    if (!isBefore(route, first) && isBefore(route, first + routes.size()))
+      return &it;
+  }
+  return nullptr;
+}
+
 uint64_t Snapshot::versionOf(std::string_view configuration) const {
   auto it =
       std::lower_bound(Versions.begin(), Versions.end(), configuration,
--- a/Libraries/LibConfig/Snapshot.h
+++ b/Libraries/LibConfig/Snapshot.h
@@ -52,6 +52,9 @@
   /// Returns the version number of \p configuration, or 0 if it is not loaded.
   uint64_t versionOf(std::string_view configuration) const;
 
+  /// Returns the version that holds \p route, or null.
+  const ConfigurationVersion *versionWith(const Route *route) const;
+
   /// Returns the client limits, each the strictest that any version sets; the
   /// defaults if none sets any.
   ClientLimits clientLimits() const;
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -141,6 +141,7 @@
   it.Number = step.Attempt;
   it.Node = step.To.Node;
   it.IsForward = step.What == CallStep::Kind::Forward;
+  it.Hedge = step.Hedge;
   if (!it.IsForward)
     it.TargetId = step.To.Target.TargetId;
   it.Remaining = step.Remaining;
@@ -168,7 +169,9 @@
   mesh.LatencyObjective = step.LatencyObjective;
   mesh.StatedRate = step.StatedRate;
   mesh.Hops = call.Request.Hops;
-  mesh.Attempt = step.Retry || call.Request.WithinRetry ? RetryAttempt : 1;
+  mesh.Attempt = step.Hedge == calls::HedgeCause::Late    ? HedgeAttempt
+                 : step.Retry || call.Request.WithinRetry ? RetryAttempt
+                                                          : 1;
   mesh.ServiceName = step.ServiceName;
   if (step.What == CallStep::Kind::Send)
     mesh.TargetId = step.To.Target.TargetId;
--- a/Libraries/LibHttp/CallLog.cpp
+++ b/Libraries/LibHttp/CallLog.cpp
@@ -3,7 +3,6 @@
 #include <LibHttp/CallLog.h>
 
 #include <chrono>
-#include <functional>
 #include <string>
 
 namespace radishcross::http {
@@ -23,27 +22,15 @@
          isServerError(call.Status) || isSampled(call.RequestId);
 }
 
-/// Returns the held version that \p route belongs to, or null.
-const config::ConfigurationVersion *versionOf(const config::Snapshot &held,
-                                              const config::Route *route) {
-  std::less<const config::Route *> isBefore;
-  for (const auto &it : held.versions()) {
-    const auto &routes = it.Content->Routes;
-    const auto *first = routes.data();
-    if (!isBefore(route, first) && isBefore(route, first + routes.size()))
-      return &it;
-  }
-  return nullptr;
-}
-
 struct RouteName {
   std::string Route; ///< "configuration/name".
   std::string Version;
 };
 
 RouteName routeOf(const EndedCall &call) {
-  const auto *version =
-      call.Held && call.Matched ? versionOf(*call.Held, call.Matched) : nullptr;
+  const auto *version = call.Held && call.Matched
+                            ? call.Held->versionWith(call.Matched)
+                            : nullptr;
   if (!version)
     return {};
   return {version->Configuration + "/" + call.Matched->Name,
@@ -87,6 +74,7 @@
        {"to", it.Node},
        {"target", it.TargetId},
        {"as", it.IsForward ? "owner" : "target"},
+       {"hedge", std::string(base::nameOf(calls::HedgeCauseNames, it.Hedge))},
        {"candidates", std::to_string(basis.Candidates)},
        {"left_out", std::to_string(basis.LeftOut)},
        {"own_calls", std::to_string(basis.InFlight)},
--- a/Libraries/LibHttp/CallLog.h
+++ b/Libraries/LibHttp/CallLog.h
@@ -58,6 +58,7 @@
   base::Duration Remaining{}; ///< Remaining deadline when it was sent.
   base::Duration Timeout{};
   bool IsForward = false; ///< Sent to the owner of the call's idempotency key.
+  calls::HedgeCause Hedge = calls::HedgeCause::None;
   calls::ChoiceBasis Basis;
   calls::AttemptResult Result;
   base::Duration Took{};
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -125,10 +125,14 @@
   admission::GateView loadOnArrival = decision.Found;
   bool isNested = decision.IsNested;
   bool hasWaited = decision.What == GateAnswer::Kind::Queued;
-  if (hasWaited)
+  if (hasWaited && call.Attempt == HedgeAttempt) {
+    Environment.Gate->abandoned(ticket, now);
+    decision = GateAnswer::refuse(ticket, base::ResultCode::Overloaded, {});
+  } else if (hasWaited) {
     decision = co_await awaitTurn(ticket, call, watch);
-  else if (decision.What == GateAnswer::Kind::Refuse)
+  } else if (decision.What == GateAnswer::Kind::Refuse) {
     makeRoom(call.TargetId);
+  }
   base::TimePoint turn = Environment.Time->now();
   bool hasRun = decision.What == GateAnswer::Kind::Run;
   GateOutcome outcome;
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -27,7 +27,7 @@
   /// between nodes only.
   std::optional<balance::MilliRate> StatedRate;
   uint32_t Hops = 0;       ///< Number of ancestor calls in the chain.
-  uint32_t Attempt = 1;    ///< 2 for a retry.
+  uint32_t Attempt = 1;    ///< RetryAttempt, HedgeAttempt, or 1 for others.
   std::string ServiceName; ///< "configuration/name".
   std::string
       TargetId; ///< Empty if the receiving node's broker is to run the call.
@@ -36,6 +36,10 @@
 /// AttemptHeader of a request that is a retry.
 constexpr uint32_t RetryAttempt = 2;
 
+/// AttemptHeader of a retry that must not wait at the target's gate, since it
+/// is made beside an attempt that is only slow.
+constexpr uint32_t HedgeAttempt = 3;
+
 /// Value of AttemptHeader in a response if a nested call failed and the failure
 /// was handled below.
 constexpr std::string_view FailureBelowValue = "below";
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -420,3 +420,28 @@
     CHECK(response->count("X-P") == 0);
   }
 }
+
+TEST_CASE("a hedge of a late call does not wait at the target's gate") {
+  for (bool isLate : {true, false}) {
+    CAPTURE(isLate);
+    TwoNodes mesh;
+    mesh.Far.Gate.Kind = admission::GateAnswer::Kind::Queued;
+    auto &broker = mesh.Near.Broker;
+    broker.First.Retry = true;
+    broker.First.Hedge =
+        isLate ? calls::HedgeCause::Late : calls::HedgeCause::Silent;
+    std::optional<http::Response> response;
+    mesh.begin(response);
+    runUntil(mesh.Context, [&] {
+      return response.has_value() ||
+             (!isLate && !mesh.Far.Gate.Arrivals.empty());
+    });
+    CHECK(response.has_value() == isLate);
+    CHECK(mesh.Far.Gate.Abandoned == (isLate ? 1 : 0));
+    if (isLate) {
+      REQUIRE(broker.Results.size() == 1);
+      CHECK(broker.Results[0].End == calls::AttemptEnd::RefusedNotRun);
+      CHECK(broker.Results[0].Code == base::ResultCode::Overloaded);
+    }
+  }
+}
