LibNode: Take the share of extra work from the settings

hedging.share, hedging.quantile and hedging.services; without them nothing changes. Metrics hedges_total and hedges_not_started_total with the reason.

--- a/Libraries/LibAdmin/NodeSettings.cpp
+++ b/Libraries/LibAdmin/NodeSettings.cpp
@@ -244,6 +244,20 @@
   return std::max(machine, other + MinHeldMegabytes) - other;
 }
 
+int64_t permilleOf(const json::value &share) {
+  constexpr double Permille = 1000;
+  return std::llround(share.to_number<double>() * Permille);
+}
+
+void readHedging(const json::object &from, balance::HedgeSettings &to) {
+  to.SharePermille = permilleOf(from.at("share"));
+  if (const auto *quantile = from.if_contains("quantile"))
+    to.QuantilePermille = permilleOf(*quantile);
+  if (const auto *services = from.if_contains("services"))
+    for (const auto &it : services->as_object())
+      to.ServiceSharePermille[std::string(it.key())] = permilleOf(it.value());
+}
+
 void readMemory(const json::object &from, NodeSettings &settings) {
   constexpr size_t BytesPerMegabyte = 1UL << 20;
   if (const auto *n = from.if_contains("machine_mb"))
@@ -316,6 +330,8 @@
     readRetryBudget(budget->as_object(), settings.Retries);
   if (const auto *allotments = root.if_contains("allotments"))
     readAllotments(allotments->as_object(), settings.Allotments);
+  if (const auto *hedging = root.if_contains("hedging"))
+    readHedging(hedging->as_object(), settings.Hedging);
   if (const auto *rollouts = root.if_contains("rollouts"))
     settings.Versions = readRollouts(rollouts->as_object());
   if (const auto *comparison = root.if_contains("comparison"))
--- a/Libraries/LibAdmin/NodeSettings.h
+++ b/Libraries/LibAdmin/NodeSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBalance/FeatureToggles.h>
+#include <LibBalance/HedgeSettings.h>
 #include <LibBase/Address.h>
 #include <LibBase/Clock.h>
 #include <LibBase/EnumNames.h>
@@ -77,6 +78,7 @@
   calls::CallHeaders CallHeaders;
   calls::RetryLimits Retries;
   tenants::AllotmentSettings Allotments;
+  balance::HedgeSettings Hedging;
   balance::FeatureToggles Compared;
   /// Bounds of roll-outs; without them versions of targets are not used.
   std::optional<rollout::Bounds> Versions;
--- a/Libraries/LibAdmin/SettingsDifference.cpp
+++ b/Libraries/LibAdmin/SettingsDifference.cpp
@@ -39,6 +39,7 @@
     live<&Settings::Service>("service"),
     live<&Settings::TargetAddress>("target_address"),
     restartOnly<&Settings::Allotments>("allotments"),
+    restartOnly<&Settings::Hedging>("hedging"),
     restartOnly<&Settings::Compared>("comparison"),
     restartOnly<&Settings::Versions>("rollouts"),
     live<&Settings::SeedHosts>("seed_hosts"),
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -47,6 +47,7 @@
   memberMetrics();
   versionMetrics();
   callMetrics();
+  hedgeMetrics();
   storeMetrics();
   Shares.setGauges(Counters);
   return Counters;
@@ -86,6 +87,33 @@
                           static_cast<double>(it.Version));
 }
 
+/// Sets the numbers of second attempts beside slow first ones.
+void NodeProcess::hedgeMetrics() {
+  for (const auto *it : {"hedges_total", "hedges_not_started_total"})
+    Counters.removeGauges(it);
+  size_t n = 0;
+  for (const auto &[service, counts] : CallsBroker.hedgeCounts()) {
+    if (++n > MaxLabels)
+      break;
+    auto set = [&, &name = service](std::string_view stem,
+                                    std::string_view label,
+                                    std::string_view value, uint64_t count) {
+      auto text = labelled(stem, "service", name);
+      text.back() = ',';
+      text += std::string(label) + "=\"" + std::string(value) + "\"}";
+      Counters.setGauge(text, static_cast<double>(count));
+    };
+    set("hedges_total", "outcome", "started", counts.Started);
+    set("hedges_total", "outcome", "won", counts.Won);
+    set("hedges_total", "outcome", "lost", counts.Lost);
+    set("hedges_total", "outcome", "abandoned", counts.Abandoned);
+    for (const auto &it : balance::HedgeRefusalNames)
+      if (it.Value != balance::HedgeRefusal::None)
+        set("hedges_not_started_total", "reason", it.Name,
+            counts.NotStarted[static_cast<size_t>(it.Value)]);
+  }
+}
+
 /// Sets the remaining retry budgets and the load of the gates.
 void NodeProcess::callMetrics() {
   for (const auto *it :
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -64,6 +64,7 @@
               std::function<void(admin::ChangeOutcome)> done) override;
   boost::json::value usage() const override;
   boost::json::value allotments() const override { return Shares.report(); }
+  boost::json::value route(const admin::RouteQuestion &question) const override;
   boost::json::value quarantine() const override;
   bool liftQuarantine(uint64_t fingerprint) override;
   std::string recording(uint32_t seconds) const override;
@@ -92,6 +93,7 @@
   void memberMetrics();
   void versionMetrics();
   void callMetrics();
+  void hedgeMetrics();
   void storeMetrics();
   void foldAdvanced(const log::Fold &fold);
   void applyVersionFloor(const VersionNumbers &stored);
--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -126,6 +126,25 @@
   CHECK(reason.code() == ResultCode::NumberOutOfRange);
 }
 
+TEST_CASE("the limits of hedges are read") {
+  base::LastReason reason;
+  auto document = goodSettings();
+  auto settings = admin::decodeNodeSettings(document, reason);
+  REQUIRE(settings);
+  CHECK(settings->Hedging == balance::HedgeSettings());
+  CHECK(settings->Hedging.SharePermille == 0);
+  change(document, "/hedging",
+         R"({"share": 0.05, "quantile": 0.9, "services": {"a/b": 0}})");
+  settings = admin::decodeNodeSettings(document, reason);
+  REQUIRE_MESSAGE(settings, reason.line());
+  CHECK(settings->Hedging.sharePermille("a/c") == 50);
+  CHECK(settings->Hedging.sharePermille("a/b") == 0);
+  CHECK(settings->Hedging.QuantilePermille == 900);
+  change(document, "/hedging/share", "0.3");
+  CHECK_FALSE(admin::decodeNodeSettings(document, reason));
+  CHECK(reason.code() == ResultCode::NumberOutOfRange);
+}
+
 TEST_CASE("seed hosts use the node's gossip port and exclude the node itself") {
   auto document = goodSettings();
   change(document, "/seed_hosts", R"(["127.0.0.7:8306", "127.0.0.1:8306"])");
