Radishcross: Tell where a request would go now, without sending it

radishcross route METHOD PATH asks a node (GET /v1/route), which runs the decisions of a call on copies of their state, and shows route, tenant and allotment, versions, all candidates with what speaks against each, and the target or the refusal. No key is asked for or shown.

--- a/Libraries/LibAdmin/Api.cpp
+++ b/Libraries/LibAdmin/Api.cpp
@@ -64,6 +64,7 @@
        &H::liftQuarantine},
       {get, {"v1", "recording"}, Role::Administrator, &H::recording},
       {get, {"v1", "allotments"}, Role::Reader, &H::allotments},
+      {get, {"v1", "route"}, Role::Reader, &H::route},
       {get, {"v1", "usage"}, Role::Reader, &H::usage},
   };
   return table;
--- a/Libraries/LibAdmin/ApiHandlers.cpp
+++ b/Libraries/LibAdmin/ApiHandlers.cpp
@@ -213,6 +213,25 @@
                       TraceType);
 }
 
+http::Response ApiHandlers::route(const ApiRequest &request) {
+  RouteQuestion question;
+  question.Method = queryText(request, "method");
+  question.Host = queryText(request, "host");
+  question.Path = queryText(request, "path");
+  question.CallerService = queryText(request, "caller");
+  question.Tenant = queryText(request, "tenant");
+  if (question.Method.empty() || !question.Path.starts_with("/"))
+    return failure(ResultCode::UsageError,
+                   "method and path are needed, and a path begins with /");
+  const auto rank = queryText(request, "rank");
+  question.CallRank = base::fromName(config::RankNames, rank);
+  if (!rank.empty() && !question.CallRank)
+    return failure(ResultCode::UsageError,
+                   "rank: found \"" + rank +
+                       "\", expected critical, standard or background");
+  return jsonResponse(Node.route(question));
+}
+
 http::Response ApiHandlers::usage(const ApiRequest &) {
   return jsonResponse(Node.usage());
 }
--- a/Libraries/LibAdmin/ApiHandlers.h
+++ b/Libraries/LibAdmin/ApiHandlers.h
@@ -42,6 +42,7 @@
   http::Response quarantine(const ApiRequest &request);
   http::Response liftQuarantine(const ApiRequest &request);
   http::Response recording(const ApiRequest &request);
+  http::Response route(const ApiRequest &request);
   http::Response usage(const ApiRequest &request);
 
 private:
--- a/Libraries/LibAdmin/NodeControl.h
+++ b/Libraries/LibAdmin/NodeControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmin/RouteReport.h>
 #include <LibBase/Metrics.h>
 #include <LibConfig/Snapshot.h>
 #include <LibFleet/Member.h>
@@ -63,6 +64,10 @@
   /// refused of each.
   virtual boost::json::value allotments() const = 0;
 
+  /// Returns where a request would go now, and why; see routeReport(). Nothing
+  /// is counted, recorded or changed.
+  virtual boost::json::value route(const RouteQuestion &question) const = 0;
+
   /// Returns the quarantined requests.
   /// liftQuarantine() releases one by its fingerprint; false if there is none.
   virtual boost::json::value quarantine() const = 0;
--- a/Libraries/LibNode/NodeReports.cpp
+++ b/Libraries/LibNode/NodeReports.cpp
@@ -1,10 +1,12 @@
 #include <LibNode/NodeProcess.h>
 
+#include <LibTenants/TenantDirectory.h>
 #include <LibTrace/TraceText.h>
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <chrono>
+#include <utility>
 
 // The part of NodeProcess that reports its state to operators.
 
@@ -57,6 +59,49 @@
   return out;
 }
 
+/// The order of refusals is that of LibHttp/CallEngine.
+boost::json::value
+NodeProcess::route(const admin::RouteQuestion &question) const {
+  const auto snapshot = ActiveSnapshot;
+  tenants::TenantDirectory directory;
+  directory.update(snapshot);
+  const auto *asker = directory.find(question.Tenant);
+  calls::CallRequest request;
+  request.Method = question.Method;
+  request.Host = question.Host;
+  request.Path = question.Path;
+  request.CallerService = question.CallerService;
+  request.Remaining = question.Remaining;
+  if (question.CallRank)
+    request.ParentRank = *question.CallRank;
+  boost::json::object tenant;
+  if (asker) {
+    request.Tenant = asker->Name;
+    request.TenantRank = asker->CallRank;
+    tenant["name"] = asker->Name;
+    tenant["rank"] = asker->CallRank
+                         ? base::nameOf(config::RankNames, *asker->CallRank)
+                         : std::string_view();
+    for (const auto &it : Shares.report())
+      if (it.at("tenant") == boost::json::value(asker->Name))
+        tenant["allotment"] = it;
+  }
+  auto preview = CallsBroker.preview(request, snapshot, Time.now());
+  const bool needsKey = directory.hasTenants() && preview.Matched &&
+                        !preview.Matched->IsPublic && !asker;
+  if (needsKey || Draining.isStarted()) {
+    preview.Step = {};
+    preview.Step.Code =
+        needsKey ? base::ResultCode::KeyUnknown : base::ResultCode::Draining;
+    preview.Step.Stop = calls::StopReason::Final;
+  }
+  auto out = admin::routeReport(question, preview, snapshot.get(),
+                                asker ? boost::json::value(std::move(tenant))
+                                      : boost::json::value());
+  out["node"] = Self.Id;
+  return out;
+}
+
 boost::json::value NodeProcess::quarantine() const {
   boost::json::array out;
   auto now = Time.now();
--- a/Services/Radishcross/Command.h
+++ b/Services/Radishcross/Command.h
@@ -42,6 +42,7 @@
 base::ResultCode members(const Arguments &arguments);
 base::ResultCode quarantine(const Arguments &arguments);
 base::ResultCode allotments(const Arguments &arguments);
+base::ResultCode route(const Arguments &arguments);
 base::ResultCode check(const Arguments &arguments);
 base::ResultCode schema(const Arguments &arguments);
 base::ResultCode record(const Arguments &arguments);
--- a/Services/Radishcross/Flags.cpp
+++ b/Services/Radishcross/Flags.cpp
@@ -39,3 +39,9 @@
           "fingerprint of the request to release from quarantine");
 ABSL_FLAG(std::string, about, "",
           "what was recorded and what must hold, kept in the trace");
+ABSL_FLAG(std::string, host, "", "host of the request");
+ABSL_FLAG(std::string, caller, "", "service that sends the request");
+ABSL_FLAG(std::string, tenant, "", "name of the tenant that asks; not its key");
+ABSL_FLAG(std::string, rank, "",
+          "rank of the work that sends the request: critical, standard or "
+          "background");
--- a/Services/Radishcross/Flags.h
+++ b/Services/Radishcross/Flags.h
@@ -29,3 +29,7 @@
 ABSL_DECLARE_FLAG(bool, undo);
 ABSL_DECLARE_FLAG(std::string, lift);
 ABSL_DECLARE_FLAG(std::string, about);
+ABSL_DECLARE_FLAG(std::string, host);
+ABSL_DECLARE_FLAG(std::string, caller);
+ABSL_DECLARE_FLAG(std::string, tenant);
+ABSL_DECLARE_FLAG(std::string, rank);
--- a/Tests/LibAdmin/MockNodeControl.h
+++ b/Tests/LibAdmin/MockNodeControl.h
@@ -27,6 +27,10 @@
               std::function<void(ChangeOutcome)> done) override;
   boost::json::value usage() const override { return Usage; }
   boost::json::value allotments() const override { return Allotments; }
+  boost::json::value route(const RouteQuestion &question) const override {
+    Asked = question;
+    return Route;
+  }
   boost::json::value quarantine() const override;
   bool liftQuarantine(uint64_t fingerprint) override;
   std::string recording(uint32_t seconds) const override;
@@ -43,6 +47,8 @@
   base::Metrics Counters;
   boost::json::value Usage = boost::json::object();
   boost::json::value Allotments = boost::json::array();
+  boost::json::value Route = boost::json::object();
+  mutable RouteQuestion Asked;
   bool Ready = true;
   std::optional<base::Duration> ExternalAge;
   bool Draining = false;
--- a/Tests/LibAdmin/TestApi.cpp
+++ b/Tests/LibAdmin/TestApi.cpp
@@ -97,6 +97,7 @@
       {verb::get, "/v1/quarantine", Role::Reader},
       {verb::get, "/v1/allotments", Role::Reader},
       {verb::get, "/v1/usage", Role::Reader},
+      {verb::get, "/v1/route?method=GET&path=/", Role::Reader},
       {verb::post, "/v1/configurations/badges/versions", Role::Publisher},
       {verb::post, "/v1/attachments", Role::Publisher},
       {verb::delete_, "/v1/attachments/x", Role::Publisher},
@@ -122,7 +123,7 @@
     }
   }
   CHECK(Node.Counters.counter(
-            "administration_refused_total{reason=\"unauthorised\"}") == 32);
+            "administration_refused_total{reason=\"unauthorised\"}") == 34);
   CHECK(Node.Appends == 0);
 }
 
@@ -454,3 +455,19 @@
   CHECK(Node.Draining);
   CHECK(get("/v1/nothing").result_int() == 404);
 }
+
+TEST_CASE_FIXTURE(Fixture, "a request is asked about by its parts") {
+  Node.Route = boost::json::object{{"refused", nullptr}};
+  const auto answer = get("/v1/route?method=GET&path=%2Fbadges%2F1&host=h"
+                          "&caller=a%2Fb&tenant=harbour&rank=standard");
+  CHECK(answer.result_int() == 200);
+  CHECK(Node.Asked.Method == "GET");
+  CHECK(Node.Asked.Path == "/badges/1");
+  CHECK(Node.Asked.Host == "h");
+  CHECK(Node.Asked.CallerService == "a/b");
+  CHECK(Node.Asked.Tenant == "harbour");
+  CHECK(Node.Asked.CallRank == config::Rank::Standard);
+  CHECK(get("/v1/route?method=GET&path=badges").result_int() == 400);
+  CHECK(get("/v1/route?path=%2F").result_int() == 400);
+  CHECK(get("/v1/route?method=GET&path=%2F&rank=top").result_int() == 400);
+}
