--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -50,10 +50,10 @@
 Session::Session(std::shared_ptr<SessionContext> shared, tcp::socket socket)
     : Shared(std::move(shared)),
       Client(std::make_shared<Connection>(std::move(socket))),
-      Peer(Client->peer()),
+      Peer(Client->peer()), IsWithinVm(Client->isWithinVm()),
       StateChanged(Client->socket().get_executor(),
                    asio::steady_timer::time_point::max()) {
-  if (!Client->isWithinVm())
+  if (!IsWithinVm)
     Client->setLink(Shared->Limits.Link, Shared->Turns);
   Client->setLedger(Shared->Limits.Memory);
 }
@@ -200,8 +200,7 @@
 
 asio::awaitable<Response> Session::callHandler(PendingRequestPointer pending) {
   auto &watch = pending->Watch;
-  IncomingRequest incoming{std::move(pending->Message), Peer,
-                           Client->isWithinVm(),
+  IncomingRequest incoming{std::move(pending->Message), Peer, IsWithinVm,
                            std::shared_ptr<bool>(watch, &watch->Gone), watch};
   std::string failure;
   try {
