LibCalls: Run a duplicate whose first call lost its client's key

The first call of an idempotency key that ended since its own key was taken away gave 401 to its duplicates, whatever keys they had. Now the first of those runs in its place with the time that it has left, and the others wait for it. A refusal for a key that was taken away is this node's own: it counted as an answer of the target's node, so a stale connection to that was taken for good again.

--- a/Libraries/LibCalls/Broker.cpp
+++ b/Libraries/LibCalls/Broker.cpp
@@ -75,8 +75,9 @@
     const config::Route *Matched = nullptr; ///< Of Snapshot.
     RoutedCall Route;
     base::TimePoint Deadline{};
-    std::string Key;      ///< Service, caller and idempotency key, if any.
-    bool IsFirst = false; ///< Runs here as the first call of its key.
+    std::string Key;          ///< Service, caller and idempotency key, if any.
+    uint64_t Fingerprint = 0; ///< Of the request with Key, host included.
+    bool IsFirst = false;     ///< Runs here as the first call of its key.
     /// Answer to be stored for the key, or stored answer to be replayed.
     std::optional<std::string> Answer;
   };
@@ -88,8 +89,8 @@
   CallStep runHere(CallHandle handle, OpenCall &call, base::TimePoint now);
   CallStep forward(const OpenCall &call, const KeyOwnership::Verdict &owner);
   CallStep afterForward(const AttemptResult &result);
-  CallStep beginKey(CallHandle handle, OpenCall &call, uint64_t fingerprint,
-                    base::TimePoint now);
+  CallStep beginKey(CallHandle handle, OpenCall &call, base::TimePoint now);
+  void beginKeyAgain(CallHandle handle, base::TimePoint now);
   void finishKey(OpenCall &call, base::TimePoint now);
   void resumeCall(CallHandle handle, CallStep step);
   void expireWaiters(base::TimePoint now);
@@ -167,14 +168,14 @@
     return finish(CallOutcome::Unknown, ResultCode::IdempotencyOwnerLost,
                   std::max(owner.RetryAfter, DefaultRetryAfter));
   call.Key = key;
-  return beginKey(handle, call, base::hash64(request.Host, request.Fingerprint),
-                  now);
+  call.Fingerprint = base::hash64(request.Host, request.Fingerprint);
+  return beginKey(handle, call, now);
 }
 
 CallStep Broker::State::beginKey(CallHandle handle, OpenCall &call,
-                                 uint64_t fingerprint, base::TimePoint now) {
+                                 base::TimePoint now) {
   CallStep out;
-  switch (Keys.begin(call.Key, fingerprint, handle, now)) {
+  switch (Keys.begin(call.Key, call.Fingerprint, handle, now)) {
   case KeyVerdict::Run:
     return runHere(handle, call, now);
   case KeyVerdict::Wait:
@@ -237,6 +238,19 @@
                 std::max(result.RetryAfter, DefaultRetryAfter));
 }
 
+/// Begins a call that waited for a first one which its own client's key ended:
+/// the first such runs, the others go on to wait.
+void Broker::State::beginKeyAgain(CallHandle handle, base::TimePoint now) {
+  const auto it = Open.find(handle);
+  if (it == Open.end())
+    return;
+  auto &call = it->second;
+  call.Route.Allowed = call.Deadline - now;
+  auto step = beginKey(handle, call, now);
+  if (step.What != CallStep::Kind::Wait)
+    resumeCall(handle, std::move(step));
+}
+
 /// Finishes the key of a first call and resumes the calls that waited for it.
 void Broker::State::finishKey(OpenCall &call, base::TimePoint now) {
   call.IsFirst = false;
@@ -251,6 +265,12 @@
       resumeCall(it, replay());
       continue;
     }
+    // A key that was taken away is its own client's, not that of the others.
+    if (end.Outcome == CallOutcome::NotRun &&
+        end.Code == ResultCode::KeyUnknown) {
+      beginKeyAgain(it, now);
+      continue;
+    }
     const bool answerLost = end.Outcome == CallOutcome::Answered;
     resumeCall(it, answerLost ? finish(CallOutcome::Unknown,
                                        ResultCode::CallOutcomeUnknown)
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -124,8 +124,12 @@
     return;
   target->InFlight -= target->InFlight > 0 ? 1 : 0;
   noteVersionAnswer(call, attempt, *target, result, now);
-  const bool hasReply = result.End == AttemptEnd::Answered ||
-                        result.End == AttemptEnd::RefusedNotRun;
+  // This node refuses an attempt whose key was taken away: the target's node
+  // has said nothing.
+  const bool isOwnRefusal = result.Code == ResultCode::KeyUnknown;
+  const bool hasReply =
+      result.End == AttemptEnd::Answered ||
+      (result.End == AttemptEnd::RefusedNotRun && !isOwnRefusal);
   const bool wasSilent = result.End == AttemptEnd::TimedOut ||
                          result.End == AttemptEnd::Superseded;
   if (hasReply)
@@ -148,7 +152,8 @@
     stateOf(call).Hedging.observed(result.Latency);
   } else if (result.End == AttemptEnd::NotSent) {
     target->Health.unreachable(now);
-  } else if (!hasReply && result.End != AttemptEnd::CallerGone) {
+  } else if (!hasReply && !isOwnRefusal &&
+             result.End != AttemptEnd::CallerGone) {
     target->Health.failed(now);
   }
   if (result.Code == ResultCode::TargetRefused) {
--- a/Tests/LibBalance/TestTargets.cpp
+++ b/Tests/LibBalance/TestTargets.cpp
@@ -180,6 +180,17 @@
   CHECK(it.stepOf(it.begin("/pay")).FreshConnection);
 }
 
+TEST_CASE("an attempt that this node did not send says nothing of a path") {
+  // Guards against a key that was taken away counting as an answer.
+  BrokerFixture it;
+  it.members({member("n1")});
+  it.end(it.begin("/pay"), AttemptEnd::TimedOut);
+  const auto fresh = it.begin("/pay");
+  REQUIRE(it.stepOf(fresh).FreshConnection);
+  it.end(fresh, AttemptEnd::RefusedNotRun, ResultCode::KeyUnknown);
+  CHECK(it.stepOf(it.begin("/pay")).FreshConnection);
+}
+
 TEST_CASE(
     "an idempotent call is hedged around a silent connection within 2 s") {
   BrokerFixture it;
--- a/Tests/LibCalls/TestIdempotency.cpp
+++ b/Tests/LibCalls/TestIdempotency.cpp
@@ -182,6 +182,42 @@
   }
 }
 
+TEST_CASE("a duplicate runs where the first call's client lost its key") {
+  // Guards against 401 for a client whose own key is good.
+  BrokerFixture it;
+  it.Node.assumeNoEarlierCalls(at(it.Now));
+  const auto key = payKeyOf("n0");
+  const auto first = it.pay(key);
+  const auto second = it.pay(key);
+  const auto third = it.pay(key);
+  checkNotRun(it.end(first, AttemptEnd::RefusedNotRun, ResultCode::KeyUnknown),
+              ResultCode::KeyUnknown);
+  REQUIRE(it.Resumed.contains(second));
+  CHECK(it.Resumed[second].What == Kind::Send);
+  CHECK(it.Resumed[second].StoreAnswer);
+  CHECK_FALSE(it.Resumed.contains(third));
+  CHECK(it.stepOf(third).What == Kind::Wait);
+  it.Node.end(first, at(it.Now));
+  it.Node.storeAnswer(second, "paid", at(it.Now));
+  checkAnswered(it.end(second, AttemptEnd::Answered));
+  REQUIRE(it.Resumed.contains(third));
+  CHECK(it.Resumed[third].What == Kind::Replay);
+  CHECK(it.Node.storedAnswer(third) == "paid");
+}
+
+TEST_CASE("a duplicate that begins late has its own deadline") {
+  BrokerFixture it;
+  it.Node.assumeNoEarlierCalls(at(it.Now));
+  const auto key = payKeyOf("n0");
+  const auto first = it.pay(key);
+  const auto allowed = it.stepOf(first).AttemptTimeout;
+  const auto second = it.pay(key);
+  it.Now += 1s;
+  it.end(first, AttemptEnd::RefusedNotRun, ResultCode::KeyUnknown);
+  REQUIRE(it.Resumed.contains(second));
+  CHECK(it.Resumed[second].AttemptTimeout == allowed - 1s);
+}
+
 TEST_CASE("a call with a key is forwarded to the key's owner and never run "
           "elsewhere") {
   BrokerFixture it;
