LibAdmission: Move slot times, demand and patience out of the gate

How long calls hold a slot (SlotTimes), what the calls that arrive ask for (RankDemand) and how long one may wait (Patience) are modules of their own now. No decision changes.

--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -1,5 +1,7 @@
 #include <LibAdmission/TargetGate.h>
 
+#include <LibAdmission/Patience.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -12,43 +14,17 @@
 using config::Rank;
 using fleet::TargetState;
 
-/// Slot time assumed for a rank before its first call has ended.
-constexpr Duration InitialExpectedTime = std::chrono::milliseconds(10);
-/// Before a call of its kind has ended, a call is assumed to need its latency
-/// objective divided by this.
-constexpr int64_t CallsPerObjective = 3;
-/// Maximum number of kinds of call with a slot time of their own.
-constexpr size_t MaximumKinds = 64;
-
-/// A rank is in demand for this time after its last call arrived. Ranks in
-/// demand earn credit for their floors; lower ranks leave a slot free for them,
-/// so that an urgent call need not wait for one.
-constexpr Duration DemandMemory = std::chrono::seconds(1);
 /// Targets with fewer slots reserve none.
 constexpr uint32_t MinimumSlotsForReserve = 4;
 
-/// Bounds of the wait under overload, see patienceOf().
+/// Bounds of the wait under overload, see overloadPatienceOf().
 constexpr Duration MinimumPatience = std::chrono::milliseconds(10);
 constexpr int64_t PatienceInCalls = 2;
 constexpr int64_t PatienceInFloorIntervals = 3;
 
 constexpr Duration MinimumRetryAfter = std::chrono::seconds(1);
-/// For a call with a latency objective: the time reserved for running it, as a
-/// percentage of its mean slot time and at most of its objective; and the
-/// percentage of the rest that it may wait. The remainder is for calls slower
-/// than the mean and for the network.
-constexpr int64_t NeededPercent = 150;
-constexpr int64_t MaximumNeededPercent = 75;
-constexpr int64_t PatiencePercent = 25;
-/// A call may always wait this long, up to a third of its objective: short
-/// calls are mostly downstream calls of others, which fail with them.
-constexpr Duration ShortPatience = std::chrono::milliseconds(40);
-
 /// Rank by which nested calls are scheduled.
 constexpr Rank NestedRank = Rank::Critical;
-/// Percentage of the time that a nested call has beyond its own slot time that
-/// it may wait. The work above it needs the rest.
-constexpr int64_t NestedPatiencePercent = 50;
 
 constexpr Duration MaximumRetryAfter = std::chrono::seconds(30);
 /// Minimum retry-after of a call with a latency objective.
@@ -106,7 +82,7 @@
   const auto found = view(now);
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
-  out.Found.Expected = learntTime(arrived);
+  out.Found.Expected = Times.learnt(arrived.CallRank, objective);
   out.IsNested = isNested;
   recordEvent(AdmissionEvent::Arrive,
               {static_cast<int64_t>(call), static_cast<int64_t>(rank),
@@ -121,15 +97,14 @@
 GateAnswer TargetGate::decideArrival(WaitingCall call, Duration remaining,
                                      base::TimePoint now) {
   const auto rank = call.CallRank;
-  LastArrival[indexOf(rank)] = now;
-  HasArrived[indexOf(rank)] = true;
-  HasObjective[indexOf(rank)] = call.LatencyObjective > Duration::zero();
+  Demand.arrived(rank, call.LatencyObjective, now);
   if (Settings.State != TargetState::Ready)
     return refusal(call.Call, refusalOf(Settings.State));
   if (remaining <= Duration::zero())
     return refusal(call.Call, ResultCode::DeadlineExceeded);
-  call.Expected = expectedOf(rank, call.LatencyObjective);
-  if (isTooLateOnLink(call, remaining))
+  call.Expected = Times.expected(rank, call.LatencyObjective);
+  // One call always runs, so that a change of times and sizes is noticed.
+  if (!Running.empty() && isTooLateOnLink(call, remaining))
     return GateAnswer::refuse(
         call.Call, ResultCode::Overloaded,
         std::clamp(call.LinkTime, MinimumObjectiveRetryAfter,
@@ -137,7 +112,7 @@
                             MinimumObjectiveRetryAfter)));
   call.Patience = patienceOf(call, remaining);
   call.LatestStart = now + call.Patience;
-  observeObjective(call, now);
+  Demand.admissible(rank, call.LatencyObjective, now);
   if (mayStart(call, now) && !isBehindOthers(call)) {
     start(call, now);
     return GateAnswer::accept(GateAnswer::Kind::Run, call.Call);
@@ -153,45 +128,6 @@
       std::clamp(wait, MinimumRetryAfter, MaximumRetryAfter));
 }
 
-/// Returns whether the answer of a call that starts now would come too late for
-/// its objective, because the link has too much to send before it.
-bool TargetGate::isTooLateOnLink(const WaitingCall &call,
-                                 Duration remaining) const {
-  // One call always runs, so that a change of times and sizes is noticed.
-  if (call.LinkTime <= Duration::zero() || Running.empty() ||
-      call.LatencyObjective <= Duration::zero())
-    return false;
-  const auto useful =
-      call.IsNested ? remaining : std::min(call.LatencyObjective, remaining);
-  return call.Expected + call.LinkTime > useful;
-}
-
-/// Returns how long a call may wait so that it still meets its latency
-/// objective or, without one, its deadline.
-Duration TargetGate::patienceOf(const WaitingCall &call,
-                                Duration remaining) const {
-  if (call.LatencyObjective <= Duration::zero())
-    return remaining - std::min(call.Expected, remaining / 2);
-  if (call.IsNested)
-    return nestedPatienceOf(call, remaining);
-  const auto useful =
-      std::min(call.LatencyObjective, remaining) - call.LinkTime;
-  const auto needed = std::min(call.Expected * NeededPercent / 100,
-                               useful * MaximumNeededPercent / 100);
-  return std::max((useful - needed) * PatiencePercent / 100,
-                  std::min(ShortPatience, useful / 3));
-}
-
-/// The objective of a nested call is not that of the work above it, which only
-/// fails at the deadline.
-Duration TargetGate::nestedPatienceOf(const WaitingCall &call,
-                                      Duration remaining) {
-  const auto needed = std::min(call.Expected * NeededPercent / 100,
-                               remaining * MaximumNeededPercent / 100);
-  const auto spare = remaining - needed - call.LinkTime;
-  return std::max(spare, Duration::zero()) * NestedPatiencePercent / 100;
-}
-
 /// Queues a call with a latency objective if it is expected to meet that, and
 /// refuses it at once otherwise.
 GateAnswer TargetGate::decideQueueing(const WaitingCall &call,
@@ -278,7 +214,7 @@
 void TargetGate::finish(const RunningCall &call, calls::AttemptEnd end,
                         balance::RefusalKind refusal, base::TimePoint now) {
   const auto taken = now - call.StartedAt;
-  Scheduler.ended(call.CallRank, call.Charged, taken, demand(now));
+  Scheduler.ended(call.CallRank, call.Charged, taken, Demand.ranks(now));
   if (end == calls::AttemptEnd::RefusedNotRun &&
       refusal == balance::RefusalKind::Full)
     Adaptive.refused();
@@ -289,11 +225,7 @@
   // calls, which says nothing about this target.
   const bool hasObjective = call.LatencyObjective > Duration::zero();
   Adaptive.answered(call.CallRank, taken, call.Saturated && !hasObjective);
-  ExpectedTimeByRank[indexOf(call.CallRank)].observed(taken);
-  const Kind kind{call.CallRank, call.LatencyObjective};
-  if (hasObjective && (ExpectedTimeByKind.size() < MaximumKinds ||
-                       ExpectedTimeByKind.contains(kind)))
-    ExpectedTimeByKind[kind].observed(taken);
+  Times.observed(call.CallRank, call.LatencyObjective, taken);
 }
 
 void TargetGate::abandoned(Ticket call, base::TimePoint now) {
@@ -359,27 +291,13 @@
   const auto rank = indexOf(call.CallRank);
   if (!Limiter.isLimited() || Scheduler.hasCredit(call.CallRank))
     return 0;
-  const auto wanted = demand(now);
+  const auto wanted = Demand.ranks(now);
   for (size_t it = 0; it < rank; ++it)
     if (wanted[it])
       return 1;
-  const auto &shortest = ShortestObjective[rank];
-  const bool isShorter = call.LatencyObjective <= Duration::zero() ||
-                         shortest.Objective < call.LatencyObjective;
-  const bool isInDemand = shortest.Objective > Duration::zero() &&
-                          now - shortest.ArrivedAt < DemandMemory;
-  return isShorter && isInDemand ? 1 : 0;
-}
-
-void TargetGate::observeObjective(const WaitingCall &call,
-                                  base::TimePoint now) {
-  if (call.LatencyObjective <= Duration::zero())
-    return;
-  auto &shortest = ShortestObjective[indexOf(call.CallRank)];
-  const bool isForgotten = shortest.Objective <= Duration::zero() ||
-                           now - shortest.ArrivedAt >= DemandMemory;
-  if (isForgotten || call.LatencyObjective <= shortest.Objective)
-    shortest = {call.LatencyObjective, now};
+  return Demand.isShorterInDemand(call.CallRank, call.LatencyObjective, now)
+             ? 1
+             : 0;
 }
 
 bool TargetGate::isUrgentCallWaiting(Rank rank) const {
@@ -391,24 +309,17 @@
 uint32_t TargetGate::reservedSlots(Rank rank, base::TimePoint now) const {
   if (limit() < MinimumSlotsForReserve)
     return 0;
-  const auto wanted = demand(now);
+  const auto wanted = Demand.ranks(now);
   // A call with an objective can wait for the next slot.
   for (size_t it = 0; it < indexOf(rank); ++it)
-    if (wanted[it] && !HasObjective[it])
+    if (wanted[it] && !Demand.hasObjective(static_cast<Rank>(it)))
       return 1;
   return 0;
 }
 
-RankFlags TargetGate::demand(base::TimePoint now) const {
-  RankFlags out{};
-  for (size_t it = 0; it < out.size(); ++it)
-    out[it] = HasArrived[it] && now - LastArrival[it] < DemandMemory;
-  return out;
-}
-
 void TargetGate::start(const WaitingCall &call, base::TimePoint now) {
   const auto rank = call.CallRank;
-  Scheduler.started(rank, call.Expected, demand(now));
+  Scheduler.started(rank, call.Expected, Demand.ranks(now));
   Limiter.take(now);
   const bool saturated =
       Running.size() + 1 + reservedSlots(rank, now) >= limit();
@@ -419,31 +330,10 @@
   RecentStarts.push_back(now);
 }
 
-Duration TargetGate::learntTime(const WaitingCall &call) const {
-  if (call.LatencyObjective <= Duration::zero())
-    return ExpectedTimeByRank[indexOf(call.CallRank)].expected().value_or(
-        Duration{});
-  const auto it =
-      ExpectedTimeByKind.find({call.CallRank, call.LatencyObjective});
-  return it == ExpectedTimeByKind.end()
-             ? Duration{}
-             : it->second.expected().value_or(Duration{});
-}
-
-Duration TargetGate::expectedOf(Rank rank, Duration objective) const {
-  const auto &byRank = ExpectedTimeByRank[indexOf(rank)];
-  if (objective <= Duration::zero())
-    return byRank.expected().value_or(InitialExpectedTime);
-  const auto it = ExpectedTimeByKind.find({rank, objective});
-  if (it == ExpectedTimeByKind.end())
-    return objective / CallsPerObjective;
-  return it->second.expected().value_or(objective / CallsPerObjective);
-}
-
 void TargetGate::refuseExpired(base::TimePoint now) {
   std::array<Duration, config::RankCount> patience{};
   for (size_t it = 0; it < patience.size(); ++it)
-    patience[it] = patienceOf(static_cast<Rank>(it));
+    patience[it] = overloadPatienceOf(static_cast<Rank>(it));
   for (const auto &it : Queue.expire(patience, now)) {
     const bool late =
         now >= it.LatestStart && it.LatencyObjective <= Duration::zero();
@@ -454,8 +344,8 @@
 
 /// Returns how long a call may wait under overload: the time of a few calls, or
 /// for a rank with a floor a few intervals between calls served by the floor.
-Duration TargetGate::patienceOf(Rank rank) const {
-  const auto expected = expectedOf(rank, {});
+Duration TargetGate::overloadPatienceOf(Rank rank) const {
+  const auto expected = Times.expected(rank, {});
   const auto out = std::max(MinimumPatience, expected * PatienceInCalls);
   const auto &limits = Settings.Limits;
   const uint32_t floors[] = {0, limits.StandardFloorPercent,
@@ -474,10 +364,8 @@
 /// Returns the time after which a refused caller may retry: when the calls now
 /// in flight are expected to have ended, in whole seconds.
 Duration TargetGate::retryAfter() const {
-  Duration longest{};
-  for (const auto it : ExpectedTimeByRank)
-    longest = std::max(longest, it.expected().value_or(InitialExpectedTime));
-  const auto wait = longest * static_cast<int64_t>(inFlight()) / limit();
+  const auto wait =
+      Times.longest() * static_cast<int64_t>(inFlight()) / limit();
   return std::clamp(std::chrono::ceil<std::chrono::seconds>(wait) + Duration{},
                     MinimumRetryAfter, MaximumRetryAfter);
 }
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -2,10 +2,11 @@
 
 #include <LibAdmission/AdaptiveLimit.h>
 #include <LibAdmission/AdmissionGate.h>
+#include <LibAdmission/RankDemand.h>
 #include <LibAdmission/RankQueue.h>
 #include <LibAdmission/RankScheduler.h>
 #include <LibAdmission/RateLimiter.h>
-#include <LibAdmission/SlotTime.h>
+#include <LibAdmission/SlotTimes.h>
 #include <LibBalance/RefusalJudge.h>
 #include <LibBalance/StatedLimit.h>
 #include <LibBase/Clock.h>
@@ -13,12 +14,9 @@
 #include <LibFleet/Member.h>
 #include <LibTrace/Recorder.h>
 
-#include <array>
 #include <deque>
-#include <map>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace radishcross::admission {
@@ -112,8 +110,6 @@
   uint64_t fingerprintOf(Ticket call) const;
 
 private:
-  /// Slot time by kind of call: calls of one rank and latency objective.
-  using Kind = std::pair<config::Rank, base::Duration>;
   struct RunningCall {
     config::Rank CallRank = config::Rank::Background;
     base::Duration LatencyObjective{};
@@ -131,14 +127,7 @@
   uint32_t reservedSlots(config::Rank rank, base::TimePoint now) const;
   bool hasToken(const WaitingCall &call, base::TimePoint now) const;
   uint32_t reservedTokens(const WaitingCall &call, base::TimePoint now) const;
-  void observeObjective(const WaitingCall &call, base::TimePoint now);
-  base::Duration patienceOf(const WaitingCall &call,
-                            base::Duration remaining) const;
-  bool isTooLateOnLink(const WaitingCall &call, base::Duration remaining) const;
-  static base::Duration nestedPatienceOf(const WaitingCall &call,
-                                         base::Duration remaining);
   bool isUrgentCallWaiting(config::Rank rank) const;
-  RankFlags demand(base::TimePoint now) const;
   GateAnswer enqueue(const WaitingCall &call);
   void start(const WaitingCall &call, base::TimePoint now);
   void finish(const RunningCall &call, calls::AttemptEnd end,
@@ -147,10 +136,7 @@
   void refuseExpired(base::TimePoint now);
   GateAnswer refusal(Ticket call, base::ResultCode code) const;
   base::Duration retryAfter() const;
-  /// Returns the mean slot time of such calls; 0: none has ended yet.
-  base::Duration learntTime(const WaitingCall &call) const;
-  base::Duration expectedOf(config::Rank rank, base::Duration objective) const;
-  base::Duration patienceOf(config::Rank rank) const;
+  base::Duration overloadPatienceOf(config::Rank rank) const;
   std::vector<GateAnswer> takeAnswers();
   void recordEvent(AdmissionEvent::Value event, const trace::Inputs &numbers,
                    const trace::Outcome &decided, base::TimePoint now);
@@ -167,20 +153,8 @@
   std::unordered_map<Ticket, RunningCall> Running;
   std::deque<base::TimePoint> RecentStarts;
   std::vector<GateAnswer> Answers; ///< For queued calls; not yet returned.
-  std::array<SlotTime, config::RankCount> ExpectedTimeByRank; ///< By rank.
-  std::map<Kind, SlotTime>
-      ExpectedTimeByKind; ///< Where an objective is stated.
-  /// By rank: whether its last call had a latency objective.
-  std::array<bool, config::RankCount> HasObjective{};
-  std::array<base::TimePoint, config::RankCount> LastArrival{};
-  std::array<bool, config::RankCount> HasArrived{};
-  /// A latency objective (0: none yet) and the last arrival of a call with it.
-  struct SeenObjective {
-    base::Duration Objective{};
-    base::TimePoint ArrivedAt{};
-  };
-  /// By rank: the shortest objective in demand.
-  std::array<SeenObjective, config::RankCount> ShortestObjective{};
+  SlotTimes Times;
+  RankDemand Demand;
 };
 
 } // namespace radishcross::admission
