--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -15,8 +15,6 @@
 /// Retry-after for refusals without one.
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 
-/// How long nodes that are no longer seen still count.
-constexpr Duration NodesRetention = std::chrono::seconds(30);
 constexpr int64_t PermilleOfPercent = 10;
 constexpr size_t MaximumNestedKinds = 64;
 /// A retry needs at least the mean time of such calls divided by this.
@@ -297,12 +295,6 @@
   return mean && call.Deadline - now - HopMargin < *mean / TooLateDivisor;
 }
 
-int64_t CallPlanner::recentNodes(base::TimePoint now) {
-  if (Nodes < RecentMaximumNodes && now - RecentMaximumAt > NodesRetention)
-    RecentMaximumNodes = Nodes;
-  return RecentMaximumNodes;
-}
-
 std::optional<CallStep> CallPlanner::send(PlannedCall &call, bool retry,
                                           base::TimePoint now) {
   const auto timeout = call.Deadline - now - HopMargin;
@@ -371,46 +363,6 @@
   recordEvent(CallPlanEvent::End, {static_cast<int64_t>(handle)}, {}, {}, now);
 }
 
-void CallPlanner::membersChanged(const std::vector<fleet::Member> &members,
-                                 base::TimePoint now) {
-  for (const auto *it : Table.membersChanged(members, now))
-    recordTarget(*it, now);
-  listVersions(now);
-}
-
-void CallPlanner::nodesChanged(int64_t nodes, base::TimePoint now) {
-  if (nodes == Nodes)
-    return;
-  if (Nodes == RecentMaximumNodes)
-    RecentMaximumAt = now; // The maximum was reached until now.
-  Nodes = nodes;
-  RecentMaximumNodes = std::max(RecentMaximumNodes, nodes);
-  recordEvent(CallPlanEvent::Nodes, {nodes}, {}, {}, now);
-}
-
-void CallPlanner::drainedChanged(const std::vector<std::string> &drained,
-                                 base::TimePoint now) {
-  Table.drainedChanged(drained);
-  std::string names;
-  for (const auto &it : drained)
-    names += it + "\n";
-  recordEvent(CallPlanEvent::Drained, {}, std::move(names), {}, now);
-}
-
-void CallPlanner::tick(base::TimePoint now) {
-  if (Table.tick(now))
-    recordEvent(CallPlanEvent::Tick, {}, {}, {}, now);
-}
-
-std::vector<std::pair<std::string, int64_t>>
-CallPlanner::retriesLeft(base::TimePoint now) {
-  std::vector<std::pair<std::string, int64_t>> out;
-  for (auto &[name, service] : Services)
-    out.emplace_back(name, service.Budget.left(config::Rank::Critical, Retries,
-                                               recentNodes(now), now));
-  return out;
-}
-
 trace::Outcome CallPlanner::outcomeOf(const CallStep &step) {
   const auto code = static_cast<int64_t>(step.Code);
   const auto kindAndOutcome =
@@ -423,21 +375,6 @@
           step.RetryAfter.count()};
 }
 
-void CallPlanner::recordTarget(const balance::KnownTarget &target,
-                               base::TimePoint now) {
-  const auto &candidate = target.Candidate;
-  const auto &record = candidate.Target;
-  recordEvent(CallPlanEvent::Target,
-              {static_cast<int64_t>(record.State), record.Slots,
-               record.LoadPermille, static_cast<int64_t>(record.Epoch),
-               target.Suspect ? 1 : 0, target.Listed ? 1 : 0},
-              candidate.Node + "\n" + candidate.DataCentre + "\n" +
-                  target.Region + "\n" + record.Service + "\n" +
-                  record.TargetId +
-                  (VersionBounds ? "\n" + record.SoftwareVersion : ""),
-              {}, now);
-}
-
 void CallPlanner::recordEvent(CallPlanEvent::Value event,
                               const trace::Inputs &numbers, std::string text,
                               const trace::Outcome &decided,
