LibBalance: Give a target that warms up its share by what it states

`warm_up_ms` of a heartbeat was parsed and forgotten; a target that became ready got a tenth of its share at first and all of it after 10 s. Now it goes with the target's record (not spread again while it counts down): the share grows from a half to all within the stated time, at once where it is 0, and what calls take meanwhile isn't held against the target. Without it as before. Callers of a service with three busy targets get over a sixth of their calls to a new one at once, before less than a twentieth (TestTargets).

--- a/Libraries/LibBalance/KnownTarget.h
+++ b/Libraries/LibBalance/KnownTarget.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace radishcross::balance {
@@ -27,6 +28,8 @@
   bool Suspect = false; ///< Its node is suspected to have failed.
   uint32_t InFlight = 0;
   base::TimePoint ReadySince{};
+  /// How long it said then that it would remain slow.
+  std::optional<base::Duration> WarmUp;
   LoadEstimate Load;
   TargetHealth Health;
   RefusalBackoff Refusals;
@@ -36,6 +39,11 @@
   StatedLimit Stated;
   bool IsLeaving = false;
   std::shared_ptr<PathHealth> Path; ///< Shared by the targets of its node.
+
+  /// Returns whether it said that it is still slow.
+  bool isWarmingUp(base::TimePoint now) const {
+    return WarmUp && now - ReadySince < *WarmUp;
+  }
 };
 
 } // namespace radishcross::balance
--- a/Libraries/LibBalance/LoadBalancer.cpp
+++ b/Libraries/LibBalance/LoadBalancer.cpp
@@ -14,18 +14,31 @@
 constexpr uint64_t FullPermille = 1000;
 /// Minimum share of a target's slots that counts during its slow start.
 constexpr uint64_t MinimumSlowStartPermille = 100;
+/// The same for a target that says how long it remains slow: it runs calls
+/// meanwhile, and nobody waits for it longer than it says.
+constexpr uint64_t MinimumWarmUpPermille = 500;
 /// Added to the score of a target whose node is suspected to have failed.
 constexpr uint64_t SuspectPenaltyPermille = 2000;
 /// Other data centres get calls only if they have this much more headroom.
 constexpr uint32_t SpilloverMarginPermille = 100;
 
+/// Returns the share of a target's slots that counts. It grows from \p least to
+/// all of them over \p time.
+uint64_t grownPermille(base::Duration age, base::Duration time,
+                       uint64_t least) {
+  if (age >= time)
+    return FullPermille;
+  const auto grown = std::max(age, base::Duration::zero()) *
+                     static_cast<int64_t>(FullPermille - least) / time.count();
+  return least + static_cast<uint64_t>(grown.count());
+}
+
 uint64_t slowStartPermille(const KnownTarget &target, base::TimePoint now) {
-  const auto age = (now - target.ReadySince).count();
-  const auto slowStart = age * static_cast<int64_t>(FullPermille) /
-                         LoadBalancer::SlowStart.count();
-  return std::clamp<uint64_t>(
-      static_cast<uint64_t>(std::max<int64_t>(slowStart, 0)),
-      MinimumSlowStartPermille, FullPermille);
+  const auto age = now - target.ReadySince;
+  if (target.WarmUp)
+    return grownPermille(age, *target.WarmUp, MinimumWarmUpPermille);
+  return std::max(grownPermille(age, LoadBalancer::SlowStart, 0),
+                  MinimumSlowStartPermille);
 }
 
 std::optional<uint32_t> meanLoad(const Targets &targets, base::TimePoint now) {
--- a/Libraries/LibBalance/LoadBalancer.h
+++ b/Libraries/LibBalance/LoadBalancer.h
@@ -27,7 +27,8 @@
 /// loaded is chosen (power of two choices).
 class LoadBalancer {
 public:
-  /// A target that became ready gets its full share after this time.
+  /// A target that became ready gets its full share after this time, unless it
+  /// says itself how long it remains slow.
   static constexpr base::Duration SlowStart = std::chrono::seconds(10);
 
   explicit LoadBalancer(Locality here, const FeatureToggles &toggles = {})
--- a/Libraries/LibBalance/TargetTable.cpp
+++ b/Libraries/LibBalance/TargetTable.cpp
@@ -121,8 +121,14 @@
     return false;
   const bool readyAnew = !known.Listed || before.State != target.State ||
                          before.Epoch != target.Epoch;
-  if (target.State == TargetState::Ready && readyAnew)
+  if (target.State == TargetState::Ready && readyAnew) {
     known.ReadySince = now;
+    known.WarmUp =
+        target.WarmUpMs
+            ? std::optional(std::chrono::milliseconds(*target.WarmUpMs) +
+                            base::Duration{})
+            : std::nullopt;
+  }
   if (readyAnew)
     known.Refusals.announced();
   if (readyAnew || newLoad)
--- a/Libraries/LibCalls/CallAttempts.cpp
+++ b/Libraries/LibCalls/CallAttempts.cpp
@@ -134,7 +134,8 @@
     target->Path->unanswered(wasSilent);
   if (result.Code == ResultCode::Overloaded)
     target->Load.observed(FullPermille, now);
-  if (result.ExpectedTime > Duration::zero())
+  // Its slow start already counts that it is slow then.
+  if (result.ExpectedTime > Duration::zero() && !target->isWarmingUp(now))
     target->Speed.observed(
         stateOf(call).Times.observed(
             {call.Route.CallRank, call.Route.LatencyObjective},
--- a/Libraries/LibCalls/CallFleet.cpp
+++ b/Libraries/LibCalls/CallFleet.cpp
@@ -62,15 +62,17 @@
                                base::TimePoint now) {
   const auto &candidate = target.Candidate;
   const auto &record = candidate.Target;
-  recordEvent(CallPlanEvent::Target,
-              {static_cast<int64_t>(record.State), record.Slots,
-               record.LoadPermille, static_cast<int64_t>(record.Epoch),
-               target.Suspect ? 1 : 0, target.Listed ? 1 : 0},
-              candidate.Node + "\n" + candidate.DataCentre + "\n" +
-                  target.Region + "\n" + record.Service + "\n" +
-                  record.TargetId +
-                  (VersionBounds ? "\n" + record.SoftwareVersion : ""),
-              {}, now);
+  const int64_t warmUp = record.WarmUpMs ? int64_t{*record.WarmUpMs} + 1 : 0;
+  recordEvent(
+      CallPlanEvent::Target,
+      {static_cast<int64_t>(record.State) +
+           CallPlanEvent::StatesPerWarmUp * warmUp,
+       record.Slots, record.LoadPermille, static_cast<int64_t>(record.Epoch),
+       target.Suspect ? 1 : 0, target.Listed ? 1 : 0},
+      candidate.Node + "\n" + candidate.DataCentre + "\n" + target.Region +
+          "\n" + record.Service + "\n" + record.TargetId +
+          (VersionBounds ? "\n" + record.SoftwareVersion : ""),
+      {}, now);
 }
 
 } // namespace radishcross::calls
--- a/Libraries/LibCalls/CallPlanPlayer.cpp
+++ b/Libraries/LibCalls/CallPlanPlayer.cpp
@@ -88,7 +88,11 @@
   record.Service = lines[3];
   record.TargetId = lines[4];
   record.SoftwareVersion = lines[5];
-  record.State = static_cast<fleet::TargetState>(entry.Numbers[0]);
+  record.State = static_cast<fleet::TargetState>(
+      entry.Numbers[0] % CallPlanEvent::StatesPerWarmUp);
+  const auto warmUp = entry.Numbers[0] / CallPlanEvent::StatesPerWarmUp;
+  if (warmUp > 0)
+    record.WarmUpMs = static_cast<uint32_t>(warmUp - 1);
   record.Slots = static_cast<uint32_t>(entry.Numbers[1]);
   record.LoadPermille = static_cast<uint32_t>(entry.Numbers[2]);
   record.Epoch = static_cast<uint64_t>(entry.Numbers[3]);
--- a/Libraries/LibCalls/CallPlanner.h
+++ b/Libraries/LibCalls/CallPlanner.h
@@ -38,7 +38,8 @@
 
 /// Events of trace entries, with their numbers and text. Start: random seed,
 /// ratio in permille, window and slack of retries, 1 if headroom is disabled;
-/// text: data centre, region. Nodes: their number. Target: state, slots, load,
+/// text: data centre, region. Nodes: their number. Target: state (plus 16 times
+/// the stated warm-up in milliseconds and 1; 0: not stated), slots, load,
 /// epoch, whether its node is suspected, whether it is listed; text: node, data
 /// centre, region, service, target. Drained: text: the names. Begin: handle,
 /// rank, allowed time, flags (1 idempotent, 2 within a retry), budget percent,
@@ -60,6 +61,8 @@
 /// number, the node's hash, the hedging delay or else the timeout, and
 /// retry-after. Hedge: zeros if no attempt starts.
 struct CallPlanEvent {
+  /// Factor in trace entries for the warm-up beside a target's state.
+  static constexpr int64_t StatesPerWarmUp = 16;
   enum Value : uint8_t {
     Start,
     Target,
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
   uint64_t Epoch = 0;
   /// Of the target's program; empty where roll-outs are not configured.
   std::string SoftwareVersion;
+  /// Milliseconds for which it said it would remain slow after its start; like
+  /// the load, a change alone is not spread. Nothing: it doesn't say.
+  std::optional<uint32_t> WarmUpMs{};
 };
 
 enum class MemberState : uint8_t { Alive, Suspect, Dead, Left };
--- a/Libraries/LibNode/HeartbeatCodec.cpp
+++ b/Libraries/LibNode/HeartbeatCodec.cpp
@@ -56,6 +56,8 @@
       *base::fromName(fleet::TargetStateNames, object.at("state").as_string());
   out.Target.Slots = static_cast<uint32_t>(numberAt(object, "slots"));
   out.Target.Connections = out.Target.Slots;
+  if (object.contains("warm_up_ms"))
+    out.Target.WarmUpMs = static_cast<uint32_t>(numberAt(object, "warm_up_ms"));
   if (const auto *version = object.if_contains("version"))
     out.Target.SoftwareVersion = std::string(version->as_string());
   out.Incarnation = numberAt(object, "started_unix_ms");
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -35,6 +35,8 @@
   builder.setConnections(target.Connections);
   builder.setLoadPermille(target.LoadPermille);
   builder.setEpoch(target.Epoch);
+  if (target.WarmUpMs)
+    builder.setStatedWarmUp(*target.WarmUpMs + 1);
   if (!target.SoftwareVersion.empty())
     builder.setSoftwareVersion(target.SoftwareVersion);
 }
@@ -47,6 +49,8 @@
   target.Connections = reader.getConnections();
   target.LoadPermille = reader.getLoadPermille();
   target.Epoch = reader.getEpoch();
+  if (reader.getStatedWarmUp() > 0)
+    target.WarmUpMs = reader.getStatedWarmUp() - 1;
   return readText(reader.getService(), MaximumTextBytes, target.Service) &&
          readText(reader.getTargetId(), MaximumIdBytes, target.TargetId) &&
          readText(reader.getSoftwareVersion(), MaximumIdBytes,
--- a/Tests/LibBalance/TestTargets.cpp
+++ b/Tests/LibBalance/TestTargets.cpp
@@ -70,6 +70,34 @@
   CHECK(spread(table, 80s, spillover)["a"] < 50);
 }
 
+TEST_CASE("a target that says how long it is slow gets half its share at first "
+          "and all of it then") {
+  TargetTable table;
+  SpilloverShare spillover;
+  table.membersChanged({member("a"), member("b"), member("c")}, at(0s));
+  auto cold = member("cold");
+  cold.Targets[0].WarmUpMs = 3000;
+  const auto silent = member("silent");
+  const auto spreadWithOthersBusy = [&](base::Duration now) {
+    table.membersChanged({member("a"), member("b"), member("c"), cold, silent},
+                         at(now));
+    for (auto *it : table.usable(Lookup))
+      if (it->Candidate.Node.size() == 1)
+        it->Load.observed(900, at(now));
+    return spread(table, now, spillover);
+  };
+  auto first = spreadWithOthersBusy(60s);
+  CHECK(first["cold"] > 150);
+  CHECK(first["cold"] < 350);
+  CHECK(first["silent"] < 50);
+  CHECK(spreadWithOthersBusy(63s)["cold"] > 400);
+  // Later heartbeats say what is left; that doesn't start it anew.
+  cold.Targets[0].WarmUpMs = 1500;
+  cold.Targets[0].LoadPermille = 1;
+  ++cold.Revision;
+  CHECK(spreadWithOthersBusy(63s)["cold"] > 400);
+}
+
 TEST_CASE("a target that refused a call as overloaded is avoided for a time") {
   BrokerFixture it;
   it.pass(LoadBalancer::SlowStart);
--- a/Tests/LibNode/TestTargetListener.cpp
+++ b/Tests/LibNode/TestTargetListener.cpp
@@ -62,6 +62,7 @@
   CHECK(target.Service == "external/till");
   CHECK(target.TargetId == "i-7f");
   CHECK(target.Slots == 9);
+  CHECK(target.WarmUpMs == 0);
   CHECK(it.post("/v1/targets/i-7f/leave", "") == 200);
   CHECK(it.Leases.current()[0].State == fleet::TargetState::Left);
   CHECK(it.post("/v1/targets/unknown/leave", "") == 200);
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -34,7 +34,8 @@
                             120,
                             300,
                             2,
-                            "v2"});
+                            "v2",
+                            0});
   return member;
 }
 
@@ -123,6 +124,7 @@
   CHECK(member.Identity.Administration.text() == "[::1]:4");
   CHECK(member.Targets[0].State == fleet::TargetState::Draining);
   CHECK(member.Targets[0].SoftwareVersion == "v2");
+  CHECK(member.Targets[0].WarmUpMs == 0);
   CHECK(member.HeldOffset == 5);
   CHECK_FALSE(datagram->Message.Updates[1].HasContent);
 
