--- a/Libraries/LibAdmission/NestedKinds.cpp
+++ b/Libraries/LibAdmission/NestedKinds.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/// A run this many times as long as the mean distance of two calls from the own
-/// service has a chance of e^-10 among calls that come from everywhere.
+/// The length of such a run in mean distances of two calls from the own
+/// service. Calls that come from everywhere make one in 22,000 cases (e^10), so
+/// a kind of clients' calls is hardly ever taken for nested.
 constexpr uint64_t ChanceFactor = 10;
 /// Counts are halved after this many calls.
 constexpr uint64_t HalvingCalls = 8192;
--- a/Libraries/LibHttp/WriteTurns.h
+++ b/Libraries/LibHttp/WriteTurns.h
@@ -22,8 +22,8 @@
 public:
   /// Answers beyond this size take turns, in bytes.
   static constexpr size_t LargeBytes = LinkPacer::PieceBytes;
-  /// Large answers that are written at a time; more than one, so that the link
-  /// is not idle while one waits for its reader.
+  /// Large answers that are written at a time. While one waits for its reader
+  /// another uses the link; each further one delays them all.
   static constexpr size_t MaximumTurns = 2;
   /// A writer keeps its turn for at most this time, so that a reader that has
   /// stopped does not hold up the others.
