LibAdmission: Let nested calls wait only where no other target can be asked

A nested call waited up to half of its spare time at the first full target, while the work above it kept its slot and other targets had slots free. The caller's node now tells the gate whether another target can be asked; then the call is refused at once, which costs a hop and no budget, and waits where nothing else is left. Nodes that tell nothing get what they got.

The gate's waits come from one estimate (TimeEstimate), which also foretells the wait in the log, and from the pace that a target states, as long as it has foretold the times better than their mean did. Refusals have a cause in log and metrics.

--- a/Libraries/LibAdmission/AdmissionGate.h
+++ b/Libraries/LibAdmission/AdmissionGate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/RefusalCause.h>
 #include <LibBalance/TargetSignals.h>
 #include <LibBase/Clock.h>
 #include <LibCalls/CallBroker.h>
@@ -29,6 +30,8 @@
   /// Time that this VM's link is expected to need for the answer and for all
   /// before it; 0 if the answer is small or the link's rate is not known.
   base::Duration LinkTime{};
+  /// The caller's node will ask another target if this one's gate refuses.
+  bool CanGoElsewhere = false;
 };
 
 /// Identifies an admitted or queued call at one node.
@@ -45,6 +48,7 @@
   std::optional<balance::MilliRate> RateLimit; ///< Stated by the target.
   /// Mean slot time of calls like the one that arrived; 0: unknown.
   base::Duration Expected{};
+  base::Duration ExpectedWait{}; ///< Of the call that arrived.
 };
 
 /// What the gate decided for one call.
@@ -52,11 +56,11 @@
   enum class Kind : uint8_t { Run, Queued, Refuse };
 
   static GateAnswer refuse(Ticket call, base::ResultCode code,
-                           base::Duration retryAfter) {
-    return {Kind::Refuse, call, code, retryAfter, {}, false};
+                           base::Duration retryAfter, RefusalCause why) {
+    return {Kind::Refuse, call, code, retryAfter, {}, false, why};
   }
   static GateAnswer accept(Kind what, Ticket call) {
-    return {what, call, base::ResultCode::Ok, {}, {}, false};
+    return {what, call, base::ResultCode::Ok, {}, {}, false, {}};
   }
 
   Kind What = Kind::Refuse;
@@ -66,6 +70,7 @@
   GateView Found; ///< Set by arrive() only.
   /// Set by arrive() only: the call is nested, as proved or as learnt.
   bool IsNested = false;
+  RefusalCause Why = RefusalCause::None;
 };
 
 /// Admission control at the target's node: decides which call takes a slot,
--- a/Libraries/LibAdmission/AdmissionPlayer.cpp
+++ b/Libraries/LibAdmission/AdmissionPlayer.cpp
@@ -44,11 +44,11 @@
     gate->configure(settingsOf(entry.Numbers), now);
     return {};
   case AdmissionEvent::Arrive: {
-    const auto out =
-        gate->arrive(ticket, static_cast<config::Rank>(entry.Numbers[1]),
-                     base::Duration(entry.Numbers[2]), 0, now,
-                     base::Duration(entry.Numbers[3]), entry.Numbers[4] != 0,
-                     base::Duration(entry.Numbers[5]));
+    const auto out = gate->arrive(
+        ticket, static_cast<config::Rank>(entry.Numbers[1]),
+        base::Duration(entry.Numbers[2]), 0, now,
+        base::Duration(entry.Numbers[3]), (entry.Numbers[4] & 1) != 0,
+        base::Duration(entry.Numbers[5]), (entry.Numbers[4] & 2) != 0);
     return {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
             out.RetryAfter.count()};
   }
@@ -56,7 +56,10 @@
     return gate->summaryOf(
         gate->ended(ticket, static_cast<calls::AttemptEnd>(entry.Numbers[1]),
                     now, static_cast<balance::RefusalKind>(entry.Numbers[2]),
-                    base::Duration(entry.Numbers[3])));
+                    base::Duration(entry.Numbers[3]),
+                    entry.Numbers[4] > 0
+                        ? std::optional(static_cast<uint32_t>(entry.Numbers[4]))
+                        : std::nullopt));
   case AdmissionEvent::Abandoned:
     gate->abandoned(ticket, now);
     return {};
--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -144,12 +144,13 @@
   const Ticket call = ++Held->LastTicket;
   if (Held->Quarantined->blocks(arrival.Fingerprint, arrival.ServiceName, now))
     return GateAnswer::refuse(call, ResultCode::Quarantined,
-                              calls::Quarantine::QuarantineLifetime);
+                              calls::Quarantine::QuarantineLifetime,
+                              RefusalCause::Quarantine);
   const auto it = Held->Targets.find(arrival.TargetId);
   if (it == Held->Targets.end() ||
       it->second.Target.Service != arrival.ServiceName)
     return GateAnswer::refuse(call, ResultCode::NoTarget,
-                              UnknownTargetRetryAfter);
+                              UnknownTargetRetryAfter, RefusalCause::State);
   auto &gated = it->second;
   if (arrival.StatedRate)
     gated.Admission->reported(*arrival.StatedRate, now);
@@ -160,7 +161,8 @@
                                  arrival.IsFromOwnService);
   const auto out = gated.Admission->arrive(
       call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
-      arrival.LatencyObjective, isNested, arrival.LinkTime);
+      arrival.LatencyObjective, isNested, arrival.LinkTime,
+      arrival.CanGoElsewhere);
   if (out.What != GateAnswer::Kind::Refuse)
     Held->Calls[call] = &gated;
   return out;
@@ -195,8 +197,11 @@
   auto &gated = *it->second;
   Held->Calls.erase(it);
   Held->observe(gated, call, result.End);
+  const auto pace = result.Signals && result.Signals->Load
+                        ? result.Signals->Load->PacePercent
+                        : std::nullopt;
   auto out = gated.Admission->ended(call, result.End, now, result.Refusal,
-                                    result.AwaitedReader);
+                                    result.AwaitedReader, pace);
   Held->forgetRefused(out);
   return out;
 }
--- a/Libraries/LibAdmission/Patience.cpp
+++ b/Libraries/LibAdmission/Patience.cpp
@@ -24,8 +24,11 @@
 constexpr int64_t NestedPatiencePercent = 50;
 
 /// The objective of a nested call is not that of the work above it, which only
-/// fails at the deadline.
+/// fails at the deadline. That work holds a slot for as long as its nested call
+/// waits, so the call doesn't wait while another target may have a slot free.
 Duration nestedPatienceOf(const WaitingCall &call, Duration remaining) {
+  if (call.CanGoElsewhere)
+    return Duration::zero();
   const auto needed = std::min(call.Expected * NeededPercent / 100,
                                remaining * MaximumNeededPercent / 100);
   const auto spare = remaining - needed - call.LinkTime;
--- a/Libraries/LibAdmission/RankQueue.h
+++ b/Libraries/LibAdmission/RankQueue.h
@@ -25,6 +25,7 @@
   base::Duration Expected{};         ///< Expected slot time.
   base::Duration LinkTime{};         ///< For its answer, and those before it.
   bool IsNested = false;             ///< Made by work in progress elsewhere.
+  bool CanGoElsewhere = false;       ///< See Arrival.
 };
 
 /// The bounded queue of one target. When it is full the oldest call of the
--- a/Libraries/LibAdmission/SlotTimes.cpp
+++ b/Libraries/LibAdmission/SlotTimes.cpp
@@ -17,29 +17,45 @@
 
 } // namespace
 
-void SlotTimes::observed(Rank rank, Duration objective, Duration taken) {
-  ByRank[static_cast<size_t>(rank)].observed(taken);
+void SlotTimes::paceStated(uint32_t percent, base::TimePoint now) {
+  PacePercent = percent;
+  PaceAt = now;
+}
+
+std::optional<uint32_t> SlotTimes::pace(base::TimePoint now) const {
+  return PacePercent > 0 && now - PaceAt < PaceLifetime
+             ? std::optional(PacePercent)
+             : std::nullopt;
+}
+
+void SlotTimes::observed(Rank rank, Duration objective, Duration taken,
+                         std::optional<uint32_t> pacePercent) {
+  ByRank[static_cast<size_t>(rank)].observed(taken, pacePercent);
   const Kind kind{rank, objective};
   if (objective > Duration::zero() &&
       (ByKind.size() < MaximumKinds || ByKind.contains(kind)))
-    ByKind[kind].observed(taken);
+    ByKind[kind].observed(taken, pacePercent);
 }
 
-std::optional<Duration> SlotTimes::seen(Rank rank, Duration objective) const {
+const SlotTime *SlotTimes::find(Rank rank, Duration objective) const {
   if (objective <= Duration::zero())
-    return ByRank[static_cast<size_t>(rank)].expected();
+    return &ByRank[static_cast<size_t>(rank)];
   const auto it = ByKind.find({rank, objective});
-  return it == ByKind.end() ? std::nullopt : it->second.expected();
+  return it == ByKind.end() ? nullptr : &it->second;
 }
 
 Duration SlotTimes::learnt(Rank rank, Duration objective) const {
-  return seen(rank, objective).value_or(Duration{});
+  const auto *time = find(rank, objective);
+  return time ? time->expected().value_or(Duration{}) : Duration{};
 }
 
-Duration SlotTimes::expected(Rank rank, Duration objective) const {
-  return seen(rank, objective)
-      .value_or(objective > Duration::zero() ? objective / CallsPerObjective
-                                             : InitialExpectedTime);
+Duration SlotTimes::expected(Rank rank, Duration objective,
+                             base::TimePoint now) const {
+  const auto assumed = objective > Duration::zero()
+                           ? objective / CallsPerObjective
+                           : InitialExpectedTime;
+  const auto *time = find(rank, objective);
+  return time ? time->expectedAt(pace(now)).value_or(assumed) : assumed;
 }
 
 Duration SlotTimes::longest() const {
--- a/Libraries/LibAdmission/TargetGate.cpp
+++ b/Libraries/LibAdmission/TargetGate.cpp
@@ -59,7 +59,8 @@
   Queue.setLimits(limits);
   if (settings.State != TargetState::Ready)
     for (const auto &it : Queue.clear())
-      Answers.push_back(refusal(it.Call, refusalOf(settings.State)));
+      Answers.push_back(
+          refusal(it.Call, refusalOf(settings.State), RefusalCause::State));
   recordEvent(AdmissionEvent::Configure,
               {settings.Slots, settings.Connections,
                static_cast<int64_t>(settings.State), limits.QueueLength,
@@ -70,7 +71,7 @@
 GateAnswer TargetGate::arrive(Ticket call, Rank rank, Duration remaining,
                               uint64_t fingerprint, base::TimePoint now,
                               Duration objective, bool isNested,
-                              Duration linkTime) {
+                              Duration linkTime, bool canGoElsewhere) {
   WaitingCall arrived;
   arrived.Call = call;
   arrived.CallRank = isNested ? NestedRank : rank;
@@ -79,39 +80,43 @@
   arrived.LatencyObjective = objective;
   arrived.IsNested = isNested;
   arrived.LinkTime = linkTime;
-  const auto found = view(now);
+  arrived.CanGoElsewhere = canGoElsewhere;
+  arrived.Expected = Times.expected(arrived.CallRank, objective, now);
+  arrived.Patience = patienceOf(arrived, remaining);
+  arrived.LatestStart = now + arrived.Patience;
+  auto found = view(now);
+  found.ExpectedWait = estimateFor(arrived, now).Wait;
   auto out = decideArrival(arrived, remaining, now);
   out.Found = found;
   out.Found.Expected = Times.learnt(arrived.CallRank, objective);
   out.IsNested = isNested;
   recordEvent(AdmissionEvent::Arrive,
               {static_cast<int64_t>(call), static_cast<int64_t>(rank),
-               remaining.count(), objective.count(), isNested ? 1 : 0,
-               linkTime.count()},
+               remaining.count(), objective.count(),
+               (isNested ? 1 : 0) + (canGoElsewhere ? 2 : 0), linkTime.count()},
               {static_cast<int64_t>(out.What), static_cast<int64_t>(out.Code),
                out.RetryAfter.count()},
               now);
   return out;
 }
 
-GateAnswer TargetGate::decideArrival(WaitingCall call, Duration remaining,
-                                     base::TimePoint now) {
+GateAnswer TargetGate::decideArrival(const WaitingCall &call,
+                                     Duration remaining, base::TimePoint now) {
   const auto rank = call.CallRank;
   Demand.arrived(rank, call.LatencyObjective, now);
   if (Settings.State != TargetState::Ready)
-    return refusal(call.Call, refusalOf(Settings.State));
+    return refusal(call.Call, refusalOf(Settings.State), RefusalCause::State);
   if (remaining <= Duration::zero())
-    return refusal(call.Call, ResultCode::DeadlineExceeded);
-  call.Expected = Times.expected(rank, call.LatencyObjective);
+    return refusal(call.Call, ResultCode::DeadlineExceeded,
+                   RefusalCause::Deadline);
   // One call always runs, so that a change of times and sizes is noticed.
   if (!Running.empty() && isTooLateOnLink(call, remaining))
     return GateAnswer::refuse(
         call.Call, ResultCode::Overloaded,
         std::clamp(call.LinkTime, MinimumObjectiveRetryAfter,
                    std::max(remaining / calls::RetryAfterDivisor,
-                            MinimumObjectiveRetryAfter)));
-  call.Patience = patienceOf(call, remaining);
-  call.LatestStart = now + call.Patience;
+                            MinimumObjectiveRetryAfter)),
+        RefusalCause::Link);
   Demand.admissible(rank, call.LatencyObjective, now);
   if (mayStart(call, now) && !isBehindOthers(call)) {
     start(call, now);
@@ -125,33 +130,45 @@
     return enqueue(call);
   return GateAnswer::refuse(
       call.Call, ResultCode::Overloaded,
-      std::clamp(wait, MinimumRetryAfter, MaximumRetryAfter));
+      std::clamp(wait, MinimumRetryAfter, MaximumRetryAfter),
+      RefusalCause::Wait);
 }
 
 /// Queues a call with a latency objective if it is expected to meet that, and
 /// refuses it at once otherwise.
 GateAnswer TargetGate::decideQueueing(const WaitingCall &call,
                                       Duration remaining, base::TimePoint now) {
-  const auto work = Queue.workBefore(call) + call.Expected;
-  const auto wait =
-      std::max(work / static_cast<int64_t>(limit()),
-               Limiter.waitFor(
-                   Queue.callsBefore(call) + reservedTokens(call, now), now));
+  const auto wait = estimateFor(call, now).Wait;
   if (wait < call.Patience)
     return enqueue(call);
   const auto most = std::max(remaining / calls::RetryAfterDivisor,
                              MinimumObjectiveRetryAfter);
-  return GateAnswer::refuse(
-      call.Call, ResultCode::Overloaded,
-      std::clamp(wait - call.Patience, MinimumObjectiveRetryAfter, most));
+  const auto retryAfter =
+      std::clamp(wait - call.Patience, MinimumObjectiveRetryAfter, most);
+  return GateAnswer::refuse(call.Call, ResultCode::Overloaded, retryAfter,
+                            RefusalCause::Wait);
+}
+
+balance::TimeEstimate TargetGate::estimateFor(const WaitingCall &call,
+                                              base::TimePoint now) const {
+  balance::WorkAhead work;
+  work.Slots = limit();
+  work.HasFreeSlot = mayStart(call, now) && !isBehindOthers(call);
+  work.Queued = Queue.workBefore(call);
+  work.SlotTime = call.Expected;
+  work.RateWait =
+      Limiter.waitFor(Queue.callsBefore(call) + reservedTokens(call, now), now);
+  work.LinkTime = call.LinkTime;
+  return balance::estimateTime(work);
 }
 
 GateAnswer TargetGate::enqueue(const WaitingCall &call) {
   const auto shed = Queue.push(call);
   if (shed && shed->Call == call.Call)
-    return refusal(call.Call, ResultCode::Overloaded);
+    return refusal(call.Call, ResultCode::Overloaded, RefusalCause::QueueFull);
   if (shed)
-    Answers.push_back(refusal(shed->Call, ResultCode::Overloaded));
+    Answers.push_back(
+        refusal(shed->Call, ResultCode::Overloaded, RefusalCause::QueueFull));
   return GateAnswer::accept(GateAnswer::Kind::Queued, call.Call);
 }
 
@@ -193,7 +210,8 @@
 std::vector<GateAnswer> TargetGate::ended(Ticket call, calls::AttemptEnd end,
                                           base::TimePoint now,
                                           balance::RefusalKind refusal,
-                                          base::Duration awaitedReader) {
+                                          base::Duration awaitedReader,
+                                          std::optional<uint32_t> pacePercent) {
   const auto it = Running.find(call);
   if (it == Running.end())
     return {};
@@ -201,12 +219,15 @@
   finished.StartedAt += awaitedReader;
   Running.erase(it);
   finish(finished, end, refusal, now);
+  if (pacePercent)
+    Times.paceStated(*pacePercent, now);
   refuseExpired(now);
   fillSlots(now);
   auto out = takeAnswers();
   recordEvent(AdmissionEvent::Ended,
               {static_cast<int64_t>(call), static_cast<int64_t>(end),
-               static_cast<int64_t>(refusal), awaitedReader.count()},
+               static_cast<int64_t>(refusal), awaitedReader.count(),
+               pacePercent.value_or(0)},
               summaryOf(out), now);
   return out;
 }
@@ -225,7 +246,7 @@
   // calls, which says nothing about this target.
   const bool hasObjective = call.LatencyObjective > Duration::zero();
   Adaptive.answered(call.CallRank, taken, call.Saturated && !hasObjective);
-  Times.observed(call.CallRank, call.LatencyObjective, taken);
+  Times.observed(call.CallRank, call.LatencyObjective, taken, call.PacePercent);
 }
 
 void TargetGate::abandoned(Ticket call, base::TimePoint now) {
@@ -323,8 +344,9 @@
   Limiter.take(now);
   const bool saturated =
       Running.size() + 1 + reservedSlots(rank, now) >= limit();
-  Running[call.Call] = {rank, call.LatencyObjective, call.Fingerprint,
-                        now,  call.Expected,         saturated};
+  Running[call.Call] = {
+      rank,      call.LatencyObjective, call.Fingerprint, now, call.Expected,
+      saturated, Times.pace(now)};
   while (!RecentStarts.empty() && now - RecentStarts.front() >= RecentWindow)
     RecentStarts.pop_front();
   RecentStarts.push_back(now);
@@ -333,19 +355,20 @@
 void TargetGate::refuseExpired(base::TimePoint now) {
   std::array<Duration, config::RankCount> patience{};
   for (size_t it = 0; it < patience.size(); ++it)
-    patience[it] = overloadPatienceOf(static_cast<Rank>(it));
+    patience[it] = overloadPatienceOf(static_cast<Rank>(it), now);
   for (const auto &it : Queue.expire(patience, now)) {
     const bool late =
         now >= it.LatestStart && it.LatencyObjective <= Duration::zero();
-    Answers.push_back(refusal(it.Call, late ? ResultCode::DeadlineExceeded
-                                            : ResultCode::Overloaded));
+    Answers.push_back(refusal(
+        it.Call, late ? ResultCode::DeadlineExceeded : ResultCode::Overloaded,
+        RefusalCause::Waited));
   }
 }
 
 /// Returns how long a call may wait under overload: the time of a few calls, or
 /// for a rank with a floor a few intervals between calls served by the floor.
-Duration TargetGate::overloadPatienceOf(Rank rank) const {
-  const auto expected = Times.expected(rank, {});
+Duration TargetGate::overloadPatienceOf(Rank rank, base::TimePoint now) const {
+  const auto expected = Times.expected(rank, {}, now);
   const auto out = std::max(MinimumPatience, expected * PatienceInCalls);
   const auto &limits = Settings.Limits;
   const uint32_t floors[] = {0, limits.StandardFloorPercent,
@@ -357,8 +380,9 @@
   return std::max(out, turn * PatienceInFloorIntervals);
 }
 
-GateAnswer TargetGate::refusal(Ticket call, ResultCode code) const {
-  return GateAnswer::refuse(call, code, retryAfter());
+GateAnswer TargetGate::refusal(Ticket call, ResultCode code,
+                               RefusalCause why) const {
+  return GateAnswer::refuse(call, code, retryAfter(), why);
 }
 
 /// Returns the time after which a refused caller may retry: when the calls now
--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -9,6 +9,7 @@
 #include <LibAdmission/SlotTimes.h>
 #include <LibBalance/RefusalJudge.h>
 #include <LibBalance/StatedLimit.h>
+#include <LibBalance/TimeEstimate.h>
 #include <LibBase/Clock.h>
 #include <LibConfig/Resources.h>
 #include <LibFleet/Member.h>
@@ -31,12 +32,13 @@
 
 /// Events of trace entries; the text is the target. Configure: slots,
 /// connections, state, queue length, floors of standard and background.
-/// Arrive: ticket, rank, remaining microseconds, latency objective, 1 if
-/// nested, time on the link; outcome: kind, code, retry-after. Ended: ticket,
-/// end, kind of refusal. Abandoned: ticket. Outcome of Ended and Tick: the
-/// number of answers, the sum of their tickets, the limit. Signalled: ticket,
-/// flags (see flagsOf()), the limit; outcome: 1 if it has changed.
-/// ProcessChanged: none. Reported: the limit.
+/// Arrive: ticket, rank, remaining microseconds, latency objective, flags (1
+/// nested, 2 can go elsewhere), time on the link; outcome: kind, code,
+/// retry-after. Ended: ticket, end, kind of refusal, pace in percent (0: none).
+/// Abandoned: ticket. Outcome of Ended and Tick: the number of answers, the sum
+/// of their tickets, the limit. Signalled: ticket, flags (see flagsOf()), the
+/// limit; outcome: 1 if it has changed. ProcessChanged: none. Reported: the
+/// limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
@@ -64,11 +66,12 @@
 
   /// A call with \p isNested belongs to work that holds slots elsewhere and is
   /// lost with it, so it goes before new work and may wait for as long as its
-  /// deadline allows, whatever its own rank and objective.
+  /// deadline allows, whatever its own rank and objective. \p canGoElsewhere:
+  /// see Arrival; a nested call doesn't wait then.
   GateAnswer arrive(Ticket call, config::Rank rank, base::Duration remaining,
                     uint64_t fingerprint, base::TimePoint now,
                     base::Duration objective = {}, bool isNested = false,
-                    base::Duration linkTime = {});
+                    base::Duration linkTime = {}, bool canGoElsewhere = false);
   /// Applies the rate limit stated on the answer to a running call; returns
   /// whether it has changed.
   bool signalled(Ticket call, const balance::TargetSignals &signals,
@@ -84,11 +87,13 @@
     return Refusals.refused(load, Running.size(), now);
   }
   /// Ends a running call; \p refusal counts if the target refused it. The time
-  /// for which it waited for the reader of its answer is not the target's.
+  /// for which it waited for the reader of its answer is not the target's. \p
+  /// pacePercent is the pace that the target stated, see balance::TargetLoad.
   std::vector<GateAnswer>
   ended(Ticket call, calls::AttemptEnd end, base::TimePoint now,
         balance::RefusalKind refusal = balance::RefusalKind::Full,
-        base::Duration awaitedReader = {});
+        base::Duration awaitedReader = {},
+        std::optional<uint32_t> pacePercent = {});
 
   /// Records that another process of the target has taken over: its limit is
   /// not known.
@@ -117,8 +122,9 @@
     base::TimePoint StartedAt{};
     base::Duration Charged{};
     bool Saturated = false;
+    std::optional<uint32_t> PacePercent; ///< Stated when it started.
   };
-  GateAnswer decideArrival(WaitingCall call, base::Duration remaining,
+  GateAnswer decideArrival(const WaitingCall &call, base::Duration remaining,
                            base::TimePoint now);
   GateAnswer decideQueueing(const WaitingCall &call, base::Duration remaining,
                             base::TimePoint now);
@@ -134,9 +140,13 @@
               balance::RefusalKind refusal, base::TimePoint now);
   void fillSlots(base::TimePoint now);
   void refuseExpired(base::TimePoint now);
-  GateAnswer refusal(Ticket call, base::ResultCode code) const;
+  GateAnswer refusal(Ticket call, base::ResultCode code,
+                     RefusalCause why) const;
+  balance::TimeEstimate estimateFor(const WaitingCall &call,
+                                    base::TimePoint now) const;
   base::Duration retryAfter() const;
-  base::Duration overloadPatienceOf(config::Rank rank) const;
+  base::Duration overloadPatienceOf(config::Rank rank,
+                                    base::TimePoint now) const;
   std::vector<GateAnswer> takeAnswers();
   void recordEvent(AdmissionEvent::Value event, const trace::Inputs &numbers,
                    const trace::Outcome &decided, base::TimePoint now);
--- a/Libraries/LibBalance/LoadBalancer.cpp
+++ b/Libraries/LibBalance/LoadBalancer.cpp
@@ -183,6 +183,14 @@
   return !isIn(excluded, target) && !target.Refusals.isBackingOff(now);
 }
 
+bool LoadBalancer::hasOther(const Targets &targets, uint64_t target,
+                            base::TimePoint now) {
+  return std::any_of(targets.begin(), targets.end(), [&](const auto *it) {
+    return it->Id != target && !it->Health.ejected() &&
+           !it->Refusals.isAvoided(now);
+  });
+}
+
 KnownTarget *LoadBalancer::choose(const Targets &targets, Excluded excluded,
                                   SpilloverShare &spillover,
                                   base::TimePoint now,
--- a/Libraries/LibBalance/LoadBalancer.h
+++ b/Libraries/LibBalance/LoadBalancer.h
@@ -45,6 +45,11 @@
                       SpilloverShare &spillover, base::TimePoint now,
                       base::Random &random) const;
 
+  /// Returns whether a further attempt after one at \p target may go to another
+  /// one, as far as is known now.
+  static bool hasOther(const TargetTable::Targets &targets, uint64_t target,
+                       base::TimePoint now);
+
   /// Returns the target's score; lower is better.
   static uint64_t score(const KnownTarget &target, base::TimePoint now);
 
--- a/Libraries/LibCalls/CallBroker.h
+++ b/Libraries/LibCalls/CallBroker.h
@@ -115,6 +115,8 @@
   base::Duration LatencyObjective{}; ///< Of the route; 0: none.
   /// The target's rate limit, if this node knows one from its answers.
   std::optional<balance::MilliRate> StatedRate;
+  /// Another target will be asked if the target's node refuses.
+  bool CanGoElsewhere = false;
   /// Open a new connection to the node of To and close its idle connections.
   bool FreshConnection = false;
   /// The attempt is a retry or part of one: AttemptHeader is above 0.
--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -333,6 +333,9 @@
   out.Remaining = timeout;
   out.LatencyObjective = call.Route.LatencyObjective;
   out.StatedRate = target->Stated.rate();
+  out.CanGoElsewhere =
+      call.Attempts < MaximumAttempts &&
+      balance::LoadBalancer::hasOther(targets, call.LastTarget, now);
   out.FreshConnection = call.ActiveAttempts.back().OnNewConnection;
   out.Retry = retry || call.Route.WithinRetry;
   out.Basis = basis;
--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -167,6 +167,7 @@
   mesh.Remaining = std::min(step.Remaining, step.AttemptTimeout);
   mesh.LatencyObjective = step.LatencyObjective;
   mesh.StatedRate = step.StatedRate;
+  mesh.CanGoElsewhere = step.CanGoElsewhere;
   mesh.Hops = call.Request.Hops;
   mesh.Attempt = step.Retry || call.Request.WithinRetry ? RetryAttempt : 1;
   mesh.ServiceName = step.ServiceName;
--- a/Libraries/LibHttp/CallMetrics.cpp
+++ b/Libraries/LibHttp/CallMetrics.cpp
@@ -33,6 +33,7 @@
     std::string label = "{rank=\"" + std::string(rank.Name) + "\"";
     row.LatencyName = "call_latency_ms" + label + "}";
     row.QueueName = "gate_queue_ms" + label + "}";
+    row.ExpectedWaitName = "gate_queue_expected_ms" + label + "}";
     row.TargetName = "target_latency_ms" + label + "}";
     for (const auto &outcome : calls::CallOutcomeNames)
       row.Totals[static_cast<size_t>(outcome.Value)] =
@@ -80,6 +81,7 @@
                                 const GateOutcome &outcome) {
   const PerRank &row = Ranks[static_cast<size_t>(call.CallRank)];
   Counters->observe(row.QueueName, outcome.Waited);
+  Counters->observe(row.ExpectedWaitName, outcome.LoadOnArrival.ExpectedWait);
   if (outcome.HasRun) {
     Counters->observe(row.TargetName, outcome.Ran);
     return;
@@ -89,6 +91,10 @@
       "\",reason=\"" + std::string(base::describe(outcome.Result.Code).Name) +
       "\"}";
   Counters->counter("gate_refused_total" + labels) += 1;
+  Counters->counter(
+      "gate_refused_for_total{cause=\"" +
+      std::string(base::nameOf(admission::RefusalCauseNames, outcome.Why)) +
+      "\"}") += 1;
 }
 
 } // namespace radishcross::http
--- a/Libraries/LibHttp/CallMetrics.h
+++ b/Libraries/LibHttp/CallMetrics.h
@@ -49,6 +49,7 @@
     std::array<uint64_t *, std::size(calls::CallOutcomeNames)> Totals{};
     std::string LatencyName;
     std::string QueueName;
+    std::string ExpectedWaitName;
     std::string TargetName;
   };
   struct PerReason {
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -116,6 +116,7 @@
   // Without mesh keys no hops are counted.
   arrival.IsNested = call.Hops > 0;
   arrival.IsProvable = !Keys.empty();
+  arrival.CanGoElsewhere = call.CanGoElsewhere;
   size_t expectedBytes =
       Environment.Link && path.CrossesLink ? Sizes.expected(kindOf(call)) : 0;
   if (expectedBytes > 0)
@@ -145,6 +146,7 @@
   outcome.Result.IsNested = isNested;
   outcome.Result.ExpectedTime = loadOnArrival.Expected;
   outcome.LoadOnArrival = loadOnArrival;
+  outcome.Why = decision.Why;
   outcome.HasWaited = hasWaited;
   outcome.Waited = turn - now;
   if (!hasRun)
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -19,6 +19,7 @@
   // For the log and the metrics:
   admission::GateView
       LoadOnArrival; ///< Load of the gate when the call arrived.
+  admission::RefusalCause Why = admission::RefusalCause::None;
   bool HasWaited = false;
   bool HasRun = false;
   base::Duration Waited{}; ///< Time in the gate's queue.
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -60,11 +60,13 @@
 using FieldValues =
     std::array<std::string_view, std::size(AuthenticatedFields)>;
 
-/// Separates the call id from the target's rate limit and from the latency
-/// objective between nodes: "ID;rLIMIT;OBJECTIVE", both optional. They are part
-/// of the id's value because older nodes take the id as it is.
+/// Separates the call id from the mark of a call that can go elsewhere, the
+/// target's rate limit and the latency objective between nodes:
+/// "ID;o;rLIMIT;OBJECTIVE", each optional. They are part of the id's value
+/// because older nodes take the id as it is.
 constexpr char IdSeparator = ';';
 constexpr char RatePrefix = 'r';
+constexpr std::string_view ElsewhereMark = "o";
 
 /// Placeholder for the proof if there is no key.
 constexpr std::string_view NoProof = "-";
@@ -126,6 +128,8 @@
   std::string word = call.CallId;
   if (audience != MeshAudience::Node)
     return word;
+  if (call.CanGoElsewhere)
+    word.append({IdSeparator}).append(ElsewhereMark);
   if (call.StatedRate)
     word.append({IdSeparator, RatePrefix})
         .append(std::to_string(*call.StatedRate));
@@ -141,8 +145,7 @@
                                       : word.substr(at + 1);
 }
 
-/// Parses the output of idWord(). A suffix that is neither an objective nor a
-/// limit is part of the id.
+/// Parses the output of idWord(). Any other suffix is part of the id.
 void readIdWord(std::string_view word, MeshCall &call) {
   uint32_t ms = 0;
   std::string_view part = lastPartOf(word);
@@ -157,6 +160,11 @@
     call.StatedRate = rate;
     word.remove_suffix(part.size() + 1);
   }
+  part = lastPartOf(word);
+  if (part == ElsewhereMark) {
+    call.CanGoElsewhere = true;
+    word.remove_suffix(part.size() + 1);
+  }
   call.CallId = word;
 }
 
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -26,6 +26,9 @@
   /// The target's rate limit, if the sender knows one from its answers. Sent
   /// between nodes only.
   std::optional<balance::MilliRate> StatedRate;
+  /// The sender will ask another target if this one's node refuses. Sent
+  /// between nodes only; older nodes don't.
+  bool CanGoElsewhere = false;
   uint32_t Hops = 0;       ///< Number of ancestor calls in the chain.
   uint32_t Attempt = 1;    ///< 2 for a retry.
   std::string ServiceName; ///< "configuration/name".
--- a/Tests/LibCalls/RefusingTargets.h
+++ b/Tests/LibCalls/RefusingTargets.h
@@ -36,7 +36,19 @@
     std::vector<int64_t> Speeds = {100};
     /// Every sixth target takes three times as long in every second Noise.
     base::Duration Noise{};
-    bool StatesTime = true; ///< The gates tell the time of calls.
+    bool StatesTime = true;     ///< The gates tell the time of calls.
+    bool TellsElsewhere = true; ///< The gates are told who can go elsewhere.
+    bool StatesPace = false;    ///< Noise is stated as pace.
+    /// Calls per Interval, in percent, in each second of a period.
+    std::vector<int64_t> Rates = {100};
+    bool HasTails = false; ///< Every 33rd piece of work takes seven times.
+    /// Of the clients: repeat a refused call at once, up to 5 times. All others
+    /// come back once, when they were told to.
+    uint64_t ImpatientPercent = 0;
+    bool ComesBack = false;
+    /// Targets of a service below that each call calls once, for Work / 4,
+    /// after its own work.
+    size_t Below = 0;
   };
   struct Totals {
     uint64_t Calls = 0;
@@ -44,7 +56,11 @@
     uint64_t Arrivals = 0; ///< Requests that reached a target.
     uint64_t Refused = 0;  ///< By a target.
     uint64_t RefusedAtGates = 0;
-    std::vector<int64_t> Latencies; ///< Of answered calls, microseconds.
+    uint64_t LostBelow = 0; ///< Run, and then without its call below.
+    uint64_t Patient = 0;   ///< Calls of patient clients.
+    uint64_t PatientAnswered = 0;
+    base::Duration LongestRefusal{}; ///< Until a client was told.
+    std::vector<int64_t> Latencies;  ///< Of answered calls, microseconds.
 
     int64_t mean() const {
       int64_t sum = 0;
@@ -63,9 +79,11 @@
   explicit RefusingTargets(const Settings &settings)
       : Model(settings), Draw(settings.Seed) {
     std::vector<fleet::Member> members;
-    for (size_t n = 0; n < Model.Targets; ++n) {
+    for (size_t n = 0; n < Model.Targets + Model.Below; ++n) {
       members.push_back(member("n" + std::to_string(n)));
       members.back().Targets.front().Slots = Model.Slots;
+      if (n >= Model.Targets)
+        members.back().Targets.front().Service = BelowService;
       Gates.push_back(std::make_unique<admission::TargetGate>("t", Recorder));
       admission::TargetGateSettings gate;
       gate.State = TargetState::Ready;
@@ -107,12 +125,20 @@
   static constexpr base::Duration Objective = 500ms;
   static constexpr base::Duration Deadline = 2s;
   static constexpr base::Duration Hop = 1ms;
+  static constexpr base::Duration BelowObjective = 100ms;
+  static constexpr base::Duration BelowDeadline = 300ms;
+  static constexpr int MostRepeats = 5;
+  static constexpr const char *BelowService = "badges/below";
 
   struct Call {
     size_t Caller = 0;
     base::Duration BegunAt{};
     CallStep Step;
     base::Duration Expected{}; ///< As the gate told.
+    int RepeatsLeft = 0;
+    bool IsPatient = true;
+    bool IsLostBelow = false;
+    CallHandle Above = 0; ///< The call that made it; 0: a client did.
   };
 
   void after(base::Duration wait, std::function<void()> action) {
@@ -130,19 +156,35 @@
   }
 
   void scheduleCall() {
-    after(Model.Interval, [this] {
+    const auto second = static_cast<size_t>(Now / base::Duration(1s));
+    const auto rate = Model.Rates[second % Model.Rates.size()];
+    after(Model.Interval * 100 / rate, [this] {
       scheduleCall();
-      const auto handle = ++Last;
-      auto &call = Calls[handle];
-      call.Caller = Draw.below(Model.Callers);
+      Call call;
+      call.IsPatient = Model.ImpatientPercent == 0 ||
+                       Draw.below(100) >= Model.ImpatientPercent;
       call.BegunAt = Now;
+      call.RepeatsLeft = !Model.ComesBack ? 0
+                         : call.IsPatient ? 1
+                                          : MostRepeats;
       ++Sum.Calls;
-      RoutedCall route{std::string(Lookup), Rank::Standard, Deadline};
-      route.LatencyObjective = Objective;
-      carryOut(handle, Planners[call.Caller]->begin(handle, route, at(Now)));
+      Sum.Patient += call.IsPatient ? 1 : 0;
+      begin(call);
     });
   }
 
+  void begin(Call call) {
+    const auto handle = ++Last;
+    call.Caller = Draw.below(Model.Callers);
+    Calls[handle] = call;
+    const bool isBelow = call.Above != 0;
+    RoutedCall route{isBelow ? BelowService : std::string(Lookup),
+                     isBelow ? Rank::Background : Rank::Standard,
+                     isBelow ? BelowDeadline : Deadline};
+    route.LatencyObjective = isBelow ? BelowObjective : Objective;
+    carryOut(handle, Planners[call.Caller]->begin(handle, route, at(Now)));
+  }
+
   void carryOut(CallHandle handle, const CallStep &step) {
     auto &call = Calls.at(handle);
     if (step.What == CallStep::Kind::Send) {
@@ -150,13 +192,35 @@
       after(Hop, [this, handle] { arrive(handle); });
       return;
     }
-    const bool isAnswered = step.Outcome == CallOutcome::Answered;
-    if (isAnswered)
-      Sum.Latencies.push_back((Now - call.BegunAt).count());
-    if (isAnswered && Now - call.BegunAt <= Objective)
-      ++Sum.Answered;
     Planners[call.Caller]->end(handle, at(Now));
-    Calls.erase(handle);
+    const auto ended = Calls.extract(handle).mapped();
+    const bool isAnswered = step.Outcome == CallOutcome::Answered;
+    if (ended.Above != 0) {
+      endAbove(ended.Above, isAnswered);
+      return;
+    }
+    if (isAnswered && !ended.IsLostBelow) {
+      const bool isUseful = Now - ended.BegunAt <= Objective;
+      Sum.Latencies.push_back((Now - ended.BegunAt).count());
+      Sum.Answered += isUseful ? 1 : 0;
+      Sum.PatientAnswered += isUseful && ended.IsPatient ? 1 : 0;
+    } else if (!isAnswered) {
+      Sum.LongestRefusal = std::max(Sum.LongestRefusal, Now - ended.BegunAt);
+      comeBack(ended, step.RetryAfter);
+    }
+  }
+
+  void comeBack(Call call, base::Duration retryAfter) {
+    if (call.RepeatsLeft-- == 0)
+      return;
+    after(call.IsPatient ? retryAfter : Hop, [this, call] { begin(call); });
+  }
+
+  /// Goes on with a call whose call below has ended.
+  void endAbove(CallHandle handle, bool isServed) {
+    Calls.at(handle).IsLostBelow = !isServed;
+    Sum.LostBelow += isServed ? 0 : 1;
+    end(gateOf(handle), handle, ends(AttemptEnd::Answered));
   }
 
   size_t gateOf(CallHandle handle) const {
@@ -165,9 +229,12 @@
 
   void arrive(CallHandle handle) {
     const auto gate = gateOf(handle);
-    const auto answer = Gates[gate]->arrive(handle, Rank::Standard,
-                                            Calls.at(handle).Step.Remaining, 0,
-                                            at(Now), Objective);
+    const auto &call = Calls.at(handle);
+    const bool isBelow = call.Above != 0;
+    const auto answer =
+        Gates[gate]->arrive(handle, call.Step.CallRank, call.Step.Remaining, 0,
+                            at(Now), call.Step.LatencyObjective, isBelow, {},
+                            Model.TellsElsewhere && call.Step.CanGoElsewhere);
     Calls.at(handle).Expected = answer.Found.Expected;
     if (answer.What != admission::GateAnswer::Kind::Queued)
       take(gate, {answer});
@@ -180,20 +247,24 @@
         continue;
       }
       auto result = ends(AttemptEnd::RefusedNotRun, it.Code);
-      ++Sum.RefusedAtGates;
+      Sum.RefusedAtGates += gate < Model.Targets ? 1 : 0;
       result.RetryAfter = it.RetryAfter;
       reply(gate, it.Call, result);
     }
   }
 
   base::Duration workAt(size_t gate) {
+    const auto work = gate < Model.Targets ? Model.Work : Model.Work / 4;
+    const bool isLong = Model.HasTails && Draw.below(33) == 0;
     const auto drawn =
-        Model.Work / 2 +
-        Model.Work * static_cast<int64_t>(Draw.below(1000)) / 1000;
-    const bool isNoisy =
-        Model.Noise > 0s && gate % 6 == 0 && Now / Model.Noise % 2 == 0;
+        (work / 2 + work * static_cast<int64_t>(Draw.below(1000)) / 1000) *
+        (isLong ? 7 : 1);
     return drawn * Model.Speeds[gate % Model.Speeds.size()] / 100 *
-           (isNoisy ? 3 : 1);
+           (isNoisy(gate) ? 3 : 1);
+  }
+
+  bool isNoisy(size_t gate) const {
+    return Model.Noise > 0s && gate % 6 == 0 && Now / Model.Noise % 2 == 0;
   }
 
   void runAtTarget(size_t gate, CallHandle handle) {
@@ -202,7 +273,14 @@
         gate < Model.Refusing && Draw.below(100) < Model.RefusedPercent;
     if (!refuses) {
       after(workAt(gate), [this, gate, handle] {
-        end(gate, handle, ends(AttemptEnd::Answered));
+        if (Model.Below == 0 || gate >= Model.Targets) {
+          end(gate, handle, ends(AttemptEnd::Answered));
+          return;
+        }
+        Call below;
+        below.BegunAt = Now;
+        below.Above = handle;
+        begin(below);
       });
       return;
     }
@@ -220,8 +298,11 @@
   }
 
   void end(size_t gate, CallHandle handle, const AttemptResult &result) {
-    const auto answers =
-        Gates[gate]->ended(handle, result.End, at(Now), result.Refusal);
+    const auto pace = Model.StatesPace && Model.Noise > 0s
+                          ? std::optional(isNoisy(gate) ? 300U : 100U)
+                          : std::nullopt;
+    const auto answers = Gates[gate]->ended(handle, result.End, at(Now),
+                                            result.Refusal, {}, pace);
     reply(gate, handle, result);
     take(gate, answers);
   }
--- a/Tests/LibHttp/TestMeshCall.cpp
+++ b/Tests/LibHttp/TestMeshCall.cpp
@@ -68,6 +68,7 @@
     std::string CallId;
     int64_t Milliseconds;
     std::optional<balance::MilliRate> StatedRate{};
+    bool CanGoElsewhere = false;
   };
   const Row rows[] = {{"0123", "0123", 0},
                       {"0123;250", "0123", 250},
@@ -76,7 +77,10 @@
                       {"0123;r16900", "0123", 0, 16'900},
                       {"0123;r0;250", "0123", 250, 0},
                       {"0123;r-5;250", "0123;r-5", 250},
-                      {"0123;r;250", "0123;r", 250}};
+                      {"0123;r;250", "0123;r", 250},
+                      {"0123;o;r16900;250", "0123", 250, 16'900, true},
+                      {"0123;o", "0123", 0, {}, true},
+                      {"0123;on;250", "0123;on", 250}};
   for (const auto &row : rows) {
     CAPTURE(row.Id);
     http::MeshCall call = someCall();
@@ -90,6 +94,7 @@
     CHECK(read->LatencyObjective ==
           std::chrono::milliseconds(row.Milliseconds));
     CHECK(read->StatedRate == row.StatedRate);
+    CHECK(read->CanGoElsewhere == row.CanGoElsewhere);
     std::string again =
         meshHeaderLines(bare, *read, http::MeshAudience::Node, keys);
     CHECK(again.find(" " + row.Id + " ") != std::string::npos);
