--- a/Libraries/LibPeer/Peer.capnp
+++ b/Libraries/LibPeer/Peer.capnp
@@ -23,7 +23,7 @@
   loadPermille @6 :UInt32;
   epoch @7 :UInt64;
   softwareVersion @8 :Text;
-  statedWarmUp @9 :UInt32; # Milliseconds and 1; 0: not stated.
+  statedWarmUp @9 :UInt16; # Milliseconds and 1; 0: not stated.
 }
 
 struct HeldException {
--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -495,6 +495,8 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline  ::uint16_t getStatedWarmUp() const;
+
   inline bool hasSoftwareVersion() const;
   inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
@@ -562,6 +564,9 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline  ::uint16_t getStatedWarmUp();
+  inline void setStatedWarmUp( ::uint16_t value);
+
   inline bool hasSoftwareVersion();
   inline  ::capnp::Text::Builder getSoftwareVersion();
   inline void setSoftwareVersion( ::capnp::Text::Reader value);
@@ -2368,6 +2373,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Target::Reader::getStatedWarmUp() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Target::Builder::getStatedWarmUp() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setStatedWarmUp( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Target::Reader::hasSoftwareVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -13,6 +13,8 @@
 constexpr size_t MaximumHostBytes = 45;
 constexpr size_t MaximumTextBytes = 256;
 constexpr uint64_t SmallMessageWords = 64;
+/// A longer warm-up of a target is passed on as this one, in milliseconds.
+constexpr uint32_t MaximumWarmUpMs = 60'000;
 
 void writeAddress(wire::Address::Builder builder,
                   const base::Address &address) {
@@ -36,7 +38,8 @@
   builder.setLoadPermille(target.LoadPermille);
   builder.setEpoch(target.Epoch);
   if (target.WarmUpMs)
-    builder.setStatedWarmUp(*target.WarmUpMs + 1);
+    builder.setStatedWarmUp(static_cast<uint16_t>(
+        std::min(*target.WarmUpMs, MaximumWarmUpMs) + 1));
   if (!target.SoftwareVersion.empty())
     builder.setSoftwareVersion(target.SoftwareVersion);
 }
--- a/Tests/LibPeer/TestCodecs.cpp
+++ b/Tests/LibPeer/TestCodecs.cpp
@@ -35,7 +35,7 @@
                             300,
                             2,
                             "v2",
-                            0});
+                            3000});
   return member;
 }
 
@@ -124,7 +124,7 @@
   CHECK(member.Identity.Administration.text() == "[::1]:4");
   CHECK(member.Targets[0].State == fleet::TargetState::Draining);
   CHECK(member.Targets[0].SoftwareVersion == "v2");
-  CHECK(member.Targets[0].WarmUpMs == 0);
+  CHECK(member.Targets[0].WarmUpMs == 3000);
   CHECK(member.HeldOffset == 5);
   CHECK_FALSE(datagram->Message.Updates[1].HasContent);
 
