--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -173,12 +173,13 @@
   const Ticket call = ++Held->LastTicket;
   if (Held->Quarantined->blocks(arrival.Fingerprint, arrival.ServiceName, now))
     return GateAnswer::refuse(call, ResultCode::Quarantined,
-                              calls::Quarantine::QuarantineLifetime);
+                              calls::Quarantine::QuarantineLifetime,
+                              RefusalCause::Quarantine);
   const auto it = Held->Targets.find(arrival.TargetId);
   if (it == Held->Targets.end() ||
       it->second.Target.Service != arrival.ServiceName)
     return GateAnswer::refuse(call, ResultCode::NoTarget,
-                              UnknownTargetRetryAfter);
+                              UnknownTargetRetryAfter, RefusalCause::State);
   auto &gated = it->second;
   if (arrival.StatedRate)
     gated.Admission->reported(*arrival.StatedRate, now);
@@ -190,9 +191,10 @@
   // Whoever refuses a nested call loses the work above it, whosever that is.
   const bool isShared = !arrival.Tenant.empty() && !isNested;
   const auto ask = [&] {
-    return gated.Admission->arrive(
-        call, arrival.CallRank, arrival.Remaining, arrival.Fingerprint, now,
-        arrival.LatencyObjective, isNested, arrival.LinkTime);
+    return gated.Admission->arrive(call, arrival.CallRank, arrival.Remaining,
+                                   arrival.Fingerprint, now,
+                                   arrival.LatencyObjective, isNested,
+                                   arrival.LinkTime, arrival.CanGoElsewhere);
   };
   auto out = ask();
   if (isShared && out.Code == ResultCode::Overloaded &&
@@ -237,8 +239,11 @@
   Held->Calls.erase(it);
   gated.Shares.left(call);
   Held->observe(gated, call, result.End);
+  const auto pace = result.Signals && result.Signals->Load
+                        ? result.Signals->Load->PacePercent
+                        : std::nullopt;
   auto out = gated.Admission->ended(call, result.End, now, result.Refusal,
-                                    result.AwaitedReader);
+                                    result.AwaitedReader, pace);
   Held->settle(out);
   return out;
 }
--- a/Libraries/LibBalance/LoadBalancer.h
+++ b/Libraries/LibBalance/LoadBalancer.h
@@ -27,7 +27,8 @@
 /// loaded is chosen (power of two choices).
 class LoadBalancer {
 public:
-  /// A target that became ready gets its full share after this time.
+  /// A target that became ready gets its full share after this time, unless it
+  /// says itself how long it remains slow.
   static constexpr base::Duration SlowStart = std::chrono::seconds(10);
 
   explicit LoadBalancer(Locality here, const FeatureToggles &toggles = {})
@@ -46,6 +47,11 @@
                       SpilloverShare &spillover, base::TimePoint now,
                       base::Random &random) const;
 
+  /// Returns whether a further attempt after one at \p target may go to another
+  /// one, as far as is known now.
+  static bool hasOther(const TargetTable::Targets &targets, uint64_t target,
+                       base::TimePoint now);
+
   /// Returns the target's score; lower is better.
   static uint64_t score(const KnownTarget &target, base::TimePoint now);
 
--- a/Libraries/LibHttp/MeshCall.cpp
+++ b/Libraries/LibHttp/MeshCall.cpp
@@ -60,12 +60,13 @@
 using FieldValues =
     std::array<std::string_view, std::size(AuthenticatedFields)>;
 
-/// Separates the call id from the hash of the client's key, the target's rate
-/// limit and the latency objective between nodes: "ID;kHASH;rLIMIT;OBJECTIVE",
-/// all optional. They are part of the id's value because older nodes take the
-/// id as it is.
+/// Separates the call id from the hash of the client's key, the mark of a call
+/// that can go elsewhere, the target's rate limit and the latency objective
+/// between nodes: "ID;kHASH;o;rLIMIT;OBJECTIVE", each optional. They are part
+/// of the id's value because older nodes take the id as it is.
 constexpr char IdSeparator = ';';
 constexpr char RatePrefix = 'r';
+constexpr std::string_view ElsewhereMark = "o";
 constexpr char KeyPrefix = 'k';
 constexpr size_t KeyHashDigits = 64;
 
@@ -131,6 +132,8 @@
     return word;
   if (!call.KeyHash.empty())
     word.append({IdSeparator, KeyPrefix}).append(call.KeyHash);
+  if (call.CanGoElsewhere)
+    word.append({IdSeparator}).append(ElsewhereMark);
   if (call.StatedRate)
     word.append({IdSeparator, RatePrefix})
         .append(std::to_string(*call.StatedRate));
@@ -146,8 +149,7 @@
                                       : word.substr(at + 1);
 }
 
-/// Parses the output of idWord(). A suffix that is none of an objective, a
-/// limit and a hash is part of the id.
+/// Parses the output of idWord(). Any other suffix is part of the id.
 void readIdWord(std::string_view word, MeshCall &call) {
   uint32_t ms = 0;
   std::string_view part = lastPartOf(word);
@@ -163,6 +165,11 @@
     word.remove_suffix(part.size() + 1);
   }
   part = lastPartOf(word);
+  if (part == ElsewhereMark) {
+    call.CanGoElsewhere = true;
+    word.remove_suffix(part.size() + 1);
+  }
+  part = lastPartOf(word);
   if (part.size() == KeyHashDigits + 1 && part.starts_with(KeyPrefix)) {
     call.KeyHash = part.substr(1);
     word.remove_suffix(part.size() + 1);
--- a/Libraries/LibHttp/MeshCall.h
+++ b/Libraries/LibHttp/MeshCall.h
@@ -30,6 +30,9 @@
   /// node that owns the call's idempotency key; empty: none. Sent between nodes
   /// only.
   std::string KeyHash;
+  /// The sender will ask another target if this one's node refuses. Sent
+  /// between nodes only; older nodes don't.
+  bool CanGoElsewhere = false;
   uint32_t Hops = 0;       ///< Number of ancestor calls in the chain.
   uint32_t Attempt = 1;    ///< RetryAttempt, HedgeAttempt, or 1 for others.
   std::string ServiceName; ///< "configuration/name".
--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -13,6 +13,8 @@
 constexpr size_t MaximumHostBytes = 45;
 constexpr size_t MaximumTextBytes = 256;
 constexpr uint64_t SmallMessageWords = 64;
+/// A longer warm-up of a target is passed on as this one, in milliseconds.
+constexpr uint32_t MaximumWarmUpMs = 60'000;
 
 void writeAddress(wire::Address::Builder builder,
                   const base::Address &address) {
@@ -35,6 +37,9 @@
   builder.setConnections(target.Connections);
   builder.setLoadPermille(target.LoadPermille);
   builder.setEpoch(target.Epoch);
+  if (target.WarmUpMs)
+    builder.setStatedWarmUp(static_cast<uint16_t>(
+        std::min(*target.WarmUpMs, MaximumWarmUpMs) + 1));
   if (!target.SoftwareVersion.empty())
     builder.setSoftwareVersion(target.SoftwareVersion);
 }
@@ -47,6 +52,8 @@
   target.Connections = reader.getConnections();
   target.LoadPermille = reader.getLoadPermille();
   target.Epoch = reader.getEpoch();
+  if (reader.getStatedWarmUp() > 0)
+    target.WarmUpMs = reader.getStatedWarmUp() - 1;
   return readText(reader.getService(), MaximumTextBytes, target.Service) &&
          readText(reader.getTargetId(), MaximumIdBytes, target.TargetId) &&
          readText(reader.getSoftwareVersion(), MaximumIdBytes,
