LibAdmission: Name the cause of two more refusals

Change: a call whose place a tenant with fewer calls took and a second attempt that would wait have a cause of their own in log and metrics.

--- a/Libraries/LibAdmission/NodeGate.cpp
+++ b/Libraries/LibAdmission/NodeGate.cpp
@@ -153,8 +153,9 @@
     if (!call)
       return false;
     gated.Admission->abandoned(*call, LastTime);
-    Displaced.push_back(
-        GateAnswer::refuse(*call, ResultCode::Overloaded, DisplacedRetryAfter));
+    Displaced.push_back(GateAnswer::refuse(*call, ResultCode::Overloaded,
+                                           DisplacedRetryAfter,
+                                           RefusalCause::Displaced));
     settle({Displaced.back()});
     return true;
   }
--- a/Libraries/LibAdmission/RefusalCause.h
+++ b/Libraries/LibAdmission/RefusalCause.h
@@ -16,6 +16,8 @@
   Wait,       ///< It would not have started in time.
   QueueFull,  ///< It was shed from a full queue.
   Waited,     ///< It waited, and can no longer start in time.
+  Displaced,  ///< A tenant with fewer calls here took its place.
+  Hedge,      ///< It is a second attempt, which does not wait.
 };
 
 constexpr base::EnumName<RefusalCause> RefusalCauseNames[] = {
@@ -27,6 +29,8 @@
     {RefusalCause::Wait, "wait"},
     {RefusalCause::QueueFull, "queue-full"},
     {RefusalCause::Waited, "waited"},
+    {RefusalCause::Displaced, "displaced"},
+    {RefusalCause::Hedge, "hedge"},
 };
 
 } // namespace radishcross::admission
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -132,7 +132,8 @@
   bool hasWaited = decision.What == GateAnswer::Kind::Queued;
   if (hasWaited && call.Attempt == HedgeAttempt) {
     Environment.Gate->abandoned(ticket, now);
-    decision = GateAnswer::refuse(ticket, base::ResultCode::Overloaded, {});
+    decision = GateAnswer::refuse(ticket, base::ResultCode::Overloaded, {},
+                                  admission::RefusalCause::Hedge);
   } else if (hasWaited) {
     decision = co_await awaitTurn(ticket, call, watch);
   } else if (decision.What == GateAnswer::Kind::Refuse) {
