--- a/Libraries/LibAdmission/TargetGate.h
+++ b/Libraries/LibAdmission/TargetGate.h
@@ -34,11 +34,11 @@
 /// connections, state, queue length, floors of standard and background.
 /// Arrive: ticket, rank, remaining microseconds, latency objective, flags (1
 /// nested, 2 can go elsewhere), time on the link; outcome: kind, code,
-/// retry-after. Ended: ticket, end, kind of refusal, pace in percent (0: none).
-/// Abandoned: ticket. Outcome of Ended and Tick: the number of answers, the sum
-/// of their tickets, the limit. Signalled: ticket, flags (see flagsOf()), the
-/// limit; outcome: 1 if it has changed. ProcessChanged: none. Reported: the
-/// limit.
+/// retry-after. Ended: ticket, end, kind of refusal, time spent waiting for the
+/// reader, pace in percent (0: none). Abandoned: ticket. Outcome of Ended and
+/// Tick: the number of answers, the sum of their tickets, the limit. Signalled:
+/// ticket, flags (see flagsOf()), the limit; outcome: 1 if it has changed.
+/// ProcessChanged: none. Reported: the limit.
 struct AdmissionEvent {
   enum Value : uint8_t {
     Configure,
