--- a/Tests/LibTenants/TestAllotmentHolder.cpp
+++ b/Tests/LibTenants/TestAllotmentHolder.cpp
@@ -172,10 +172,12 @@
   base::TimePoint now{50s};
   for (uint32_t nodes : {3U, 24U, 91U}) {
     std::vector<AllotmentMember> members;
+    members.reserve(nodes);
     for (uint32_t n = 0; n < nodes; ++n)
       members.push_back({"n" + std::to_string(n), true});
     AllotmentHolder holder("n0", {}, 1);
     std::vector<TenantLimit> limits;
+    limits.reserve(400);
     for (int n = 0; n < 400; ++n)
       limits.push_back({"t" + std::to_string(n), 10, 10});
     holder.configure(limits);
--- a/Tests/LibTenants/TestAllotments.cpp
+++ b/Tests/LibTenants/TestAllotments.cpp
@@ -368,7 +368,6 @@
   constexpr size_t Nodes = 80;
   constexpr double RequestsPerSecond = 1830;
   constexpr double Clients = 910; // Each at one node.
-  Refusals sum;
   for (double part : {0.7, 0.9}) {
     std::vector<TenantLimit> limits;
     std::vector<double> weights;
