LibHttp: Keep the id of a call whose answer is still passed on

What logs a broken answer held a view of the id in the request, which ends with the call, so the line read freed memory. The linter showed it; no test does.

--- a/Libraries/LibHttp/CallEnds.cpp
+++ b/Libraries/LibHttp/CallEnds.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <string>
 #include <utility>
 
 namespace radishcross::http {
@@ -17,8 +18,9 @@
 
 /// Counts and logs how the rest of a call's answer ends, unless it is whole.
 void CallEngine::noteRestEnd(const BrokeredCall &call) {
-  auto id = requestIdOf(call.Incoming.Message, Environment.Headers,
-                        call.Request.CallId);
+  // Outlives the call.
+  std::string id(requestIdOf(call.Incoming.Message, Environment.Headers,
+                             call.Request.CallId));
   call.HttpResponse.Rest->addOnEnd(
       [this, id = std::move(id)](RestEnd how, base::Duration awaited) {
         if (how == RestEnd::Whole)
