--- a/Libraries/LibPeer/WireTypes.cpp
+++ b/Libraries/LibPeer/WireTypes.cpp
@@ -38,8 +38,8 @@
   builder.setLoadPermille(target.LoadPermille);
   builder.setEpoch(target.Epoch);
   if (target.WarmUpMs)
-    builder.setStatedWarmUp(static_cast<uint16_t>(
-        std::min(*target.WarmUpMs, MaximumWarmUpMs) + 1));
+    builder.setStatedWarmUp(
+        static_cast<uint16_t>(std::min(*target.WarmUpMs, MaximumWarmUpMs) + 1));
   if (!target.SoftwareVersion.empty())
     builder.setSoftwareVersion(target.SoftwareVersion);
 }
