LibPeer: Generate the accessors of a target's warm-up

Cause: they were written by hand as the schema compiler writes them, and the reflection data lacked the field. Change: generated from Peer.capnp anew.

--- a/Libraries/LibPeer/Peer.capnp.h
+++ b/Libraries/LibPeer/Peer.capnp.h
@@ -495,11 +495,11 @@
 
   inline  ::uint64_t getEpoch() const;
 
-  inline  ::uint16_t getStatedWarmUp() const;
-
   inline bool hasSoftwareVersion() const;
   inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
+  inline  ::uint16_t getStatedWarmUp() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -564,9 +564,6 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
-  inline  ::uint16_t getStatedWarmUp();
-  inline void setStatedWarmUp( ::uint16_t value);
-
   inline bool hasSoftwareVersion();
   inline  ::capnp::Text::Builder getSoftwareVersion();
   inline void setSoftwareVersion( ::capnp::Text::Reader value);
@@ -574,6 +571,9 @@
   inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
 
+  inline  ::uint16_t getStatedWarmUp();
+  inline void setStatedWarmUp( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2373,20 +2373,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Target::Reader::getStatedWarmUp() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Target::Builder::getStatedWarmUp() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Target::Builder::setStatedWarmUp( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Target::Reader::hasSoftwareVersion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
@@ -2421,6 +2407,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t Target::Reader::getStatedWarmUp() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Target::Builder::getStatedWarmUp() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Target::Builder::setStatedWarmUp( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeldException::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
