LibHttp: Look for an answer that is there before a paused process gives up

After a pause of the process the deadlines of both nodes are due at once, and the near one gave the attempt up as lost before it read the refusal that the far one sent. Change: a deadline that is noticed over 5 ms late holds for as long again, 20 ms at most, once.

--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace radishcross::http {
 
@@ -24,6 +25,10 @@
 /// Of a long answer, for its connections on both sides. Best effort: without it
 /// the kernel's own limits hold.
 constexpr int KernelWindowBytes = 128 << 10;
+/// A deadline noticed later than this found the process paused; it then holds
+/// for as long again, but no longer than the second time.
+constexpr base::Duration MaxTimerDelay = std::chrono::milliseconds(5);
+constexpr base::Duration MaxExtension = std::chrono::milliseconds(20);
 constexpr int KeepaliveIdleSeconds = 1;
 constexpr int KeepaliveIntervalSeconds = 1;
 constexpr int KeepaliveProbes = 2;
@@ -58,6 +63,7 @@
 
 void Connection::expireAfter(base::Duration timeout) {
   Expired = false;
+  IsExtended = false;
   DeadlineAt = Clock::now() + timeout;
   if (!TimerRunning || DeadlineAt < Timer.expiry())
     startTimer(DeadlineAt);
@@ -77,10 +83,17 @@
   TimerRunning = false;
   if (DeadlineAt == NoDeadline)
     return;
-  if (Clock::now() < DeadlineAt) {
+  const auto now = Clock::now();
+  if (now < DeadlineAt) {
     startTimer(DeadlineAt);
     return;
   }
+  // The peer may have answered while this process was paused.
+  const auto late = now - DeadlineAt;
+  if (late > MaxTimerDelay && !std::exchange(IsExtended, true)) {
+    startTimer(now + std::min<Clock::duration>(late, MaxExtension));
+    return;
+  }
   Expired = true;
   error_code ec;
   Socket.cancel(ec);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -248,6 +248,7 @@
   Clock::time_point DeadlineAt = NoDeadline;
   bool TimerRunning = false;
   bool Expired = false;
+  bool IsExtended = false; ///< The deadline was, after a pause of the process.
   bool ReachedEof = false; ///< A read has reported the end of the stream.
   /// A write has received the connection's error, which the kernel reports only
   /// once. The end of the stream is then not a clean one.
--- a/Tests/LibHttp/TestCallProxy.cpp
+++ b/Tests/LibHttp/TestCallProxy.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 #include <memory>
+#include <thread>
 
 using namespace radishcross;
 using namespace radishcross::tests;
@@ -132,6 +133,23 @@
   CHECK(mesh.Far.Gate.Abandoned == 1);
 }
 
+TEST_CASE(
+    "a process that was paused reads the answers that are there before it "
+    "gives up") {
+  TwoNodes mesh;
+  mesh.Far.Gate.Kind = GateAnswer::Kind::Queued;
+  mesh.Near.Broker.First.AttemptTimeout = std::chrono::milliseconds(80);
+  std::optional<http::Response> response;
+  mesh.begin(response);
+  runUntil(mesh.Context, [&] { return !mesh.Far.Gate.Arrivals.empty(); });
+  // Meanwhile the call ends at the far gate, and then at the near node.
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  runUntil(mesh.Context, [&] { return response.has_value(); });
+  CHECK(response->result_int() == 503);
+  REQUIRE(mesh.Near.Broker.Results.size() == 1);
+  CHECK(mesh.Near.Broker.Results[0].Code == base::ResultCode::DeadlineExceeded);
+}
+
 TEST_CASE("a status promises that a call has not run exactly where it is so") {
   using base::ResultCode;
   using calls::CallOutcome;
