--- a/Libraries/LibCalls/CallFleet.cpp
+++ b/Libraries/LibCalls/CallFleet.cpp
@@ -5,13 +5,6 @@
 
 namespace radishcross::calls {
 
-namespace {
-
-/// How long nodes that are no longer seen still count.
-constexpr base::Duration NodesRetention = std::chrono::seconds(30);
-
-} // namespace
-
 void CallPlanner::membersChanged(const std::vector<fleet::Member> &members,
                                  base::TimePoint now) {
   for (const auto *it : Table.membersChanged(members, now))
