LibHttp: Reckon all answers with the link again

Cause: answers to clients at the node's own address were not paced any more and the pacer reckoned with 1 s at most.

--- a/Libraries/LibHttp/CallAttempts.cpp
+++ b/Libraries/LibHttp/CallAttempts.cpp
@@ -186,8 +186,7 @@
         std::min(MaxResponseMargin, mesh.Remaining / MarginDivisor);
     co_return co_await sendToNode(call, step, mesh, std::move(watch), response);
   }
-  const AnswerPath path{call.Request.FromMesh || !call.Incoming.IsWithinVm,
-                        step.StoreAnswer};
+  const AnswerPath path{step.StoreAnswer};
   GateOutcome outcome =
       co_await LocalGate.run(std::move(mesh), call.Incoming.Message,
                              call.Request.Fingerprint, std::move(watch), path);
--- a/Libraries/LibHttp/Connection.cpp
+++ b/Libraries/LibHttp/Connection.cpp
@@ -203,15 +203,6 @@
   Socket.set_option(Unsent(KernelWindowBytes), ec);
 }
 
-bool Connection::isWithinVm() const {
-  error_code ec;
-  auto remote = Socket.remote_endpoint(ec);
-  if (ec)
-    return false;
-  auto local = Socket.local_endpoint(ec);
-  return !ec && remote.address() == local.address();
-}
-
 base::Address Connection::peer() const {
   error_code ec;
   auto endpoint = Socket.remote_endpoint(ec);
--- a/Libraries/LibHttp/Connection.h
+++ b/Libraries/LibHttp/Connection.h
@@ -170,10 +170,6 @@
   boost::asio::ip::tcp::socket &socket() { return Socket; }
   base::Address peer() const;
 
-  /// Returns whether the peer is on this VM, so that nothing between the two
-  /// goes over the VM's link.
-  bool isWithinVm() const;
-
   /// Paces what is written to a link, and makes large responses wait for their
   /// turns; null: they don't.
   void setLink(std::shared_ptr<LinkPacer> link,
--- a/Libraries/LibHttp/GateRunner.cpp
+++ b/Libraries/LibHttp/GateRunner.cpp
@@ -88,7 +88,7 @@
               outcome);
   outcome.Result.PressurePermille =
       Environment.Gate->pressurePermille(call.TargetId);
-  if (Environment.Link && path.CrossesLink)
+  if (Environment.Link)
     outcome.Result.PressurePermille =
         std::max(outcome.Result.PressurePermille,
                  Environment.Link->pressurePermille(Environment.Time->now()));
@@ -121,8 +121,7 @@
   arrival.IsNested = call.Hops > 0;
   arrival.IsProvable = !Keys.empty();
   arrival.CanGoElsewhere = call.CanGoElsewhere;
-  size_t expectedBytes =
-      Environment.Link && path.CrossesLink ? Sizes.expected(kindOf(call)) : 0;
+  size_t expectedBytes = Environment.Link ? Sizes.expected(kindOf(call)) : 0;
   if (expectedBytes > 0)
     arrival.LinkTime = Environment.Link->timeUntilSent(expectedBytes, now);
   GateAnswer decision = Environment.Gate->arrive(arrival, now);
--- a/Libraries/LibHttp/GateRunner.h
+++ b/Libraries/LibHttp/GateRunner.h
@@ -28,7 +28,6 @@
 
 /// Where the answer of a call goes.
 struct AnswerPath {
-  bool CrossesLink = true; ///< It leaves this VM.
   /// It is stored for repeats of the call, so it has to be known to be whole
   /// before it is passed on.
   bool IsStored = false;
--- a/Libraries/LibHttp/LinkPacer.cpp
+++ b/Libraries/LibHttp/LinkPacer.cpp
@@ -20,8 +20,7 @@
 
 base::Duration LinkPacer::reserve(size_t bytes, base::TimePoint now) {
   const auto wait = std::max(FreeAt - now - Allowance, base::Duration::zero());
-  FreeAt =
-      std::min(std::max(FreeAt, now) + timeFor(bytes), now + MaximumBacklog);
+  FreeAt = std::max(FreeAt, now) + timeFor(bytes);
   return wait;
 }
 
--- a/Libraries/LibHttp/LinkPacer.h
+++ b/Libraries/LibHttp/LinkPacer.h
@@ -20,9 +20,6 @@
   static constexpr base::Duration Allowance = std::chrono::milliseconds(25);
   /// Size of a piece, and of the largest answer that is written at once.
   static constexpr size_t PieceBytes = 16UL << 10;
-  /// What is reckoned to be under way is at most this long, so that no answer
-  /// waits longer where the link carries more than stated or is not used.
-  static constexpr base::Duration MaximumBacklog = std::chrono::seconds(1);
   /// Backlog at which the link counts as full: a small answer behind it would
   /// take most of a nested call's time.
   static constexpr base::Duration FullBacklog = std::chrono::milliseconds(200);
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -69,7 +69,6 @@
 struct IncomingRequest {
   Request Message;
   base::Address Peer;
-  bool IsWithinVm = false; ///< The client is on this VM.
   /// Whether the client has disconnected; polled by long-running handlers.
   std::shared_ptr<bool> ClientGone = std::make_shared<bool>(false);
   /// The same as a notification; null if the client is not watched.
--- a/Libraries/LibHttp/Session.cpp
+++ b/Libraries/LibHttp/Session.cpp
@@ -50,11 +50,10 @@
 Session::Session(std::shared_ptr<SessionContext> shared, tcp::socket socket)
     : Shared(std::move(shared)),
       Client(std::make_shared<Connection>(std::move(socket))),
-      Peer(Client->peer()), IsWithinVm(Client->isWithinVm()),
+      Peer(Client->peer()),
       StateChanged(Client->socket().get_executor(),
                    asio::steady_timer::time_point::max()) {
-  if (!IsWithinVm)
-    Client->setLink(Shared->Limits.Link, Shared->Turns);
+  Client->setLink(Shared->Limits.Link, Shared->Turns);
   Client->setLedger(Shared->Limits.Memory);
 }
 
@@ -200,7 +199,7 @@
 
 asio::awaitable<Response> Session::callHandler(PendingRequestPointer pending) {
   auto &watch = pending->Watch;
-  IncomingRequest incoming{std::move(pending->Message), Peer, IsWithinVm,
+  IncomingRequest incoming{std::move(pending->Message), Peer,
                            std::shared_ptr<bool>(watch, &watch->Gone), watch};
   std::string failure;
   try {
--- a/Libraries/LibHttp/Session.h
+++ b/Libraries/LibHttp/Session.h
@@ -113,7 +113,6 @@
   std::shared_ptr<SessionContext> Shared;
   ConnectionPointer Client;
   base::Address Peer;
-  bool IsWithinVm;
   boost::asio::steady_timer StateChanged;
   std::deque<PendingRequestPointer> Requests; ///< In the order of the requests.
   std::optional<Response> Refusal; ///< For a request that could not be read.
--- a/Tests/LibHttp/TestWriteWaits.cpp
+++ b/Tests/LibHttp/TestWriteWaits.cpp
@@ -105,44 +105,6 @@
   CHECK(writer.IsDone);
 }
 
-TEST_CASE("what is reckoned on the link keeps no answer waiting for long") {
-  LinkPacer link(1'750'000);
-  const base::TimePoint now{};
-  for (int n = 0; n < 1000; ++n)
-    link.reserve(LinkPacer::PieceBytes, now);
-  CHECK(link.reserve(LinkPacer::PieceBytes, now) <= 1s);
-  CHECK(link.pressurePermille(now) == 1000);
-  CHECK(link.backlog(now + 1s) == 0s);
-}
-
-TEST_CASE("an answer within the VM is not paced, and takes nothing of the "
-          "link") {
-  for (const char *host : {"127.0.0.1", "127.0.0.2"}) {
-    INFO(host);
-    asio::io_context context{1};
-    http::ServerLimits limits;
-    limits.Link = std::make_shared<LinkPacer>(400'000);
-    limits.WritesInTurns = true;
-    base::LastReason reason;
-    auto server = http::Server::create(
-        context, {host, 0}, limits,
-        [](http::IncomingRequest) -> asio::awaitable<http::Response> {
-          co_return http::makeJsonResponse(200, std::string(100'000, 'x'));
-        },
-        reason);
-    REQUIRE(server);
-    http::Request request(bh::verb::get, "/", 11);
-    request.set("Host", "any");
-    const auto started = std::chrono::steady_clock::now();
-    REQUIRE(fetchFrom(context, (*server)->address(), request));
-    // The client's own address is 127.0.0.1.
-    if (std::string_view(host) == "127.0.0.1")
-      CHECK(limits.Link->backlog(base::TimePoint{}) == 0s);
-    else
-      CHECK(std::chrono::steady_clock::now() - started >= 150ms);
-  }
-}
-
 TEST_CASE("a pressure beyond the whole counts as the whole") {
   for (const char *text : {"1001", "4294967295", "1000000 nested"}) {
     http::Response response = http::makeJsonResponse(200, "{}");
