--- a/Tests/LibAdmin/TestNodeSettings.cpp
+++ b/Tests/LibAdmin/TestNodeSettings.cpp
@@ -97,7 +97,9 @@
       {R"({"machine_mb": 260})", 195},
       {R"({"machine_mb": 512})", 384},
       {R"({"machine_mb": 512, "held_mb": 100})", 100}};
-  for (const auto &[memory, held] : cases) {
+  for (const auto &it : cases) {
+    const auto *memory = it.first;
+    const auto held = it.second;
     INFO(memory);
     auto document = goodSettings();
     change(document, "/memory", memory);
