LibTenants, LibAdmission: Give the view of members and the link one place each

Change: AllotmentMembers decides who owns and keeps from the members alone; a call that is too late on the link is told by estimateTime(). No decision changes. Result: TestLibTenants 31 of 31 and TestLibAdmission 70 of 70 pass.

--- a/Libraries/LibAdmission/Patience.cpp
+++ b/Libraries/LibAdmission/Patience.cpp
@@ -1,5 +1,7 @@
 #include <LibAdmission/Patience.h>
 
+#include <LibBalance/TimeEstimate.h>
+
 #include <algorithm>
 
 namespace radishcross::admission {
@@ -56,7 +58,12 @@
     return false;
   const auto useful =
       call.IsNested ? remaining : std::min(call.LatencyObjective, remaining);
-  return call.Expected + call.LinkTime > useful;
+  // A call that would be late without a wait is late with one.
+  balance::WorkAhead work;
+  work.HasFreeSlot = true;
+  work.SlotTime = call.Expected;
+  work.LinkTime = call.LinkTime;
+  return balance::estimateTime(work).Completion > useful;
 }
 
 } // namespace radishcross::admission
--- a/Libraries/LibBalance/TimeEstimate.h
+++ b/Libraries/LibBalance/TimeEstimate.h
@@ -17,7 +17,7 @@
   base::Duration LinkTime{}; ///< For its answer, and those before it.
 };
 
-/// When a call is expected to start and to be answered, from now. The one
+/// When a call is expected to start and to be answered, from now: the gate's
 /// estimate for waiting, for refusing early and for thin links.
 struct TimeEstimate {
   base::Duration Wait{};       ///< Until it starts.
--- a/Libraries/LibTenants/AllotmentHolder.cpp
+++ b/Libraries/LibTenants/AllotmentHolder.cpp
@@ -1,6 +1,5 @@
 #include <LibTenants/AllotmentHolder.h>
 
-#include <LibBase/Hash.h>
 #include <LibTenants/AllotmentKeeper.h>
 
 #include <algorithm>
@@ -57,58 +56,15 @@
 
 void AllotmentHolder::setMembers(const std::vector<AllotmentMember> &members,
                                  base::TimePoint now) {
-  if (!std::exchange(HasMembers, true))
-    FirstMembers = now;
-  if (members == Members)
-    return;
-  std::map<fleet::NodeId, base::TimePoint> lost;
-  std::map<std::string_view, bool> wasAlive;
-  for (const auto &it : Members)
-    wasAlive.emplace(it.Id, it.IsAlive);
-  uint32_t alive = 0;
-  for (const auto &it : members) {
-    auto since = LostSince.find(it.Id);
-    auto before = wasAlive.find(it.Id);
-    if (it.IsAlive)
-      ++alive;
-    else if (since != LostSince.end())
-      lost.insert(*since);
-    else if (before != wasAlive.end() && before->second)
-      lost.emplace(it.Id, now);
-  }
-  LostSince = std::move(lost);
-  AliveMembers = alive;
-  Members = members;
-  IsChoiceStale = true;
-}
-
-bool AllotmentHolder::hasJoined(base::TimePoint now) const {
-  return HasMembers && now - FirstMembers >= Settings.JoinTime;
-}
-
-/// Returns whether this node is one of the owners of \p group: the nodes of the
-/// highest rendezvous weights of those alive and those that lately were.
-bool AllotmentHolder::isOwner(uint32_t group) const {
-  const auto key = "shares/" + std::to_string(group);
-  const auto own = base::rendezvousWeight(key, Self);
-  uint32_t rank = 0;
-  for (const auto &it : Members)
-    if (it.IsAlive && base::rendezvousWeight(key, it.Id) > own)
-      ++rank;
-  for (const auto &[id, since] : LostSince)
-    if (base::rendezvousWeight(key, id) > own)
-      ++rank;
-  return rank < Settings.Owners;
+  if (Members.set(members, now))
+    IsChoiceStale = true;
 }
 
 /// Returns how many nodes own a share of the group's allotments. 0: this one
 /// does not, or its view may be partial.
 uint32_t AllotmentHolder::shareOf(const Group &group,
                                   base::TimePoint now) const {
-  if (!group.IsOwner || !hasJoined(now))
-    return 0;
-  return std::min(Settings.Owners,
-                  AliveMembers + static_cast<uint32_t>(LostSince.size()));
+  return group.IsOwner && Members.hasJoined(now) ? Members.owners() : 0;
 }
 
 void AllotmentHolder::decay(Pocket &pocket, base::TimePoint now) const {
@@ -138,7 +94,7 @@
 /// that asks at many nodes has none for each: its requests wait for an ask.
 uint32_t AllotmentHolder::spareOf(const Pocket &pocket) const {
   const auto nodes =
-      pocket.Askers > 0 ? pocket.Askers : std::max(AliveMembers, 1U);
+      pocket.Askers > 0 ? pocket.Askers : std::max(Members.alive(), 1U);
   const auto each =
       SparePart * unusedBound(pocket.Limit, Settings) / double(nodes);
   return static_cast<uint32_t>(each);
@@ -237,62 +193,20 @@
   it->second.IsReported = false;
 }
 
-/// Returns the member of the highest rendezvous weight for a group, of those
-/// that are alive and keep fewer than \p mostGroups others; null: none.
-const fleet::NodeId *AllotmentHolder::bestKeeper(uint32_t group,
-                                                 bool isDoubtedToo,
-                                                 uint32_t mostGroups) const {
-  const auto key = "allotments/" + std::to_string(group);
-  const fleet::NodeId *best = nullptr;
-  uint64_t most = 0;
-  for (const auto &it : Members) {
-    if (!it.IsAlive || !it.CanKeep ||
-        (!isDoubtedToo && DoubtedUntil.contains(it.Id)))
-      continue;
-    const auto kept = KeptGroups.find(it.Id);
-    if (kept != KeptGroups.end() && kept->second >= mostGroups)
-      continue;
-    const auto weight = base::rendezvousWeight(key, it.Id);
-    if (best && weight <= most)
-      continue;
-    best = &it.Id;
-    most = weight;
-  }
-  return best;
-}
-
-/// Chooses the members to ask. The groups are spread evenly over the members
-/// alive; whoever doubts one of those asks the next instead, so that its doubt
-/// moves no other group.
+/// Chooses the members to ask anew where something has changed.
 void AllotmentHolder::chooseKeepers(base::TimePoint now) {
   if (std::erase_if(DoubtedUntil,
                     [&](const auto &it) { return now >= it.second; }) > 0)
     IsChoiceStale = true;
-  if (std::erase_if(LostSince, [&](const auto &it) {
-        return now - it.second > Settings.MemberMemory;
-      }) > 0)
+  if (Members.forgetLost(now))
     IsChoiceStale = true;
   if (!std::exchange(IsChoiceStale, false))
     return;
-  const auto candidates = static_cast<uint32_t>(
-      std::count_if(Members.begin(), Members.end(),
-                    [](const auto &it) { return it.IsAlive && it.CanKeep; }));
-  const auto each =
-      (AllotmentGroups + candidates - 1) / std::max(candidates, 1U);
-  KeptGroups.clear();
+  auto chosen = Members.chooseKeepers(DoubtedUntil);
   for (uint32_t group = 0; group < AllotmentGroups; ++group) {
-    Groups[group].IsOwner = isOwner(group);
-    Groups[group].Chosen.clear();
-    const auto *chosen = bestKeeper(group, true, each);
-    if (!chosen)
-      continue;
-    ++KeptGroups[*chosen];
-    if (DoubtedUntil.contains(*chosen))
-      chosen = bestKeeper(group, false, AllotmentGroups + 1);
-    if (chosen)
-      Groups[group].Chosen = *chosen;
+    Groups[group].IsOwner = Members.isOwner(group);
+    Groups[group].Chosen = std::move(chosen[group]);
   }
-  KeptGroups.clear();
 }
 
 void AllotmentHolder::attach(uint32_t group) {
@@ -400,7 +314,7 @@
   it.IsUrgent = false;
   // A node that neither lends nor needs anything is silent.
   if (message.Needs.empty() && sends.size() == sent &&
-      (!it.IsOwner || !hasJoined(now)))
+      (!it.IsOwner || !Members.hasJoined(now)))
     return;
   flush();
   if (it.Unanswered++ == 0)
--- a/Libraries/LibTenants/AllotmentHolder.h
+++ b/Libraries/LibTenants/AllotmentHolder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibTenants/AllotmentMembers.h>
 #include <LibTenants/AllotmentMessage.h>
 #include <LibTenants/AllotmentPort.h>
 #include <LibTenants/AllotmentSettings.h>
@@ -13,15 +14,6 @@
 
 namespace radishcross::tenants {
 
-/// A node as the allotments see it.
-struct AllotmentMember {
-  fleet::NodeId Id;
-  bool IsAlive = false;
-  bool CanKeep = true; ///< Serves, so that it may be a keeper.
-
-  bool operator==(const AllotmentMember &) const = default;
-};
-
 /// Totals of an AllotmentHolder since its start.
 struct AllotmentCounts {
   uint64_t Granted = 0;
@@ -47,7 +39,8 @@
   /// \p firstSession must increase from process to process of the node.
   AllotmentHolder(fleet::NodeId self, AllotmentSettings settings,
                   uint64_t firstSession)
-      : Self(std::move(self)), Settings(settings), NextSession(firstSession) {}
+      : Settings(settings), NextSession(firstSession),
+        Members(std::move(self), settings) {}
 
   void configure(const std::vector<TenantLimit> &limits);
 
@@ -135,8 +128,6 @@
   void uncountRefusal(Pocket &pocket);
   void decay(Pocket &pocket, base::TimePoint now) const;
   void chooseKeepers(base::TimePoint now);
-  const fleet::NodeId *bestKeeper(uint32_t group, bool isDoubtedToo,
-                                  uint32_t mostGroups) const;
   void attach(uint32_t group);
   void followKeeper(uint32_t group, base::TimePoint now);
   bool isAskDue(const Group &group, base::TimePoint now) const;
@@ -144,20 +135,12 @@
   base::Duration scarceSpacing(const Pocket &pocket) const;
   void ask(uint32_t group, base::TimePoint now,
            std::vector<AllotmentSend> &sends);
-  bool isOwner(uint32_t group) const;
-  bool hasJoined(base::TimePoint now) const;
   uint32_t shareOf(const Group &group, base::TimePoint now) const;
 
-  fleet::NodeId Self;
   AllotmentSettings Settings;
   uint64_t NextSession;
-  std::vector<AllotmentMember> Members;
-  uint32_t AliveMembers = 0;
-  std::map<std::string_view, uint32_t> KeptGroups; ///< By keeper, when chosen.
-  std::map<fleet::NodeId, base::TimePoint> LostSince; ///< Not alive any more.
+  AllotmentMembers Members;
   std::map<fleet::NodeId, base::TimePoint> DoubtedUntil;
-  base::TimePoint FirstMembers{};
-  bool HasMembers = false;
   bool IsChoiceStale = true;
   std::array<Group, AllotmentGroups> Groups;
   std::map<std::string, Pocket, std::less<>> Pockets;
