Tests: Share the tenant's mesh and the loss of a keeper

Cause: three files of TestLibNode had the same version with a tenant and the same request with its key, two cases of TestLibTenants the same runs.

--- a/Tests/LibNode/TestAllotmentsAcrossNodes.cpp
+++ b/Tests/LibNode/TestAllotmentsAcrossNodes.cpp
@@ -1,12 +1,6 @@
-#include <LibNode/StoreMesh.h>
+#include <LibNode/TenantMesh.h>
 
-#include <LibBase/Hash.h>
-#include <LibHttp/Client.h>
-
-#include <boost/asio/co_spawn.hpp>
 #include <doctest/doctest.h>
-
-#include <optional>
 #include <string>
 
 using namespace radishcross;
@@ -17,35 +11,7 @@
 using Mesh = test::StoreMesh;
 
 config::VersionContent contentWithAllotment(uint64_t) {
-  config::VersionContent out;
-  out.Services = {{"quotes", {}}};
-  out.Routes = {{"quotes", {{}, "", "/quotes"}, "quotes"}};
-  config::Tenant tenant;
-  tenant.Name = "acme";
-  tenant.KeyHashes = {base::sha256Hex("the key")};
-  tenant.RatePerSecond = 50;
-  tenant.Burst = 50;
-  out.Tenants = {tenant};
-  return out;
-}
-
-/// Returns the status of a request of the tenant at a node; 0: no answer.
-unsigned statusAt(Mesh &mesh, const std::string &node) {
-  http::Request request(boost::beast::http::verb::get, "/quotes", 11);
-  request.set("Host", "any");
-  request.set(calls::CallHeaders().Key, "the key");
-  std::optional<unsigned> status;
-  boost::asio::co_spawn(
-      mesh.Context,
-      [&]() -> boost::asio::awaitable<unsigned> {
-        base::LastReason reason;
-        auto out = co_await http::fetch(mesh.Nodes.at(node)->callsAddress(),
-                                        request, 5s, reason);
-        co_return out ? out->result_int() : 0;
-      },
-      [&](const std::exception_ptr &, unsigned got) { status = got; });
-  REQUIRE(mesh.runUntil([&] { return status.has_value(); }));
-  return *status;
+  return test::contentWithTenant(50);
 }
 
 /// Returns whether a node grants the tenant a request before long. There is no
@@ -54,7 +20,7 @@
   // Kept, since a later request may be refused again.
   bool isGranted = false;
   return mesh.runUntil([&] {
-    isGranted = isGranted || statusAt(mesh, node) == 503;
+    isGranted = isGranted || test::statusWithKey(mesh, node) == 503;
     return isGranted;
   });
 }
@@ -81,7 +47,7 @@
   mesh.publish("1");
   mesh.startAll();
   // No share is lent yet, so nothing is granted.
-  CHECK(statusAt(mesh, "a-1") == 429);
+  CHECK(test::statusWithKey(mesh, "a-1") == 429);
   REQUIRE(mesh.runUntil([&] { return keptShares(mesh) > 0.99; }));
   CHECK(keptShares(mesh) < 1.01);
   for (const char *id : {"a-1", "a-2", "b-1"}) {
--- a/Tests/LibNode/TestNodeRoute.cpp
+++ b/Tests/LibNode/TestNodeRoute.cpp
@@ -1,33 +1,14 @@
-#include <LibNode/StoreMesh.h>
-
-#include <LibBase/Hash.h>
+#include <LibNode/TenantMesh.h>
 
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
 using namespace radishcross;
 
-namespace {
-
-config::VersionContent contentWithTenant(uint64_t) {
-  config::VersionContent out;
-  out.Services = {{"quotes", {}}};
-  out.Routes = {{"quotes", {{}, "", "/quotes"}, "quotes"}};
-  config::Tenant tenant;
-  tenant.Name = "acme";
-  tenant.KeyHashes = {base::sha256Hex("the key")};
-  tenant.RatePerSecond = 50;
-  tenant.Burst = 50;
-  out.Tenants = {tenant};
-  return out;
-}
-
-} // namespace
-
 TEST_CASE("a node tells what it would answer a tenant, and takes no token") {
   test::StoreMesh mesh;
   mesh.Settings.resize(1);
-  mesh.ContentOf = contentWithTenant;
+  mesh.ContentOf = [](uint64_t) { return test::contentWithTenant(50); };
   mesh.publish("1");
   mesh.startAll();
   const auto &node = mesh.Nodes.at("a-1");
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -1,10 +1,7 @@
-#include <LibBase/Hash.h>
-#include <LibHttp/Client.h>
 #include <LibLog/RecordBodies.h>
-#include <LibNode/StoreMesh.h>
+#include <LibNode/TenantMesh.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -15,36 +12,9 @@
 
 using Mesh = test::StoreMesh;
 
-/// A service whose only tenant has a key up to version 3.
+/// The tenant has its key up to version 3.
 config::VersionContent contentWithKey(uint64_t version) {
-  config::VersionContent out;
-  out.Services = {{"quotes", {}}};
-  out.Routes = {{"quotes", {{}, "", "/quotes"}, "quotes"}};
-  config::Tenant tenant;
-  tenant.Name = "acme";
-  if (version <= 3)
-    tenant.KeyHashes = {base::sha256Hex("the key")};
-  out.Tenants = {tenant};
-  return out;
-}
-
-/// Returns the status of a request with the key at a node; 0: no answer.
-unsigned statusWithKey(Mesh &mesh, const std::string &node) {
-  http::Request request(boost::beast::http::verb::get, "/quotes", 11);
-  request.set("Host", "any");
-  request.set(calls::CallHeaders().Key, "the key");
-  std::optional<unsigned> status;
-  boost::asio::co_spawn(
-      mesh.Context,
-      [&]() -> boost::asio::awaitable<unsigned> {
-        base::LastReason reason;
-        auto out = co_await http::fetch(mesh.Nodes.at(node)->callsAddress(),
-                                        request, 5s, reason);
-        co_return out ? out->result_int() : 0;
-      },
-      [&](const std::exception_ptr &, unsigned got) { status = got; });
-  REQUIRE(mesh.runUntil([&] { return status.has_value(); }));
-  return *status;
+  return test::contentWithTenant(0, version <= 3);
 }
 
 } // namespace
@@ -192,13 +162,13 @@
   mesh.publish("3");
   mesh.startAll();
   // No target is there, so a request with a valid key is refused as not run.
-  CHECK(statusWithKey(mesh, "b-1") == 503);
+  CHECK(test::statusWithKey(mesh, "b-1") == 503);
   mesh.Behaviours["b-1"] = test::StoreBehaviour::Refuses;
   mesh.publish("4");
   CHECK(mesh.runUntil([&] { return mesh.externalVersionAt("b-1") == 4; }));
-  CHECK(statusWithKey(mesh, "b-1") == 401);
+  CHECK(test::statusWithKey(mesh, "b-1") == 401);
   // A restarted node takes nothing back into use.
   mesh.start("b-1");
   REQUIRE(mesh.runUntil([&] { return mesh.Nodes.at("b-1")->ready(); }));
-  CHECK(statusWithKey(mesh, "b-1") == 401);
+  CHECK(test::statusWithKey(mesh, "b-1") == 401);
 }
--- a/Tests/LibTenants/TestAllotments.cpp
+++ b/Tests/LibTenants/TestAllotments.cpp
@@ -100,6 +100,31 @@
   sum.Granted += it.Granted;
 }
 
+/// Loses the keeper of a tenant by \p lose in 20 fleets, and returns what is
+/// refused in the 6 s after.
+Refusals refusedAfterLossOfKeeper(void (AllotmentFleet::*lose)(size_t node)) {
+  Refusals sum;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    base::Random source(seed);
+    AllotmentFleet fleet(12, limitsFor(source), seed);
+    auto demands = demandsFor(fleet, 0);
+    run(fleet, demands, 4500);
+    demands = demandsFor(fleet, 0.8);
+    run(fleet, demands, 3000);
+    takeRefusals(fleet);
+    const auto group = allotmentGroupOf(fleet.Limits[0].Name);
+    for (size_t n = 0; n < fleet.Nodes.size(); ++n)
+      if (fleet.Nodes[n].Own->keeper().share(group) > 0.5) {
+        (fleet.*lose)(n);
+        break;
+      }
+    run(fleet, demands, 6000);
+    add(sum, takeRefusals(fleet));
+    checkBound(fleet, seed);
+  }
+  return sum;
+}
+
 } // namespace
 
 TEST_CASE("a node alone grants its tenant's burst and rate, and no more") {
@@ -276,49 +301,13 @@
 }
 
 TEST_CASE("a keeper that says that it leaves is hardly noticed") {
-  Refusals sum;
-  for (uint64_t seed = 0; seed < 20; ++seed) {
-    base::Random source(seed);
-    AllotmentFleet fleet(12, limitsFor(source), seed);
-    auto demands = demandsFor(fleet, 0);
-    run(fleet, demands, 4500);
-    demands = demandsFor(fleet, 0.8);
-    run(fleet, demands, 3000);
-    takeRefusals(fleet);
-    for (size_t n = 0; n < fleet.Nodes.size(); ++n)
-      if (fleet.Nodes[n].Own->keeper().share(
-              allotmentGroupOf(fleet.Limits[0].Name)) > 0.5) {
-        fleet.leave(n);
-        break;
-      }
-    run(fleet, demands, 6000);
-    add(sum, takeRefusals(fleet));
-    checkBound(fleet, seed);
-  }
+  auto sum = refusedAfterLossOfKeeper(&AllotmentFleet::leave);
   MESSAGE("refused of what is owed in the 6 s after: " << sum.share());
   CHECK(sum.share() < 0.05);
 }
 
 TEST_CASE("a keeper that is killed is replaced") {
-  Refusals sum;
-  for (uint64_t seed = 0; seed < 20; ++seed) {
-    base::Random source(seed);
-    AllotmentFleet fleet(12, limitsFor(source), seed);
-    auto demands = demandsFor(fleet, 0);
-    run(fleet, demands, 4500);
-    demands = demandsFor(fleet, 0.8);
-    run(fleet, demands, 3000);
-    takeRefusals(fleet);
-    for (size_t n = 0; n < fleet.Nodes.size(); ++n)
-      if (fleet.Nodes[n].Own->keeper().share(
-              allotmentGroupOf(fleet.Limits[0].Name)) > 0.5) {
-        fleet.kill(n);
-        break;
-      }
-    run(fleet, demands, 6000);
-    add(sum, takeRefusals(fleet));
-    checkBound(fleet, seed);
-  }
+  auto sum = refusedAfterLossOfKeeper(&AllotmentFleet::kill);
   MESSAGE("refused of what is owed in the 6 s after: " << sum.share());
   CHECK(sum.share() < 0.25);
 }
