Tests/LibHttp: Let the link's tests listen where they did

Cause: they were moved to another address for answers within a VM, which are paced again. Change: the file as it was before.

--- a/Tests/LibHttp/TestLinkPacer.cpp
+++ b/Tests/LibHttp/TestLinkPacer.cpp
@@ -18,9 +18,6 @@
 /// 14 Mbit/s: a piece takes about 10 ms.
 constexpr uint64_t ThinLink = 1'750'000;
 
-/// Clients connect from 127.0.0.1, so that their answers go over the link.
-const base::Address OtherHost{"127.0.0.2", 0};
-
 } // namespace
 
 TEST_CASE("large answers wait for the link, piece by piece") {
@@ -64,7 +61,7 @@
   base::LastReason reason;
   const std::string body(300'000, 'x');
   auto server = http::Server::create(
-      context, OtherHost, limits,
+      context, {"127.0.0.1", 0}, limits,
       [&](http::IncomingRequest) -> asio::awaitable<http::Response> {
         co_return http::makeJsonResponse(200, body);
       },
@@ -101,7 +98,7 @@
   base::LastReason reason;
   const std::string body(6'000'000, 'x');
   auto server = http::Server::create(
-      context, OtherHost, limits,
+      context, {"127.0.0.1", 0}, limits,
       [&](http::IncomingRequest) -> asio::awaitable<http::Response> {
         co_return http::makeJsonResponse(200, body);
       },
@@ -111,7 +108,7 @@
   for (int n = 0; n < 3; ++n) {
     stopped.emplace_back(context);
     stopped.back().connect(
-        {asio::ip::make_address(OtherHost.Host), (*server)->address().Port});
+        {asio::ip::make_address("127.0.0.1"), (*server)->address().Port});
     asio::write(stopped.back(), asio::buffer(std::string(
                                     "GET / HTTP/1.1\r\nHost: any\r\n\r\n")));
   }
