--- a/Libraries/LibCalls/CallPlanner.cpp
+++ b/Libraries/LibCalls/CallPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBalance/SpareTargets.h>
 #include <LibBase/Hash.h>
+#include <LibCalls/EndSteps.h>
 
 #include <algorithm>
 #include <utility>
@@ -13,9 +14,6 @@
 using base::Duration;
 using base::ResultCode;
 
-/// Retry-after for refusals without one.
-constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
-
 constexpr int64_t PermilleOfPercent = 10;
 constexpr size_t MaximumNestedKinds = 64;
 /// A retry needs at least the mean time of such calls divided by this.
@@ -23,16 +21,6 @@
 /// Value in traces for a ratio that is not set.
 constexpr int64_t NoRatio = -1;
 
-CallStep finish(CallOutcome outcome, ResultCode code,
-                Duration retryAfter = {}) {
-  CallStep out;
-  out.What = CallStep::Kind::Finish;
-  out.Outcome = outcome;
-  out.Code = code;
-  out.RetryAfter = retryAfter;
-  return out;
-}
-
 CallStep withStop(CallStep step, StopReason why) {
   step.Stop = why;
   return step;
