LibBase: Sum latency histograms bucket by bucket

Cause: the library's sum of two histograms is inlined differently under the sanitizers, where the compiler takes its stack buffer for one that is read before it is written; a warning is an error there, so that stage did not build.

Change: the buckets are summed one by one, those beyond the scale too.

Result: the sanitizers' preset builds the library without a warning.

--- a/Libraries/LibBase/LatencyHistogram.cpp
+++ b/Libraries/LibBase/LatencyHistogram.cpp
@@ -47,7 +47,10 @@
 }
 
 void LatencyHistogram::add(const LatencyHistogram &other) {
-  Held->Buckets += other.Held->Buckets;
+  // By bucket, with those beyond the scale. The library's own sum is a false
+  // alarm to the compiler under the sanitizers.
+  for (int i = -1; i <= BucketCount; ++i)
+    Held->Buckets.at(i) += other.Held->Buckets.at(i);
   Count += other.Count;
   Sum += other.Sum;
 }
