--- a/Libraries/LibAdmin/RouteText.cpp
+++ b/Libraries/LibAdmin/RouteText.cpp
@@ -20,6 +20,15 @@
   return it.is_null() ? "-" : json::serialize(it);
 }
 
+/// Returns what a time of milliseconds means to the reader; empty for 0.
+std::string timeOf(const json::value &from, std::string_view key,
+                   std::string_view before) {
+  const auto &it = from.at(key);
+  if (!it.is_int64() || it.as_int64() == 0)
+    return {};
+  return std::string(before) + json::serialize(it) + " ms";
+}
+
 std::string splitOf(const json::value &route) {
   const auto &split = route.at("split").as_array();
   if (split.size() < 2)
@@ -37,8 +46,8 @@
   return "route: " + textOf(route, "configuration") + "/" +
          textOf(route, "name") + " of version " + textOf(route, "version") +
          ", service " + textOf(route, "service") + splitOf(route) + ", rank " +
-         textOf(route, "rank") + ", " + textOf(route, "left_ms") +
-         " ms left, objective " + textOf(route, "objective_ms") + " ms, " +
+         textOf(route, "rank") + ", " + textOf(route, "left_ms") + " ms left" +
+         timeOf(route, "objective_ms", ", objective ") + ", " +
          (route.at("repeatable").as_bool() ? "may be repeated"
                                            : "may not be repeated") +
          "\n";
@@ -96,10 +105,11 @@
            " in " + textOf(*to, "data_centre") + ", retries left " +
            textOf(report, "retries_left") + "\n";
   const auto &refused = report.at("refused");
+  const auto stop = textOf(refused, "stop");
   return "refused: " + textOf(refused, "status") + ", " +
-         textOf(refused, "code") + " " + textOf(refused, "name") + " (" +
-         textOf(refused, "stop") + "), come back after " +
-         textOf(refused, "retry_after_ms") + " ms\n";
+         textOf(refused, "code") + " " + textOf(refused, "name") +
+         (stop == "-" ? "" : " (" + stop + ")") +
+         timeOf(refused, "retry_after_ms", ", come back after ") + "\n";
 }
 
 } // namespace
--- a/Tests/LibAdmin/TestRouteReport.cpp
+++ b/Tests/LibAdmin/TestRouteReport.cpp
@@ -72,3 +72,10 @@
   CHECK(text.find("refused: 503, 5003 overloaded (shed), come back after 250 "
                   "ms") != std::string::npos);
 }
+
+TEST_CASE("a refusal without a reason to come back names no time") {
+  calls::RoutePreview preview;
+  preview.Step.Code = base::ResultCode::NoRoute;
+  const auto text = routeText(routeReport({}, preview, nullptr, nullptr));
+  CHECK(text.find("refused: 404, 5001 no-route\n") != std::string::npos);
+}
