--- a/Libraries/LibBalance/HedgeDelay.cpp
+++ b/Libraries/LibBalance/HedgeDelay.cpp
@@ -16,11 +16,8 @@
 }
 
 base::Duration HedgeDelay::delay(base::Duration remaining) const {
-  // Little time is shared by halves, where answers show what silence is.
-  const bool hasAnswers = SlowestLatency > base::Duration::zero();
-  const auto silence =
-      hasAnswers ? std::min(MinimumDelay, remaining / 2) : MinimumDelay;
-  const auto wanted = std::max(silence, SlowestLatency * SlowestLatencyFactor);
+  const auto wanted =
+      std::max(MinimumDelay, SlowestLatency * SlowestLatencyFactor);
   const bool fits = wanted + minimumRemaining(wanted) <= remaining;
   return fits ? wanted : base::Duration::zero();
 }
