--- a/review/8/case.py
+++ b/review/8/case.py
@@ -106,7 +106,8 @@
 async def play(trouble):
     mesh = Mesh(HERE, ["look", "desk"] * 3)
     try:
-        mesh.configure(3, [route("look", "shop.example", "/look/", "look", kind="unsafe")], ["look", "desk"])
+        mesh.configure(3, [route("look", "shop.example", "/look/", "look", kind="unsafe")],
+                       ["look", "desk"])
         await mesh.start()
         case = Case(mesh)
         for it in mesh.backends:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,7 +19,8 @@
 async def play(trouble):
     mesh = Mesh(HERE, ["look", "desk"] * 3)
     try:
-        mesh.configure(3, [route("look", "shop.example", "/look/", "look", kind="unsafe")], ["look", "desk"])
+        mesh.configure(3, [route("look", "shop.example", "/look/", "look", kind="unsafe")],
+                       ["look", "desk"])
         await mesh.start()
         if not await mesh.all_ready():
             return 2
--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -213,11 +213,11 @@
                 return at
             if kind in "#^" and kind:
                 value = look(key, scopes)
-                isSet = value is not None and value is not False and value != []
+                is_set = value is not None and value is not False and value != []
                 entries = value if isinstance(value, list) else [value]
                 if kind == "^":
-                    entries = [] if isSet else [None]
-                elif not isSet:
+                    entries = [] if is_set else [None]
+                elif not is_set:
                     entries = []
                 end = block(at, scopes, [], key, "")
                 for index, it in enumerate(entries):
@@ -248,7 +248,6 @@
         self.topics = {}
         self.changed = asyncio.Event()
         self.mode = ""
-        self.refused = set()  # Addresses of machines that are turned away.
         self.delay = 0.004
         self.lose = 0  # Appends of nodes that take effect but are not answered.
         self.calls = 0
@@ -310,14 +309,12 @@
         args = dict(it.partition("=")[::2] for it in query.split("&") if it)
         self.calls += 1
         await asyncio.sleep(self.delay)
-        peer = writer.get_extra_info("peername")
-        mode = self.mode or ("silent" if peer and peer[0] in self.refused else "")
-        if mode == "busy":
+        if self.mode == "busy":
             return self.reply(503, b"{}")
-        if mode == "reset":
+        if self.mode == "reset":
             reset(writer)
             return None
-        if mode == "silent":
+        if self.mode == "silent":
             await asyncio.sleep(60)
             return None
         name = args.get("topic", "")
@@ -485,8 +482,8 @@
 
     def note_run(self, request):
         self.record.line("run", backend=self.machine.name, service=self.service,
-                         id=request.get(PREFIX + "Request-Id"), line=request.first.rsplit(" ", 1)[0],
-                         caller=request.get(PREFIX + "Caller-Service"))
+                         id=request.get(PREFIX + "Request-Id"),
+                         line=request.first.rsplit(" ", 1)[0], caller=request.get(PREFIX + "Caller-Service"))
         self.machine.mesh.runs.setdefault(request.get(PREFIX + "Request-Id"), []).append(
             (now(), self, request))
 
