--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,6 +13,7 @@
 GRACE_S = 6.0  # Bound `grace`.
 ROLLS = 3
 GAP_S = 2.0  # Between the stops of two machines.
+AT_ONCE = 2  # Machines that are away at once, as many as the site tolerates.
 DOWN_S = 3.0  # A backend that crashed is back after this time.
 ALLOWED = 3
 RETRY_S = 3.5  # Between two retries of the crashing request.
@@ -29,6 +30,7 @@
         self.touched = {it.name: now() for it in mesh.machines}  # Last disturbance.
         self.others_lost = 0
         self.done = False
+        self.away = set()  # Requesters send nothing to these.
 
     def in_touch(self, name, at):
         return at - self.touched[name] > STABLE_S
@@ -44,7 +46,7 @@
         self.arrivals.append((at, identifier, counts))
         await asyncio.sleep(0.03)
         self.crashes.append(now())
-        self.others_lost += max(0, backend.running)
+        self.others_lost += backend.running - 1
         self.mesh.record.line("crash", backend=backend.machine.name, id=identifier,
                               number=len(self.crashes), counted=counts)
         asyncio.create_task(self.crash(backend))
@@ -55,6 +57,7 @@
         await asyncio.sleep(DOWN_S)
         backend.id = f"i-{secrets.token_hex(4)}"
         backend.born, backend.sequence, backend.running = int(time.time() * 1000), 0, 0
+        backend.free, backend.waiting = asyncio.Semaphore(backend.slots), 0
         await backend.start()
 
     async def send_crash(self, machines, count):
@@ -64,7 +67,9 @@
             identifier, data = request_bytes(
                 "POST", PATH, "shop.example", body=b"the same", close=True)
             self.senders[identifier] = machine.name
-            answer = await exchange(machine.outbound, data, 2.0)
+            self.mesh.record.line("sent", id=identifier, machine=machine.name,
+                                  line=f"POST {PATH}")
+            answer = await exchange(machine.outbound, data, 1.5)
             self.mesh.record.line("crashing request", id=identifier, machine=machine.name,
                                   status=answer.status if answer else "none")
             await asyncio.sleep(RETRY_S)
@@ -73,7 +78,7 @@
         tasks = set()
         while not self.done:
             machine = random.choice(self.mesh.machines)
-            if machine.process.poll() is None:
+            if machine not in self.away:
                 task = asyncio.create_task(Client(self.mesh, machine).call(
                     "POST", "/look/" + secrets.token_hex(4), "shop.example", body=b"x"))
                 tasks.add(task)
@@ -82,6 +87,7 @@
         await asyncio.gather(*tasks)
 
     async def restart(self, machine):
+        self.away.add(machine)
         machine.signal(signal.SIGTERM)
         until = now() + GRACE_S
         while machine.process.poll() is None:
@@ -93,11 +99,14 @@
         machine.start()
         self.touched[machine.name] = now()
         await self.mesh.all_ready(15, [machine])
+        self.away.discard(machine)
 
     async def roll(self):
         """One machine after the other, as `roll_term` does."""
         tasks = []
         for machine in self.mesh.machines:
+            while len(self.away) >= AT_ONCE:
+                await asyncio.sleep(0.05)
             tasks.append(asyncio.create_task(self.restart(machine)))
             await asyncio.sleep(GAP_S)
         await asyncio.gather(*tasks)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -68,7 +68,7 @@
         answers = await asyncio.gather(*calls)
         first = max(acknowledged + DRAIN_S, started + STABLE_S, store_back + STABLE_S)
         late = [key for key, runs in mesh.runs.items()
-                if any(it is leaver and at > first for at, it, _ in runs)]
+                if any(it is leaver for _, it, _ in runs) and mesh.sent[key] > first]
         failed = sum(1 for key, answer in answers
                      if key in late and (answer is None or answer.status != 200))
         mesh.record.line("verdict", late=len(late), failed=failed, allowed=0)
--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -21,11 +21,15 @@
 import tempfile
 import time
 import tomllib
+import urllib.parse
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PREFIX = "X-Radishcross-"
 HEAD_LIMIT = 1 << 20
+IDLE_S = 10  # Backends close connections that rest for so long.
+MAX_CONNECTIONS = 120  # Of a backend.
+QUEUE_FACTOR = 4  # A backend queues so many requests for each slot.
 
 
 def now():
@@ -243,8 +247,8 @@
     """The platform's store. `mode` is what it does with calls of nodes: "" serves
     them, "busy" answers 503, "silent" answers nothing, "reset" resets."""
 
-    def __init__(self, address, record, keep=20.0):
-        self.address, self.record, self.keep = address, record, keep
+    def __init__(self, address, record):
+        self.address, self.record = address, record
         self.topics = {}
         self.changed = asyncio.Event()
         self.mode = ""
@@ -306,7 +310,8 @@
     async def answer(self, request, writer):
         method, target, _ = request.first.split(" ", 2)
         path, _, query = target.partition("?")
-        args = dict(it.partition("=")[::2] for it in query.split("&") if it)
+        args = {key: urllib.parse.unquote(value) for key, _, value in
+                (it.partition("=") for it in query.split("&") if it)}
         self.calls += 1
         await asyncio.sleep(self.delay)
         if self.mode == "busy":
@@ -321,7 +326,11 @@
         if path == "/radishcross/log-append":
             return self.on_append(name, args, request.body, writer)
         if path == "/radishcross/log-read":
-            return await self.on_read(name, args)
+            out = await self.on_read(name, args)
+            if self.mode:  # It was held open when the store went away.
+                await asyncio.sleep(60)
+                return None
+            return out
         if path == "/radishcross/log-newest":
             return self.on_newest(name, args)
         return self.reply(404, b"{}")
@@ -388,6 +397,8 @@
     def __init__(self, machine, service, record, slots=9, work=0.02):
         self.machine, self.service, self.record = machine, service, record
         self.slots, self.work = slots, work
+        self.free = asyncio.Semaphore(slots)
+        self.waiting = 0
         self.id = f"i-{secrets.token_hex(4)}"
         self.born = int(time.time() * 1000)
         self.sequence, self.state = 0, "ready"
@@ -437,13 +448,17 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
+            if len(self.writers) > MAX_CONNECTIONS:
+                reset(writer)
+                return
             while True:
-                request = await read_message(reader)
+                async with asyncio.timeout(IDLE_S):
+                    request = await read_message(reader)
                 if request is None:
                     break
                 if not await self.handle(request, writer, reader):
                     break
-        except (OSError, asyncio.IncompleteReadError, ValueError, RuntimeError):
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError, RuntimeError):
             pass
         finally:
             self.writers.discard(writer)
@@ -452,30 +467,48 @@
     def echo(self, request):
         return [(PREFIX + "Request-Id", request.get(PREFIX + "Request-Id")),
                 (PREFIX + "Instance-Id", self.id),
-                (PREFIX + "Server-Load", f"{self.running},0,{self.slots}")]
+                (PREFIX + "Server-Load", f"{self.running},{self.waiting},{self.slots}"),
+                ("Keep-Alive", f"timeout={IDLE_S}")]
+
+    def not_run(self, request, status):
+        return compose(f"HTTP/1.1 {status}",
+                       self.echo(request) + [(PREFIX + "Not-Executed", "1")])
 
     async def handle(self, request, writer, reader):
+        if request.first.split(" ")[1] == "/health":
+            writer.write(compose("HTTP/1.1 200 OK", self.echo(request)))
+            return True
         expected = request.get(PREFIX + "Expect-Instance")
         if expected and expected != self.id:
             writer.write(compose("HTTP/1.1 421 Misdirected Request", self.echo(request)))
             return True
-        if self.running >= self.slots * 4:
-            writer.write(compose("HTTP/1.1 503 Service Unavailable",
-                                 self.echo(request) + [(PREFIX + "Not-Executed", "1")]))
+        if not request.get(PREFIX + "Request-Id"):
+            writer.write(self.not_run(request, "400 Bad Request"))
             return True
-        if self.behave:
-            done = await self.behave(self, request, writer, reader)
-            if done is not None:
-                return done
-        return await self.run(request, writer)
-
-    async def run(self, request, writer):
-        self.note_run(request)
+        if self.waiting >= QUEUE_FACTOR * self.slots:
+            writer.write(self.not_run(request, "503 Service Unavailable"))
+            return True
+        free = self.free  # Of this boot.
+        self.waiting += 1
+        try:
+            async with asyncio.timeout(int(request.get(PREFIX + "Deadline-Ms", "5000")) / 1000):
+                await free.acquire()
+        except TimeoutError:
+            writer.write(self.not_run(request, "503 Service Unavailable"))
+            return True
+        finally:
+            self.waiting -= 1 if free is self.free else 0
         self.running += 1
         try:
-            await asyncio.sleep(self.work)
+            done = await self.behave(self, request, writer, reader) if self.behave else None
+            return await self.run(request, writer) if done is None else done
         finally:
-            self.running -= 1
+            self.running -= 1 if free is self.free else 0
+            free.release()
+
+    async def run(self, request, writer):
+        self.note_run(request)
+        await asyncio.sleep(self.work)
         writer.write(self.answer(request))
         await writer.drain()
         return True
@@ -596,6 +629,7 @@
             "rollbackSlack": 250, "outer": 5000, "retryBudgetRatio": 0.2,
             "budgetWindow": 10, "budgetSlack": 60, "recovery": 15, **(bounds or {})}
         self.runs = {}
+        self.sent = {}
         self.machines, self.backends = [], []
         self.ports = [free_pair(loopback(0)) for _ in range(2)]
         store = f"{loopback(200)}:{free_port(loopback(200))}"
@@ -676,14 +710,15 @@
     def __init__(self, mesh, machine):
         self.mesh, self.machine = mesh, machine
 
-    async def call(self, method, path, host, timeout=None, **extra):
+    async def call(self, method, path, host, **extra):
         identifier, data = request_bytes(method, path, host, close=True, **extra)
         deadline = extra.get("deadline", 1500)
-        sent = now()
-        answer = await exchange(self.machine.outbound, data,
-                                timeout or deadline / 1000 + 0.5, method)
+        sent = self.mesh.sent[identifier] = now()
+        self.mesh.record.line("sent", machine=self.machine.name, id=identifier,
+                              line=f"{method} {path}")
+        answer = await exchange(self.machine.outbound, data, deadline / 1000, method)
         self.mesh.record.line(
-            "call", machine=self.machine.name, id=identifier, line=f"{method} {path}",
+            "answered", machine=self.machine.name, id=identifier, line=f"{method} {path}",
             status=answer.status if answer else "none", ms=round((now() - sent) * 1000),
             stamp=answer.get(PREFIX + "Response-Stamp") if answer else "")
         return identifier, answer
@@ -695,13 +730,16 @@
 
     async def run():
         # Connections that end with the case are no fault of it.
-        asyncio.get_running_loop().set_exception_handler(lambda *unused: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *unused: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         async with asyncio.timeout(115):
             return await play(trouble)
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # The case could not be played.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not be played.
         print("the case could not run:", repr(error))
         code = 2
     sys.exit(code)
