LibNode: Let targets prove that they are alive where no node remembers

What callers saw: a target left while the store was away, and its node acknowledged it. All nodes were killed and started again.

Cause: without the store a departure lives in processes only. A restarted node took the answer of peers as new as itself, the silence of the store or its empty record as proof that nothing had been acknowledged, and any heartbeat as proof of a live target.

Change: a node tells apart what it can know. If a peer outlived its earlier process, all is as before. If only the store answered, a target has to pass a health check, which one that is leaving fails. If the store is away too, it takes three heartbeats in order over 2.5 s. Peers are told that the memory is incomplete, so that a second restart does not build on it. TestDepartures' target starts at a realistic time, as a process that is younger than its node needs no proof; its mesh starts with first_start, and TestWholePath's target starts with the test, for the same reason.

--- a/Libraries/LibAdmission/TargetLeases.cpp
+++ b/Libraries/LibAdmission/TargetLeases.cpp
@@ -76,7 +76,9 @@
   if (isNewProcess) {
     lease.AcceptsUntil.reset();
     lease.IsLeaving = false;
+    lease.Proof = {};
   }
+  lease.Proof.heartbeat(now);
   setState(lease, state, now);
   lease.Target = target;
   lease.Target.State = state;
@@ -259,6 +261,8 @@
   const uint64_t epoch = std::max(lease.Target.Epoch + 1, byClock);
   lease.Target = announcement.Target;
   lease.Target.Epoch = epoch;
+  // Departures of targets that hold an epoch are not remembered either.
+  lease.Proof.give();
   lease.IsLeaving = false;
   lease.ExpiresAt = now + Lifetime;
   lease.Lapsed = false;
@@ -314,10 +318,51 @@
   Record->record(entryOf({}, LeaseEvent::DrainAll, {}));
 }
 
+void TargetLeases::awaitRestore(uint64_t startedUnixMs) {
+  IsAwaitingRestore = true;
+  StartedUnixMs = startedUnixMs;
+}
+
+void TargetLeases::restoreEnded(DepartureKnowledge knowledge) {
+  IsAwaitingRestore = false;
+  Knowledge = knowledge;
+}
+
+std::vector<fleet::TargetRecord> TargetLeases::inDoubt() const {
+  std::vector<fleet::TargetRecord> out;
+  if (IsAwaitingRestore || Knowledge != DepartureKnowledge::StoreOnly)
+    return out;
+  for (const auto &[id, it] : Leases)
+    if (!it.Lapsed && it.Target.State == fleet::TargetState::Ready &&
+        mayHaveLeft(it))
+      out.push_back(it.Target);
+  return out;
+}
+
+bool TargetLeases::proveAlive(std::string_view targetId, uint64_t epoch) {
+  const auto it = Leases.find(targetId);
+  if (it == Leases.end() || it->second.Target.Epoch != epoch ||
+      it->second.Proof.isGiven())
+    return false;
+  it->second.Proof.give();
+  Changed = true;
+  return true;
+}
+
+/// Returns whether an earlier process of this node may have acknowledged that
+/// the target is leaving.
+bool TargetLeases::mayHaveLeft(const Lease &lease) const {
+  if (IsAwaitingRestore)
+    return true;
+  const auto minTime = static_cast<uint64_t>(MinTimeToLeave.count());
+  return Knowledge != DepartureKnowledge::Complete && !lease.Proof.isGiven() &&
+         lease.Incarnation + minTime < StartedUnixMs;
+}
+
 /// Returns the record of a target as far as its state is known.
 fleet::TargetRecord TargetLeases::reportedRecord(const Lease &lease) const {
   auto out = lease.Target;
-  if (IsAwaitingRestore && out.State == fleet::TargetState::Ready)
+  if (out.State == fleet::TargetState::Ready && mayHaveLeft(lease))
     out.State = fleet::TargetState::Starting;
   return out;
 }
--- a/Libraries/LibAdmission/TargetLeases.h
+++ b/Libraries/LibAdmission/TargetLeases.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAdmission/LivenessProof.h>
 #include <LibBase/Clock.h>
 #include <LibBase/LastReason.h>
 #include <LibFleet/Member.h>
@@ -52,6 +53,20 @@
   };
 };
 
+/// What a restarted node knows of the departures that its earlier processes
+/// have acknowledged.
+enum class DepartureKnowledge : uint8_t {
+  Complete,  ///< A peer remembers them.
+  StoreOnly, ///< As the store holds them, which may have been away.
+  Partial,   ///< The store is away, and no peer remembers them.
+};
+
+constexpr base::EnumName<DepartureKnowledge> DepartureKnowledgeNames[] = {
+    {DepartureKnowledge::Complete, "complete"},
+    {DepartureKnowledge::StoreOnly, "store-only"},
+    {DepartureKnowledge::Partial, "partial"},
+};
+
 /// Leases of the targets behind one node. A target whose lease has lapsed gets
 /// no new calls; when it resumes, its old epoch is refused with LeaseLapsed and
 /// it must announce itself again first.
@@ -95,9 +110,26 @@
 
   /// Begins to report ready targets as starting, until restoreEnded() is
   /// called: an earlier process of this node may have acknowledged that they
-  /// are leaving.
-  void awaitRestore() { IsAwaitingRestore = true; }
-  void restoreEnded() { IsAwaitingRestore = false; }
+  /// are leaving. Milliseconds since 1970 tell when this process has started.
+  void awaitRestore(uint64_t startedUnixMs);
+
+  /// Ends the wait. Unless the departures are complete, a target that may have
+  /// left before this process started is still reported as starting until it
+  /// has proved that it is alive: by its heartbeats, or by proveAlive().
+  void restoreEnded(DepartureKnowledge knowledge);
+
+  /// Returns the targets that are reported as starting only because they may
+  /// have left, if their own word is a proof: with StoreOnly, where it is
+  /// unlikely that they have.
+  std::vector<fleet::TargetRecord> inDoubt() const;
+
+  /// Records that the process of a target with this epoch has stated, when
+  /// asked, that it is not leaving. Returns whether this is news.
+  bool proveAlive(std::string_view targetId, uint64_t epoch);
+
+  /// A target that started less than this before the node's process cannot
+  /// have left before it.
+  static constexpr std::chrono::milliseconds MinTimeToLeave{2000};
 
   /// Applies the departures that an earlier process of this node has
   /// acknowledged. Their processes do not become ready again. Returns how many
@@ -144,6 +176,7 @@
   bool restoreOne(const std::string &targetId, uint64_t epoch,
                   base::TimePoint now);
   void recordUnknownLeave(std::string_view targetId, uint64_t unixMs);
+  bool mayHaveLeft(const Lease &lease) const;
   fleet::TargetRecord reportedRecord(const Lease &lease) const;
   bool forgetLapsed();
   bool expireLeases(base::TimePoint now);
@@ -157,12 +190,15 @@
     bool Lapsed = false;
     bool DrainedByOperator = false;
     bool IsLeaving = false; ///< Its process has stated so on an answer.
+    LivenessProof Proof;
     /// While set, the gate accepts calls although the target is leaving.
     std::optional<base::TimePoint> AcceptsUntil;
   };
   std::map<std::string, Lease, std::less<>> Leases;
   bool AllDrained = false;
   bool IsAwaitingRestore = false;
+  DepartureKnowledge Knowledge = DepartureKnowledge::Complete;
+  uint64_t StartedUnixMs = 0; ///< Start of this process, if restored.
   base::Duration Lifetime;
   bool Changed = false; ///< A lease lapsed since the last tick.
   trace::Recorder *Record;
--- a/Libraries/LibFleet/Member.h
+++ b/Libraries/LibFleet/Member.h
@@ -91,7 +91,8 @@
   bool KnowsExceptions = false;
   /// Kept by the peers like Exceptions, and asked for after a restart.
   Departures Departed;
-  /// The node has fetched its departures; see KnowsExceptions.
+  /// A process of the node has known its departures; its peers keep this for
+  /// the next one, which then needs no other source.
   bool KnowsDepartures = false;
 };
 
--- a/Libraries/LibFleet/MemberTable.cpp
+++ b/Libraries/LibFleet/MemberTable.cpp
@@ -1,6 +1,7 @@
 #include <LibBase/Hash.h>
 #include <LibFleet/MemberTable.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -37,6 +38,20 @@
   Members.push_back(record);
 }
 
+/// A process that does not know all departures of the earlier ones only adds
+/// to them.
+static void mergeDepartures(Member &held, const Member &record) {
+  if (record.KnowsDepartures) {
+    held.Departed = record.Departed;
+    held.KnowsDepartures = true;
+    return;
+  }
+  for (const auto &[id, epoch] : record.Departed) {
+    auto &latest = held.Departed[id];
+    latest = std::max(latest, epoch);
+  }
+}
+
 bool MemberTable::mergeInto(Member &held, const MemberUpdate &update) {
   const auto &record = update.Record;
   bool changed = false;
@@ -46,9 +61,7 @@
     held.KnowsExceptions = record.KnowsExceptions;
     if (record.KnowsExceptions)
       held.Exceptions = record.Exceptions;
-    held.KnowsDepartures = record.KnowsDepartures;
-    if (record.KnowsDepartures)
-      held.Departed = record.Departed;
+    mergeDepartures(held, record);
     held.Revision = record.Revision;
     changed = true;
   }
--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -257,6 +257,7 @@
     FormerExceptions = kept.Exceptions;
   if (self().KnowsDepartures)
     return;
+  HasFormerDepartures = HasFormerDepartures || kept.KnowsDepartures;
   for (const auto &[id, epoch] : kept.Departed) {
     auto &latest = FormerDepartures[id];
     latest = std::max(latest, epoch);
@@ -382,12 +383,12 @@
   replaceSelf(std::move(own));
 }
 
-void Membership::setDepartures(Departures departures) {
+void Membership::setDepartures(Departures departures, bool isComplete) {
   Member own = self();
-  if (own.KnowsDepartures && own.Departed == departures)
+  if (own.KnowsDepartures == isComplete && own.Departed == departures)
     return;
   own.Departed = std::move(departures);
-  own.KnowsDepartures = true;
+  own.KnowsDepartures = isComplete;
   replaceSelf(std::move(own));
 }
 
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -114,12 +114,17 @@
   }
 
   /// Replaces the departures that peers keep for this node
-  /// (Member::Departed). Call only after formerDepartures() has been read.
-  void setDepartures(Departures departures);
+  /// (Member::Departed). Unless \p isComplete, the earlier processes may have
+  /// had others, and the peers keep those too.
+  void setDepartures(Departures departures, bool isComplete);
 
   /// Returns the departures of this node's previous process, as its peers kept
   /// them.
   const Departures &formerDepartures() const { return FormerDepartures; }
+
+  /// Returns whether formerDepartures() are all of them, as far as a peer that
+  /// outlived the previous process can tell.
+  bool hasFormerDepartures() const { return HasFormerDepartures; }
   void setDigest(const Digest &digest);
 
   /// Adds addresses to join through, as found in the node directory.
@@ -251,6 +256,7 @@
   std::vector<DirectNotice> DirectNotices; ///< At most MaximumDirectNotices.
   std::map<std::string, uint64_t> FormerExceptions;
   Departures FormerDepartures;
+  bool HasFormerDepartures = false;
   Digest OwnDigest;
   std::map<NodeId, base::TimePoint> SuspectUntil;
   std::map<NodeId, base::TimePoint> DeadUntil;
--- a/Libraries/LibHttp/Client.cpp
+++ b/Libraries/LibHttp/Client.cpp
@@ -13,9 +13,6 @@
 
 namespace asio = boost::asio;
 
-/// Limits of responses to this program's own requests.
-constexpr MessageLimits ResponseLimits{64UL << 10, 64UL << 20};
-
 std::string describeFailure(ReadStatus end, const base::LastReason &reason) {
   if (end == ReadStatus::Refused)
     return reason.text();
@@ -38,7 +35,8 @@
 
 asio::awaitable<std::optional<Response>>
 fetchOver(ConnectionPointer connection, base::Address server, Request request,
-          base::Duration timeout, base::LastReason &reason) {
+          base::Duration timeout, base::LastReason &reason,
+          MessageLimits limits) {
   auto startTime = std::chrono::steady_clock::now();
   connection->expireAfter(std::min(timeout, ConnectTimeout));
   if (!co_await connection->connect(server))
@@ -59,7 +57,7 @@
   Response response;
   base::LastReason fault;
   ReadStatus end = co_await connection->readResponse(response, request.method(),
-                                                     ResponseLimits, fault);
+                                                     limits, fault);
   connection->close();
   if (end != ReadStatus::Complete)
     co_return reason.fail(base::ResultCode::OutcomeUnknown,
--- a/Libraries/LibHttp/Client.h
+++ b/Libraries/LibHttp/Client.h
@@ -11,6 +11,9 @@
 
 namespace radishcross::http {
 
+/// Limits of responses to this program's own requests.
+constexpr MessageLimits ResponseLimits{64UL << 10, 64UL << 20};
+
 /// Sends one request over a new connection and returns the complete response.
 /// Fails with NodeUnreachable (no byte was sent) or OutcomeUnknown.
 boost::asio::awaitable<std::optional<Response>> fetch(base::Address server,
@@ -22,7 +25,8 @@
 /// ends the request.
 boost::asio::awaitable<std::optional<Response>>
 fetchOver(ConnectionPointer connection, base::Address server, Request request,
-          base::Duration timeout, base::LastReason &reason);
+          base::Duration timeout, base::LastReason &reason,
+          MessageLimits limits = ResponseLimits);
 
 /// Blocking variant for command-line programs; runs its own io_context.
 std::optional<Response> fetchBlocking(const base::Address &server,
--- a/Libraries/LibNode/DepartureKeeper.cpp
+++ b/Libraries/LibNode/DepartureKeeper.cpp
@@ -16,10 +16,11 @@
             }),
       Leases(&leases), OnChanged(std::move(onChanged)) {}
 
-void DepartureKeeper::recall(base::TimePoint now) {
+void DepartureKeeper::recall(uint64_t startedUnixMs, base::TimePoint now) {
   IsRecalling = true;
+  IsComplete = false;
   RecallingSince = LastTick = now;
-  Leases->awaitRestore();
+  Leases->awaitRestore(startedUnixMs);
   Store.load();
 }
 
@@ -29,20 +30,41 @@
   Store.tick(now);
   // Until then the peers keep those of the earlier process.
   if (!IsRecalling)
-    fleet.setDepartures(std::move(departures));
+    fleet.setDepartures(std::move(departures), IsComplete);
 }
 
 void DepartureKeeper::tick(peer::FleetRuntime &fleet, base::TimePoint now) {
   LastTick = now;
   Store.tick(now);
-  bool hasStoreAnswered =
-      Store.isLoaded() || now - RecallingSince >= MaxStoreWait;
-  if (!IsRecalling || !fleet.ready() || !hasStoreAnswered)
+  if (IsComplete)
     return;
-  restore(fleet.formerDepartures(), "peers");
-  Leases->restoreEnded();
+  const bool isWaitOver = now - RecallingSince >= MaxStoreWait;
+  IsStorePrompt = IsStorePrompt || (Store.isLoaded() && !isWaitOver);
+  if (IsRecalling && (!fleet.ready() || (!IsStorePrompt && !isWaitOver)))
+    return;
+  // A peer that remembers the earlier process may also be met later.
+  const bool isKnown = fleet.hasFormerDepartures();
+  const bool isNews = IsRecalling || isKnown;
+  if (isNews)
+    endRecall(fleet);
+  IsComplete = isKnown || now - RecallingSince >= MaxTimeIncomplete;
+  if (isNews || IsComplete)
+    OnChanged();
+}
+
+void DepartureKeeper::endRecall(const peer::FleetRuntime &fleet) {
+  using Knowledge = admission::DepartureKnowledge;
   IsRecalling = false;
-  OnChanged();
+  restore(fleet.formerDepartures(), "peers");
+  // A store that is away now was likely so when the earlier process ended.
+  const auto knowledge = fleet.hasFormerDepartures() ? Knowledge::Complete
+                         : IsStorePrompt             ? Knowledge::StoreOnly
+                                                     : Knowledge::Partial;
+  Leases->restoreEnded(knowledge);
+  base::log(
+      base::LogLevel::Info, "departure recall ended",
+      {{"knowledge", std::string(base::nameOf(
+                         admission::DepartureKnowledgeNames, knowledge))}});
 }
 
 void DepartureKeeper::restore(const fleet::Departures &departures,
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -110,6 +110,7 @@
   ActiveSnapshot = std::move(*next);
   CallsGate.limitsChanged(ActiveSnapshot);
   Shares.snapshotChanged(*ActiveSnapshot);
+  HealthCheck.ask();
   for (const auto &held : ActiveSnapshot->versions()) {
     auto &since = HeldSince[held.Configuration];
     if (since.Version == held.Version)
@@ -147,6 +148,13 @@
     for (auto &it : targets)
       it.SoftwareVersion.clear();
   Fleet->setTargets(std::move(targets));
+  if (ActiveSnapshot)
+    HealthCheck.ask();
+}
+
+std::string NodeProcess::healthPathOf(std::string_view service) const {
+  const auto *it = ActiveSnapshot->findService(service);
+  return it ? it->HealthPath : std::string();
 }
 
 void NodeProcess::armTimer() {
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -23,6 +23,7 @@
 #include <LibNode/PlatformLink.h>
 #include <LibNode/QuarantineNotices.h>
 #include <LibNode/RolloutKeeper.h>
+#include <LibNode/TargetHealthCheck.h>
 #include <LibNode/TargetListener.h>
 #include <LibNode/UsageMeter.h>
 #include <LibPeer/FleetRuntime.h>
@@ -103,6 +104,7 @@
   void updateDrained(const log::Fold &fold);
   void membersChanged();
   void targetsChanged();
+  std::string healthPathOf(std::string_view service) const;
   void armTimer();
   void tick();
   void recovered();
@@ -127,6 +129,7 @@
   QuarantineNotices Notices;
   admission::TargetLeases Leases;
   DepartureKeeper Departures;
+  TargetHealthCheck HealthCheck;
   calls::Broker CallsBroker;
   RolloutKeeper Rollouts;
   admission::NodeGate CallsGate;
--- a/Libraries/LibNode/NodeSetUp.cpp
+++ b/Libraries/LibNode/NodeSetUp.cpp
@@ -95,6 +95,10 @@
       CrashQuarantine(Decisions), Notices(CrashQuarantine),
       Leases(Decisions, settings.TargetLease),
       Departures(*Store, Self.Id, Leases, [this] { targetsChanged(); }),
+      HealthCheck(
+          context, Leases,
+          [this](std::string_view it) { return healthPathOf(it); },
+          [this] { targetsChanged(); }),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
                    std::chrono::minutes(1), settings.Retries, settings.Compared,
                    settings.Versions, settings.Hedging},
@@ -132,7 +136,8 @@
   node->Fleet->addSeeds(settings.SeedHosts);
   // Before its first start a node has acknowledged nothing.
   if (!settings.IsFirstStart)
-    node->Departures.recall(node->Time.now());
+    node->Departures.recall(static_cast<uint64_t>(base::unixMilliseconds()),
+                            node->Time.now());
   node->armTimer();
   return node;
 }
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -54,8 +54,11 @@
   const fleet::Departures &formerDepartures() const override {
     return Members.formerDepartures();
   }
-  void setDepartures(fleet::Departures departures) override {
-    Members.setDepartures(std::move(departures));
+  bool hasFormerDepartures() const override {
+    return Members.hasFormerDepartures();
+  }
+  void setDepartures(fleet::Departures departures, bool isComplete) override {
+    Members.setDepartures(std::move(departures), isComplete);
   }
   void broadcastNotice(std::string topic, std::string text,
                        base::Duration lifetime) override;
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -129,9 +129,13 @@
   /// setDepartures(), as its peers remember them. Complete once ready().
   virtual const fleet::Departures &formerDepartures() const = 0;
 
+  /// Returns whether a peer that outlived the previous process has told them.
+  virtual bool hasFormerDepartures() const = 0;
+
   /// Makes the peers remember which targets are leaving, for a restart of this
   /// node. Goes out with the next change of the targets at the latest.
-  virtual void setDepartures(fleet::Departures departures) = 0;
+  /// Unless \p isComplete, they are added to those of earlier processes.
+  virtual void setDepartures(fleet::Departures departures, bool isComplete) = 0;
 
   /// Gossips a short text, such as a quarantined fingerprint, to every node for
   /// \p lifetime. It replaces an older text with the same topic.
--- a/Tests/LibAdmission/TestTargetLeases.cpp
+++ b/Tests/LibAdmission/TestTargetLeases.cpp
@@ -224,12 +224,12 @@
 
 TEST_CASE("a restored departure binds its process and no later one") {
   LeaseFixture it;
-  it.Leases.awaitRestore();
+  it.Leases.awaitRestore(1500);
   REQUIRE(it.heartbeat(1000, 4, 1s));
   CHECK(it.states(1s) == States{TargetState::Starting, TargetState::Starting});
   CHECK(it.Leases.restore({{"t", 1000}, {"gone", 900}}, at(1s)) == 2);
   CHECK(it.Leases.restore({{"t", 1000}}, at(1s)) == 0);
-  it.Leases.restoreEnded();
+  it.Leases.restoreEnded(DepartureKnowledge::Complete);
   CHECK(it.states(2s) == States{TargetState::Draining, TargetState::Draining});
   REQUIRE(it.heartbeat(1000, 5, 2s));
   CHECK(it.states(2s).first == TargetState::Draining);
@@ -239,6 +239,57 @@
   CHECK(it.states(3s) == States{TargetState::Ready, TargetState::Ready});
 }
 
+TEST_CASE("without all departures a target must prove that it is alive") {
+  // Guards against late heartbeats of before a leave that nobody remembers.
+  LeaseFixture it;
+  constexpr uint64_t Started = 100'000;
+  it.Leases.awaitRestore(Started);
+  REQUIRE(it.heartbeat(1000, 4, 0s));
+  it.Leases.restoreEnded(DepartureKnowledge::Partial);
+  auto state = [&](base::Duration now) { return it.states(now).first; };
+  SUBCASE("several late heartbeats at once are no proof") {
+    for (uint64_t n = 5; n < 20; ++n)
+      REQUIRE(it.heartbeat(1000, n, 100ms));
+    CHECK(state(100ms) == TargetState::Starting);
+  }
+  SUBCASE("nor are repeated ones, or two") {
+    REQUIRE(it.heartbeat(1000, 4, 1s));
+    REQUIRE(it.heartbeat(1000, 4, 2s));
+    REQUIRE(it.heartbeat(1000, 5, 2900ms));
+    CHECK(state(2900ms) == TargetState::Starting);
+  }
+  SUBCASE("heartbeats in order over some time are") {
+    REQUIRE(it.heartbeat(1000, 5, 1500ms));
+    CHECK(state(1500ms) == TargetState::Starting);
+    REQUIRE(it.heartbeat(1000, 6, 2500ms));
+    CHECK(state(2500ms) == TargetState::Ready);
+  }
+  SUBCASE("a target that states that it is leaving stays so") {
+    REQUIRE(it.heartbeat(1000, 5, 1500ms, TargetState::Draining));
+    REQUIRE(it.heartbeat(1000, 6, 3s, TargetState::Ready));
+    CHECK(state(3s) == TargetState::Draining);
+  }
+  SUBCASE("a process that started after the node is ready at once") {
+    REQUIRE(it.heartbeat(Started + 1, 1, 1s));
+    CHECK(state(1s) == TargetState::Ready);
+  }
+}
+
+TEST_CASE("where only the store knows departures, a target's word is enough") {
+  LeaseFixture it;
+  it.Leases.awaitRestore(100'000);
+  REQUIRE(it.heartbeat(1000, 4, 0s));
+  CHECK(it.Leases.inDoubt().empty());
+  it.Leases.restoreEnded(DepartureKnowledge::StoreOnly);
+  REQUIRE(it.Leases.inDoubt().size() == 1);
+  CHECK_FALSE(it.Leases.proveAlive("t", 999));
+  CHECK(it.states(1s).first == TargetState::Starting);
+  CHECK(it.Leases.proveAlive("t", 1000));
+  CHECK(it.states(1s) == States{TargetState::Ready, TargetState::Ready});
+  CHECK_FALSE(it.Leases.proveAlive("t", 1000));
+  CHECK(it.Leases.inDoubt().empty());
+}
+
 TEST_CASE("departures are those that targets have stated, bounded in number") {
   LeaseFixture it;
   REQUIRE(it.heartbeat(7, 1, 0s));
--- a/Tests/LibNode/TestDepartures.cpp
+++ b/Tests/LibNode/TestDepartures.cpp
@@ -1,3 +1,4 @@
+#include <LibBase/WallClock.h>
 #include <LibHttp/Client.h>
 #include <LibNode/StoreMesh.h>
 
@@ -10,18 +11,50 @@
 
 namespace {
 
-constexpr uint64_t Started = 1'764'824'231'000;
-
 /// A mesh with one target beside the node "a-1", which has reported to be ready
 /// and is known to all nodes.
 struct TargetMesh : test::StoreMesh {
+  /// When the target's process has started, long before the nodes restart.
+  const uint64_t Started = now() - 60'000;
+  std::shared_ptr<http::Server> Target;
+  /// What the target answers to a health check; it fails while it is leaving.
+  boost::beast::http::status HealthStatus = boost::beast::http::status::ok;
+  int HealthChecks = 0;
+
   TargetMesh() {
+    startTarget();
+    ContentOf = [](uint64_t) {
+      config::VersionContent out;
+      out.Services.push_back({"lookup", {}, "/health"});
+      return out;
+    };
     publish("3");
+    for (auto &it : Settings)
+      it.IsFirstStart = true;
     startAll();
+    for (auto &it : Settings)
+      it.IsFirstStart = false;
     report("ready", 1);
     REQUIRE(runUntil([&] { return isReadyAt("b-1"); }));
   }
 
+  void startTarget() {
+    base::LastReason reason;
+    auto server = http::Server::create(
+        Context, {"127.0.0.1", 0}, {},
+        [this](http::IncomingRequest request)
+            -> boost::asio::awaitable<http::Response> {
+          CHECK(request.Message.target() == "/health");
+          ++HealthChecks;
+          http::Response out(HealthStatus, 11);
+          out.prepare_payload();
+          co_return out;
+        },
+        reason);
+    REQUIRE_MESSAGE(server, reason.text());
+    Target = *server;
+  }
+
   unsigned post(const std::string &path, std::string body) {
     http::Request request(boost::beast::http::verb::post,
                           "/v1/targets/t1/" + path, 11);
@@ -43,11 +76,18 @@
     return status;
   }
 
-  unsigned report(const std::string &state, int sequence,
-                  uint64_t started = Started) {
+  static uint64_t now() {
+    return static_cast<uint64_t>(base::unixMilliseconds());
+  }
+
+  unsigned report(const std::string &state, int sequence) {
+    return report(state, sequence, Started);
+  }
+
+  unsigned report(const std::string &state, int sequence, uint64_t started) {
     return post("heartbeat",
-                R"({"service":"lookup","address":"127.0.0.1:9","slots":9,)"
-                R"("state":")" +
+                R"({"service":"lookup","address":")" +
+                    Target->address().text() + R"(","slots":9,"state":")" +
                     state + R"(","sequence":)" + std::to_string(sequence) +
                     R"(,"started_unix_ms":)" + std::to_string(started) + "}");
   }
@@ -65,9 +105,11 @@
                        [&](const auto &it) { return isReadyAt(it.first); });
   }
 
-  void refuseStoreCalls() {
+  void refuseStoreCalls() { setStore(test::StoreBehaviour::Refuses); }
+
+  void setStore(test::StoreBehaviour behaviour) {
     for (const auto &it : Settings)
-      Behaviours[it.Node] = test::StoreBehaviour::Refuses;
+      Behaviours[it.Node] = behaviour;
   }
 
   void restartAll() {
@@ -76,13 +118,21 @@
       start(it.Node);
   }
 
+  /// A node without a configuration is not ready before the store is back.
+  void restartAllAndStore() {
+    restartAll();
+    runUntil([] { return false; }, 300ms);
+    setStore(test::StoreBehaviour::Serves);
+    REQUIRE(runUntil([&] { return allReady(); }));
+  }
+
   /// Checks that a late heartbeat does not make the target ready again, but
   /// that another process of it is.
   void checkDeparted() {
     REQUIRE(runUntil([&] { return allReady(); }));
     CHECK(report("ready", 2) == 200);
     CHECK_FALSE(runUntil([&] { return isReadyAnywhere(); }, 1500ms));
-    CHECK(report("ready", 1, Started + 5000) == 200);
+    CHECK(report("ready", 1, now()) == 200);
     CHECK(runUntil([&] { return isReadyAt("a-1") && isReadyAt("b-1"); }));
   }
 };
@@ -118,6 +168,62 @@
   mesh.checkDeparted();
 }
 
+TEST_CASE("a late heartbeat revives no target that left while the store was "
+          "away and all nodes restarted before it was back") {
+  // Guards against an acknowledged leave that nobody remembers (DRAIN).
+  TargetMesh mesh;
+  mesh.refuseStoreCalls();
+  bool restartsAgain = false;
+  SUBCASE("draining") { CHECK(mesh.report("draining", 3) == 200); }
+  SUBCASE("leave") { CHECK(mesh.post("leave", "") == 200); }
+  SUBCASE("leave, and the store is back when the nodes start") {
+    CHECK(mesh.post("leave", "") == 200);
+    mesh.HealthStatus = boost::beast::http::status::service_unavailable;
+    mesh.setStore(test::StoreBehaviour::Serves);
+  }
+  SUBCASE("leave, and the target's node restarts again") {
+    CHECK(mesh.post("leave", "") == 200);
+    mesh.HealthStatus = boost::beast::http::status::service_unavailable;
+    restartsAgain = true;
+  }
+  mesh.restartAllAndStore();
+  if (restartsAgain)
+    mesh.start("a-1");
+  mesh.checkDeparted();
+}
+
+TEST_CASE("a target that serves on is ready after all nodes restarted") {
+  // Guards against targets that stay out of use once no node remembers them.
+  TargetMesh mesh;
+  SUBCASE("while the store is away") {
+    mesh.refuseStoreCalls();
+    mesh.restartAllAndStore();
+  }
+  SUBCASE("although its health check fails") {
+    mesh.HealthStatus = boost::beast::http::status::service_unavailable;
+    mesh.restartAll();
+    REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  }
+  auto sequence = 1;
+  CHECK(mesh.runUntil([&] {
+    CHECK(mesh.report("ready", ++sequence) == 200);
+    mesh.runUntil([] { return false; }, 500ms);
+    return mesh.isReadyAt("a-1") && mesh.isReadyAt("b-1");
+  }));
+}
+
+TEST_CASE("a target that is not leaving is ready at once after all nodes "
+          "restarted with the store") {
+  // Guards against a restart of all nodes that takes longer than it must.
+  TargetMesh mesh;
+  mesh.restartAll();
+  REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  CHECK(mesh.report("ready", 2) == 200);
+  CHECK(mesh.runUntil(
+      [&] { return mesh.isReadyAt("a-1") && mesh.isReadyAt("b-1"); }));
+  CHECK(mesh.HealthChecks == 1);
+}
+
 TEST_CASE("a departure survives several restarts of its node") {
   // Guards against a second process that passes on less than it has recalled.
   TargetMesh mesh;
--- a/Tests/LibNode/TestWholePath.cpp
+++ b/Tests/LibNode/TestWholePath.cpp
@@ -2,6 +2,7 @@
 #include <LibNode/MockPlatform.h>
 
 #include <LibBase/Hash.h>
+#include <LibBase/WallClock.h>
 #include <LibHttp/Client.h>
 #include <LibNode/NodeProcess.h>
 #include <LogFile.h>
@@ -48,6 +49,7 @@
   base::Address TargetAddress;
   int RequestCount = 0;
   int Heartbeats = 0;
+  uint64_t TargetStarted = static_cast<uint64_t>(base::unixMilliseconds());
   /// A header field of the target's responses.
   std::string StatedField;
   std::string StatedValue;
@@ -149,7 +151,8 @@
     std::string body =
         R"({"service": "badges/lookup", "address": ")" + TargetAddress.text() +
         R"(", "state": "ready", "slots": 9, "sequence": )" +
-        std::to_string(++Heartbeats) + R"(, "started_unix_ms": 1700000000000})";
+        std::to_string(++Heartbeats) + R"(, "started_unix_ms": )" +
+        std::to_string(TargetStarted) + "}";
     auto answer = send(Settings[0].Targets,
                        makeRequest(boost::beast::http::verb::post,
                                    "/v1/targets/t1/heartbeat", body));
