Platform: Put every acknowledged version of the operator in force

What callers saw: a version that moved one route and split another 0.9 to 0.1 was acknowledged by the store, but no node ever took it. A capital letter in a host or an escape in a path prefix did the same.

Cause: decodeOperatorRecord read each field by the limits that the product has for what is published to it, and one field outside them failed the whole record. At that point the version is accepted, and nobody hears the refusal.

Change: only what is no record of a version is passed over. Log and metric tell the operators. Published versions are checked as before.

Also renames the health check's path, as platform/'s names stay there.

--- a/Libraries/LibConfig/ExternalConfiguration.h
+++ b/Libraries/LibConfig/ExternalConfiguration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibConfig/ContentRepair.h>
 #include <LibConfig/Snapshot.h>
 
 #include <memory>
@@ -15,6 +16,7 @@
 struct ExternalVersion {
   uint64_t Version = 0;
   VersionContent Content;
+  Repairs Repaired; ///< What was changed, as it could not be used as it is.
 };
 
 /// Holds the newest version of the external configuration. The highest version
--- a/Libraries/LibConfig/RouteIndex.cpp
+++ b/Libraries/LibConfig/RouteIndex.cpp
@@ -23,7 +23,8 @@
   return path == "/" ? 0 : std::count(path.begin(), path.end(), '/');
 }
 
-/// Returns \p host in lower case and without its port.
+} // namespace
+
 std::string normaliseHost(std::string_view host) {
   size_t bracket = host.rfind(']');
   size_t colon = host.rfind(':');
@@ -37,6 +38,8 @@
   return out;
 }
 
+namespace {
+
 /// Truncates \p path to at most \p segments segments, so that looking up a path
 /// with very many segments costs no more than the deepest prefix.
 std::string_view truncateToSegments(std::string_view path, size_t segments) {
--- a/Libraries/LibConfig/RouteIndex.h
+++ b/Libraries/LibConfig/RouteIndex.h
@@ -18,6 +18,9 @@
   uint32_t Weight = 1;
 };
 
+/// Returns \p host in lower case and without its port.
+std::string normaliseHost(std::string_view host);
+
 /// Finds the route for a request: the longest path prefix wins, then a route
 /// with a host, then one with methods. Keeps views into the routes added, which
 /// must outlive the index.
--- a/Libraries/LibConfig/VersionContentCheck.cpp
+++ b/Libraries/LibConfig/VersionContentCheck.cpp
@@ -48,14 +48,6 @@
                      path + ": found \"" + found + "\", expected " + expected);
 }
 
-/// Returns true if \p text is empty or valid as the path of a request line.
-bool isHealthPath(std::string_view text) {
-  return text.empty() ||
-         (text[0] == '/' && std::all_of(text.begin(), text.end(), [](char c) {
-            return c > ' ' && c <= '~' && c != '#';
-          }));
-}
-
 bool checkServices(const std::vector<Service> &services,
                    std::set<std::string_view> &names,
                    base::LastReason &reason) {
@@ -242,6 +234,13 @@
 
 } // namespace
 
+bool isHealthPath(std::string_view text) {
+  return text.empty() ||
+         (text[0] == '/' && std::all_of(text.begin(), text.end(), [](char c) {
+            return c > ' ' && c <= '~' && c != '#';
+          }));
+}
+
 bool checkVersionContent(const VersionContent &content,
                          base::LastReason &reason) {
   std::set<std::string_view> services;
--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -77,6 +77,8 @@
 }
 
 void NodeProcess::versionMetrics() {
+  Counters.setGauge("external_configuration_repairs",
+                    static_cast<double>(Link.repairCount()));
   Counters.removeGauges("configuration_version");
   size_t n = 0;
   if (ActiveSnapshot)
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -152,7 +152,7 @@
     HealthCheck.ask();
 }
 
-std::string NodeProcess::healthPathOf(std::string_view service) const {
+std::string NodeProcess::checkPathOf(std::string_view service) const {
   const auto *it = ActiveSnapshot->findService(service);
   return it ? it->HealthPath : std::string();
 }
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -104,7 +104,7 @@
   void updateDrained(const log::Fold &fold);
   void membersChanged();
   void targetsChanged();
-  std::string healthPathOf(std::string_view service) const;
+  std::string checkPathOf(std::string_view service) const;
   void armTimer();
   void tick();
   void recovered();
@@ -149,7 +149,7 @@
   std::map<std::string, admin::HoldingSince, std::less<>> HeldSince;
   std::vector<std::string> DrainedNames;
   config::SnapshotPointer
-      ActiveSnapshot; ///< The held versions and the external one.
+      ActiveSnapshot;   ///< The held versions and the external one.
   bool MembersDirty = false;
   bool Recovered = false;
   bool IsLoadingFloor = false; ///< The stored versions are being loaded.
--- a/Libraries/LibNode/NodeSetUp.cpp
+++ b/Libraries/LibNode/NodeSetUp.cpp
@@ -97,7 +97,7 @@
       Departures(*Store, Self.Id, Leases, [this] { targetsChanged(); }),
       HealthCheck(
           context, Leases,
-          [this](std::string_view it) { return healthPathOf(it); },
+          [this](std::string_view it) { return checkPathOf(it); },
           [this] { targetsChanged(); }),
       CallsBroker({Self.Id, Self.DataCentre, Self.Region, Seed,
                    std::chrono::minutes(1), settings.Retries, settings.Compared,
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -38,8 +38,24 @@
 /// The maximum size of a record of the store in bytes, uncompressed.
 constexpr size_t MaximumRecordBytes = 4UL << 20;
 
+/// The number of repairs of which the log gives the text.
+constexpr size_t MaxLoggedRepairs = 8;
+
 } // namespace
 
+void logRepairs(std::string_view event, uint64_t version,
+                const config::Repairs &repairs) {
+  if (repairs.empty())
+    return;
+  std::string text;
+  for (size_t n = 0; n < std::min(repairs.size(), MaxLoggedRepairs); ++n)
+    text += (n > 0 ? "; " : "") + repairs[n];
+  base::log(base::LogLevel::Warning, event,
+            {{"version", std::to_string(version)},
+             {"count", std::to_string(repairs.size())},
+             {"repairs", text}});
+}
+
 PlatformLink::PlatformLink(boost::asio::io_context &context,
                            log::KeyedStore &store, const PlatformPorts &ports,
                            fleet::DirectoryEntry self, Events events)
@@ -204,6 +220,7 @@
   base::LastReason reason;
   auto version = Ports->DecodeOperatorRecord(text, reason);
   auto number = version ? version->Version : 0;
+  auto repaired = version ? std::move(version->Repaired) : config::Repairs();
   if (!version || !External.update(std::move(*version), reason)) {
     base::log(base::LogLevel::Info, "external configuration passed over",
               {{"version", std::to_string(number)},
@@ -215,6 +232,8 @@
   base::log(
       base::LogLevel::Info, "external configuration taken",
       {{"version", std::to_string(number)}, {"source", std::string(source)}});
+  logRepairs("external configuration repaired", number, repaired);
+  RepairCount = repaired.size();
   return true;
 }
 
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -16,6 +16,11 @@
 
 namespace radishcross::node {
 
+/// Logs what was changed in a version of the external configuration; nothing if
+/// it is in force as it was written.
+void logRepairs(std::string_view event, uint64_t version,
+                const config::Repairs &repairs);
+
 /// Reads and writes what one node keeps at the platform's store apart from the
 /// log of changes: the directory of nodes and the external configuration.
 class PlatformLink {
@@ -47,6 +52,9 @@
     return External;
   }
 
+  /// Returns how much of the version in force could not be used as written.
+  size_t repairCount() const { return RepairCount; }
+
   /// Returns the operator's record in force, compressed, for the peers.
   const std::string &compressedConfiguration() const {
     return CompressedRecord;
@@ -100,6 +108,7 @@
   config::ExternalConfiguration External;
   std::string CompressedRecord; ///< The operator's record in force.
   uint64_t TextHash = 0;        ///< Of the record seen last.
+  size_t RepairCount = 0;
   Events Callbacks;
   std::shared_ptr<TopicReader> DirectoryReader;
   std::shared_ptr<TopicReader> OperatorReader;
--- a/Libraries/LibNode/TargetHealthCheck.cpp
+++ b/Libraries/LibNode/TargetHealthCheck.cpp
@@ -20,10 +20,10 @@
 
 TargetHealthCheck::TargetHealthCheck(boost::asio::io_context &context,
                                      admission::TargetLeases &leases,
-                                     HealthPathOf healthPathOf,
+                                     HealthPathOf checkPathOf,
                                      std::function<void()> onProven)
     : Context(&context), Leases(&leases),
-      FindHealthPath(std::move(healthPathOf)), OnProven(std::move(onProven)) {}
+      FindHealthPath(std::move(checkPathOf)), OnProven(std::move(onProven)) {}
 
 void TargetHealthCheck::ask() {
   bool isProven = false;
@@ -40,9 +40,9 @@
 }
 
 boost::asio::awaitable<void>
-TargetHealthCheck::check(fleet::TargetRecord target, std::string healthPath) {
+TargetHealthCheck::check(fleet::TargetRecord target, std::string checkPath) {
   std::weak_ptr<bool> weak = LifetimeToken;
-  http::Request request(beast_http::verb::get, healthPath, 11);
+  http::Request request(beast_http::verb::get, checkPath, 11);
   base::LastReason reason;
   auto connection = std::make_shared<http::Connection>(
       boost::asio::ip::tcp::socket(*Context));
--- a/Libraries/LibNode/TargetHealthCheck.h
+++ b/Libraries/LibNode/TargetHealthCheck.h
@@ -22,7 +22,7 @@
 
   /// \p onProven is called when a target has proved that it is alive.
   TargetHealthCheck(boost::asio::io_context &context,
-                    admission::TargetLeases &leases, HealthPathOf healthPathOf,
+                    admission::TargetLeases &leases, HealthPathOf checkPathOf,
                     std::function<void()> onProven);
 
   /// Asks each target in doubt that is not being asked. Targets of a service
@@ -33,7 +33,7 @@
   static constexpr base::Duration Timeout = std::chrono::seconds(1);
 
   boost::asio::awaitable<void> check(fleet::TargetRecord target,
-                                     std::string healthPath);
+                                     std::string checkPath);
 
   boost::asio::io_context *Context;
   admission::TargetLeases *Leases;
--- a/Tests/LibNode/TestSharedConfiguration.cpp
+++ b/Tests/LibNode/TestSharedConfiguration.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <map>
+#include <platform/Ports.h>
 
 using namespace radishcross;
 using namespace std::chrono_literals;
@@ -19,6 +20,52 @@
 
 } // namespace
 
+TEST_CASE("a version with unusual fields is in force and stays so") {
+  // Guards against nodes that pass an acknowledged version over (CONFIG), also
+  // when they start again without the store.
+  const std::string before =
+      R"({"version":3,"services":[{"name":"a","healthPath":"/health",
+          "maxConnections":9},{"name":"b","healthPath":"/health",
+          "maxConnections":9}],"limits":{"maxHeaderBytes":16384,
+          "maxBodyBytes":1048576,"headerTimeout":3000,"idleTimeout":20000},
+          "routes":[{"name":"r","host":"one.example","pathPrefix":"/x/",
+          "service":"a","priority":0,"kind":"safe","timeout":1000,
+          "targetLatency":400,"maxAttempts":2}]})";
+  auto after = before;
+  after.replace(after.find("\"version\":3"), 11, "\"version\":4");
+  SUBCASE("fractional weights") {
+    after.replace(after.find(R"("service":"a")"), 13,
+                  R"("trafficSplit":[{"service":"a","weight":0.9},)"
+                  R"({"service":"b","weight":0.1}])");
+  }
+  SUBCASE("a host with capital letters") {
+    after.replace(after.find("one.example"), 11, "One.Example");
+  }
+  SUBCASE("an escaped character in a prefix") {
+    after.replace(after.find("/x/"), 3, "/%78/");
+  }
+  SUBCASE("a route that cannot be served beside one that can") {
+    after.replace(after.find("\"routes\":["), 10,
+                  R"("routes":[{"name":7,"host":[],"pathPrefix":null},)");
+  }
+  Mesh mesh;
+  mesh.Formats = platform::ports();
+  mesh.publish(before);
+  mesh.startAll();
+  mesh.publish(after);
+  const auto isInForce = [&] {
+    return std::all_of(
+        mesh.Settings.begin(), mesh.Settings.end(),
+        [&](const auto &it) { return mesh.externalVersionAt(it.Node) == 4; });
+  };
+  CHECK(mesh.runUntil(isInForce, 2s));
+  for (const auto &it : mesh.Settings)
+    mesh.Behaviours[it.Node] = test::StoreBehaviour::Refuses;
+  mesh.start("a-2");
+  CHECK(mesh.runUntil([&] { return mesh.Nodes.at("a-2")->ready(); }));
+  CHECK(isInForce());
+}
+
 TEST_CASE("a node whose store calls fail gets the new version from its peers") {
   using Behaviour = test::StoreBehaviour;
   for (auto behaviour : {Behaviour::Refuses, Behaviour::Silent}) {
