LibConfig: Let the operator's version precede published ones that don't fit

What callers saw: a published version and one of the platform's operator had a tenant of one name.

Change: reconcileVersions() makes them fit. Versions that fit are used as they are; what is published is checked as before. Log and metric tell the operators.

--- a/Libraries/LibNode/NodeMetrics.cpp
+++ b/Libraries/LibNode/NodeMetrics.cpp
@@ -79,6 +79,7 @@
 void NodeProcess::versionMetrics() {
   Counters.setGauge("external_configuration_repairs",
                     static_cast<double>(Link.repairCount()));
+  Counters.setGauge("configuration_conflicts", static_cast<double>(Conflicts));
   Counters.removeGauges("configuration_version");
   size_t n = 0;
   if (ActiveSnapshot)
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Logger.h>
 #include <LibBase/WallClock.h>
+#include <LibConfig/VersionReconciler.h>
 #include <LibFleet/MemberTable.h>
 #include <LibLog/HeldPlayer.h>
 
@@ -91,8 +92,8 @@
   Fleet->setExternalVersion(Link.configuration().version());
 }
 
-/// Activates the held versions and the external one together. If they don't fit
-/// each other, the active snapshot stays.
+/// Activates the held versions and the external one together. All of them have
+/// been accepted, so where they don't fit each other the external one precedes.
 void NodeProcess::activateSnapshot() {
   auto versions = Held.snapshot()->versions();
   const auto &external = Link.configuration().current();
@@ -101,6 +102,17 @@
   base::LastReason reason;
   auto next = config::Snapshot::create(std::move(versions),
                                        Held.snapshot()->offset(), reason);
+  Conflicts = 0;
+  if (!next && external.Content) {
+    versions = Held.snapshot()->versions();
+    versions.push_back(external);
+    const auto repairs =
+        config::reconcileVersions(versions, config::ExternalConfigurationName);
+    logRepairs("versions conflict", external.Version, repairs);
+    Conflicts = repairs.size();
+    next = config::Snapshot::create(std::move(versions),
+                                    Held.snapshot()->offset(), reason);
+  }
   if (!next) {
     base::log(base::LogLevel::Error, "versions do not fit each other",
               {{"external", std::to_string(external.Version)},
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -150,6 +150,7 @@
   std::vector<std::string> DrainedNames;
   config::SnapshotPointer
       ActiveSnapshot;   ///< The held versions and the external one.
+  size_t Conflicts = 0; ///< Between the versions in it.
   bool MembersDirty = false;
   bool Recovered = false;
   bool IsLoadingFloor = false; ///< The stored versions are being loaded.
