LibNode: Keep quarantined requests through restarts of all nodes

What callers saw: a request that had crashed two targets was quarantined for 10 minutes, but ran again after the nodes had been restarted in turn, and crashed two more targets each time.

Cause: notices are sent a fixed number of times and nobody asks for them, so a node that starts or was cut off meanwhile never learns an entry, and after a restart of all nodes, in whatever order, nobody has it. A lift was known to one node only.

A quarantined request is also written to the store, in the topic that a restarted node reads anyway, and removed when it expires or is lifted. Notices carry the time left, so that a late one doesn't begin anew; a lift replaces the notice of its entry at all nodes.

--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -131,6 +131,11 @@
   void addSeeds(const std::vector<base::Address> &seeds);
   void post(const Notice &notice, base::TimePoint now);
 
+  /// Returns the revision of a notice that is held, 0 if there is none.
+  uint64_t noticeRevision(const std::string &topic) const {
+    return Board.revisionOf(topic);
+  }
+
   /// Returns digests that announce new records: to peers that lack them, and to
   /// \p source, from which they came, so that it knows they are held here.
   /// Schedules LaterPushes further pushes to random peers, since one alone
--- a/Libraries/LibLog/KeyedStore.h
+++ b/Libraries/LibLog/KeyedStore.h
@@ -18,7 +18,8 @@
   Nodes,      ///< The nodes of the mesh, by node id.
   Holdings,   ///< The versions that each node holds, by node id.
   Operator,   ///< Written by the platform's operator; read only.
-  Departures, ///< The targets of each node that have left, by node id.
+  Departures, ///< What restarted nodes ask for: the targets of each node that
+              ///< have left, by node id, and quarantined requests.
   Status,     ///< What the platform's operator reads.
 };
 
--- a/Libraries/LibNode/DepartureKeeper.cpp
+++ b/Libraries/LibNode/DepartureKeeper.cpp
@@ -8,11 +8,15 @@
 
 DepartureKeeper::DepartureKeeper(log::KeyedStore &store, std::string node,
                                  admission::TargetLeases &leases,
-                                 std::function<void()> onChanged)
+                                 std::function<void()> onChanged,
+                                 OthersRead onOthersRead)
     : Store(store, std::move(node),
-            [this](const fleet::Departures &it) {
+            [this, onOthersRead = std::move(onOthersRead)](
+                const fleet::Departures &it,
+                const std::vector<log::KeyedRecord> &others) {
               restore(it, "store");
               OnChanged();
+              onOthersRead(others);
             }),
       Leases(&leases), OnChanged(std::move(onChanged)) {}
 
--- a/Libraries/LibNode/DepartureKeeper.h
+++ b/Libraries/LibNode/DepartureKeeper.h
@@ -18,10 +18,13 @@
 /// earlier process, targets have to prove that they are alive.
 class DepartureKeeper {
 public:
-  /// \p onChanged is called when the state of a target may have changed.
+  using OthersRead = std::function<void(const std::vector<log::KeyedRecord> &)>;
+
+  /// \p onChanged is called when the state of a target may have changed, \p
+  /// onOthersRead with the other records of the topic that recall() has read.
   DepartureKeeper(log::KeyedStore &store, std::string node,
                   admission::TargetLeases &leases,
-                  std::function<void()> onChanged);
+                  std::function<void()> onChanged, OthersRead onOthersRead);
 
   /// Begins to ask the store and the peers; called at the start of a process
   /// that may have had an earlier one. \p startedUnixMs is the time of that, in
--- a/Libraries/LibNode/DepartureStore.cpp
+++ b/Libraries/LibNode/DepartureStore.cpp
@@ -90,7 +90,8 @@
   if (!recalled.Reached)
     return;
   OnRestored(recalled.Text.empty() ? fleet::Departures()
-                                   : decodeDepartures(recalled.Text));
+                                   : decodeDepartures(recalled.Text),
+             recalled.Others);
 }
 
 asio::awaitable<void> DepartureStore::awaitStored(base::Duration limit) {
--- a/Libraries/LibNode/DepartureStore.h
+++ b/Libraries/LibNode/DepartureStore.h
@@ -24,10 +24,11 @@
 /// this one has acknowledged even if all nodes restart.
 class DepartureStore {
 public:
-  using Restored = std::function<void(const fleet::Departures &)>;
+  using Restored = std::function<void(
+      const fleet::Departures &, const std::vector<log::KeyedRecord> &others)>;
 
   /// \p onRestored gets what an earlier process has stored, once the store has
-  /// answered.
+  /// answered, and the other records of the topic.
   DepartureStore(log::KeyedStore &store, std::string node, Restored onRestored);
   ~DepartureStore();
   DepartureStore(const DepartureStore &) = delete;
--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -192,10 +192,11 @@
   if (Leases.tick(Time.now()))
     targetsChanged();
   Notices.publish(
-      [this](std::string topic, std::string text, base::Duration lifetime) {
-        Fleet->broadcastNotice(std::move(topic), std::move(text), lifetime);
+      [this](auto topic, auto text, auto left) {
+        broadcast(std::move(topic), std::move(text), left);
       },
       Time.now());
+  StoredQuarantines.tick(Time.now());
   if (MembersDirty)
     membersChanged();
   Rollouts.tick(*Fleet, Time.now());
@@ -207,6 +208,11 @@
   drainTick();
 }
 
+void NodeProcess::broadcast(std::string topic, std::string text,
+                            base::Duration lifetime) {
+  Fleet->broadcastNotice(std::move(topic), std::move(text), lifetime);
+}
+
 void NodeProcess::recovered() {
   Recovered = true;
   // No call can have run in a fleet that never had a configuration, so calls
--- a/Libraries/LibNode/NodeProcess.h
+++ b/Libraries/LibNode/NodeProcess.h
@@ -109,6 +109,7 @@
   void tick();
   void recovered();
   void drainTick();
+  void broadcast(std::string topic, std::string text, base::Duration lifetime);
 
   boost::asio::io_context *Context;
   admin::NodeSettings Settings;
@@ -126,6 +127,7 @@
   PlatformLink Link;
   HeldVersionStore StoredVersions;
   calls::Quarantine CrashQuarantine;
+  QuarantineStore StoredQuarantines;
   QuarantineNotices Notices;
   admission::TargetLeases Leases;
   DepartureKeeper Departures;
--- a/Libraries/LibNode/NodeReports.cpp
+++ b/Libraries/LibNode/NodeReports.cpp
@@ -118,7 +118,9 @@
 }
 
 bool NodeProcess::liftQuarantine(uint64_t fingerprint) {
-  return CrashQuarantine.lift(fingerprint);
+  return Notices.lift(fingerprint, [this](auto topic, auto text, auto left) {
+    broadcast(std::move(topic), std::move(text), left);
+  });
 }
 
 std::string NodeProcess::recording(uint32_t seconds) const {
--- a/Libraries/LibNode/NodeSetUp.cpp
+++ b/Libraries/LibNode/NodeSetUp.cpp
@@ -92,9 +92,14 @@
               Fleet->noteExternalRead(it);
             }}),
       StoredVersions(*Store, Self.Id, [this] { activateHeldVersions(); }),
-      CrashQuarantine(Decisions), Notices(CrashQuarantine),
+      CrashQuarantine(Decisions), StoredQuarantines(*Store, Self.Id),
+      Notices(CrashQuarantine, StoredQuarantines),
       Leases(Decisions, settings.TargetLease),
-      Departures(*Store, Self.Id, Leases, [this] { targetsChanged(); }),
+      Departures(
+          *Store, Self.Id, Leases, [this] { targetsChanged(); },
+          [this](const std::vector<log::KeyedRecord> &it) {
+            Notices.restore(StoredQuarantines.recall(it), Time.now());
+          }),
       HealthCheck(
           context, Leases,
           [this](std::string_view it) { return checkPathOf(it); },
@@ -160,8 +165,9 @@
   };
   environment.MembersChanged = [this] { MembersDirty = true; };
   environment.NoticeReceived = [this](std::string_view topic,
-                                      std::string_view text) {
-    Notices.receive(topic, text, Time.now());
+                                      std::string_view text,
+                                      base::Duration timeLeft) {
+    Notices.receive(topic, text, timeLeft, Time.now());
     Rollouts.received(topic, text, {}, Time.now());
   };
   environment.DirectNoticeReceived = [this](const fleet::NodeId &from,
--- a/Libraries/LibNode/QuarantineNotices.cpp
+++ b/Libraries/LibNode/QuarantineNotices.cpp
@@ -1,6 +1,5 @@
 #include <LibNode/QuarantineNotices.h>
 
-#include <array>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -17,13 +16,9 @@
   uint32_t Crashes = 0;
 };
 
-std::string topicOf(const calls::QuarantineEntry &entry) {
-  std::array<char, 16> buf{};
-  auto end =
-      std::to_chars(buf.data(), buf.data() + buf.size(), entry.Fingerprint, 16)
-          .ptr;
-  return std::string(TopicPrefix) + std::string(buf.data(), end) + "/" +
-         std::to_string(entry.Crashes);
+std::string topicOf(uint64_t fingerprint, uint32_t crashes) {
+  return std::string(TopicPrefix) + encodeFingerprint(fingerprint) + "/" +
+         std::to_string(crashes);
 }
 
 template <typename Number>
@@ -50,25 +45,62 @@
 
 } // namespace
 
-QuarantineNotices::QuarantineNotices(calls::Quarantine &quarantine)
-    : Table(&quarantine) {}
+QuarantineNotices::QuarantineNotices(calls::Quarantine &quarantine,
+                                     QuarantineStore &store)
+    : Table(&quarantine), Store(&store) {}
 
 void QuarantineNotices::publish(const Publish &publish, base::TimePoint now) {
-  for (const auto &entry : Table->takeReports())
-    if (entry.Until > now)
-      publish(topicOf(entry), entry.ServiceName, entry.Until - now);
+  for (const auto &entry : Table->takeReports()) {
+    if (entry.Until <= now)
+      continue;
+    const auto left = entry.Until - now;
+    publish(topicOf(entry.Fingerprint, entry.Crashes), entry.ServiceName, left);
+    if (entry.Crashes < QuarantineThreshold)
+      continue;
+    Lifted.erase(entry.Fingerprint);
+    Store->keep({entry.Fingerprint, entry.ServiceName, left});
+  }
+}
+
+bool QuarantineNotices::lift(uint64_t fingerprint, const Publish &publish) {
+  if (!Table->lift(fingerprint))
+    return false;
+  remember(fingerprint);
+  // Replaces the notices of the entry, for as long as those could last.
+  for (uint32_t crashes = 1; crashes <= QuarantineThreshold; ++crashes)
+    publish(topicOf(fingerprint, crashes), {},
+            calls::Quarantine::QuarantineLifetime);
+  Store->drop(fingerprint);
+  return true;
+}
+
+void QuarantineNotices::remember(uint64_t lifted) {
+  if (Lifted.size() >= MaximumLifted)
+    Lifted.erase(Lifted.begin());
+  Lifted.insert(lifted);
 }
 
 void QuarantineNotices::receive(std::string_view topic, std::string_view text,
-                                base::TimePoint now) {
+                                base::Duration timeLeft, base::TimePoint now) {
   auto parsed = parseTopic(topic);
   if (!parsed)
     return;
-  if (parsed->Crashes >= QuarantineThreshold)
-    Table->applyRemote(parsed->Fingerprint, text,
-                       calls::Quarantine::QuarantineLifetime, now);
-  else
+  if (text.empty()) {
+    remember(parsed->Fingerprint);
+    Table->lift(parsed->Fingerprint);
+  } else if (parsed->Crashes >= QuarantineThreshold) {
+    Lifted.erase(parsed->Fingerprint);
+    Table->applyRemote(parsed->Fingerprint, text, timeLeft, now);
+  } else {
     Table->applyRemoteSuspect(parsed->Fingerprint, text, now);
+  }
+}
+
+void QuarantineNotices::restore(const std::vector<StoredQuarantine> &entries,
+                                base::TimePoint now) {
+  for (const auto &it : entries)
+    if (!Lifted.contains(it.Fingerprint))
+      Table->applyRemote(it.Fingerprint, it.ServiceName, it.TimeLeft, now);
 }
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/StoredNodeRecord.cpp
+++ b/Libraries/LibNode/StoredNodeRecord.cpp
@@ -26,10 +26,13 @@
     if (weak.expired())
       return;
     IsBusy = false;
-    Recalled out{answer.Reached, {}, answer.Reason};
-    for (const auto &it : answer.Records)
+    Recalled out{answer.Reached, {}, answer.Reason, {}};
+    for (const auto &it : answer.Records) {
       if (it.Key == Node)
         out.Text = it.Value;
+      else
+        out.Others.push_back(it);
+    }
     Stored = Desired = out.Text;
     done(out);
   });
--- a/Libraries/LibNode/StoredNodeRecord.h
+++ b/Libraries/LibNode/StoredNodeRecord.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace radishcross::node {
 
@@ -22,6 +23,7 @@
     bool Reached = false; ///< The store answered.
     std::string Text;
     base::LastReason Reason;
+    std::vector<log::KeyedRecord> Others; ///< Of the same topic.
   };
 
   /// Reads the record; \p done is called once. Nothing is written meanwhile.
--- a/Libraries/LibPeer/FleetNode.cpp
+++ b/Libraries/LibPeer/FleetNode.cpp
@@ -159,7 +159,9 @@
     auto own = OwnNotices.find(it.Topic);
     bool isOwn = own != OwnNotices.end() && own->second == it.Revision;
     if (!isOwn && Environment.NoticeReceived)
-      Environment.NoticeReceived(it.Topic, it.Text);
+      Environment.NoticeReceived(
+          it.Topic, it.Text,
+          std::chrono::milliseconds(it.LifetimeMilliseconds));
   }
   OwnNotices.clear();
   for (const auto &it : Members.takeDirectNotices())
@@ -372,7 +374,9 @@
 void FleetNode::broadcastNotice(std::string topic, std::string text,
                                 base::Duration lifetime) {
   auto left = std::chrono::ceil<std::chrono::milliseconds>(lifetime).count();
-  auto revision = static_cast<uint64_t>(base::unixMilliseconds());
+  // The clock of the node that sent the one before may be ahead.
+  auto revision = std::max(static_cast<uint64_t>(base::unixMilliseconds()),
+                           Members.noticeRevision(topic) + 1);
   OwnNotices[topic] = revision;
   Members.post(
       {std::move(topic), std::move(text), revision,
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -82,7 +82,8 @@
   /// runtime.
   std::function<void(const log::Fold &)> FoldAdvanced;
   std::function<void()> MembersChanged;
-  std::function<void(std::string_view topic, std::string_view text)>
+  std::function<void(std::string_view topic, std::string_view text,
+                     base::Duration timeLeft)>
       NoticeReceived;
   /// Called with a message about allotments; returns the answer, if any.
   std::function<std::optional<tenants::AllotmentSend>(
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/FakeMesh.h>
+#include <LibFleet/NoticeBoard.h>
 
 #include <doctest/doctest.h>
 
@@ -214,6 +215,53 @@
   CHECK(mesh.Nodes.at(3).takeNewNotices().size() == 1);
 }
 
+TEST_CASE("a node that was away learns the notices that were sent meanwhile") {
+  // Guards against quarantines that restarted or cut off nodes never learn.
+  ThreeDataCentres mesh(4);
+  mesh.run(5s);
+  SUBCASE("it starts again") {
+    mesh.Nodes.at(3).post({"quarantine", "f1", 1, 600'000}, mesh.Now);
+    mesh.run(30s);
+    mesh.add(7, "dc-1", 2000);
+  }
+  SUBCASE("it was cut off") {
+    mesh.partition([](size_t n) { return n == 7; });
+    mesh.Nodes.at(3).post({"quarantine", "f1", 1, 600'000}, mesh.Now);
+    mesh.run(30s);
+    mesh.Cut.clear();
+  }
+  SUBCASE("all nodes start again in turn") {
+    mesh.Nodes.at(3).post({"quarantine", "f1", 1, 600'000}, mesh.Now);
+    mesh.run(3s);
+    for (size_t n = 0; n < 12; ++n) {
+      mesh.add((n + 8) % 12, "dc-" + std::to_string((n + 8) % 3), 2000);
+      mesh.run(3s);
+    }
+  }
+  mesh.run(10s);
+  const auto notices = mesh.Nodes.at(7).takeNewNotices();
+  REQUIRE(notices.size() == 1);
+  CHECK(notices[0].Text == "f1");
+  CHECK(notices[0].LifetimeMilliseconds < 600'000);
+}
+
+TEST_CASE("repeated notices use a bounded part of the datagrams") {
+  // Guards against many notices that fill every datagram for minutes.
+  NoticeBoard board;
+  base::TimePoint now{};
+  for (int n = 0; n < 200; ++n)
+    board.post({"topic" + std::to_string(n), "text", 1, 600'000}, now);
+  while (!board.toSend(420, 1, now).empty() && board.hasUnsent()) {
+  }
+  for (int n = 0; n < 100; ++n) {
+    now += 100ms;
+    CHECK(board.toSend(420, 1, now).size() <= NoticeBoard::MaximumRepeats);
+  }
+  // One that is about to expire would come back at nodes that have dropped it.
+  now += 590s;
+  CHECK(board.toSend(420, 1, now).empty());
+}
+
 TEST_CASE("tables that merged the same updates in any order are equal") {
   std::vector<MemberUpdate> updates;
   for (uint64_t n = 1; n <= 4; ++n) {
--- a/Tests/LibNode/TestDepartureStore.cpp
+++ b/Tests/LibNode/TestDepartureStore.cpp
@@ -23,7 +23,8 @@
   base::TimePoint Now{};
 
   StoreFixture() {
-    Departures.emplace(Store, "n1", [this](const auto &it) { Restored = it; });
+    Departures.emplace(Store, "n1",
+                       [this](const auto &it, const auto &) { Restored = it; });
   }
 
   void tick(base::Duration passed = 0s) {
--- a/Tests/LibPeer/TestFleetRuntime.cpp
+++ b/Tests/LibPeer/TestFleetRuntime.cpp
@@ -67,7 +67,8 @@
       raw->FoldOffsets.push_back(fold.offset());
     };
     it.NoticeReceived = [raw = node.get()](std::string_view topic,
-                                           std::string_view text) {
+                                           std::string_view text,
+                                           base::Duration) {
       raw->Notices.push_back(std::string(topic) + "=" + std::string(text));
     };
     base::LastReason reason;
