--- a/Tests/Clients/crowds.py
+++ b/Tests/Clients/crowds.py
@@ -59,8 +59,9 @@
     """A target that reads what it is sent and answers with as many bytes as the
     last word of the path says."""
 
-    def __init__(self, node):
+    def __init__(self, node, service="desk"):
         self.node = node
+        self.service = service
         self.listener = socket.create_server((HOST, free_ports(1)[0]), backlog=512)
         self.address = "%s:%d" % self.listener.getsockname()
         self.epoch = 0
@@ -92,7 +93,7 @@
 
     def announce(self):
         while True:
-            body = {"service": "desk/desk", "target": self.address, "address": self.address,
+            body = {"service": f"desk/{self.service}", "target": self.address, "address": self.address,
                     "state": "ready", "slots": 64, "connections": 120, "load_permille": 0,
                     "epoch": self.epoch}
             try:
