--- a/Libraries/LibConfig/RepairTools.h
+++ b/Libraries/LibConfig/RepairTools.h
@@ -18,6 +18,7 @@
   if (methods.empty())
     methods.emplace_back();
   std::vector<std::string> out;
+  out.reserve(methods.size());
   for (const auto &it : methods)
     out.push_back(match.PathPrefix + '\n' + match.Host + '\n' + it);
   return out;
