--- a/Libraries/LibNode/NodeProcess.cpp
+++ b/Libraries/LibNode/NodeProcess.cpp
@@ -108,8 +108,11 @@
     versions.push_back(external);
     const auto repairs =
         config::reconcileVersions(versions, config::ExternalConfigurationName);
-    logRepairs("versions conflict", external.Version, repairs);
     Conflicts = repairs.size();
+    base::log(base::LogLevel::Warning, "versions conflict",
+              {{"version", std::to_string(external.Version)},
+               {"count", std::to_string(Conflicts)},
+               {"repairs", summaryOf(repairs)}});
     next = config::Snapshot::create(std::move(versions),
                                     Held.snapshot()->offset(), reason);
   }
--- a/Libraries/LibNode/PlatformLink.cpp
+++ b/Libraries/LibNode/PlatformLink.cpp
@@ -43,17 +43,11 @@
 
 } // namespace
 
-void logRepairs(std::string_view event, uint64_t version,
-                const config::Repairs &repairs) {
-  if (repairs.empty())
-    return;
-  std::string text;
+std::string summaryOf(const config::Repairs &repairs) {
+  std::string out;
   for (size_t n = 0; n < std::min(repairs.size(), MaxLoggedRepairs); ++n)
-    text += (n > 0 ? "; " : "") + repairs[n];
-  base::log(base::LogLevel::Warning, event,
-            {{"version", std::to_string(version)},
-             {"count", std::to_string(repairs.size())},
-             {"repairs", text}});
+    out += (n > 0 ? "; " : "") + repairs[n];
+  return out;
 }
 
 PlatformLink::PlatformLink(boost::asio::io_context &context,
@@ -232,8 +226,12 @@
   base::log(
       base::LogLevel::Info, "external configuration taken",
       {{"version", std::to_string(number)}, {"source", std::string(source)}});
-  logRepairs("external configuration repaired", number, repaired);
   RepairCount = repaired.size();
+  if (RepairCount > 0)
+    base::log(base::LogLevel::Warning, "external configuration repaired",
+              {{"version", std::to_string(number)},
+               {"count", std::to_string(RepairCount)},
+               {"repairs", summaryOf(repaired)}});
   return true;
 }
 
--- a/Libraries/LibNode/PlatformLink.h
+++ b/Libraries/LibNode/PlatformLink.h
@@ -16,10 +16,8 @@
 
 namespace radishcross::node {
 
-/// Logs what was changed in a version of the external configuration; nothing if
-/// it is in force as it was written.
-void logRepairs(std::string_view event, uint64_t version,
-                const config::Repairs &repairs);
+/// Returns the first repairs of a version, for the log.
+std::string summaryOf(const config::Repairs &repairs);
 
 /// Reads and writes what one node keeps at the platform's store apart from the
 /// log of changes: the directory of nodes and the external configuration.
