LibPeer: Keep a pull server until its coroutine has run

The sanitizers found a use after free in TestQuarantineRestarts: a node that is destroyed before the event loop has run once leaves a coroutine that reads the freed server. The coroutine now holds it from the start.

--- a/Libraries/LibPeer/PullServer.cpp
+++ b/Libraries/LibPeer/PullServer.cpp
@@ -91,7 +91,11 @@
   if (ec)
     return reason.fail(base::ResultCode::CannotListen,
                        "peer address " + where.text() + ": " + ec.message());
-  asio::co_spawn(context, server->acceptAll(), asio::detached);
+  // The server may be gone before the coroutine runs for the first time.
+  asio::co_spawn(
+      context,
+      [server]() -> asio::awaitable<void> { co_await server->acceptAll(); },
+      asio::detached);
   return server;
 }
 
