LibNode: Keep a quarantined request for each service

What callers saw: nothing yet; found by reading. The fingerprint names the calling service, method, path and body, so a request that a split route sends to two services is quarantined at each. Both had one notice and one record: the later replaced the earlier, and nodes that started then knew only one.

Change: topics and keys have a hash of the service too, and a lift covers each. A node writes at most ten records a second and keeps as many as its table, since all nodes share the store's writes. Decisions and lifts are logged.

--- a/Libraries/LibNode/NodeReports.cpp
+++ b/Libraries/LibNode/NodeReports.cpp
@@ -118,9 +118,12 @@
 }
 
 bool NodeProcess::liftQuarantine(uint64_t fingerprint) {
-  return Notices.lift(fingerprint, [this](auto topic, auto text, auto left) {
-    broadcast(std::move(topic), std::move(text), left);
-  });
+  return Notices.lift(
+      fingerprint,
+      [this](auto topic, auto text, auto left) {
+        broadcast(std::move(topic), std::move(text), left);
+      },
+      Time.now());
 }
 
 std::string NodeProcess::recording(uint32_t seconds) const {
--- a/Libraries/LibNode/QuarantineNotices.cpp
+++ b/Libraries/LibNode/QuarantineNotices.cpp
@@ -1,5 +1,8 @@
 #include <LibNode/QuarantineNotices.h>
 
+#include <LibBase/Hash.h>
+#include <LibBase/Logger.h>
+
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -16,9 +19,11 @@
   uint32_t Crashes = 0;
 };
 
-std::string topicOf(uint64_t fingerprint, uint32_t crashes) {
+std::string topicOf(uint64_t fingerprint, uint32_t crashes,
+                    std::string_view service) {
   return std::string(TopicPrefix) + encodeFingerprint(fingerprint) + "/" +
-         std::to_string(crashes);
+         std::to_string(crashes) + "/" +
+         encodeFingerprint(base::hash64(service));
 }
 
 template <typename Number>
@@ -36,9 +41,11 @@
   size_t slash = topic.find('/');
   if (slash == std::string_view::npos)
     return std::nullopt;
+  auto crashes = topic.substr(slash + 1);
+  crashes = crashes.substr(0, crashes.find('/'));
   Topic out;
   if (!parseNumber(topic.substr(0, slash), out.Fingerprint, 16) ||
-      !parseNumber(topic.substr(slash + 1), out.Crashes, 10))
+      !parseNumber(crashes, out.Crashes, 10))
     return std::nullopt;
   return out;
 }
@@ -54,23 +61,37 @@
     if (entry.Until <= now)
       continue;
     const auto left = entry.Until - now;
-    publish(topicOf(entry.Fingerprint, entry.Crashes), entry.ServiceName, left);
+    publish(topicOf(entry.Fingerprint, entry.Crashes, entry.ServiceName),
+            entry.ServiceName, left);
     if (entry.Crashes < QuarantineThreshold)
       continue;
+    base::log(base::LogLevel::Warning, "request quarantined",
+              {{"fingerprint", std::to_string(entry.Fingerprint)},
+               {"service", entry.ServiceName},
+               {"source", "crash"}});
     Lifted.erase(entry.Fingerprint);
     Store->keep({entry.Fingerprint, entry.ServiceName, left});
   }
 }
 
-bool QuarantineNotices::lift(uint64_t fingerprint, const Publish &publish) {
+bool QuarantineNotices::lift(uint64_t fingerprint, const Publish &publish,
+                             base::TimePoint now) {
+  const auto entries = Table->entries(now);
   if (!Table->lift(fingerprint))
     return false;
+  base::log(
+      base::LogLevel::Info, "quarantine lifted",
+      {{"fingerprint", std::to_string(fingerprint)}, {"source", "operator"}});
   remember(fingerprint);
-  // Replaces the notices of the entry, for as long as those could last.
-  for (uint32_t crashes = 1; crashes <= QuarantineThreshold; ++crashes)
-    publish(topicOf(fingerprint, crashes), {},
-            calls::Quarantine::QuarantineLifetime);
-  Store->drop(fingerprint);
+  for (const auto &it : entries) {
+    if (it.Fingerprint != fingerprint)
+      continue;
+    // Replaces the notices of the entry, for as long as those could last.
+    for (uint32_t crashes = 1; crashes <= QuarantineThreshold; ++crashes)
+      publish(topicOf(fingerprint, crashes, it.ServiceName), {},
+              calls::Quarantine::QuarantineLifetime);
+    Store->drop(fingerprint, it.ServiceName);
+  }
   return true;
 }
 
@@ -87,8 +108,16 @@
     return;
   if (text.empty()) {
     remember(parsed->Fingerprint);
-    Table->lift(parsed->Fingerprint);
+    if (Table->lift(parsed->Fingerprint))
+      base::log(base::LogLevel::Info, "quarantine lifted",
+                {{"fingerprint", std::to_string(parsed->Fingerprint)},
+                 {"source", "peer"}});
   } else if (parsed->Crashes >= QuarantineThreshold) {
+    if (!Table->blocks(parsed->Fingerprint, text, now))
+      base::log(base::LogLevel::Info, "request quarantined",
+                {{"fingerprint", std::to_string(parsed->Fingerprint)},
+                 {"service", std::string(text)},
+                 {"source", "peer"}});
     Lifted.erase(parsed->Fingerprint);
     Table->applyRemote(parsed->Fingerprint, text, timeLeft, now);
   } else {
--- a/Libraries/LibNode/QuarantineNotices.h
+++ b/Libraries/LibNode/QuarantineNotices.h
@@ -14,9 +14,9 @@
 namespace radishcross::node {
 
 /// Exchanges suspicions and decisions of the quarantine with other nodes as
-/// gossip notices. The topic is "quarantine/FINGERPRINT/CRASHES" with the
-/// fingerprint in hexadecimal; the text is the name of the service, or empty if
-/// an operator has lifted the entry.
+/// gossip notices. The topic is "quarantine/FINGERPRINT/CRASHES/SERVICE" with
+/// the fingerprint and a hash of the service in hexadecimal; the text is the
+/// name of the service, or empty if an operator has lifted the entry.
 class QuarantineNotices {
 public:
   using Publish = std::function<void(std::string topic, std::string text,
@@ -29,7 +29,7 @@
   void publish(const Publish &publish, base::TimePoint now);
 
   /// Lifts an entry at all nodes; returns false if there is none here.
-  bool lift(uint64_t fingerprint, const Publish &publish);
+  bool lift(uint64_t fingerprint, const Publish &publish, base::TimePoint now);
 
   /// Handles a received notice; notices of other kinds are ignored.
   void receive(std::string_view topic, std::string_view text,
--- a/Libraries/LibNode/QuarantineStore.cpp
+++ b/Libraries/LibNode/QuarantineStore.cpp
@@ -1,5 +1,6 @@
 #include <LibNode/QuarantineStore.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/Logger.h>
 
 #include <array>
@@ -25,13 +26,16 @@
   int64_t UntilUnixMs = 0;
 };
 
-std::string keyOf(uint64_t fingerprint) {
-  return std::string(KeyPrefix) + encodeFingerprint(fingerprint);
+/// A request may be quarantined at several services.
+std::string keyOf(uint64_t fingerprint, std::string_view service) {
+  return std::string(KeyPrefix) + encodeFingerprint(fingerprint) + "/" +
+         encodeFingerprint(base::hash64(service));
 }
 
 std::optional<Entry> decode(const log::KeyedRecord &record) {
   Entry out;
-  const auto digits = std::string_view(record.Key).substr(KeyPrefix.size());
+  auto digits = std::string_view(record.Key).substr(KeyPrefix.size());
+  digits = digits.substr(0, digits.find('/'));
   const auto [end, error] =
       std::from_chars(digits.data(), digits.data() + digits.size(),
                       out.Content.Fingerprint, 16);
@@ -70,7 +74,9 @@
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(entry.TimeLeft);
   const auto until = Now() + left.count();
-  auto key = keyOf(entry.Fingerprint);
+  auto key = keyOf(entry.Fingerprint, entry.ServiceName);
+  if (Pending.size() >= MaximumEntries)
+    return;
   Kept[key] = until;
   Pending[std::move(key)] =
       json::serialize(json::object{{"service", entry.ServiceName},
@@ -78,8 +84,8 @@
                                    {"until_unix_ms", until}});
 }
 
-void QuarantineStore::drop(uint64_t fingerprint) {
-  auto key = keyOf(fingerprint);
+void QuarantineStore::drop(uint64_t fingerprint, std::string_view service) {
+  auto key = keyOf(fingerprint, service);
   Kept.erase(key);
   Pending[std::move(key)] = {};
 }
@@ -123,7 +129,7 @@
                {"reason", answer.Reason.text()}});
     return;
   }
-  NextWrite = {};
+  NextWrite += WriteInterval - RetryInterval;
   const auto it = Pending.find(key);
   if (it != Pending.end() && it->second == text)
     Pending.erase(it);
--- a/Libraries/LibNode/QuarantineStore.h
+++ b/Libraries/LibNode/QuarantineStore.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Clock.h>
 #include <LibBase/WallClock.h>
+#include <LibCalls/Quarantine.h>
 #include <LibLog/KeyedStore.h>
 
 #include <cstdint>
@@ -39,7 +40,7 @@
   void keep(const StoredQuarantine &entry);
 
   /// Removes an entry, whichever node has stored it.
-  void drop(uint64_t fingerprint);
+  void drop(uint64_t fingerprint, std::string_view service);
 
   /// Writes what has changed, one record at a time.
   void tick(base::TimePoint now);
@@ -50,8 +51,13 @@
   recall(const std::vector<log::KeyedRecord> &records);
 
 private:
-  /// The minimum time between a failed write and the next one.
+  /// The minimum time between a failed write and the next one, and between two
+  /// that succeed: all nodes share the writes that the store allows.
   static constexpr base::Duration RetryInterval = std::chrono::seconds(1);
+  static constexpr base::Duration WriteInterval =
+      std::chrono::milliseconds(100);
+  /// Entries that are kept and not yet written, as many as a node has.
+  static constexpr size_t MaximumEntries = calls::Quarantine::MaximumEntries;
 
   void expire();
   void writeEnded(const std::string &key, const std::string &text,
--- a/Tests/LibNode/TestQuarantineRestarts.cpp
+++ b/Tests/LibNode/TestQuarantineRestarts.cpp
@@ -1,5 +1,6 @@
 #include <LibNode/StoreMesh.h>
 
+#include <LibBase/Hash.h>
 #include <LibBase/WallClock.h>
 
 #include <boost/json/array.hpp>
@@ -19,7 +20,9 @@
   QuarantineMesh() {
     publish("3");
     const auto until = base::unixMilliseconds() + 300'000;
-    Content.write(log::Topic::Departures, "quarantine/abc",
+    Content.write(log::Topic::Departures,
+                  "quarantine/" + node::encodeFingerprint(Fingerprint) + "/" +
+                      node::encodeFingerprint(base::hash64("external/lookup")),
                   R"({"service":"external/lookup","node":"a-1",)"
                   R"("until_unix_ms":)" +
                       std::to_string(until) + "}");
