LibNode: Acknowledge a departure only if the store or a peer holds it

A node that reached neither the store nor another node acknowledged a leave that nobody else knew. One restart of that node alone, with its links back, would have taken its peers' older memory for complete.

Change: from the second round on, the datagrams that tell of a target that takes no more work ask two members for a confirmation. Without the store a departure is acknowledged only if a peer has confirmed it, or holds an equal table. Otherwise the target gets 503; it gets no new calls all the same, and asks again or exits. Nothing changes where the store answers in time.

TestMembership checks confirmations with loss and with a partition.

--- a/Libraries/LibFleet/Membership.cpp
+++ b/Libraries/LibFleet/Membership.cpp
@@ -220,17 +220,30 @@
   LeaveRoundsLeft -= isMinRound ? 1 : 0;
   auto recipients = leaveRecipients(
       isMinRound ? Settings.MinLeaveRounds : Settings.LeaveCopies, now);
+  // The first round only informs, so that nothing delays it.
+  const bool isAsking = !LeaveDeliveries.empty();
+  if (isAsking)
+    requestConfirmation();
   std::vector<GossipSend> sends;
   for (const auto *it : recipients) {
     LeaveDeliveries[it->Identity.Id] = {it->Incarnation,
                                         leaveCopiesSent(*it) + 1};
-    auto message = compose(GossipKind::Update, 0, {}, Payload::DigestOnly);
+    const bool isAsked = isAsking && sends.size() < Settings.LeaveConfirmations;
+    auto message =
+        compose(isAsked ? GossipKind::Ping : GossipKind::Update,
+                isAsked ? self().Revision : 0, {}, Payload::DigestOnly);
     message.Updates.push_back(ownUpdate());
     sends.push_back({it->Identity.Gossip, std::move(message)});
   }
   return sends;
 }
 
+void Membership::requestConfirmation() {
+  ConfirmationRequests.insert(self().Revision);
+  if (ConfirmationRequests.size() > MaximumConfirmationRequests)
+    ConfirmationRequests.erase(ConfirmationRequests.begin());
+}
+
 std::vector<GossipSend> Membership::leave(base::TimePoint now) {
   setState(self(), MemberState::Left, now);
   IsLeaving = true;
@@ -387,9 +400,12 @@
   Member own = self();
   if (own.KnowsDepartures == isComplete && own.Departed == departures)
     return;
+  const bool isChanged = own.Departed != departures;
   own.Departed = std::move(departures);
   own.KnowsDepartures = isComplete;
   replaceSelf(std::move(own));
+  if (isChanged)
+    DeparturesRevision = self().Revision;
 }
 
 void Membership::setDigest(const Digest &digest) {
--- a/Libraries/LibFleet/Membership.h
+++ b/Libraries/LibFleet/Membership.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace radishcross::fleet {
@@ -30,6 +31,9 @@
 
   /// Datagrams per round; members sent the fewest copies come first.
   uint32_t LeaveFanout = 32;
+  /// How many of them ask for a confirmation, from the second round on: without
+  /// the store a departure is acknowledged only if a peer holds it.
+  uint32_t LeaveConfirmations = 2;
   /// Minimum number of rounds, since datagrams get lost.
   uint32_t MinLeaveRounds = 3;
   /// Copies to each member, in as many rounds as needed.
@@ -118,6 +122,11 @@
   /// had others, and the peers keep those too.
   void setDepartures(Departures departures, bool isComplete);
 
+  /// Returns whether a peer has confirmed that it holds the departures.
+  bool areDeparturesConfirmed() const {
+    return ConfirmedRevision >= DeparturesRevision;
+  }
+
   /// Returns the departures of this node's previous process, as its peers kept
   /// them.
   const Departures &formerDepartures() const { return FormerDepartures; }
@@ -185,6 +194,9 @@
   chooseLive(size_t count, const std::function<bool(const Member &)> &accept);
 
 private:
+  /// Pings that ask for a confirmation and are not answered yet.
+  static constexpr size_t MaximumConfirmationRequests = 16;
+
   /// Content of a datagram besides the digest.
   enum class Payload : uint8_t { DigestOnly, Updates };
 
@@ -222,6 +234,7 @@
   size_t liveCount(std::string_view dataCentre) const;
   bool drawRemoteContact();
   uint32_t leaveCopiesSent(const Member &member) const;
+  void requestConfirmation();
   bool mayHaveReturned(const Member &member, base::TimePoint now) const;
   std::vector<const Member *> leaveRecipients(uint32_t copies,
                                               base::TimePoint now);
@@ -262,6 +275,10 @@
   std::map<std::string, uint64_t> FormerExceptions;
   Departures FormerDepartures;
   bool HasFormerDepartures = false;
+  uint64_t DeparturesRevision = 0; ///< Own revision that last changed them.
+  uint64_t ConfirmedRevision = 0;  ///< Own revision that a peer holds.
+  /// Own revisions of which a peer was asked; each is the number of its pings.
+  std::set<uint64_t> ConfirmationRequests;
   Digest OwnDigest;
   std::map<NodeId, base::TimePoint> SuspectUntil;
   std::map<NodeId, base::TimePoint> DeadUntil;
--- a/Libraries/LibFleet/MembershipAnswers.cpp
+++ b/Libraries/LibFleet/MembershipAnswers.cpp
@@ -88,6 +88,11 @@
     Relays.erase(relay);
     return;
   }
+  // A peer answers a ping after it has merged the updates in it.
+  if (ConfirmationRequests.contains(message.Probe)) {
+    ConfirmedRevision = std::max(ConfirmedRevision, message.Probe);
+    return;
+  }
   const auto &subject = message.Subject.empty() ? sender.Id : message.Subject;
   Probes.acknowledged(subject, message.Probe);
 }
@@ -96,6 +101,7 @@
                                base::TimePoint now,
                                MembershipActions &actions) {
   if (theirs.MembersHash == Table.hash()) {
+    ConfirmedRevision = self().Revision;
     HashMismatches = 0;
     return;
   }
--- a/Libraries/LibNode/DepartureKeeper.cpp
+++ b/Libraries/LibNode/DepartureKeeper.cpp
@@ -37,6 +37,16 @@
     fleet.setDepartures(std::move(departures), IsComplete);
 }
 
+boost::asio::awaitable<bool>
+DepartureKeeper::awaitKept(const peer::FleetRuntime &fleet) {
+  std::weak_ptr<bool> weak = LifetimeToken;
+  co_await Store.awaitStored(MaxAcknowledgementDelay);
+  if (weak.expired())
+    co_return false;
+  co_return Store.isStored() ||
+      (!IsRecalling && fleet.areDeparturesConfirmed());
+}
+
 void DepartureKeeper::tick(peer::FleetRuntime &fleet, base::TimePoint now) {
   LastTick = now;
   Store.tick(now);
--- a/Libraries/LibNode/DepartureKeeper.h
+++ b/Libraries/LibNode/DepartureKeeper.h
@@ -6,6 +6,7 @@
 #include <LibPeer/FleetRuntime.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -36,11 +37,10 @@
 
   void tick(peer::FleetRuntime &fleet, base::TimePoint now);
 
-  /// Returns once the store holds the departures, or after
-  /// MaxAcknowledgementDelay.
-  boost::asio::awaitable<void> awaitStored() {
-    return Store.awaitStored(MaxAcknowledgementDelay);
-  }
+  /// Waits until the store holds the departures, MaxAcknowledgementDelay at
+  /// most. Returns whether they outlive this process: the store or a peer holds
+  /// them.
+  boost::asio::awaitable<bool> awaitKept(const peer::FleetRuntime &fleet);
 
 private:
   /// How long a restarted node waits at most for the store.
@@ -63,6 +63,7 @@
   bool IsComplete = true;
   base::TimePoint RecallingSince{};
   base::TimePoint LastTick{};
+  std::shared_ptr<bool> LifetimeToken = std::make_shared<bool>(true);
 };
 
 } // namespace radishcross::node
--- a/Libraries/LibNode/DepartureStore.h
+++ b/Libraries/LibNode/DepartureStore.h
@@ -40,6 +40,9 @@
 
   bool isLoaded() const { return IsLoaded; }
 
+  /// Returns whether the store is known to hold the departures.
+  bool isStored() const { return IsLoaded && Record.isCurrent(); }
+
   /// Sets the departures to be stored; the next tick writes them.
   void setDesired(const fleet::Departures &departures);
 
@@ -52,7 +55,6 @@
   using Waiters = std::set<boost::asio::steady_timer *>;
 
   void loaded(const StoredNodeRecord::Recalled &recalled);
-  bool isStored() const { return IsLoaded && Record.isCurrent(); }
   void wake();
 
   Restored OnRestored;
--- a/Libraries/LibNode/NodeSetUp.cpp
+++ b/Libraries/LibNode/NodeSetUp.cpp
@@ -123,7 +123,7 @@
                                               }),
       Announcements(
           Leases, Time, localTargetOf(settings), [this] { targetsChanged(); },
-          [this] { return Departures.awaitStored(); }),
+          [this] { return Departures.awaitKept(*Fleet); }),
       Administration(*this, settings.Tokens), MetricsText(*this),
       Timer(context) {}
 
--- a/Libraries/LibNode/TargetListener.cpp
+++ b/Libraries/LibNode/TargetListener.cpp
@@ -113,9 +113,9 @@
 TargetListener::TargetListener(admission::TargetLeases &leases,
                                const base::Clock &clock, LocalTarget local,
                                std::function<void()> onChanged,
-                               AwaitStored awaitStored)
+                               AwaitKept awaitKept)
     : Leases(&leases), Time(&clock), Local(std::move(local)),
-      OnChanged(std::move(onChanged)), Stored(std::move(awaitStored)) {}
+      OnChanged(std::move(onChanged)), Kept(std::move(awaitKept)) {}
 
 boost::asio::awaitable<http::Response>
 TargetListener::handle(http::IncomingRequest request) {
@@ -138,8 +138,13 @@
       out = heartbeat(rest.substr(0, rest.size() - HeartbeatSuffix.size()),
                       request.Message.body(), isLeaving);
     // The node may be gone after the wait.
-    if (isLeaving && Stored)
-      co_await Stored();
+    if (isLeaving && Kept && !co_await Kept()) {
+      reason.fail(base::ResultCode::PlatformUnavailable,
+                  "neither the store nor a peer holds that the target leaves");
+      base::log(base::LogLevel::Warning, "departure not acknowledged",
+                {{"target", std::string(rest)}, {"reason", reason.line()}});
+      co_return errorResponse(reason);
+    }
     if (out)
       co_return std::move(*out);
   }
--- a/Libraries/LibNode/TargetListener.h
+++ b/Libraries/LibNode/TargetListener.h
@@ -38,14 +38,15 @@
 /// POST /v1/targets/ID/leave -> {}.
 class TargetListener {
 public:
-  /// Returns once what the targets have stated outlives this process, or
-  /// cannot in time.
-  using AwaitStored = std::function<boost::asio::awaitable<void>()>;
+  /// Waits until what the targets have stated outlives this process; returns
+  /// false if it cannot in time.
+  using AwaitKept = std::function<boost::asio::awaitable<bool>()>;
 
-  /// \p awaitStored is called before a target's leaving is acknowledged.
+  /// \p awaitKept is called before a target's leaving is acknowledged. Without
+  /// success it is not, though the target gets no new calls all the same.
   TargetListener(admission::TargetLeases &leases, const base::Clock &clock,
                  LocalTarget local, std::function<void()> onChanged,
-                 AwaitStored awaitStored = nullptr);
+                 AwaitKept awaitKept = nullptr);
 
   void setLocalTarget(LocalTarget local) { Local = std::move(local); }
 
@@ -62,7 +63,7 @@
   const base::Clock *Time;
   LocalTarget Local;
   std::function<void()> OnChanged;
-  AwaitStored Stored;
+  AwaitKept Kept;
 };
 
 } // namespace radishcross::node
--- a/Libraries/LibPeer/FleetNode.h
+++ b/Libraries/LibPeer/FleetNode.h
@@ -57,6 +57,9 @@
   bool hasFormerDepartures() const override {
     return Members.hasFormerDepartures();
   }
+  bool areDeparturesConfirmed() const override {
+    return Members.areDeparturesConfirmed();
+  }
   void setDepartures(fleet::Departures departures, bool isComplete) override {
     Members.setDepartures(std::move(departures), isComplete);
   }
--- a/Libraries/LibPeer/FleetRuntime.h
+++ b/Libraries/LibPeer/FleetRuntime.h
@@ -138,6 +138,9 @@
   /// Unless \p isComplete, they are added to those of earlier processes.
   virtual void setDepartures(fleet::Departures departures, bool isComplete) = 0;
 
+  /// Returns whether a peer has confirmed that it remembers them.
+  virtual bool areDeparturesConfirmed() const = 0;
+
   /// Gossips a short text, such as a quarantined fingerprint, to every node for
   /// \p lifetime. It replaces an older text with the same topic.
   virtual void broadcastNotice(std::string topic, std::string text,
--- a/Tests/LibFleet/TestMembership.cpp
+++ b/Tests/LibFleet/TestMembership.cpp
@@ -245,6 +245,31 @@
   CHECK(notices[0].LifetimeMilliseconds < 600'000);
 }
 
+TEST_CASE("departures are confirmed by a peer that holds them, and only then") {
+  // Guards against an acknowledged leave that no other node knows.
+  for (uint64_t loss : {0, 20}) {
+    ThreeDataCentres mesh(4, loss);
+    mesh.run(10s);
+    auto &node = mesh.Nodes.at(7);
+    const auto leave = [&](uint64_t epoch) {
+      node.setTargets({readyTarget()}, mesh.Now);
+      node.setDepartures({{"t", epoch}}, true);
+      node.setTargets({}, mesh.Now);
+    };
+    leave(1);
+    CHECK_FALSE(node.areDeparturesConfirmed());
+    mesh.run(2s);
+    CHECK(node.areDeparturesConfirmed());
+    mesh.partition([](size_t n) { return n == 7; });
+    leave(2);
+    mesh.run(5s);
+    CHECK_FALSE(node.areDeparturesConfirmed());
+    mesh.Cut.clear();
+    mesh.run(10s);
+    CHECK(node.areDeparturesConfirmed());
+  }
+}
+
 TEST_CASE("repeated notices use a bounded part of the datagrams") {
   // Guards against many notices that fill every datagram for minutes.
   NoticeBoard board;
--- a/Tests/LibNode/TestDepartures.cpp
+++ b/Tests/LibNode/TestDepartures.cpp
@@ -192,6 +192,55 @@
   mesh.checkDeparted();
 }
 
+TEST_CASE("a node that reaches neither the store nor a peer acknowledges no "
+          "departure") {
+  // Guards against an acknowledgement that one restart of the node forgets.
+  TargetMesh mesh;
+  mesh.refuseStoreCalls();
+  mesh.Nodes.erase("a-2");
+  mesh.Nodes.erase("b-1");
+  SUBCASE("leave") {
+    CHECK(mesh.post("leave", "") == 503);
+    CHECK_FALSE(mesh.isReadyAt("a-1"));
+    CHECK(mesh.post("leave", "") == 503);
+  }
+  SUBCASE("draining") { CHECK(mesh.report("draining", 3) == 503); }
+  SUBCASE("leave, and a peer is back") {
+    CHECK(mesh.post("leave", "") == 503);
+    mesh.start("b-1");
+    CHECK(mesh.runUntil([&] { return mesh.post("leave", "") == 200; }));
+  }
+  SUBCASE("leave, and the store is back") {
+    CHECK(mesh.post("leave", "") == 503);
+    mesh.setStore(test::StoreBehaviour::Serves);
+    CHECK(mesh.runUntil([&] { return mesh.post("leave", "") == 200; }));
+  }
+}
+
+TEST_CASE("a late heartbeat revives no target when the nodes restart in turn") {
+  // Guards against a memory that ends with the peers of before the leave.
+  TargetMesh mesh;
+  mesh.refuseStoreCalls();
+  CHECK(mesh.post("leave", "") == 200);
+  for (const char *it : {"a-2", "b-1", "a-1", "b-1", "a-2", "a-1"}) {
+    mesh.start(it);
+    REQUIRE(mesh.runUntil([&] { return mesh.allReady(); }));
+  }
+  mesh.checkDeparted();
+}
+
+TEST_CASE("two late heartbeats revive no target that nobody remembers") {
+  // Guards against reports that are all late by the same time.
+  TargetMesh mesh;
+  mesh.refuseStoreCalls();
+  CHECK(mesh.post("leave", "") == 200);
+  mesh.restartAllAndStore();
+  CHECK(mesh.report("ready", 2) == 200);
+  mesh.runUntil([] { return false; }, 1500ms);
+  CHECK(mesh.report("ready", 3) == 200);
+  CHECK_FALSE(mesh.runUntil([&] { return mesh.isReadyAnywhere(); }, 2s));
+}
+
 TEST_CASE("a target that serves on is ready after all nodes restarted") {
   // Guards against targets that stay out of use once no node remembers them.
   TargetMesh mesh;
